Lay the workspace: shared types, the control step and the test command

Cause: the project starts from nothing; every later part needs the shared ids, units, sheet, settings and events, and one place for all decisions. Ruled out: decisions inside the router binary (could not be driven with virtual time by any harness); ids that number the rows of a sheet (messages would change meaning with every sheet), so ids are hashes of names and the check of a sheet rejects a clash.

--- /dev/null
+++ b/crates/bergamotpitch-control/src/members.rs
@@ -0,0 +1,90 @@
+//! Membership: heartbeats between instances, and who is alive.
+
+use std::net::SocketAddr;
+
+use bergamotpitch_core::events::EventKind;
+
+use crate::inputs::Sender;
+use crate::messages::{Heartbeat, Message};
+use crate::outputs::{Event, Output};
+use crate::tables::{Member, Tables};
+use crate::upstreams;
+
+/// `apply_heartbeat` notes that a peer is alive and takes over what it knows.
+pub fn apply_heartbeat(
+    tables: &mut Tables,
+    sender: Sender,
+    heartbeat: Heartbeat,
+    outputs: &mut Vec<Output>,
+) {
+    if sender.instance == tables.options.instance {
+        return;
+    }
+    let known = tables.members.get(&sender.instance);
+    // A message of an earlier life that arrives late must not bring that life back.
+    if known.is_some_and(|member| sender.incarnation < member.incarnation) {
+        return;
+    }
+    let is_new =
+        known.is_none_or(|member| member.suspected || member.incarnation < sender.incarnation);
+    if is_new {
+        outputs
+            .push(Output::Emit(Event::of_kind(EventKind::PeerJoined).with_peer(sender.instance)));
+    }
+    let member = Member {
+        incarnation: sender.incarnation,
+        domain: sender.domain,
+        address: sender.address,
+        heard: tables.now,
+        suspected: false,
+        draining: heartbeat.draining,
+    };
+    tables.members.insert(sender.instance, member);
+    for upstream in heartbeat.leaving_upstreams {
+        upstreams::mark_leaving(tables, upstream, outputs);
+    }
+    let version = tables.sheet.as_ref().map_or(0, |sheet| sheet.version);
+    if version < heartbeat.sheet_version {
+        outputs.push(Output::FetchSheet { from: sender.address, version: heartbeat.sheet_version });
+    }
+}
+
+/// `run` sends heartbeats and suspects silent peers.
+pub fn run(tables: &mut Tables, outputs: &mut Vec<Output>) {
+    suspect_silent_members(tables, outputs);
+    let interval = tables.options.heartbeat_interval;
+    let is_due = tables.heartbeat_sent.is_none_or(|sent| sent + interval <= tables.now);
+    if !is_due {
+        return;
+    }
+    tables.heartbeat_sent = Some(tables.now);
+    let heartbeat = Heartbeat {
+        sheet_version: tables.sheet.as_ref().map_or(0, |sheet| sheet.version),
+        draining: tables.draining,
+        leaving_upstreams: upstreams::leaving(tables),
+    };
+    for to in addresses(tables) {
+        outputs.push(Output::Send { to, message: Message::Heartbeat(heartbeat.clone()) });
+    }
+}
+
+fn suspect_silent_members(tables: &mut Tables, outputs: &mut Vec<Output>) {
+    let now = tables.now;
+    let timeout = tables.options.peer_timeout;
+    for (instance, member) in &mut tables.members {
+        if !member.suspected && member.heard + timeout < now {
+            member.suspected = true;
+            outputs
+                .push(Output::Emit(Event::of_kind(EventKind::PeerSuspected).with_peer(*instance)));
+        }
+    }
+}
+
+fn addresses(tables: &Tables) -> Vec<SocketAddr> {
+    let mut addresses: Vec<SocketAddr> =
+        tables.members.values().map(|member| member.address).collect();
+    addresses.extend(&tables.options.first_peers);
+    addresses.sort_unstable();
+    addresses.dedup();
+    addresses
+}
--- /dev/null
+++ b/crates/bergamotpitch-control/src/messages.rs
@@ -0,0 +1,25 @@
+//! Messages between instances.
+//!
+//! Each message carries state, not a change of it, so that a lost, repeated or reordered message
+//! does no harm.
+
+use bergamotpitch_core::ids::{SheetVersion, UpstreamId};
+use serde::{Deserialize, Serialize};
+
+/// `Message` is what one instance tells another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// The sender is alive.
+    Heartbeat(Heartbeat),
+}
+
+/// `Heartbeat` says that the sender is alive and what it knows.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Version of the sheet in force at the sender; 0 when it has none.
+    pub sheet_version: SheetVersion,
+    /// True when the sender is draining.
+    pub draining: bool,
+    /// Upstreams that the sender knows to be leaving.
+    pub leaving_upstreams: Vec<UpstreamId>,
+}
--- /dev/null
+++ b/crates/bergamotpitch-control/src/steps.rs
@@ -0,0 +1,56 @@
+//! The step: inputs are applied to the tables, then every system runs once.
+
+use bergamotpitch_core::units::Timestamp;
+
+use crate::inputs::Input;
+use crate::messages::Message;
+use crate::outputs::Output;
+use crate::tables::Tables;
+use crate::{dispatches, members, requests, sheets, upstreams};
+
+/// `step` applies inputs at a time and runs every system over the tables.
+///
+/// Time may stand still between two steps but never goes back.
+///
+/// ```
+/// use std::time::Duration;
+/// use bergamotpitch_control::{step, Tables};
+/// let mut tables = Tables::default();
+/// let outputs = step(&mut tables, Duration::from_millis(5), Vec::new());
+/// assert!(outputs.is_empty());
+/// ```
+pub fn step(tables: &mut Tables, now: Timestamp, inputs: Vec<Input>) -> Vec<Output> {
+    let mut outputs = Vec::new();
+    tables.now = tables.now.max(now);
+    for input in inputs {
+        apply_input(tables, input, &mut outputs);
+    }
+    members::run(tables, &mut outputs);
+    requests::run(tables, &mut outputs);
+    dispatches::run(tables, &mut outputs);
+    outputs
+}
+
+fn apply_input(tables: &mut Tables, input: Input, outputs: &mut Vec<Output>) {
+    match input {
+        Input::Arrived(arrival) => requests::apply_arrival(tables, arrival, outputs),
+        Input::CallerLeft { request } => requests::apply_caller_left(tables, request, outputs),
+        Input::FirstByte { request: _ } => {}
+        Input::Progressed { request, cost } => requests::apply_progress(tables, request, cost),
+        Input::AttemptEnded { request, outcome, cost } => {
+            requests::apply_attempt_end(tables, request, outcome, cost, outputs);
+        }
+        Input::Received { sender, message } => match message {
+            Message::Heartbeat(heartbeat) => {
+                members::apply_heartbeat(tables, sender, heartbeat, outputs)
+            }
+        },
+        Input::LoadReported { upstream, report } => {
+            upstreams::apply_load_report(tables, upstream, report, outputs);
+        }
+        Input::Listed(list) => upstreams::apply_list(tables, &list, outputs),
+        Input::SheetLearned(sheet) => sheets::apply_sheet(tables, sheet, outputs),
+        Input::PlatformReachable(_reachable) => {}
+        Input::DrainBegun => requests::apply_drain(tables, outputs),
+    }
+}
--- /dev/null
+++ b/crates/bergamotpitch-control/src/tables.rs
@@ -0,0 +1,166 @@
+//! Tables: the whole state of one instance's control.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bergamotpitch_core::HashMap;
+use bergamotpitch_core::ids::{
+    DomainId, Incarnation, InstanceId, RequestId, ServiceId, TeamId, UpstreamId,
+};
+use bergamotpitch_core::settings::Policy;
+use bergamotpitch_core::sheets::AcceptedSheet;
+use bergamotpitch_core::units::{CostUnits, Timestamp};
+
+use crate::inputs::Arrival;
+
+/// `Options` are the constants of one control state.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// This instance.
+    pub instance: InstanceId,
+    /// Its present life.
+    pub incarnation: Incarnation,
+    /// Failure domain that it stands in.
+    pub domain: DomainId,
+    /// Order in which waiting requests are dispatched.
+    pub policy: Policy,
+    /// Instances to greet before any is known.
+    pub first_peers: Vec<SocketAddr>,
+    /// Time between two heartbeats to one peer.
+    pub heartbeat_interval: Duration,
+    /// Silence after which a peer is taken for gone.
+    pub peer_timeout: Duration,
+    /// Seed of the random source.
+    pub seed: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            instance: 0,
+            incarnation: 0,
+            domain: 0,
+            policy: Policy::default(),
+            first_peers: Vec::new(),
+            heartbeat_interval: Duration::from_millis(200),
+            peer_timeout: Duration::from_millis(1_000),
+            seed: 1,
+        }
+    }
+}
+
+/// `Tables` is the state that the systems of this crate run over.
+#[derive(Debug, Default)]
+pub struct Tables {
+    /// Constants.
+    pub options: Options,
+    /// Time of the present step.
+    pub now: Timestamp,
+    /// Sheet in force.
+    pub sheet: Option<Arc<AcceptedSheet>>,
+    /// True once this instance is leaving.
+    pub draining: bool,
+    /// Other instances.
+    pub members: HashMap<InstanceId, Member>,
+    /// Time of the last heartbeat sent.
+    pub heartbeat_sent: Option<Timestamp>,
+    /// Upstreams of the sheet in force.
+    pub upstreams: HashMap<UpstreamId, Upstream>,
+    /// Teams of the sheet in force.
+    pub teams: HashMap<TeamId, Team>,
+    /// Requests that wait or run here.
+    pub requests: HashMap<RequestId, Request>,
+    /// Requests that wait here, by service and team, oldest first.
+    pub queues: HashMap<QueueKey, VecDeque<RequestId>>,
+    /// Service received here, by service and team, in cost units.
+    pub accounts: HashMap<QueueKey, CostUnits>,
+}
+
+/// `QueueKey` names one queue: one team's requests for one service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct QueueKey {
+    /// The service.
+    pub service: ServiceId,
+    /// The team.
+    pub team: TeamId,
+}
+
+/// `Member` is another instance.
+#[derive(Debug, Clone)]
+pub struct Member {
+    /// Its present life.
+    pub incarnation: Incarnation,
+    /// Failure domain that it stands in.
+    pub domain: DomainId,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// When it was last heard.
+    pub heard: Timestamp,
+    /// True when it has been silent for longer than the timeout.
+    pub suspected: bool,
+    /// True when it is draining.
+    pub draining: bool,
+}
+
+/// `Upstream` is an upstream and what is known of its load.
+#[derive(Debug, Clone)]
+pub struct Upstream {
+    /// Service that it runs.
+    pub service: ServiceId,
+    /// Failure domain that it stands in.
+    pub domain: DomainId,
+    /// Requests it can run at once.
+    pub slots: u32,
+    /// Requests that this instance has handed to it.
+    pub running_requests: u32,
+    /// True when it gets no new work because it is leaving.
+    pub leaving: bool,
+    /// Time until which it gets no new work because it failed.
+    pub failing_until: Option<Timestamp>,
+}
+
+/// `Team` is a team of the sheet.
+#[derive(Debug, Clone)]
+pub struct Team {
+    /// Fair share, relative to the other teams.
+    pub share: u32,
+    /// Requests that may wait here.
+    pub queue_limit_requests: u32,
+    /// Bytes of bodies that may wait here.
+    pub queue_limit_bytes: u64,
+    /// Retries allowed, in percent of first attempts.
+    pub retry_budget_percent: u32,
+    /// Bytes of bodies that wait here.
+    pub waiting_bytes: u64,
+    /// Requests that wait here.
+    pub waiting_requests: u32,
+}
+
+/// `Request` is a request that waits or runs.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// What is known of it.
+    pub arrival: Arrival,
+    /// When it came.
+    pub arrived: Timestamp,
+    /// Attempts begun.
+    pub attempts: u32,
+    /// Where it stands.
+    pub state: RequestState,
+    /// Cost charged to the team so far, in cost units.
+    pub charged_cost: CostUnits,
+}
+
+/// `RequestState` is where a request stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestState {
+    /// It waits; it has not been handed to any upstream.
+    Queued,
+    /// It was handed to an upstream.
+    Running {
+        /// The upstream.
+        upstream: UpstreamId,
+    },
+}
--- /dev/null
+++ b/crates/bergamotpitch-core/src/events.rs
@@ -0,0 +1,121 @@
+//! Numbered events: the catalogue that `docs/EVENTS.md` documents and the record written to event
+//! files.
+
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+
+/// `EventKind` is one kind of event; its number never changes.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    Serialize,
+    Deserialize,
+    Display,
+    EnumString,
+    EnumIter,
+    IntoStaticStr,
+)]
+#[strum(serialize_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
+#[repr(u16)]
+pub enum EventKind {
+    /// A process started.
+    ProcessStarted = 1,
+    /// A process stopped in good order.
+    ProcessStopped = 2,
+    /// A drain began.
+    DrainBegan = 3,
+    /// A request arrived.
+    RequestArrived = 100,
+    /// A request was handed over to an upstream.
+    RequestDispatched = 101,
+    /// A request was answered in full.
+    RequestAnswered = 102,
+    /// A request was refused.
+    RequestRefused = 103,
+    /// The caller left before the answer ended.
+    CallerLeft = 104,
+    /// An attempt at an upstream failed.
+    AttemptFailed = 105,
+    /// A request is tried again.
+    RequestRetried = 106,
+    /// The stream of an answer broke and was closed as cut.
+    AnswerCut = 107,
+    /// A sheet came into force.
+    SheetInForce = 200,
+    /// A sheet with a lower or equal version was passed over.
+    SheetPassedOver = 201,
+    /// A peer was heard for the first time, or with a new incarnation.
+    PeerJoined = 300,
+    /// A peer has been silent for longer than the timeout.
+    PeerSuspected = 301,
+    /// A message was dropped.
+    MessageDropped = 302,
+    /// An upstream is leaving and gets no new work.
+    UpstreamLeaving = 400,
+    /// An upstream is taken out because it fails.
+    UpstreamFailing = 401,
+    /// An upstream is back.
+    UpstreamBack = 402,
+    /// The key-value service is out of reach.
+    PlatformLost = 500,
+    /// The key-value service answers again.
+    PlatformBack = 501,
+    /// A claim on an idempotency key was made.
+    ClaimMade = 510,
+    /// A claim on an idempotency key was found taken.
+    ClaimTaken = 511,
+    /// An order was sent to an engine.
+    OrderSent = 600,
+    /// The lease for orders was won.
+    OrderLeaseWon = 601,
+    /// The lease for orders was lost or given up.
+    OrderLeaseLost = 602,
+}
+
+impl EventKind {
+    /// `number` returns the number of this kind in the catalogue.
+    ///
+    /// ```
+    /// use bergamotpitch_core::events::EventKind;
+    /// assert_eq!(EventKind::RequestArrived.number(), 100);
+    /// ```
+    pub fn number(self) -> u16 {
+        self as u16
+    }
+}
+
+/// `EventRecord` is one line of an event file.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EventRecord {
+    /// Wall-clock time in microseconds since the Unix epoch.
+    pub time_us: u64,
+    /// Name of the process that wrote the event.
+    pub process: String,
+    /// Number of the event in the catalogue.
+    pub number: u16,
+    /// Name of the event in the catalogue.
+    pub kind: EventKind,
+    /// Request that the event is about, as the caller sees it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub request: Option<String>,
+    /// Team that the event is about.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub team: Option<String>,
+    /// Service that the event is about.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<String>,
+    /// Upstream that the event is about.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub upstream: Option<String>,
+    /// Peer instance that the event is about.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peer: Option<String>,
+    /// Refusal reason, version or another detail.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub detail: Option<String>,
+}
--- /dev/null
+++ b/crates/bergamotpitch-core/src/lib.rs
@@ -0,0 +1,14 @@
+//! Types that every bergamotpitch crate shares; this crate does no I/O.
+
+pub mod collections;
+pub mod documents;
+pub mod errors;
+pub mod events;
+pub mod ids;
+pub mod refusals;
+pub mod settings;
+pub mod sheets;
+pub mod units;
+
+pub use crate::collections::{HashMap, HashSet};
+pub use crate::errors::{Error, Result};
--- /dev/null
+++ b/crates/bergamotpitch-ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The `bergamotpitch-ctl` binary.
+
+fn main() {}
--- /dev/null
+++ b/crates/bergamotpitch-load/src/main.rs
@@ -0,0 +1,3 @@
+//! The `bergamotpitch-load` binary.
+
+fn main() {}
--- /dev/null
+++ b/crates/bergamotpitch-platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! See the crate's description in its manifest.
--- /dev/null
+++ b/crates/bergamotpitch-router/src/main.rs
@@ -0,0 +1,3 @@
+//! The `bergamotpitch-router` binary.
+
+fn main() {}
--- /dev/null
+++ b/crates/bergamotpitch-standin/src/main.rs
@@ -0,0 +1,3 @@
+//! The `bergamotpitch-standin` binary.
+
+fn main() {}
--- /dev/null
+++ b/crates/bergamotpitch-timeline/src/main.rs
@@ -0,0 +1,3 @@
+//! The `bergamotpitch-timeline` binary.
+
+fn main() {}
