--- /dev/null
+++ b/crates/bergamotpitch-platform/src/nonces.rs
@@ -0,0 +1,17 @@
+//! Nonces: random numbers by which a writer knows its own write again.
+
+/// `fresh_nonce` makes a nonce of 128 random bits in hexadecimal.
+///
+/// ```
+/// use bergamotpitch_platform::nonces::fresh_nonce;
+/// assert_ne!(fresh_nonce(), fresh_nonce());
+/// ```
+///
+/// # Panics
+///
+/// When the system has no random source; nothing can be claimed safely then.
+pub fn fresh_nonce() -> String {
+    let mut bytes = [0; 16];
+    getrandom::fill(&mut bytes).expect("the system has a random source");
+    format!("{:032x}", u128::from_le_bytes(bytes))
+}
