Claim idempotency keys by compare-and-swap, many in one write

Cause: a keyed call that may not be repeated has to run at most once, whichever router the caller's next try meets and whatever answers get lost. Ruled out: one record a key (a write each, no group commit); a second write to mark the hand-over (doubles the calls and only narrows 'unknown'). Change: pure queues and rounds in the control crate; a writer task and owner tokens in the platform client. A round reads the shard, settles by nonce what took effect and writes the rest. A wish given up in doubt turns into a release that is settled only past the doubtful write's index.

--- a/crates/bergamotpitch-control/src/lib.rs
+++ b/crates/bergamotpitch-control/src/lib.rs
@@ -4,6 +4,9 @@
 //! messages and observations come in as [`Input`]s; messages, dispatches, refusals and events go
 //! out as [`Output`]s. A test can drive hundreds of control states in one thread with virtual time.
 
+pub mod claim_queues;
+mod claim_rounds;
+pub mod claims;
 pub mod dispatches;
 pub mod errors;
 pub mod inputs;
--- /dev/null
+++ b/crates/bergamotpitch-platform/src/claims.rs
@@ -0,0 +1,359 @@
+//! Claims on idempotency keys: the task that commits them, and the tokens that their owners hold.
+//!
+//! The types keep an owner from running a request that it released: a [`ClaimToken`] is consumed
+//! by its release, and only [`ClaimToken::hand_over`] gives the right to dispatch.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bergamotpitch_control::claim_queues::{
+    ClaimEffect, ClaimOptions, ClaimQueues, ClaimWish, ReadResult, Ticket, WriteResult,
+    abandon_wish, apply_read, apply_write, record_outcome, release_claim, run, wish_claim,
+};
+use bergamotpitch_control::claims::{
+    ClaimKey, Fingerprint, Nonce, Outcome, ShardId, ShardRecord, UnixSeconds, Verdict,
+};
+use bergamotpitch_core::HashMap;
+use bytes::Bytes;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::Instant;
+
+use crate::clients::Platform;
+use crate::errors::{Error, Result, malformed_error};
+use crate::nonces::fresh_number;
+
+/// Prefix of the keys that hold the shards.
+pub const CLAIMS_PREFIX: &str = "bergamotpitch/claims/";
+
+/// `ClaimResult` is what became of a wish to claim a key.
+#[derive(Debug)]
+pub enum ClaimResult {
+    /// The key is claimed: the request may run, once.
+    Won(ClaimToken),
+    /// The key was claimed before, and this is how that request was answered.
+    Answered(Outcome),
+    /// The key was claimed before, and nobody recorded what became of that request.
+    OutcomeUnknown,
+    /// The key was claimed before by another request.
+    Mismatch,
+    /// No claim could be made; the request has not run.
+    Unavailable,
+}
+
+/// `ClaimWriter` makes claims; copies share one task.
+#[derive(Debug, Clone)]
+pub struct ClaimWriter {
+    commands: mpsc::UnboundedSender<Command>,
+    next_ticket: Arc<AtomicU64>,
+    task: Arc<JoinHandle<()>>,
+}
+
+// The channel has no bound of its own: each command belongs to a request that waits or runs at this
+// router, and those are bounded.
+#[derive(Debug)]
+enum Command {
+    Claim { wish: ClaimWish, reply: oneshot::Sender<Verdict> },
+    Abandon { key: ClaimKey, ticket: Ticket },
+    Record { key: ClaimKey, nonce: Nonce, outcome: Outcome },
+    Release { key: ClaimKey, nonce: Nonce },
+    Close { reply: oneshot::Sender<()> },
+}
+
+impl ClaimWriter {
+    /// `start` starts the task that commits claims. It must be called within a tokio runtime.
+    pub fn start(platform: Platform, options: ClaimOptions) -> Self {
+        let (commands, receiver) = mpsc::unbounded_channel();
+        let task = tokio::spawn(run_writer(platform, options, receiver));
+        Self { commands, next_ticket: Arc::default(), task: Arc::new(task) }
+    }
+
+    /// `claim` claims a key for a request with the given fingerprint.
+    ///
+    /// When the future is dropped before it ends, a claim that it may have made is released.
+    pub async fn claim(&self, key: ClaimKey, fingerprint: Fingerprint) -> ClaimResult {
+        let ticket = self.next_ticket.fetch_add(1, Ordering::Relaxed);
+        let wish = ClaimWish { ticket, key, fingerprint, nonce: fresh_number() };
+        let (reply, verdict) = oneshot::channel();
+        if self.commands.send(Command::Claim { wish, reply }).is_err() {
+            return ClaimResult::Unavailable;
+        }
+        let mut waiter = Waiter { commands: &self.commands, wish, is_waiting: true };
+        let verdict = verdict.await;
+        waiter.is_waiting = false;
+        match verdict {
+            Ok(Verdict::Won { dispatch_until }) => {
+                ClaimResult::Won(self.token(wish, dispatch_until))
+            }
+            Ok(Verdict::Answered(outcome)) => ClaimResult::Answered(outcome),
+            Ok(Verdict::OutcomeUnknown) => ClaimResult::OutcomeUnknown,
+            Ok(Verdict::Mismatch) => ClaimResult::Mismatch,
+            Ok(Verdict::Unavailable) | Err(_) => ClaimResult::Unavailable,
+        }
+    }
+
+    /// `close` waits until what is queued has been committed, for a given time at most, and stops
+    /// the task. Claims whose release was not committed stay until they expire.
+    pub async fn close(self, timeout: Duration) {
+        let (reply, closed) = oneshot::channel();
+        if self.commands.send(Command::Close { reply }).is_ok() {
+            let _ = tokio::time::timeout(timeout, closed).await;
+        }
+        self.task.abort();
+    }
+
+    fn token(&self, wish: ClaimWish, dispatch_until: Duration) -> ClaimToken {
+        let commands = self.commands.clone();
+        ClaimToken { claim: Some(Held { commands, wish, dispatch_until }) }
+    }
+}
+
+#[derive(Debug)]
+struct Held {
+    commands: mpsc::UnboundedSender<Command>,
+    wish: ClaimWish,
+    dispatch_until: Duration,
+}
+
+/// `ClaimToken` is a claim whose request has not been handed over. Dropping it releases the claim,
+/// so that a request refused while it waited may be sent again.
+#[derive(Debug)]
+pub struct ClaimToken {
+    claim: Option<Held>,
+}
+
+impl ClaimToken {
+    /// `release` gives the claim up, since its request did not run and never will.
+    pub fn release(self) {
+        drop(self);
+    }
+
+    /// `hand_over` gives the right to dispatch the request; it is called right before the request
+    /// is sent. None means that the claim is too old, and that the request must not be sent.
+    ///
+    /// A router that was paused for longer than the claim's lifetime would otherwise send a request
+    /// whose key another router may have claimed since.
+    pub fn hand_over(mut self) -> Option<HandedOver> {
+        let claim = self.claim.take()?;
+        (process_time() < claim.dispatch_until).then_some(HandedOver { claim })
+    }
+}
+
+impl Drop for ClaimToken {
+    fn drop(&mut self) {
+        let Some(claim) = self.claim.take() else { return };
+        let ClaimWish { key, nonce, .. } = claim.wish;
+        let _ = claim.commands.send(Command::Release { key, nonce });
+    }
+}
+
+/// `HandedOver` is a claim whose request may have run. Dropping it leaves the outcome unknown.
+#[derive(Debug)]
+pub struct HandedOver {
+    claim: Held,
+}
+
+impl HandedOver {
+    /// `record` notes what the request was answered with, for whoever uses the key next.
+    pub fn record(self, outcome: Outcome) {
+        let ClaimWish { key, nonce, .. } = self.claim.wish;
+        let _ = self.claim.commands.send(Command::Record { key, nonce, outcome });
+    }
+
+    /// `proved_unrun` takes the hand-over back, since the upstream or the refused connection
+    /// proved that the request did not start.
+    pub fn proved_unrun(self) -> ClaimToken {
+        ClaimToken { claim: Some(self.claim) }
+    }
+}
+
+// A caller that leaves while its claim is being made would otherwise leave the claim behind, and
+// its next try would hear "outcome unknown" of a request that never ran.
+struct Waiter<'a> {
+    commands: &'a mpsc::UnboundedSender<Command>,
+    wish: ClaimWish,
+    is_waiting: bool,
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        if self.is_waiting {
+            let ClaimWish { key, ticket, nonce, .. } = self.wish;
+            let _ = self.commands.send(Command::Abandon { key, ticket });
+            // The claim may have been won just before; the release finds it by its nonce.
+            let _ = self.commands.send(Command::Release { key, nonce });
+        }
+    }
+}
+
+struct Writer {
+    platform: Platform,
+    queues: ClaimQueues,
+    replies: HashMap<Ticket, oneshot::Sender<Verdict>>,
+    calls: JoinSet<CallResult>,
+    closing: Option<oneshot::Sender<()>>,
+}
+
+enum CallResult {
+    Read(ShardId, ReadResult),
+    Wrote(ShardId, WriteResult),
+}
+
+async fn run_writer(
+    platform: Platform,
+    options: ClaimOptions,
+    mut commands: mpsc::UnboundedReceiver<Command>,
+) {
+    let queues = ClaimQueues::new(options);
+    let mut writer = Writer {
+        platform,
+        queues,
+        replies: HashMap::default(),
+        calls: JoinSet::new(),
+        closing: None,
+    };
+    loop {
+        let mut effects = Vec::new();
+        run(&mut writer.queues, process_time(), &mut effects);
+        apply_effects(&mut writer, effects);
+        if writer.queues.waiting_operations() == 0
+            && let Some(closing) = writer.closing.take()
+        {
+            let _ = closing.send(());
+            return;
+        }
+        let mut effects = Vec::new();
+        tokio::select! {
+            command = commands.recv() => {
+                let Some(command) = command else { return };
+                apply_command(&mut writer, command, &mut effects);
+                while let Ok(command) = commands.try_recv() {
+                    apply_command(&mut writer, command, &mut effects);
+                }
+            }
+            Some(Ok(result)) = writer.calls.join_next() => {
+                apply_result(&mut writer, result, &mut effects);
+            }
+            () = sleep_until_due(&writer.queues) => {}
+        }
+        apply_effects(&mut writer, effects);
+    }
+}
+
+fn apply_command(writer: &mut Writer, command: Command, effects: &mut Vec<ClaimEffect>) {
+    match command {
+        Command::Claim { wish, reply } => {
+            writer.replies.insert(wish.ticket, reply);
+            wish_claim(&mut writer.queues, process_time(), unix_seconds(), wish, effects);
+        }
+        Command::Abandon { key, ticket } => {
+            writer.replies.remove(&ticket);
+            abandon_wish(&mut writer.queues, &key, ticket);
+        }
+        Command::Record { key, nonce, outcome } => {
+            record_outcome(&mut writer.queues, key, nonce, outcome);
+        }
+        Command::Release { key, nonce } => release_claim(&mut writer.queues, key, nonce),
+        Command::Close { reply } => writer.closing = Some(reply),
+    }
+}
+
+fn apply_result(writer: &mut Writer, result: CallResult, effects: &mut Vec<ClaimEffect>) {
+    let now = process_time();
+    match result {
+        CallResult::Read(shard, result) => {
+            apply_read(&mut writer.queues, now, unix_seconds(), shard, result, effects);
+        }
+        CallResult::Wrote(shard, result) => {
+            apply_write(&mut writer.queues, now, shard, result, effects);
+        }
+    }
+}
+
+fn apply_effects(writer: &mut Writer, effects: Vec<ClaimEffect>) {
+    for effect in effects {
+        match effect {
+            ClaimEffect::Read { shard } => {
+                let platform = writer.platform.clone();
+                writer.calls.spawn(async move {
+                    CallResult::Read(shard, read_shard(&platform, shard).await)
+                });
+            }
+            ClaimEffect::Write { shard, record, base_index } => {
+                let platform = writer.platform.clone();
+                writer.calls.spawn(async move {
+                    let result = write_shard(&platform, shard, &record, base_index).await;
+                    CallResult::Wrote(shard, result)
+                });
+            }
+            ClaimEffect::Answer { ticket, verdict } => {
+                let Some(reply) = writer.replies.remove(&ticket) else { continue };
+                // Whoever waited is gone when this fails; its waiter releases the claim.
+                let _ = reply.send(verdict);
+            }
+        }
+    }
+}
+
+async fn read_shard(platform: &Platform, shard: ShardId) -> ReadResult {
+    match try_read_shard(platform, shard).await {
+        Ok((record, index)) => ReadResult::Read { record, index },
+        Err(error) => {
+            log::debug!("claims of shard {shard} cannot be read: {error}");
+            ReadResult::Failed
+        }
+    }
+}
+
+async fn try_read_shard(platform: &Platform, shard: ShardId) -> Result<(ShardRecord, u64)> {
+    let key = shard_key(shard);
+    let Some(entry) = platform.get(&key).await? else {
+        return Ok((ShardRecord::default(), 0));
+    };
+    let record = postcard::from_bytes(&entry.value)
+        .map_err(|error| malformed_error(&key, error.to_string()))?;
+    Ok((record, entry.modify_index))
+}
+
+async fn write_shard(
+    platform: &Platform,
+    shard: ShardId,
+    record: &ShardRecord,
+    base_index: u64,
+) -> WriteResult {
+    let Ok(value) = postcard::to_stdvec(record) else { return WriteResult::NoEffect };
+    let error = match platform.put_cas(&shard_key(shard), Bytes::from(value), base_index).await {
+        Ok(()) => return WriteResult::Written,
+        Err(error) => error,
+    };
+    log::debug!("claims of shard {shard} were not surely written: {error}");
+    match error {
+        Error::Conflict { .. } => WriteResult::Conflict,
+        Error::Unreachable { .. } | Error::RateLimited | Error::TooLarge { .. } => {
+            WriteResult::NoEffect
+        }
+        Error::LostAnswer { .. } | Error::Malformed { .. } | Error::Sheet(_) => {
+            WriteResult::InDoubt
+        }
+    }
+}
+
+fn shard_key(shard: ShardId) -> String {
+    format!("{CLAIMS_PREFIX}{shard}")
+}
+
+async fn sleep_until_due(queues: &ClaimQueues) {
+    let Some(due) = queues.next_due() else { return std::future::pending().await };
+    tokio::time::sleep(due.saturating_sub(process_time())).await;
+}
+
+/// `process_time` is the monotonic time since the first use of claims in this process.
+fn process_time() -> Duration {
+    static START: std::sync::OnceLock<Instant> = std::sync::OnceLock::new();
+    START.get_or_init(Instant::now).elapsed()
+}
+
+fn unix_seconds() -> UnixSeconds {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_secs())
+}
--- a/crates/bergamotpitch-platform/src/lib.rs
+++ b/crates/bergamotpitch-platform/src/lib.rs
@@ -4,6 +4,7 @@
 //! here, once: a write whose answer did not come is never taken for done or for undone before the
 //! service itself has said which.
 
+pub mod claims;
 pub mod clients;
 pub mod entries;
 pub mod errors;
@@ -12,6 +13,7 @@
 pub mod sessions;
 pub mod sheets;
 
+pub use crate::claims::{ClaimResult, ClaimToken, ClaimWriter, HandedOver};
 pub use crate::clients::{Options, Platform};
 pub use crate::entries::{Entry, Watched};
 pub use crate::errors::{Error, Result};
