Add the loop that proofs run control states in

Cause: the decisions under load and faults can only be judged from histories of several control states that exchange messages, and the workspace had nothing to run them in. The router never links it. Conclusion: the same seed gives the same trace; a broken history moves the gap measure.

--- /dev/null
+++ b/crates/bergamotpitch-proof/src/lib.rs
@@ -0,0 +1,12 @@
+//! Proof of the decisions: a few control states that exchange messages in virtual time, small fakes
+//! of what surrounds them, and the measures taken from their histories. The router never links it.
+//!
+//! The same options, seed and calls give the same history.
+
+pub mod deployments;
+pub mod engines;
+pub mod histories;
+pub mod loops;
+pub mod measures;
+pub mod randoms;
+pub mod workloads;
--- /dev/null
+++ b/crates/bergamotpitch-proof/src/measures.rs
@@ -0,0 +1,91 @@
+//! Measures: fairness gap, utilisation and control traffic, taken from a history.
+
+use std::time::Duration;
+
+use bergamotpitch_core::units::Timestamp;
+
+use crate::histories::{Sample, Traffic};
+
+/// `Gap` is the largest service gap found, and where.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Gap {
+    /// Difference of service over share, in cost units a share.
+    pub cost_per_share: f64,
+    /// The two teams.
+    pub teams: (usize, usize),
+    /// End of the interval.
+    pub until: Timestamp,
+}
+
+/// `fairness_gap` is the largest difference of service over share between two teams over any
+/// interval in which both were backlogged somewhere in the fleet, between two times.
+///
+/// Over a joint backlogged interval the largest difference over any part of it is the largest less
+/// the smallest value of the running difference, so one pass over the samples is exact.
+pub fn fairness_gap(samples: &[Sample], shares: &[u32], from: Timestamp, to: Timestamp) -> Gap {
+    let mut worst = Gap::default();
+    for left in 0..shares.len() {
+        for right in left + 1..shares.len() {
+            let mut bounds: Option<(f64, f64)> = None;
+            for sample in samples.iter().filter(|sample| from <= sample.at && sample.at <= to) {
+                if sample.waiting_requests[left] == 0 || sample.waiting_requests[right] == 0 {
+                    bounds = None;
+                    continue;
+                }
+                let difference = sample.service_cost[left] as f64 / f64::from(shares[left])
+                    - sample.service_cost[right] as f64 / f64::from(shares[right]);
+                let (low, high) = bounds.unwrap_or((difference, difference));
+                let (low, high) = (low.min(difference), high.max(difference));
+                bounds = Some((low, high));
+                if worst.cost_per_share < high - low {
+                    worst =
+                        Gap { cost_per_share: high - low, teams: (left, right), until: sample.at };
+                }
+            }
+        }
+    }
+    worst
+}
+
+/// `utilisation` is busy slots over slots while anything waited that could use them, in [0, 1].
+pub fn utilisation(samples: &[Sample], from: Timestamp, to: Timestamp) -> f64 {
+    let mut busy = 0u64;
+    let mut usable = 0u64;
+    for sample in samples.iter().filter(|sample| from <= sample.at && sample.at <= to) {
+        busy += u64::from(sample.busy_slots);
+        usable += u64::from(sample.usable_slots);
+    }
+    if usable == 0 { 1.0 } else { busy as f64 / usable as f64 }
+}
+
+/// `bytes_per_second` is control traffic a second: the mean over the instances inside a domain and
+/// across regions, and the highest of any instance across regions.
+pub fn bytes_per_second(traffic: &[Traffic], time: Duration) -> (f64, f64, f64) {
+    let seconds = time.as_secs_f64().max(1e-9);
+    let count = traffic.len().max(1) as f64;
+    let inside: u64 = traffic.iter().map(|traffic| traffic.domain_bytes).sum();
+    let across: u64 = traffic.iter().map(|traffic| traffic.cross_region_bytes).sum();
+    let highest = traffic.iter().map(|traffic| traffic.cross_region_bytes).max().unwrap_or(0);
+    (inside as f64 / count / seconds, across as f64 / count / seconds, highest as f64 / seconds)
+}
+
+/// `longest_wait` is the longest time for which a team had requests waiting and got no service.
+pub fn longest_wait(samples: &[Sample], from: Timestamp, to: Timestamp) -> Duration {
+    let teams = samples.first().map_or(0, |sample| sample.service_cost.len());
+    let mut worst = Duration::ZERO;
+    for team in 0..teams {
+        let mut since: Option<(Timestamp, u64)> = None;
+        for sample in samples.iter().filter(|sample| from <= sample.at && sample.at <= to) {
+            let service = sample.service_cost[team];
+            let waits = sample.waiting_requests[team] != 0;
+            match since {
+                Some((begin, cost)) if waits && cost == service => {
+                    worst = worst.max(sample.at - begin);
+                }
+                _ if waits => since = Some((sample.at, service)),
+                _ => since = None,
+            }
+        }
+    }
+    worst
+}
