Split the loop's links and observers into modules of their own

Cause: loops.rs had grown to near 800 lines with three jobs in it. Change: links.rs has delay, loss and cuts, observers.rs the reports and samples; loops.rs re-exports the calls that tests use, so its interface is the same.

--- a/crates/bergamotpitch-proof/src/lib.rs
+++ b/crates/bergamotpitch-proof/src/lib.rs
@@ -6,7 +6,9 @@
 pub mod deployments;
 pub mod engines;
 pub mod histories;
+pub mod links;
 pub mod loops;
 pub mod measures;
+pub mod observers;
 pub mod randoms;
 pub mod workloads;
--- a/crates/bergamotpitch-proof/src/loops.rs
+++ b/crates/bergamotpitch-proof/src/loops.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bergamotpitch_control::inputs::{Arrival, AttemptOutcome, ListedInstance, LoadReport, Sender};
-use bergamotpitch_control::{Input, Message, Options, Output, Tables, step};
+use bergamotpitch_control::inputs::{Arrival, AttemptOutcome};
+use bergamotpitch_control::{Input, Options, Output, Tables, step};
 use bergamotpitch_core::ids::{Incarnation, RequestId, UpstreamId, id_of_name};
 use bergamotpitch_core::settings::Policy;
 use bergamotpitch_core::sheets::{AcceptedSheet, ServiceKind};
@@ -16,13 +16,13 @@
 
 use crate::deployments::Deployment;
 use crate::engines::{self, Engine, EngineEvent, Job, News};
-use crate::histories::{History, Record, Sample, Traffic};
+use crate::histories::{History, Record, Traffic};
+pub use crate::links::{Spot, cut, cut_off, heal, reaches};
+use crate::links::{delay, fetch_sheet, send};
+use crate::observers::{count_service, list_instances, report_loads, sample};
 use crate::randoms::{self, Random};
 use crate::workloads::Call;
 
-/// Bytes of headers and seal around each datagram.
-pub const DATAGRAM_OVERHEAD_BYTES: u64 = 60;
-
 /// Time after which a connection through a cut link is given up.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -108,17 +108,9 @@
     pub inputs: Vec<Input>,
 }
 
-/// `Spot` is one end of a link.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Spot {
-    /// Everything in a place, by index.
-    Place(usize),
-    /// One router, by index.
-    Router(usize),
-}
-
+/// `Delivery` is something under way.
 #[derive(Debug)]
-enum Delivery {
+pub(crate) enum Delivery {
     ToRouter { incarnation: Incarnation, instance: usize, input: Input },
     FromEngine { engine: usize, event: EngineEvent },
     Admit { engine: usize, job: Job },
@@ -167,11 +159,11 @@
     next_request: RequestId,
     deliveries: BTreeMap<(Timestamp, u64), Delivery>,
     next_delivery: u64,
-    random: Random,
-    service_cost: Vec<Vec<CostUnits>>,
-    next_load: Timestamp,
-    next_list: Timestamp,
-    next_sample: Timestamp,
+    pub(crate) random: Random,
+    pub(crate) service_cost: Vec<Vec<CostUnits>>,
+    pub(crate) next_load: Timestamp,
+    pub(crate) next_list: Timestamp,
+    pub(crate) next_sample: Timestamp,
 }
 
 /// `fleet` starts every router of a deployment before a workload.
@@ -301,24 +293,6 @@
     fleet.routers[instance].frozen = false;
 }
 
-/// `cut` cuts the link from one spot to another, one way.
-pub fn cut(fleet: &mut Fleet, from: Spot, to: Spot) {
-    fleet.cuts.insert((from, to));
-}
-
-/// `cut_off` cuts a place from all others, both ways.
-pub fn cut_off(fleet: &mut Fleet, place: usize) {
-    for other in (0..fleet.deployment.places.len()).filter(|other| *other != place) {
-        cut(fleet, Spot::Place(place), Spot::Place(other));
-        cut(fleet, Spot::Place(other), Spot::Place(place));
-    }
-}
-
-/// `heal` mends every link.
-pub fn heal(fleet: &mut Fleet) {
-    fleet.cuts.clear();
-}
-
 /// `set_platform` makes the key-value service answer or fail.
 pub fn set_platform(fleet: &mut Fleet, reachable: bool) {
     fleet.platform_reachable = reachable;
@@ -367,7 +341,7 @@
     }
 }
 
-fn post(fleet: &mut Fleet, at: Timestamp, delivery: Delivery) {
+pub(crate) fn post(fleet: &mut Fleet, at: Timestamp, delivery: Delivery) {
     fleet.next_delivery += 1;
     fleet.deliveries.insert((at, fleet.next_delivery), delivery);
 }
@@ -456,13 +430,6 @@
     }
 }
 
-fn count_service(fleet: &mut Fleet, request: RequestId, cost: CostUnits) {
-    let Some(pending) = fleet.pending.get_mut(&request) else { return };
-    let more = cost.saturating_sub(pending.counted_cost);
-    pending.counted_cost += more;
-    fleet.service_cost[pending.service][pending.job.team] += more;
-}
-
 fn arrive(fleet: &mut Fleet) {
     while let Some(call) = fleet.calls.get(fleet.next_call).copied() {
         if fleet.now < call.at {
@@ -537,63 +504,6 @@
     others.clone().find(|other| fleet.routers[*other].place == place).or_else(|| others.next())
 }
 
-fn report_loads(fleet: &mut Fleet) {
-    if fleet.now < fleet.next_load {
-        return;
-    }
-    fleet.next_load = fleet.now + fleet.options.load_interval;
-    for index in 0..fleet.engines.len() {
-        let engine = &fleet.engines[index];
-        if engine.down {
-            continue;
-        }
-        let report = LoadReport {
-            running_requests: engine.running.len() as u32,
-            waiting_requests: engine.waiting.len() as u32,
-            leaving: engine.leaving,
-        };
-        let (place, upstream) = (engine.place, engine.upstream);
-        let at = fleet.now + fleet.options.load_lag;
-        for instance in 0..fleet.routers.len() {
-            if fleet.routers[instance].place == place && fleet.routers[instance].tables.is_some() {
-                let incarnation = fleet.routers[instance].incarnation;
-                let input = Input::LoadReported { upstream, report };
-                post(fleet, at, Delivery::ToRouter { incarnation, instance, input });
-            }
-        }
-    }
-}
-
-fn list_instances(fleet: &mut Fleet) {
-    if fleet.now < fleet.next_list || !fleet.platform_reachable {
-        return;
-    }
-    fleet.next_list = fleet.now + Duration::from_secs(1);
-    let mut list: Vec<ListedInstance> = fleet
-        .routers
-        .iter()
-        .filter(|router| router.tables.is_some())
-        .map(|router| ListedInstance {
-            name: router.name.clone(),
-            address: router.address,
-            is_router: true,
-            leaving: false,
-        })
-        .collect();
-    list.extend(fleet.engines.iter().map(|engine| ListedInstance {
-        name: engine.name.clone(),
-        address: SocketAddr::from(([127, 0, 0, 1], 9)),
-        is_router: false,
-        leaving: engine.leaving,
-    }));
-    let at = fleet.now + fleet.options.list_lag;
-    for instance in 0..fleet.routers.len() {
-        let incarnation = fleet.routers[instance].incarnation;
-        let input = Input::Listed(list.clone());
-        post(fleet, at, Delivery::ToRouter { incarnation, instance, input });
-    }
-}
-
 fn step_router(fleet: &mut Fleet, instance: usize) {
     let now = fleet.now;
     let router = &mut fleet.routers[instance];
@@ -655,138 +565,3 @@
     let job = pending.job.clone();
     post(fleet, fleet.now + way, Delivery::Admit { engine, job });
 }
-
-fn send(fleet: &mut Fleet, instance: usize, to: SocketAddr, message: Message) {
-    let size = postcard::experimental::serialized_size(&message).unwrap_or(0) as u64;
-    let Some(other) = fleet.routers.iter().position(|router| router.address == to) else { return };
-    let (here, there) = (fleet.routers[instance].place, fleet.routers[other].place);
-    let traffic = &mut fleet.history.traffic[instance];
-    let bytes = size + DATAGRAM_OVERHEAD_BYTES;
-    let places = &fleet.deployment.places;
-    traffic.messages += 1;
-    if here == there {
-        traffic.domain_bytes += bytes;
-    } else if places[here].region == places[there].region {
-        traffic.region_bytes += bytes;
-    } else {
-        traffic.cross_region_bytes += bytes;
-    }
-    let way = delay(fleet, here, there);
-    if is_cut(fleet, instance, other) || draws(fleet, fleet.options.loss_percent) {
-        return;
-    }
-    let router = &fleet.routers[instance];
-    let sender = Sender {
-        instance: id_of_name(&router.name),
-        incarnation: router.incarnation,
-        domain: id_of_name(&places_name(fleet, here)),
-        address: router.address,
-    };
-    let incarnation = fleet.routers[other].incarnation;
-    let copies = if draws(fleet, fleet.options.duplicate_percent) { 2 } else { 1 };
-    for copy in 1..=copies {
-        let input = Input::Received { sender, message: message.clone() };
-        let at = fleet.now + way * copy;
-        post(fleet, at, Delivery::ToRouter { incarnation, instance: other, input });
-    }
-}
-
-fn places_name(fleet: &Fleet, place: usize) -> String {
-    fleet.deployment.places[place].domain.clone()
-}
-
-fn fetch_sheet(fleet: &mut Fleet, instance: usize, from: SocketAddr, version: u64) {
-    let Some(other) = fleet.routers.iter().position(|router| router.address == from) else {
-        return;
-    };
-    if is_cut(fleet, instance, other) || is_cut(fleet, other, instance) {
-        return;
-    }
-    let tables = fleet.routers[other].tables.as_ref();
-    let Some(sheet) = tables.and_then(|tables| tables.sheet.clone()) else { return };
-    if sheet.version < version {
-        return;
-    }
-    let way = delay(fleet, fleet.routers[instance].place, fleet.routers[other].place);
-    let incarnation = fleet.routers[instance].incarnation;
-    let input = Input::SheetLearned(sheet);
-    post(fleet, fleet.now + way * 2, Delivery::ToRouter { incarnation, instance, input });
-}
-
-fn draws(fleet: &mut Fleet, percent: f64) -> bool {
-    0.0 < percent && randoms::unit(&mut fleet.random) * 100.0 < percent
-}
-
-fn is_cut(fleet: &Fleet, from: usize, to: usize) -> bool {
-    let ends =
-        |instance: usize| [Spot::Router(instance), Spot::Place(fleet.routers[instance].place)];
-    ends(from).iter().any(|left| ends(to).iter().any(|right| fleet.cuts.contains(&(*left, *right))))
-}
-
-/// `reaches` tells whether a router and the upstreams of a place reach each other, both ways.
-pub fn reaches(fleet: &Fleet, instance: usize, place: usize) -> bool {
-    let ends = [Spot::Router(instance), Spot::Place(fleet.routers[instance].place)];
-    let there = Spot::Place(place);
-    ends.iter()
-        .all(|end| !fleet.cuts.contains(&(*end, there)) && !fleet.cuts.contains(&(there, *end)))
-}
-
-fn delay(fleet: &Fleet, from: usize, to: usize) -> Duration {
-    let places = &fleet.deployment.places;
-    if from == to {
-        fleet.options.domain_delay
-    } else if places[from].region == places[to].region {
-        fleet.options.region_delay
-    } else {
-        fleet.options.cross_region_delay
-    }
-}
-
-fn sample(fleet: &mut Fleet) {
-    let now = fleet.now;
-    let counts: Vec<(RequestId, CostUnits)> = fleet
-        .engines
-        .iter()
-        .filter(|engine| !engine.down)
-        .flat_map(|engine| &engine.running)
-        .map(|running| (running.job.request, engines::cost_at(running, now)))
-        .collect();
-    for (request, cost) in counts {
-        count_service(fleet, request, cost);
-    }
-    let places = fleet.deployment.places.len();
-    for service in 0..fleet.service_cost.len() {
-        let teams = fleet.service_cost[service].len();
-        let mut sample = Sample {
-            at: now,
-            service_cost: fleet.service_cost[service].clone(),
-            waiting_requests: vec![0; teams],
-            held_requests: vec![0; teams],
-            busy_slots: 0,
-            usable_slots: 0,
-        };
-        let mut usable = vec![false; places];
-        for pending in fleet.pending.values().filter(|pending| pending.service == service) {
-            if pending.held {
-                sample.held_requests[pending.job.team] += 1;
-            }
-            if pending.started {
-                continue;
-            }
-            sample.waiting_requests[pending.job.team] += 1;
-            if !fleet.routers[pending.job.instance].frozen {
-                for (place, usable) in usable.iter_mut().enumerate() {
-                    *usable |= reaches(fleet, pending.job.instance, place);
-                }
-            }
-        }
-        let id = id_of_name(&fleet.deployment.sheet.services[service].name);
-        for engine in fleet.engines.iter().filter(|engine| engine.service == id) {
-            if usable[engine.place] && !engine.down && !engine.leaving {
-                sample.busy_slots += engine.running.len() as u32;
-                sample.usable_slots += engine.slots as u32;
-            }
-        }
-        fleet.history.samples[service].push(sample);
-    }
-}
