--- a/crates/bergamotpitch-control/src/dispatches.rs
+++ b/crates/bergamotpitch-control/src/dispatches.rs
@@ -1,37 +1,157 @@
 //! Dispatch: which waiting request goes to which upstream, and when.
 
+use std::collections::BTreeSet;
+
 use bergamotpitch_core::events::EventKind;
-use bergamotpitch_core::ids::{RequestId, ServiceId, TeamId, UpstreamId, id_of_name};
+use bergamotpitch_core::ids::{RequestId, ServiceId, TeamId, UpstreamId};
 use bergamotpitch_core::settings::Policy;
-use bergamotpitch_core::units::{CostUnits, VirtualService};
 
+use crate::accounts::{charge_up_to, team_estimate};
+use crate::leases::{self, Leases, give_back, held};
+use crate::levels::{Level, level_of_cost, share_of};
 use crate::outputs::{Event, Output};
-use crate::requests::{charge_up_to, count_waiting};
+use crate::requests::count_waiting;
 use crate::tables::{QueueKey, RequestState, Tables};
+use crate::{placements, windows};
 
-/// `run` hands waiting requests over while an upstream of their service has a free slot.
+/// `run` hands waiting requests over while an upstream of their service has a free slot, by a
+/// baseline policy: each instance uses an equal part of every window.
 pub fn run(tables: &mut Tables, outputs: &mut Vec<Output>) {
-    let mut services: Vec<ServiceId> = tables
-        .queues
-        .iter()
-        .filter(|(_, queue)| !queue.is_empty())
-        .map(|(key, _)| key.service)
-        .collect();
-    services.sort_unstable();
-    services.dedup();
+    tables.queues.retain(|_, queue| !queue.is_empty());
+    let services: BTreeSet<ServiceId> = tables.queues.keys().map(|key| key.service).collect();
     for service in services {
         while let Some(upstream) = free_upstream(tables, service) {
             let Some(key) = next_queue(tables, service) else { break };
-            hand_over(tables, key, upstream, outputs);
+            hand_over(tables, key, upstream, 0, outputs);
         }
     }
 }
 
-fn hand_over(tables: &mut Tables, key: QueueKey, upstream: UpstreamId, outputs: &mut Vec<Output>) {
-    let Some(request) = tables.queues.get_mut(&key).and_then(|queue| queue.pop_front()) else {
+/// `run_leased` hands waiting requests over on the slots that this instance holds, and gives back
+/// those that no request here may use.
+pub fn run_leased(tables: &mut Tables, service: ServiceId, outputs: &mut Vec<Output>) {
+    let Some(mut known) = tables.leases.remove(&service) else { return };
+    let mut idle = idle_upstreams(tables, &known);
+    if !idle.is_empty() {
+        use_idle(tables, service, &mut known, &mut idle, outputs);
+        return_idle(&mut known, &idle);
+    }
+    tables.leases.insert(service, known);
+}
+
+/// `Idle` is an upstream with leased slots that run nothing.
+#[derive(Debug, Clone, Copy)]
+struct Idle {
+    upstream: UpstreamId,
+    slots: u32,
+    is_own_domain: bool,
+    bound: Option<Level>,
+}
+
+fn idle_upstreams(tables: &Tables, known: &Leases) -> Vec<Idle> {
+    let mut idle = Vec::new();
+    for (upstream, lease) in &known.slots {
+        let Some(entry) = tables.upstreams.get(upstream) else { continue };
+        let slots = held(lease).saturating_sub(entry.running_requests);
+        let is_failing = entry.failing_until.is_some_and(|until| tables.now < until);
+        if slots == 0 || is_failing {
+            continue;
+        }
+        let is_own_domain = entry.domain == tables.options.domain;
+        let bound = if entry.leaving {
+            Some(Level::MIN)
+        } else {
+            leases::bound(tables, entry.service, known, entry.domain)
+        };
+        idle.push(Idle { upstream: *upstream, slots, is_own_domain, bound });
+    }
+    idle
+}
+
+fn use_idle(
+    tables: &mut Tables,
+    service: ServiceId,
+    known: &mut Leases,
+    idle: &mut [Idle],
+    outputs: &mut Vec<Output>,
+) {
+    let mut order: BTreeSet<(Level, TeamId)> = tables
+        .queues
+        .iter()
+        .filter(|(key, queue)| key.service == service && !queue.is_empty())
+        .map(|(key, _)| (leases::level(tables, known, *key), key.team))
+        .collect();
+    while let Some((level, team)) = order.pop_first() {
+        let key = QueueKey { service, team };
+        // Slots of the own domain come first: those of another are paid for by the byte.
+        let usable = idle
+            .iter()
+            .enumerate()
+            .filter(|(_, idle)| idle.slots != 0 && idle.bound.is_none_or(|bound| level <= bound));
+        let Some((index, _)) = usable.max_by_key(|(_, idle)| (idle.is_own_domain, idle.slots))
+        else {
+            return;
+        };
+        let wanted = wanted_upstream(tables, key, idle, level).unwrap_or(index);
+        let upstream = idle[wanted].upstream;
+        let Some(queue) = tables.queues.get(&key) else { continue };
+        let entry = known.teams.entry(team).or_default();
+        let place = placements::choose(tables, service, upstream, queue, entry.passed_over);
+        entry.passed_over = if place == 0 { 0 } else { entry.passed_over + 1 };
+        let before = tables.accounts.get(&key).copied().unwrap_or(0);
+        hand_over(tables, key, upstream, place, outputs);
+        idle[wanted].slots -= 1;
+        let charged = tables.accounts.get(&key).copied().unwrap_or(0) as i64 - before as i64;
+        if tables.queues.get(&key).is_some_and(|queue| !queue.is_empty()) {
+            let more = level_of_cost(charged, share_of(&tables.teams, team));
+            order.insert((level + more, team));
+        }
+    }
+}
+
+/// `wanted_upstream` is the idle upstream that likely holds the prefix of a team's oldest request.
+fn wanted_upstream(tables: &Tables, key: QueueKey, idle: &[Idle], level: Level) -> Option<usize> {
+    if !tables.options.prefix_placement {
+        return None;
+    }
+    let request = tables.queues.get(&key)?.front()?;
+    let prefix = tables.requests.get(request)?.arrival.prefix;
+    let upstream = placements::preferred(tables, key.service, prefix)?;
+    idle.iter().position(|idle| {
+        idle.upstream == upstream
+            && idle.slots != 0
+            && idle.bound.is_none_or(|bound| level <= bound)
+    })
+}
+
+fn return_idle(known: &mut Leases, idle: &[Idle]) {
+    let is_contended = known.frontier.is_some();
+    let mut kept = 0;
+    for idle in idle {
+        let keep = if is_contended || !idle.is_own_domain || idle.bound == Some(Level::MIN) {
+            0
+        } else {
+            // Twice the quota may stay, so that quotas do not travel back and forth.
+            (known.keep_slots * 2).saturating_sub(kept).min(idle.slots)
+        };
+        kept += keep;
+        if keep < idle.slots {
+            give_back(known, idle.upstream, idle.slots - keep);
+        }
+    }
+}
+
+fn hand_over(
+    tables: &mut Tables,
+    key: QueueKey,
+    upstream: UpstreamId,
+    place: usize,
+    outputs: &mut Vec<Output>,
+) {
+    let Some(request) = tables.queues.get_mut(&key).and_then(|queue| queue.remove(place)) else {
         return;
     };
-    let estimate = first_estimate(tables, key.service);
+    let estimate = team_estimate(tables, key);
     let Some(entry) = tables.requests.get_mut(&request) else { return };
     entry.attempts += 1;
     entry.state = RequestState::Running { upstream };
@@ -62,13 +182,17 @@
 fn free_upstream(tables: &Tables, service: ServiceId) -> Option<UpstreamId> {
     let sharers = domain_instances(tables);
     tables
+        .index
         .upstreams
+        .get(&service)?
         .iter()
-        .filter(|(_, entry)| entry.service == service && entry.domain == tables.options.domain)
+        .filter_map(|id| tables.upstreams.get(id).map(|entry| (id, entry)))
         .filter(|(_, entry)| {
             !entry.leaving && entry.failing_until.is_none_or(|until| until <= tables.now)
         })
-        .filter(|(_, entry)| entry.running_requests < entry.slots.div_ceil(sharers))
+        .filter(|(id, entry)| {
+            entry.running_requests < windows::window(tables, **id).div_ceil(sharers)
+        })
         .min_by_key(|(id, entry)| (entry.running_requests, **id))
         .map(|(id, _)| *id)
 }
@@ -89,21 +213,13 @@
         Policy::FirstCome => {
             waiting.min_by_key(|(_, queue)| queue.front().copied()).map(|(key, _)| *key)
         }
-        Policy::Fair | Policy::LocalFair => waiting
-            .map(|(key, _)| (virtual_service(tables, *key), *key))
-            .min_by(|left, right| left.0.total_cmp(&right.0).then(left.1.cmp(&right.1)))
-            .map(|(_, key)| key),
+        Policy::Fair | Policy::LocalFair => {
+            waiting.map(|(key, _)| (local_level(tables, *key), *key)).min().map(|(_, key)| key)
+        }
     }
 }
 
-fn virtual_service(tables: &Tables, key: QueueKey) -> VirtualService {
-    let share = tables.teams.get(&key.team).map_or(1, |team| team.share);
+fn local_level(tables: &Tables, key: QueueKey) -> Level {
     let service = tables.accounts.get(&key).copied().unwrap_or(0);
-    service as VirtualService / f64::from(share)
-}
-
-fn first_estimate(tables: &Tables, service: ServiceId) -> CostUnits {
-    let Some(accepted) = &tables.sheet else { return 0 };
-    let entry = accepted.sheet.services.iter().find(|entry| id_of_name(&entry.name) == service);
-    entry.map_or(0, |entry| entry.first_estimate_cost)
+    level_of_cost(service as i64, share_of(&tables.teams, key.team))
 }
--- /dev/null
+++ b/crates/bergamotpitch-control/src/domain_reports.rs
@@ -0,0 +1,323 @@
+//! Reports between domains: what a home tells the homes of its service elsewhere.
+
+use std::time::Duration;
+
+use bergamotpitch_core::ids::{DomainId, InstanceId, ServiceId, TeamId};
+use bergamotpitch_core::units::Timestamp;
+
+use crate::accounts;
+use crate::homes::{Home, add_level, effective_level, reindex, weight};
+use crate::inputs::Sender;
+use crate::leases::{SlotLease, held};
+use crate::levels::{LEVEL_SCALE, Level, level_of_cost, share_of};
+use crate::messages::Message;
+use crate::outputs::Output;
+use crate::share_messages::{DomainReport, DomainTeamLine, GrantLine, SERVED_QUANTUM, SlotLine};
+use crate::spills::{self, CUT_OFF_TIME, PreviousLife, Remote, RemoteTeam};
+use crate::tables::Tables;
+
+/// Bytes that a report takes before any line, with headers and seal.
+const REPORT_BYTES: u64 = 80;
+
+/// Bytes of one team line.
+const TEAM_LINE_BYTES: u64 = 9;
+
+/// Bytes of one line of slots.
+const SLOT_LINE_BYTES: u64 = 9;
+
+/// Time between two reports while nobody waits.
+const IDLE_INTERVAL: Duration = Duration::from_millis(2_000);
+
+/// Time by which an urgent report may run ahead of the budget.
+const URGENT_ADVANCE: Duration = Duration::from_millis(1_000);
+
+/// Shortest time between two reports to one domain.
+const SPACING: Duration = Duration::from_millis(100);
+
+/// `run` reports to the other domains, within the budget of bytes.
+pub fn run(tables: &Tables, service: ServiceId, home: &mut Home, outputs: &mut Vec<Output>) {
+    if !tables.index.repeatable.contains(&service) && home.order.is_empty() {
+        return;
+    }
+    for domain in tables.index.domains.iter().copied() {
+        if domain == tables.options.domain {
+            continue;
+        }
+        let Some(to) = peer(tables, service, domain) else { continue };
+        let remote = home.remotes.entry(domain).or_default();
+        if !is_due(tables.now, remote, home.frontier.is_some()) {
+            continue;
+        }
+        let report = build(tables, service, home, domain);
+        outputs.push(Output::Send { to, message: Message::DomainReport(report) });
+    }
+}
+
+fn is_due(now: Timestamp, remote: &Remote, is_contended: bool) -> bool {
+    let Some(sent) = remote.sent else { return true };
+    if now < sent + SPACING {
+        return false;
+    }
+    if remote.urgent {
+        return remote.next_allowed <= now + URGENT_ADVANCE;
+    }
+    let is_contended = is_contended || remote.frontier.is_some();
+    remote.next_allowed <= now && (is_contended || sent + IDLE_INTERVAL <= now)
+}
+
+fn peer(tables: &Tables, service: ServiceId, domain: DomainId) -> Option<std::net::SocketAddr> {
+    tables
+        .members
+        .iter()
+        .filter(|(_, member)| member.domain == domain && !member.suspected && !member.draining)
+        .max_by_key(|(instance, _)| (weight(**instance, service), **instance))
+        .map(|(_, member)| member.address)
+}
+
+fn build(tables: &Tables, service: ServiceId, home: &mut Home, domain: DomainId) -> DomainReport {
+    home.sequence += 1;
+    let frontier = home.order.first().map(|(level, _)| *level);
+    let base = frontier.unwrap_or(0);
+    let Some(remote) = home.remotes.get_mut(&domain) else { return DomainReport::default() };
+    let mut teams = Vec::new();
+    for (team, entry) in &home.teams {
+        if entry.changed <= remote.seen && remote.seen != 0 {
+            continue;
+        }
+        let Some(short_team) = tables.index.short_of(*team) else { continue };
+        teams.push(DomainTeamLine {
+            short_team,
+            served: (entry.served_cost.max(0) as u64 / SERVED_QUANTUM) as u32,
+            waiting_requests: entry.waiting_requests,
+            level: spills::level_in_cost(entry.level - base),
+        });
+    }
+    let lent = remote
+        .lent
+        .iter()
+        .filter(|(_, slot)| slot.confirmed != slot.lease.granted)
+        .map(|(upstream, slot)| GrantLine { upstream: *upstream, count: slot.lease.granted })
+        .collect::<Vec<_>>();
+    let borrowed = remote
+        .borrowed
+        .iter()
+        .filter(|(_, lease)| remote.seen < lease.changed)
+        .map(|(upstream, lease)| SlotLine {
+            upstream: *upstream,
+            base: lease.base,
+            granted: lease.granted,
+            returned: lease.returned,
+        })
+        .collect::<Vec<_>>();
+    let bytes = REPORT_BYTES
+        + TEAM_LINE_BYTES * teams.len() as u64
+        + SLOT_LINE_BYTES * (lent.len() + borrowed.len()) as u64;
+    let domains = tables.index.domains.len().saturating_sub(1).max(1) as u64;
+    let budget = (tables.options.cross_bytes_per_second / domains).max(1);
+    let pause = Duration::from_secs_f64(bytes as f64 / budget as f64);
+    remote.next_allowed = remote.next_allowed.max(tables.now) + pause;
+    remote.sent = Some(tables.now);
+    remote.urgent = false;
+    DomainReport {
+        service,
+        epoch: home.epoch,
+        peer_epoch: remote.epoch,
+        sequence: home.sequence,
+        seen: remote.sequence,
+        frontier,
+        teams,
+        lent,
+        borrowed,
+    }
+}
+
+/// `apply` takes over what the home of another domain reports.
+pub fn apply(tables: &mut Tables, sender: Sender, report: DomainReport) {
+    if sender.domain == tables.options.domain {
+        return;
+    }
+    let Some(mut home) = tables.homes.remove(&report.service) else { return };
+    let service = report.service;
+    take_report(tables, &mut home, sender, report);
+    tables.homes.insert(service, home);
+}
+
+fn take_report(tables: &Tables, home: &mut Home, sender: Sender, report: DomainReport) {
+    let next = home.sequence + 1;
+    let is_first = home.remotes.get(&sender.domain).is_none_or(|remote| remote.epoch == 0);
+    let remote = home.remotes.entry(sender.domain).or_default();
+    let is_same = (remote.instance, remote.epoch) == (sender.instance, report.epoch);
+    if is_same && report.sequence <= remote.sequence {
+        return;
+    }
+    if !is_same {
+        begin_life(remote, sender.instance, report.epoch, next);
+        for entry in home.teams.values_mut() {
+            entry.lent.remove(&sender.domain);
+        }
+    }
+    let silence = tables.now.saturating_sub(remote.heard);
+    let is_rejoin = !is_first && CUT_OFF_TIME < silence;
+    note_frontier(tables.now, remote, report.frontier);
+    remote.sequence = report.sequence;
+    remote.heard = tables.now;
+    if report.peer_epoch == home.epoch {
+        take_slots(remote, &report, next);
+        if remote.lent.values().all(|slot| slot.confirmed == slot.lease.granted) {
+            remote.outstanding.clear();
+            for entry in home.teams.values_mut() {
+                entry.lent.remove(&sender.domain);
+            }
+        }
+    }
+    if !home.anchored {
+        anchor(home, report.frontier);
+    }
+    take_teams(tables, home, sender.domain, &report, (is_first, is_rejoin));
+    home.changed = true;
+}
+
+fn begin_life(remote: &mut Remote, instance: InstanceId, epoch: u32, next: u32) {
+    let old = PreviousLife {
+        instance: remote.instance,
+        epoch: remote.epoch,
+        teams: std::mem::take(&mut remote.teams),
+    };
+    // Two instances may hold the duty for a moment; each counts its own routers' service, and a
+    // life that comes back is counted on from where it was.
+    if let Some(previous) = remote.previous.take()
+        && (previous.instance, previous.epoch) == (instance, epoch)
+    {
+        remote.teams = previous.teams;
+    }
+    remote.previous = Some(old);
+    remote.instance = instance;
+    remote.epoch = epoch;
+    remote.sequence = 0;
+    remote.seen = 0;
+    remote.lent.clear();
+    remote.outstanding.clear();
+    for lease in remote.borrowed.values_mut() {
+        *lease = SlotLease { base: held(lease), changed: next, ..SlotLease::default() };
+    }
+}
+
+fn note_frontier(now: Timestamp, remote: &mut Remote, frontier: Option<Level>) {
+    let age = now.saturating_sub(remote.heard).as_secs_f64();
+    remote.frontier_speed = match (remote.frontier, frontier) {
+        (Some(old), Some(new)) if 0.0 < age => ((new - old) as f64 / age).max(0.0),
+        _ => 0.0,
+    };
+    remote.frontier = frontier;
+}
+
+fn take_slots(remote: &mut Remote, report: &DomainReport, next: u32) {
+    remote.seen = remote.seen.max(report.seen);
+    for line in &report.lent {
+        let lease = remote.borrowed.entry(line.upstream).or_default();
+        if lease.granted < line.count {
+            lease.granted = line.count;
+            lease.changed = next;
+            remote.urgent = true;
+        }
+    }
+    for line in &report.borrowed {
+        let slot = remote.lent.entry(line.upstream).or_default();
+        slot.lease.base = line.base;
+        slot.lease.returned = slot.lease.returned.max(line.returned);
+        slot.confirmed = slot.confirmed.max(line.granted);
+    }
+}
+
+/// `anchor` brings the levels of a home that began without memory onto the scale of the fleet.
+fn anchor(home: &mut Home, frontier: Option<Level>) {
+    let Some(frontier) = frontier else { return };
+    home.anchored = true;
+    let own = home.order.first().map_or(home.floor, |(level, _)| *level);
+    let shift = frontier - own;
+    if shift <= 0 {
+        return;
+    }
+    home.floor += shift;
+    for entry in home.teams.values_mut() {
+        entry.level += shift;
+    }
+    for router in home.routers.values_mut() {
+        router.urgent = true;
+        router.teams.values_mut().for_each(|team| team.sent_level = None);
+    }
+}
+
+fn take_teams(
+    tables: &Tables,
+    home: &mut Home,
+    domain: DomainId,
+    report: &DomainReport,
+    (is_first, is_rejoin): (bool, bool),
+) {
+    let base = report.frontier.unwrap_or(0);
+    let mut grown: Vec<(TeamId, Level)> = Vec::new();
+    for line in &report.teams {
+        let Some(team) = tables.index.team_of_short(line.short_team) else { continue };
+        let Some(remote) = home.remotes.get_mut(&domain) else { return };
+        let known = remote.teams.entry(team).or_default();
+        let cost = i64::from(line.served) - i64::from(known.served);
+        let cost = if is_first { 0 } else { cost * SERVED_QUANTUM as i64 };
+        note_rate(tables.now, known, line.served, cost, is_first || is_rejoin);
+        let level = level_of_cost(cost, share_of(&tables.teams, team));
+        let entry = home.teams.entry(team).or_default();
+        if line.waiting_requests == 0 {
+            entry.remote_waiting.remove(&domain);
+        } else {
+            entry.remote_waiting.insert(domain, line.waiting_requests);
+        }
+        entry.ahead = 0;
+        add_level(entry, level);
+        if line.waiting_requests != 0 {
+            // The other home's level lacks what it has not heard, never the reverse, so the larger
+            // of two is the nearer to the truth, and a team lifted by both is lifted once.
+            let told = base + i64::from(line.level) * LEVEL_SCALE;
+            entry.level = entry.level.max(told);
+        }
+        grown.push((team, level));
+    }
+    if is_rejoin {
+        defer(home, &grown);
+    }
+    let estimate = accounts::service_estimate(tables, report.service);
+    for (team, _) in grown {
+        reindex(home, &tables.teams, team, estimate);
+    }
+}
+
+fn note_rate(now: Timestamp, known: &mut RemoteTeam, served: u32, cost: i64, is_jump: bool) {
+    let age = now.saturating_sub(known.heard).as_secs_f64();
+    let rate = if is_jump || age <= 0.0 { 0.0 } else { cost.max(0) as f64 / age };
+    known.rate = if known.rate == 0.0 { rate } else { known.rate * 0.5 + rate * 0.5 };
+    known.served = served;
+    known.heard = now;
+}
+
+/// `defer` turns what a team received unseen, beyond what the least served one did, into debt.
+///
+/// Without this a team that was served well behind a cut link would get nothing at all after the
+/// link is mended, until every other team has caught up.
+fn defer(home: &mut Home, grown: &[(TeamId, Level)]) {
+    let waiting = |home: &Home, team: &TeamId| {
+        home.teams
+            .get(team)
+            .is_some_and(|entry| entry.waiting_requests != 0 || !entry.remote_waiting.is_empty())
+    };
+    let common = grown
+        .iter()
+        .filter(|(team, _)| waiting(home, team))
+        .map(|(_, level)| *level)
+        .min()
+        .unwrap_or(0);
+    for (team, level) in grown {
+        if let Some(entry) = home.teams.get_mut(team) {
+            entry.debt += (level - common).max(0);
+            debug_assert!(effective_level(entry) <= entry.level + entry.ahead);
+        }
+    }
+}
--- /dev/null
+++ b/crates/bergamotpitch-control/src/homes.rs
@@ -0,0 +1,345 @@
+//! Homes: one instance a domain and service that orders teams and grants the upstreams' slots.
+//!
+//! The duty falls on an instance by rendezvous hashing over the live members of the domain. It is
+//! needed for order, never for safety: two homes at once only queue a few requests more inside the
+//! upstreams, and a home that is gone costs no account, because accounts belong to the routers.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use bergamotpitch_core::HashMap;
+use bergamotpitch_core::ids::{DomainId, Incarnation, InstanceId, ServiceId, TeamId, UpstreamId};
+use bergamotpitch_core::units::Timestamp;
+
+use crate::inputs::Sender;
+use crate::leases::{SlotLease, held};
+use crate::levels::{Level, level_of_cost, share_of};
+use crate::share_messages::ShareReport;
+use crate::spills::{self, Remote};
+use crate::tables::{Tables, Team};
+
+/// Time for which a new home listens before it grants, unless all members have reported.
+pub const RECOVERY_TIME: Duration = Duration::from_millis(600);
+
+/// `Home` is the state of the duty for one service.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Home {
+    /// Life of this duty; another domain tells lives apart by it.
+    pub epoch: u32,
+    /// When the duty began.
+    pub since: Timestamp,
+    /// True once the members have reported, or the time for it has passed.
+    pub recovered: bool,
+    /// True once the levels stand on the scale of the fleet.
+    pub anchored: bool,
+    /// Instances of the domain that report here.
+    pub routers: BTreeMap<InstanceId, HomeRouter>,
+    /// Teams that were ever reported.
+    pub teams: BTreeMap<TeamId, HomeTeam>,
+    /// Teams with requests that wait here and no grant under way, by effective level.
+    pub order: BTreeSet<(Level, TeamId)>,
+    /// The same for requests that wait in other domains.
+    pub remote_order: BTreeSet<(Level, DomainId, TeamId)>,
+    /// Frontier when a team last waited; an idle team comes in no lower.
+    pub floor: Level,
+    /// Homes of the service in other domains.
+    pub remotes: BTreeMap<DomainId, Remote>,
+    /// When levels were last extrapolated.
+    pub extrapolated: Timestamp,
+    /// Slots of each upstream that are leased to instances of the domain.
+    pub leased: BTreeMap<UpstreamId, u32>,
+    /// Number of the last report to another domain.
+    pub sequence: u32,
+    /// True when something changed since slots were last granted.
+    pub changed: bool,
+    /// Frontier as last computed; none when nobody waits in vain.
+    pub frontier: Option<Level>,
+}
+
+/// `HomeRouter` is one instance as its home sees it.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct HomeRouter {
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Its adoption of this home.
+    pub adoption: u32,
+    /// Its last report.
+    pub sequence: u32,
+    /// Its leases.
+    pub slots: BTreeMap<UpstreamId, HomeSlot>,
+    /// Its teams.
+    pub teams: BTreeMap<TeamId, RouterTeam>,
+    /// Grants by team that it has not confirmed.
+    pub outstanding: BTreeMap<TeamId, u32>,
+    /// Leased slots that run nothing.
+    pub idle_slots: u32,
+    /// When a grant was last sent to it.
+    pub sent: Option<Timestamp>,
+    /// Frontier that it was last told.
+    pub sent_frontier: Option<Level>,
+    /// Slots that it was last told to keep.
+    pub sent_keep_slots: u32,
+    /// Report that it was last told was seen.
+    pub sent_seen: u32,
+    /// True when it should hear at once.
+    pub urgent: bool,
+}
+
+/// `HomeSlot` is a lease of one instance as its home sees it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct HomeSlot {
+    /// The numbers.
+    pub lease: SlotLease,
+    /// Grants that the instance has confirmed.
+    pub confirmed: u32,
+}
+
+/// `RouterTeam` is one team at one instance as its home sees it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RouterTeam {
+    /// Requests that wait.
+    pub waiting_requests: u32,
+    /// Service received in this life of the instance.
+    pub served_cost: u64,
+    /// Level that it was last told.
+    pub sent_level: Option<Level>,
+}
+
+/// `HomeTeam` is one team as a home sees it.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct HomeTeam {
+    /// Level over the whole fleet, as far as known.
+    pub level: Level,
+    /// Part of the level that is repaid bit by bit.
+    pub debt: Level,
+    /// Level that remote service has likely added since the last reports.
+    pub ahead: Level,
+    /// Service in this domain since the epoch, in cost units; corrections may lower it.
+    pub served_cost: i64,
+    /// Instances where requests wait.
+    pub waiters: BTreeMap<InstanceId, u32>,
+    /// Requests that wait in the domain.
+    pub waiting_requests: u32,
+    /// Requests that wait in the domain and have a grant under way.
+    pub outstanding: u32,
+    /// Requests that wait in other domains.
+    pub remote_waiting: BTreeMap<DomainId, u32>,
+    /// Slots lent for the team that the borrower has not confirmed.
+    pub lent: BTreeMap<DomainId, u32>,
+    /// Key in the order.
+    pub key: Option<Level>,
+    /// Keys in the order of other domains' requests.
+    pub remote_keys: Vec<(Level, DomainId)>,
+    /// Number of the first domain report that carries the present numbers.
+    pub changed: u32,
+}
+
+/// `effective_level` is the level that the order goes by.
+pub fn effective_level(team: &HomeTeam) -> Level {
+    team.level - team.debt + team.ahead
+}
+
+/// `home_of` is the instance of this domain that holds the duty for a service.
+pub fn home_of(tables: &Tables, service: ServiceId) -> InstanceId {
+    let own = tables.options.instance;
+    let others = tables
+        .members
+        .iter()
+        .filter(|(_, member)| member.domain == tables.options.domain)
+        .filter(|(_, member)| !member.suspected && !member.draining)
+        .map(|(instance, _)| *instance);
+    let own = (!tables.draining).then_some(own);
+    own.into_iter()
+        .chain(others)
+        .max_by_key(|instance| (weight(*instance, service), *instance))
+        .unwrap_or(tables.options.instance)
+}
+
+/// `weight` is the rendezvous weight of a pair.
+pub fn weight(left: u32, right: u32) -> u64 {
+    let mixed = (u64::from(left) << 32 | u64::from(right)).wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
+
+/// `apply_report` takes over what an instance of the domain reports.
+pub fn apply_report(tables: &mut Tables, sender: Sender, report: ShareReport) {
+    let Some(mut home) = tables.homes.remove(&report.service) else { return };
+    let service = report.service;
+    take_report(tables, &mut home, sender, report);
+    tables.homes.insert(service, home);
+}
+
+fn take_report(tables: &Tables, home: &mut Home, sender: Sender, report: ShareReport) {
+    let estimate = crate::accounts::service_estimate(tables, report.service);
+    let known = home.routers.get(&sender.instance);
+    let is_older = known.is_some_and(|router| {
+        let life = (router.incarnation, router.adoption);
+        let its = (sender.incarnation, report.adoption);
+        its < life || (its == life && report.sequence <= router.sequence)
+    });
+    if is_older {
+        return;
+    }
+    let is_new = known.is_none_or(|router| {
+        (router.incarnation, router.adoption) != (sender.incarnation, report.adoption)
+    });
+    if is_new {
+        forget_router(tables, home, sender.instance, estimate);
+        // A home that restarted is told of grants of its earlier life. It cannot count on from
+        // them; the instance adopts it anew as soon as it hears of the new life.
+        if report.slots.iter().any(|line| line.granted != 0) {
+            return;
+        }
+    }
+    let router = home.routers.entry(sender.instance).or_default();
+    router.incarnation = sender.incarnation;
+    router.adoption = report.adoption;
+    router.sequence = report.sequence;
+    router.idle_slots = report.idle_slots;
+    for line in &report.slots {
+        let slot = router.slots.entry(line.upstream).or_default();
+        let before = held(&slot.lease);
+        slot.lease.base = line.base;
+        slot.lease.returned = slot.lease.returned.max(line.returned);
+        slot.confirmed = slot.confirmed.max(line.granted);
+        let leased = home.leased.entry(line.upstream).or_default();
+        *leased = (*leased + held(&slot.lease)).saturating_sub(before);
+    }
+    if is_new {
+        spills::take_in(tables, home, &report.slots);
+    }
+    let Some(router) = home.routers.get_mut(&sender.instance) else { return };
+    home.changed = true;
+    let mut touched: Vec<TeamId> = Vec::new();
+    if router.slots.values().all(|slot| slot.confirmed == slot.lease.granted) {
+        touched.extend(clear_outstanding(home, sender.instance));
+    }
+    for line in &report.teams {
+        take_team(home, &tables.teams, sender.instance, line, is_new);
+        touched.push(line.team);
+    }
+    for team in touched {
+        reindex(home, &tables.teams, team, estimate);
+    }
+}
+
+fn clear_outstanding(home: &mut Home, instance: InstanceId) -> Vec<TeamId> {
+    let Some(router) = home.routers.get_mut(&instance) else { return Vec::new() };
+    let outstanding = std::mem::take(&mut router.outstanding);
+    for (team, count) in &outstanding {
+        if let Some(entry) = home.teams.get_mut(team) {
+            entry.outstanding = entry.outstanding.saturating_sub(*count);
+        }
+    }
+    outstanding.into_keys().collect()
+}
+
+fn take_team(
+    home: &mut Home,
+    teams: &HashMap<TeamId, Team>,
+    instance: InstanceId,
+    line: &crate::share_messages::TeamLine,
+    is_new: bool,
+) {
+    let Some(router) = home.routers.get_mut(&instance) else { return };
+    let known = router.teams.entry(line.team).or_default();
+    // The first report of an adoption only sets where counting starts; what came before is in the
+    // level that it carries.
+    let more = if is_new { 0 } else { line.served_cost as i64 - known.served_cost as i64 };
+    known.served_cost = line.served_cost;
+    known.waiting_requests = line.waiting_requests;
+    let floor = home.floor;
+    let changed = home.sequence + 1;
+    let entry = home.teams.entry(line.team).or_default();
+    let was_idle = entry.waiting_requests == 0 && entry.remote_waiting.is_empty();
+    let before = entry.waiters.insert(instance, line.waiting_requests).unwrap_or(0);
+    if line.waiting_requests == 0 {
+        entry.waiters.remove(&instance);
+    }
+    entry.waiting_requests = (entry.waiting_requests + line.waiting_requests) - before;
+    if let Some(level) = line.level {
+        entry.level = entry.level.max(level + entry.debt);
+        home.anchored = true;
+    }
+    entry.changed = changed;
+    add_service(entry, share_of(teams, line.team), more);
+    // A team that was idle comes in at the lowest level of those that wait, so that it has saved up
+    // no credit; without this a team back from a night's rest would take every slot for hours.
+    if was_idle && line.waiting_requests != 0 {
+        lift(entry, floor);
+    }
+}
+
+/// `add_service` counts service of this domain.
+fn add_service(team: &mut HomeTeam, share: u32, cost: i64) {
+    team.served_cost += cost;
+    add_level(team, level_of_cost(cost, share));
+}
+
+/// Part of the service received while in debt that is added to repay it: a quarter, so a team that
+/// ran ahead unseen gets four fifths of its fair rate until it is even.
+const REPAYMENT_DIVISOR: i64 = 4;
+
+/// `add_level` raises a team's level by service and repays some debt.
+pub fn add_level(team: &mut HomeTeam, level: Level) {
+    team.level += level;
+    team.debt -= (level.max(0) / REPAYMENT_DIVISOR).min(team.debt);
+}
+
+/// `lift` brings a team up to a level, if it is below.
+pub fn lift(team: &mut HomeTeam, floor: Level) {
+    let missing = floor - (team.level - team.debt);
+    if 0 < missing {
+        let repaid = missing.min(team.debt);
+        team.debt -= repaid;
+        team.level += missing - repaid;
+    }
+}
+
+/// `forget_router` drops an instance that is gone or has begun anew; its service stays counted.
+pub fn forget_router(tables: &Tables, home: &mut Home, instance: InstanceId, estimate: u64) {
+    let mut touched = clear_outstanding(home, instance);
+    let Some(router) = home.routers.remove(&instance) else { return };
+    for (upstream, slot) in &router.slots {
+        let leased = home.leased.entry(*upstream).or_default();
+        *leased = leased.saturating_sub(held(&slot.lease));
+        spills::hand_back(home, *upstream, held(&slot.lease));
+    }
+    for team in router.teams.into_keys() {
+        if let Some(entry) = home.teams.get_mut(&team) {
+            let before = entry.waiters.remove(&instance).unwrap_or(0);
+            entry.waiting_requests -= before;
+        }
+        touched.push(team);
+    }
+    for team in touched {
+        reindex(home, &tables.teams, team, estimate);
+    }
+}
+
+/// `reindex` puts a team where it belongs in the orders.
+pub fn reindex(home: &mut Home, teams: &HashMap<TeamId, Team>, team: TeamId, estimate: u64) {
+    let Some(entry) = home.teams.get_mut(&team) else { return };
+    let share = share_of(teams, team);
+    if let Some(key) = entry.key.take() {
+        home.order.remove(&(key, team));
+    }
+    for (key, domain) in entry.remote_keys.drain(..) {
+        home.remote_order.remove(&(key, domain, team));
+    }
+    let under_way: u32 = entry.outstanding + entry.lent.values().sum::<u32>();
+    let provisional = level_of_cost(i64::from(under_way) * estimate as i64, share);
+    let level = effective_level(entry) + provisional;
+    if entry.outstanding < entry.waiting_requests {
+        entry.key = Some(level);
+        home.order.insert((level, team));
+    }
+    for (domain, waiting) in &entry.remote_waiting {
+        if entry.lent.get(domain).copied().unwrap_or(0) < *waiting {
+            entry.remote_keys.push((level, *domain));
+            home.remote_order.insert((level, *domain, team));
+        }
+    }
+}
--- /dev/null
+++ b/crates/bergamotpitch-control/src/leases.rs
@@ -0,0 +1,245 @@
+//! Slot leases: what this instance may hand over without asking, as the home of a service granted.
+//!
+//! A lease on a slot outlives the request that it was granted for. When the request ends, the slot
+//! takes the next one here at once, unless the teams that wait here are ahead of the domain's
+//! frontier; then it goes back to the home, which grants it where a team lags.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use bergamotpitch_core::ids::{DomainId, Incarnation, InstanceId, ServiceId, TeamId, UpstreamId};
+use bergamotpitch_core::units::Timestamp;
+
+use crate::accounts;
+use crate::levels::{Level, level_of_cost, share_of};
+use crate::share_messages::{ShareGrant, ShareReport, SlotLine, TeamLine};
+use crate::tables::{QueueKey, Tables};
+
+/// Silence of the home after which its frontier no longer binds.
+const FRONTIER_LIFETIME: Duration = Duration::from_millis(700);
+
+/// Time for which the level of a team that does not wait here is kept.
+const LEVEL_LIFETIME: Duration = Duration::from_millis(1_500);
+
+/// `Leases` are the leases of this instance for one service.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Leases {
+    /// The home that they come from.
+    pub home: Option<InstanceId>,
+    /// Life of the home.
+    pub home_incarnation: Incarnation,
+    /// Number of this adoption of a home; grants for another adoption are passed over.
+    pub adoption: u32,
+    /// Number of the last report.
+    pub sequence: u32,
+    /// Number of the last report that the home has seen.
+    pub seen: u32,
+    /// Leases by upstream.
+    pub slots: BTreeMap<UpstreamId, SlotLease>,
+    /// What the home was told and has told of each team.
+    pub teams: BTreeMap<TeamId, LeaseTeam>,
+    /// Teams that the home takes to wait here.
+    pub waiting: BTreeSet<TeamId>,
+    /// Lowest level of a team that waits in the domain; none when none waits.
+    pub frontier: Option<Level>,
+    /// Highest level at which the slots of another domain may be used.
+    pub ceilings: BTreeMap<DomainId, Level>,
+    /// Idle slots that may be kept while nobody waits.
+    pub keep_slots: u32,
+    /// When the home was last heard.
+    pub heard: Option<Timestamp>,
+    /// When the last report was sent.
+    pub sent: Option<Timestamp>,
+    /// True when the home should hear at once.
+    pub urgent: bool,
+    /// True when there is something to report.
+    pub changed: bool,
+}
+
+/// `SlotLease` counts leases on one upstream; each number only rises within one adoption.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct SlotLease {
+    /// Slots held when the home was adopted.
+    pub base: u32,
+    /// Slots granted since.
+    pub granted: u32,
+    /// Slots given back since.
+    pub returned: u32,
+    /// Number of the report that first carried the present numbers.
+    pub changed: u32,
+}
+
+/// `LeaseTeam` is one team as this instance and its home see it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LeaseTeam {
+    /// Level without the service received here, when the home has told it.
+    pub elsewhere: Option<Level>,
+    /// When it was told.
+    pub told: Timestamp,
+    /// Requests that wait here, as last reported.
+    pub waiting_requests: u32,
+    /// Number of the report that first carried the present numbers.
+    pub changed: u32,
+    /// Times in a row that the oldest request here was passed over for a cached prefix.
+    pub passed_over: u32,
+}
+
+/// `held` is how many slots of an upstream this instance holds.
+pub fn held(lease: &SlotLease) -> u32 {
+    (lease.base + lease.granted).saturating_sub(lease.returned)
+}
+
+/// `adopt` takes a new home for a service; slots held stay held.
+pub fn adopt(leases: &mut Leases, home: InstanceId, incarnation: Incarnation, own: Incarnation) {
+    leases.home = Some(home);
+    leases.home_incarnation = incarnation;
+    // A restarted instance must not reuse the numbers of its earlier life: the home would take old
+    // grants for new ones.
+    leases.adoption =
+        leases.adoption.wrapping_add(1).max(((own as u32) & 0xffff).wrapping_shl(12).max(1));
+    leases.sequence = 0;
+    leases.seen = 0;
+    leases.slots.retain(|_, lease| held(lease) != 0);
+    for lease in leases.slots.values_mut() {
+        *lease = SlotLease { base: held(lease), changed: 1, ..SlotLease::default() };
+    }
+    for team in leases.teams.values_mut() {
+        team.changed = 1;
+    }
+    leases.changed = true;
+    leases.urgent = true;
+}
+
+/// `apply_grant` takes over what the home says.
+pub fn apply_grant(tables: &mut Tables, sender: InstanceId, grant: ShareGrant) {
+    let now = tables.now;
+    let Some(leases) = tables.leases.get_mut(&grant.service) else { return };
+    if leases.home != Some(sender) || leases.adoption != grant.adoption {
+        return;
+    }
+    leases.heard = Some(now);
+    leases.seen = leases.seen.max(grant.report_seen);
+    for line in &grant.granted {
+        let next = leases.sequence + 1;
+        let lease = leases.slots.entry(line.upstream).or_default();
+        if lease.granted < line.count {
+            lease.granted = line.count;
+            lease.changed = next;
+            leases.changed = true;
+        }
+    }
+    // An old grant that comes late must not bring an old frontier back.
+    if grant.report_seen < leases.seen {
+        return;
+    }
+    leases.frontier = grant.frontier;
+    leases.keep_slots = grant.keep_slots;
+    leases.ceilings = grant.ceilings.iter().map(|line| (line.domain, line.level)).collect();
+    for line in &grant.levels {
+        let team = leases.teams.entry(line.team).or_default();
+        team.elsewhere = Some(line.level + grant.frontier.unwrap_or(0));
+        team.told = now;
+    }
+}
+
+/// `level` is the level of a team as this instance knows it.
+pub fn level(tables: &Tables, leases: &Leases, key: QueueKey) -> Level {
+    let own = own_level(tables, key);
+    let floor = leases.frontier.unwrap_or(0);
+    let Some(team) = leases.teams.get(&key.team) else { return floor };
+    match team.elsewhere {
+        Some(elsewhere) if tables.now < team.told + LEVEL_LIFETIME => elsewhere + own,
+        // The team may have been idle: it comes in at the frontier, with no credit saved up.
+        Some(elsewhere) => floor.max(elsewhere + own),
+        None => floor,
+    }
+}
+
+fn own_level(tables: &Tables, key: QueueKey) -> Level {
+    let cost = tables.accounts.get(&key).copied().unwrap_or(0);
+    level_of_cost(cost as i64, share_of(&tables.teams, key.team))
+}
+
+/// `bound` is the highest level at which a free slot of a domain may take the next request here.
+pub fn bound(
+    tables: &Tables,
+    service: ServiceId,
+    leases: &Leases,
+    domain: DomainId,
+) -> Option<Level> {
+    let is_fresh = leases.heard.is_some_and(|heard| tables.now < heard + FRONTIER_LIFETIME);
+    if !is_fresh {
+        return None;
+    }
+    let own = leases.frontier.map(|frontier| frontier + slack(tables, service));
+    if domain == tables.options.domain {
+        return own;
+    }
+    match (own, leases.ceilings.get(&domain).copied()) {
+        (Some(own), Some(ceiling)) => Some(own.min(ceiling)),
+        (own, ceiling) => own.or(ceiling),
+    }
+}
+
+/// `slack` is how far ahead of the frontier a team may be and still use a free slot.
+pub fn slack(tables: &Tables, service: ServiceId) -> Level {
+    let estimate = accounts::service_estimate(tables, service) as f64;
+    (estimate * tables.options.slack_requests) as Level * crate::levels::LEVEL_SCALE
+}
+
+/// `give_back` returns idle slots to the home.
+pub fn give_back(leases: &mut Leases, upstream: UpstreamId, count: u32) {
+    let next = leases.sequence + 1;
+    let Some(lease) = leases.slots.get_mut(&upstream) else { return };
+    lease.returned += count;
+    lease.changed = next;
+    leases.changed = true;
+    leases.urgent = true;
+}
+
+/// `report` builds what the home has not seen yet.
+pub fn report(tables: &Tables, service: ServiceId, leases: &mut Leases, idle: u32) -> ShareReport {
+    leases.sequence += 1;
+    let seen = leases.seen;
+    let slots = leases
+        .slots
+        .iter()
+        .filter(|(_, lease)| seen < lease.changed)
+        .map(|(upstream, lease)| SlotLine {
+            upstream: *upstream,
+            base: lease.base,
+            granted: lease.granted,
+            returned: lease.returned,
+        })
+        .collect();
+    let is_first = seen == 0;
+    let teams = leases
+        .teams
+        .iter()
+        .filter(|(_, team)| seen < team.changed)
+        .map(|(team, entry)| {
+            let key = QueueKey { service, team: *team };
+            TeamLine {
+                team: *team,
+                waiting_requests: entry.waiting_requests,
+                served_cost: tables.accounts.get(&key).copied().unwrap_or(0),
+                level: if is_first && entry.elsewhere.is_some() && entry.waiting_requests != 0 {
+                    Some(level(tables, leases, key))
+                } else {
+                    None
+                },
+            }
+        })
+        .collect();
+    leases.sent = Some(tables.now);
+    leases.urgent = false;
+    leases.changed = false;
+    ShareReport {
+        service,
+        adoption: leases.adoption,
+        sequence: leases.sequence,
+        idle_slots: idle,
+        slots,
+        teams,
+    }
+}
--- a/crates/bergamotpitch-control/src/lib.rs
+++ b/crates/bergamotpitch-control/src/lib.rs
@@ -4,20 +4,32 @@
 //! messages and observations come in as [`Input`]s; messages, dispatches, refusals and events go
 //! out as [`Output`]s. A test can drive hundreds of control states in one thread with virtual time.
 
+pub mod accounts;
 pub mod claim_queues;
 mod claim_rounds;
 pub mod claims;
 pub mod dispatches;
+pub mod domain_reports;
 pub mod errors;
+pub mod grants;
+pub mod homes;
 pub mod inputs;
+pub mod leases;
+pub mod levels;
 pub mod members;
 pub mod messages;
 pub mod outputs;
+pub mod placements;
 pub mod requests;
+pub mod share_messages;
+pub mod shares;
+pub mod sheet_indexes;
 pub mod sheets;
+pub mod spills;
 pub mod steps;
 pub mod tables;
 pub mod upstreams;
+pub mod windows;
 
 pub use crate::errors::{Error, Result};
 pub use crate::inputs::Input;
--- a/crates/bergamotpitch-control/src/messages.rs
+++ b/crates/bergamotpitch-control/src/messages.rs
@@ -6,11 +6,19 @@
 use bergamotpitch_core::ids::{SheetVersion, UpstreamId};
 use serde::{Deserialize, Serialize};
 
+use crate::share_messages::{DomainReport, ShareGrant, ShareReport};
+
 /// `Message` is what one instance tells another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
     /// The sender is alive.
     Heartbeat(Heartbeat),
+    /// What waits and was served at the sender, for the home of a service.
+    ShareReport(ShareReport),
+    /// What the receiver may hand over, from the home of a service.
+    ShareGrant(ShareGrant),
+    /// What one domain tells another of a service.
+    DomainReport(DomainReport),
 }
 
 /// `Heartbeat` says that the sender is alive and what it knows.
--- /dev/null
+++ b/crates/bergamotpitch-control/src/placements.rs
@@ -0,0 +1,57 @@
+//! Placement: the upstream that likely holds a prompt's prefix is preferred, as a hint only.
+
+use std::collections::VecDeque;
+
+use bergamotpitch_core::ids::{RequestId, ServiceId, UpstreamId};
+
+use crate::tables::Tables;
+
+/// Requests of one team among which the free slot's prefix is looked for.
+const LOOK_AHEAD_REQUESTS: usize = 8;
+
+/// Times in a row that the oldest request of a team may be passed over.
+pub const PASS_OVER_LIMIT: u32 = 8;
+
+/// `preferred` is the upstream of the domain that a prefix is placed on.
+pub fn preferred(tables: &Tables, service: ServiceId, prefix: u64) -> Option<UpstreamId> {
+    if prefix == 0 {
+        return None;
+    }
+    let upstreams = tables.index.upstreams.get(&service)?;
+    upstreams
+        .iter()
+        .filter(|upstream| tables.upstreams.get(upstream).is_some_and(|entry| !entry.leaving))
+        .max_by_key(|upstream| (mixed(prefix, **upstream), **upstream))
+        .copied()
+}
+
+fn mixed(prefix: u64, upstream: UpstreamId) -> u64 {
+    let folded = (prefix ^ (prefix >> 32)) as u32;
+    crate::homes::weight(folded, upstream)
+}
+
+/// `choose` is the place in a team's queue of the request that a free slot should take.
+///
+/// Only the order within the team changes, and the oldest request is passed over only so many times,
+/// so no team and no request waits for ever for the sake of a cache.
+pub fn choose(
+    tables: &Tables,
+    service: ServiceId,
+    upstream: UpstreamId,
+    queue: &VecDeque<RequestId>,
+    passed_over: u32,
+) -> usize {
+    if !tables.options.prefix_placement || PASS_OVER_LIMIT <= passed_over {
+        return 0;
+    }
+    queue
+        .iter()
+        .take(LOOK_AHEAD_REQUESTS)
+        .position(|request| {
+            let entry = tables.requests.get(request);
+            entry.is_some_and(|entry| {
+                preferred(tables, service, entry.arrival.prefix) == Some(upstream)
+            })
+        })
+        .unwrap_or(0)
+}
--- a/crates/bergamotpitch-control/src/requests.rs
+++ b/crates/bergamotpitch-control/src/requests.rs
@@ -10,7 +10,7 @@
 use crate::inputs::{Arrival, AttemptOutcome};
 use crate::outputs::{Event, Output, Refusal};
 use crate::tables::{QueueKey, Request, RequestState, Tables};
-use crate::upstreams;
+use crate::{accounts, upstreams};
 
 /// Attempts that one request may have.
 const ATTEMPT_LIMIT: u32 = 3;
@@ -73,7 +73,7 @@
     let Some(entry) = tables.requests.get(&request) else { return };
     // The estimate stays charged until the real cost is above it; the end settles the rest.
     if entry.charged_cost < cost {
-        charge_up_to(tables, request, cost);
+        accounts::charge_up_to(tables, request, cost);
     }
 }
 
@@ -88,7 +88,11 @@
     let Some(entry) = tables.requests.get(&request) else { return };
     let RequestState::Running { upstream } = entry.state else { return };
     let repeatable = entry.arrival.repeatable;
-    charge_up_to(tables, request, cost);
+    if outcome == AttemptOutcome::Answered {
+        accounts::settle(tables, request, cost);
+    } else {
+        accounts::charge_up_to(tables, request, cost);
+    }
     match outcome {
         AttemptOutcome::Answered => {
             end_answered(tables, request, upstream, outputs);
@@ -174,15 +178,6 @@
     }
 }
 
-/// `charge_up_to` sets what a request has cost its team so far.
-pub fn charge_up_to(tables: &mut Tables, request: RequestId, cost: CostUnits) {
-    let Some(entry) = tables.requests.get_mut(&request) else { return };
-    let key = QueueKey { service: entry.arrival.service, team: entry.arrival.team };
-    let account = tables.accounts.entry(key).or_default();
-    *account = account.saturating_sub(entry.charged_cost) + cost;
-    entry.charged_cost = cost;
-}
-
 fn refuse(request: RequestId, reason: RefusalReason, ran: Ran, outputs: &mut Vec<Output>) {
     let event = Event::of_kind(EventKind::RequestRefused)
         .with_request(request)
--- a/crates/bergamotpitch-control/src/steps.rs
+++ b/crates/bergamotpitch-control/src/steps.rs
@@ -1,12 +1,16 @@
 //! The step: inputs are applied to the tables, then every system runs once.
 
+use bergamotpitch_core::settings::Policy;
 use bergamotpitch_core::units::Timestamp;
 
 use crate::inputs::Input;
 use crate::messages::Message;
 use crate::outputs::Output;
 use crate::tables::Tables;
-use crate::{dispatches, members, requests, sheets, upstreams};
+use crate::{
+    dispatches, domain_reports, homes, leases, members, requests, shares, sheet_indexes, sheets,
+    upstreams, windows,
+};
 
 /// `step` applies inputs at a time and runs every system over the tables.
 ///
@@ -27,7 +31,11 @@
     }
     members::run(tables, &mut outputs);
     requests::run(tables, &mut outputs);
-    dispatches::run(tables, &mut outputs);
+    sheet_indexes::run(tables);
+    match tables.options.policy {
+        Policy::Fair => shares::run(tables, &mut outputs),
+        Policy::LocalFair | Policy::FirstCome => dispatches::run(tables, &mut outputs),
+    }
     outputs
 }
 
@@ -44,9 +52,13 @@
             Message::Heartbeat(heartbeat) => {
                 members::apply_heartbeat(tables, sender, heartbeat, outputs)
             }
+            Message::ShareReport(report) => homes::apply_report(tables, sender, report),
+            Message::ShareGrant(grant) => leases::apply_grant(tables, sender.instance, grant),
+            Message::DomainReport(report) => domain_reports::apply(tables, sender, report),
         },
         Input::LoadReported { upstream, report } => {
             upstreams::apply_load_report(tables, upstream, report, outputs);
+            windows::apply_report(tables, upstream, report);
         }
         Input::Listed(list) => upstreams::apply_list(tables, &list, outputs),
         Input::SheetLearned(sheet) => sheets::apply_sheet(tables, sheet, outputs),
--- a/crates/bergamotpitch-control/src/tables.rs
+++ b/crates/bergamotpitch-control/src/tables.rs
@@ -1,6 +1,6 @@
 //! Tables: the whole state of one instance's control.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,7 +13,12 @@
 use bergamotpitch_core::sheets::AcceptedSheet;
 use bergamotpitch_core::units::{CostUnits, Timestamp};
 
+use crate::accounts::Estimate;
+use crate::homes::Home;
 use crate::inputs::Arrival;
+use crate::leases::Leases;
+use crate::sheet_indexes::SheetIndex;
+use crate::windows::Window;
 
 /// `Options` are the constants of one control state.
 #[derive(Debug, Clone)]
@@ -34,6 +39,23 @@
     pub peer_timeout: Duration,
     /// Seed of the random source.
     pub seed: u64,
+    /// Requests that may wait inside an upstream, to hide the way of the next one.
+    pub window_depth_requests: u32,
+    /// How far ahead of the domain's frontier a team may use a free slot, in mean requests.
+    pub slack_requests: f64,
+    /// How far a team must lag before another domain lends it slots it needs itself, in mean
+    /// requests.
+    pub spill_margin_requests: f64,
+    /// True when domains lend each other slots.
+    pub spill: bool,
+    /// True when requests are placed by the prefix of their prompt.
+    pub prefix_placement: bool,
+    /// Shortest time between two urgent messages about one service to one instance.
+    pub share_spacing: Duration,
+    /// Time between two other messages about one service to one instance.
+    pub share_interval: Duration,
+    /// Bytes a second that one duty may send to other domains.
+    pub cross_bytes_per_second: u64,
 }
 
 impl Default for Options {
@@ -47,6 +69,14 @@
             heartbeat_interval: Duration::from_millis(200),
             peer_timeout: Duration::from_millis(1_000),
             seed: 1,
+            window_depth_requests: 2,
+            slack_requests: 1.0,
+            spill_margin_requests: 2.0,
+            spill: true,
+            prefix_placement: true,
+            share_spacing: Duration::from_millis(20),
+            share_interval: Duration::from_millis(100),
+            cross_bytes_per_second: 400,
         }
     }
 }
@@ -76,6 +106,24 @@
     pub queues: HashMap<QueueKey, VecDeque<RequestId>>,
     /// Service received here, by service and team, in cost units.
     pub accounts: HashMap<QueueKey, CostUnits>,
+    /// Accounts that changed since the last report.
+    pub charged: BTreeSet<QueueKey>,
+    /// Likely cost of a team's next request.
+    pub team_estimates: HashMap<QueueKey, Estimate>,
+    /// Likely cost of a service's next request.
+    pub service_estimates: HashMap<ServiceId, Estimate>,
+    /// Admission windows that differ from the declared slots.
+    pub windows: HashMap<UpstreamId, Window>,
+    /// What the sheet in force says, indexed.
+    pub index: SheetIndex,
+    /// Leases that this instance holds, by service.
+    pub leases: BTreeMap<ServiceId, Leases>,
+    /// Duties that this instance has, by service.
+    pub homes: BTreeMap<ServiceId, Home>,
+    /// Time of the first step.
+    pub started: Option<Timestamp>,
+    /// When it was last checked who has each duty.
+    pub duties_checked: Option<Timestamp>,
 }
 
 /// `QueueKey` names one queue: one team's requests for one service.
--- a/crates/bergamotpitch-proof/src/lib.rs
+++ b/crates/bergamotpitch-proof/src/lib.rs
@@ -11,4 +11,6 @@
 pub mod measures;
 pub mod observers;
 pub mod randoms;
+pub mod scenarios;
+pub mod schedules;
 pub mod workloads;
