Serve callers through one control thread and many traffic threads

Cause: the control crate decided on requests that nothing brought to it; no process served a caller, polled an upstream or wrote an event.

Ruled out: a task per request that locks the tables (traffic would wait for decisions), handlers that run on after their caller has left (`Detached`; they would hold an engine's slot for nobody), and passing answers on without a mark for their end (a panic or an early return would look like a whole answer).

Change: the router as a library with a thin binary.

--- a/crates/bergamotpitch-control/src/inputs.rs
+++ b/crates/bergamotpitch-control/src/inputs.rs
@@ -56,6 +56,11 @@
         /// What it said.
         report: LoadReport,
     },
+    /// An upstream said in an answer that it is leaving.
+    UpstreamLeaving {
+        /// The upstream.
+        upstream: UpstreamId,
+    },
     /// The platform's instance list was read; it lags.
     Listed(Vec<ListedInstance>),
     /// A sheet was read from the platform or from a peer.
--- a/crates/bergamotpitch-control/src/steps.rs
+++ b/crates/bergamotpitch-control/src/steps.rs
@@ -48,6 +48,9 @@
         Input::LoadReported { upstream, report } => {
             upstreams::apply_load_report(tables, upstream, report, outputs);
         }
+        Input::UpstreamLeaving { upstream } => {
+            upstreams::mark_leaving(tables, upstream, outputs);
+        }
         Input::Listed(list) => upstreams::apply_list(tables, &list, outputs),
         Input::SheetLearned(sheet) => sheets::apply_sheet(tables, sheet, outputs),
         Input::PlatformReachable(_reachable) => {}
--- a/crates/bergamotpitch-router/src/main.rs
+++ b/crates/bergamotpitch-router/src/main.rs
@@ -1,3 +1,7 @@
 //! The `bergamotpitch-router` binary.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    bergamotpitch_router::commands::run()
+}
--- /dev/null
+++ b/crates/bergamotpitch-router/src/platforms.rs
@@ -0,0 +1,79 @@
+//! Platforms: the watch of the sheet and the reading of the instance list.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bergamotpitch_control::Input;
+use bergamotpitch_control::inputs::ListedInstance;
+use bergamotpitch_platform::instances::{Instance, ROUTER_SERVICE, UPSTREAM_SERVICE};
+use bergamotpitch_platform::{Options, Platform};
+use tokio::task::JoinSet;
+
+use crate::contexts::Context;
+
+/// Pause after a call that failed.
+const FAILURE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Time between two readings of the instance list.
+const LIST_INTERVAL: Duration = Duration::from_secs(1);
+
+/// `spawn` starts the exchange with the platform.
+pub fn spawn(context: &Arc<Context>, tasks: &mut JoinSet<()>) {
+    let options = Options { address: context.settings.platform_address, ..Options::default() };
+    let platform = Platform::new(options);
+    tasks.spawn(watch_sheet(Arc::clone(context), platform.clone()));
+    tasks.spawn(read_list(Arc::clone(context), platform));
+}
+
+async fn watch_sheet(context: Arc<Context>, platform: Platform) {
+    let mut index = 0;
+    let mut reachable = None;
+    loop {
+        let watched = platform.watch_sheet(index).await;
+        if reachable != Some(watched.is_ok()) {
+            reachable = Some(watched.is_ok());
+            context.observe(Input::PlatformReachable(watched.is_ok())).await;
+        }
+        match watched {
+            Ok(watched) => {
+                index = watched.index;
+                if let Some(sheet) = watched.sheet {
+                    context.observe(Input::SheetLearned(sheet)).await;
+                }
+                // An answer without a change that comes at once must not become a busy loop.
+                tokio::task::yield_now().await;
+            }
+            Err(error) => {
+                log::warn!("the sheet cannot be watched: {error}");
+                tokio::time::sleep(FAILURE_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn read_list(context: Arc<Context>, platform: Platform) {
+    loop {
+        match list(&platform).await {
+            Ok(list) => context.observe(Input::Listed(list)).await,
+            Err(error) => log::debug!("the instance list cannot be read: {error}"),
+        }
+        tokio::time::sleep(LIST_INTERVAL).await;
+    }
+}
+
+async fn list(platform: &Platform) -> bergamotpitch_platform::Result<Vec<ListedInstance>> {
+    let routers = platform.list_instances(ROUTER_SERVICE).await?;
+    let upstreams = platform.list_instances(UPSTREAM_SERVICE).await?;
+    let routers = routers.into_iter().map(|instance| listed(instance, true));
+    let upstreams = upstreams.into_iter().map(|instance| listed(instance, false));
+    Ok(routers.chain(upstreams).collect())
+}
+
+fn listed(instance: Instance, is_router: bool) -> ListedInstance {
+    ListedInstance {
+        name: instance.name,
+        address: instance.address,
+        is_router,
+        leaving: instance.leaving,
+    }
+}
