Add the stand-ins for the platform, engines and services

Cause: nothing outside the fleet could be met in a test or a demonstration, so no request could travel through it and no failure of the surroundings could be produced. Ruled out: a real key-value server and a real engine (nothing is to be installed beside the fleet), and one process for each upstream (a demonstration would need a dozen). Change: one library and one binary with the commands platform, engine, service, fleet and check. The platform speaks the key-value, session and catalogue calls, counts and limits them, and loses answers after a write; each of its addresses has faults of its own, so that one domain can be cut off. Conclusion: routers can be run against these stand-ins; faults are set over HTTP.

--- a/crates/bergamotpitch-standin/src/main.rs
+++ b/crates/bergamotpitch-standin/src/main.rs
@@ -1,3 +1,7 @@
 //! The `bergamotpitch-standin` binary.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    bergamotpitch_standin::commands::run_command_line()
+}
--- /dev/null
+++ b/crates/bergamotpitch-standin/src/platforms.rs
@@ -0,0 +1,263 @@
+//! The stand-in platform: key-value service and instance list behind one or more addresses.
+//!
+//! Every address has faults of its own, so that one failure domain can be cut off from the platform
+//! while another still reaches it.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+
+use crate::bodies::{
+    Answer, Body, BrokenConnection, json_answer, query_value, read_whole, text_answer,
+};
+use crate::calls::{Bucket, CallCounts, RateLimits};
+use crate::errors::Result;
+use crate::faults::PlatformFaults;
+use crate::instances::{InstanceChange, apply_change};
+use crate::lags::{Lagged, publish};
+use crate::servers::{Crashes, Server, serve};
+use crate::stores::Store;
+use crate::{keys, sessions};
+
+/// `PlatformOptions` describe a stand-in platform.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformOptions {
+    /// Addresses that it listens on.
+    pub addresses: Vec<SocketAddr>,
+    /// Call rates above which it answers 429.
+    #[serde(default)]
+    pub rates: RateLimits,
+    /// Time after which a change of the instance list is seen, in milliseconds.
+    #[serde(default)]
+    pub list_lag_ms: u64,
+}
+
+/// `Platform` is a running stand-in platform.
+#[derive(Debug)]
+pub struct Platform {
+    /// Addresses that it listens on, with the ports that the system chose for 0.
+    pub addresses: Vec<SocketAddr>,
+    servers: Vec<Server>,
+}
+
+impl Platform {
+    /// `close` stops listening and breaks the open connections.
+    pub async fn close(self) {
+        for server in self.servers {
+            server.close().await;
+        }
+    }
+}
+
+/// `Shared` is the state that all addresses of a platform share.
+#[derive(Debug)]
+pub struct Shared {
+    state: Mutex<State>,
+    /// Index of the last change, for those who watch.
+    pub changed: watch::Sender<u64>,
+}
+
+/// `State` is what the platform knows.
+#[derive(Debug, Default)]
+pub struct State {
+    /// Keys, sessions and locks.
+    pub store: Store,
+    /// Instances as they are.
+    pub instances: Vec<InstanceChange>,
+    /// Instances as they are seen.
+    pub listed: Lagged<Vec<InstanceChange>>,
+    /// Calls taken.
+    pub counts: CallCounts,
+    /// Rates above which calls are refused.
+    pub rates: RateLimits,
+    /// Time after which a change of the instance list is seen, in milliseconds.
+    pub list_lag_ms: u64,
+    /// Writes that may be made now.
+    pub write_bucket: Bucket,
+    /// Reads that may be made now.
+    pub read_bucket: Bucket,
+}
+
+/// `lock_state` gives access to the state.
+pub fn lock_state(shared: &Shared) -> MutexGuard<'_, State> {
+    shared.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+/// `start_platform` starts a stand-in platform.
+///
+/// # Errors
+///
+/// An address cannot be listened on.
+///
+/// ```
+/// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+/// use bergamotpitch_standin::platforms::{PlatformOptions, start_platform};
+/// let addresses = vec!["127.0.0.1:0".parse().unwrap()];
+/// let options = PlatformOptions { addresses, rates: Default::default(), list_lag_ms: 0 };
+/// let platform = start_platform(options).await.unwrap();
+/// platform.close().await;
+/// # });
+/// ```
+pub async fn start_platform(options: PlatformOptions) -> Result<Platform> {
+    let state =
+        State { rates: options.rates, list_lag_ms: options.list_lag_ms, ..State::default() };
+    let shared = Arc::new(Shared { state: Mutex::new(state), changed: watch::Sender::new(0) });
+    let mut servers = Vec::new();
+    for address in options.addresses {
+        servers.push(start_address(address, Arc::clone(&shared)).await?);
+    }
+    let addresses = servers.iter().map(|server| server.address).collect();
+    Ok(Platform { addresses, servers })
+}
+
+async fn start_address(address: SocketAddr, shared: Arc<Shared>) -> Result<Server> {
+    let (crashes, crash_orders) = mpsc::unbounded_channel();
+    let entrance =
+        Arc::new(Entrance { shared, faults: Mutex::new(PlatformFaults::default()), crashes });
+    let handler = Arc::new(move |request| answer(Arc::clone(&entrance), request).boxed());
+    serve(address, handler, crash_orders).await
+}
+
+/// `Entrance` is one address of the platform.
+#[derive(Debug)]
+struct Entrance {
+    shared: Arc<Shared>,
+    faults: Mutex<PlatformFaults>,
+    crashes: Crashes,
+}
+
+/// `Call` is a call to the platform, read whole.
+#[derive(Debug)]
+pub struct Call {
+    /// Method of the call.
+    pub method: Method,
+    /// Path of the call.
+    pub path: String,
+    /// Query of the call.
+    pub query: String,
+    /// Body of the call.
+    pub body: Bytes,
+}
+
+async fn answer(entrance: Arc<Entrance>, request: Request<Incoming>) -> Answer {
+    let (parts, body) = read_whole(request).await?;
+    let call = Call {
+        method: parts.method,
+        path: parts.uri.path().to_owned(),
+        query: parts.uri.query().unwrap_or("").to_owned(),
+        body,
+    };
+    if call.path.starts_with("/_") {
+        return Ok(answer_admin(&entrance, &call));
+    }
+    let faults = lock_faults(&entrance).clone();
+    if faults.hang {
+        lock_state(&entrance.shared).counts.failed += 1;
+        return futures::future::pending().await;
+    }
+    tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
+    if faults.outage {
+        lock_state(&entrance.shared).counts.failed += 1;
+        return Ok(text_answer(StatusCode::INTERNAL_SERVER_ERROR, "No cluster leader"));
+    }
+    let response = answer_call(&entrance.shared, &call).await;
+    if call.method != Method::GET && response.status().is_success() && loses_answer(&entrance) {
+        lock_state(&entrance.shared).counts.lost_answers += 1;
+        return Err(BrokenConnection);
+    }
+    Ok(response)
+}
+
+async fn answer_call(shared: &Shared, call: &Call) -> Response<Body> {
+    if let Some(key) = call.path.strip_prefix("/v1/kv/") {
+        return keys::answer_key(shared, call, key).await;
+    }
+    if call.path.starts_with("/v1/session/") {
+        return sessions::answer_session(shared, call);
+    }
+    if let Some(list) = call.path.strip_prefix("/v1/health/service/") {
+        return keys::answer_list(shared, list);
+    }
+    text_answer(StatusCode::NOT_FOUND, "no such path")
+}
+
+/// Percentages are met exactly over each hundred writes, so that a run can be repeated.
+fn loses_answer(entrance: &Entrance) -> bool {
+    let mut faults = lock_faults(entrance);
+    if 0 < faults.lose_next_answers {
+        faults.lose_next_answers -= 1;
+        return true;
+    }
+    let percent = u64::from(faults.lose_answers_percent.min(100));
+    let state = lock_state(&entrance.shared);
+    let writes = state.counts.writes + state.counts.sessions;
+    writes * percent / 100 != writes.saturating_sub(1) * percent / 100
+}
+
+fn answer_admin(entrance: &Entrance, call: &Call) -> Response<Body> {
+    match (&call.method, call.path.as_str()) {
+        (&Method::GET, "/_faults") => json_answer(StatusCode::OK, &*lock_faults(entrance)),
+        (&Method::POST, "/_faults") => match serde_json::from_slice(&call.body) {
+            Ok(faults) => set_faults(entrance, faults),
+            Err(error) => text_answer(StatusCode::BAD_REQUEST, error.to_string()),
+        },
+        (&Method::POST, "/_instances") => match serde_json::from_slice(&call.body) {
+            Ok(change) => {
+                change_instance(&entrance.shared, change);
+                text_answer(StatusCode::OK, "listed")
+            }
+            Err(error) => text_answer(StatusCode::BAD_REQUEST, error.to_string()),
+        },
+        (&Method::GET, "/_instances") => {
+            json_answer(StatusCode::OK, &lock_state(&entrance.shared).instances)
+        }
+        (&Method::GET, "/_calls") => {
+            json_answer(StatusCode::OK, &lock_state(&entrance.shared).counts)
+        }
+        (&Method::POST, "/_rates") => match serde_json::from_slice(&call.body) {
+            Ok(rates) => {
+                lock_state(&entrance.shared).rates = rates;
+                text_answer(StatusCode::OK, "set")
+            }
+            Err(error) => text_answer(StatusCode::BAD_REQUEST, error.to_string()),
+        },
+        (&Method::POST, "/_list_lag") => match query_value(&call.query, "ms").map(str::parse) {
+            Some(Ok(list_lag_ms)) => {
+                lock_state(&entrance.shared).list_lag_ms = list_lag_ms;
+                text_answer(StatusCode::OK, "set")
+            }
+            _ => text_answer(StatusCode::BAD_REQUEST, "ms: is not a number of milliseconds"),
+        },
+        _ => text_answer(StatusCode::NOT_FOUND, "no such path"),
+    }
+}
+
+fn set_faults(entrance: &Entrance, faults: PlatformFaults) -> Response<Body> {
+    if 0 < faults.down_ms {
+        // The server lives as long as its handler, so the order always arrives.
+        let _ = entrance.crashes.send(Duration::from_millis(faults.down_ms));
+    }
+    *lock_faults(entrance) = faults;
+    text_answer(StatusCode::OK, "set")
+}
+
+fn change_instance(shared: &Shared, change: InstanceChange) {
+    let mut state = lock_state(shared);
+    let lag = Duration::from_millis(state.list_lag_ms);
+    apply_change(&mut state.instances, change);
+    let instances = state.instances.clone();
+    publish(&mut state.listed, Instant::now(), lag, instances);
+}
+
+fn lock_faults(entrance: &Entrance) -> MutexGuard<'_, PlatformFaults> {
+    entrance.faults.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
