--- /dev/null
+++ b/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/scenes.rs
@@ -0,0 +1,421 @@
+//! Scenes: the control states of some failure domains, all of them real, under a steady load.
+//!
+//! Every router of the scene is a control state that exchanges its own messages; engines are slots
+//! that a request holds for a fixed time. Whenever a request ends, another arrives, so that the
+//! backlog stays as large as it was.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bergamotpitch_control::inputs::{Arrival, AttemptOutcome, LoadReport, Sender};
+use bergamotpitch_control::{Input, Options, Output, Tables, step};
+use bergamotpitch_core::HashMap;
+use bergamotpitch_core::ids::{RequestId, ServiceId, TeamId, UpstreamId, id_of_name};
+use bergamotpitch_core::sheets::{AcceptedSheet, Sheet};
+use bergamotpitch_core::units::Timestamp;
+use bergamotpitch_proof::randoms::{self, Random};
+use bergamotpitch_wire::seals;
+
+use crate::sheets::large_sheet;
+
+/// Time between two steps; the default of the settings.
+pub const TICK: Duration = Duration::from_millis(5);
+
+/// Bytes of the IP and UDP headers of a datagram.
+pub const IP_UDP_BYTES: usize = 28;
+
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(200);
+const LOAD_INTERVAL: Duration = Duration::from_secs(1);
+const FIRST_BYTE: Duration = Duration::from_millis(300);
+
+/// `Scene` is the size of what is run.
+#[derive(Debug, Clone)]
+pub struct Scene {
+    /// Failure domains.
+    pub domains: usize,
+    /// Regions that the domains stand in.
+    pub regions: usize,
+    /// Routers of each domain.
+    pub routers: usize,
+    /// Engines of each domain.
+    pub engines: usize,
+    /// Requests that an engine runs at once.
+    pub slots: u32,
+    /// Services, each on its part of the engines.
+    pub services: usize,
+    /// Teams.
+    pub teams: usize,
+    /// Teams that always have requests waiting.
+    pub backlogged: usize,
+    /// Requests that wait, for each backlogged team in each domain.
+    pub waiting: usize,
+    /// Time that a request runs.
+    pub run_time: Duration,
+}
+
+impl Default for Scene {
+    /// One domain of the fleet of two years from now.
+    fn default() -> Self {
+        Self {
+            domains: 1,
+            regions: 1,
+            routers: 47,
+            engines: 347,
+            slots: 76,
+            services: 9,
+            teams: 6_500,
+            backlogged: 650,
+            waiting: 4,
+            run_time: Duration::from_millis(8_700),
+        }
+    }
+}
+
+impl Scene {
+    /// `requests_per_second` is the rate at which requests end, for each router.
+    pub fn requests_per_second(&self) -> f64 {
+        let slots = self.engines as f64 * f64::from(self.slots);
+        slots / self.run_time.as_secs_f64() / self.routers as f64
+    }
+}
+
+/// `Cost` is what a scene cost.
+#[derive(Debug, Clone, Default)]
+pub struct Cost {
+    /// Mean time of a step, in microseconds, for each of three parts of the run.
+    pub step_us: Vec<f64>,
+    /// Time that 99 of 100 steps stay under, in microseconds.
+    pub step_p99_us: f64,
+    /// Bytes sent a second, by the mean router.
+    pub mean_bytes: f64,
+    /// Bytes sent a second, by the router that sends most.
+    pub most_bytes: f64,
+    /// Of the mean router's bytes, those to other domains.
+    pub far_bytes: f64,
+    /// Messages sent a second, by the mean router.
+    pub messages: f64,
+    /// Requests that ended each second, for each router.
+    pub ended: f64,
+    /// Steps that were measured.
+    pub steps: usize,
+    /// Bytes sent a second by the mean router, by the kind of message.
+    pub kinds: BTreeMap<String, f64>,
+}
+
+struct Router {
+    tables: Tables,
+    sender: Sender,
+    domain: usize,
+    inputs: Vec<Input>,
+    sequence: u64,
+    sent_bytes: usize,
+    far_bytes: usize,
+    messages: usize,
+}
+
+enum Due {
+    FirstByte(usize, RequestId),
+    Progressed(usize, RequestId, u64),
+    Ended(usize, RequestId),
+}
+
+struct Run {
+    scene: Scene,
+    random: Random,
+    routers: Vec<Router>,
+    by_address: HashMap<SocketAddr, usize>,
+    teams: Vec<TeamId>,
+    services: Vec<ServiceId>,
+    engines: Vec<Vec<UpstreamId>>,
+    running: HashMap<UpstreamId, u32>,
+    due: BTreeMap<(Timestamp, u64), Due>,
+    numbers: u64,
+    now: Timestamp,
+    ended: usize,
+    is_first_round: bool,
+    kinds: BTreeMap<String, f64>,
+}
+
+/// `run` warms a scene up and measures it for some virtual time, or until a limit of real time.
+pub fn run(scene: &Scene, warm_up: Duration, measured: Duration, limit: Duration) -> Cost {
+    let mut run = begin(scene);
+    let started = Instant::now();
+    while run.now < warm_up && started.elapsed() < limit {
+        tick(&mut run, &mut Vec::new());
+    }
+    run.is_first_round = false;
+    run.kinds.clear();
+    for router in &mut run.routers {
+        (router.sent_bytes, router.far_bytes, router.messages) = (0, 0, 0);
+    }
+    run.ended = 0;
+    let from = run.now;
+    let mut times = Vec::new();
+    let started = Instant::now();
+    while run.now < from + measured && (started.elapsed() < limit || run.now < from + TICK * 60) {
+        tick(&mut run, &mut times);
+    }
+    cost_of(&run, times, (run.now - from).as_secs_f64())
+}
+
+fn cost_of(run: &Run, mut times: Vec<f64>, seconds: f64) -> Cost {
+    let mean = |values: &[f64]| values.iter().sum::<f64>() / values.len().max(1) as f64;
+    let step_us = times.chunks(times.len().div_ceil(3).max(1)).map(mean).collect();
+    times.sort_by(f64::total_cmp);
+    let routers = run.routers.len() as f64;
+    let total = |value: fn(&Router) -> usize| {
+        run.routers.iter().map(|router| value(router) as f64).sum::<f64>() / seconds / routers
+    };
+    let most = run.routers.iter().map(|router| router.sent_bytes).max().unwrap_or(0);
+    let kinds = run.kinds.iter().map(|(kind, bytes)| (kind.clone(), bytes / seconds / routers));
+    Cost {
+        step_us,
+        step_p99_us: times.get(times.len() * 99 / 100).copied().unwrap_or(0.0),
+        mean_bytes: total(|router| router.sent_bytes),
+        most_bytes: most as f64 / seconds,
+        far_bytes: total(|router| router.far_bytes),
+        messages: total(|router| router.messages),
+        ended: run.ended as f64 / seconds / routers,
+        steps: times.len(),
+        kinds: kinds.collect(),
+    }
+}
+
+fn accepted(scene: &Scene) -> Arc<AcceptedSheet> {
+    Arc::new(AcceptedSheet { version: 1, sheet: sheet_of(scene) })
+}
+
+fn sheet_of(scene: &Scene) -> Sheet {
+    let mut sheet = large_sheet(
+        scene.domains,
+        scene.regions,
+        scene.services,
+        scene.engines * scene.domains,
+        scene.teams,
+    );
+    for upstream in &mut sheet.upstreams {
+        upstream.slots = scene.slots;
+    }
+    sheet
+}
+
+fn begin(scene: &Scene) -> Run {
+    let sheet = accepted(scene);
+    let count = scene.domains * scene.routers;
+    let address = |index: usize| {
+        SocketAddr::from((
+            [10, (index / 62_500) as u8, (index / 250) as u8, (index % 250) as u8],
+            7,
+        ))
+    };
+    let mut routers: Vec<Router> = (0..count)
+        .map(|index| {
+            let domain = index % scene.domains;
+            let options = Options {
+                instance: id_of_name(&format!("router-{index}")),
+                incarnation: 1_790_000_000_000,
+                domain: id_of_name(&sheet.sheet.domains[domain].name),
+                first_peers: (0..count).filter(|other| *other != index).map(address).collect(),
+                seed: index as u64,
+                ..Options::default()
+            };
+            let sender = Sender {
+                instance: options.instance,
+                incarnation: options.incarnation,
+                domain: options.domain,
+                address: address(index),
+            };
+            let tables = Tables { options, ..Tables::default() };
+            let inputs =
+                vec![Input::PlatformReachable(true), Input::SheetLearned(Arc::clone(&sheet))];
+            Router {
+                tables,
+                sender,
+                domain,
+                inputs,
+                sequence: 1,
+                sent_bytes: 0,
+                far_bytes: 0,
+                messages: 0,
+            }
+        })
+        .collect();
+    let by_address =
+        routers.iter().enumerate().map(|(index, router)| (router.sender.address, index)).collect();
+    let domain_names: Vec<&str> =
+        sheet.sheet.domains.iter().map(|entry| entry.name.as_str()).collect();
+    let engines = domain_names
+        .iter()
+        .map(|name| {
+            let here = sheet.sheet.upstreams.iter().filter(|entry| entry.domain == *name);
+            here.map(|entry| id_of_name(&entry.name)).collect()
+        })
+        .collect();
+    routers.shrink_to_fit();
+    let mut run = Run {
+        scene: scene.clone(),
+        random: randoms::seeded(7),
+        routers,
+        by_address,
+        teams: sheet.sheet.teams.iter().map(|entry| id_of_name(&entry.name)).collect(),
+        services: sheet.sheet.services.iter().map(|entry| id_of_name(&entry.name)).collect(),
+        engines,
+        running: HashMap::default(),
+        due: BTreeMap::new(),
+        numbers: 1,
+        now: Duration::ZERO,
+        ended: 0,
+        is_first_round: true,
+        kinds: BTreeMap::new(),
+    };
+    // The members meet before the load comes.
+    while run.now < Duration::from_millis(600) {
+        tick(&mut run, &mut Vec::new());
+    }
+    for domain in 0..scene.domains {
+        let slots = scene.engines * scene.slots as usize;
+        for _ in 0..slots + scene.backlogged * scene.waiting {
+            arrive(&mut run, domain);
+        }
+    }
+    run
+}
+
+// Half of what arrives is of the backlogged teams, which keeps them so; the rest is of any team.
+fn arrive(run: &mut Run, domain: usize) {
+    let any = run.scene.teams;
+    let crowd = if draw(run, 2) == 0 { run.scene.backlogged.max(1) } else { any };
+    let team = draw(run, crowd);
+    let team = run.teams[team];
+    let service = draw(run, run.services.len());
+    let router = domain + run.scene.domains * draw(run, run.scene.routers);
+    run.numbers += 1;
+    let arrival = Arrival {
+        request: run.numbers,
+        team,
+        service: run.services[service],
+        body_bytes: 2_000,
+        known_cost: 400,
+        prefix: 1 + draw(run, 20_000) as u64,
+        deadline: run.now + Duration::from_secs(600),
+        repeatable: true,
+    };
+    run.routers[router].inputs.push(Input::Arrived(arrival));
+}
+
+fn draw(run: &mut Run, count: usize) -> usize {
+    (randoms::unit(&mut run.random) * count as f64) as usize
+}
+
+fn tick(run: &mut Run, times: &mut Vec<f64>) {
+    let before = run.now;
+    run.now += TICK;
+    let now = run.now;
+    while run.due.first_key_value().is_some_and(|(key, _)| key.0 <= now) {
+        let Some((_, due)) = run.due.pop_first() else { break };
+        happen(run, due);
+    }
+    report_loads(run, before);
+    // What is sent in one tick is received in the next.
+    let mut sent = Vec::new();
+    for index in 0..run.routers.len() {
+        let router = &mut run.routers[index];
+        let inputs = std::mem::take(&mut router.inputs);
+        let started = Instant::now();
+        let outputs = step(&mut router.tables, now, inputs);
+        times.push(started.elapsed().as_secs_f64() * 1e6);
+        for output in outputs {
+            apply(run, index, output, &mut sent);
+        }
+    }
+    for (to, input) in sent {
+        run.routers[to].inputs.push(input);
+    }
+}
+
+fn happen(run: &mut Run, due: Due) {
+    match due {
+        Due::FirstByte(router, request) => {
+            run.routers[router].inputs.push(Input::FirstByte { request });
+        }
+        Due::Progressed(router, request, cost) => {
+            run.routers[router].inputs.push(Input::Progressed { request, cost });
+            post(run, PROGRESS_INTERVAL, Due::Progressed(router, request, cost + 20));
+        }
+        Due::Ended(router, request) => {
+            let Some(entry) = run.routers[router].tables.requests.get(&request) else { return };
+            if let bergamotpitch_control::tables::RequestState::Running { upstream, .. } =
+                entry.state
+            {
+                *run.running.entry(upstream).or_insert(1) -= 1;
+            }
+            let outcome = AttemptOutcome::Answered;
+            let input = Input::AttemptEnded { request, outcome, cost: 1_250 };
+            run.routers[router].inputs.push(input);
+            run.ended += 1;
+            let domain = run.routers[router].domain;
+            arrive(run, domain);
+        }
+    }
+}
+
+fn post(run: &mut Run, after: Duration, due: Due) {
+    if let Due::Progressed(router, request, _) = &due {
+        // Progress of a request that has ended stops.
+        if !run.routers[*router].tables.requests.contains_key(request) {
+            return;
+        }
+    }
+    run.numbers += 1;
+    run.due.insert((run.now + after, run.numbers), due);
+}
+
+fn report_loads(run: &mut Run, before: Timestamp) {
+    let interval = LOAD_INTERVAL.as_nanos();
+    if before.as_nanos() / interval == run.now.as_nanos() / interval {
+        return;
+    }
+    for router in &mut run.routers {
+        for upstream in &run.engines[router.domain] {
+            let running_requests = run.running.get(upstream).copied().unwrap_or(0);
+            let report = LoadReport { running_requests, ..LoadReport::default() };
+            router.inputs.push(Input::LoadReported { upstream: *upstream, report });
+        }
+    }
+}
+
+fn apply(run: &mut Run, index: usize, output: Output, sent: &mut Vec<(usize, Input)>) {
+    match output {
+        Output::Dispatch { request, upstream, .. } => {
+            *run.running.entry(upstream).or_default() += 1;
+            let whole = run.scene.run_time;
+            let share = if run.is_first_round { randoms::unit(&mut run.random) } else { 1.0 };
+            post(run, FIRST_BYTE.mul_f64(share), Due::FirstByte(index, request));
+            post(run, PROGRESS_INTERVAL.mul_f64(share), Due::Progressed(index, request, 420));
+            post(run, whole.mul_f64(share), Due::Ended(index, request));
+        }
+        Output::Send { to, message } => {
+            let Some(other) = run.by_address.get(&to).copied() else { return };
+            let sender = run.routers[index].sender;
+            let sealed_ms = 1_790_000_000_000 + run.now.as_millis() as u64;
+            let router = &mut run.routers[index];
+            let key = [7; 32];
+            let datagrams =
+                seals::seal_message(&key, &sender, to, &mut router.sequence, sealed_ms, &message)
+                    .expect("a message fits its datagrams");
+            let bytes: usize = datagrams.iter().map(|datagram| datagram.len() + IP_UDP_BYTES).sum();
+            router.sent_bytes += bytes;
+            router.messages += 1;
+            if run.routers[other].domain != run.routers[index].domain {
+                run.routers[index].far_bytes += bytes;
+            }
+            let kind = format!("{message:?}");
+            let kind = kind.split(['(', ' ', '{']).next().unwrap_or_default().to_owned();
+            *run.kinds.entry(kind).or_default() += bytes as f64;
+            sent.push((other, Input::Received { sender, message }));
+        }
+        _ => {}
+    }
+}
--- a/crates/bergamotpitch-proof/src/lib.rs
+++ b/crates/bergamotpitch-proof/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod measures;
 pub mod observers;
 pub mod randoms;
+pub mod slopes;
 pub mod workloads;
