--- a/crates/bergamotpitch-proof/src/lib.rs
+++ b/crates/bergamotpitch-proof/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod randoms;
 pub mod scenarios;
 pub mod schedules;
+pub mod slopes;
 pub mod workloads;
