Measure the shares under faults, and keep slots busy when homes disagree

Four faults: the borrower judged by its own levels whether a lent slot may be used, so two homes passed slots back and forth unused; domains lent to each other at once; explicit grants were sent back by routers whose levels were older than the home's; a new home took teams it had no level of to be at zero. Ruled out: the borrower obeying the lender's frontier (the ping-pong); a debt that each home keeps by its own events (homes disagreed by 1.4 million levels after a takeover). Change: only the lender recalls; what was borrowed from a domain goes back before anything is lent to it; a fresh slot takes any request; a lead beyond a limit becomes debt, repaid at a quarter of the service, by the same rule at every home; a new home starts at the lowest level told.

--- a/crates/bergamotpitch-control/src/dispatches.rs
+++ b/crates/bergamotpitch-control/src/dispatches.rs
@@ -44,10 +44,17 @@
 struct Idle {
     upstream: UpstreamId,
     slots: u32,
+    fresh: u32,
     is_own_domain: bool,
     bound: Option<Level>,
 }
 
+impl Idle {
+    fn takes(&self, level: Level) -> bool {
+        self.slots != 0 && (self.fresh != 0 || self.bound.is_none_or(|bound| level <= bound))
+    }
+}
+
 fn idle_upstreams(tables: &Tables, known: &Leases) -> Vec<Idle> {
     let mut idle = Vec::new();
     for (upstream, lease) in &known.slots {
@@ -63,7 +70,8 @@
         } else {
             leases::bound(tables, entry.service, known, entry.domain)
         };
-        idle.push(Idle { upstream: *upstream, slots, is_own_domain, bound });
+        let fresh = lease.fresh.min(slots);
+        idle.push(Idle { upstream: *upstream, slots, fresh, is_own_domain, bound });
     }
     idle
 }
@@ -84,10 +92,7 @@
     while let Some((level, team)) = order.pop_first() {
         let key = QueueKey { service, team };
         // Slots of the own domain come first: those of another are paid for by the byte.
-        let usable = idle
-            .iter()
-            .enumerate()
-            .filter(|(_, idle)| idle.slots != 0 && idle.bound.is_none_or(|bound| level <= bound));
+        let usable = idle.iter().enumerate().filter(|(_, idle)| idle.takes(level));
         let Some((index, _)) = usable.max_by_key(|(_, idle)| (idle.is_own_domain, idle.slots))
         else {
             return;
@@ -101,6 +106,10 @@
         let before = tables.accounts.get(&key).copied().unwrap_or(0);
         hand_over(tables, key, upstream, place, outputs);
         idle[wanted].slots -= 1;
+        idle[wanted].fresh = idle[wanted].fresh.saturating_sub(1);
+        if let Some(lease) = known.slots.get_mut(&upstream) {
+            lease.fresh = lease.fresh.saturating_sub(1);
+        }
         let charged = tables.accounts.get(&key).copied().unwrap_or(0) as i64 - before as i64;
         if tables.queues.get(&key).is_some_and(|queue| !queue.is_empty()) {
             let more = level_of_cost(charged, share_of(&tables.teams, team));
@@ -117,11 +126,7 @@
     let request = tables.queues.get(&key)?.front()?;
     let prefix = tables.requests.get(request)?.arrival.prefix;
     let upstream = placements::preferred(tables, key.service, prefix)?;
-    idle.iter().position(|idle| {
-        idle.upstream == upstream
-            && idle.slots != 0
-            && idle.bound.is_none_or(|bound| level <= bound)
-    })
+    idle.iter().position(|idle| idle.upstream == upstream && idle.takes(level))
 }
 
 fn return_idle(known: &mut Leases, idle: &[Idle]) {
--- a/crates/bergamotpitch-control/src/domain_reports.rs
+++ b/crates/bergamotpitch-control/src/domain_reports.rs
@@ -6,7 +6,7 @@
 use bergamotpitch_core::units::Timestamp;
 
 use crate::accounts;
-use crate::homes::{Home, add_level, effective_level, reindex, weight};
+use crate::homes::{Home, add_level, lift, reindex, weight};
 use crate::inputs::Sender;
 use crate::leases::{SlotLease, held};
 use crate::levels::{LEVEL_SCALE, Level, level_of_cost, share_of};
@@ -31,6 +31,9 @@
 /// Time by which an urgent report may run ahead of the budget.
 const URGENT_ADVANCE: Duration = Duration::from_millis(1_000);
 
+/// Shortest time over which the rate of remote service is taken.
+const RATE_TIME: Duration = Duration::from_millis(800);
+
 /// Shortest time between two reports to one domain.
 const SPACING: Duration = Duration::from_millis(100);
 
@@ -75,6 +78,7 @@
 }
 
 fn build(tables: &Tables, service: ServiceId, home: &mut Home, domain: DomainId) -> DomainReport {
+    spills::allow(tables, service, home, domain);
     home.sequence += 1;
     let frontier = home.order.first().map(|(level, _)| *level);
     let base = frontier.unwrap_or(0);
@@ -125,6 +129,7 @@
         sequence: home.sequence,
         seen: remote.sequence,
         frontier,
+        allowed_slots: remote.allowed,
         teams,
         lent,
         borrowed,
@@ -158,7 +163,7 @@
     }
     let silence = tables.now.saturating_sub(remote.heard);
     let is_rejoin = !is_first && CUT_OFF_TIME < silence;
-    note_frontier(tables.now, remote, report.frontier);
+    remote.frontier = report.frontier;
     remote.sequence = report.sequence;
     remote.heard = tables.now;
     if report.peer_epoch == home.epoch {
@@ -202,17 +207,9 @@
     }
 }
 
-fn note_frontier(now: Timestamp, remote: &mut Remote, frontier: Option<Level>) {
-    let age = now.saturating_sub(remote.heard).as_secs_f64();
-    remote.frontier_speed = match (remote.frontier, frontier) {
-        (Some(old), Some(new)) if 0.0 < age => ((new - old) as f64 / age).max(0.0),
-        _ => 0.0,
-    };
-    remote.frontier = frontier;
-}
-
 fn take_slots(remote: &mut Remote, report: &DomainReport, next: u32) {
     remote.seen = remote.seen.max(report.seen);
+    remote.allowed_here = report.allowed_slots;
     for line in &report.lent {
         let lease = remote.borrowed.entry(line.upstream).or_default();
         if lease.granted < line.count {
@@ -256,7 +253,7 @@
     (is_first, is_rejoin): (bool, bool),
 ) {
     let base = report.frontier.unwrap_or(0);
-    let mut grown: Vec<(TeamId, Level)> = Vec::new();
+    let mut touched: Vec<TeamId> = Vec::new();
     for line in &report.teams {
         let Some(team) = tables.index.team_of_short(line.short_team) else { continue };
         let Some(remote) = home.remotes.get_mut(&domain) else { return };
@@ -265,7 +262,12 @@
         let cost = if is_first { 0 } else { cost * SERVED_QUANTUM as i64 };
         note_rate(tables.now, known, line.served, cost, is_first || is_rejoin);
         let level = level_of_cost(cost, share_of(&tables.teams, team));
+        let floor = home.floor;
         let entry = home.teams.entry(team).or_default();
+        if home.recovered && !entry.is_known {
+            lift(entry, floor);
+            entry.is_known = true;
+        }
         if line.waiting_requests == 0 {
             entry.remote_waiting.remove(&domain);
         } else {
@@ -277,47 +279,31 @@
             // The other home's level lacks what it has not heard, never the reverse, so the larger
             // of two is the nearer to the truth, and a team lifted by both is lifted once.
             let told = base + i64::from(line.level) * LEVEL_SCALE;
-            entry.level = entry.level.max(told);
+            entry.level = if entry.is_known { entry.level.max(told) } else { told };
+            entry.is_known = true;
         }
-        grown.push((team, level));
-    }
-    if is_rejoin {
-        defer(home, &grown);
+        touched.push(team);
     }
     let estimate = accounts::service_estimate(tables, report.service);
-    for (team, _) in grown {
+    for team in touched {
         reindex(home, &tables.teams, team, estimate);
     }
 }
 
 fn note_rate(now: Timestamp, known: &mut RemoteTeam, served: u32, cost: i64, is_jump: bool) {
-    let age = now.saturating_sub(known.heard).as_secs_f64();
-    let rate = if is_jump || age <= 0.0 { 0.0 } else { cost.max(0) as f64 / age };
-    known.rate = if known.rate == 0.0 { rate } else { known.rate * 0.5 + rate * 0.5 };
     known.served = served;
     known.heard = now;
-}
-
-/// `defer` turns what a team received unseen, beyond what the least served one did, into debt.
-///
-/// Without this a team that was served well behind a cut link would get nothing at all after the
-/// link is mended, until every other team has caught up.
-fn defer(home: &mut Home, grown: &[(TeamId, Level)]) {
-    let waiting = |home: &Home, team: &TeamId| {
-        home.teams
-            .get(team)
-            .is_some_and(|entry| entry.waiting_requests != 0 || !entry.remote_waiting.is_empty())
-    };
-    let common = grown
-        .iter()
-        .filter(|(team, _)| waiting(home, team))
-        .map(|(_, level)| *level)
-        .min()
-        .unwrap_or(0);
-    for (team, level) in grown {
-        if let Some(entry) = home.teams.get_mut(team) {
-            entry.debt += (level - common).max(0);
-            debug_assert!(effective_level(entry) <= entry.level + entry.ahead);
-        }
+    let age = now.saturating_sub(known.rate_taken);
+    if is_jump {
+        (known.rate_cost, known.rate_taken) = (0, now);
+        return;
+    }
+    known.rate_cost += cost;
+    // Two reports close together say nothing about the rate.
+    if age < RATE_TIME {
+        return;
     }
+    let rate = known.rate_cost.max(0) as f64 / age.as_secs_f64();
+    known.rate = if known.rate == 0.0 { rate } else { known.rate * 0.5 + rate * 0.5 };
+    (known.rate_cost, known.rate_taken) = (0, now);
 }
--- a/crates/bergamotpitch-control/src/grants.rs
+++ b/crates/bergamotpitch-control/src/grants.rs
@@ -6,11 +6,11 @@
 
 use crate::accounts;
 use crate::homes::{self, Home, HomeRouter, effective_level, reindex};
-use crate::leases::{held, slack};
+use crate::leases::slack;
 use crate::levels::{LEVEL_SCALE, Level, level_of_cost, share_of};
 use crate::messages::Message;
 use crate::outputs::Output;
-use crate::share_messages::{CeilingLine, GrantLine, LevelLine, ShareGrant};
+use crate::share_messages::{GrantLine, LevelLine, ShareGrant};
 use crate::spills;
 use crate::tables::Tables;
 use crate::windows::window;
@@ -115,10 +115,8 @@
                 grant(home, team, upstream);
                 reindex(home, &tables.teams, team, estimate);
             }
-            (_, Some((level, team)), None) => {
-                let Some(upstream) = spills::unused_slot(tables, service, home, level) else {
-                    return;
-                };
+            (_, Some((_, team)), None) => {
+                let Some(upstream) = spills::unused_slot(tables, home) else { return };
                 grant(home, team, upstream);
                 reindex(home, &tables.teams, team, estimate);
             }
@@ -155,10 +153,11 @@
     let local = home.order.first().map(|(level, _)| *level);
     let remote = spills::most_lagging(tables, service, home)
         .map(|(level, _, _)| level.saturating_add(spills::margin(tables, service)));
-    home.frontier = match (local, remote) {
+    home.own_frontier = match (local, remote) {
         (Some(local), Some(remote)) => Some(local.min(remote)),
         (local, remote) => local.or(remote),
     };
+    home.frontier = local.or(remote);
     if let Some(frontier) = local {
         home.floor = home.floor.max(frontier);
     }
@@ -218,12 +217,13 @@
 
 fn has_news(tables: &Tables, service: ServiceId, home: &Home, router: &HomeRouter) -> bool {
     let step = slack(tables, service) / TOLD_PART;
-    let moved = match (home.frontier, router.sent_frontier) {
+    let moved = match (home.own_frontier, router.sent_frontier) {
         (Some(now), Some(told)) => step < (now - told).abs(),
         (now, told) => now != told,
     };
     let is_stale = router.sent.is_none_or(|sent| sent + REFRESH_TIME <= tables.now);
-    moved || is_stale || router.sent_seen != router.sequence
+    let recalls = home.remotes.values().any(|remote| spills::recalled(tables, remote) != 0);
+    moved || is_stale || recalls || router.sent_seen != router.sequence
 }
 
 /// `build_grant` builds what an instance should hear, and notes that it was told.
@@ -235,11 +235,15 @@
 ) -> ShareGrant {
     let keep_slots = keep_slots(tables, service, home);
     let frontier = home.frontier;
-    let ceilings = ceilings(tables, service, home, instance);
+    let remote_lag = match (home.frontier, home.own_frontier) {
+        (Some(frontier), Some(own)) => frontier - own,
+        _ => 0,
+    };
+    let recalling = recalling(tables, home);
     let levels = levels(tables, service, home, instance);
     let Some(router) = home.routers.get_mut(&instance) else { return ShareGrant::default() };
     router.sent = Some(tables.now);
-    router.sent_frontier = frontier;
+    router.sent_frontier = home.own_frontier;
     router.sent_keep_slots = keep_slots;
     router.sent_seen = router.sequence;
     router.urgent = false;
@@ -255,35 +259,18 @@
         report_seen: router.sequence,
         granted,
         frontier,
+        remote_lag,
         keep_slots,
-        ceilings,
+        recalling,
         levels,
     }
 }
 
-fn ceilings(
-    tables: &Tables,
-    service: ServiceId,
-    home: &Home,
-    instance: InstanceId,
-) -> Vec<CeilingLine> {
-    let Some(router) = home.routers.get(&instance) else { return Vec::new() };
-    let mut domains: Vec<DomainId> = router
-        .slots
+fn recalling(tables: &Tables, home: &Home) -> Vec<DomainId> {
+    home.remotes
         .iter()
-        .filter(|(_, slot)| held(&slot.lease) != 0)
-        .filter_map(|(upstream, _)| tables.upstreams.get(upstream))
-        .map(|entry| entry.domain)
-        .filter(|domain| *domain != tables.options.domain)
-        .collect();
-    domains.sort_unstable();
-    domains.dedup();
-    domains
-        .into_iter()
-        .filter_map(|domain| {
-            let level = spills::ceiling(tables, service, home, domain)?;
-            Some(CeilingLine { domain, level })
-        })
+        .filter(|(_, remote)| spills::recalled(tables, remote) != 0)
+        .map(|(domain, _)| *domain)
         .collect()
 }
 
--- a/crates/bergamotpitch-control/src/homes.rs
+++ b/crates/bergamotpitch-control/src/homes.rs
@@ -11,6 +11,7 @@
 use bergamotpitch_core::ids::{DomainId, Incarnation, InstanceId, ServiceId, TeamId, UpstreamId};
 use bergamotpitch_core::units::Timestamp;
 
+use crate::grants::requests_level;
 use crate::inputs::Sender;
 use crate::leases::{SlotLease, held};
 use crate::levels::{Level, level_of_cost, share_of};
@@ -44,6 +45,8 @@
     pub floor: Level,
     /// Homes of the service in other domains.
     pub remotes: BTreeMap<DomainId, Remote>,
+    /// When it was last decided which borrowed slots go back.
+    pub kept_settled: Timestamp,
     /// When levels were last extrapolated.
     pub extrapolated: Timestamp,
     /// Slots of each upstream that are leased to instances of the domain.
@@ -52,8 +55,11 @@
     pub sequence: u32,
     /// True when something changed since slots were last granted.
     pub changed: bool,
-    /// Frontier as last computed; none when nobody waits in vain.
+    /// Lowest level of a team that waits in vain in the domain.
     pub frontier: Option<Level>,
+    /// The same, with teams elsewhere that lag by more than the margin; it bounds the use of the
+    /// domain's own slots.
+    pub own_frontier: Option<Level>,
 }
 
 /// `HomeRouter` is one instance as its home sees it.
@@ -110,6 +116,8 @@
 pub struct HomeTeam {
     /// Level over the whole fleet, as far as known.
     pub level: Level,
+    /// True once the level stands on the scale of the home's other levels.
+    pub is_known: bool,
     /// Part of the level that is repaid bit by bit.
     pub debt: Level,
     /// Level that remote service has likely added since the last reports.
@@ -260,15 +268,33 @@
     }
     entry.waiting_requests = (entry.waiting_requests + line.waiting_requests) - before;
     if let Some(level) = line.level {
-        entry.level = entry.level.max(level + entry.debt);
+        entry.level = if entry.is_known { entry.level.max(level + entry.debt) } else { level };
+        entry.is_known = true;
         home.anchored = true;
     }
     entry.changed = changed;
     add_service(entry, share_of(teams, line.team), more);
     // A team that was idle comes in at the lowest level of those that wait, so that it has saved up
     // no credit; without this a team back from a night's rest would take every slot for hours.
-    if was_idle && line.waiting_requests != 0 {
+    if line.waiting_requests != 0 && home.recovered && (was_idle || !entry.is_known) {
         lift(entry, floor);
+        entry.is_known = true;
+    }
+}
+
+/// `end_recovery` puts the teams that no instance told a level of at the lowest level told.
+///
+/// A new home that took them to be at zero would take all others to be far ahead, and give every
+/// slot to the newcomers.
+pub fn end_recovery(home: &mut Home) {
+    home.recovered = true;
+    let told = home.teams.values().filter(|team| team.is_known && team.waiting_requests != 0);
+    let lowest = told.map(effective_level).min();
+    let remote = home.remotes.values().filter_map(|remote| remote.frontier).min();
+    home.floor = lowest.or(remote).unwrap_or(home.floor);
+    for team in home.teams.values_mut().filter(|team| !team.is_known) {
+        lift(team, home.floor);
+        team.is_known = true;
     }
 }
 
@@ -288,6 +314,42 @@
     team.debt -= (level.max(0) / REPAYMENT_DIVISOR).min(team.debt);
 }
 
+/// `cap_leads` turns what a team is ahead beyond the limit into debt.
+///
+/// A domain that was cut off comes back with teams that received far more, or far less, than the
+/// others. By level alone the former would get nothing until all others have caught up, which their
+/// callers see as an outage. With the limit they wait a moment at most, and repay the rest bit by
+/// bit. Every home applies the same rule to the same levels, so homes agree on the order.
+pub fn cap_leads(tables: &Tables, service: ServiceId, home: &mut Home) {
+    if !home.recovered {
+        return;
+    }
+    let limit = requests_level(tables, service, tables.options.lead_limit_requests);
+    let local = home.order.first().map(|(level, _)| *level);
+    let remote = home.remote_order.first().map(|(level, _, _)| *level);
+    let Some(lowest) = local.into_iter().chain(remote).min() else { return };
+    let top = lowest + limit;
+    let mut leading: Vec<(Level, TeamId)> =
+        home.order.iter().rev().take_while(|(level, _)| top < *level).copied().collect();
+    leading.extend(
+        home.remote_order
+            .iter()
+            .rev()
+            .take_while(|(level, _, _)| top < *level)
+            .map(|(level, _, team)| (*level, *team)),
+    );
+    leading.sort_unstable_by_key(|(_, team)| *team);
+    leading.dedup_by_key(|(_, team)| *team);
+    let estimate = crate::accounts::service_estimate(tables, service);
+    for (_, team) in leading {
+        if let Some(entry) = home.teams.get_mut(&team) {
+            // The key also holds what is granted and not yet charged; that is no service.
+            entry.debt += (effective_level(entry) - top).max(0);
+        }
+        reindex(home, &tables.teams, team, estimate);
+    }
+}
+
 /// `lift` brings a team up to a level, if it is below.
 pub fn lift(team: &mut HomeTeam, floor: Level) {
     let missing = floor - (team.level - team.debt);
--- a/crates/bergamotpitch-control/src/leases.rs
+++ b/crates/bergamotpitch-control/src/leases.rs
@@ -42,8 +42,10 @@
     pub waiting: BTreeSet<TeamId>,
     /// Lowest level of a team that waits in the domain; none when none waits.
     pub frontier: Option<Level>,
-    /// Highest level at which the slots of another domain may be used.
-    pub ceilings: BTreeMap<DomainId, Level>,
+    /// The same, with teams elsewhere that lag; it bounds the use of the domain's own slots.
+    pub own_frontier: Option<Level>,
+    /// Domains that want slots back that were borrowed from them.
+    pub recalling: Vec<DomainId>,
     /// Idle slots that may be kept while nobody waits.
     pub keep_slots: u32,
     /// When the home was last heard.
@@ -67,6 +69,8 @@
     pub returned: u32,
     /// Number of the report that first carried the present numbers.
     pub changed: u32,
+    /// Slots granted and not used yet.
+    pub fresh: u32,
 }
 
 /// `LeaseTeam` is one team as this instance and its home see it.
@@ -123,6 +127,10 @@
         let next = leases.sequence + 1;
         let lease = leases.slots.entry(line.upstream).or_default();
         if lease.granted < line.count {
+            // A fresh slot takes any request that waits here: the home has chosen this instance.
+            // Were it judged by the levels known here, which are a little older, it might go back
+            // unused, and come again.
+            lease.fresh += line.count - lease.granted;
             lease.granted = line.count;
             lease.changed = next;
             leases.changed = true;
@@ -133,8 +141,9 @@
         return;
     }
     leases.frontier = grant.frontier;
+    leases.own_frontier = grant.frontier.map(|frontier| frontier - grant.remote_lag);
     leases.keep_slots = grant.keep_slots;
-    leases.ceilings = grant.ceilings.iter().map(|line| (line.domain, line.level)).collect();
+    leases.recalling = grant.recalling;
     for line in &grant.levels {
         let team = leases.teams.entry(line.team).or_default();
         team.elsewhere = Some(line.level + grant.frontier.unwrap_or(0));
@@ -171,14 +180,12 @@
     if !is_fresh {
         return None;
     }
-    let own = leases.frontier.map(|frontier| frontier + slack(tables, service));
-    if domain == tables.options.domain {
-        return own;
-    }
-    match (own, leases.ceilings.get(&domain).copied()) {
-        (Some(own), Some(ceiling)) => Some(own.min(ceiling)),
-        (own, ceiling) => own.or(ceiling),
+    if leases.recalling.contains(&domain) {
+        return Some(Level::MIN);
     }
+    let is_own = domain == tables.options.domain;
+    let frontier = if is_own { leases.own_frontier } else { leases.frontier };
+    frontier.map(|frontier| frontier + slack(tables, service))
 }
 
 /// `slack` is how far ahead of the frontier a team may be and still use a free slot.
@@ -192,6 +199,7 @@
     let next = leases.sequence + 1;
     let Some(lease) = leases.slots.get_mut(&upstream) else { return };
     lease.returned += count;
+    lease.fresh = 0;
     lease.changed = next;
     leases.changed = true;
     leases.urgent = true;
--- a/crates/bergamotpitch-control/src/share_messages.rs
+++ b/crates/bergamotpitch-control/src/share_messages.rs
@@ -65,10 +65,12 @@
     pub granted: Vec<GrantLine>,
     /// Lowest level of a team that waits in the domain; none when none waits.
     pub frontier: Option<Level>,
+    /// How far below that a team lags elsewhere, beyond the margin.
+    pub remote_lag: Level,
     /// Idle slots that the instance may keep while nobody waits.
     pub keep_slots: u32,
-    /// Highest levels at which borrowed slots may be used.
-    pub ceilings: Vec<CeilingLine>,
+    /// Domains that want slots back that were borrowed from them.
+    pub recalling: Vec<DomainId>,
     /// Levels, less the service received at the instance and less the frontier, that changed.
     pub levels: Vec<LevelLine>,
 }
@@ -82,15 +84,6 @@
     pub count: u32,
 }
 
-/// `CeilingLine` bounds the use of slots borrowed from one domain.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CeilingLine {
-    /// The domain.
-    pub domain: DomainId,
-    /// The highest level.
-    pub level: Level,
-}
-
 /// `LevelLine` is the level of one team.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LevelLine {
@@ -116,6 +109,8 @@
     pub seen: u32,
     /// Lowest level of a team that waits here; none when none waits.
     pub frontier: Option<Level>,
+    /// Slots of the sender's domain that the receiver may hold in all.
+    pub allowed_slots: u32,
     /// Teams that changed since the last report that the receiver has seen.
     pub teams: Vec<DomainTeamLine>,
     /// Slots lent to the receiver since its epoch, of the upstreams not yet confirmed.
--- a/crates/bergamotpitch-control/src/shares.rs
+++ b/crates/bergamotpitch-control/src/shares.rs
@@ -11,7 +11,7 @@
 use crate::outputs::Output;
 use crate::share_messages::ShareReport;
 use crate::tables::{QueueKey, Tables};
-use crate::{dispatches, domain_reports, grants, spills};
+use crate::{accounts, dispatches, domain_reports, grants, spills};
 
 /// Time between two looks at who holds each duty.
 const DUTY_INTERVAL: Duration = Duration::from_millis(50);
@@ -44,7 +44,7 @@
     dispatches::run_leased(tables, service, outputs);
     report(tables, service, outputs);
     let Some(mut home) = tables.homes.remove(&service) else { return };
-    recover(tables, &mut home);
+    recover(tables, service, &mut home);
     spills::extrapolate(tables, service, &mut home);
     grants::run(tables, service, &mut home, outputs);
     domain_reports::run(tables, service, &mut home, outputs);
@@ -96,7 +96,7 @@
 }
 
 /// A new home hears what each member holds before it grants, so that slots are not granted twice.
-fn recover(tables: &Tables, home: &mut Home) {
+fn recover(tables: &Tables, service: ServiceId, home: &mut Home) {
     if home.recovered {
         return;
     }
@@ -105,7 +105,13 @@
         .iter()
         .filter(|(_, member)| member.domain == tables.options.domain && !member.suspected);
     let all_heard = members.all(|(instance, _)| home.routers.contains_key(instance));
-    home.recovered = all_heard || home.since + homes::RECOVERY_TIME <= tables.now;
+    if all_heard || home.since + homes::RECOVERY_TIME <= tables.now {
+        homes::end_recovery(home);
+        let estimate = accounts::service_estimate(tables, service);
+        for team in home.teams.keys().copied().collect::<Vec<TeamId>>() {
+            homes::reindex(home, &tables.teams, team, estimate);
+        }
+    }
     home.changed = true;
 }
 
--- a/crates/bergamotpitch-control/src/spills.rs
+++ b/crates/bergamotpitch-control/src/spills.rs
@@ -13,7 +13,7 @@
 
 use crate::accounts;
 use crate::grants::requests_level;
-use crate::homes::{Home, HomeSlot, reindex};
+use crate::homes::{Home, HomeSlot, cap_leads, reindex};
 use crate::leases::{SlotLease, held, slack};
 use crate::levels::{LEVEL_SCALE, Level, level_of_cost, share_of};
 use crate::share_messages::SlotLine;
@@ -28,6 +28,12 @@
 /// Time between two extrapolations.
 const EXTRAPOLATION_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Part of the lent slots that is recalled at a time, while the borrower is ahead.
+const RECALL_DIVISOR: u32 = 4;
+
+/// Time between two decisions on giving slots back.
+const KEPT_INTERVAL: Duration = Duration::from_millis(500);
+
 /// `Remote` is the home of the service in another domain as this home sees it.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Remote {
@@ -41,8 +47,12 @@
     pub heard: Timestamp,
     /// Lowest level of a team that waits there.
     pub frontier: Option<Level>,
-    /// Rise of that level a second.
-    pub frontier_speed: f64,
+    /// Slots that it may hold of ours.
+    pub allowed: u32,
+    /// Slots of its that may be held here, as it says.
+    pub allowed_here: u32,
+    /// Slots of its that may be held here, as far as its teams do not lag.
+    pub kept: u32,
     /// What it said of each team.
     pub teams: BTreeMap<TeamId, RemoteTeam>,
     /// The same of the duty's life before, in case two instances hold it at once.
@@ -81,6 +91,10 @@
     pub served: u32,
     /// Service a second, in cost units.
     pub rate: f64,
+    /// Service since the rate was last taken, in cost units.
+    pub rate_cost: i64,
+    /// When the rate was last taken.
+    pub rate_taken: Timestamp,
     /// When it was last heard of.
     pub heard: Timestamp,
 }
@@ -119,7 +133,8 @@
     home.remote_order
         .iter()
         .find(|(_, domain, _)| {
-            home.remotes.get(domain).is_some_and(|remote| !is_silent(tables, remote))
+            let remote = home.remotes.get(domain);
+            remote.is_some_and(|remote| !is_silent(tables, remote) && borrowed(remote) == 0)
         })
         .copied()
 }
@@ -135,40 +150,69 @@
     }
 }
 
-/// `ceiling` is the highest level at which slots borrowed from a domain may be used; none when it
-/// has no use for them.
-pub fn ceiling(
-    tables: &Tables,
-    service: ServiceId,
-    home: &Home,
-    domain: DomainId,
-) -> Option<Level> {
-    let Some(remote) = home.remotes.get(&domain) else { return Some(Level::MIN / 2) };
-    if is_silent(tables, remote) {
-        return Some(Level::MIN / 2);
+/// `recalled` is how many of the slots borrowed from a domain it wants back.
+pub fn recalled(tables: &Tables, remote: &Remote) -> u32 {
+    let allowed = if is_silent(tables, remote) { 0 } else { remote.allowed_here };
+    borrowed(remote).saturating_sub(allowed.min(remote.kept))
+}
+
+/// `borrowed` is how many slots of a domain are held here.
+pub fn borrowed(remote: &Remote) -> u32 {
+    remote.borrowed.values().map(held).sum()
+}
+
+/// `settle_kept` gives some slots back to a domain whose teams lag.
+///
+/// Two domains that lend to each other at once pay for the traffic twice and gain nothing, so what
+/// was borrowed from a domain goes back before anything is lent to it.
+pub fn settle_kept(tables: &Tables, service: ServiceId, home: &mut Home) {
+    if tables.now < home.kept_settled + KEPT_INTERVAL {
+        return;
+    }
+    home.kept_settled = tables.now;
+    let margin = margin(tables, service);
+    let local = home.order.first().map(|(level, _)| *level);
+    for (domain, remote) in &mut home.remotes {
+        let theirs = home.remote_order.iter().find(|(_, other, _)| other == domain);
+        let presses = match (theirs, local) {
+            (Some((theirs, _, _)), Some(local)) => theirs + margin < local,
+            (Some(_), None) => true,
+            (None, _) => false,
+        };
+        let held = borrowed(remote);
+        remote.kept = if presses { held - held.div_ceil(RECALL_DIVISOR) } else { u32::MAX };
     }
-    let age = tables.now.saturating_sub(remote.heard).min(EXTRAPOLATION_TIME).as_secs_f64();
-    remote
-        .frontier
-        .map(|frontier| frontier + (remote.frontier_speed * age) as Level + slack(tables, service))
 }
 
-/// `unused_slot` is a borrowed slot that no instance holds and a team at a level may use.
-pub fn unused_slot(
-    tables: &Tables,
-    service: ServiceId,
-    home: &Home,
-    level: Level,
-) -> Option<UpstreamId> {
-    home.remotes.iter().find_map(|(domain, remote)| {
-        let allowed = ceiling(tables, service, home, *domain).is_none_or(|top| level <= top);
-        let slot = remote.borrowed.iter().find(|(upstream, lease)| {
+/// `unused_slot` is a borrowed slot that no instance holds and that may be used.
+pub fn unused_slot(tables: &Tables, home: &Home) -> Option<UpstreamId> {
+    home.remotes.values().filter(|remote| recalled(tables, remote) == 0).find_map(|remote| {
+        let unused = remote.borrowed.iter().find(|(upstream, lease)| {
             home.leased.get(upstream).copied().unwrap_or(0) < held(lease)
         });
-        slot.filter(|_| allowed).map(|(upstream, _)| *upstream)
+        unused.map(|(upstream, _)| *upstream)
     })
 }
 
+/// `allow` sets how many slots a domain may hold, before a report to it.
+///
+/// Only the lender takes slots back. Were the borrower to judge by its own levels whether it may go
+/// on, two homes that see the levels a little differently would pass the same slots back and forth
+/// unused.
+pub fn allow(tables: &Tables, service: ServiceId, home: &mut Home, domain: DomainId) {
+    let local = home.order.first().map(|(level, _)| *level);
+    let theirs = home.remote_order.iter().find(|(_, other, _)| *other == domain);
+    let theirs = theirs.map(|(level, _, _)| *level);
+    let limit = slack(tables, service);
+    let Some(remote) = home.remotes.get_mut(&domain) else { return };
+    let held: u32 = remote.lent.values().map(|slot| held(&slot.lease)).sum();
+    let is_ahead = match (local, theirs) {
+        (Some(local), Some(theirs)) => local + limit < theirs,
+        _ => false,
+    };
+    remote.allowed = if is_ahead { held - held.div_ceil(RECALL_DIVISOR) } else { held };
+}
+
 /// `return_unused` gives back the borrowed slots that nobody here may use.
 pub fn return_unused(home: &mut Home) {
     let next = home.sequence + 1;
@@ -228,6 +272,8 @@
             }
         }
     }
+    cap_leads(tables, service, home);
+    settle_kept(tables, service, home);
     let estimate = accounts::service_estimate(tables, service);
     for (team, cost) in ahead {
         let Some(entry) = home.teams.get_mut(&team) else { continue };
--- a/crates/bergamotpitch-control/src/tables.rs
+++ b/crates/bergamotpitch-control/src/tables.rs
@@ -46,6 +46,9 @@
     /// How far a team must lag before another domain lends it slots it needs itself, in mean
     /// requests.
     pub spill_margin_requests: f64,
+    /// How far ahead of the lowest team another may be before the rest becomes debt, in mean
+    /// requests.
+    pub lead_limit_requests: f64,
     /// True when domains lend each other slots.
     pub spill: bool,
     /// True when requests are placed by the prefix of their prompt.
@@ -72,6 +75,7 @@
             window_depth_requests: 2,
             slack_requests: 1.0,
             spill_margin_requests: 2.0,
+            lead_limit_requests: 20.0,
             spill: true,
             prefix_placement: true,
             share_spacing: Duration::from_millis(20),
--- a/crates/bergamotpitch-proof/src/histories.rs
+++ b/crates/bergamotpitch-proof/src/histories.rs
@@ -95,6 +95,8 @@
     pub region_bytes: u64,
     /// Bytes to other regions.
     pub cross_region_bytes: u64,
+    /// Part of them that the fair shares sent.
+    pub cross_region_share_bytes: u64,
     /// Messages.
     pub messages: u64,
 }
--- a/crates/bergamotpitch-proof/src/links.rs
+++ b/crates/bergamotpitch-proof/src/links.rs
@@ -54,6 +54,9 @@
         traffic.region_bytes += bytes;
     } else {
         traffic.cross_region_bytes += bytes;
+        if matches!(message, Message::DomainReport(_)) {
+            traffic.cross_region_share_bytes += bytes;
+        }
     }
     let way = delay(fleet, here, there);
     if is_cut(fleet, instance, other) || draws(fleet, fleet.options.loss_percent) {
--- a/crates/bergamotpitch-proof/src/measures.rs
+++ b/crates/bergamotpitch-proof/src/measures.rs
@@ -58,15 +58,59 @@
     if usable == 0 { 1.0 } else { busy as f64 / usable as f64 }
 }
 
-/// `bytes_per_second` is control traffic a second: the mean over the instances inside a domain and
-/// across regions, and the highest of any instance across regions.
-pub fn bytes_per_second(traffic: &[Traffic], time: Duration) -> (f64, f64, f64) {
+/// `TrafficRates` is control traffic, in bytes a second an instance.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct TrafficRates {
+    /// Inside a domain, mean over the instances.
+    pub domain_bytes: f64,
+    /// Across regions, mean over the instances.
+    pub cross_region_bytes: f64,
+    /// Across regions, highest of any instance.
+    pub cross_region_bytes_highest: f64,
+    /// Across regions and sent by the fair shares, highest of any instance.
+    pub share_bytes_highest: f64,
+}
+
+/// `traffic_rates` is the control traffic of a run of some length.
+pub fn traffic_rates(traffic: &[Traffic], time: Duration) -> TrafficRates {
     let seconds = time.as_secs_f64().max(1e-9);
     let count = traffic.len().max(1) as f64;
-    let inside: u64 = traffic.iter().map(|traffic| traffic.domain_bytes).sum();
-    let across: u64 = traffic.iter().map(|traffic| traffic.cross_region_bytes).sum();
-    let highest = traffic.iter().map(|traffic| traffic.cross_region_bytes).max().unwrap_or(0);
-    (inside as f64 / count / seconds, across as f64 / count / seconds, highest as f64 / seconds)
+    let sum = |of: fn(&Traffic) -> u64| traffic.iter().map(of).sum::<u64>() as f64;
+    let highest = |of: fn(&Traffic) -> u64| traffic.iter().map(of).max().unwrap_or(0) as f64;
+    TrafficRates {
+        domain_bytes: sum(|traffic| traffic.domain_bytes) / count / seconds,
+        cross_region_bytes: sum(|traffic| traffic.cross_region_bytes) / count / seconds,
+        cross_region_bytes_highest: highest(|traffic| traffic.cross_region_bytes) / seconds,
+        share_bytes_highest: highest(|traffic| traffic.cross_region_share_bytes) / seconds,
+    }
+}
+
+/// `BoundTerms` are what the bound on the fairness gap is made of.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct BoundTerms {
+    /// Cost of the largest request, in cost units.
+    pub largest_request: f64,
+    /// Requests that all windows hold.
+    pub window_requests: f64,
+    /// Sum of the shares of the teams that are backlogged.
+    pub backlogged_shares: f64,
+    /// How far ahead of the frontier a slot may be used again, in cost units a share.
+    pub slack: f64,
+    /// How far a team lags before slots are lent for it, in cost units a share.
+    pub margin: f64,
+    /// Longest time for which a domain does not hear of another, in seconds.
+    pub staleness_s: f64,
+    /// Service a share and second in the domain where the fewest shares wait.
+    pub domain_rate: f64,
+}
+
+/// `gap_bound` is the stated bound on the fairness gap, in cost units a share.
+///
+/// Two teams differ by what their requests in the windows may still cost, by what the order lets
+/// pass, and by what one domain may serve before another hears of it.
+pub fn gap_bound(terms: &BoundTerms) -> f64 {
+    let in_windows = terms.window_requests / terms.backlogged_shares * terms.largest_request;
+    2.0 * in_windows + 2.0 * (terms.slack + terms.margin) + terms.staleness_s * terms.domain_rate
 }
 
 /// `longest_wait` is the longest time for which a team had requests waiting and got no service.
--- a/crates/bergamotpitch-proof/src/schedules.rs
+++ b/crates/bergamotpitch-proof/src/schedules.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bergamotpitch_core::ids::id_of_name;
 use bergamotpitch_core::units::Timestamp;
 
 use crate::links::{Spot, cut, cut_off, heal};
@@ -14,6 +15,10 @@
     Stop(usize),
     /// A killed router starts again without memory.
     Start(usize),
+    /// The router that holds the duty for the first service in a place is killed.
+    StopHome(usize),
+    /// Every killed router starts again without memory.
+    StartStopped,
     /// A router's process is paused.
     Freeze(usize),
     /// A paused process goes on.
@@ -62,6 +67,18 @@
     match fault {
         Fault::Stop(instance) => stop(fleet, instance),
         Fault::Start(instance) => start(fleet, instance),
+        Fault::StopHome(place) => {
+            if let Some(instance) = home_in(fleet, place) {
+                stop(fleet, instance);
+            }
+        }
+        Fault::StartStopped => {
+            for instance in 0..fleet.routers.len() {
+                if fleet.routers[instance].tables.is_none() {
+                    start(fleet, instance);
+                }
+            }
+        }
         Fault::Freeze(instance) => freeze(fleet, instance),
         Fault::Thaw(instance) => thaw(fleet, instance),
         Fault::Cut(from, to) => cut(fleet, from, to),
@@ -72,3 +89,12 @@
         Fault::EngineDown(engine, down) => fleet.engines[engine].down = down,
     }
 }
+
+/// `home_in` is the router of a place that holds the duty for the first service of the sheet.
+pub fn home_in(fleet: &Fleet, place: usize) -> Option<usize> {
+    let service = id_of_name(&fleet.deployment.sheet.services[0].name);
+    fleet.routers.iter().position(|router| {
+        router.place == place
+            && router.tables.as_ref().is_some_and(|tables| tables.homes.contains_key(&service))
+    })
+}
