Say "unknown" of a request that waits for its retry and may have run

Ruled out: a race in the measure (the events show dispatch, retry and refusal of the same request id); refusing at once without a retry (it would give up repeatable work that another engine can do). Change: a request remembers whether an earlier attempt may have run it, and every refusal from the queue says so. The load tool takes teams from its own requests, since the gap read 0 for want of a team in the upstreams' records; its gaps move to a module of their own. Conclusion: an attempt cut short by a near deadline still counts against its engine; that is the next thing to look at.

--- a/crates/bergamotpitch-control/src/requests.rs
+++ b/crates/bergamotpitch-control/src/requests.rs
@@ -34,6 +34,7 @@
     let request = Request {
         arrived: tables.now,
         attempts: 0,
+        ran: Ran::NotRun,
         state: RequestState::Queued,
         charged_cost: 0,
         arrival,
@@ -127,8 +128,16 @@
     outputs.push(Output::Emit(event));
 }
 
-fn retry_or_refuse(tables: &mut Tables, request: RequestId, ran: Ran, outputs: &mut Vec<Output>) {
+fn retry_or_refuse(
+    tables: &mut Tables,
+    request: RequestId,
+    attempt_ran: Ran,
+    outputs: &mut Vec<Output>,
+) {
     let Some(entry) = take_out(tables, request) else { return };
+    // An attempt that may have run stays possible whatever later attempts prove. Without this the
+    // refusal of a request that waits for its retry would say "not run" of one that ran.
+    let ran = if attempt_ran == Ran::Unknown { Ran::Unknown } else { entry.ran };
     if ATTEMPT_LIMIT <= entry.attempts || tables.draining {
         refuse(request, RefusalReason::UpstreamFailed, ran, outputs);
         return;
@@ -137,7 +146,7 @@
     let key = QueueKey { service: entry.arrival.service, team: entry.arrival.team };
     tables.queues.entry(key).or_default().push_front(request);
     count_waiting(tables, &entry.arrival, true);
-    let queued = Request { state: RequestState::Queued, charged_cost: 0, ..entry };
+    let queued = Request { ran, state: RequestState::Queued, charged_cost: 0, ..entry };
     tables.requests.insert(request, queued);
 }
 
@@ -153,8 +162,8 @@
         .collect();
     waiting.sort_unstable();
     for request in waiting {
-        take_out(tables, request);
-        refuse(request, RefusalReason::Draining, Ran::NotRun, outputs);
+        let Some(entry) = take_out(tables, request) else { continue };
+        refuse(request, RefusalReason::Draining, entry.ran, outputs);
     }
 }
 
@@ -169,8 +178,8 @@
         .collect();
     late.sort_unstable();
     for request in late {
-        take_out(tables, request);
-        refuse(request, RefusalReason::DeadlinePassed, Ran::NotRun, outputs);
+        let Some(entry) = take_out(tables, request) else { continue };
+        refuse(request, RefusalReason::DeadlinePassed, entry.ran, outputs);
     }
 }
 
--- a/crates/bergamotpitch-control/src/tables.rs
+++ b/crates/bergamotpitch-control/src/tables.rs
@@ -9,6 +9,7 @@
 use bergamotpitch_core::ids::{
     DomainId, Incarnation, InstanceId, RequestId, ServiceId, TeamId, UpstreamId,
 };
+use bergamotpitch_core::refusals::Ran;
 use bergamotpitch_core::settings::Policy;
 use bergamotpitch_core::sheets::AcceptedSheet;
 use bergamotpitch_core::units::{CostUnits, Timestamp};
@@ -147,6 +148,8 @@
     pub arrived: Timestamp,
     /// Attempts begun.
     pub attempts: u32,
+    /// Whether an earlier attempt may have run it, so that a refusal stays true after a retry.
+    pub ran: Ran,
     /// Where it stands.
     pub state: RequestState,
     /// Cost charged to the team so far, in cost units.
--- a/crates/bergamotpitch-load/src/lib.rs
+++ b/crates/bergamotpitch-load/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod errors;
 pub mod experiments;
 pub mod fetches;
+pub mod gaps;
 pub mod measures;
 pub mod plots;
 pub mod records;
--- a/crates/bergamotpitch-load/src/plots.rs
+++ b/crates/bergamotpitch-load/src/plots.rs
@@ -5,7 +5,7 @@
 use plotters::prelude::*;
 
 use crate::errors::{Result, plot_error};
-use crate::measures::team_series;
+use crate::gaps::team_series;
 use crate::runs::RunOutcome;
 
 /// Width and height of a plot, in pixels.
@@ -26,7 +26,7 @@
     service: &str,
     file: &Path,
 ) -> std::result::Result<(), Box<dyn std::error::Error>> {
-    let teams = team_series(service, &outcome.records.upstreams, &outcome.ground);
+    let teams = team_series(service, &outcome.records, &outcome.ground);
     let last_s =
         teams.iter().flat_map(|team| team.points.last()).map(|point| point.0).fold(1.0, f64::max);
     let most =
--- a/crates/bergamotpitch-load/tests/run_measures.rs
+++ b/crates/bergamotpitch-load/tests/run_measures.rs
@@ -41,7 +41,8 @@
 /// Two teams of the same share wait for ten seconds and one is given all the service.
 #[test]
 fn unfair_service() {
-    let callers = vec![waiting_caller("a", 1), waiting_caller("b", 2)];
+    let served = caller("a", 3, CallerOutcome::Answered);
+    let callers = vec![waiting_caller("a", 1), waiting_caller("b", 2), served];
     let upstreams = vec![attempt("a", "3", 0, 10 * SECOND_US)];
     let records = Records { callers, upstreams, ..Records::default() };
     let measures = measure(&records, &ground());
