--- a/crates/bergamotpitch-proof/src/lib.rs
+++ b/crates/bergamotpitch-proof/src/lib.rs
@@ -11,5 +11,7 @@
 pub mod measures;
 pub mod observers;
 pub mod randoms;
+pub mod scenarios;
+pub mod schedules;
 pub mod slopes;
 pub mod workloads;
