Let outcomes of claims wait for a round that begins anyway

Cause: every keyed request wrote its shard twice, once for the claim and once for the outcome, and the second write is in no hurry. Ruled out: recording the outcome only when somebody asks, since the router that knows it may be gone by then. Change: an outcome waits 250 ms for a round that begins for another reason.

--- a/crates/bergamotpitch-control/src/claim_queues.rs
+++ b/crates/bergamotpitch-control/src/claim_queues.rs
@@ -35,6 +35,8 @@
     pub calls_in_flight_limit: usize,
     /// Time between two commits to one shard by this router.
     pub commit_interval: Duration,
+    /// Time that an outcome waits for a round that begins for another reason.
+    pub outcome_delay: Duration,
     /// Time after which a wish to claim is given up.
     pub claim_timeout: Duration,
     /// Pause after a failed call; it doubles up to `longest_pause`.
@@ -58,6 +60,7 @@
             queue_limit_operations: 10_000,
             calls_in_flight_limit: 16,
             commit_interval: Duration::from_millis(20),
+            outcome_delay: Duration::from_millis(250),
             claim_timeout: Duration::from_secs(2),
             retry_pause: Duration::from_millis(10),
             longest_pause: Duration::from_secs(1),
@@ -209,7 +212,7 @@
             .values()
             .filter(|queue| !queue.pending.is_empty())
             .flat_map(|queue| {
-                let call = (may_call && queue.call == Call::Idle).then_some(queue.due);
+                let call = if may_call { round_due(queue) } else { None };
                 let give_up = queue.pending.iter().filter_map(Pending::give_up_at).min();
                 [call, give_up]
             })
@@ -235,9 +238,16 @@
 }
 
 /// `record_outcome` queues the outcome of a claimed request.
-pub fn record_outcome(queues: &mut ClaimQueues, key: ClaimKey, nonce: Nonce, outcome: Outcome) {
+pub fn record_outcome(
+    queues: &mut ClaimQueues,
+    now: Timestamp,
+    key: ClaimKey,
+    nonce: Nonce,
+    outcome: Outcome,
+) {
     let outcome = fitting_outcome(outcome, queues.options.outcome_limit_bytes);
-    push_pending(queues, &key, Pending::of_outcome(key, nonce, outcome));
+    let wanted_at = now + queues.options.outcome_delay;
+    push_pending(queues, &key, Pending::of_outcome(key, nonce, outcome, wanted_at));
 }
 
 /// `release_claim` queues the release of a claim whose request did not run and never will.
@@ -268,8 +278,8 @@
         let count = queue.pending.len();
         give_up_late(queue, now, releases, effects);
         queues.waiting_operations -= count - queue.pending.len();
-        if queue.call == Call::Idle && !queue.pending.is_empty() && queue.due <= now {
-            due.push((queue.due, *shard));
+        if let Some(at) = round_due(queue).filter(|at| *at <= now) {
+            due.push((at, *shard));
         }
     }
     due.sort_unstable();
@@ -337,6 +347,14 @@
     pause_shard(queues, shard, now);
 }
 
+fn round_due(queue: &ShardQueue) -> Option<Timestamp> {
+    if queue.call != Call::Idle {
+        return None;
+    }
+    let wanted = queue.pending.iter().map(|pending| pending.wanted_at).min()?;
+    Some(wanted.max(queue.due))
+}
+
 fn settle_written(queue: &mut ShardQueue, effects: &mut Vec<ClaimEffect>) {
     queue.pending.retain(|pending| {
         if !matches!(pending.standing, Standing::InWrite { .. }) {
--- a/crates/bergamotpitch-control/src/claim_rounds.rs
+++ b/crates/bergamotpitch-control/src/claim_rounds.rs
@@ -17,6 +17,8 @@
     /// Index on which the last write with this operation was based whose answer was lost. That
     /// write can still take effect for as long as the record has this index.
     doubt_index: Option<u64>,
+    /// When it asks for a round of its own; a round that begins sooner takes it along.
+    pub(crate) wanted_at: Timestamp,
 }
 
 /// `Standing` tells whether the write under way carries an operation.
@@ -64,21 +66,26 @@
             give_up_at: now + options.claim_timeout,
             dispatch_until: now + options.lifetime,
         };
-        Self::waiting(operation)
+        Self::waiting(operation, now)
     }
 
     /// `of_outcome` makes the operation that records an outcome.
-    pub(crate) fn of_outcome(key: ClaimKey, nonce: Nonce, outcome: Outcome) -> Self {
-        Self::waiting(Operation::Record { key, nonce, outcome })
+    pub(crate) fn of_outcome(
+        key: ClaimKey,
+        nonce: Nonce,
+        outcome: Outcome,
+        wanted_at: Timestamp,
+    ) -> Self {
+        Self::waiting(Operation::Record { key, nonce, outcome }, wanted_at)
     }
 
     /// `of_release` makes the operation that releases a claim.
     pub(crate) fn of_release(key: ClaimKey, nonce: Nonce) -> Self {
-        Self::waiting(Operation::Release { key, nonce })
+        Self::waiting(Operation::Release { key, nonce }, Timestamp::ZERO)
     }
 
-    fn waiting(operation: Operation) -> Self {
-        Self { operation, standing: Standing::Waiting, doubt_index: None }
+    fn waiting(operation: Operation, wanted_at: Timestamp) -> Self {
+        Self { operation, standing: Standing::Waiting, doubt_index: None, wanted_at }
     }
 
     /// `ticket` names the wish; other operations have none.
--- a/crates/bergamotpitch-platform/src/claims.rs
+++ b/crates/bergamotpitch-platform/src/claims.rs
@@ -252,7 +252,7 @@
             abandon_wish(&mut writer.queues, &key, ticket);
         }
         Command::Record { key, nonce, outcome } => {
-            record_outcome(&mut writer.queues, key, nonce, outcome);
+            record_outcome(&mut writer.queues, process_time(), key, nonce, outcome);
         }
         Command::Release { key, nonce } => release_claim(&mut writer.queues, key, nonce),
         Command::Close { reply } => writer.closing = Some(reply),
--- a/crates/bergamotpitch-proof/src/claim_runs.rs
+++ b/crates/bergamotpitch-proof/src/claim_runs.rs
@@ -454,7 +454,8 @@
     let Attempt { key, router, .. } = run.attempts[attempt];
     let body = Some((attempt as u64).to_le_bytes().to_vec());
     let outcome = Outcome { status: 200, headers: Vec::new(), body };
-    record_outcome(&mut run.routers[router].queues, key_of(key), nonce_of(attempt), outcome);
+    let queues = &mut run.routers[router].queues;
+    record_outcome(queues, run.now, key_of(key), nonce_of(attempt), outcome);
     tick(run, router, Vec::new());
     if !run.attempts[attempt].is_told {
         run.answered[key] = true;
