--- a/crates/bergamotpitch-standin/src/platforms.rs
+++ b/crates/bergamotpitch-standin/src/platforms.rs
@@ -108,8 +108,11 @@
 /// # });
 /// ```
 pub async fn start_platform(options: PlatformOptions) -> Result<Platform> {
-    let state =
-        State { rates: options.rates, list_lag_ms: options.list_lag_ms, ..State::default() };
+    // Reads answer index 1 while nothing was written, so the first write must get a higher one: a
+    // watch from index 1 would miss it.
+    let store = Store { index: 1, ..Store::default() };
+    let (rates, list_lag_ms) = (options.rates, options.list_lag_ms);
+    let state = State { store, rates, list_lag_ms, ..State::default() };
     let shared = Arc::new(Shared { state: Mutex::new(state), changed: watch::Sender::new(0) });
     let mut servers = Vec::new();
     for address in options.addresses {
