Store and send the sheet packed

Cause: the sheet of 6,500 teams and 5,900 upstreams is 3,536 kB as JSON and the platform holds values up to 1 MB; apply would fail at about 1,800 teams. Ruled out: one key for each domain or kind (two parts could be seen at different versions, and two operators could mix halves); a codec without entropy coding (the key hashes in hexadecimal alone are 416 kB).

--- a/crates/bergamotpitch-core/src/lib.rs
+++ b/crates/bergamotpitch-core/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod errors;
 pub mod events;
 pub mod ids;
+pub mod packing;
 pub mod refusals;
 pub mod settings;
 pub mod sheets;
--- a/crates/bergamotpitch-platform/src/sheets.rs
+++ b/crates/bergamotpitch-platform/src/sheets.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bergamotpitch_core::ids::SheetVersion;
+use bergamotpitch_core::packing::{pack, unpack};
 use bergamotpitch_core::sheets::{AcceptedSheet, Sheet, check_sheet, parse_sheet};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -119,7 +120,8 @@
     async fn write_record(&self, record: &SheetRecord, base_index: u64) -> Result<Applied> {
         let value = serde_json::to_vec(record)
             .map_err(|error| malformed_error(SHEET_KEY, error.to_string()))?;
-        let value = Bytes::from(value);
+        // Unpacked, the sheet of some thousand teams is larger than a value may be.
+        let value = Bytes::from(pack(&value));
         let deadline = Instant::now() + self.options().resolve_timeout;
         let mut pause = self.options().retry_pause;
         let mut in_doubt = false;
@@ -178,7 +180,8 @@
 
 fn record_of_entry(entry: Option<&Entry>) -> Result<Option<SheetRecord>> {
     let Some(entry) = entry else { return Ok(None) };
-    let record: SheetRecord = serde_json::from_slice(&entry.value)
+    let value = unpack(&entry.key, &entry.value).map_err(Error::Sheet)?;
+    let record: SheetRecord = serde_json::from_slice(&value)
         .map_err(|error| malformed_error(&entry.key, error.to_string()))?;
     check_sheet(&entry.key, &record.sheet).map_err(Error::Sheet)?;
     Ok(Some(record))
--- a/crates/bergamotpitch-wire/src/sheets.rs
+++ b/crates/bergamotpitch-wire/src/sheets.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use bergamotpitch_core::ids::{Incarnation, InstanceId};
+use bergamotpitch_core::packing::{pack, unpack};
 use bergamotpitch_core::sheets::{AcceptedSheet, check_sheet};
 use futures::StreamExt;
 use serde::{Deserialize, Serialize};
@@ -50,7 +51,7 @@
 /// `SheetReply` is the answer to a [`SheetRequest`].
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct SheetReply {
-    /// The accepted sheet as JSON; empty when there is none, or the request is not trusted.
+    /// The accepted sheet as packed JSON; empty when there is none, or the request is not trusted.
     pub sheet: Vec<u8>,
     /// Code over the request's code and the sheet.
     pub code: Code,
@@ -167,7 +168,7 @@
     let Some(sheet) = sheet.filter(|_| is_fresh && is_sealed) else {
         return Ok(SheetReply::default());
     };
-    let sheet = serde_json::to_vec(sheet).map_err(encoding_error)?;
+    let sheet = pack(&serde_json::to_vec(sheet).map_err(encoding_error)?);
     if SHEET_BYTES < sheet.len() {
         return Err(Error::Oversize { bytes: sheet.len(), limit_bytes: SHEET_BYTES });
     }
@@ -192,7 +193,8 @@
     if !codes_agree(&expected, &reply.code) {
         return Err(Error::ForeignReply);
     }
-    let accepted: AcceptedSheet = serde_json::from_slice(&reply.sheet).map_err(bad_sheet_error)?;
+    let sheet = unpack("sheet of a peer", &reply.sheet).map_err(bad_sheet_error)?;
+    let accepted: AcceptedSheet = serde_json::from_slice(&sheet).map_err(bad_sheet_error)?;
     check_sheet("sheet of a peer", &accepted.sheet).map_err(bad_sheet_error)?;
     Ok(accepted)
 }
