Send datagrams without the sender's address and with shorter numbers

Cause: a heartbeat is 80 bytes with IP and UDP headers, of which the message itself is 4; an instance may send 2,000 bytes a second. Ruled out: a shorter code (16 bytes keep a forged datagram out of reach for good); leaving out the failure domain (a receiver without memory needs it). Change: the source address is covered by the code and read from the socket, not sent a second time; ids go as four bytes and the time of sealing as the distance from the incarnation; binding to all interfaces is refused, because the code then covers a number that no peer sees. With the source left out of the code the test of strangers failed; with it, it passes.

--- a/crates/bergamotpitch-wire/src/endpoints.rs
+++ b/crates/bergamotpitch-wire/src/endpoints.rs
@@ -19,7 +19,7 @@
 /// `Options` are what an endpoint is told.
 #[derive(Clone)]
 pub struct Options {
-    /// Address to bind; peers reach this process by the number that is bound.
+    /// Address to bind; peers reach this process by this very number, and hear from it by the same.
     pub address: SocketAddr,
     /// This instance.
     pub instance: InstanceId,
@@ -72,7 +72,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when the address cannot be bound.
+    /// Fails when the address names no single number, or cannot be bound.
     ///
     /// ```
     /// use bergamotpitch_wire::{Endpoint, Options};
@@ -84,6 +84,11 @@
     /// # }
     /// ```
     pub async fn bind(options: Options) -> Result<Self> {
+        // The code covers the number that peers see. Bound to all numbers, this process would not
+        // know which one that is, and each of its datagrams would be dropped as a stranger's.
+        if options.address.ip().is_unspecified() {
+            return Err(network_error(options.address, "is not the number of one interface"));
+        }
         let socket = UdpSocket::bind(options.address)
             .await
             .map_err(|error| network_error(options.address, error))?;
@@ -153,12 +158,12 @@
         // One byte more than the largest datagram, so that a larger one shows as such.
         let mut buffer = [0; DATAGRAM_BYTES + 1];
         loop {
-            let (datagram_bytes, _) = self
+            let (datagram_bytes, from) = self
                 .socket
                 .recv_from(&mut buffer)
                 .await
                 .map_err(|error| network_error(self.sender.address, error))?;
-            match self.accept(&buffer[..datagram_bytes]) {
+            match self.accept(from, &buffer[..datagram_bytes]) {
                 Ok(None) => {}
                 Ok(Some((sender, message))) => {
                     return Ok(Received { sender, message, datagram_bytes });
@@ -175,12 +180,13 @@
 
     fn accept(
         &self,
+        from: SocketAddr,
         datagram: &[u8],
     ) -> std::result::Result<Option<(Sender, Message)>, DropReason> {
         // A panic while the lock was held would have left the receiver in a usable state: each
         // step of it completes or changes nothing.
         let mut receiver = self.receiver.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
-        accept(&mut receiver, &self.keys.datagram, wall_clock_ms(), datagram)
+        accept(&mut receiver, &self.keys.datagram, wall_clock_ms(), from, datagram)
     }
 }
 
--- a/crates/bergamotpitch-wire/src/receivers.rs
+++ b/crates/bergamotpitch-wire/src/receivers.rs
@@ -10,7 +10,7 @@
 
 use crate::counters::DropReason;
 use crate::keys::KeyBytes;
-use crate::seals::{Opened, decode, open};
+use crate::seals::{Opened, Route, decode, open};
 use crate::windows::Window;
 
 /// `ReceiverOptions` are the constants of a receiver.
@@ -62,7 +62,7 @@
     }
 }
 
-/// `accept` takes in one datagram; it returns a message when the datagram completes one.
+/// `accept` takes in one datagram from an address; it returns a message when the datagram completes one.
 ///
 /// # Errors
 ///
@@ -71,16 +71,18 @@
     receiver: &mut Receiver,
     key: &KeyBytes,
     now_ms: u64,
+    from: SocketAddr,
     datagram: &[u8],
 ) -> Result<Option<(Sender, Message)>, DropReason> {
-    let opened = open(key, receiver.options.address, datagram)?;
-    check_freshness(&receiver.options, now_ms, opened.header.sealed_ms)?;
+    let route = Route { from, to: receiver.options.address };
+    let opened = open(key, route, datagram)?;
+    check_freshness(&receiver.options, now_ms, opened.header.sealed_ms())?;
     forget_silent_senders(receiver, now_ms);
     let known = known_sender(&mut receiver.senders, &opened)?;
     if !known.window.admit(opened.header.sequence) {
         return Err(DropReason::Repeated);
     }
-    known.newest_ms = known.newest_ms.max(opened.header.sealed_ms);
+    known.newest_ms = known.newest_ms.max(opened.header.sealed_ms());
     let Some(encoded) = whole_message(&mut known.partial, &opened) else { return Ok(None) };
     Ok(Some((opened.sender(), decode(&encoded)?)))
 }
--- a/crates/bergamotpitch-wire/tests/replayed_datagrams.rs
+++ b/crates/bergamotpitch-wire/tests/replayed_datagrams.rs
@@ -15,8 +15,8 @@
 fn repeats() {
     let mut receiver = receiver(2, NOW_MS);
     let datagram = sealed(9, NOW_MS, &heartbeat(0..1)).remove(0);
-    assert!(accept(&mut receiver, &keys().datagram, NOW_MS, &datagram).is_ok());
-    let again = accept(&mut receiver, &keys().datagram, NOW_MS + 1, &datagram);
+    assert!(accept(&mut receiver, &keys().datagram, NOW_MS, address(1), &datagram).is_ok());
+    let again = accept(&mut receiver, &keys().datagram, NOW_MS + 1, address(1), &datagram);
     assert_eq!(again, Err(DropReason::Repeated));
 }
 
@@ -50,12 +50,12 @@
 fn restarted_receiver() {
     let recorded = sealed(9, NOW_MS, &heartbeat(0..1)).remove(0);
     let mut restarted = receiver(2, NOW_MS + 1);
-    let accepted = accept(&mut restarted, &keys().datagram, NOW_MS + 2, &recorded);
+    let accepted = accept(&mut restarted, &keys().datagram, NOW_MS + 2, address(1), &recorded);
     assert_eq!(accepted, Err(DropReason::Stale));
 
     let mut running = receiver(2, NOW_MS);
     let late_ms = NOW_MS + FRESHNESS.as_millis() as u64 + 1;
-    let accepted = accept(&mut running, &keys().datagram, late_ms, &recorded);
+    let accepted = accept(&mut running, &keys().datagram, late_ms, address(1), &recorded);
     assert_eq!(accepted, Err(DropReason::Stale));
 }
 
@@ -76,8 +76,8 @@
     )
     .expect("the message is small enough")
     .remove(0);
-    assert!(accept(&mut receiver, &keys().datagram, NOW_MS, &later).is_ok());
-    let accepted = accept(&mut receiver, &keys().datagram, NOW_MS, &earlier);
+    assert!(accept(&mut receiver, &keys().datagram, NOW_MS, address(1), &later).is_ok());
+    let accepted = accept(&mut receiver, &keys().datagram, NOW_MS, address(1), &earlier);
     assert_eq!(accepted, Err(DropReason::EarlierLife));
 }
 
@@ -99,7 +99,9 @@
         )
         .expect("the message is small enough")
         .remove(0);
-        assert!(accept(&mut receiver, &keys().datagram, now_ms, &datagram).is_ok());
+        assert!(
+            accept(&mut receiver, &keys().datagram, now_ms, address(number), &datagram).is_ok()
+        );
     }
     let most = 3 * FRESHNESS.as_secs() as usize + 2;
     assert!(receiver.known_senders() <= most, "{}", receiver.known_senders());
--- a/crates/bergamotpitch-wire/tests/sealed_datagrams.rs
+++ b/crates/bergamotpitch-wire/tests/sealed_datagrams.rs
@@ -4,7 +4,7 @@
 
 use arbtest::arbtest;
 use bergamotpitch_wire::receivers::accept;
-use bergamotpitch_wire::seals::{DATAGRAM_BYTES, MESSAGE_BYTES, open, seal_message};
+use bergamotpitch_wire::seals::{DATAGRAM_BYTES, MESSAGE_BYTES, Route, open, seal_message};
 use bergamotpitch_wire::{DropReason, Error, Keys};
 use common::{NOW_MS, address, heartbeat, keys, receiver, sealed, sender};
 
@@ -19,10 +19,11 @@
             let mut datagrams = sealed(1, NOW_MS, &message);
             let last = datagrams.pop().expect("a message has a datagram");
             for datagram in datagrams {
-                let accepted = accept(&mut receiver, &keys().datagram, NOW_MS, &datagram);
+                let accepted =
+                    accept(&mut receiver, &keys().datagram, NOW_MS, address(1), &datagram);
                 assert_eq!(accepted, Ok(None));
             }
-            let accepted = accept(&mut receiver, &keys().datagram, NOW_MS, &last);
+            let accepted = accept(&mut receiver, &keys().datagram, NOW_MS, address(1), &last);
             assert_eq!(accepted, Ok(Some((sender(1, 5), message))));
             Ok(())
         })
@@ -47,9 +48,12 @@
             let mut longer = sealed.clone();
             longer.push(random.arbitrary()?);
             for datagram in [noise, cut, flipped, longer] {
-                assert!(open(&keys().datagram, address(2), &datagram).is_err());
+                let route = Route { from: address(1), to: address(2) };
+                assert!(open(&keys().datagram, route, &datagram).is_err());
                 let mut receiver = receiver(2, NOW_MS);
-                assert!(accept(&mut receiver, &keys().datagram, NOW_MS, &datagram).is_err());
+                assert!(
+                    accept(&mut receiver, &keys().datagram, NOW_MS, address(1), &datagram).is_err()
+                );
                 assert_eq!(receiver.known_senders(), 0);
             }
             Ok(())
@@ -60,7 +64,7 @@
 }
 
 /// Someone without the fleet's secret writes a datagram in the right form, or redirects a peer's
-/// datagram to an instance it was not meant for.
+/// datagram to an instance it was not meant for, or sends it on from an address of its own.
 #[test]
 fn strangers() {
     let foreign = Keys::from_shared_key("the secret of another fleet");
@@ -75,12 +79,14 @@
     )
     .expect("the message is small enough");
     let mut receiver = receiver(2, NOW_MS);
-    let accepted = accept(&mut receiver, &keys().datagram, NOW_MS, &datagrams[0]);
+    let accepted = accept(&mut receiver, &keys().datagram, NOW_MS, address(1), &datagrams[0]);
     assert_eq!(accepted, Err(DropReason::Stranger));
 
     let redirected = sealed(1, NOW_MS, &heartbeat(0..1)).remove(0);
+    let sent_on = accept(&mut receiver, &keys().datagram, NOW_MS, address(3), &redirected);
+    assert_eq!(sent_on, Err(DropReason::Stranger));
     let mut other = common::receiver(3, NOW_MS);
-    let accepted = accept(&mut other, &keys().datagram, NOW_MS, &redirected);
+    let accepted = accept(&mut other, &keys().datagram, NOW_MS, address(1), &redirected);
     assert_eq!(accepted, Err(DropReason::Stranger));
 }
 
@@ -88,7 +94,7 @@
 fn size_bounds() {
     let mut receiver = receiver(2, NOW_MS);
     let large = vec![1; DATAGRAM_BYTES + 1];
-    let accepted = accept(&mut receiver, &keys().datagram, NOW_MS, &large);
+    let accepted = accept(&mut receiver, &keys().datagram, NOW_MS, address(1), &large);
     assert_eq!(accepted, Err(DropReason::Oversize));
 
     let mut sequence = 1;
