Weigh datagrams against calls by their bytes

Cause: the choice between datagrams and calls was to rest on measured bytes. Ruled out: one size (the overhead is a constant, so it weighs most on small messages, and most messages are small).

--- a/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/flags.rs
+++ b/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/flags.rs
@@ -12,7 +12,7 @@
         required --out path: PathBuf
         /// Date that is written into the results.
         optional --date date: String
-        /// Measure only this part: ticks, memories or sheets.
+        /// Measure only this part: sheets, wires, memories, ticks or claims.
         optional --only part: String
         /// Real time that one point may take, in milliseconds.
         optional --limit-ms limit_ms: u64
--- a/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/main.rs
+++ b/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/main.rs
@@ -5,6 +5,7 @@
 mod scenes;
 mod sheets;
 mod ticks;
+mod wires;
 
 use std::time::Duration;
 
@@ -27,6 +28,9 @@
     if wants("sheets") {
         results.slopes.extend(sheets::measure(1));
     }
+    if wants("wires") {
+        results.slopes.extend(wires::measure());
+    }
     if wants("memories") {
         results.slopes.extend(memories::measure(&HEAP));
     }
