Send peers what changed in the sheet, not the whole sheet

Whoever has a new sheet first also packed it again for each peer that asked, 47 ms each. Ruled out: keeping the last versions whole to compare with (6.6 MB each of 32 MB); applying a change without a digest (a difference between two instances would be carried on for ever); sending changes in heartbeats (they must arrive). Change: the core finds and applies changes by entry; a history keeps 32 of them and the packed whole; the request names the version held; the router says which.

--- a/crates/bergamotpitch-core/src/lib.rs
+++ b/crates/bergamotpitch-core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod packing;
 pub mod refusals;
 pub mod settings;
+pub mod sheet_changes;
 pub mod sheets;
 pub mod units;
 
--- a/crates/bergamotpitch-core/src/sheets.rs
+++ b/crates/bergamotpitch-core/src/sheets.rs
@@ -156,8 +156,8 @@
     unique_names(file, "teams", sheet.teams.iter().map(|entry| entry.name.as_str()))?;
     for (index, upstream) in sheet.upstreams.iter().enumerate() {
         let field = |name: &str| format!("upstreams[{index}].{name}");
-        known_name(file, &field("service"), &services, &upstream.service)?;
-        known_name(file, &field("domain"), &domains, &upstream.domain)?;
+        known_name(file, || field("service"), &services, &upstream.service)?;
+        known_name(file, || field("domain"), &domains, &upstream.domain)?;
         if upstream.slots == 0 {
             return Err(field_error(
                 file,
@@ -183,7 +183,7 @@
         return Err(field_error(file, &field("key_hash"), "is not 64 hexadecimal digits"));
     }
     for (position, service) in team.services.iter().enumerate() {
-        known_name(file, &field(&format!("services[{position}]")), services, service)?;
+        known_name(file, || field(&format!("services[{position}]")), services, service)?;
     }
     Ok(())
 }
@@ -197,9 +197,13 @@
 ) -> std::result::Result<NameTable<'a>, Error> {
     let mut table = NameTable::default();
     for (index, name) in names.enumerate() {
-        let field = format!("{list}[{index}].name");
+        let field = || format!("{list}[{index}].name");
         if name.is_empty() || name.contains('/') {
-            return Err(field_error(file, &field, format!("\"{name}\" is empty or holds a slash")));
+            return Err(field_error(
+                file,
+                &field(),
+                format!("\"{name}\" is empty or holds a slash"),
+            ));
         }
         if let Some(other) = table.insert(id_of_name(name), name) {
             let reason = if other == name {
@@ -207,17 +211,22 @@
             } else {
                 format!("\"{name}\" and \"{other}\" have the same id; rename one of them")
             };
-            return Err(field_error(file, &field, reason));
+            return Err(field_error(file, &field(), reason));
         }
     }
     Ok(table)
 }
 
-fn known_name(file: &str, field: &str, table: &NameTable<'_>, name: &str) -> Result<()> {
+fn known_name(
+    file: &str,
+    field: impl Fn() -> String,
+    table: &NameTable<'_>,
+    name: &str,
+) -> Result<()> {
     if table.get(&id_of_name(name)) == Some(&name) {
         return Ok(());
     }
-    Err(field_error(file, field, format!("\"{name}\" is not declared in this sheet")))
+    Err(field_error(file, &field(), format!("\"{name}\" is not declared in this sheet")))
 }
 
 fn one_cost_unit() -> CostUnits {
--- a/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/sheets.rs
+++ b/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/sheets.rs
@@ -9,8 +9,7 @@
     parse_sheet,
 };
 use bergamotpitch_proof::slopes::{Point, Slope, repeated, slope_of};
-use bergamotpitch_wire::Keys;
-use bergamotpitch_wire::sheets::{answer_request, open_reply, seal_request};
+use bergamotpitch_wire::histories::{SheetHistory, observe, packed_body, sheet_of_body};
 
 /// `large_sheet` makes a sheet of a size, with names as operators would write them.
 pub fn large_sheet(
@@ -76,7 +75,7 @@
 /// `measure` measures sheets of several sizes, up to that of two years from now.
 pub fn measure(scale: usize) -> Vec<Slope> {
     let sizes = [812, 1_625, 3_250, 6_500];
-    let mut columns: Vec<Vec<Point>> = vec![Vec::new(); 6];
+    let mut columns: Vec<Vec<Point>> = vec![Vec::new(); 9];
     for teams in sizes {
         let sheet = large_sheet(17, 7, 9, teams * 5_900 / 6_500, teams);
         let size = teams as f64;
@@ -89,19 +88,36 @@
             let input = Input::SheetLearned(Arc::clone(&accepted));
             !step(&mut tables, Duration::ZERO, vec![input]).is_empty()
         });
-        let keys = Keys::from_shared_key("a secret for the bench");
-        let peer = std::net::SocketAddr::from(([127, 0, 0, 1], 7));
-        let request = seal_request(&keys, peer, 1, 1, 1);
-        let answer = || answer_request(&keys, peer, 1, &request, Some(&accepted));
-        let reply = answer().expect("the sheet is small enough");
-        let answered = timed(repeats, || answer().is_ok());
-        let opened = timed(repeats, || open_reply(&keys, &request, &reply).is_ok());
+        let mut history = SheetHistory::default();
+        observe(&mut history, Some(Arc::clone(&accepted)));
+        let whole = packed_body(&mut history, 0).expect("a sheet can be encoded");
+        let packed = timed(repeats, || {
+            let mut history = SheetHistory::default();
+            observe(&mut history, Some(Arc::clone(&accepted)));
+            packed_body(&mut history, 0).is_ok()
+        });
+        let opened = timed(repeats, || sheet_of_body(&whole, None).is_ok());
+        let changed = Arc::new(changed_sheet(&accepted));
+        let observed = timed(repeats, || {
+            let mut history = SheetHistory::default();
+            observe(&mut history, Some(Arc::clone(&accepted)));
+            observe(&mut history, Some(Arc::clone(&changed)));
+            true
+        });
+        observe(&mut history, Some(Arc::clone(&changed)));
+        let change = packed_body(&mut history, 1).expect("a change can be encoded");
+        let applied = timed(repeats, || {
+            sheet_of_body(&change, Some(&accepted)).is_ok_and(|sheet| sheet.version == 2)
+        });
         let row = [
             repeated(size, vec![text.len() as f64 / 1e3]),
-            repeated(size, vec![reply.sheet.len() as f64 / 1e3]),
+            repeated(size, vec![whole.len() as f64 / 1e3]),
+            repeated(size, vec![change.len() as f64]),
             repeated(size, parse),
-            repeated(size, answered),
+            repeated(size, packed),
             repeated(size, opened),
+            repeated(size, observed),
+            repeated(size, applied),
             repeated(size, in_force),
         ];
         for (column, point) in columns.iter_mut().zip(row) {
@@ -110,10 +126,13 @@
     }
     let names = [
         ("sheet_text_kb", "kB"),
-        ("sheet_sent_kb", "kB"),
+        ("sheet_packed_kb", "kB"),
+        ("sheet_change_bytes", "bytes"),
         ("sheet_parse_ms", "ms"),
-        ("sheet_answer_ms", "ms"),
+        ("sheet_pack_ms", "ms"),
         ("sheet_open_ms", "ms"),
+        ("sheet_observe_change_ms", "ms"),
+        ("sheet_apply_change_ms", "ms"),
         ("sheet_in_force_ms", "ms"),
     ];
     let fixed = "17 domains, 9 services, 0.91 upstreams for each team";
@@ -124,6 +143,17 @@
         .collect()
 }
 
+// One change as operators make them: a team gets another share, another one joins.
+fn changed_sheet(accepted: &AcceptedSheet) -> AcceptedSheet {
+    let mut changed = AcceptedSheet { version: accepted.version + 1, ..accepted.clone() };
+    let teams = &mut changed.sheet.teams;
+    teams[7].share += 1;
+    let mut joined = teams[8].clone();
+    joined.name = "franchise-office-joined".to_owned();
+    teams.push(joined);
+    changed
+}
+
 /// `timed` repeats work that must succeed and returns the time of each, in milliseconds.
 pub fn timed(repeats: usize, mut work: impl FnMut() -> bool) -> Vec<f64> {
     (0..repeats)
--- a/crates/bergamotpitch-router/src/peers.rs
+++ b/crates/bergamotpitch-router/src/peers.rs
@@ -5,7 +5,9 @@
 
 use bergamotpitch_control::{Input, Message};
 use bergamotpitch_core::sheets::AcceptedSheet;
-use bergamotpitch_wire::{Endpoint, Keys, Options, SheetServer, fetch_sheet, sheet_server};
+use bergamotpitch_wire::{
+    Endpoint, Keys, Options, SheetServer, fetch_sheet, fetch_sheet_since, sheet_server,
+};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
@@ -131,7 +133,12 @@
 }
 
 async fn fetch(context: Arc<Context>, keys: Keys, from: SocketAddr) {
-    match fetch_sheet(from, &keys, context.instance, context.incarnation).await {
+    let (instance, incarnation) = (context.instance, context.incarnation);
+    let fetched = match context.accepted.load_full() {
+        Some(held) => fetch_sheet_since(from, &keys, instance, incarnation, &held).await,
+        None => fetch_sheet(from, &keys, instance, incarnation).await,
+    };
+    match fetched {
         Ok(accepted) => context.observe(Input::SheetLearned(Arc::new(accepted))).await,
         Err(error) => log::warn!("the sheet could not be fetched from {from}: {error}"),
     }
--- a/crates/bergamotpitch-wire/src/lib.rs
+++ b/crates/bergamotpitch-wire/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod counters;
 pub mod endpoints;
 pub mod errors;
+pub mod histories;
 pub mod keys;
 pub mod receivers;
 pub mod seals;
@@ -16,4 +17,4 @@
 pub use crate::endpoints::{Endpoint, Options, Received};
 pub use crate::errors::{Error, Result};
 pub use crate::keys::Keys;
-pub use crate::sheets::{SheetServer, fetch_sheet, sheet_server};
+pub use crate::sheets::{SheetServer, fetch_sheet, fetch_sheet_since, sheet_server};
--- a/crates/bergamotpitch-wire/src/sheets.rs
+++ b/crates/bergamotpitch-wire/src/sheets.rs
@@ -1,16 +1,16 @@
 //! Sheets: a peer's sheet is fetched over TCP.
 //!
 //! The request and the reply are sealed; the reply's code covers the request, so that a reply to an
-//! earlier request does not pass. Nothing is encrypted.
+//! earlier request does not pass. Nothing is encrypted. An instance that holds a sheet gets only what
+//! has changed since.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use bergamotpitch_core::ids::{Incarnation, InstanceId};
-use bergamotpitch_core::packing::{pack, unpack};
-use bergamotpitch_core::sheets::{AcceptedSheet, check_sheet};
+use bergamotpitch_core::ids::{Incarnation, InstanceId, SheetVersion};
+use bergamotpitch_core::sheets::AcceptedSheet;
 use futures::StreamExt;
 use serde::{Deserialize, Serialize};
 use tarpc::server::{BaseChannel, Channel};
@@ -18,7 +18,8 @@
 use tokio::task::JoinHandle;
 
 use crate::endpoints::wall_clock_ms;
-use crate::errors::{Error, Result, bad_sheet_error, encoding_error, network_error};
+use crate::errors::{Error, Result, network_error};
+use crate::histories::{SheetHistory, observe, packed_body, sheet_of_body};
 use crate::keys::{Code, Keys, code_of, codes_agree};
 use crate::receivers::FRESHNESS;
 
@@ -31,6 +32,9 @@
 /// Connections that are served at once; more are closed unanswered.
 const CONNECTIONS: usize = 32;
 
+/// Time between two looks at the sheet in force, for the history of its changes.
+const OBSERVE_INTERVAL: Duration = Duration::from_millis(250);
+
 const REQUEST_BYTES: usize = 1 << 10;
 
 /// `SheetRequest` asks for a peer's sheet.
@@ -40,6 +44,8 @@
     pub instance: InstanceId,
     /// Its life.
     pub incarnation: Incarnation,
+    /// Version of the sheet that it holds; 0 for none.
+    pub held_version: SheetVersion,
     /// Number of the request within that life.
     pub number: u64,
     /// Wall-clock time of sealing, in milliseconds since the Unix epoch.
@@ -51,7 +57,7 @@
 /// `SheetReply` is the answer to a [`SheetRequest`].
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct SheetReply {
-    /// The accepted sheet as packed JSON; empty when there is none, or the request is not trusted.
+    /// The packed answer; empty when there is no sheet, or the request is not trusted.
     pub sheet: Vec<u8>,
     /// Code over the request's code and the sheet.
     pub code: Code,
@@ -67,7 +73,8 @@
 /// `SheetServer` answers peers that fetch the sheet.
 pub struct SheetServer {
     address: SocketAddr,
-    task: JoinHandle<()>,
+    answers: JoinHandle<()>,
+    observer: JoinHandle<()>,
 }
 
 impl SheetServer {
@@ -78,7 +85,8 @@
 
     /// `close` stops answering.
     pub fn close(self) {
-        self.task.abort();
+        self.answers.abort();
+        self.observer.abort();
     }
 }
 
@@ -97,26 +105,27 @@
         .map_err(|error| network_error(address, error))?;
     incoming.config_mut().max_frame_length(REQUEST_BYTES);
     let address = incoming.local_addr();
-    let exchange = Exchange { keys, address, current: Arc::new(current) };
+    let exchange = Exchange { keys, address, current: Arc::new(current), history: Arc::default() };
+    let observer = tokio::spawn(observe_always(exchange.clone()));
     let slots = Arc::new(tokio::sync::Semaphore::new(CONNECTIONS));
-    let task = tokio::spawn(async move {
+    let answers = tokio::spawn(async move {
         while let Some(connection) = incoming.next().await {
             let Ok(connection) = connection else { continue };
             // A stranger who opens connections and says nothing must not use up memory or
             // descriptors: connections are few and short-lived.
             let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else { continue };
             let channel = BaseChannel::with_defaults(connection);
-            let answers = channel.execute(exchange.clone().serve()).for_each(|answer| answer);
+            let calls = channel.execute(exchange.clone().serve()).for_each(|call| call);
             tokio::spawn(async move {
                 let _slot = slot;
-                let _ = tokio::time::timeout(FETCH_TIMEOUT, answers).await;
+                let _ = tokio::time::timeout(FETCH_TIMEOUT, calls).await;
             });
         }
     });
-    Ok(SheetServer { address, task })
+    Ok(SheetServer { address, answers, observer })
 }
 
-/// `fetch_sheet` fetches the sheet in force at a peer.
+/// `fetch_sheet` fetches the whole sheet in force at a peer.
 ///
 /// # Errors
 ///
@@ -128,25 +137,56 @@
     instance: InstanceId,
     incarnation: Incarnation,
 ) -> Result<AcceptedSheet> {
-    let request = seal_request(keys, from, instance, incarnation, wall_clock_ms());
+    fetch(from, keys, seal_request(keys, from, (instance, incarnation), 0, wall_clock_ms()), None)
+        .await
+}
+
+/// `fetch_sheet_since` fetches what changed at a peer since the sheet that is held, or the whole
+/// sheet when that is not possible.
+///
+/// # Errors
+///
+/// As those of [`fetch_sheet`].
+pub async fn fetch_sheet_since(
+    from: SocketAddr,
+    keys: &Keys,
+    instance: InstanceId,
+    incarnation: Incarnation,
+    held: &AcceptedSheet,
+) -> Result<AcceptedSheet> {
+    let life = (instance, incarnation);
+    let request = seal_request(keys, from, life, held.version, wall_clock_ms());
+    match fetch(from, keys, request, Some(held)).await {
+        Err(Error::BadSheet { .. }) => fetch_sheet(from, keys, instance, incarnation).await,
+        result => result,
+    }
+}
+
+async fn fetch(
+    from: SocketAddr,
+    keys: &Keys,
+    request: SheetRequest,
+    held: Option<&AcceptedSheet>,
+) -> Result<AcceptedSheet> {
     let reply = tokio::time::timeout(FETCH_TIMEOUT, exchange_once(from, request.clone()))
         .await
         .map_err(|_| network_error(from, "timeout"))??;
-    open_reply(keys, &request, &reply)
+    open_reply(keys, &request, &reply, held)
 }
 
-/// `seal_request` makes a request for the sheet of a peer.
+/// `seal_request` makes a request for the sheet of a peer, of one life of an instance that holds a
+/// version.
 pub fn seal_request(
     keys: &Keys,
     to: SocketAddr,
-    instance: InstanceId,
-    incarnation: Incarnation,
+    (instance, incarnation): (InstanceId, Incarnation),
+    held_version: SheetVersion,
     sealed_ms: u64,
 ) -> SheetRequest {
     static NUMBER: AtomicU64 = AtomicU64::new(1);
     let number = NUMBER.fetch_add(1, Ordering::Relaxed);
-    let mut request =
-        SheetRequest { instance, incarnation, number, sealed_ms, code: Code::default() };
+    let code = Code::default();
+    let mut request = SheetRequest { instance, incarnation, held_version, number, sealed_ms, code };
     request.code = request_code(keys, to, &request);
     request
 }
@@ -161,14 +201,14 @@
     at: SocketAddr,
     now_ms: u64,
     request: &SheetRequest,
-    sheet: Option<&AcceptedSheet>,
+    history: &mut SheetHistory,
 ) -> Result<SheetReply> {
     let is_fresh = now_ms.abs_diff(request.sealed_ms) <= FRESHNESS.as_millis() as u64;
     let is_sealed = codes_agree(&request_code(keys, at, request), &request.code);
-    let Some(sheet) = sheet.filter(|_| is_fresh && is_sealed) else {
+    if !is_fresh || !is_sealed {
         return Ok(SheetReply::default());
-    };
-    let sheet = pack(&serde_json::to_vec(sheet).map_err(encoding_error)?);
+    }
+    let sheet = packed_body(history, request.held_version)?.to_vec();
     if SHEET_BYTES < sheet.len() {
         return Err(Error::Oversize { bytes: sheet.len(), limit_bytes: SHEET_BYTES });
     }
@@ -176,7 +216,7 @@
     Ok(SheetReply { sheet, code })
 }
 
-/// `open_reply` checks and reads a reply.
+/// `open_reply` checks and reads a reply, given the sheet that is held.
 ///
 /// # Errors
 ///
@@ -185,18 +225,13 @@
     keys: &Keys,
     request: &SheetRequest,
     reply: &SheetReply,
+    held: Option<&AcceptedSheet>,
 ) -> Result<AcceptedSheet> {
-    if reply.sheet.is_empty() {
-        return Err(Error::NoSheet);
-    }
     let expected = code_of(&keys.sheet_reply, &[&request.code, &reply.sheet]);
-    if !codes_agree(&expected, &reply.code) {
+    if !reply.sheet.is_empty() && !codes_agree(&expected, &reply.code) {
         return Err(Error::ForeignReply);
     }
-    let sheet = unpack("sheet of a peer", &reply.sheet).map_err(bad_sheet_error)?;
-    let accepted: AcceptedSheet = serde_json::from_slice(&sheet).map_err(bad_sheet_error)?;
-    check_sheet("sheet of a peer", &accepted.sheet).map_err(bad_sheet_error)?;
-    Ok(accepted)
+    sheet_of_body(&reply.sheet, held)
 }
 
 #[derive(Clone)]
@@ -204,16 +239,42 @@
     keys: Keys,
     address: SocketAddr,
     current: Arc<dyn Fn() -> Option<Arc<AcceptedSheet>> + Send + Sync>,
+    history: Arc<Mutex<SheetHistory>>,
 }
 
 impl SheetExchange for Exchange {
     async fn fetch(self, _: tarpc::context::Context, request: SheetRequest) -> SheetReply {
-        let sheet = (self.current)();
-        answer_request(&self.keys, self.address, wall_clock_ms(), &request, sheet.as_deref())
-            .unwrap_or_else(|error| {
-                log::error!("the sheet is not sent to instance {}: {error}", request.instance);
-                SheetReply::default()
-            })
+        // Packing a large sheet takes tens of milliseconds, which a thread that also carries
+        // answers to callers must not be held for.
+        let answer = tokio::task::spawn_blocking(move || answer(&self, &request)).await;
+        answer.unwrap_or_default()
+    }
+}
+
+fn answer(exchange: &Exchange, request: &SheetRequest) -> SheetReply {
+    let mut history = exchange.history.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    observe(&mut history, (exchange.current)());
+    answer_request(&exchange.keys, exchange.address, wall_clock_ms(), request, &mut history)
+        .unwrap_or_else(|error| {
+            log::error!("the sheet is not sent to instance {}: {error}", request.instance);
+            SheetReply::default()
+        })
+}
+
+// Without a regular look, two changes between two fetches would show as one, and a peer that
+// holds the version between them would need the whole sheet.
+async fn observe_always(exchange: Exchange) {
+    loop {
+        let exchange = exchange.clone();
+        let observed = tokio::task::spawn_blocking(move || {
+            let mut history =
+                exchange.history.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+            observe(&mut history, (exchange.current)());
+        });
+        if observed.await.is_err() {
+            return;
+        }
+        tokio::time::sleep(OBSERVE_INTERVAL).await;
     }
 }
 
@@ -229,9 +290,10 @@
 
 fn request_code(keys: &Keys, to: SocketAddr, request: &SheetRequest) -> Code {
     let address = to.to_string();
-    let parts: [&[u8]; 5] = [
+    let parts: [&[u8]; 6] = [
         &request.instance.to_le_bytes(),
         &request.incarnation.to_le_bytes(),
+        &request.held_version.to_le_bytes(),
         &request.number.to_le_bytes(),
         &request.sealed_ms.to_le_bytes(),
         address.as_bytes(),
