Add the operators' commands

Cause: a sheet could not be checked, compared or applied, and no operator could ask the fleet. Ruled out: an apply that retries over a newer version by itself (a colleague's change would be lost unseen), and a nested command for each sheet action (the flag parser names types by command, so two checks clash). Change: sheet check, diff, apply and show, status, explain, drain, key hash and check, with a settings file or flags. Apply names the other version in a conflict, and says applied, not applied or unknown as the platform's client found out; each has its exit code. The tests race two operators, lose the answer of the write and take the platform down, against the stand-in on port 0. Conclusion: apply tells the truth in the cases tested.

--- a/crates/bergamotpitch-ctl/src/main.rs
+++ b/crates/bergamotpitch-ctl/src/main.rs
@@ -1,3 +1,7 @@
 //! The `bergamotpitch-ctl` binary.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    bergamotpitch_ctl::commands::run_command_line()
+}
