Check ranges, keys, addresses and names of a sheet

Cause: a sheet was accepted with two teams on one key, two upstreams at one address, a team that reaches nothing, a service that costs nothing, or a number without bounds; each does harm that shows only under load. Ruled out: warnings in place of errors (nobody reads them in the morning), and a check of every pair (the planned sheet has 6,500 teams). Change: the checks of a sheet stand in a module of their own, ranges of numbers in another; settings use the same ranges. Each fault has a test of its exact message; before the change they failed with "no fault" or another message. Conclusion: a sheet that passes can be served as it stands.

--- a/crates/bergamotpitch-core/src/lib.rs
+++ b/crates/bergamotpitch-core/src/lib.rs
@@ -1,10 +1,12 @@
 //! Types that every bergamotpitch crate shares; this crate does no I/O.
 
+pub mod checks;
 pub mod collections;
 pub mod documents;
 pub mod errors;
 pub mod events;
 pub mod ids;
+pub mod ranges;
 pub mod refusals;
 pub mod settings;
 pub mod sheets;
--- a/crates/bergamotpitch-core/src/settings.rs
+++ b/crates/bergamotpitch-core/src/settings.rs
@@ -6,6 +6,10 @@
 
 use crate::documents::parse_document;
 use crate::errors::{Result, field_error};
+use crate::ranges::{self, check_range};
+
+/// Fewest characters of the secret that all instances share.
+pub const SHARED_KEY_LEAST_BYTES: usize = 16;
 
 /// `RouterSettings` is what a router process is told about itself and its surroundings.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -94,23 +98,41 @@
 }
 
 fn check_router_settings(file: &str, settings: &RouterSettings) -> Result<()> {
-    if settings.shared_key.len() < 16 {
-        return Err(field_error(
-            file,
-            "shared_key",
-            "is shorter than 16 characters; use a longer secret",
-        ));
+    for (field, name) in [("instance", &settings.instance), ("domain", &settings.domain)] {
+        if name.is_empty() {
+            return Err(field_error(file, field, "is empty; give it a name"));
+        }
+    }
+    if settings.shared_key.len() < SHARED_KEY_LEAST_BYTES {
+        let reason = "is shorter than 16 characters; use a longer secret";
+        return Err(field_error(file, "shared_key", reason));
     }
-    let positive = [
-        ("tick_ms", settings.tick_ms),
-        ("body_limit_bytes", settings.body_limit_bytes as u64),
-        ("deadline_ms", settings.deadline_ms),
-        ("traffic_threads", settings.traffic_threads as u64),
+    // Peers answer to the number that this address names; 0.0.0.0 would reach nobody.
+    if settings.peer_address.ip().is_unspecified() {
+        let reason = format!("{} cannot be reached; use an IP number", settings.peer_address);
+        return Err(field_error(file, "peer_address", reason));
+    }
+    check_addresses(file, settings)?;
+    let numbers = [
+        ("tick_ms", settings.tick_ms, &ranges::TICK_MS),
+        ("body_limit_bytes", settings.body_limit_bytes as u64, &ranges::BODY_LIMIT_BYTES),
+        ("deadline_ms", settings.deadline_ms, &ranges::DEADLINE_MS),
+        ("drain_limit_ms", settings.drain_limit_ms, &ranges::DRAIN_LIMIT_MS),
+        ("traffic_threads", settings.traffic_threads as u64, &ranges::TRAFFIC_THREADS),
     ];
-    for (field, value) in positive {
-        if value == 0 {
-            return Err(field_error(file, field, "is 0; it must be at least 1"));
-        }
+    for (field, value, range) in numbers {
+        check_range(file, field, value, range)?;
+    }
+    Ok(())
+}
+
+fn check_addresses(file: &str, settings: &RouterSettings) -> Result<()> {
+    let caller = settings.caller_address;
+    let operator = settings.operator_address;
+    // Port 0 lets the system choose, so that two of them do not clash.
+    if caller == operator && caller.port() != 0 {
+        let reason = format!("{operator} is the caller address as well; use another port");
+        return Err(field_error(file, "operator_address", reason));
     }
     Ok(())
 }
--- a/crates/bergamotpitch-core/src/sheets.rs
+++ b/crates/bergamotpitch-core/src/sheets.rs
@@ -3,10 +3,10 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString, IntoStaticStr};
 
-use crate::collections::HashMap;
+pub use crate::checks::check_sheet;
 use crate::documents::parse_document;
-use crate::errors::{Error, Result, field_error};
-use crate::ids::{SheetVersion, id_of_name};
+use crate::errors::Result;
+use crate::ids::SheetVersion;
 use crate::units::CostUnits;
 
 /// `Sheet` is the whole configuration that is accepted and put in force as one.
@@ -142,84 +142,6 @@
     Ok(sheet)
 }
 
-/// `check_sheet` checks names, references and ranges.
-///
-/// # Errors
-///
-/// Names the field and the reason of the first fault found.
-pub fn check_sheet(file: &str, sheet: &Sheet) -> Result<()> {
-    let domains =
-        unique_names(file, "domains", sheet.domains.iter().map(|entry| entry.name.as_str()))?;
-    let services =
-        unique_names(file, "services", sheet.services.iter().map(|entry| entry.name.as_str()))?;
-    unique_names(file, "upstreams", sheet.upstreams.iter().map(|entry| entry.name.as_str()))?;
-    unique_names(file, "teams", sheet.teams.iter().map(|entry| entry.name.as_str()))?;
-    for (index, upstream) in sheet.upstreams.iter().enumerate() {
-        let field = |name: &str| format!("upstreams[{index}].{name}");
-        known_name(file, &field("service"), &services, &upstream.service)?;
-        known_name(file, &field("domain"), &domains, &upstream.domain)?;
-        if upstream.slots == 0 {
-            return Err(field_error(
-                file,
-                &field("slots"),
-                "is 0; an upstream needs at least 1 slot",
-            ));
-        }
-    }
-    for (index, team) in sheet.teams.iter().enumerate() {
-        check_team(file, index, team, &services)?;
-    }
-    Ok(())
-}
-
-fn check_team(file: &str, index: usize, team: &TeamEntry, services: &NameTable<'_>) -> Result<()> {
-    let field = |name: &str| format!("teams[{index}].{name}");
-    if team.share == 0 {
-        return Err(field_error(file, &field("share"), "is 0; a team with no share would starve"));
-    }
-    let is_hash =
-        team.key_hash.len() == 64 && team.key_hash.bytes().all(|byte| byte.is_ascii_hexdigit());
-    if !is_hash {
-        return Err(field_error(file, &field("key_hash"), "is not 64 hexadecimal digits"));
-    }
-    for (position, service) in team.services.iter().enumerate() {
-        known_name(file, &field(&format!("services[{position}]")), services, service)?;
-    }
-    Ok(())
-}
-
-type NameTable<'a> = HashMap<u32, &'a str>;
-
-fn unique_names<'a>(
-    file: &str,
-    list: &str,
-    names: impl Iterator<Item = &'a str>,
-) -> std::result::Result<NameTable<'a>, Error> {
-    let mut table = NameTable::default();
-    for (index, name) in names.enumerate() {
-        let field = format!("{list}[{index}].name");
-        if name.is_empty() || name.contains('/') {
-            return Err(field_error(file, &field, format!("\"{name}\" is empty or holds a slash")));
-        }
-        if let Some(other) = table.insert(id_of_name(name), name) {
-            let reason = if other == name {
-                format!("\"{name}\" stands twice")
-            } else {
-                format!("\"{name}\" and \"{other}\" have the same id; rename one of them")
-            };
-            return Err(field_error(file, &field, reason));
-        }
-    }
-    Ok(table)
-}
-
-fn known_name(file: &str, field: &str, table: &NameTable<'_>, name: &str) -> Result<()> {
-    if table.get(&id_of_name(name)) == Some(&name) {
-        return Ok(());
-    }
-    Err(field_error(file, field, format!("\"{name}\" is not declared in this sheet")))
-}
-
 fn one_cost_unit() -> CostUnits {
     1
 }
