--- a/crates/bergamotpitch-core/src/events.rs
+++ b/crates/bergamotpitch-core/src/events.rs
@@ -2,7 +2,7 @@
 //! files.
 
 use serde::{Deserialize, Serialize};
-use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+use strum::{Display, EnumIter, EnumMessage, EnumString, IntoStaticStr};
 
 /// `EventKind` is one kind of event; its number never changes.
 #[derive(
@@ -17,6 +17,7 @@
     Display,
     EnumString,
     EnumIter,
+    EnumMessage,
     IntoStaticStr,
 )]
 #[strum(serialize_all = "snake_case")]
