Show status and explanations in words, and differing sheets

Cause: the status printed raw documents, an unknown request looked known since routers answer it with an empty list, and team names outside ASCII were lost in the stand-ins' records. Ruled out: a raw print beside the words (the operator port itself gives it). Change: the status is one line a router, with leaving and failing upstreams and a last line when the routers' sheets differ; an explanation prints events in order of time. The test of the unknown request failed before the change, as did the one of differing versions. Conclusion: an operator reads the fleet's state without a JSON tool.

--- a/crates/bergamotpitch-ctl/src/operators.rs
+++ b/crates/bergamotpitch-ctl/src/operators.rs
@@ -1,12 +1,16 @@
 //! Calls to the routers' operator ports: status, explanations and drains.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
+use bergamotpitch_core::events::EventRecord;
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
 
 use crate::errors::{Error, Result};
 use crate::settings::RouterEntry;
@@ -17,6 +21,44 @@
 /// Largest answer that is read, in bytes.
 const ANSWER_LIMIT_BYTES: usize = 16 << 20;
 
+/// `RouterStatus` is the part of a router's status that is shown.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize)]
+#[serde(default)]
+pub struct RouterStatus {
+    /// Failure domain that it stands in.
+    pub domain: String,
+    /// Version of the sheet in force; 0 when there is none.
+    pub sheet_version: u64,
+    /// True when the balancer should send requests there.
+    pub ready: bool,
+    /// True when it is leaving.
+    pub draining: bool,
+    /// Requests that wait there.
+    pub queued_requests: u64,
+    /// Requests that run there.
+    pub running_requests: u64,
+    /// Upstreams of the sheet in force.
+    pub upstreams: Vec<UpstreamStatus>,
+}
+
+/// `UpstreamStatus` is the part of an upstream's status that is shown.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize)]
+#[serde(default)]
+pub struct UpstreamStatus {
+    /// Name of the upstream.
+    pub name: String,
+    /// True when it gets no new work because it is leaving.
+    pub leaving: bool,
+    /// True when it gets no new work because it failed.
+    pub failing: bool,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Explanation {
+    events: Vec<EventRecord>,
+}
+
 /// `status` asks every router how it is; one that does not answer is shown as such.
 ///
 /// # Errors
@@ -25,12 +67,12 @@
 pub async fn status(routers: &[RouterEntry]) -> Result<String> {
     let mut text = String::new();
     let mut last_error = Error::NoRouters;
-    let mut answered = 0;
+    let mut versions = BTreeSet::new();
     for (router, answer) in routers.iter().zip(ask_all(routers, "/status").await) {
-        match answer {
-            Ok(answer) => {
-                answered += 1;
-                text.push_str(&format!("{}: {}\n", router.name, answer.body.trim()));
+        match answer.and_then(|answer| parse_answer::<RouterStatus>(router, "/status", &answer)) {
+            Ok(status) => {
+                versions.insert(status.sheet_version);
+                text.push_str(&render_status(&router.name, &status));
             }
             Err(error) => {
                 text.push_str(&format!("{}: does not answer: {error}\n", router.name));
@@ -38,10 +80,39 @@
             }
         }
     }
-    if answered == 0 { Err(last_error) } else { Ok(text) }
+    if versions.is_empty() {
+        return Err(last_error);
+    }
+    if 1 < versions.len() {
+        let versions: Vec<String> = versions.iter().map(u64::to_string).collect();
+        let versions = versions.join(", ");
+        text.push_str(&format!("the sheet is not the same everywhere: versions {versions}\n"));
+    }
+    Ok(text)
 }
 
-/// `explain` asks every router what became of a request.
+fn render_status(name: &str, status: &RouterStatus) -> String {
+    let readiness = match (status.draining, status.ready) {
+        (true, _) => "draining",
+        (false, true) => "ready",
+        (false, false) => "not ready",
+    };
+    let mut text = format!(
+        "{name}: {}, {readiness}, sheet version {}, {} queued, {} running\n",
+        status.domain, status.sheet_version, status.queued_requests, status.running_requests
+    );
+    for upstream in &status.upstreams {
+        if upstream.leaving {
+            text.push_str(&format!("{name}: {} is leaving\n", upstream.name));
+        }
+        if upstream.failing {
+            text.push_str(&format!("{name}: {} is failing\n", upstream.name));
+        }
+    }
+    text
+}
+
+/// `explain` asks every router what became of a request, and prints its events in order of time.
 ///
 /// # Errors
 ///
@@ -50,20 +121,22 @@
     if routers.is_empty() {
         return Err(Error::NoRouters);
     }
-    let mut text = String::new();
+    let mut events = Vec::new();
     let mut silent = Vec::new();
     let path = format!("/explain/{request}");
     for (router, answer) in routers.iter().zip(ask_all(routers, &path).await) {
         match answer {
             Ok(answer) if answer.status.is_success() => {
-                text.push_str(&format!("{}: {}\n", router.name, answer.body.trim()));
+                events.extend(parse_answer::<Explanation>(router, &path, &answer)?.events);
             }
+            // A router that does not know the request says so with another status.
             Ok(_) => {}
             Err(_) => silent.push(router.name.as_str()),
         }
     }
-    if !text.is_empty() {
-        return Ok(text);
+    events.sort_by_key(|event| event.time_us);
+    if !events.is_empty() {
+        return Ok(events.iter().map(render_event).collect());
     }
     let silent = match silent.len() {
         0 => String::new(),
@@ -72,6 +145,23 @@
     Err(Error::UnknownRequest { request: request.to_owned(), silent })
 }
 
+fn render_event(event: &EventRecord) -> String {
+    let mut text = format!("{} {} {} {}", event.time_us, event.process, event.number, event.kind);
+    let subjects = [
+        ("team", &event.team),
+        ("service", &event.service),
+        ("upstream", &event.upstream),
+        ("detail", &event.detail),
+    ];
+    for (name, value) in subjects {
+        if let Some(value) = value {
+            text.push_str(&format!(" {name}={value}"));
+        }
+    }
+    text.push('\n');
+    text
+}
+
 /// `drain` asks one router to leave.
 ///
 /// # Errors
@@ -98,6 +188,18 @@
     body: String,
 }
 
+fn parse_answer<T: DeserializeOwned>(
+    router: &RouterEntry,
+    path: &str,
+    answer: &RouterAnswer,
+) -> Result<T> {
+    if !answer.status.is_success() {
+        let reason = format!("status {}: {}", answer.status, answer.body.trim());
+        return Err(router_error(router, path, reason));
+    }
+    serde_json::from_str(&answer.body).map_err(|error| router_error(router, path, error))
+}
+
 async fn ask_all(routers: &[RouterEntry], path: &str) -> Vec<Result<RouterAnswer>> {
     let mut asked = Vec::new();
     for router in routers {
--- a/crates/bergamotpitch-ctl/tests/router_calls.rs
+++ b/crates/bergamotpitch-ctl/tests/router_calls.rs
@@ -14,12 +14,23 @@
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
 
+const STATUS: &str = r#"{"instance":"router-1","domain":"zuid-a","sheet_version":3,"ready":true,
+    "draining":false,"queued_requests":2,"running_requests":7,"members":[],"teams":[],
+    "upstreams":[{"name":"e1","leaving":true,"failing":false},
+                 {"name":"e2","leaving":false,"failing":false}]}"#;
+
+const EXPLANATION: &str = r#"{"request":"r1","events":[
+    {"time_us":5,"process":"router-1","number":100,"kind":"request_arrived","team":"goes"},
+    {"time_us":9,"process":"router-1","number":103,"kind":"request_refused",
+     "detail":"queue_full"}]}"#;
+
 /// Starts a router's operator port that knows the request `r1` and drains.
-async fn start_operator_port() -> (Server, RouterEntry) {
-    let handler = Arc::new(|request: Request<Incoming>| {
+async fn start_operator_port(status: &'static str) -> (Server, RouterEntry) {
+    let handler = Arc::new(move |request: Request<Incoming>| {
         let answer = match (request.method(), request.uri().path()) {
-            (&Method::GET, "/status") => text_answer(StatusCode::OK, "{\"sheet_version\":3}"),
-            (&Method::GET, "/explain/r1") => text_answer(StatusCode::OK, "queued, then answered"),
+            (&Method::GET, "/status") => text_answer(StatusCode::OK, status),
+            (&Method::GET, "/explain/r1") => text_answer(StatusCode::OK, EXPLANATION),
+            (&Method::GET, "/explain/r2") => text_answer(StatusCode::OK, r#"{"events":[]}"#),
             (&Method::POST, "/drain") => text_answer(StatusCode::OK, "draining"),
             _ => text_answer(StatusCode::NOT_FOUND, "unknown"),
         };
@@ -39,31 +50,53 @@
 
 #[tokio::test]
 async fn fleet_status() {
-    let (server, router) = start_operator_port().await;
+    let (server, router) = start_operator_port(STATUS).await;
     let text = status(&[router, silent_router()]).await.unwrap();
     let lines: Vec<&str> = text.lines().collect();
-    assert_eq!(lines[0], "router-1: {\"sheet_version\":3}");
-    assert!(lines[1].starts_with("router-2: does not answer: "), "{text}");
+    assert_eq!(lines[0], "router-1: zuid-a, ready, sheet version 3, 2 queued, 7 running");
+    assert_eq!(lines[1], "router-1: e1 is leaving");
+    assert!(lines[2].starts_with("router-2: does not answer: "), "{text}");
     assert!(matches!(status(&[silent_router()]).await, Err(Error::Router { .. })));
     server.close().await;
 }
 
+/// One router cannot reach the platform nor a peer and goes on under an old sheet. An operator who
+/// looks after the morning's sheet must be told.
+#[tokio::test]
+async fn versions_differ() {
+    let (new, first) = start_operator_port(STATUS).await;
+    let (old, second) = start_operator_port(r#"{"domain":"zuid-a","sheet_version":2}"#).await;
+    let text = status(&[first, second]).await.unwrap();
+    assert!(text.ends_with("the sheet is not the same everywhere: versions 2, 3\n"), "{text}");
+    new.close().await;
+    old.close().await;
+}
+
 #[tokio::test]
 async fn explained_request() {
-    let (server, router) = start_operator_port().await;
+    let (server, router) = start_operator_port(STATUS).await;
     let routers = [silent_router(), router];
-    assert_eq!(explain(&routers, "r1").await.unwrap(), "router-1: queued, then answered\n");
-    let error = explain(&routers, "r9").await.unwrap_err();
     assert_eq!(
-        error.to_string(),
-        "no router that answers knows the request \"r9\"; these did not answer: router-2"
+        explain(&routers, "r1").await.unwrap(),
+        "5 router-1 100 request_arrived team=goes\n\
+         9 router-1 103 request_refused detail=queue_full\n"
     );
+    for unknown in ["r2", "r9"] {
+        let error = explain(&routers, unknown).await.unwrap_err();
+        assert_eq!(
+            error.to_string(),
+            format!(
+                "no router that answers knows the request \"{unknown}\"; these did not answer: \
+                 router-2"
+            )
+        );
+    }
     server.close().await;
 }
 
 #[tokio::test]
 async fn drained_router() {
-    let (server, router) = start_operator_port().await;
+    let (server, router) = start_operator_port(STATUS).await;
     let routers = [router, silent_router()];
     assert!(drain(&routers, "router-1").await.unwrap().starts_with("router-1 is draining"));
     let error = drain(&routers, "router-7").await.unwrap_err();
--- a/crates/bergamotpitch-standin/src/bodies.rs
+++ b/crates/bergamotpitch-standin/src/bodies.rs
@@ -68,9 +68,10 @@
     response
 }
 
-/// `header_text` returns a header of a request as text.
+/// `header_text` returns a header of a request as text; names of teams may hold any letter.
 pub fn header_text(request: &http::request::Parts, name: &str) -> Option<String> {
-    request.headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
+    let value = request.headers.get(name)?;
+    Some(String::from_utf8_lossy(value.as_bytes()).into_owned())
 }
 
 /// `query_value` returns one parameter of a query, undecoded; `Some("")` when it has no value.
