--- a/crates/bergamotpitch-ctl/tests/common/mod.rs
+++ b/crates/bergamotpitch-ctl/tests/common/mod.rs
@@ -1,6 +1,9 @@
 //! Helpers of this crate's tests: a stand-in platform, its client and sheet files.
 #![allow(dead_code, reason = "each test file uses a part of the helpers")]
 
+pub mod fields;
+pub mod pages;
+
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
--- a/crates/bergamotpitch-standin/src/commands.rs
+++ b/crates/bergamotpitch-standin/src/commands.rs
@@ -1,6 +1,5 @@
 //! The command line of `bergamotpitch-standin`.
 
-use std::net::SocketAddr;
 use std::process::ExitCode;
 
 use crate::batches::BatchOptions;
@@ -96,7 +95,7 @@
 
 fn run(flags: flags::BergamotpitchStandin) -> Result<()> {
     match flags.subcommand {
-        flags::BergamotpitchStandinCmd::Platform(platform) => host(platform_fleet(&platform)),
+        flags::BergamotpitchStandinCmd::Platform(platform) => host(platform_fleet(&platform)?),
         flags::BergamotpitchStandinCmd::Engine(engine) => host(engine_fleet(engine)),
         flags::BergamotpitchStandinCmd::Service(service) => host(service_fleet(service)),
         flags::BergamotpitchStandinCmd::Fleet(fleet) => host(read_fleet_options(&fleet.file)?),
@@ -109,15 +108,18 @@
     }
 }
 
-fn platform_fleet(flags: &flags::Platform) -> FleetOptions {
+fn platform_fleet(flags: &flags::Platform) -> Result<FleetOptions> {
+    if flags.address.is_empty() {
+        return Err(Error::NoAddress);
+    }
     let rates = crate::calls::RateLimits {
         writes_per_s: flags.writes_per_s.unwrap_or(0),
         reads_per_s: flags.reads_per_s.unwrap_or(0),
     };
     let list_lag_ms = flags.list_lag_ms.unwrap_or(0);
-    let addresses: Vec<SocketAddr> = flags.address.clone();
+    let addresses = flags.address.clone();
     let platform = Some(PlatformOptions { addresses, rates, list_lag_ms });
-    FleetOptions { platform, ..FleetOptions::default() }
+    Ok(FleetOptions { platform, ..FleetOptions::default() })
 }
 
 fn engine_fleet(flags: flags::Engine) -> FleetOptions {
--- a/crates/bergamotpitch-standin/src/errors.rs
+++ b/crates/bergamotpitch-standin/src/errors.rs
@@ -27,6 +27,8 @@
         /// What the system said.
         reason: std::io::Error,
     },
+    /// platform: no address was given; add --address IP:PORT
+    NoAddress,
     /// the runtime does not start: {0}
     Runtime(std::io::Error),
 }
--- a/crates/bergamotpitch-standin/src/faults.rs
+++ b/crates/bergamotpitch-standin/src/faults.rs
@@ -1,7 +1,14 @@
 //! Faults of stand-ins, set over HTTP.
 
+use bergamotpitch_core::documents::parse_document;
+use bergamotpitch_core::ranges::{Range, check_range};
 use serde::{Deserialize, Serialize};
 
+use crate::errors::Result;
+
+/// Writes of which the answer is lost, in percent.
+const LOSE_ANSWERS_PERCENT: Range = 0..=100;
+
 /// `UpstreamFaults` are the faults of one upstream; a default one has none.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -57,3 +64,20 @@
         }
     }
 }
+
+/// `parse_platform_faults` reads and checks faults of the platform.
+///
+/// # Errors
+///
+/// Names the field and the reason of the first fault found.
+///
+/// ```
+/// use bergamotpitch_standin::faults::parse_platform_faults;
+/// assert!(parse_platform_faults(r#"{ "lose_answers_percent": 101 }"#).is_err());
+/// ```
+pub fn parse_platform_faults(text: &str) -> Result<PlatformFaults> {
+    let faults: PlatformFaults = parse_document("/_faults", text)?;
+    let percent = u64::from(faults.lose_answers_percent);
+    check_range("/_faults", "lose_answers_percent", percent, &LOSE_ANSWERS_PERCENT)?;
+    Ok(faults)
+}
--- a/crates/bergamotpitch-standin/src/fleets.rs
+++ b/crates/bergamotpitch-standin/src/fleets.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use bergamotpitch_core::HashSet;
 use bergamotpitch_core::documents::parse_document;
 use bergamotpitch_core::errors::{field_error, unreadable_error};
 use bytes::Bytes;
@@ -79,21 +80,45 @@
 /// ```
 pub fn parse_fleet_options(file: &str, text: &str) -> Result<FleetOptions> {
     let options: FleetOptions = parse_document(file, text)?;
+    check_names(file, &options)?;
     for (index, engine) in options.engines.iter().enumerate() {
-        if engine.batch.slots == 0 {
-            let field = format!("engines[{index}].batch.slots");
-            return Err(field_error(file, &field, "is 0; an engine needs at least 1 slot").into());
-        }
+        let field = |name: &str| format!("engines[{index}].batch.{name}");
+        at_least_one(file, &field("slots"), engine.batch.slots)?;
+        at_least_one(file, &field("prompt_tokens_per_step"), engine.batch.prompt_tokens_per_step)?;
     }
     for (index, service) in options.services.iter().enumerate() {
-        if service.slots == 0 {
-            let field = format!("services[{index}].slots");
-            return Err(field_error(file, &field, "is 0; a service needs at least 1 slot").into());
-        }
+        at_least_one(file, &format!("services[{index}].slots"), service.slots)?;
+    }
+    if options.platform.as_ref().is_some_and(|platform| platform.addresses.is_empty()) {
+        let reason = "is empty; name an address to listen on";
+        return Err(field_error(file, "platform.addresses", reason).into());
     }
     Ok(options)
 }
 
+fn at_least_one(file: &str, field: &str, value: u32) -> Result<()> {
+    if value == 0 {
+        return Err(field_error(file, field, "is 0; it must be at least 1").into());
+    }
+    Ok(())
+}
+
+/// Records name their upstream; with one name twice nobody could tell whose they are.
+fn check_names(file: &str, options: &FleetOptions) -> Result<()> {
+    let engines = options.engines.iter().enumerate();
+    let engines = engines.map(|(index, engine)| (format!("engines[{index}].name"), &engine.name));
+    let services = options.services.iter().enumerate();
+    let services =
+        services.map(|(index, service)| (format!("services[{index}].name"), &service.name));
+    let mut names = HashSet::default();
+    for (field, name) in engines.chain(services) {
+        if !names.insert(name) {
+            return Err(field_error(file, &field, format!("\"{name}\" stands twice")).into());
+        }
+    }
+    Ok(())
+}
+
 /// `start_fleet` starts the platform first and then every upstream, each registered once it listens.
 ///
 /// # Errors
--- a/crates/bergamotpitch-standin/src/platforms.rs
+++ b/crates/bergamotpitch-standin/src/platforms.rs
@@ -20,7 +20,7 @@
 };
 use crate::calls::{Bucket, CallCounts, RateLimits};
 use crate::errors::Result;
-use crate::faults::PlatformFaults;
+use crate::faults::{PlatformFaults, parse_platform_faults};
 use crate::instances::{InstanceChange, apply_change};
 use crate::lags::{Lagged, publish};
 use crate::servers::{Crashes, Server, serve};
@@ -206,7 +206,7 @@
 fn answer_admin(entrance: &Entrance, call: &Call) -> Response<Body> {
     match (&call.method, call.path.as_str()) {
         (&Method::GET, "/_faults") => json_answer(StatusCode::OK, &*lock_faults(entrance)),
-        (&Method::POST, "/_faults") => match serde_json::from_slice(&call.body) {
+        (&Method::POST, "/_faults") => match parse_platform_faults(&text_of(&call.body)) {
             Ok(faults) => set_faults(entrance, faults),
             Err(error) => text_answer(StatusCode::BAD_REQUEST, error.to_string()),
         },
@@ -241,6 +241,10 @@
     }
 }
 
+fn text_of(body: &[u8]) -> String {
+    String::from_utf8_lossy(body).into_owned()
+}
+
 fn set_faults(entrance: &Entrance, faults: PlatformFaults) -> Response<Body> {
     if 0 < faults.down_ms {
         // The server lives as long as its handler, so the order always arrives.
--- a/crates/bergamotpitch-standin/tests/command_lines.rs
+++ b/crates/bergamotpitch-standin/tests/command_lines.rs
@@ -32,12 +32,22 @@
         "batch": { "slots": 0 } }] }"#;
     std::fs::write(&file, bad).unwrap();
     let output = standin(&["check", "--file", &file]);
-    assert_eq!(output.status.code(), Some(1));
+    assert_eq!(output.status.code(), Some(1), "{}", text(&output.stdout));
     assert_eq!(
         text(&output.stderr),
         format!(
-            "bergamotpitch-standin: {file}: engines[0].batch.slots: is 0; an engine needs at \
-             least 1 slot\n"
+            "bergamotpitch-standin: {file}: engines[0].batch.slots: is 0; it must be at least \
+             1\n"
         )
     );
 }
+
+#[test]
+fn platform_without_address() {
+    let output = standin(&["platform"]);
+    assert_eq!(output.status.code(), Some(1));
+    assert_eq!(
+        text(&output.stderr),
+        "bergamotpitch-standin: platform: no address was given; add --address IP:PORT\n"
+    );
+}
