--- a/crates/bergamotpitch-wire/tests/sheet_fetch.rs
+++ b/crates/bergamotpitch-wire/tests/sheet_fetch.rs
@@ -112,9 +112,10 @@
 fn accepted(version: u64) -> AcceptedSheet {
     let upstreams: Vec<String> = (version..version + 3)
         .map(|number| {
+            let port = 9000 + number;
             format!(
                 r#"{{ "name": "u{number}", "service": "s", "domain": "a",
-                     "address": "127.0.0.1:9000", "slots": {version} }}"#
+                     "address": "127.0.0.1:{port}", "slots": {version} }}"#
             )
         })
         .collect();
