Let two instances of a domain watch the sheet, and fresh ones choose whom to believe

Cause: every instance held a watch at the platform, whose calls grow with the fleet; and an instance that restarted while the platform was out took the first sheet it heard of, also from a peer that had slept. Ruled out: asking a majority of the domain before a first sheet, as two instances of a domain could then never restart one; refusing any peer's sheet while the platform is out, as a domain cut off has to go on serving. Change: watchers by rendezvous order among instances that reach the platform; a fresh instance listens for a second, fetches the newest version heard and never begins below it; an instance that slept says so until the platform or a peer confirms its sheet.

--- a/crates/bergamotpitch-control/src/inputs.rs
+++ b/crates/bergamotpitch-control/src/inputs.rs
@@ -63,8 +63,10 @@
     },
     /// The platform's instance list was read; it lags.
     Listed(Vec<ListedInstance>),
-    /// A sheet was read from the platform or from a peer.
+    /// A sheet was read from the platform.
     SheetLearned(Arc<AcceptedSheet>),
+    /// A sheet was fetched from a peer.
+    PeerSheetLearned(Arc<AcceptedSheet>),
     /// The key-value service answered, or failed to.
     PlatformReachable(bool),
     /// The operator, or a signal, asked this instance to leave.
--- a/crates/bergamotpitch-control/src/lib.rs
+++ b/crates/bergamotpitch-control/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod messages;
 pub mod outputs;
 pub mod requests;
+pub mod sheet_duties;
 pub mod sheets;
 pub mod steps;
 pub mod tables;
--- a/crates/bergamotpitch-control/src/members.rs
+++ b/crates/bergamotpitch-control/src/members.rs
@@ -8,7 +8,7 @@
 use crate::messages::{Heartbeat, Message};
 use crate::outputs::{Event, Output};
 use crate::tables::{Member, Tables};
-use crate::upstreams;
+use crate::{sheet_duties, upstreams};
 
 /// `apply_heartbeat` notes that a peer is alive and takes over what it knows.
 pub fn apply_heartbeat(
@@ -40,13 +40,10 @@
         draining: heartbeat.draining,
     };
     tables.members.insert(sender.instance, member);
+    sheet_duties::apply_heartbeat(tables, sender, &heartbeat, outputs);
     for upstream in heartbeat.leaving_upstreams {
         upstreams::mark_leaving(tables, upstream, outputs);
     }
-    let version = tables.sheet.as_ref().map_or(0, |sheet| sheet.version);
-    if version < heartbeat.sheet_version {
-        outputs.push(Output::FetchSheet { from: sender.address, version: heartbeat.sheet_version });
-    }
 }
 
 /// `run` sends heartbeats and suspects silent peers.
@@ -60,6 +57,8 @@
     tables.heartbeat_sent = Some(tables.now);
     let heartbeat = Heartbeat {
         sheet_version: tables.sheet.as_ref().map_or(0, |sheet| sheet.version),
+        sheet_doubtful: tables.sheet_duty.doubt.is_some(),
+        platform_lost: tables.sheet_duty.platform_lost,
         draining: tables.draining,
         leaving_upstreams: upstreams::leaving(tables),
     };
--- a/crates/bergamotpitch-control/src/messages.rs
+++ b/crates/bergamotpitch-control/src/messages.rs
@@ -18,6 +18,10 @@
 pub struct Heartbeat {
     /// Version of the sheet in force at the sender; 0 when it has none.
     pub sheet_version: SheetVersion,
+    /// True when the sender slept and nobody has confirmed its sheet since.
+    pub sheet_doubtful: bool,
+    /// True when the platform did not answer the sender last.
+    pub platform_lost: bool,
     /// True when the sender is draining.
     pub draining: bool,
     /// Upstreams that the sender knows to be leaving.
--- a/crates/bergamotpitch-control/src/outputs.rs
+++ b/crates/bergamotpitch-control/src/outputs.rs
@@ -39,6 +39,11 @@
     },
     /// Put a sheet in force for the traffic threads.
     PutInForce(Arc<AcceptedSheet>),
+    /// Watch the platform for new sheets, or leave that to others.
+    WatchSheet {
+        /// True when this instance has to watch.
+        watching: bool,
+    },
     /// Fetch a sheet from a peer that has a newer one.
     FetchSheet {
         /// Where the peer is reached.
--- /dev/null
+++ b/crates/bergamotpitch-control/src/sheet_duties.rs
@@ -0,0 +1,230 @@
+//! Sheet duties: who watches the platform for a new sheet, from whom a sheet is fetched, and which
+//! peers a fresh instance may believe.
+//!
+//! An instance never goes back to an older version within its life. What an instance that restarted
+//! without memory may take is the hard part: with the platform out of reach it has only its peers,
+//! and one of them may have slept while all others put a newer version in force.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bergamotpitch_core::HashMap;
+use bergamotpitch_core::ids::{DomainId, InstanceId, SheetVersion};
+use bergamotpitch_core::units::Timestamp;
+
+use crate::inputs::Sender;
+use crate::messages::Heartbeat;
+use crate::outputs::Output;
+use crate::tables::Tables;
+
+/// Instances of one failure domain that watch the platform.
+pub const WATCHERS: usize = 2;
+
+/// Time for which an instance without a sheet listens to its peers before it fetches one.
+pub const SETTLE_TIME: Duration = Duration::from_secs(1);
+
+/// Gap between two steps after which an instance doubts its sheet.
+pub const SLEEP_LIMIT: Duration = Duration::from_secs(3);
+
+/// Time between two fetches by an instance without a sheet.
+const FETCH_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time after a sleep in which heartbeats may still be from before it.
+const BUFFERED_TIME: Duration = Duration::from_secs(2);
+
+/// Answers of the platform after a sleep that end the doubt. The first may have been under way, or
+/// waiting in a buffer, since before the sleep.
+const CONFIRMATIONS: u32 = 2;
+
+/// `SheetDuty` is what an instance knows about where sheets are.
+#[derive(Debug, Default)]
+pub struct SheetDuty {
+    /// When the first step was.
+    pub started: Option<Timestamp>,
+    /// What peers said of their sheets.
+    pub offers: HashMap<InstanceId, SheetOffer>,
+    /// Highest version that a believed peer said it has.
+    pub heard_version: SheetVersion,
+    /// Set while this instance slept and nobody has confirmed its sheet since.
+    pub doubt: Option<Doubt>,
+    /// True when the platform did not answer this instance last.
+    pub platform_lost: bool,
+    /// True when this instance was last asked to watch the platform.
+    pub watching: bool,
+    /// When a sheet was last asked for while there was none.
+    pub fetch_asked: Option<Timestamp>,
+}
+
+/// `SheetOffer` is what one peer said of its sheet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SheetOffer {
+    /// Version in force there; 0 when there is none.
+    pub version: SheetVersion,
+    /// True when the peer doubts its own sheet.
+    pub doubtful: bool,
+    /// True when the peer does not reach the platform.
+    pub platform_lost: bool,
+    /// Where the peer is reached.
+    pub address: SocketAddr,
+    /// When it was last heard.
+    pub heard: Timestamp,
+}
+
+/// `Doubt` is the state of an instance that slept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Doubt {
+    /// When it woke.
+    pub since: Timestamp,
+    /// Answers of the platform that confirmed its sheet since.
+    pub confirmations: u32,
+}
+
+/// `note_time` notices a sleep; it is called before the time of a step is taken over.
+///
+/// A paused instance wakes with an old sheet. If the instances that had a newer one have restarted
+/// and the platform is out, they would take the old sheet from it, and a setting would revert.
+pub fn note_time(tables: &mut Tables, now: Timestamp) {
+    let duty = &mut tables.sheet_duty;
+    if duty.started.is_none() {
+        duty.started = Some(now);
+        return;
+    }
+    if tables.sheet.is_some() && tables.now + SLEEP_LIMIT < now {
+        duty.doubt = Some(Doubt { since: now, confirmations: 0 });
+    }
+}
+
+/// `apply_heartbeat` notes what a peer says of its sheet and fetches a newer one.
+pub fn apply_heartbeat(
+    tables: &mut Tables,
+    sender: Sender,
+    heartbeat: &Heartbeat,
+    outputs: &mut Vec<Output>,
+) {
+    let offer = SheetOffer {
+        version: heartbeat.sheet_version,
+        doubtful: heartbeat.sheet_doubtful,
+        platform_lost: heartbeat.platform_lost,
+        address: sender.address,
+        heard: tables.now,
+    };
+    tables.sheet_duty.offers.insert(sender.instance, offer);
+    if !offer.doubtful {
+        let duty = &mut tables.sheet_duty;
+        duty.heard_version = duty.heard_version.max(offer.version);
+    }
+    let Some(in_force) = tables.sheet.as_ref().map(|sheet| sheet.version) else { return };
+    if in_force < offer.version {
+        outputs.push(Output::FetchSheet { from: offer.address, version: offer.version });
+        return;
+    }
+    let is_confirmed =
+        !offer.doubtful && offer.version != 0 && sender.domain == tables.options.domain;
+    let duty = &mut tables.sheet_duty;
+    if is_confirmed && duty.doubt.is_some_and(|doubt| doubt.since + BUFFERED_TIME < tables.now) {
+        duty.doubt = None;
+    }
+}
+
+/// `note_confirmation` counts an answer of the platform towards the end of a doubt.
+pub fn note_confirmation(tables: &mut Tables, version: SheetVersion) {
+    let in_force = tables.sheet.as_ref().map_or(0, |sheet| sheet.version);
+    if version < in_force {
+        return;
+    }
+    let Some(doubt) = &mut tables.sheet_duty.doubt else { return };
+    doubt.confirmations += 1;
+    if CONFIRMATIONS <= doubt.confirmations {
+        tables.sheet_duty.doubt = None;
+    }
+}
+
+/// `may_begin_with` tells whether an instance without a sheet may put a version in force.
+///
+/// A peer with a newer version was heard, so that the older one would be a step back.
+pub fn may_begin_with(tables: &Tables, version: SheetVersion) -> bool {
+    tables.sheet.is_some() || tables.sheet_duty.heard_version <= version
+}
+
+/// `run` fetches a first sheet and says when this instance has to watch the platform.
+pub fn run(tables: &mut Tables, outputs: &mut Vec<Output>) {
+    let watching = watches_platform(tables);
+    if watching != tables.sheet_duty.watching {
+        tables.sheet_duty.watching = watching;
+        outputs.push(Output::WatchSheet { watching });
+    }
+    if tables.sheet.is_none() {
+        fetch_first_sheet(tables, outputs);
+    }
+}
+
+// The newest version of the peers that were heard is fetched, not the first one: the first may come
+// from the one peer that has missed a change.
+fn fetch_first_sheet(tables: &mut Tables, outputs: &mut Vec<Output>) {
+    let now = tables.now;
+    let duty = &mut tables.sheet_duty;
+    let has_settled = duty.started.is_some_and(|started| started + SETTLE_TIME <= now);
+    let was_asked = duty.fetch_asked.is_some_and(|asked| now < asked + FETCH_INTERVAL);
+    if !has_settled || was_asked {
+        return;
+    }
+    let oldest = now.saturating_sub(tables.options.peer_timeout);
+    let newest = duty
+        .offers
+        .iter()
+        .filter(|(_, offer)| !offer.doubtful && offer.version != 0 && oldest <= offer.heard)
+        .max_by_key(|(instance, offer)| (offer.version, **instance));
+    let Some((_, offer)) = newest else { return };
+    outputs.push(Output::FetchSheet { from: offer.address, version: offer.version });
+    duty.fetch_asked = Some(now);
+}
+
+/// `watches_platform` tells whether this instance has to watch the platform for sheets: as one of
+/// its domain's watchers, or since it has no sheet or doubts the one it has.
+pub fn watches_platform(tables: &Tables) -> bool {
+    tables.sheet.is_none() || tables.sheet_duty.doubt.is_some() || is_sheet_watcher(tables)
+}
+
+/// `is_sheet_watcher` tells whether this instance is one of its domain's watchers.
+///
+/// They are the first in rendezvous order of the live instances that reach the platform. Two views
+/// that differ only cost a further watch: a sheet is accepted by the platform alone.
+pub fn is_sheet_watcher(tables: &Tables) -> bool {
+    let own = Candidate {
+        platform_lost: tables.sheet_duty.platform_lost,
+        weight: rendezvous_weight(tables.options.domain, tables.options.instance),
+    };
+    if tables.draining {
+        return false;
+    }
+    let ahead = tables
+        .members
+        .iter()
+        .filter(|(_, member)| member.domain == tables.options.domain)
+        .filter(|(_, member)| !member.suspected && !member.draining)
+        .map(|(instance, member)| Candidate {
+            platform_lost: tables
+                .sheet_duty
+                .offers
+                .get(instance)
+                .is_some_and(|offer| offer.platform_lost),
+            weight: rendezvous_weight(member.domain, *instance),
+        })
+        .filter(|candidate| candidate < &own)
+        .count();
+    ahead < WATCHERS
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Candidate {
+    platform_lost: bool,
+    weight: u64,
+}
+
+// SplitMix64's finalizer: ids are hashes already, the mixing makes each domain's order its own.
+fn rendezvous_weight(domain: DomainId, instance: InstanceId) -> u64 {
+    let mut mixed = (u64::from(domain) << 32) | u64::from(instance);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
--- a/crates/bergamotpitch-control/src/sheets.rs
+++ b/crates/bergamotpitch-control/src/sheets.rs
@@ -7,6 +7,7 @@
 use bergamotpitch_core::sheets::AcceptedSheet;
 
 use crate::outputs::{Event, Output};
+use crate::sheet_duties;
 use crate::tables::{Tables, Team, Upstream};
 
 /// `apply_sheet` puts a sheet in force when its version is newer than the one in force.
@@ -14,7 +15,7 @@
     let in_force = tables.sheet.as_ref().map_or(0, |sheet| sheet.version);
     // A peer with an older sheet, or a late answer, must not bring an old version back: operators
     // would see a setting revert. Versions only rise.
-    if sheet.version <= in_force {
+    if sheet.version <= in_force || !sheet_duties::may_begin_with(tables, sheet.version) {
         return;
     }
     fill_upstreams(tables, &sheet);
--- a/crates/bergamotpitch-control/src/steps.rs
+++ b/crates/bergamotpitch-control/src/steps.rs
@@ -6,7 +6,7 @@
 use crate::messages::Message;
 use crate::outputs::Output;
 use crate::tables::Tables;
-use crate::{dispatches, members, requests, sheets, upstreams};
+use crate::{dispatches, members, requests, sheet_duties, sheets, upstreams};
 
 /// `step` applies inputs at a time and runs every system over the tables.
 ///
@@ -21,10 +21,12 @@
 /// ```
 pub fn step(tables: &mut Tables, now: Timestamp, inputs: Vec<Input>) -> Vec<Output> {
     let mut outputs = Vec::new();
+    sheet_duties::note_time(tables, now);
     tables.now = tables.now.max(now);
     for input in inputs {
         apply_input(tables, input, &mut outputs);
     }
+    sheet_duties::run(tables, &mut outputs);
     members::run(tables, &mut outputs);
     requests::run(tables, &mut outputs);
     dispatches::run(tables, &mut outputs);
@@ -52,8 +54,12 @@
             upstreams::mark_leaving(tables, upstream, outputs);
         }
         Input::Listed(list) => upstreams::apply_list(tables, &list, outputs),
-        Input::SheetLearned(sheet) => sheets::apply_sheet(tables, sheet, outputs),
-        Input::PlatformReachable(_reachable) => {}
+        Input::SheetLearned(sheet) => {
+            sheet_duties::note_confirmation(tables, sheet.version);
+            sheets::apply_sheet(tables, sheet, outputs);
+        }
+        Input::PeerSheetLearned(sheet) => sheets::apply_sheet(tables, sheet, outputs),
+        Input::PlatformReachable(reachable) => tables.sheet_duty.platform_lost = !reachable,
         Input::DrainBegun => requests::apply_drain(tables, outputs),
     }
 }
--- a/crates/bergamotpitch-control/src/tables.rs
+++ b/crates/bergamotpitch-control/src/tables.rs
@@ -14,6 +14,7 @@
 use bergamotpitch_core::units::{CostUnits, Timestamp};
 
 use crate::inputs::Arrival;
+use crate::sheet_duties::SheetDuty;
 
 /// `Options` are the constants of one control state.
 #[derive(Debug, Clone)]
@@ -60,6 +61,8 @@
     pub now: Timestamp,
     /// Sheet in force.
     pub sheet: Option<Arc<AcceptedSheet>>,
+    /// What is known of where sheets are.
+    pub sheet_duty: SheetDuty,
     /// True once this instance is leaving.
     pub draining: bool,
     /// Other instances.
--- a/crates/bergamotpitch-proof/src/links.rs
+++ b/crates/bergamotpitch-proof/src/links.rs
@@ -93,7 +93,7 @@
     }
     let way = delay(fleet, fleet.routers[instance].place, fleet.routers[other].place);
     let incarnation = fleet.routers[instance].incarnation;
-    let input = Input::SheetLearned(sheet);
+    let input = Input::PeerSheetLearned(sheet);
     post(fleet, fleet.now + way * 2, Delivery::ToRouter { incarnation, instance, input });
 }
 
--- a/crates/bergamotpitch-router/src/contexts.rs
+++ b/crates/bergamotpitch-router/src/contexts.rs
@@ -97,6 +97,8 @@
     pub metrics: Metrics,
     /// True once the last request of a drain has ended; set by the control thread.
     pub drained: watch::Sender<bool>,
+    /// True while this instance has to watch the platform; set by the control thread.
+    pub watching: watch::Sender<bool>,
     started: Instant,
     next_request: AtomicU64,
     draining: AtomicBool,
@@ -123,6 +125,7 @@
             events,
             metrics,
             drained: watch::Sender::new(false),
+            watching: watch::Sender::new(true),
             started: Instant::now(),
             next_request: AtomicU64::new(1),
             draining: AtomicBool::new(false),
--- a/crates/bergamotpitch-router/src/controls.rs
+++ b/crates/bergamotpitch-router/src/controls.rs
@@ -144,6 +144,9 @@
             control.context.snapshot.store(Arc::new(Snapshot::of_sheet(&accepted)));
             control.context.accepted.store(Some(accepted));
         }
+        Output::WatchSheet { watching } => {
+            control.context.watching.send_replace(watching);
+        }
         Output::FetchSheet { from, version: _ } => {
             let _ = control.sends.try_send(PeerOutput::FetchSheet { from });
         }
--- a/crates/bergamotpitch-router/src/peers.rs
+++ b/crates/bergamotpitch-router/src/peers.rs
@@ -132,7 +132,7 @@
 
 async fn fetch(context: Arc<Context>, keys: Keys, from: SocketAddr) {
     match fetch_sheet(from, &keys, context.instance, context.incarnation).await {
-        Ok(accepted) => context.observe(Input::SheetLearned(Arc::new(accepted))).await,
+        Ok(accepted) => context.observe(Input::PeerSheetLearned(Arc::new(accepted))).await,
         Err(error) => log::warn!("the sheet could not be fetched from {from}: {error}"),
     }
 }
--- a/crates/bergamotpitch-router/src/platforms.rs
+++ b/crates/bergamotpitch-router/src/platforms.rs
@@ -28,7 +28,12 @@
 async fn watch_sheet(context: Arc<Context>, platform: Platform) {
     let mut index = 0;
     let mut reachable = None;
+    let mut watching = context.watching.subscribe();
     loop {
+        // A waiting watch counts as a call, so that most instances leave it to a few of theirs.
+        if watching.wait_for(|watching| *watching).await.is_err() {
+            return;
+        }
         let watched = platform.watch_sheet(index).await;
         if reachable != Some(watched.is_ok()) {
             reachable = Some(watched.is_ok());
