Check sheet histories over restarts, pauses, cuts and racing operators

Cause: that an accepted sheet never reverts had to be shown also where instances restart without memory and the platform is out. Ruled out: one loop with traffic for this; the sheets need the platform, fetches and lives, and nothing of the requests. Change: runs of control states around a fake platform with checks that versions rise at each router and over its restarts and are in force in time; operators race over the stand-in while two of five answers get lost, checked for linearizable versions. Conclusion: a domain whose routers all restart while it is cut off is not ready until the cut ends; it never takes an older sheet from a sleeper.

--- a/crates/bergamotpitch-control/src/sheet_duties.rs
+++ b/crates/bergamotpitch-control/src/sheet_duties.rs
@@ -55,6 +55,23 @@
     pub fetch_asked: Option<Timestamp>,
 }
 
+/// `SheetGuards` are the rules that a proof switches off one by one; all are on by default.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SheetGuards {
+    /// A version in force is replaced by a higher one only.
+    pub only_rises: bool,
+    /// An instance that slept doubts its sheet, and fresh ones do not take it.
+    pub doubts_after_sleep: bool,
+    /// A fresh instance listens before it takes a sheet, and takes none below the newest heard.
+    pub settles: bool,
+}
+
+impl Default for SheetGuards {
+    fn default() -> Self {
+        Self { only_rises: true, doubts_after_sleep: true, settles: true }
+    }
+}
+
 /// `SheetOffer` is what one peer said of its sheet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SheetOffer {
@@ -89,7 +106,8 @@
         duty.started = Some(now);
         return;
     }
-    if tables.sheet.is_some() && tables.now + SLEEP_LIMIT < now {
+    let guarded = tables.options.sheet_guards.doubts_after_sleep;
+    if guarded && tables.sheet.is_some() && tables.now + SLEEP_LIMIT < now {
         duty.doubt = Some(Doubt { since: now, confirmations: 0 });
     }
 }
@@ -143,7 +161,8 @@
 ///
 /// A peer with a newer version was heard, so that the older one would be a step back.
 pub fn may_begin_with(tables: &Tables, version: SheetVersion) -> bool {
-    tables.sheet.is_some() || tables.sheet_duty.heard_version <= version
+    let guarded = tables.options.sheet_guards.settles;
+    !guarded || tables.sheet.is_some() || tables.sheet_duty.heard_version <= version
 }
 
 /// `run` fetches a first sheet and says when this instance has to watch the platform.
@@ -162,8 +181,9 @@
 // from the one peer that has missed a change.
 fn fetch_first_sheet(tables: &mut Tables, outputs: &mut Vec<Output>) {
     let now = tables.now;
+    let guarded = tables.options.sheet_guards.settles;
     let duty = &mut tables.sheet_duty;
-    let has_settled = duty.started.is_some_and(|started| started + SETTLE_TIME <= now);
+    let has_settled = !guarded || duty.started.is_some_and(|started| started + SETTLE_TIME <= now);
     let was_asked = duty.fetch_asked.is_some_and(|asked| now < asked + FETCH_INTERVAL);
     if !has_settled || was_asked {
         return;
--- a/crates/bergamotpitch-control/src/sheets.rs
+++ b/crates/bergamotpitch-control/src/sheets.rs
@@ -15,7 +15,8 @@
     let in_force = tables.sheet.as_ref().map_or(0, |sheet| sheet.version);
     // A peer with an older sheet, or a late answer, must not bring an old version back: operators
     // would see a setting revert. Versions only rise.
-    if sheet.version <= in_force || !sheet_duties::may_begin_with(tables, sheet.version) {
+    let is_older = sheet.version <= in_force && tables.options.sheet_guards.only_rises;
+    if is_older || !sheet_duties::may_begin_with(tables, sheet.version) {
         return;
     }
     fill_upstreams(tables, &sheet);
--- a/crates/bergamotpitch-control/src/tables.rs
+++ b/crates/bergamotpitch-control/src/tables.rs
@@ -14,7 +14,7 @@
 use bergamotpitch_core::units::{CostUnits, Timestamp};
 
 use crate::inputs::Arrival;
-use crate::sheet_duties::SheetDuty;
+use crate::sheet_duties::{SheetDuty, SheetGuards};
 
 /// `Options` are the constants of one control state.
 #[derive(Debug, Clone)]
@@ -35,6 +35,8 @@
     pub peer_timeout: Duration,
     /// Seed of the random source.
     pub seed: u64,
+    /// Rules on sheets that a proof switches off.
+    pub sheet_guards: SheetGuards,
 }
 
 impl Default for Options {
@@ -48,6 +50,7 @@
             heartbeat_interval: Duration::from_millis(200),
             peer_timeout: Duration::from_millis(1_000),
             seed: 1,
+            sheet_guards: SheetGuards::default(),
         }
     }
 }
--- a/crates/bergamotpitch-proof/src/lib.rs
+++ b/crates/bergamotpitch-proof/src/lib.rs
@@ -14,5 +14,7 @@
 pub mod measures;
 pub mod observers;
 pub mod randoms;
+pub mod sheet_histories;
+pub mod sheet_runs;
 pub mod slopes;
 pub mod workloads;
