--- a/crates/bergamotpitch-core/src/lib.rs
+++ b/crates/bergamotpitch-core/src/lib.rs
@@ -5,8 +5,10 @@
 pub mod errors;
 pub mod events;
 pub mod ids;
+pub mod packing;
 pub mod refusals;
 pub mod settings;
+pub mod sheet_changes;
 pub mod sheets;
 pub mod units;
 
--- a/crates/bergamotpitch-platform/tests/operator_histories.rs
+++ b/crates/bergamotpitch-platform/tests/operator_histories.rs
@@ -67,7 +67,7 @@
     common::set_faults(&stage, faults).await;
     let begun = Arc::new(Mutex::new(Vec::new()));
     let operators = (0..OPERATORS).map(|operator| {
-        let platform = common::client(stage.standin.addresses[0]);
+        let platform = stage.platform.clone();
         tokio::spawn(operate(platform, operator, Arc::clone(&begun)))
     });
     for operator in futures::future::join_all(operators).await {
--- a/crates/bergamotpitch-proof/src/lib.rs
+++ b/crates/bergamotpitch-proof/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod measures;
 pub mod observers;
 pub mod randoms;
+pub mod scenarios;
+pub mod schedules;
 pub mod sheet_histories;
 pub mod sheet_runs;
 pub mod slopes;
