Begin by watching the sheet, and say only when that changes

Cause: the first step of every control state put out a watch order, though an instance begins by watching; the step's doc example failed on it. Ruled out: changing the example, which states that an idle step is silent. Change: the table holds whether the watch is left to others. Conclusion: the doc tests pass again.

--- a/crates/bergamotpitch-control/src/sheet_duties.rs
+++ b/crates/bergamotpitch-control/src/sheet_duties.rs
@@ -49,8 +49,8 @@
     pub doubt: Option<Doubt>,
     /// True when the platform did not answer this instance last.
     pub platform_lost: bool,
-    /// True when this instance was last asked to watch the platform.
-    pub watching: bool,
+    /// True when the watch of the platform is left to others; an instance begins by watching.
+    pub left_to_others: bool,
     /// When a sheet was last asked for while there was none.
     pub fetch_asked: Option<Timestamp>,
 }
@@ -168,8 +168,8 @@
 /// `run` fetches a first sheet and says when this instance has to watch the platform.
 pub fn run(tables: &mut Tables, outputs: &mut Vec<Output>) {
     let watching = watches_platform(tables);
-    if watching != tables.sheet_duty.watching {
-        tables.sheet_duty.watching = watching;
+    if watching == tables.sheet_duty.left_to_others {
+        tables.sheet_duty.left_to_others = !watching;
         outputs.push(Output::WatchSheet { watching });
     }
     if tables.sheet.is_none() {
--- a/crates/bergamotpitch-proof/tests/sheet_restarts.rs
+++ b/crates/bergamotpitch-proof/tests/sheet_restarts.rs
@@ -105,7 +105,7 @@
     accept(&mut fleet);
     run_for(&mut fleet, Duration::from_secs(15));
     let watchers: Vec<usize> =
-        (0..3).filter(|router| fleet.routers[*router].tables.sheet_duty.watching).collect();
+        (0..3).filter(|router| !fleet.routers[*router].tables.sheet_duty.left_to_others).collect();
     assert_eq!(watchers.len(), 2);
     cut_platform(&mut fleet, &watchers, true);
     // The other domains cannot help.
@@ -148,7 +148,8 @@
         run_for(&mut fleet, LIMIT);
         assert_eq!(check_times(&fleet.history, &routers, version, accepted, LIMIT), []);
     }
-    let watching = fleet.routers.iter().filter(|router| router.tables.sheet_duty.watching).count();
+    let watching =
+        fleet.routers.iter().filter(|router| !router.tables.sheet_duty.left_to_others).count();
     assert_eq!(watching, 6);
 }
 
