Bound what faulty callers and upstreams can cost, and prove it

Cause: a caller that takes nothing of its answer held an engine's slot for ever, bodies were held without a bound over all teams, and an operator who asked what became of a request right after its end was told too little, since questions were answered before the step that applied the end.

Ruled out: refusing garbage as a plain failure (the operator must see which upstream talks nonsense), and a bound on bodies in the control thread alone (a body is held before that thread hears of its request).

Change: held bytes are counted in units of 1 KiB over all bodies, from the first byte read; pieces of an answer must be taken within 30 s; questions are answered after the step; events of traffic threads pass through the control thread, so that refusals before the queue are explained too; garbage has its own reason. Times and bounds stand in `Options`.

Conclusion: the faults of the list each have their refusal or closed stream and cost others nothing.

--- a/crates/bergamotpitch-control/src/requests.rs
+++ b/crates/bergamotpitch-control/src/requests.rs
@@ -104,7 +104,7 @@
         AttemptOutcome::FailedBeforeAnswer | AttemptOutcome::Garbage => {
             upstreams::mark_failing(tables, upstream, outputs);
             take_out(tables, request);
-            refuse(request, RefusalReason::UpstreamFailed, Ran::Unknown, outputs);
+            refuse(request, reason_of_outcome(outcome), Ran::Unknown, outputs);
         }
         AttemptOutcome::AnswerCut => {
             take_out(tables, request);
@@ -115,6 +115,13 @@
     }
 }
 
+fn reason_of_outcome(outcome: AttemptOutcome) -> RefusalReason {
+    match outcome {
+        AttemptOutcome::Garbage => RefusalReason::UpstreamGarbage,
+        _ => RefusalReason::UpstreamFailed,
+    }
+}
+
 fn end_answered(
     tables: &mut Tables,
     request: RequestId,
--- a/crates/bergamotpitch-router/src/answers.rs
+++ b/crates/bergamotpitch-router/src/answers.rs
@@ -101,7 +101,7 @@
         Begun::Partial { parts, first, rest } => {
             let (sender, receiver) = mpsc::channel(PIECES);
             let cost = cost_of_answer(&call.head.service, parts.status.is_success(), &[]);
-            tokio::spawn(pass_bytes(sender, guard, first, rest, cost));
+            tokio::spawn(pass_bytes(Arc::clone(context), sender, guard, first, rest, cost));
             let frames = futures::StreamExt::map(Pieces::of_channel(receiver), |piece| {
                 piece.map(Frame::<Bytes>::data)
             });
@@ -132,14 +132,28 @@
     response
 }
 
+/// `send_piece` hands a piece to the caller's connection; false when the caller is gone.
+///
+/// A caller that keeps its connection open and takes nothing would otherwise hold an engine's slot
+/// for as long as it likes.
+pub async fn send_piece<T>(
+    context: &Context,
+    sender: &mpsc::Sender<Piece<T>>,
+    piece: Piece<T>,
+) -> bool {
+    let sent = tokio::time::timeout(context.options.delivery_timeout, sender.send(piece)).await;
+    matches!(sent, Ok(Ok(())))
+}
+
 async fn pass_bytes(
+    context: Arc<Context>,
     sender: mpsc::Sender<Piece<Bytes>>,
     guard: CallGuard,
     first: Bytes,
     mut rest: Incoming,
     cost: u64,
 ) {
-    if sender.send(Piece::Data(first)).await.is_err() {
+    if !send_piece(&context, &sender, Piece::Data(first)).await {
         return;
     }
     loop {
@@ -151,7 +165,7 @@
         match frame {
             Some(Ok(frame)) => {
                 let Ok(data) = frame.into_data() else { continue };
-                if sender.send(Piece::Data(data)).await.is_err() {
+                if !send_piece(&context, &sender, Piece::Data(data)).await {
                     return;
                 }
             }
--- a/crates/bergamotpitch-router/src/calls.rs
+++ b/crates/bergamotpitch-router/src/calls.rs
@@ -111,7 +111,7 @@
     let event = Event::of_kind(EventKind::RequestRefused)
         .with_request(request)
         .with_detail(reason.to_string());
-    context.emit(match head {
+    context.note(match head {
         Some(head) => event.with_team(head.team),
         None => event,
     });
@@ -169,7 +169,7 @@
         .with_team(call.head.team)
         .with_upstream(upstream)
         .with_detail(failure.detail);
-    context.emit(event);
+    context.note(event);
     let ended =
         Input::AttemptEnded { request: call.request, outcome: failure.outcome, cost: failure.cost };
     context.observe(ended).await;
--- a/crates/bergamotpitch-router/src/contexts.rs
+++ b/crates/bergamotpitch-router/src/contexts.rs
@@ -14,27 +14,19 @@
 use bergamotpitch_core::settings::RouterSettings;
 use bergamotpitch_core::sheets::AcceptedSheet;
 use bergamotpitch_core::units::Timestamp;
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 
 use crate::events::EventSender;
 use crate::metrics::Metrics;
+use crate::options::Options;
 use crate::snapshots::Snapshot;
 use crate::statuses::{Explanation, Status};
 use crate::transports::UpstreamClient;
 
-/// Requests that one router holds at once, whatever their state.
-pub const CALL_LIMIT: usize = 16_384;
-
-/// Bytes of bodies that one router holds at once.
-pub const HELD_LIMIT_BYTES: usize = 256 << 20;
-
 /// Unit in which held bytes are counted.
 pub const HELD_UNIT_BYTES: usize = 1 << 10;
 
-/// Entries of the channel to the control thread: each request holds one for its end, so that the
-/// end of a request is never lost to a full channel; the rest is for all else.
-pub const CONTROL_CHANNEL_ENTRIES: usize = 2 * CALL_LIMIT;
-
 /// `ControlInput` is one thing that the control thread is told.
 #[derive(Debug)]
 pub enum ControlInput {
@@ -47,6 +39,8 @@
     },
     /// Anything else that happened.
     Observed(Input),
+    /// A traffic thread has an event to write.
+    Noted(Event),
     /// An operator asks for the state.
     AskStatus(oneshot::Sender<Status>),
     /// An operator asks what became of a request.
@@ -73,6 +67,8 @@
 pub struct Context {
     /// Settings of the process.
     pub settings: RouterSettings,
+    /// Times and bounds.
+    pub options: Options,
     /// This instance.
     pub instance: InstanceId,
     /// Its present life.
@@ -106,6 +102,7 @@
     /// `of_settings` makes the context of a process that starts now.
     pub fn of_settings(
         settings: RouterSettings,
+        options: Options,
         controls: mpsc::Sender<ControlInput>,
         events: EventSender,
         metrics: Metrics,
@@ -117,9 +114,9 @@
             accepted: ArcSwapOption::empty(),
             snapshot: ArcSwap::from_pointee(Snapshot::default()),
             controls,
-            free_calls: Arc::new(Semaphore::new(CALL_LIMIT)),
-            free_bytes: Arc::new(Semaphore::new(HELD_LIMIT_BYTES / HELD_UNIT_BYTES)),
-            client: crate::transports::client(),
+            free_calls: Arc::new(Semaphore::new(options.call_limit_requests)),
+            free_bytes: Arc::new(Semaphore::new(options.held_limit_bytes / HELD_UNIT_BYTES)),
+            client: crate::transports::client(&options),
             events,
             metrics,
             drained: watch::Sender::new(false),
@@ -127,6 +124,7 @@
             next_request: AtomicU64::new(1),
             draining: AtomicBool::new(false),
             settings,
+            options,
         }
     }
 
@@ -137,7 +135,8 @@
 
     /// `held_bytes` is how many bytes of bodies are held.
     pub fn held_bytes(&self) -> u64 {
-        (HELD_LIMIT_BYTES - self.free_bytes.available_permits() * HELD_UNIT_BYTES) as u64
+        let free_bytes = self.free_bytes.available_permits() * HELD_UNIT_BYTES;
+        self.options.held_limit_bytes.saturating_sub(free_bytes) as u64
     }
 
     /// `until` is the time left until a timestamp.
@@ -184,6 +183,16 @@
         let _ = self.controls.try_send(ControlInput::Observed(input));
     }
 
+    /// `note` has an event of a traffic thread written, and kept to explain its request.
+    pub fn note(&self, event: Event) {
+        if let Err(error) = self.controls.try_send(ControlInput::Noted(event)) {
+            let (TrySendError::Full(input) | TrySendError::Closed(input)) = error;
+            if let ControlInput::Noted(event) = input {
+                self.emit(event);
+            }
+        }
+    }
+
     /// `emit` writes an event.
     pub fn emit(&self, event: Event) {
         self.metrics.count_event(&event);
--- a/crates/bergamotpitch-router/src/controls.rs
+++ b/crates/bergamotpitch-router/src/controls.rs
@@ -74,18 +74,30 @@
             count = receiver.recv_many(&mut batch, BATCH_INPUTS) => if count == 0 { return },
             _ = ticks.tick() => {}
         }
-        let Some(inputs) = take_in(&mut control, &mut batch) else { return };
-        let outputs = step(&mut control.tables, control.context.now(), inputs);
+        let Some(taken) = take_in(&mut control, &mut batch) else { return };
+        let outputs = step(&mut control.tables, control.context.now(), taken.inputs);
         for output in outputs {
             put_out(&mut control, output);
         }
         publish_drained(&control);
+        for question in taken.questions {
+            answer_question(&control, question);
+        }
     }
 }
 
-/// `take_in` keeps what is for this thread and returns what is for the tables; none at the end.
-fn take_in(control: &mut Control, batch: &mut Vec<ControlInput>) -> Option<Vec<Input>> {
+/// `Taken` is a batch of inputs, sorted out.
+struct Taken {
+    /// For the tables.
+    inputs: Vec<Input>,
+    /// Answered after the step, so that an answer shows all that came before its question.
+    questions: Vec<ControlInput>,
+}
+
+/// `take_in` keeps what is for this thread and sorts out the rest; none at the end.
+fn take_in(control: &mut Control, batch: &mut Vec<ControlInput>) -> Option<Taken> {
     let mut inputs = Vec::with_capacity(batch.len());
+    let mut questions = Vec::new();
     let mut is_closing = false;
     for input in batch.drain(..) {
         match input {
@@ -99,18 +111,25 @@
                 }
                 inputs.push(input);
             }
-            ControlInput::AskStatus(answer) => {
-                let status = status_of_tables(&control.context, &control.tables);
-                let _ = answer.send(status);
-            }
-            ControlInput::AskExplanation(request, answer) => {
-                let explanation = control.recent.explain(&control.context, request);
-                let _ = answer.send(explanation);
-            }
+            ControlInput::Noted(event) => emit(control, event),
+            ControlInput::AskStatus(_) | ControlInput::AskExplanation(..) => questions.push(input),
             ControlInput::Close => is_closing = true,
         }
     }
-    (!is_closing).then_some(inputs)
+    (!is_closing).then_some(Taken { inputs, questions })
+}
+
+fn answer_question(control: &Control, question: ControlInput) {
+    // An operator who no longer waits needs no answer.
+    match question {
+        ControlInput::AskStatus(answer) => {
+            let _ = answer.send(status_of_tables(&control.context, &control.tables));
+        }
+        ControlInput::AskExplanation(request, answer) => {
+            let _ = answer.send(control.recent.explain(&control.context, request));
+        }
+        _ => {}
+    }
 }
 
 /// `ended_request` names the request that needs no further decision after an input.
--- a/crates/bergamotpitch-router/src/drains.rs
+++ b/crates/bergamotpitch-router/src/drains.rs
@@ -8,10 +8,6 @@
 
 use crate::contexts::Context;
 
-/// Shortest drain: the balancer notices within it that this instance is not ready, and what it
-/// still sends meanwhile is refused in clear words instead of by a closed port.
-const SHORTEST_DRAIN: Duration = Duration::from_secs(1);
-
 /// Time between two looks at whether a drain was begun by an operator.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -42,7 +38,7 @@
     let limit = Duration::from_millis(context.settings.drain_limit_ms);
     let mut drained = context.drained.subscribe();
     let ended = async {
-        tokio::time::sleep(SHORTEST_DRAIN.min(limit)).await;
+        tokio::time::sleep(context.options.shortest_drain.min(limit)).await;
         let _ = drained.wait_for(|drained| *drained).await;
     };
     if tokio::time::timeout(limit, ended).await.is_err() {
--- a/crates/bergamotpitch-router/src/guards.rs
+++ b/crates/bergamotpitch-router/src/guards.rs
@@ -67,7 +67,7 @@
         if self.is_queued {
             end.send(ControlInput::Observed(Input::CallerLeft { request }));
         } else {
-            self.context.emit(Event::of_kind(EventKind::CallerLeft).with_request(request));
+            self.context.note(Event::of_kind(EventKind::CallerLeft).with_request(request));
         }
     }
 }
--- a/crates/bergamotpitch-router/src/lib.rs
+++ b/crates/bergamotpitch-router/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod loads;
 pub mod metrics;
 pub mod operators;
+pub mod options;
 pub mod peers;
 pub mod platforms;
 pub mod refusals;
@@ -31,4 +32,5 @@
 pub mod usages;
 
 pub use crate::errors::{Error, Result};
+pub use crate::options::Options;
 pub use crate::routers::Router;
--- a/crates/bergamotpitch-router/src/peers.rs
+++ b/crates/bergamotpitch-router/src/peers.rs
@@ -15,6 +15,9 @@
 /// Messages that may wait to be sent; more are dropped, as the network drops them.
 const SEND_CHANNEL_ENTRIES: usize = 4_096;
 
+/// Times that a port is chosen by the system before that is given up.
+const PORT_TRIES: u32 = 32;
+
 /// `PeerOutput` is one thing to do towards other instances.
 #[derive(Debug)]
 pub enum PeerOutput {
@@ -46,6 +49,19 @@
     ///
     /// `Address` when a port cannot be opened.
     pub async fn open(context: &Arc<Context>) -> Result<Self> {
+        let is_any_port = context.settings.peer_address.port() == 0;
+        let mut tries = 1;
+        loop {
+            let opened = Self::open_once(context).await;
+            // A port that the system chose for datagrams may be in use for connections.
+            if opened.is_ok() || !is_any_port || PORT_TRIES <= tries {
+                return opened;
+            }
+            tries += 1;
+        }
+    }
+
+    async fn open_once(context: &Arc<Context>) -> Result<Self> {
         let address = context.settings.peer_address;
         let keys = Keys::from_shared_key(&context.settings.shared_key);
         let options = Options {
--- a/crates/bergamotpitch-router/src/routers.rs
+++ b/crates/bergamotpitch-router/src/routers.rs
@@ -11,10 +11,11 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
-use crate::contexts::{CONTROL_CHANNEL_ENTRIES, Context, ControlInput};
+use crate::contexts::{Context, ControlInput};
 use crate::errors::Result;
 use crate::events::{ContextCell, EventWriter};
 use crate::metrics::Metrics;
+use crate::options::Options;
 use crate::peers::PeerPorts;
 use crate::{callers, controls, drains, loads, operators, peers, platforms};
 
@@ -37,10 +38,20 @@
     ///
     /// `Address` when an address cannot be served, `EventFile` when events cannot be written.
     pub async fn start(settings: RouterSettings) -> Result<Self> {
+        Self::start_with(settings, Options::default()).await
+    }
+
+    /// `start_with` does so with given times and bounds.
+    ///
+    /// # Errors
+    ///
+    /// The same as of `start`.
+    pub async fn start_with(settings: RouterSettings, options: Options) -> Result<Self> {
         let context_cell = ContextCell::default();
         let events = EventWriter::open(settings.event_file.as_deref(), Arc::clone(&context_cell))?;
-        let (sender, receiver) = mpsc::channel(CONTROL_CHANNEL_ENTRIES);
-        let context = Context::of_settings(settings, sender, events.sender(), Metrics::register()?);
+        let (sender, receiver) = mpsc::channel(control_channel_entries(&options));
+        let context =
+            Context::of_settings(settings, options, sender, events.sender(), Metrics::register()?);
         let context = Arc::new(context);
         context_cell.store(Some(Arc::clone(&context)));
         let ports = PeerPorts::open(&context).await?;
@@ -91,3 +102,10 @@
         context_cell.store(None);
     }
 }
+
+/// `control_channel_entries` sizes the channel to the control thread: each request holds one entry
+/// for its end, so that the end of a request is never lost to a full channel; the rest is for all
+/// else.
+fn control_channel_entries(options: &Options) -> usize {
+    2 * options.call_limit_requests + 1_024
+}
--- a/crates/bergamotpitch-router/src/streams.rs
+++ b/crates/bergamotpitch-router/src/streams.rs
@@ -12,25 +12,19 @@
 use sse_stream::{Sse, SseStream};
 use tokio::sync::mpsc;
 
-use crate::answers::Piece;
+use crate::answers::{Piece, send_piece};
 use crate::attempts;
 use crate::calls::Call;
 use crate::contexts::Context;
 use crate::guards::CallGuard;
 use crate::usages::Tally;
 
-/// Silence after which a stream is taken for broken.
-const STALL_TIMEOUT: Duration = Duration::from_secs(30);
-
 /// Resumes in a row that bring no event before the answer is given up as cut.
 const RESUME_LIMIT: u32 = 4;
 
 /// Pause before the first resume; it doubles with each further one.
 const RESUME_PAUSE: Duration = Duration::from_millis(50);
 
-/// Time for the answer to a resume to begin.
-const RESUME_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Time for the engine to end its answer after the last event; the connection is used again then.
 const END_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -101,7 +95,8 @@
     }
 
     async fn next(&mut self, sender: &mpsc::Sender<Piece<Sse>>) -> Next {
-        let event = tokio::time::timeout(STALL_TIMEOUT, self.events.next());
+        let stall_timeout = self.context.options.stall_timeout;
+        let event = tokio::time::timeout(stall_timeout, self.events.next());
         let event = tokio::select! {
             () = sender.closed() => return Next::CallerLeft,
             event = event => event,
@@ -110,7 +105,7 @@
             Ok(Some(Ok(event))) => Next::Event(event),
             Ok(Some(Err(error))) => Next::Broken(error.to_string()),
             Ok(None) => Next::Broken("it ended before its last event".to_owned()),
-            Err(_) => Next::Broken(format!("no event within {STALL_TIMEOUT:?}")),
+            Err(_) => Next::Broken(format!("no event within {stall_timeout:?}")),
         }
     }
 
@@ -126,7 +121,7 @@
             self.last_id.clone_from(&event.id);
         }
         self.report_progress();
-        sender.send(Piece::Data(event)).await.is_ok()
+        send_piece(&self.context, sender, Piece::Data(event)).await
     }
 
     /// `is_repeated` tells whether an event came before: an engine that resumes too early would
@@ -162,7 +157,7 @@
                 tokio::time::sleep(pause).await;
                 let response =
                     attempts::send(&self.context, &self.call, self.upstream, Some(&last_id));
-                tokio::time::timeout(RESUME_TIMEOUT, response).await
+                tokio::time::timeout(self.context.options.resume_timeout, response).await
             };
             let resumed = tokio::select! {
                 () = sender.closed() => return false,
--- a/crates/bergamotpitch-router/src/transports.rs
+++ b/crates/bergamotpitch-router/src/transports.rs
@@ -8,19 +8,18 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
+use crate::options::Options;
+
 /// `UpstreamClient` sends requests to upstreams over pooled connections.
 pub type UpstreamClient = Client<HttpConnector, Full<Bytes>>;
 
-/// Time for a connection to be made; an upstream that takes longer is as good as gone.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Time for which a connection that carries nothing is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// `client` makes the client towards upstreams.
-pub fn client() -> UpstreamClient {
+pub fn client(options: &Options) -> UpstreamClient {
     let mut connector = HttpConnector::new();
-    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    connector.set_connect_timeout(Some(options.connect_timeout));
     connector.set_nodelay(true);
     Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
--- a/crates/bergamotpitch-router/tests/common/engines.rs
+++ b/crates/bergamotpitch-router/tests/common/engines.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::{Stream, StreamExt};
@@ -98,7 +99,13 @@
 pub fn events(
     events: impl Stream<Item = Result<String, std::io::Error>> + Send + 'static,
 ) -> Response<FakeBody> {
-    let frames = events.map(|event| event.map(|event| Frame::data(Bytes::from(event))));
+    let frames = events.then(|event| async {
+        if event.is_err() {
+            // What came before is on its way when the connection breaks.
+            tokio::time::sleep(Duration::from_millis(30)).await;
+        }
+        event.map(|event| Frame::data(Bytes::from(event)))
+    });
     let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
     let kind = http::HeaderValue::from_static("text/event-stream");
     response.headers_mut().insert("content-type", kind);
--- a/crates/bergamotpitch-router/tests/common/mod.rs
+++ b/crates/bergamotpitch-router/tests/common/mod.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bergamotpitch_core::settings::{RouterSettings, parse_router_settings};
-use bergamotpitch_router::Router;
+use bergamotpitch_router::{Options, Router};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -46,18 +46,15 @@
 impl Fleet {
     /// `start` starts a router that has a sheet with these upstreams in force.
     pub async fn start(upstreams: &Upstreams) -> Self {
-        Self::start_with(upstreams, |_| ()).await
+        Self::start_with(upstreams, Options::default()).await
     }
 
-    /// `start_with` does so with changed settings.
-    pub async fn start_with(
-        upstreams: &Upstreams,
-        change: impl FnOnce(&mut RouterSettings),
-    ) -> Self {
+    /// `start_with` does so with given times and bounds; a drain takes no longer than it must.
+    pub async fn start_with(upstreams: &Upstreams, options: Options) -> Self {
         let platform = FakePlatform::start(&sheet_text(upstreams)).await;
-        let mut settings = settings(platform.address());
-        change(&mut settings);
-        let router = Router::start(settings).await.expect("the router starts");
+        let settings = settings(platform.address());
+        let options = Options { shortest_drain: Duration::from_millis(20), ..options };
+        let router = Router::start_with(settings, options).await.expect("the router starts");
         let fleet =
             Self { router, platform, client: Client::builder(TokioExecutor::new()).build_http() };
         fleet.wait_until_ready().await;
@@ -118,6 +115,16 @@
     }
 }
 
+/// `plain_request` is a call of the plain service.
+pub fn plain_request(method: &str, url: &str, body: &str) -> Request<Full<Bytes>> {
+    Request::builder()
+        .method(method)
+        .uri(url)
+        .header("authorization", format!("Bearer {KEY}"))
+        .body(Full::from(body.to_owned()))
+        .expect("a request")
+}
+
 /// `chat_request` is a request for a stream of events.
 pub fn chat_request(url: &str) -> Request<Full<Bytes>> {
     let body = r#"{"model":"m","stream":true,"messages":[{"role":"user","content":"roses"}]}"#;
