--- a/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/main.rs
+++ b/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/main.rs
@@ -1,6 +1,8 @@
 //! Measures what control costs against its sizes and fits straight lines to it.
 
+mod claims;
 mod flags;
+mod memberships;
 mod memories;
 mod scenes;
 mod sheets;
@@ -31,6 +33,12 @@
     if wants("wires") {
         results.slopes.extend(wires::measure());
     }
+    if wants("claims") {
+        results.slopes.extend(claims::measure());
+    }
+    if wants("memberships") {
+        results.slopes.extend(memberships::measure());
+    }
     if wants("memories") {
         results.slopes.extend(memories::measure(&HEAP));
     }
