--- a/crates/bergamotpitch-core/src/refusals.rs
+++ b/crates/bergamotpitch-core/src/refusals.rs
@@ -1,7 +1,7 @@
 //! Refusals: why a request was not answered by an upstream, and whether it may have run.
 
 use serde::{Deserialize, Serialize};
-use strum::{Display, EnumString, IntoStaticStr};
+use strum::{Display, EnumIter, EnumMessage, EnumString, IntoStaticStr};
 
 /// `Ran` tells whether a refused request may have run at an upstream.
 #[derive(
@@ -37,6 +37,8 @@
     Serialize,
     Deserialize,
     Display,
+    EnumIter,
+    EnumMessage,
     EnumString,
     IntoStaticStr,
 )]
