--- a/crates/bergamotpitch-core/src/events.rs
+++ b/crates/bergamotpitch-core/src/events.rs
@@ -50,6 +50,8 @@
     SheetInForce = 200,
     /// A sheet with a lower or equal version was passed over.
     SheetPassedOver = 201,
+    /// The platform accepted a sheet that an operator applied.
+    SheetAccepted = 202,
     /// A peer was heard for the first time, or with a new incarnation.
     PeerJoined = 300,
     /// A peer has been silent for longer than the timeout.
--- a/crates/bergamotpitch-ctl/src/commands.rs
+++ b/crates/bergamotpitch-ctl/src/commands.rs
@@ -6,6 +6,7 @@
 use strum::EnumString;
 
 use crate::errors::{Error, Result, exit_code, usage_error};
+use crate::events::note_accepted;
 use crate::keys::hash_key;
 use crate::settings::{CtlSettings, parse_router, read_settings};
 use crate::{operators, sheets};
@@ -46,6 +47,8 @@
                 /// Version that an applied sheet follows, as `sheet diff` printed it; the version
                 /// that is accepted now when absent.
                 optional --base version: u64
+                /// File that an accepted sheet is noted in, as an event for the time line.
+                optional --event-file file: String
             }
 
             /// Ask every router how it is.
@@ -148,7 +151,14 @@
     match action {
         SheetAction::Check | SheetAction::Show => sheets::check(&file),
         SheetAction::Diff => sheets::diff(&platform_of(settings)?, &file).await,
-        SheetAction::Apply => sheets::apply(&platform_of(settings)?, &file, sheet.base).await,
+        SheetAction::Apply => {
+            let platform = platform_of(settings)?;
+            let applied = sheets::apply(&platform, &file, sheet.base).await?;
+            if let Some(event_file) = &sheet.event_file {
+                note_accepted(event_file, applied.version)?;
+            }
+            Ok(applied.text)
+        }
     }
 }
 
--- a/crates/bergamotpitch-ctl/src/errors.rs
+++ b/crates/bergamotpitch-ctl/src/errors.rs
@@ -57,6 +57,15 @@
         /// Routers that did not answer, in words; empty when all did.
         silent: String,
     },
+    /// version {version} was accepted, but {file} cannot be written: {reason}
+    EventFile {
+        /// Version that was accepted.
+        version: SheetVersion,
+        /// Event file.
+        file: String,
+        /// What the system said.
+        reason: std::io::Error,
+    },
     /// {what}
     Usage {
         /// What is wrong with the command line, and the remedy.
@@ -72,7 +81,7 @@
 /// ```
 pub fn exit_code(error: &Error) -> u8 {
     match error {
-        Error::Document(_) | Error::UnknownRequest { .. } => 1,
+        Error::Document(_) | Error::UnknownRequest { .. } | Error::EventFile { .. } => 1,
         Error::NoPlatform
         | Error::NoRouters
         | Error::UnknownRouter { .. }
--- a/crates/bergamotpitch-ctl/src/lib.rs
+++ b/crates/bergamotpitch-ctl/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod commands;
 pub mod diffs;
 pub mod errors;
+pub mod events;
 pub mod keys;
 pub mod operators;
 pub mod settings;
--- a/crates/bergamotpitch-ctl/src/sheets.rs
+++ b/crates/bergamotpitch-ctl/src/sheets.rs
@@ -8,6 +8,15 @@
 use crate::diffs::{diff_sheets, render_changes};
 use crate::errors::{Error, Result, platform_error};
 
+/// `Accepted` is a sheet that the platform accepted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Accepted {
+    /// Its version.
+    pub version: SheetVersion,
+    /// What changed, in words.
+    pub text: String,
+}
+
 /// `check` reads a sheet and says what it holds.
 ///
 /// # Errors
@@ -39,7 +48,11 @@
 ///
 /// The file has a fault; another sheet was accepted; the platform is out of reach; or it took the
 /// write and could not be asked afterwards.
-pub async fn apply(platform: &Platform, file: &str, base: Option<SheetVersion>) -> Result<String> {
+pub async fn apply(
+    platform: &Platform,
+    file: &str,
+    base: Option<SheetVersion>,
+) -> Result<Accepted> {
     let text = read_text(file)?;
     let sheet = parse_sheet(file, &text)?;
     let held = platform.read_sheet().await.map_err(platform_error)?;
@@ -50,11 +63,14 @@
     }
     let changes = diff_sheets(held.as_ref().map(|held| &held.sheet), &sheet);
     match platform.apply_sheet(file, &text, base).await.map_err(platform_error)? {
-        Applied::Applied { version } => Ok(format!(
-            "{}applied {file} as version {version}: {} changes against version {base}\n",
-            render_changes(&changes),
-            changes.len()
-        )),
+        Applied::Applied { version } => {
+            let text = format!(
+                "{}applied {file} as version {version}: {} changes against version {base}\n",
+                render_changes(&changes),
+                changes.len()
+            );
+            Ok(Accepted { version, text })
+        }
         Applied::Conflict { version } => {
             Err(Error::Conflict { file: file.to_owned(), base, held: version })
         }
--- a/crates/bergamotpitch-ctl/tests/sheet_apply.rs
+++ b/crates/bergamotpitch-ctl/tests/sheet_apply.rs
@@ -2,7 +2,9 @@
 
 mod common;
 
+use bergamotpitch_core::events::{EventKind, EventRecord};
 use bergamotpitch_ctl::errors::{Error, exit_code};
+use bergamotpitch_ctl::events::note_accepted;
 use bergamotpitch_ctl::sheets::{apply, diff, show};
 use common::{set_faults, sheet_file, start};
 
@@ -10,7 +12,7 @@
 async fn first_and_next() {
     let (standin, platform) = start().await;
     let (one, two) = (sheet_file("next", 1), sheet_file("next", 2));
-    let text = apply(&platform, &one, None).await.unwrap();
+    let text = apply(&platform, &one, None).await.unwrap().text;
     assert!(text.ends_with(&format!("applied {one} as version 1: 4 changes against version 0\n")));
     let text = diff(&platform, &two).await.unwrap();
     assert_eq!(text, "~ team goes: share: 1 -> 2\n1 changes against version 1\n");
@@ -64,8 +66,8 @@
 async fn lost_answer() {
     let (standin, platform) = start().await;
     set_faults(standin.addresses[0], r#"{ "lose_next_answers": 1 }"#).await;
-    let text = apply(&platform, &sheet_file("lost", 1), None).await.unwrap();
-    assert!(text.contains("as version 1"), "{text}");
+    let accepted = apply(&platform, &sheet_file("lost", 1), None).await.unwrap();
+    assert_eq!(accepted.version, 1);
     assert!(show(&platform).await.unwrap().starts_with("// version 1"));
     standin.close().await;
 }
@@ -93,3 +95,17 @@
     assert!(error.to_string().starts_with(&format!("{file}: teams[0].share: ")), "{error}");
     standin.close().await;
 }
+
+#[test]
+fn accepted_event() {
+    let file = format!("{}/accepted.jsonl", env!("CARGO_TARGET_TMPDIR"));
+    // A file of an earlier run would make two lines.
+    let _ = std::fs::remove_file(&file);
+    note_accepted(&file, 7).unwrap();
+    let text = std::fs::read_to_string(&file).unwrap();
+    let event: EventRecord = serde_json::from_str(&text).unwrap();
+    assert_eq!((event.kind, event.number), (EventKind::SheetAccepted, 202));
+    assert_eq!(event.detail.as_deref(), Some("version 7"));
+    let error = note_accepted("/", 7).unwrap_err().to_string();
+    assert!(error.starts_with("version 7 was accepted, but / cannot be written: "), "{error}");
+}
--- a/crates/bergamotpitch-timeline/src/commands.rs
+++ b/crates/bergamotpitch-timeline/src/commands.rs
@@ -9,6 +9,7 @@
 use crate::filters::{Filter, filter_events};
 use crate::pictures::draw;
 use crate::texts::{render_json_lines, render_text};
+use crate::versions::{render_versions, reverts};
 
 mod flags {
     #![allow(missing_docs, reason = "the macro makes items that take no comments")]
@@ -40,6 +41,13 @@
                 optional --svg file: String
             }
 
+            /// Tell for each version of the sheet how long it took to come into force, and whether
+            /// any process went back; the exit code is 1 when one did.
+            cmd sheets {
+                /// Event files of routers and of `bergamotpitch-ctl sheet apply`.
+                repeated files: String
+            }
+
             /// Check that every line of the event files holds an event.
             cmd check {
                 /// Event files of routers.
@@ -59,6 +67,7 @@
     let flags = flags::BergamotpitchTimeline::from_env_or_exit();
     let result = match flags.subcommand {
         flags::BergamotpitchTimelineCmd::Show(show) => run_show(show),
+        flags::BergamotpitchTimelineCmd::Sheets(sheets) => run_sheets(&sheets.files),
         flags::BergamotpitchTimelineCmd::Check(check) => run_check(&check.files),
     };
     match result {
@@ -86,6 +95,17 @@
     Ok(if show.json { render_json_lines(&events) } else { render_text(&events) })
 }
 
+fn run_sheets(names: &[String]) -> Result<String> {
+    let files = read_files(names)?;
+    warn_of_bad_lines(names, &files);
+    let events = merge_events(files);
+    let text = render_versions(&events);
+    match reverts(&events).len() {
+        0 => Ok(text),
+        count => Err(Error::Reverts { count, text }),
+    }
+}
+
 fn run_check(names: &[String]) -> Result<String> {
     let files = read_files(names)?;
     warn_of_bad_lines(names, &files);
--- a/crates/bergamotpitch-timeline/src/errors.rs
+++ b/crates/bergamotpitch-timeline/src/errors.rs
@@ -25,6 +25,13 @@
     },
     /// no event file was given; name one or more
     NoFiles,
+    /// the sheet went back {count} times\n{text}
+    Reverts {
+        /// How often.
+        count: usize,
+        /// Versions and reverts, one a line.
+        text: String,
+    },
     /// {lines} lines are cut or malformed
     BadLines {
         /// How many.
--- a/crates/bergamotpitch-timeline/src/lib.rs
+++ b/crates/bergamotpitch-timeline/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod filters;
 pub mod pictures;
 pub mod texts;
+pub mod versions;
 
 pub use crate::errors::{Error, Result};
