--- a/crates/bergamotpitch-core/src/lib.rs
+++ b/crates/bergamotpitch-core/src/lib.rs
@@ -6,9 +6,11 @@
 pub mod errors;
 pub mod events;
 pub mod ids;
+pub mod packing;
 pub mod ranges;
 pub mod refusals;
 pub mod settings;
+pub mod sheet_changes;
 pub mod sheets;
 pub mod units;
 
