--- a/crates/bergamotpitch-control/src/lib.rs
+++ b/crates/bergamotpitch-control/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod requests;
 pub mod share_messages;
 pub mod shares;
+pub mod sheet_duties;
 pub mod sheet_indexes;
 pub mod sheets;
 pub mod spills;
--- a/crates/bergamotpitch-control/src/steps.rs
+++ b/crates/bergamotpitch-control/src/steps.rs
@@ -8,8 +8,8 @@
 use crate::outputs::Output;
 use crate::tables::Tables;
 use crate::{
-    dispatches, domain_reports, homes, leases, members, requests, shares, sheet_indexes, sheets,
-    upstreams, windows,
+    dispatches, domain_reports, homes, leases, members, requests, shares, sheet_duties,
+    sheet_indexes, sheets, upstreams, windows,
 };
 
 /// `step` applies inputs at a time and runs every system over the tables.
@@ -25,10 +25,12 @@
 /// ```
 pub fn step(tables: &mut Tables, now: Timestamp, inputs: Vec<Input>) -> Vec<Output> {
     let mut outputs = Vec::new();
+    sheet_duties::note_time(tables, now);
     tables.now = tables.now.max(now);
     for input in inputs {
         apply_input(tables, input, &mut outputs);
     }
+    sheet_duties::run(tables, &mut outputs);
     members::run(tables, &mut outputs);
     requests::run(tables, &mut outputs);
     sheet_indexes::run(tables);
@@ -64,8 +66,12 @@
             upstreams::mark_leaving(tables, upstream, outputs);
         }
         Input::Listed(list) => upstreams::apply_list(tables, &list, outputs),
-        Input::SheetLearned(sheet) => sheets::apply_sheet(tables, sheet, outputs),
-        Input::PlatformReachable(_reachable) => {}
+        Input::SheetLearned(sheet) => {
+            sheet_duties::note_confirmation(tables, sheet.version);
+            sheets::apply_sheet(tables, sheet, outputs);
+        }
+        Input::PeerSheetLearned(sheet) => sheets::apply_sheet(tables, sheet, outputs),
+        Input::PlatformReachable(reachable) => tables.sheet_duty.platform_lost = !reachable,
         Input::DrainBegun => requests::apply_drain(tables, outputs),
     }
 }
--- a/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/main.rs
+++ b/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/main.rs
@@ -1,10 +1,13 @@
 //! Measures what control costs against its sizes and fits straight lines to it.
 
+mod claims;
 mod flags;
+mod memberships;
 mod memories;
 mod scenes;
 mod sheets;
 mod ticks;
+mod wires;
 
 use std::time::Duration;
 
@@ -27,6 +30,15 @@
     if wants("sheets") {
         results.slopes.extend(sheets::measure(1));
     }
+    if wants("wires") {
+        results.slopes.extend(wires::measure());
+    }
+    if wants("claims") {
+        results.slopes.extend(claims::measure());
+    }
+    if wants("memberships") {
+        results.slopes.extend(memberships::measure());
+    }
     if wants("memories") {
         results.slopes.extend(memories::measure(&HEAP));
     }
--- a/crates/bergamotpitch-router/src/peers.rs
+++ b/crates/bergamotpitch-router/src/peers.rs
@@ -5,7 +5,9 @@
 
 use bergamotpitch_control::{Input, Message};
 use bergamotpitch_core::sheets::AcceptedSheet;
-use bergamotpitch_wire::{Endpoint, Keys, Options, SheetServer, fetch_sheet, sheet_server};
+use bergamotpitch_wire::{
+    Endpoint, Keys, Options, SheetServer, fetch_sheet, fetch_sheet_since, sheet_server,
+};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
@@ -15,6 +17,9 @@
 /// Messages that may wait to be sent; more are dropped, as the network drops them.
 const SEND_CHANNEL_ENTRIES: usize = 4_096;
 
+/// Times that a port is chosen by the system before that is given up.
+const PORT_TRIES: u32 = 32;
+
 /// `PeerOutput` is one thing to do towards other instances.
 #[derive(Debug)]
 pub enum PeerOutput {
@@ -46,6 +51,19 @@
     ///
     /// `Address` when a port cannot be opened.
     pub async fn open(context: &Arc<Context>) -> Result<Self> {
+        let is_any_port = context.settings.peer_address.port() == 0;
+        let mut tries = 1;
+        loop {
+            let opened = Self::open_once(context).await;
+            // A port that the system chose for datagrams may be in use for connections.
+            if opened.is_ok() || !is_any_port || PORT_TRIES <= tries {
+                return opened;
+            }
+            tries += 1;
+        }
+    }
+
+    async fn open_once(context: &Arc<Context>) -> Result<Self> {
         let address = context.settings.peer_address;
         let keys = Keys::from_shared_key(&context.settings.shared_key);
         let options = Options {
@@ -131,8 +149,13 @@
 }
 
 async fn fetch(context: Arc<Context>, keys: Keys, from: SocketAddr) {
-    match fetch_sheet(from, &keys, context.instance, context.incarnation).await {
-        Ok(accepted) => context.observe(Input::SheetLearned(Arc::new(accepted))).await,
+    let (instance, incarnation) = (context.instance, context.incarnation);
+    let fetched = match context.accepted.load_full() {
+        Some(held) => fetch_sheet_since(from, &keys, instance, incarnation, &held).await,
+        None => fetch_sheet(from, &keys, instance, incarnation).await,
+    };
+    match fetched {
+        Ok(accepted) => context.observe(Input::PeerSheetLearned(Arc::new(accepted))).await,
         Err(error) => log::warn!("the sheet could not be fetched from {from}: {error}"),
     }
 }
--- a/crates/bergamotpitch-standin/src/platforms.rs
+++ b/crates/bergamotpitch-standin/src/platforms.rs
@@ -20,7 +20,7 @@
 };
 use crate::calls::{Bucket, CallCounts, RateLimits};
 use crate::errors::Result;
-use crate::faults::PlatformFaults;
+use crate::faults::{PlatformFaults, parse_platform_faults};
 use crate::instances::{InstanceChange, apply_change};
 use crate::lags::{Lagged, publish};
 use crate::servers::{Crashes, Server, serve};
@@ -108,8 +108,11 @@
 /// # });
 /// ```
 pub async fn start_platform(options: PlatformOptions) -> Result<Platform> {
-    let state =
-        State { rates: options.rates, list_lag_ms: options.list_lag_ms, ..State::default() };
+    // Reads answer index 1 while nothing was written, so the first write must get a higher one: a
+    // watch from index 1 would miss it.
+    let store = Store { index: 1, ..Store::default() };
+    let (rates, list_lag_ms) = (options.rates, options.list_lag_ms);
+    let state = State { store, rates, list_lag_ms, ..State::default() };
     let shared = Arc::new(Shared { state: Mutex::new(state), changed: watch::Sender::new(0) });
     let mut servers = Vec::new();
     for address in options.addresses {
@@ -206,7 +209,7 @@
 fn answer_admin(entrance: &Entrance, call: &Call) -> Response<Body> {
     match (&call.method, call.path.as_str()) {
         (&Method::GET, "/_faults") => json_answer(StatusCode::OK, &*lock_faults(entrance)),
-        (&Method::POST, "/_faults") => match serde_json::from_slice(&call.body) {
+        (&Method::POST, "/_faults") => match parse_platform_faults(&text_of(&call.body)) {
             Ok(faults) => set_faults(entrance, faults),
             Err(error) => text_answer(StatusCode::BAD_REQUEST, error.to_string()),
         },
@@ -241,6 +244,10 @@
     }
 }
 
+fn text_of(body: &[u8]) -> String {
+    String::from_utf8_lossy(body).into_owned()
+}
+
 fn set_faults(entrance: &Entrance, faults: PlatformFaults) -> Response<Body> {
     if 0 < faults.down_ms {
         // The server lives as long as its handler, so the order always arrives.
