--- a/crates/bergamotpitch-router/src/peers.rs
+++ b/crates/bergamotpitch-router/src/peers.rs
@@ -17,6 +17,9 @@
 /// Messages that may wait to be sent; more are dropped, as the network drops them.
 const SEND_CHANNEL_ENTRIES: usize = 4_096;
 
+/// Times that a port is chosen by the system before that is given up.
+const PORT_TRIES: u32 = 32;
+
 /// `PeerOutput` is one thing to do towards other instances.
 #[derive(Debug)]
 pub enum PeerOutput {
@@ -48,6 +51,19 @@
     ///
     /// `Address` when a port cannot be opened.
     pub async fn open(context: &Arc<Context>) -> Result<Self> {
+        let is_any_port = context.settings.peer_address.port() == 0;
+        let mut tries = 1;
+        loop {
+            let opened = Self::open_once(context).await;
+            // A port that the system chose for datagrams may be in use for connections.
+            if opened.is_ok() || !is_any_port || PORT_TRIES <= tries {
+                return opened;
+            }
+            tries += 1;
+        }
+    }
+
+    async fn open_once(context: &Arc<Context>) -> Result<Self> {
         let address = context.settings.peer_address;
         let keys = Keys::from_shared_key(&context.settings.shared_key);
         let options = Options {
@@ -139,7 +155,7 @@
         None => fetch_sheet(from, &keys, instance, incarnation).await,
     };
     match fetched {
-        Ok(accepted) => context.observe(Input::SheetLearned(Arc::new(accepted))).await,
+        Ok(accepted) => context.observe(Input::PeerSheetLearned(Arc::new(accepted))).await,
         Err(error) => log::warn!("the sheet could not be fetched from {from}: {error}"),
     }
 }
