--- a/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/main.rs
+++ b/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/main.rs
@@ -1,6 +1,7 @@
 //! Measures what control costs against its sizes and fits straight lines to it.
 
 mod claims;
+mod costs;
 mod flags;
 mod memberships;
 mod memories;
--- a/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/scenes.rs
+++ b/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/scenes.rs
@@ -18,6 +18,7 @@
 use bergamotpitch_proof::randoms::{self, Random};
 use bergamotpitch_wire::seals;
 
+use crate::costs::{Cost, Meter, cost_of};
 use crate::sheets::large_sheet;
 
 /// Time between two steps; the default of the settings.
@@ -81,38 +82,13 @@
     }
 }
 
-/// `Cost` is what a scene cost.
-#[derive(Debug, Clone, Default)]
-pub struct Cost {
-    /// Mean time of a step, in microseconds, for each of three parts of the run.
-    pub step_us: Vec<f64>,
-    /// Time that 99 of 100 steps stay under, in microseconds.
-    pub step_p99_us: f64,
-    /// Bytes sent a second, by the mean router.
-    pub mean_bytes: f64,
-    /// Bytes sent a second, by the router that sends most.
-    pub most_bytes: f64,
-    /// Of the mean router's bytes, those to other domains.
-    pub far_bytes: f64,
-    /// Messages sent a second, by the mean router.
-    pub messages: f64,
-    /// Requests that ended each second, for each router.
-    pub ended: f64,
-    /// Steps that were measured.
-    pub steps: usize,
-    /// Bytes sent a second by the mean router, by the kind of message.
-    pub kinds: BTreeMap<String, f64>,
-}
-
 struct Router {
     tables: Tables,
     sender: Sender,
     domain: usize,
     inputs: Vec<Input>,
     sequence: u64,
-    sent_bytes: usize,
-    far_bytes: usize,
-    messages: usize,
+    meter: Meter,
 }
 
 enum Due {
@@ -135,7 +111,6 @@
     now: Timestamp,
     ended: usize,
     is_first_round: bool,
-    kinds: BTreeMap<String, f64>,
 }
 
 /// `run` warms a scene up and measures it for some virtual time, or until a limit of real time.
@@ -143,44 +118,21 @@
     let mut run = begin(scene);
     let started = Instant::now();
     while run.now < warm_up && started.elapsed() < limit {
-        tick(&mut run, &mut Vec::new());
+        tick(&mut run);
     }
     run.is_first_round = false;
-    run.kinds.clear();
     for router in &mut run.routers {
-        (router.sent_bytes, router.far_bytes, router.messages) = (0, 0, 0);
+        router.meter = Meter::default();
     }
     run.ended = 0;
     let from = run.now;
-    let mut times = Vec::new();
     let started = Instant::now();
     while run.now < from + measured && (started.elapsed() < limit || run.now < from + TICK * 60) {
-        tick(&mut run, &mut times);
-    }
-    cost_of(&run, times, (run.now - from).as_secs_f64())
-}
-
-fn cost_of(run: &Run, mut times: Vec<f64>, seconds: f64) -> Cost {
-    let mean = |values: &[f64]| values.iter().sum::<f64>() / values.len().max(1) as f64;
-    let step_us = times.chunks(times.len().div_ceil(3).max(1)).map(mean).collect();
-    times.sort_by(f64::total_cmp);
-    let routers = run.routers.len() as f64;
-    let total = |value: fn(&Router) -> usize| {
-        run.routers.iter().map(|router| value(router) as f64).sum::<f64>() / seconds / routers
-    };
-    let most = run.routers.iter().map(|router| router.sent_bytes).max().unwrap_or(0);
-    let kinds = run.kinds.iter().map(|(kind, bytes)| (kind.clone(), bytes / seconds / routers));
-    Cost {
-        step_us,
-        step_p99_us: times.get(times.len() * 99 / 100).copied().unwrap_or(0.0),
-        mean_bytes: total(|router| router.sent_bytes),
-        most_bytes: most as f64 / seconds,
-        far_bytes: total(|router| router.far_bytes),
-        messages: total(|router| router.messages),
-        ended: run.ended as f64 / seconds / routers,
-        steps: times.len(),
-        kinds: kinds.collect(),
+        tick(&mut run);
     }
+    let seconds = (run.now - from).as_secs_f64();
+    let meters: Vec<Meter> = run.routers.into_iter().map(|router| router.meter).collect();
+    cost_of(&meters, run.ended, seconds)
 }
 
 fn accepted(scene: &Scene) -> Arc<AcceptedSheet> {
@@ -230,16 +182,7 @@
             let tables = Tables { options, ..Tables::default() };
             let inputs =
                 vec![Input::PlatformReachable(true), Input::SheetLearned(Arc::clone(&sheet))];
-            Router {
-                tables,
-                sender,
-                domain,
-                inputs,
-                sequence: 1,
-                sent_bytes: 0,
-                far_bytes: 0,
-                messages: 0,
-            }
+            Router { tables, sender, domain, inputs, sequence: 1, meter: Meter::default() }
         })
         .collect();
     let by_address =
@@ -268,11 +211,10 @@
         now: Duration::ZERO,
         ended: 0,
         is_first_round: true,
-        kinds: BTreeMap::new(),
     };
     // The members meet before the load comes.
     while run.now < Duration::from_millis(600) {
-        tick(&mut run, &mut Vec::new());
+        tick(&mut run);
     }
     for domain in 0..scene.domains {
         let slots = scene.engines * scene.slots as usize;
@@ -309,7 +251,7 @@
     (randoms::unit(&mut run.random) * count as f64) as usize
 }
 
-fn tick(run: &mut Run, times: &mut Vec<f64>) {
+fn tick(run: &mut Run) {
     let before = run.now;
     run.now += TICK;
     let now = run.now;
@@ -325,7 +267,7 @@
         let inputs = std::mem::take(&mut router.inputs);
         let started = Instant::now();
         let outputs = step(&mut router.tables, now, inputs);
-        times.push(started.elapsed().as_secs_f64() * 1e6);
+        router.meter.step_us.push(started.elapsed().as_secs_f64() * 1e6);
         for output in outputs {
             apply(run, index, output, &mut sent);
         }
@@ -406,14 +348,9 @@
                 seals::seal_message(&key, &sender, to, &mut router.sequence, sealed_ms, &message)
                     .expect("a message fits its datagrams");
             let bytes: usize = datagrams.iter().map(|datagram| datagram.len() + IP_UDP_BYTES).sum();
-            router.sent_bytes += bytes;
-            router.messages += 1;
-            if run.routers[other].domain != run.routers[index].domain {
-                run.routers[index].far_bytes += bytes;
-            }
-            let kind = format!("{message:?}");
-            let kind = kind.split(['(', ' ', '{']).next().unwrap_or_default().to_owned();
-            *run.kinds.entry(kind).or_default() += bytes as f64;
+            let is_far = run.routers[other].domain != run.routers[index].domain;
+            run.routers[index].meter.note_sent(&message, bytes, is_far);
+            run.routers[other].meter.received_bytes += bytes;
             sent.push((other, Input::Received { sender, message }));
         }
         _ => {}
--- a/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/ticks.rs
+++ b/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/ticks.rs
@@ -4,7 +4,8 @@
 
 use bergamotpitch_proof::slopes::{Point, Slope, repeated, slope_of};
 
-use crate::scenes::{Cost, Scene, run};
+use crate::costs::Cost;
+use crate::scenes::{Scene, run};
 
 const WARM_UP: Duration = Duration::from_millis(1_600);
 const MEASURED: Duration = Duration::from_secs(3);
@@ -16,6 +17,19 @@
     scene: fn(usize) -> Scene,
 }
 
+type Column = (&'static str, &'static str, fn(&Cost) -> Vec<f64>);
+
+/// What is kept of each scene: name, unit and values.
+const COLUMNS: [Column; 7] = [
+    ("step_us", "us", |cost| cost.step_us.clone()),
+    ("most_step_us", "us", |cost| vec![cost.most_step_us]),
+    ("step_p99_us", "us", |cost| vec![cost.step_p99_us]),
+    ("sent_bytes", "bytes/s", |cost| vec![cost.mean_bytes]),
+    ("most_sent_bytes", "bytes/s", |cost| vec![cost.most_bytes]),
+    ("most_received_bytes", "bytes/s", |cost| vec![cost.most_received_bytes]),
+    ("far_sent_bytes", "bytes/s", |cost| vec![cost.far_bytes]),
+];
+
 /// `measure` sweeps teams, backlogged teams, peers, engines, request rate and domains.
 pub fn measure(limit: Duration) -> Vec<Slope> {
     let sweeps = [
@@ -65,11 +79,7 @@
 }
 
 fn measure_sweep(sweep: &Sweep, limit: Duration) -> Vec<Slope> {
-    let mut steps = Vec::new();
-    let mut tails = Vec::new();
-    let mut bytes = Vec::new();
-    let mut most = Vec::new();
-    let mut far = Vec::new();
+    let mut columns: Vec<Vec<Point>> = vec![Vec::new(); COLUMNS.len()];
     for number in sweep.sizes {
         let scene = (sweep.scene)(number);
         let cost = run(&scene, WARM_UP, MEASURED, limit);
@@ -78,25 +88,19 @@
             "requests_per_second" => scene.requests_per_second(),
             _ => number as f64,
         };
-        let single = |value| Point { size, value, spread_percent: 0.0 };
-        steps.push(repeated(size, cost.step_us.clone()));
-        tails.push(single(cost.step_p99_us));
-        bytes.push(single(cost.mean_bytes));
-        most.push(single(cost.most_bytes));
-        far.push(single(cost.far_bytes));
+        for (column, (_, _, values)) in columns.iter_mut().zip(COLUMNS) {
+            column.push(repeated(size, values(&cost)));
+        }
     }
     let fixed = fixed_of(sweep);
-    let name = |what: &str| format!("{what}_by_{}", sweep.variable);
-    let slope = |what: &str, unit: &str, points| {
-        slope_of(&name(what), sweep.variable, unit, fixed.clone(), points)
-    };
-    vec![
-        slope("step_us", "us", steps),
-        slope("step_p99_us", "us", tails),
-        slope("sent_bytes", "bytes/s", bytes),
-        slope("most_sent_bytes", "bytes/s", most),
-        slope("far_sent_bytes", "bytes/s", far),
-    ]
+    COLUMNS
+        .into_iter()
+        .zip(columns)
+        .map(|((what, unit, _), points)| {
+            let name = format!("{what}_by_{}", sweep.variable);
+            slope_of(&name, sweep.variable, unit, fixed.clone(), points)
+        })
+        .collect()
 }
 
 fn fixed_of(sweep: &Sweep) -> String {
@@ -111,13 +115,15 @@
     let kinds: Vec<String> =
         cost.kinds.iter().map(|(kind, bytes)| format!("{kind} {bytes:.0}")).collect();
     eprintln!(
-        "{variable} {number}: step {:.1} us (99%: {:.0}), {:.0} B/s sent (most {:.0}, far {:.0}), \
-         {:.1} messages/s, {:.1} of {:.1} requests/s, {} steps; {}",
+        "{variable} {number}: step {:.1} us (most {:.1}, 99%: {:.0}), {:.0} B/s sent (most {:.0}, far \
+         {:.0}, most received {:.0}), {:.1} messages/s, {:.1} of {:.1} requests/s, {} steps; {}",
         cost.step_us.iter().sum::<f64>() / cost.step_us.len().max(1) as f64,
+        cost.most_step_us,
         cost.step_p99_us,
         cost.mean_bytes,
         cost.most_bytes,
         cost.far_bytes,
+        cost.most_received_bytes,
         cost.messages,
         cost.ended,
         scene.requests_per_second(),
