--- a/crates/bergamotpitch-standin/src/faults.rs
+++ b/crates/bergamotpitch-standin/src/faults.rs
@@ -49,6 +49,9 @@
     pub lose_answers_percent: u32,
     /// Writes that take effect and lose their answer, counted down; it goes before the percentage.
     pub lose_next_answers: u32,
+    /// True when reads of keys show them as they were when this fault was set, as a replica that
+    /// lags does; writes go on.
+    pub frozen: bool,
     /// Time for which connections are broken and refused, in milliseconds; it starts at once.
     pub down_ms: u64,
 }
--- a/crates/bergamotpitch-standin/src/keys.rs
+++ b/crates/bergamotpitch-standin/src/keys.rs
@@ -14,7 +14,7 @@
 use crate::instances::listed_entries;
 use crate::lags;
 use crate::platforms::{Call, Shared, State, lock_state};
-use crate::stores::{self, Entry, ModifyIndex, PutCondition, VALUE_LIMIT_BYTES};
+use crate::stores::{self, Entry, ModifyIndex, PutCondition, Store, VALUE_LIMIT_BYTES};
 
 /// Time that a watch waits when it does not say how long.
 const DEFAULT_WAIT: Duration = Duration::from_secs(300);
@@ -63,6 +63,32 @@
     }
 }
 
+/// `answer_frozen` answers a read from an old copy of the store; a watch sees no change.
+pub async fn answer_frozen(
+    shared: &Shared,
+    mut store: Store,
+    call: &Call,
+    key: &str,
+) -> Response<Body> {
+    let recurse = query_value(&call.query, "recurse").is_some();
+    let watched = query_value(&call.query, "index").and_then(|text| text.parse().ok()).unwrap_or(0);
+    {
+        let mut state = lock_state(shared);
+        count_prefix(&mut state, key);
+        let count = if watched == 0 { &mut state.counts.reads } else { &mut state.counts.watches };
+        *count += 1;
+    }
+    let (index, entries) = stores::read(&mut store, key, recurse, Instant::now());
+    if index <= watched {
+        tokio::time::sleep(wait_of(call)).await;
+    }
+    entries_answer(shared, index, entries)
+}
+
+fn wait_of(call: &Call) -> Duration {
+    query_value(&call.query, "wait").and_then(parse_duration).unwrap_or(DEFAULT_WAIT)
+}
+
 /// `answer_list` answers a call for the instance list.
 pub fn answer_list(shared: &Shared, list: &str) -> Response<Body> {
     let mut state = lock_state(shared);
@@ -107,8 +133,7 @@
     recurse: bool,
     watched: ModifyIndex,
 ) -> Response<Body> {
-    let wait = query_value(&call.query, "wait").and_then(parse_duration).unwrap_or(DEFAULT_WAIT);
-    let ends = Instant::now() + wait;
+    let ends = Instant::now() + wait_of(call);
     let mut changes = shared.changed.subscribe();
     loop {
         changes.borrow_and_update();
--- a/crates/bergamotpitch-standin/src/platforms.rs
+++ b/crates/bergamotpitch-standin/src/platforms.rs
@@ -25,6 +25,7 @@
 use crate::lags::{Lagged, publish};
 use crate::servers::{Crashes, Server, serve};
 use crate::stores::Store;
+use crate::upstreams::lock;
 use crate::{keys, sessions};
 
 /// `PlatformOptions` describe a stand-in platform.
@@ -89,7 +90,7 @@
 
 /// `lock_state` gives access to the state.
 pub fn lock_state(shared: &Shared) -> MutexGuard<'_, State> {
-    shared.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    lock(&shared.state)
 }
 
 /// `start_platform` starts a stand-in platform.
@@ -125,7 +126,7 @@
 async fn start_address(address: SocketAddr, shared: Arc<Shared>) -> Result<Server> {
     let (crashes, crash_orders) = mpsc::unbounded_channel();
     let entrance =
-        Arc::new(Entrance { shared, faults: Mutex::new(PlatformFaults::default()), crashes });
+        Arc::new(Entrance { shared, faults: Mutex::default(), frozen: Mutex::default(), crashes });
     let handler = Arc::new(move |request| answer(Arc::clone(&entrance), request).boxed());
     serve(address, handler, crash_orders).await
 }
@@ -135,6 +136,7 @@
 struct Entrance {
     shared: Arc<Shared>,
     faults: Mutex<PlatformFaults>,
+    frozen: Mutex<Option<Store>>,
     crashes: Crashes,
 }
 
@@ -172,6 +174,12 @@
         lock_state(&entrance.shared).counts.failed += 1;
         return Ok(text_answer(StatusCode::INTERNAL_SERVER_ERROR, "No cluster leader"));
     }
+    let frozen = lock(&entrance.frozen).clone();
+    if let (Some(store), &Method::GET, Some(key)) =
+        (frozen, &call.method, call.path.strip_prefix("/v1/kv/"))
+    {
+        return Ok(keys::answer_frozen(&entrance.shared, store, &call, key).await);
+    }
     let response = answer_call(&entrance.shared, &call).await;
     if call.method != Method::GET && response.status().is_success() && loses_answer(&entrance) {
         lock_state(&entrance.shared).counts.lost_answers += 1;
@@ -253,6 +261,12 @@
         // The server lives as long as its handler, so the order always arrives.
         let _ = entrance.crashes.send(Duration::from_millis(faults.down_ms));
     }
+    let mut frozen = lock(&entrance.frozen);
+    if !faults.frozen {
+        *frozen = None;
+    } else if frozen.is_none() {
+        *frozen = Some(lock_state(&entrance.shared).store.clone());
+    }
     *lock_faults(entrance) = faults;
     text_answer(StatusCode::OK, "set")
 }
@@ -266,5 +280,5 @@
 }
 
 fn lock_faults(entrance: &Entrance) -> MutexGuard<'_, PlatformFaults> {
-    entrance.faults.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    lock(&entrance.faults)
 }
--- a/crates/bergamotpitch-standin/src/stores.rs
+++ b/crates/bergamotpitch-standin/src/stores.rs
@@ -17,7 +17,7 @@
 pub type SessionId = String;
 
 /// `Store` is the state of the key-value service.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Store {
     /// Index of the last change.
     pub index: ModifyIndex,
--- a/crates/bergamotpitch-standin/tests/platform_keys.rs
+++ b/crates/bergamotpitch-standin/tests/platform_keys.rs
@@ -139,3 +139,19 @@
     assert_eq!(read(at, path).await[0]["Service"]["Meta"]["leaving"], "true");
     platform.close().await;
 }
+
+/// One address answers from a replica that lags. Its readers see an old value after others have seen
+/// the new one.
+#[tokio::test]
+async fn frozen_reads() {
+    let platform = platform(2).await;
+    let (old, new) = (platform.addresses[0], platform.addresses[1]);
+    put(new, "/v1/kv/k", "1").await;
+    post(old, "/_faults", r#"{ "frozen": true }"#).await;
+    put(new, "/v1/kv/k", "2").await;
+    assert_eq!(read(old, "/v1/kv/k").await[0]["Value"], "MQ==");
+    assert_eq!(read(new, "/v1/kv/k").await[0]["Value"], "Mg==");
+    post(old, "/_faults", "{}").await;
+    assert_eq!(read(old, "/v1/kv/k").await[0]["Value"], "Mg==");
+    platform.close().await;
+}
