--- a/crates/bergamotpitch-control/src/tables.rs
+++ b/crates/bergamotpitch-control/src/tables.rs
@@ -9,6 +9,7 @@
 use bergamotpitch_core::ids::{
     DomainId, Incarnation, InstanceId, RequestId, ServiceId, TeamId, UpstreamId,
 };
+use bergamotpitch_core::refusals::Ran;
 use bergamotpitch_core::settings::Policy;
 use bergamotpitch_core::sheets::AcceptedSheet;
 use bergamotpitch_core::units::{CostUnits, Timestamp};
@@ -17,6 +18,7 @@
 use crate::homes::Home;
 use crate::inputs::Arrival;
 use crate::leases::Leases;
+use crate::sheet_duties::{SheetDuty, SheetGuards};
 use crate::sheet_indexes::SheetIndex;
 use crate::windows::Window;
 
@@ -39,6 +41,8 @@
     pub peer_timeout: Duration,
     /// Seed of the random source.
     pub seed: u64,
+    /// Rules on sheets that a proof switches off.
+    pub sheet_guards: SheetGuards,
     /// Requests that may wait inside an upstream, to hide the way of the next one.
     pub window_depth_requests: u32,
     /// How far ahead of the domain's frontier a team may use a free slot, in mean requests.
@@ -69,6 +73,7 @@
             heartbeat_interval: Duration::from_millis(200),
             peer_timeout: Duration::from_millis(1_000),
             seed: 1,
+            sheet_guards: SheetGuards::default(),
             window_depth_requests: 2,
             slack_requests: 1.0,
             spill_margin_requests: 2.0,
@@ -90,6 +95,8 @@
     pub now: Timestamp,
     /// Sheet in force.
     pub sheet: Option<Arc<AcceptedSheet>>,
+    /// What is known of where sheets are.
+    pub sheet_duty: SheetDuty,
     /// True once this instance is leaving.
     pub draining: bool,
     /// Other instances.
@@ -195,6 +202,8 @@
     pub arrived: Timestamp,
     /// Attempts begun.
     pub attempts: u32,
+    /// Whether an earlier attempt may have run it, so that a refusal stays true after a retry.
+    pub ran: Ran,
     /// Where it stands.
     pub state: RequestState,
     /// Cost charged to the team so far, in cost units.
