Count control bytes by how far they go

Cause: the demo's table had no control traffic, and the users pay for what crosses regions. Ruled out: classes computed by the control state (it would scan members for each message); the address of a peer is learnt from its own messages. Change: bergamotpitch_control_sent_bytes and _received_bytes with the class inside_domain, across_domains, across_regions or unheard.

--- a/crates/bergamotpitch-router/src/contexts.rs
+++ b/crates/bergamotpitch-router/src/contexts.rs
@@ -18,6 +18,7 @@
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 
 use crate::events::EventSender;
+use crate::links::Links;
 use crate::metrics::Metrics;
 use crate::options::Options;
 use crate::snapshots::Snapshot;
@@ -91,6 +92,8 @@
     pub events: EventSender,
     /// Counters and histograms.
     pub metrics: Metrics,
+    /// Failure domains of the other instances' addresses.
+    pub links: Links,
     /// True once the last request of a drain has ended; set by the control thread.
     pub drained: watch::Sender<bool>,
     /// True while this instance has to watch the platform; set by the control thread.
@@ -121,6 +124,7 @@
             client: crate::transports::client(&options),
             events,
             metrics,
+            links: Links::default(),
             drained: watch::Sender::new(false),
             watching: watch::Sender::new(true),
             started: Instant::now(),
--- a/crates/bergamotpitch-router/src/lib.rs
+++ b/crates/bergamotpitch-router/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod events;
 pub mod guards;
 pub mod headers;
+pub mod links;
 pub mod loads;
 pub mod metrics;
 pub mod operators;
--- a/crates/bergamotpitch-router/src/metrics.rs
+++ b/crates/bergamotpitch-router/src/metrics.rs
@@ -9,13 +9,15 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 
 use crate::errors::{Result, start_error};
+use crate::links::LinkClass;
 
 /// `Metrics` are the instruments of one router.
 pub struct Metrics {
     registry: Registry,
     _provider: SdkMeterProvider,
     events: Counter<u64>,
-    peer_bytes: Counter<u64>,
+    sent_bytes: Counter<u64>,
+    received_bytes: Counter<u64>,
     platform_calls: Counter<u64>,
     first_byte_ms: Histogram<f64>,
     own_time_ms: Histogram<f64>,
@@ -29,10 +31,11 @@
     /// `Start` when the registry refuses them.
     ///
     /// ```
+    /// use bergamotpitch_router::links::LinkClass;
     /// use bergamotpitch_router::metrics::Metrics;
     /// let metrics = Metrics::register().unwrap();
-    /// metrics.count_peer_bytes("out", 90);
-    /// assert!(metrics.text().contains("bergamotpitch_peer_bytes_total"));
+    /// metrics.count_sent_bytes(LinkClass::InsideDomain, 90);
+    /// assert!(metrics.text().contains("bergamotpitch_control_sent_bytes_total"));
     /// ```
     pub fn register() -> Result<Self> {
         let registry = Registry::new();
@@ -47,7 +50,16 @@
             registry,
             _provider: provider,
             events: counter(&meter, "bergamotpitch_events", "Events by kind"),
-            peer_bytes: counter(&meter, "bergamotpitch_peer_bytes", "Bytes to and from instances"),
+            sent_bytes: counter(
+                &meter,
+                "bergamotpitch_control_sent_bytes",
+                "Bytes of control messages sent, by how far they go",
+            ),
+            received_bytes: counter(
+                &meter,
+                "bergamotpitch_control_received_bytes",
+                "Bytes of control messages received, by how far they came",
+            ),
             platform_calls: counter(&meter, "bergamotpitch_platform_calls", "Platform calls"),
             first_byte_ms: histogram(
                 &meter,
@@ -74,9 +86,16 @@
         self.events.add(1, &labels);
     }
 
-    /// `count_peer_bytes` counts bytes to or from other instances.
-    pub fn count_peer_bytes(&self, direction: &'static str, bytes: usize) {
-        self.peer_bytes.add(bytes as u64, &[KeyValue::new("direction", direction)]);
+    /// `count_sent_bytes` counts bytes to another instance.
+    pub fn count_sent_bytes(&self, class: LinkClass, bytes: usize) {
+        let class: &'static str = class.into();
+        self.sent_bytes.add(bytes as u64, &[KeyValue::new("class", class)]);
+    }
+
+    /// `count_received_bytes` counts bytes from another instance.
+    pub fn count_received_bytes(&self, class: LinkClass, bytes: usize) {
+        let class: &'static str = class.into();
+        self.received_bytes.add(bytes as u64, &[KeyValue::new("class", class)]);
     }
 
     /// `count_platform_call` counts a call to the platform; a waiting watch is one.
--- a/crates/bergamotpitch-router/src/peers.rs
+++ b/crates/bergamotpitch-router/src/peers.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use bergamotpitch_control::inputs::Sender;
 use bergamotpitch_control::{Input, Message};
 use bergamotpitch_core::sheets::AcceptedSheet;
 use bergamotpitch_wire::{
@@ -109,7 +110,10 @@
     loop {
         match endpoint.receive().await {
             Ok(received) => {
-                context.metrics.count_peer_bytes("in", received.datagram_bytes);
+                let Sender { address, domain, .. } = received.sender;
+                context.links.note(address, domain);
+                let class = context.links.class(&context.snapshot.load(), context.domain, address);
+                context.metrics.count_received_bytes(class, received.datagram_bytes);
                 let input = Input::Received { sender: received.sender, message: received.message };
                 context.observe(input).await;
             }
@@ -132,7 +136,10 @@
     while let Some(output) = receiver.recv().await {
         match output {
             PeerOutput::Send { to, message } => match endpoint.send(to, &message).await {
-                Ok(bytes) => context.metrics.count_peer_bytes("out", bytes),
+                Ok(bytes) => {
+                    let class = context.links.class(&context.snapshot.load(), context.domain, to);
+                    context.metrics.count_sent_bytes(class, bytes);
+                }
                 Err(error) => log::debug!("a message to {to} was not sent: {error}"),
             },
             PeerOutput::FetchSheet { from } => {
--- a/crates/bergamotpitch-router/src/snapshots.rs
+++ b/crates/bergamotpitch-router/src/snapshots.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 
 use bergamotpitch_core::HashMap;
-use bergamotpitch_core::ids::{ServiceId, SheetVersion, TeamId, UpstreamId, id_of_name};
+use bergamotpitch_core::ids::{
+    DomainId, RegionId, ServiceId, SheetVersion, TeamId, UpstreamId, id_of_name,
+};
 use bergamotpitch_core::sheets::{AcceptedSheet, ServiceEntry, TeamEntry};
 
 /// `Snapshot` is what the traffic threads know of the sheet in force.
@@ -15,6 +17,7 @@
     teams: HashMap<TeamId, TeamEntry>,
     services: HashMap<ServiceId, ServiceEntry>,
     upstreams: HashMap<UpstreamId, KnownUpstream>,
+    regions: HashMap<DomainId, RegionId>,
 }
 
 /// `KnownUpstream` is where an upstream is reached and what it is called.
@@ -57,6 +60,11 @@
             teams,
             services,
             upstreams: upstreams.collect(),
+            regions: sheet
+                .domains
+                .iter()
+                .map(|domain| (id_of_name(&domain.name), id_of_name(&domain.region)))
+                .collect(),
         }
     }
 
@@ -81,6 +89,11 @@
         self.upstreams.get(&upstream)
     }
 
+    /// `region_of` finds the region that a failure domain stands in.
+    pub fn region_of(&self, domain: DomainId) -> Option<RegionId> {
+        self.regions.get(&domain).copied()
+    }
+
     /// `upstreams_of_domain` lists the upstreams of a failure domain.
     pub fn upstreams_of_domain(&self, domain: &str) -> Vec<(UpstreamId, SocketAddr)> {
         self.upstreams
