--- a/crates/bergamotpitch-ctl/tests/settings_page.rs
+++ b/crates/bergamotpitch-ctl/tests/settings_page.rs
@@ -7,6 +7,9 @@
     DomainEntry, ServiceEntry, Sheet, TeamEntry, UpstreamEntry, parse_sheet,
 };
 use bergamotpitch_ctl::settings::{CtlSettings, RouterEntry, parse_settings};
+use bergamotpitch_load::experiments::{
+    self, Experiment, StreamEntry, TokenRange, parse_experiment,
+};
 use bergamotpitch_standin::batches::BatchOptions;
 use bergamotpitch_standin::caches::CacheOptions;
 use bergamotpitch_standin::calls::RateLimits;
@@ -129,6 +132,33 @@
     check_section(&page, "InstanceChange", fields, &change, part::<InstanceChange>);
 }
 
+#[test]
+fn load_tool() {
+    let page = page();
+    let router = json!({ "name": "r", "domain": "d", "caller_address": "127.0.0.1:1",
+        "operator_address": "127.0.0.1:2" });
+    let stream = json!({ "team": "t", "key": "k", "share": 1, "service": "s", "kind": "plain",
+        "rate_per_s": 1.0, "routers": ["r"] });
+    let whole = json!({ "name": "n", "seed": 1, "duration_ms": 1, "routers": [router],
+        "platform_address": "127.0.0.1:3", "streams": [stream] });
+    let parse = |document: &Value| filled(parse_experiment("file", &document.to_string()));
+    check_section(&page, "Experiment", fields_of::<Experiment>(), &whole, parse);
+    let parse_part = |list: &str, entry: &Value| {
+        let mut document = whole.clone();
+        document[list] = json!([entry]);
+        Ok(parse(&document)?[list][0].clone())
+    };
+    let fields = fields_of::<experiments::RouterEntry>();
+    check_section(&page, "Experiment.routers", fields, &router, |entry| {
+        parse_part("routers", entry)
+    });
+    check_section(&page, "StreamEntry", fields_of::<StreamEntry>(), &stream, |entry| {
+        parse_part("streams", entry)
+    });
+    let range = json!({ "least": 1, "most": 1 });
+    check_section(&page, "TokenRange", fields_of::<TokenRange>(), &range, part::<TokenRange>);
+}
+
 /// Every struct that a section names is compared by a test above, so that no section is forgotten.
 #[test]
 fn sections_named() {
