Tell how long a leaving upstream still got requests

Cause: the promise that a leaving upstream gets no new work within seconds had no measure over all processes of a run. Ruled out: the routers' own word that they know (what counts is the last request that any of them gave it). Change: `timeline leavings` finds each leave, the last request after its first notice, and when the last process knew.

--- a/crates/bergamotpitch-timeline/src/commands.rs
+++ b/crates/bergamotpitch-timeline/src/commands.rs
@@ -7,6 +7,7 @@
 use crate::errors::{Error, Result, undrawable_error};
 use crate::files::{EventFile, merge_events, read_file};
 use crate::filters::{Filter, filter_events};
+use crate::leavings::render_leavings;
 use crate::pictures::draw;
 use crate::texts::{render_json_lines, render_text};
 use crate::versions::{render_versions, reverts};
@@ -48,6 +49,12 @@
                 repeated files: String
             }
 
+            /// Tell for each upstream that left how long it still got requests.
+            cmd leavings {
+                /// Event files of routers.
+                repeated files: String
+            }
+
             /// Check that every line of the event files holds an event.
             cmd check {
                 /// Event files of routers.
@@ -68,6 +75,7 @@
     let result = match flags.subcommand {
         flags::BergamotpitchTimelineCmd::Show(show) => run_show(show),
         flags::BergamotpitchTimelineCmd::Sheets(sheets) => run_sheets(&sheets.files),
+        flags::BergamotpitchTimelineCmd::Leavings(leavings) => run_leavings(&leavings.files),
         flags::BergamotpitchTimelineCmd::Check(check) => run_check(&check.files),
     };
     match result {
@@ -106,6 +114,12 @@
     }
 }
 
+fn run_leavings(names: &[String]) -> Result<String> {
+    let files = read_files(names)?;
+    warn_of_bad_lines(names, &files);
+    Ok(render_leavings(&merge_events(files)))
+}
+
 fn run_check(names: &[String]) -> Result<String> {
     let files = read_files(names)?;
     warn_of_bad_lines(names, &files);
--- a/crates/bergamotpitch-timeline/src/lib.rs
+++ b/crates/bergamotpitch-timeline/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod errors;
 pub mod files;
 pub mod filters;
+pub mod leavings;
 pub mod pictures;
 pub mod texts;
 pub mod versions;
