Say "not run" only when true, bound retries, and drain without refusals

Cause: a repeatable request whose first attempt may have run was queued again and, when it was given up there, refused as "not run". Retries had no budget, so that half-dead upstreams got half as much again of load; each tick scanned all requests for passed deadlines; a request that could not make it waited for its deadline all the same; a drain refused what it had already taken in; a leaving mark was never withdrawn.

Ruled out: a budget for attempts that provably did not run (they cost the upstream nothing, and the upstream's own pause bounds them); an estimate of the wait from the rate of hand-overs alone (a team that asks once an hour would be thought to be served once an hour); withdrawing a leaving mark on a report that says otherwise (reports lag).

Change: a request keeps whether an attempt may have run; retries come from a token bucket a team and service, after a doubling pause with jitter from the seed; deadlines and pauses are ordered indexes; the expected wait is the queue's pace times its length, and decides early refusals and the time to come back; failures that come together count once; a drain gives up duties at once, takes requests in for a grace until the balancer notices, and serves what waits; a leaving mark lasts 30 s after the latest evidence, which ages as it travels.

Figures: each guard was turned off once and the named test failed, then passed with it on: truth of "not run" (deadline_after_failure, drain_after_failure, not_repeatable), no repeat of what may not be (not_repeatable), queue bound (flood_of_one_team), early refusal (hopeless_deadline), pace (seldom_asked), budget (half_dead), jitter (spread_retries), one failure a crash (one_crash), lagging reports (lagging_reports), ageing evidence (withdrawn_notice), marks across sheets (across_sheets), queue served in a drain (streams_and_queue). Not caught by a test: a drain that does not wait for the control thread, because the port's own graceful close waits as well.

--- a/crates/bergamotpitch-control/src/inputs.rs
+++ b/crates/bergamotpitch-control/src/inputs.rs
@@ -69,6 +69,8 @@
     PlatformReachable(bool),
     /// The operator, or a signal, asked this instance to leave.
     DrainBegun,
+    /// The process stops soon; what still waits is given up.
+    DrainEnding,
 }
 
 /// `Arrival` is what the control state knows of a request.
--- a/crates/bergamotpitch-control/src/lib.rs
+++ b/crates/bergamotpitch-control/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod inputs;
 pub mod leases;
 pub mod levels;
+pub mod limits;
 pub mod members;
 pub mod messages;
 pub mod outputs;
--- a/crates/bergamotpitch-control/src/members.rs
+++ b/crates/bergamotpitch-control/src/members.rs
@@ -40,9 +40,7 @@
         draining: heartbeat.draining,
     };
     tables.members.insert(sender.instance, member);
-    for upstream in heartbeat.leaving_upstreams {
-        upstreams::mark_leaving(tables, upstream, outputs);
-    }
+    upstreams::apply_leaving_lines(tables, &heartbeat.leaving_upstreams, outputs);
     let version = tables.sheet.as_ref().map_or(0, |sheet| sheet.version);
     if version < heartbeat.sheet_version {
         outputs.push(Output::FetchSheet { from: sender.address, version: heartbeat.sheet_version });
@@ -61,7 +59,10 @@
     let heartbeat = Heartbeat {
         sheet_version: tables.sheet.as_ref().map_or(0, |sheet| sheet.version),
         draining: tables.draining,
-        leaving_upstreams: upstreams::leaving(tables),
+        leaving_upstreams: upstreams::leaving(tables)
+            .into_iter()
+            .filter_map(|upstream| upstreams::leaving_line(tables, upstream))
+            .collect(),
     };
     for to in addresses(tables) {
         outputs.push(Output::Send { to, message: Message::Heartbeat(heartbeat.clone()) });
--- a/crates/bergamotpitch-control/src/messages.rs
+++ b/crates/bergamotpitch-control/src/messages.rs
@@ -29,5 +29,14 @@
     /// True when the sender is draining.
     pub draining: bool,
     /// Upstreams that the sender knows to be leaving.
-    pub leaving_upstreams: Vec<UpstreamId>,
+    pub leaving_upstreams: Vec<LeavingLine>,
+}
+
+/// `LeavingLine` says that an upstream is leaving.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingLine {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Age of the latest evidence for it, in tenths of a second.
+    pub age_ds: u16,
 }
--- a/crates/bergamotpitch-control/src/requests.rs
+++ b/crates/bergamotpitch-control/src/requests.rs
@@ -5,59 +5,76 @@
 use bergamotpitch_core::events::EventKind;
 use bergamotpitch_core::ids::{RequestId, UpstreamId};
 use bergamotpitch_core::refusals::{Ran, RefusalReason};
-use bergamotpitch_core::units::CostUnits;
+use bergamotpitch_core::units::{CostUnits, Timestamp};
 
 use crate::inputs::{Arrival, AttemptOutcome};
+use crate::limits;
 use crate::outputs::{Event, Output, Refusal};
 use crate::tables::{QueueKey, Request, RequestState, Tables};
 use crate::{accounts, upstreams};
 
-/// Attempts that one request may have.
+/// Attempts that one request may have when each of them may have run.
 const ATTEMPT_LIMIT: u32 = 3;
 
+/// Attempts that one request may have when some were proved not to have run.
+const UNRUN_ATTEMPT_LIMIT: u32 = 8;
+
 /// Time after which a refused caller should come back when nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// `apply_arrival` queues a request, or refuses it at once.
 pub fn apply_arrival(tables: &mut Tables, arrival: Arrival, outputs: &mut Vec<Output>) {
-    let event = Event::of_kind(EventKind::RequestArrived)
-        .with_request(arrival.request)
-        .with_team(arrival.team);
+    let request = arrival.request;
+    let event =
+        Event::of_kind(EventKind::RequestArrived).with_request(request).with_team(arrival.team);
     outputs.push(Output::Emit(event));
-    if let Some(reason) = admission_refusal(tables, &arrival) {
-        refuse(arrival.request, reason, Ran::NotRun, outputs);
+    if let Some((reason, wait)) = admission_refusal(tables, &arrival) {
+        refuse(tables, request, reason, Ran::NotRun, wait, outputs);
         return;
     }
-    let key = QueueKey { service: arrival.service, team: arrival.team };
-    tables.queues.entry(key).or_default().push_back(arrival.request);
+    let key = key_of_arrival(&arrival);
+    let percent = tables.teams.get(&arrival.team).map_or(0, |team| team.retry_budget_percent);
+    limits::fill_budget(tables, key, percent);
+    tables.queues.entry(key).or_default().push_back(request);
     count_waiting(tables, &arrival, true);
-    let request = Request {
+    let entry = Request {
         arrived: tables.now,
         attempts: 0,
         state: RequestState::Queued,
         charged_cost: 0,
+        may_have_run: false,
+        paused_until: None,
         arrival,
     };
-    tables.requests.insert(request.arrival.request, request);
+    tables.requests.insert(request, entry);
 }
 
-fn admission_refusal(tables: &Tables, arrival: &Arrival) -> Option<RefusalReason> {
+fn admission_refusal(tables: &Tables, arrival: &Arrival) -> Option<(RefusalReason, Duration)> {
     if tables.sheet.is_none() {
-        return Some(RefusalReason::NotReady);
+        return Some((RefusalReason::NotReady, RETRY_AFTER));
     }
-    if tables.draining {
-        return Some(RefusalReason::Draining);
+    if tables.refusing_from.is_some_and(|from| from <= tables.now) {
+        return Some((RefusalReason::Draining, Duration::ZERO));
     }
     let Some(team) = tables.teams.get(&arrival.team) else {
-        return Some(RefusalReason::UnknownTeam);
+        return Some((RefusalReason::UnknownTeam, RETRY_AFTER));
     };
     if !upstreams::has_live(tables, arrival.service) {
-        return Some(RefusalReason::NoUpstream);
+        return Some((RefusalReason::NoUpstream, RETRY_AFTER));
     }
+    let wait = limits::expected_wait(tables, key_of_arrival(arrival));
     // Without a bound one team's flood would fill the memory that all teams share.
     let is_full = team.queue_limit_requests <= team.waiting_requests
         || team.queue_limit_bytes < team.waiting_bytes + arrival.body_bytes;
-    is_full.then_some(RefusalReason::QueueFull)
+    if is_full {
+        // By then a quarter of the queue has gone, so that callers do not come back in vain.
+        return Some((RefusalReason::QueueFull, wait.unwrap_or(RETRY_AFTER) / 4));
+    }
+    // A request that would only wait for its deadline keeps its caller from asking elsewhere, and
+    // is refused in the end all the same.
+    let patience = arrival.deadline.saturating_sub(tables.now);
+    let excess = wait.and_then(|wait| wait.checked_sub(patience)).filter(|wait| !wait.is_zero());
+    excess.map(|excess| (RefusalReason::DeadlineUnreachable, excess))
 }
 
 /// `apply_caller_left` forgets a request whose caller has gone.
@@ -87,7 +104,6 @@
 ) {
     let Some(entry) = tables.requests.get(&request) else { return };
     let RequestState::Running { upstream } = entry.state else { return };
-    let repeatable = entry.arrival.repeatable;
     if outcome == AttemptOutcome::Answered {
         accounts::settle(tables, request, cost);
     } else {
@@ -95,26 +111,19 @@
     }
     match outcome {
         AttemptOutcome::Answered => {
-            end_answered(tables, request, upstream, outputs);
+            upstreams::mark_sound(tables, upstream, outputs);
+            end(tables, request, upstream, EventKind::RequestAnswered, outputs);
         }
-        AttemptOutcome::ProvedUnrun => {
-            upstreams::mark_failing(tables, upstream, outputs);
-            retry_or_refuse(tables, request, Ran::NotRun, outputs);
+        AttemptOutcome::AnswerCut => {
+            end(tables, request, upstream, EventKind::AnswerCut, outputs);
         }
-        AttemptOutcome::FailedBeforeAnswer | AttemptOutcome::Garbage if repeatable => {
+        AttemptOutcome::ProvedUnrun => {
             upstreams::mark_failing(tables, upstream, outputs);
-            retry_or_refuse(tables, request, Ran::Unknown, outputs);
+            try_elsewhere(tables, request, outputs);
         }
         AttemptOutcome::FailedBeforeAnswer | AttemptOutcome::Garbage => {
             upstreams::mark_failing(tables, upstream, outputs);
-            take_out(tables, request);
-            refuse(request, reason_of_outcome(outcome), Ran::Unknown, outputs);
-        }
-        AttemptOutcome::AnswerCut => {
-            take_out(tables, request);
-            let event =
-                Event::of_kind(EventKind::AnswerCut).with_request(request).with_upstream(upstream);
-            outputs.push(Output::Emit(event));
+            try_again(tables, request, reason_of_outcome(outcome), outputs);
         }
     }
 }
@@ -126,83 +135,158 @@
     }
 }
 
-fn end_answered(
+fn end(
     tables: &mut Tables,
     request: RequestId,
     upstream: UpstreamId,
+    kind: EventKind,
     outputs: &mut Vec<Output>,
 ) {
     take_out(tables, request);
-    let event =
-        Event::of_kind(EventKind::RequestAnswered).with_request(request).with_upstream(upstream);
-    outputs.push(Output::Emit(event));
+    outputs.push(Output::Emit(Event::of_kind(kind).with_request(request).with_upstream(upstream)));
 }
 
-fn retry_or_refuse(tables: &mut Tables, request: RequestId, ran: Ran, outputs: &mut Vec<Output>) {
+/// `try_elsewhere` queues a request that provably did not run. It costs no retry: the upstream that
+/// turned it away gets nothing more until its pause is over.
+fn try_elsewhere(tables: &mut Tables, request: RequestId, outputs: &mut Vec<Output>) {
     let Some(entry) = take_out(tables, request) else { return };
-    if ATTEMPT_LIMIT <= entry.attempts || tables.draining {
-        refuse(request, RefusalReason::UpstreamFailed, ran, outputs);
+    if UNRUN_ATTEMPT_LIMIT <= entry.attempts {
+        give_up(tables, &entry, RefusalReason::UpstreamFailed, outputs);
+        return;
+    }
+    queue_again(tables, entry, None, outputs);
+}
+
+/// `try_again` queues a request whose failed attempt may have run, if that may be repeated.
+fn try_again(
+    tables: &mut Tables,
+    request: RequestId,
+    reason: RefusalReason,
+    outputs: &mut Vec<Output>,
+) {
+    let Some(mut entry) = take_out(tables, request) else { return };
+    // From here on "not run" would be a lie, however long the request waits again.
+    entry.may_have_run = true;
+    if !entry.arrival.repeatable || ATTEMPT_LIMIT <= entry.attempts {
+        give_up(tables, &entry, reason, outputs);
+        return;
+    }
+    if entry.arrival.deadline <= tables.now {
+        give_up(tables, &entry, RefusalReason::DeadlinePassed, outputs);
         return;
     }
+    if !limits::take_retry(tables, key_of_arrival(&entry.arrival)) {
+        give_up(tables, &entry, RefusalReason::RetryBudgetSpent, outputs);
+        return;
+    }
+    let until = tables.now + limits::retry_pause(tables, request, entry.attempts);
+    queue_again(tables, entry, Some(until), outputs);
+}
+
+fn queue_again(
+    tables: &mut Tables,
+    entry: Request,
+    paused_until: Option<Timestamp>,
+    outputs: &mut Vec<Output>,
+) {
+    let request = entry.arrival.request;
     outputs.push(Output::Emit(Event::of_kind(EventKind::RequestRetried).with_request(request)));
-    let key = QueueKey { service: entry.arrival.service, team: entry.arrival.team };
-    tables.queues.entry(key).or_default().push_front(request);
     count_waiting(tables, &entry.arrival, true);
-    let queued = Request { state: RequestState::Queued, charged_cost: 0, ..entry };
+    match paused_until {
+        Some(until) => {
+            tables.limits.pauses.insert((until, request));
+        }
+        None => {
+            let key = key_of_arrival(&entry.arrival);
+            tables.queues.entry(key).or_default().push_front(request);
+        }
+    }
+    let queued = Request { state: RequestState::Queued, charged_cost: 0, paused_until, ..entry };
     tables.requests.insert(request, queued);
 }
 
-/// `apply_drain` stops taking requests in and gives up those that wait.
+/// `apply_drain` gives up duties at once and stops taking requests in after a grace, within which
+/// the balancer notices. What waits goes on to be served: it came before the drain, and its caller
+/// would lose its place elsewhere.
 pub fn apply_drain(tables: &mut Tables, outputs: &mut Vec<Output>) {
+    if tables.draining {
+        return;
+    }
     tables.draining = true;
+    tables.refusing_from = Some(tables.now + tables.options.drain_grace);
     outputs.push(Output::Emit(Event::of_kind(EventKind::DrainBegan)));
-    let mut waiting: Vec<RequestId> = tables
-        .requests
-        .iter()
-        .filter(|(_, entry)| entry.state == RequestState::Queued)
-        .map(|(request, _)| *request)
-        .collect();
+}
+
+/// `apply_drain_end` gives up what still waits: the process stops soon.
+pub fn apply_drain_end(tables: &mut Tables, outputs: &mut Vec<Output>) {
+    tables.refusing_from = Some(tables.now);
+    let mut waiting: Vec<RequestId> =
+        tables.limits.deadlines.iter().map(|(_, request)| *request).collect();
     waiting.sort_unstable();
     for request in waiting {
-        take_out(tables, request);
-        refuse(request, RefusalReason::Draining, Ran::NotRun, outputs);
+        let Some(entry) = take_out(tables, request) else { continue };
+        give_up(tables, &entry, RefusalReason::Draining, outputs);
     }
 }
 
-/// `run` gives up requests whose deadline passed while they waited.
+/// `run` gives up requests whose deadline passed while they waited, and ends pauses.
+///
+/// Both are found by an index: a scan of all requests in each tick would cost more the longer the
+/// queues are, which is when the control thread has least time.
 pub fn run(tables: &mut Tables, outputs: &mut Vec<Output>) {
-    let now = tables.now;
-    let mut late: Vec<RequestId> = tables
-        .requests
-        .iter()
-        .filter(|(_, entry)| entry.state == RequestState::Queued && entry.arrival.deadline <= now)
-        .map(|(request, _)| *request)
-        .collect();
-    late.sort_unstable();
-    for request in late {
-        take_out(tables, request);
-        refuse(request, RefusalReason::DeadlinePassed, Ran::NotRun, outputs);
+    while let Some((deadline, request)) = tables.limits.deadlines.first().copied()
+        && deadline <= tables.now
+    {
+        let Some(entry) = take_out(tables, request) else {
+            tables.limits.deadlines.pop_first();
+            continue;
+        };
+        give_up(tables, &entry, RefusalReason::DeadlinePassed, outputs);
+    }
+    while let Some((until, request)) = tables.limits.pauses.first().copied()
+        && until <= tables.now
+    {
+        tables.limits.pauses.pop_first();
+        let Some(entry) = tables.requests.get_mut(&request) else { continue };
+        entry.paused_until = None;
+        let key = key_of_arrival(&entry.arrival);
+        tables.queues.entry(key).or_default().push_front(request);
     }
+    limits::sweep(tables);
 }
 
-fn refuse(request: RequestId, reason: RefusalReason, ran: Ran, outputs: &mut Vec<Output>) {
+/// `give_up` refuses a request that was taken out, with the truth of whether it may have run.
+fn give_up(tables: &Tables, entry: &Request, reason: RefusalReason, outputs: &mut Vec<Output>) {
+    let ran = if entry.may_have_run { Ran::Unknown } else { Ran::NotRun };
+    let wait = match reason {
+        RefusalReason::Draining => Duration::ZERO,
+        _ => limits::expected_wait(tables, key_of_arrival(&entry.arrival)).unwrap_or(RETRY_AFTER),
+    };
+    refuse(tables, entry.arrival.request, reason, ran, wait, outputs);
+}
+
+fn refuse(
+    tables: &Tables,
+    request: RequestId,
+    reason: RefusalReason,
+    ran: Ran,
+    wait: Duration,
+    outputs: &mut Vec<Output>,
+) {
     let event = Event::of_kind(EventKind::RequestRefused)
         .with_request(request)
         .with_detail(reason.to_string());
     outputs.push(Output::Emit(event));
-    let refusal = Refusal { reason, ran, retry_after: RETRY_AFTER };
-    outputs.push(Output::Refuse { request, refusal });
+    let retry_after = limits::retry_after(tables, request, wait);
+    outputs.push(Output::Refuse { request, refusal: Refusal { reason, ran, retry_after } });
 }
 
 fn take_out(tables: &mut Tables, request: RequestId) -> Option<Request> {
     let entry = tables.requests.remove(&request)?;
     match entry.state {
         RequestState::Queued => {
-            let key = QueueKey { service: entry.arrival.service, team: entry.arrival.team };
-            if let Some(queue) = tables.queues.get_mut(&key) {
-                queue.retain(|waiting| *waiting != request);
-            }
-            count_waiting(tables, &entry.arrival, false);
+            unqueue(tables, &entry);
+            uncount_waiting(tables, &entry.arrival);
         }
         RequestState::Running { upstream } => {
             if let Some(upstream) = tables.upstreams.get_mut(&upstream) {
@@ -213,14 +297,43 @@
     Some(entry)
 }
 
-/// `count_waiting` adds a request to what its team has waiting here, or takes it away.
-pub fn count_waiting(tables: &mut Tables, arrival: &Arrival, waits: bool) {
-    let Some(team) = tables.teams.get_mut(&arrival.team) else { return };
-    if waits {
-        team.waiting_requests += 1;
-        team.waiting_bytes += arrival.body_bytes;
+fn unqueue(tables: &mut Tables, entry: &Request) {
+    let request = entry.arrival.request;
+    if let Some(until) = entry.paused_until {
+        tables.limits.pauses.remove(&(until, request));
+        return;
+    }
+    let key = key_of_arrival(&entry.arrival);
+    let Some(queue) = tables.queues.get_mut(&key) else { return };
+    if queue.front() == Some(&request) {
+        queue.pop_front();
     } else {
-        team.waiting_requests = team.waiting_requests.saturating_sub(1);
-        team.waiting_bytes = team.waiting_bytes.saturating_sub(arrival.body_bytes);
+        queue.retain(|waiting| *waiting != request);
     }
 }
+
+/// `count_waiting` adds a request to what its team has waiting here; when it no longer waits because
+/// it was handed over, it is taken away and the queue's pace is learned.
+pub fn count_waiting(tables: &mut Tables, arrival: &Arrival, waits: bool) {
+    if !waits {
+        uncount_waiting(tables, arrival);
+        let arrived = tables.requests.get(&arrival.request).map(|entry| entry.arrived);
+        limits::note_hand_over(tables, key_of_arrival(arrival), arrived.unwrap_or(tables.now));
+        return;
+    }
+    tables.limits.deadlines.insert((arrival.deadline, arrival.request));
+    let Some(team) = tables.teams.get_mut(&arrival.team) else { return };
+    team.waiting_requests += 1;
+    team.waiting_bytes += arrival.body_bytes;
+}
+
+fn uncount_waiting(tables: &mut Tables, arrival: &Arrival) {
+    tables.limits.deadlines.remove(&(arrival.deadline, arrival.request));
+    let Some(team) = tables.teams.get_mut(&arrival.team) else { return };
+    team.waiting_requests = team.waiting_requests.saturating_sub(1);
+    team.waiting_bytes = team.waiting_bytes.saturating_sub(arrival.body_bytes);
+}
+
+fn key_of_arrival(arrival: &Arrival) -> QueueKey {
+    QueueKey { service: arrival.service, team: arrival.team }
+}
--- a/crates/bergamotpitch-control/src/steps.rs
+++ b/crates/bergamotpitch-control/src/steps.rs
@@ -30,6 +30,7 @@
         apply_input(tables, input, &mut outputs);
     }
     members::run(tables, &mut outputs);
+    upstreams::run(tables, &mut outputs);
     requests::run(tables, &mut outputs);
     sheet_indexes::run(tables);
     match tables.options.policy {
@@ -67,5 +68,6 @@
         Input::SheetLearned(sheet) => sheets::apply_sheet(tables, sheet, outputs),
         Input::PlatformReachable(_reachable) => {}
         Input::DrainBegun => requests::apply_drain(tables, outputs),
+        Input::DrainEnding => requests::apply_drain_end(tables, outputs),
     }
 }
--- a/crates/bergamotpitch-control/src/tables.rs
+++ b/crates/bergamotpitch-control/src/tables.rs
@@ -17,7 +17,9 @@
 use crate::homes::Home;
 use crate::inputs::Arrival;
 use crate::leases::Leases;
+use crate::limits::Limits;
 use crate::sheet_indexes::SheetIndex;
+use crate::upstreams::HealthTable;
 use crate::windows::Window;
 
 /// `Options` are the constants of one control state.
@@ -37,6 +39,8 @@
     pub heartbeat_interval: Duration,
     /// Silence after which a peer is taken for gone.
     pub peer_timeout: Duration,
+    /// Time for which a draining instance still takes requests in, until the balancer notices.
+    pub drain_grace: Duration,
     /// Seed of the random source.
     pub seed: u64,
     /// Requests that may wait inside an upstream, to hide the way of the next one.
@@ -68,6 +72,7 @@
             first_peers: Vec::new(),
             heartbeat_interval: Duration::from_millis(200),
             peer_timeout: Duration::from_millis(1_000),
+            drain_grace: Duration::from_millis(1_000),
             seed: 1,
             window_depth_requests: 2,
             slack_requests: 1.0,
@@ -92,6 +97,12 @@
     pub sheet: Option<Arc<AcceptedSheet>>,
     /// True once this instance is leaving.
     pub draining: bool,
+    /// Time from which a leaving instance takes no requests in.
+    pub refusing_from: Option<Timestamp>,
+    /// Bounds on requests and their retries.
+    pub limits: Limits,
+    /// What is known of upstreams beside the sheet.
+    pub health: HealthTable,
     /// Other instances.
     pub members: HashMap<InstanceId, Member>,
     /// Time of the last heartbeat sent.
@@ -199,12 +210,16 @@
     pub state: RequestState,
     /// Cost charged to the team so far, in cost units.
     pub charged_cost: CostUnits,
+    /// True once an attempt was made that may have run; "not run" can no longer be said then.
+    pub may_have_run: bool,
+    /// End of the pause before its next attempt, while it is not in its queue.
+    pub paused_until: Option<Timestamp>,
 }
 
 /// `RequestState` is where a request stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestState {
-    /// It waits; it has not been handed to any upstream.
+    /// It waits, for its first attempt or for a further one.
     Queued,
     /// It was handed to an upstream.
     Running {
--- a/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/wires.rs
+++ b/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/wires.rs
@@ -6,7 +6,7 @@
 
 use bergamotpitch_control::Message;
 use bergamotpitch_control::inputs::Sender;
-use bergamotpitch_control::messages::Heartbeat;
+use bergamotpitch_control::messages::{Heartbeat, LeavingLine};
 use bergamotpitch_proof::slopes::{Point, Slope, repeated, slope_of};
 use bergamotpitch_wire::receivers::{FRESHNESS, Receiver, ReceiverOptions, accept};
 use bergamotpitch_wire::seals::{encode, seal_message};
@@ -66,7 +66,9 @@
 }
 
 fn message_of(entries: u32) -> Message {
-    let leaving_upstreams = (0..entries).map(|entry| entry * 20_000_000 + 300_000_000).collect();
+    let leaving_upstreams = (0..entries)
+        .map(|entry| LeavingLine { upstream: entry * 20_000_000 + 300_000_000, age_ds: 3 })
+        .collect();
     Message::Heartbeat(Heartbeat { leaving_upstreams, ..Heartbeat::default() })
 }
 
--- a/crates/bergamotpitch-router/src/controls.rs
+++ b/crates/bergamotpitch-router/src/controls.rs
@@ -57,6 +57,7 @@
         incarnation: context.incarnation,
         domain: context.domain,
         policy: context.settings.policy,
+        drain_grace: context.options.shortest_drain,
         first_peers: context.settings.first_peers.clone(),
         seed: context.incarnation ^ u64::from(context.instance),
         ..Options::default()
--- a/crates/bergamotpitch-router/src/drains.rs
+++ b/crates/bergamotpitch-router/src/drains.rs
@@ -3,11 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bergamotpitch_control::Input;
 use dropshot::HttpServer;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::contexts::Context;
 
+/// Time for refusals to reach their callers at the end of a drain that took too long.
+const LAST_WORDS: Duration = Duration::from_millis(500);
+
 /// Time between two looks at whether a drain was begun by an operator.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -37,12 +41,16 @@
     context.begin_drain().await;
     let limit = Duration::from_millis(context.settings.drain_limit_ms);
     let mut drained = context.drained.subscribe();
+    let mut watched = drained.clone();
     let ended = async {
         tokio::time::sleep(context.options.shortest_drain.min(limit)).await;
-        let _ = drained.wait_for(|drained| *drained).await;
+        let _ = watched.wait_for(|drained| *drained).await;
     };
     if tokio::time::timeout(limit, ended).await.is_err() {
         log::error!("requests are still in flight after {limit:?}; they are cut");
+        // What still waits is told that it did not run before the process goes.
+        context.observe(Input::DrainEnding).await;
+        let _ = tokio::time::timeout(LAST_WORDS, drained.wait_for(|drained| *drained)).await;
     }
 }
 
--- a/crates/bergamotpitch-router/tests/common/mod.rs
+++ b/crates/bergamotpitch-router/tests/common/mod.rs
@@ -137,10 +137,15 @@
 
 /// `send_chat` asks for a stream over a connection of its own and reads it for as long as it runs.
 pub async fn send_chat(url: String) {
+    let _ = read_chat(url).await;
+}
+
+/// `read_chat` does so and returns the answer, when it is whole.
+pub async fn read_chat(url: String) -> Option<String> {
     let client = Client::builder(TokioExecutor::new()).build_http();
-    if let Ok(response) = client.request(chat_request(&url)).await {
-        let _ = response.into_body().collect().await;
-    }
+    let response = client.request(chat_request(&url)).await.ok()?;
+    let body = response.into_body().collect().await.ok()?.to_bytes();
+    String::from_utf8(body.to_vec()).ok()
 }
 
 /// `text` reads a whole body as text.
--- a/crates/bergamotpitch-wire/tests/common/mod.rs
+++ b/crates/bergamotpitch-wire/tests/common/mod.rs
@@ -7,7 +7,7 @@
 
 use bergamotpitch_control::Message;
 use bergamotpitch_control::inputs::Sender;
-use bergamotpitch_control::messages::Heartbeat;
+use bergamotpitch_control::messages::{Heartbeat, LeavingLine};
 use bergamotpitch_wire::Keys;
 use bergamotpitch_wire::receivers::{FRESHNESS, Receiver, ReceiverOptions};
 use bergamotpitch_wire::seals::seal_message;
@@ -32,7 +32,8 @@
 
 /// `heartbeat` returns a heartbeat that names some leaving upstreams.
 pub fn heartbeat(leaving: std::ops::Range<u32>) -> Message {
-    Message::Heartbeat(Heartbeat { leaving_upstreams: leaving.collect(), ..Heartbeat::default() })
+    let leaving_upstreams = leaving.map(|upstream| LeavingLine { upstream, age_ds: 3 }).collect();
+    Message::Heartbeat(Heartbeat { leaving_upstreams, ..Heartbeat::default() })
 }
 
 /// `receiver` returns a receiver at an address that started at a time.
