--- a/crates/bergamotpitch-control/src/members.rs
+++ b/crates/bergamotpitch-control/src/members.rs
@@ -8,7 +8,7 @@
 use crate::messages::{Heartbeat, Message};
 use crate::outputs::{Event, Output};
 use crate::tables::{Member, Tables};
-use crate::upstreams;
+use crate::{sheet_duties, upstreams};
 
 /// `apply_heartbeat` notes that a peer is alive and takes over what it knows.
 pub fn apply_heartbeat(
@@ -41,10 +41,7 @@
     };
     tables.members.insert(sender.instance, member);
     upstreams::apply_leaving_lines(tables, &heartbeat.leaving_upstreams, outputs);
-    let version = tables.sheet.as_ref().map_or(0, |sheet| sheet.version);
-    if version < heartbeat.sheet_version {
-        outputs.push(Output::FetchSheet { from: sender.address, version: heartbeat.sheet_version });
-    }
+    sheet_duties::apply_heartbeat(tables, sender, &heartbeat, outputs);
 }
 
 /// `run` sends heartbeats and suspects silent peers.
@@ -58,6 +55,8 @@
     tables.heartbeat_sent = Some(tables.now);
     let heartbeat = Heartbeat {
         sheet_version: tables.sheet.as_ref().map_or(0, |sheet| sheet.version),
+        sheet_doubtful: tables.sheet_duty.doubt.is_some(),
+        platform_lost: tables.sheet_duty.platform_lost,
         draining: tables.draining,
         leaving_upstreams: upstreams::leaving(tables)
             .into_iter()
--- a/crates/bergamotpitch-control/src/requests.rs
+++ b/crates/bergamotpitch-control/src/requests.rs
@@ -42,7 +42,7 @@
         attempts: 0,
         state: RequestState::Queued,
         charged_cost: 0,
-        may_have_run: false,
+        ran: Ran::NotRun,
         paused_until: None,
         arrival,
     };
@@ -166,7 +166,7 @@
 ) {
     let Some(mut entry) = take_out(tables, request) else { return };
     // From here on "not run" would be a lie, however long the request waits again.
-    entry.may_have_run = true;
+    entry.ran = Ran::Unknown;
     if !entry.arrival.repeatable || ATTEMPT_LIMIT <= entry.attempts {
         give_up(tables, &entry, reason, outputs);
         return;
@@ -257,12 +257,11 @@
 
 /// `give_up` refuses a request that was taken out, with the truth of whether it may have run.
 fn give_up(tables: &Tables, entry: &Request, reason: RefusalReason, outputs: &mut Vec<Output>) {
-    let ran = if entry.may_have_run { Ran::Unknown } else { Ran::NotRun };
     let wait = match reason {
         RefusalReason::Draining => Duration::ZERO,
         _ => limits::expected_wait(tables, key_of_arrival(&entry.arrival)).unwrap_or(RETRY_AFTER),
     };
-    refuse(tables, entry.arrival.request, reason, ran, wait, outputs);
+    refuse(tables, entry.arrival.request, reason, entry.ran, wait, outputs);
 }
 
 fn refuse(
--- a/crates/bergamotpitch-control/src/tables.rs
+++ b/crates/bergamotpitch-control/src/tables.rs
@@ -9,6 +9,7 @@
 use bergamotpitch_core::ids::{
     DomainId, Incarnation, InstanceId, RequestId, ServiceId, TeamId, UpstreamId,
 };
+use bergamotpitch_core::refusals::Ran;
 use bergamotpitch_core::settings::Policy;
 use bergamotpitch_core::sheets::AcceptedSheet;
 use bergamotpitch_core::units::{CostUnits, Timestamp};
@@ -18,6 +19,7 @@
 use crate::inputs::Arrival;
 use crate::leases::Leases;
 use crate::limits::Limits;
+use crate::sheet_duties::{SheetDuty, SheetGuards};
 use crate::sheet_indexes::SheetIndex;
 use crate::upstreams::HealthTable;
 use crate::windows::Window;
@@ -43,6 +45,8 @@
     pub drain_grace: Duration,
     /// Seed of the random source.
     pub seed: u64,
+    /// Rules on sheets that a proof switches off.
+    pub sheet_guards: SheetGuards,
     /// Requests that may wait inside an upstream, to hide the way of the next one.
     pub window_depth_requests: u32,
     /// How far ahead of the domain's frontier a team may use a free slot, in mean requests.
@@ -50,6 +54,9 @@
     /// How far a team must lag before another domain lends it slots it needs itself, in mean
     /// requests.
     pub spill_margin_requests: f64,
+    /// How far ahead of the lowest team another may be before the rest becomes debt, in mean
+    /// requests.
+    pub lead_limit_requests: f64,
     /// True when domains lend each other slots.
     pub spill: bool,
     /// True when requests are placed by the prefix of their prompt.
@@ -74,9 +81,11 @@
             peer_timeout: Duration::from_millis(1_000),
             drain_grace: Duration::from_millis(1_000),
             seed: 1,
+            sheet_guards: SheetGuards::default(),
             window_depth_requests: 2,
             slack_requests: 1.0,
             spill_margin_requests: 2.0,
+            lead_limit_requests: 20.0,
             spill: true,
             prefix_placement: true,
             share_spacing: Duration::from_millis(20),
@@ -95,6 +104,8 @@
     pub now: Timestamp,
     /// Sheet in force.
     pub sheet: Option<Arc<AcceptedSheet>>,
+    /// What is known of where sheets are.
+    pub sheet_duty: SheetDuty,
     /// True once this instance is leaving.
     pub draining: bool,
     /// Time from which a leaving instance takes no requests in.
@@ -206,12 +217,12 @@
     pub arrived: Timestamp,
     /// Attempts begun.
     pub attempts: u32,
+    /// Whether an earlier attempt may have run it, so that a refusal stays true after a retry.
+    pub ran: Ran,
     /// Where it stands.
     pub state: RequestState,
     /// Cost charged to the team so far, in cost units.
     pub charged_cost: CostUnits,
-    /// True once an attempt was made that may have run; "not run" can no longer be said then.
-    pub may_have_run: bool,
     /// End of the pause before its next attempt, while it is not in its queue.
     pub paused_until: Option<Timestamp>,
 }
--- a/crates/bergamotpitch-proof/src/lib.rs
+++ b/crates/bergamotpitch-proof/src/lib.rs
@@ -16,5 +16,7 @@
 pub mod randoms;
 pub mod scenarios;
 pub mod schedules;
+pub mod sheet_histories;
+pub mod sheet_runs;
 pub mod slopes;
 pub mod workloads;
--- a/crates/bergamotpitch-proof/src/links.rs
+++ b/crates/bergamotpitch-proof/src/links.rs
@@ -54,6 +54,9 @@
         traffic.region_bytes += bytes;
     } else {
         traffic.cross_region_bytes += bytes;
+        if matches!(message, Message::DomainReport(_)) {
+            traffic.cross_region_share_bytes += bytes;
+        }
     }
     let way = delay(fleet, here, there);
     if is_cut(fleet, instance, other) || draws(fleet, fleet.options.loss_percent) {
@@ -93,7 +96,7 @@
     }
     let way = delay(fleet, fleet.routers[instance].place, fleet.routers[other].place);
     let incarnation = fleet.routers[instance].incarnation;
-    let input = Input::SheetLearned(sheet);
+    let input = Input::PeerSheetLearned(sheet);
     post(fleet, fleet.now + way * 2, Delivery::ToRouter { incarnation, instance, input });
 }
 
--- a/crates/bergamotpitch-router/src/peers.rs
+++ b/crates/bergamotpitch-router/src/peers.rs
@@ -155,7 +155,7 @@
         None => fetch_sheet(from, &keys, instance, incarnation).await,
     };
     match fetched {
-        Ok(accepted) => context.observe(Input::SheetLearned(Arc::new(accepted))).await,
+        Ok(accepted) => context.observe(Input::PeerSheetLearned(Arc::new(accepted))).await,
         Err(error) => log::warn!("the sheet could not be fetched from {from}: {error}"),
     }
 }
