--- a/crates/bergamotpitch-control/src/steps.rs
+++ b/crates/bergamotpitch-control/src/steps.rs
@@ -32,6 +32,7 @@
     }
     sheet_duties::run(tables, &mut outputs);
     members::run(tables, &mut outputs);
+    upstreams::run(tables, &mut outputs);
     requests::run(tables, &mut outputs);
     sheet_indexes::run(tables);
     match tables.options.policy {
@@ -73,5 +74,6 @@
         Input::PeerSheetLearned(sheet) => sheets::apply_sheet(tables, sheet, outputs),
         Input::PlatformReachable(reachable) => tables.sheet_duty.platform_lost = !reachable,
         Input::DrainBegun => requests::apply_drain(tables, outputs),
+        Input::DrainEnding => requests::apply_drain_end(tables, outputs),
     }
 }
