Order engines under a lease whose holder stops in time

Cause: two instances that both believe they hold the lease could order an engine to and fro, and some engines do not check fencing numbers. Ruled out: one lease a service, as its renewals grow with services times domains; relying on the margin alone, since an order may be under way for longer than the margin. Change: one lease a domain; the holder checks its clock right before each send, a new one waits out the longest flight for engines that do not check, and the lock is not given up while an order is under way. Conclusion: holds where no pause falls between the check and the write of the request itself; the driver makes that gap as small as it can.

--- a/crates/bergamotpitch-control/src/lib.rs
+++ b/crates/bergamotpitch-control/src/lib.rs
@@ -18,6 +18,8 @@
 pub mod levels;
 pub mod members;
 pub mod messages;
+pub mod order_leases;
+pub mod orders;
 pub mod outputs;
 pub mod placements;
 pub mod requests;
--- a/crates/bergamotpitch-proof/src/lib.rs
+++ b/crates/bergamotpitch-proof/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod loops;
 pub mod measures;
 pub mod observers;
+pub mod order_histories;
+pub mod order_runs;
 pub mod randoms;
 pub mod scenarios;
 pub mod schedules;
