Drive orders over the platform's lock and to the engines

Cause: the pure duty needs calls, connections and clocks that keep the gap between the check and the send small. Ruled out: the pooled client, which may connect between the check and the send; a timeout of this process alone, which a pause would stretch. Change: one task a domain; lease calls one after the other, with the lock read back after each asking; an order's connection is made before the clock is checked, and the kernel breaks it after the flight limit.

--- a/crates/bergamotpitch-control/src/orders.rs
+++ b/crates/bergamotpitch-control/src/orders.rs
@@ -138,6 +138,11 @@
         }
     }
 
+    /// `options` returns the constants.
+    pub fn options(&self) -> &OrderOptions {
+        &self.options
+    }
+
     /// `has_orders_in_flight` tells whether the end of an order has not come.
     pub fn has_orders_in_flight(&self) -> bool {
         self.engines.values().any(|engine| engine.in_flight)
--- a/crates/bergamotpitch-platform/src/claims.rs
+++ b/crates/bergamotpitch-platform/src/claims.rs
@@ -5,22 +5,22 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use bergamotpitch_control::claim_queues::{
     ClaimEffect, ClaimOptions, ClaimQueues, ClaimWish, ReadResult, Ticket, WriteResult,
     abandon_wish, apply_read, apply_write, record_outcome, release_claim, run, wish_claim,
 };
 use bergamotpitch_control::claims::{
-    ClaimKey, Fingerprint, Nonce, Outcome, ShardId, ShardRecord, UnixSeconds, Verdict,
+    ClaimKey, Fingerprint, Nonce, Outcome, ShardId, ShardRecord, Verdict,
 };
 use bergamotpitch_core::HashMap;
 use bytes::Bytes;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{JoinHandle, JoinSet};
-use tokio::time::Instant;
 
 use crate::clients::Platform;
+use crate::clocks::{process_time, unix_seconds};
 use crate::errors::{Error, Result, malformed_error};
 use crate::nonces::fresh_number;
 
@@ -347,13 +347,3 @@
     let Some(due) = queues.next_due() else { return std::future::pending().await };
     tokio::time::sleep(due.saturating_sub(process_time())).await;
 }
-
-/// `process_time` is the monotonic time since the first use of claims in this process.
-fn process_time() -> Duration {
-    static START: std::sync::OnceLock<Instant> = std::sync::OnceLock::new();
-    START.get_or_init(Instant::now).elapsed()
-}
-
-fn unix_seconds() -> UnixSeconds {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_secs())
-}
--- a/crates/bergamotpitch-platform/src/lib.rs
+++ b/crates/bergamotpitch-platform/src/lib.rs
@@ -6,10 +6,12 @@
 
 pub mod claims;
 pub mod clients;
+mod clocks;
 pub mod entries;
 pub mod errors;
 pub mod instances;
 pub mod nonces;
+pub mod orders;
 pub mod sessions;
 pub mod sheets;
 
@@ -17,4 +19,5 @@
 pub use crate::clients::{Options, Platform};
 pub use crate::entries::{Entry, Watched};
 pub use crate::errors::{Error, Result};
+pub use crate::orders::{OrderDriver, OrderNotice, OrderTarget, OrderWish};
 pub use crate::sheets::Applied;
--- a/crates/bergamotpitch-platform/tests/common/mod.rs
+++ b/crates/bergamotpitch-platform/tests/common/mod.rs
@@ -41,13 +41,13 @@
 
 /// `set_faults` sets the faults of the stand-in.
 pub async fn set_faults(stage: &Stage, faults: &str) {
-    post(stage, "/_faults", faults).await;
+    post_to(stage.standin.addresses[0], "/_faults", faults).await;
 }
 
-/// `post` posts to the stand-in's own paths.
-pub async fn post(stage: &Stage, path: &str, body: &str) {
+/// `post_to` posts to a stand-in.
+pub async fn post_to(address: SocketAddr, path: &str, body: &str) {
     let client = Client::builder(TokioExecutor::new()).build_http();
-    let request = Request::post(format!("http://{}{path}", stage.standin.addresses[0]))
+    let request = Request::post(format!("http://{address}{path}"))
         .body(Full::new(Bytes::from(body.to_owned())))
         .expect("the request is well formed");
     let response = client.request(request).await.expect("the stand-in answers");
