--- a/crates/bergamotpitch-core/src/events.rs
+++ b/crates/bergamotpitch-core/src/events.rs
@@ -2,7 +2,7 @@
 //! files.
 
 use serde::{Deserialize, Serialize};
-use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+use strum::{Display, EnumIter, EnumMessage, EnumString, IntoStaticStr};
 
 /// `EventKind` is one kind of event; its number never changes.
 #[derive(
@@ -17,6 +17,7 @@
     Display,
     EnumString,
     EnumIter,
+    EnumMessage,
     IntoStaticStr,
 )]
 #[strum(serialize_all = "snake_case")]
@@ -49,6 +50,8 @@
     SheetInForce = 200,
     /// A sheet with a lower or equal version was passed over.
     SheetPassedOver = 201,
+    /// The platform accepted a sheet that an operator applied.
+    SheetAccepted = 202,
     /// A peer was heard for the first time, or with a new incarnation.
     PeerJoined = 300,
     /// A peer has been silent for longer than the timeout.
