Have the leading router of a domain order the models of the sheet

Cause: the order duty was not part of any running router. Ruled out: a candidate for the lease at every router, as each would call the platform again and again for a lock that is taken. Change: the first in the domain's order of those that reach the platform holds the lease while the sheet names a model there; engines that have not reported what they have loaded get no order; events tell lease and orders. Conclusion: orders run; the weight store's rate is still a constant.

--- a/crates/bergamotpitch-control/src/orders.rs
+++ b/crates/bergamotpitch-control/src/orders.rs
@@ -167,6 +167,11 @@
     duty.wanted = wanted;
 }
 
+/// `set_domain_count` takes over how many failure domains share the weight store.
+pub fn set_domain_count(duty: &mut OrderDuty, domain_count: u32) {
+    duty.options.domain_count = domain_count;
+}
+
 /// `run` keeps the lease and puts out the orders that are due.
 pub fn run(duty: &mut OrderDuty, now: Timestamp) -> Vec<OrderEffect> {
     let mut effects = Vec::new();
--- a/crates/bergamotpitch-control/src/outputs.rs
+++ b/crates/bergamotpitch-control/src/outputs.rs
@@ -44,6 +44,11 @@
         /// True when this instance has to watch.
         watching: bool,
     },
+    /// Try to hold the domain's lease for orders, or leave it to another.
+    LeadOrders {
+        /// True when this instance should hold it.
+        leading: bool,
+    },
     /// Fetch a sheet from a peer that has a newer one.
     FetchSheet {
         /// Where the peer is reached.
--- a/crates/bergamotpitch-control/src/sheet_duties.rs
+++ b/crates/bergamotpitch-control/src/sheet_duties.rs
@@ -51,6 +51,8 @@
     pub platform_lost: bool,
     /// True when the watch of the platform is left to others; an instance begins by watching.
     pub left_to_others: bool,
+    /// True when this instance was last asked to hold the lease for orders.
+    pub leading: bool,
     /// When a sheet was last asked for while there was none.
     pub fetch_asked: Option<Timestamp>,
 }
@@ -165,13 +167,19 @@
     !guarded || tables.sheet.is_some() || tables.sheet_duty.heard_version <= version
 }
 
-/// `run` fetches a first sheet and says when this instance has to watch the platform.
+/// `run` fetches a first sheet and says when this instance has to watch the platform or to hold the
+/// lease for orders.
 pub fn run(tables: &mut Tables, outputs: &mut Vec<Output>) {
     let watching = watches_platform(tables);
     if watching == tables.sheet_duty.left_to_others {
         tables.sheet_duty.left_to_others = !watching;
         outputs.push(Output::WatchSheet { watching });
     }
+    let leading = tables.sheet.is_some() && platform_rank(tables) == Some(0);
+    if leading != tables.sheet_duty.leading {
+        tables.sheet_duty.leading = leading;
+        outputs.push(Output::LeadOrders { leading });
+    }
     if tables.sheet.is_none() {
         fetch_first_sheet(tables, outputs);
     }
@@ -210,12 +218,18 @@
 /// They are the first in rendezvous order of the live instances that reach the platform. Two views
 /// that differ only cost a further watch: a sheet is accepted by the platform alone.
 pub fn is_sheet_watcher(tables: &Tables) -> bool {
+    platform_rank(tables).is_some_and(|rank| rank < WATCHERS)
+}
+
+/// `platform_rank` is this instance's place in its domain's order of those that deal with the
+/// platform; none while it drains.
+pub fn platform_rank(tables: &Tables) -> Option<usize> {
     let own = Candidate {
         platform_lost: tables.sheet_duty.platform_lost,
         weight: rendezvous_weight(tables.options.domain, tables.options.instance),
     };
     if tables.draining {
-        return false;
+        return None;
     }
     let ahead = tables
         .members
@@ -232,7 +246,7 @@
         })
         .filter(|candidate| candidate < &own)
         .count();
-    ahead < WATCHERS
+    Some(ahead)
 }
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/bergamotpitch-platform/src/orders.rs
+++ b/crates/bergamotpitch-platform/src/orders.rs
@@ -8,7 +8,7 @@
 };
 use bergamotpitch_control::orders::{
     Order, OrderDuty, OrderEffect, OrderEnd, OrderOptions, WantedModel, apply_order_end, may_send,
-    run, set_candidate, set_wanted,
+    run, set_candidate, set_domain_count, set_wanted,
 };
 use bergamotpitch_core::HashMap;
 use bergamotpitch_core::ids::UpstreamId;
@@ -45,6 +45,8 @@
 pub struct OrderWish {
     /// True when this instance should hold the lease.
     pub is_candidate: bool,
+    /// Failure domains that share the weight store.
+    pub domain_count: u32,
     /// Engines of the domain.
     pub targets: Vec<OrderTarget>,
 }
@@ -159,6 +161,7 @@
 
 fn take_wish(driver: &mut Driver, wish: OrderWish) {
     set_candidate(&mut driver.duty, wish.is_candidate);
+    set_domain_count(&mut driver.duty, wish.domain_count);
     driver.addresses =
         wish.targets.iter().map(|target| (target.wanted.upstream, target.address)).collect();
     set_wanted(&mut driver.duty, wish.targets.into_iter().map(|target| target.wanted).collect());
--- a/crates/bergamotpitch-platform/tests/order_driver.rs
+++ b/crates/bergamotpitch-platform/tests/order_driver.rs
@@ -116,7 +116,8 @@
         reported_model: None,
         checks_fencing: false,
     };
-    OrderWish { is_candidate: true, targets: vec![OrderTarget { wanted, address: engine.address }] }
+    let targets = vec![OrderTarget { wanted, address: engine.address }];
+    OrderWish { is_candidate: true, domain_count: 1, targets }
 }
 
 fn ended(model: &str, end: OrderEnd) -> OrderNotice {
--- a/crates/bergamotpitch-router/src/contexts.rs
+++ b/crates/bergamotpitch-router/src/contexts.rs
@@ -1,13 +1,14 @@
 //! Contexts: what all threads of a router share.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bergamotpitch_control::Input;
 use bergamotpitch_control::inputs::Arrival;
 use bergamotpitch_control::outputs::{Event, Refusal};
+use bergamotpitch_core::HashMap;
 use bergamotpitch_core::ids::{
     DomainId, Incarnation, InstanceId, RequestId, UpstreamId, id_of_name,
 };
@@ -95,6 +96,10 @@
     pub drained: watch::Sender<bool>,
     /// True while this instance has to watch the platform; set by the control thread.
     pub watching: watch::Sender<bool>,
+    /// True while this instance should hold the lease for orders; set by the control thread.
+    pub leading: watch::Sender<bool>,
+    /// Models that upstreams last reported.
+    reported_models: Mutex<HashMap<UpstreamId, String>>,
     started: Instant,
     next_request: AtomicU64,
     draining: AtomicBool,
@@ -123,6 +128,8 @@
             metrics,
             drained: watch::Sender::new(false),
             watching: watch::Sender::new(true),
+            leading: watch::Sender::new(false),
+            reported_models: Mutex::default(),
             started: Instant::now(),
             next_request: AtomicU64::new(1),
             draining: AtomicBool::new(false),
@@ -157,6 +164,18 @@
         request_name(&self.settings.instance, self.incarnation, request)
     }
 
+    /// `note_model` notes the model that an upstream reports.
+    pub fn note_model(&self, upstream: UpstreamId, model: String) {
+        let mut models = self.reported_models.lock().unwrap_or_else(PoisonError::into_inner);
+        models.insert(upstream, model);
+    }
+
+    /// `reported_model` is the model that an upstream last reported; none before its first report.
+    pub fn reported_model(&self, upstream: UpstreamId) -> Option<String> {
+        let models = self.reported_models.lock().unwrap_or_else(PoisonError::into_inner);
+        models.get(&upstream).cloned()
+    }
+
     /// `is_draining` tells whether this instance is leaving.
     pub fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
--- a/crates/bergamotpitch-router/src/controls.rs
+++ b/crates/bergamotpitch-router/src/controls.rs
@@ -166,6 +166,9 @@
         Output::WatchSheet { watching } => {
             control.context.watching.send_replace(watching);
         }
+        Output::LeadOrders { leading } => {
+            control.context.leading.send_replace(leading);
+        }
         Output::FetchSheet { from, version: _ } => {
             let _ = control.sends.try_send(PeerOutput::FetchSheet { from });
         }
--- a/crates/bergamotpitch-router/src/lib.rs
+++ b/crates/bergamotpitch-router/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod metrics;
 pub mod operators;
 pub mod options;
+pub mod orders;
 pub mod peers;
 pub mod platforms;
 pub mod refusals;
--- a/crates/bergamotpitch-router/src/loads.rs
+++ b/crates/bergamotpitch-router/src/loads.rs
@@ -49,7 +49,13 @@
 
 async fn poll(context: &Context, upstream: UpstreamId, address: SocketAddr) {
     match tokio::time::timeout(POLL_TIMEOUT, read_report(context, address)).await {
-        Ok(Some(report)) => {
+        Ok(Some(body)) => {
+            context.note_model(upstream, body.model);
+            let report = LoadReport {
+                running_requests: body.running_requests,
+                waiting_requests: body.waiting_requests,
+                leaving: body.leaving,
+            };
             context.observe(Input::LoadReported { upstream, report }).await;
         }
         Ok(None) | Err(_) => log::debug!("{address} did not report its load"),
@@ -64,17 +70,14 @@
     waiting_requests: u32,
     #[serde(default)]
     leaving: bool,
+    #[serde(default)]
+    model: String,
 }
 
-async fn read_report(context: &Context, address: SocketAddr) -> Option<LoadReport> {
+async fn read_report(context: &Context, address: SocketAddr) -> Option<ReportBody> {
     let request =
         Request::get(format!("http://{address}/load")).body(Full::new(Bytes::new())).ok()?;
     let response = context.client.request(request).await.ok()?;
     let body = Limited::new(response.into_body(), REPORT_LIMIT_BYTES).collect().await.ok()?;
-    let body: ReportBody = serde_json::from_slice(&body.to_bytes()).ok()?;
-    Some(LoadReport {
-        running_requests: body.running_requests,
-        waiting_requests: body.waiting_requests,
-        leaving: body.leaving,
-    })
+    serde_json::from_slice(&body.to_bytes()).ok()
 }
--- a/crates/bergamotpitch-router/src/routers.rs
+++ b/crates/bergamotpitch-router/src/routers.rs
@@ -17,7 +17,7 @@
 use crate::metrics::Metrics;
 use crate::options::Options;
 use crate::peers::PeerPorts;
-use crate::{callers, controls, drains, loads, operators, peers, platforms};
+use crate::{callers, controls, drains, loads, operators, orders, peers, platforms};
 
 /// `Router` is a running router.
 pub struct Router {
@@ -62,6 +62,7 @@
         let sends = peers::spawn(&context, ports, &mut tasks);
         platforms::spawn(&context, &mut tasks);
         loads::spawn(&context, &mut tasks);
+        orders::spawn(&context, &mut tasks);
         context.emit(Event::of_kind(EventKind::ProcessStarted));
         let control = controls::spawn(Arc::clone(&context), receiver, sends)?;
         Ok(Self { context, callers, operators, peer_address, control, tasks, events, context_cell })
