--- a/crates/bergamotpitch-control/src/lib.rs
+++ b/crates/bergamotpitch-control/src/lib.rs
@@ -19,6 +19,8 @@
 pub mod limits;
 pub mod members;
 pub mod messages;
+pub mod order_leases;
+pub mod orders;
 pub mod outputs;
 pub mod placements;
 pub mod requests;
