Let homes of different domains agree on levels and debts

Ruled out: a larger lead limit (20 to 60 moves the loss about); merging by the larger value with a threshold. Change: service is counted by sums alone; a level is taken over only where the team does not wait here, and drawn together by an eighth where it does; debts are decided by one reference domain and told; a home tells an instance that it does not know, which then adopts it anew; an instance that wakes from a pause listens before it takes a duty; a team counts as backlogged while it has requests not handed over.

--- a/crates/bergamotpitch-control/src/domain_reports.rs
+++ b/crates/bergamotpitch-control/src/domain_reports.rs
@@ -6,7 +6,7 @@
 use bergamotpitch_core::units::Timestamp;
 
 use crate::accounts;
-use crate::homes::{Home, add_level, lift, reindex, weight};
+use crate::homes::{Home, HomeTeam, add_level, lift, reindex, weight};
 use crate::inputs::Sender;
 use crate::leases::{SlotLease, held};
 use crate::levels::{LEVEL_SCALE, Level, level_of_cost, share_of};
@@ -20,7 +20,7 @@
 const REPORT_BYTES: u64 = 80;
 
 /// Bytes of one team line.
-const TEAM_LINE_BYTES: u64 = 9;
+const TEAM_LINE_BYTES: u64 = 10;
 
 /// Bytes of one line of slots.
 const SLOT_LINE_BYTES: u64 = 9;
@@ -31,6 +31,9 @@
 /// Time by which an urgent report may run ahead of the budget.
 const URGENT_ADVANCE: Duration = Duration::from_millis(1_000);
 
+/// Part by which a level moves to what another home tells.
+const MERGE_DIVISOR: i64 = 8;
+
 /// Shortest time over which the rate of remote service is taken.
 const RATE_TIME: Duration = Duration::from_millis(800);
 
@@ -93,7 +96,8 @@
             short_team,
             served: (entry.served_cost.max(0) as u64 / SERVED_QUANTUM) as u32,
             waiting_requests: entry.waiting_requests,
-            level: spills::level_in_cost(entry.level - base),
+            level: spills::level_in_cost(entry.level + entry.ahead - base),
+            debt: spills::level_in_cost(entry.debt).max(0) as u32,
         });
     }
     let lent = remote
@@ -253,6 +257,7 @@
     (is_first, is_rejoin): (bool, bool),
 ) {
     let base = report.frontier.unwrap_or(0);
+    let is_reference = spills::reference(tables, home) == domain;
     let mut touched: Vec<TeamId> = Vec::new();
     for line in &report.teams {
         let Some(team) = tables.index.team_of_short(line.short_team) else { continue };
@@ -276,11 +281,11 @@
         entry.ahead = 0;
         add_level(entry, level);
         if line.waiting_requests != 0 {
-            // The other home's level lacks what it has not heard, never the reverse, so the larger
-            // of two is the nearer to the truth, and a team lifted by both is lifted once.
             let told = base + i64::from(line.level) * LEVEL_SCALE;
-            entry.level = if entry.is_known { entry.level.max(told) } else { told };
-            entry.is_known = true;
+            merge_level(entry, told);
+        }
+        if is_reference {
+            entry.debt = i64::from(line.debt) * LEVEL_SCALE;
         }
         touched.push(team);
     }
@@ -290,6 +295,21 @@
     }
 }
 
+/// `merge_level` takes over another home's level of a team that waits there.
+///
+/// Service is counted by sums, so a level is never merged by the larger: it would hold service that
+/// comes again as a sum from a third domain. Where the team waits only elsewhere, the other home
+/// knows best. Where it waits here too, levels draw together slowly, which heals counts that were
+/// lost with a home.
+fn merge_level(entry: &mut HomeTeam, told: Level) {
+    if !entry.is_known || entry.waiting_requests == 0 {
+        entry.level = told;
+    } else {
+        entry.level += (told - entry.level) / MERGE_DIVISOR;
+    }
+    entry.is_known = true;
+}
+
 fn note_rate(now: Timestamp, known: &mut RemoteTeam, served: u32, cost: i64, is_jump: bool) {
     known.served = served;
     known.heard = now;
--- a/crates/bergamotpitch-control/src/grants.rs
+++ b/crates/bergamotpitch-control/src/grants.rs
@@ -35,6 +35,7 @@
         set_frontier(tables, service, home);
         grant_standing(tables, service, home);
     }
+    refuse_unknown(tables, service, home, outputs);
     let instances: Vec<InstanceId> = home.routers.keys().copied().collect();
     for instance in instances {
         if instance != tables.options.instance {
@@ -43,6 +44,14 @@
     }
 }
 
+fn refuse_unknown(tables: &Tables, service: ServiceId, home: &mut Home, outputs: &mut Vec<Output>) {
+    for (instance, adoption) in std::mem::take(&mut home.unknown) {
+        let Some(member) = tables.members.get(&instance) else { continue };
+        let grant = ShareGrant { service, adoption, is_unknown: true, ..ShareGrant::default() };
+        outputs.push(Output::Send { to: member.address, message: Message::ShareGrant(grant) });
+    }
+}
+
 fn drop_gone_routers(tables: &Tables, service: ServiceId, home: &mut Home) {
     let gone: Vec<InstanceId> = home
         .routers
@@ -256,6 +265,7 @@
     ShareGrant {
         service,
         adoption: router.adoption,
+        is_unknown: false,
         report_seen: router.sequence,
         granted,
         frontier,
--- a/crates/bergamotpitch-control/src/homes.rs
+++ b/crates/bergamotpitch-control/src/homes.rs
@@ -35,6 +35,8 @@
     pub anchored: bool,
     /// Instances of the domain that report here.
     pub routers: BTreeMap<InstanceId, HomeRouter>,
+    /// Instances whose adoption is not known, to be told so.
+    pub unknown: BTreeMap<InstanceId, u32>,
     /// Teams that were ever reported.
     pub teams: BTreeMap<TeamId, HomeTeam>,
     /// Teams with requests that wait here and no grant under way, by effective level.
@@ -195,9 +197,11 @@
     });
     if is_new {
         forget_router(tables, home, sender.instance, estimate);
-        // A home that restarted is told of grants of its earlier life. It cannot count on from
-        // them; the instance adopts it anew as soon as it hears of the new life.
-        if report.slots.iter().any(|line| line.granted != 0) {
+        // A home that restarted, or that took the instance for gone, is told of grants that it does
+        // not know. It cannot count on from them, so it asks to be adopted anew; else the teams that
+        // wait there would get nothing but the slots that the instance still holds.
+        if report.sequence != 1 {
+            home.unknown.insert(sender.instance, report.adoption);
             return;
         }
     }
@@ -268,8 +272,10 @@
     }
     entry.waiting_requests = (entry.waiting_requests + line.waiting_requests) - before;
     if let Some(level) = line.level {
-        entry.level = if entry.is_known { entry.level.max(level + entry.debt) } else { level };
-        entry.is_known = true;
+        if !home.recovered {
+            entry.level = if entry.is_known { entry.level.max(level) } else { level };
+            entry.is_known = true;
+        }
         home.anchored = true;
     }
     entry.changed = changed;
@@ -319,9 +325,9 @@
 /// A domain that was cut off comes back with teams that received far more, or far less, than the
 /// others. By level alone the former would get nothing until all others have caught up, which their
 /// callers see as an outage. With the limit they wait a moment at most, and repay the rest bit by
-/// bit. Every home applies the same rule to the same levels, so homes agree on the order.
+/// bit. One home decides and tells the others, so that homes agree on the order.
 pub fn cap_leads(tables: &Tables, service: ServiceId, home: &mut Home) {
-    if !home.recovered {
+    if !home.recovered || spills::reference(tables, home) != tables.options.domain {
         return;
     }
     let limit = requests_level(tables, service, tables.options.lead_limit_requests);
@@ -345,6 +351,7 @@
         if let Some(entry) = home.teams.get_mut(&team) {
             // The key also holds what is granted and not yet charged; that is no service.
             entry.debt += (effective_level(entry) - top).max(0);
+            entry.changed = home.sequence + 1;
         }
         reindex(home, &tables.teams, team, estimate);
     }
--- a/crates/bergamotpitch-control/src/leases.rs
+++ b/crates/bergamotpitch-control/src/leases.rs
@@ -121,6 +121,11 @@
     if leases.home != Some(sender) || leases.adoption != grant.adoption {
         return;
     }
+    if grant.is_unknown {
+        let (incarnation, own) = (leases.home_incarnation, tables.options.incarnation);
+        adopt(leases, sender, incarnation, own);
+        return;
+    }
     leases.heard = Some(now);
     leases.seen = leases.seen.max(grant.report_seen);
     for line in &grant.granted {
--- a/crates/bergamotpitch-control/src/share_messages.rs
+++ b/crates/bergamotpitch-control/src/share_messages.rs
@@ -59,6 +59,8 @@
     pub service: ServiceId,
     /// Adoption that the numbers belong to.
     pub adoption: u32,
+    /// True when the home does not know this adoption; the instance adopts it anew.
+    pub is_unknown: bool,
     /// Number of the last report that the home has seen.
     pub report_seen: u32,
     /// Slots granted since the adoption, of the upstreams whose number was not yet confirmed.
@@ -130,6 +132,8 @@
     pub waiting_requests: u32,
     /// Level less the frontier, in cost units a share; only of a team that waits.
     pub level: i32,
+    /// Part of the level that is repaid bit by bit, in cost units a share.
+    pub debt: u32,
 }
 
 /// Cost units of one unit of [`DomainTeamLine::served`].
--- a/crates/bergamotpitch-control/src/shares.rs
+++ b/crates/bergamotpitch-control/src/shares.rs
@@ -19,11 +19,21 @@
 /// Time for which a started instance listens for others before it holds a duty.
 const LISTENING_TIME: Duration = Duration::from_millis(350);
 
+/// Time between two steps from which on this instance was paused.
+const PAUSE_TIME: Duration = Duration::from_millis(500);
+
 /// Time after which a report that was not seen is sent again.
 const REPEAT_TIME: Duration = Duration::from_millis(300);
 
 /// `run` hands over, reports, grants, and hands over what was granted to this instance itself.
 pub fn run(tables: &mut Tables, outputs: &mut Vec<Output>) {
+    let last = tables.shares_run.replace(tables.now);
+    // An instance that wakes from a pause has heard nobody for a while. It would take itself for
+    // the only one left and grant itself every slot, so it listens first, like a fresh one.
+    if last.is_some_and(|last| last + PAUSE_TIME < tables.now) {
+        tables.started = Some(tables.now);
+        tables.homes.clear();
+    }
     let started = *tables.started.get_or_insert(tables.now);
     // A restarted instance that has heard nobody would take itself for the home and grant every
     // slot a second time.
@@ -76,12 +86,13 @@
         };
         let own_incarnation = tables.options.incarnation;
         let known = tables.leases.entry(service).or_default();
-        if known.home != Some(holder) || known.home_incarnation != incarnation {
+        let begins = holder == own && !tables.homes.contains_key(&service);
+        if begins || known.home != Some(holder) || known.home_incarnation != incarnation {
             leases::adopt(known, holder, incarnation, own_incarnation);
         }
         if holder != own {
             tables.homes.remove(&service);
-        } else if !tables.homes.contains_key(&service) {
+        } else if begins {
             let home = begin(tables, service);
             tables.homes.insert(service, home);
         }
--- a/crates/bergamotpitch-control/src/spills.rs
+++ b/crates/bergamotpitch-control/src/spills.rs
@@ -99,6 +99,12 @@
     pub heard: Timestamp,
 }
 
+/// `reference` is the domain whose home decides on debts: the one with the smallest id within reach.
+pub fn reference(tables: &Tables, home: &Home) -> DomainId {
+    let heard = home.remotes.iter().filter(|(_, remote)| !is_silent(tables, remote));
+    heard.map(|(domain, _)| *domain).min().unwrap_or(DomainId::MAX).min(tables.options.domain)
+}
+
 /// `margin` is how far a team elsewhere must lag before slots are lent past teams that wait here.
 pub fn margin(tables: &Tables, service: ServiceId) -> Level {
     requests_level(tables, service, tables.options.spill_margin_requests)
--- a/crates/bergamotpitch-control/src/tables.rs
+++ b/crates/bergamotpitch-control/src/tables.rs
@@ -133,6 +133,8 @@
     pub homes: BTreeMap<ServiceId, Home>,
     /// Time of the first step.
     pub started: Option<Timestamp>,
+    /// When the fair shares last ran.
+    pub shares_run: Option<Timestamp>,
     /// When it was last checked who has each duty.
     pub duties_checked: Option<Timestamp>,
 }
--- a/crates/bergamotpitch-proof/src/histories.rs
+++ b/crates/bergamotpitch-proof/src/histories.rs
@@ -11,7 +11,8 @@
     pub at: Timestamp,
     /// Service that each team has received, in cost units.
     pub service_cost: Vec<CostUnits>,
-    /// Requests of each team that have arrived and not started.
+    /// Requests of each team that have arrived and were not handed over; a team is backlogged while it
+    /// has any.
     pub waiting_requests: Vec<u32>,
     /// Requests of each team that are with upstreams, running or waiting in them.
     pub held_requests: Vec<u32>,
--- a/crates/bergamotpitch-proof/src/observers.rs
+++ b/crates/bergamotpitch-proof/src/observers.rs
@@ -108,7 +108,9 @@
             if pending.started {
                 continue;
             }
-            sample.waiting_requests[pending.job.team] += 1;
+            if !pending.held {
+                sample.waiting_requests[pending.job.team] += 1;
+            }
             if !fleet.routers[pending.job.instance].frozen {
                 for (place, usable) in usable.iter_mut().enumerate() {
                     *usable |= reaches(fleet, pending.job.instance, place);
