--- a/crates/bergamotpitch-load/src/callers.rs
+++ b/crates/bergamotpitch-load/src/callers.rs
@@ -13,6 +13,7 @@
 use serde_json::json;
 
 use crate::arrivals::PlannedRequest;
+use crate::balancers::Balancer;
 use crate::checks::{StreamCheck, is_own_call_answer, short_hash};
 use crate::experiments::{Experiment, StreamEntry};
 use crate::fetches::HttpClient;
@@ -37,6 +38,7 @@
 pub async fn call(
     client: &HttpClient,
     experiment: &Experiment,
+    balancer: &Balancer,
     planned: &PlannedRequest,
 ) -> CallerRecord {
     let stream = &experiment.streams[planned.stream];
@@ -55,8 +57,9 @@
         outcome: CallerOutcome::Lost,
         token_gaps_us: Vec::new(),
     };
-    let mut router = planned.router;
+    let mut wanted = planned.router;
     loop {
+        let router = balancer.choose(experiment, stream, wanted);
         let address = experiment.routers[router].caller_address;
         let sending =
             Sending { address, stream, planned, body: body.clone(), prompt: prompt.clone() };
@@ -69,7 +72,7 @@
             return record;
         }
         tokio::time::sleep(wait).await;
-        router = next_router(experiment, stream, router);
+        wanted = next_router(experiment, stream, router);
     }
 }
 
--- a/crates/bergamotpitch-load/src/lib.rs
+++ b/crates/bergamotpitch-load/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod arrivals;
 pub mod backlogs;
+pub mod balancers;
 pub mod callers;
 pub mod checks;
 pub mod errors;
--- a/crates/bergamotpitch-load/src/main.rs
+++ b/crates/bergamotpitch-load/src/main.rs
@@ -7,7 +7,7 @@
 use bergamotpitch_load::errors::{Result, file_error};
 use bergamotpitch_load::experiments::parse_experiment;
 use bergamotpitch_load::plots::draw_service;
-use bergamotpitch_load::reports::{faults, load_report, store, table};
+use bergamotpitch_load::reports::{cuts, faults, load_report, store, table};
 use bergamotpitch_load::runs::run;
 
 mod flags {
@@ -38,6 +38,8 @@
             cmd table {
                 /// Folders that runs were stored in.
                 repeated folders: PathBuf
+                /// Fail as well when a caller saw a cut answer or lost its connection.
+                optional --uncut
             }
         }
     }
@@ -53,7 +55,7 @@
         flags::BergamotpitchLoadCmd::Version(_) => print_version(),
         flags::BergamotpitchLoadCmd::Check(check) => check_file(&check.file),
         flags::BergamotpitchLoadCmd::Run(options) => run_file(&options),
-        flags::BergamotpitchLoadCmd::Table(options) => print_table(&options.folders),
+        flags::BergamotpitchLoadCmd::Table(options) => print_table(&options),
     };
     match done {
         Ok(code) => code,
@@ -90,10 +92,14 @@
     Ok(ExitCode::SUCCESS)
 }
 
-fn print_table(folders: &[PathBuf]) -> Result<ExitCode> {
-    let reports = folders.iter().map(|folder| load_report(folder)).collect::<Result<Vec<_>>>()?;
+fn print_table(options: &flags::Table) -> Result<ExitCode> {
+    let reports =
+        options.folders.iter().map(|folder| load_report(folder)).collect::<Result<Vec<_>>>()?;
     print!("{}", table(&reports));
-    let faults = faults(&reports);
+    let mut faults = faults(&reports);
+    if options.uncut {
+        faults.extend(cuts(&reports));
+    }
     for fault in &faults {
         eprintln!("bergamotpitch-load: {fault}");
     }
--- a/crates/bergamotpitch-load/src/reports.rs
+++ b/crates/bergamotpitch-load/src/reports.rs
@@ -149,3 +149,19 @@
     }
     faults
 }
+
+/// `cuts` names, for each report, answers that callers saw cut and connections that they lost: a
+/// fault that ends no process must cause none.
+pub fn cuts(reports: &[RunReport]) -> Vec<String> {
+    let mut cuts = Vec::new();
+    for report in reports {
+        let figures = [
+            ("cut_seen_answers", report.measures.cut_seen_answers),
+            ("lost_requests", report.measures.lost_requests),
+        ];
+        for (name, value) in figures.iter().filter(|(_, value)| 0 < *value) {
+            cuts.push(format!("{}: {name} is {value}", report.label));
+        }
+    }
+    cuts
+}
--- a/crates/bergamotpitch-load/src/runs.rs
+++ b/crates/bergamotpitch-load/src/runs.rs
@@ -11,6 +11,7 @@
 
 use crate::arrivals::{PlannedRequest, schedule};
 use crate::backlogs::Interval;
+use crate::balancers::Balancer;
 use crate::callers::{call, now_us};
 use crate::errors::{Result, fetch_error};
 use crate::experiments::Experiment;
@@ -53,17 +54,17 @@
 ///
 /// # Errors
 ///
-/// Fails when a stand-in cannot be asked for its records or a router for its counters.
+/// Fails when a stand-in cannot be asked for its records.
 pub async fn run(experiment: Experiment, sheet: &Sheet, label: &str) -> Result<RunOutcome> {
     let client = http_client();
-    let counters_before = sum_counters(&client, &experiment).await?;
+    let counters_before = read_counters(&client, &experiment).await;
     let calls_before = platform_calls(&client, &experiment).await?;
     let started = Instant::now();
     let started_us = now_us();
     let experiment = Arc::new(experiment);
     let callers = send_all(&client, &experiment, started).await;
     let seconds = started.elapsed().as_secs_f64();
-    let counters_after = sum_counters(&client, &experiment).await?;
+    let counters_after = read_counters(&client, &experiment).await;
     let calls_after = platform_calls(&client, &experiment).await?;
     let records = Records {
         upstreams: fetch_records(&client, sheet, "/_records", |_| true).await?,
@@ -75,12 +76,7 @@
         name: experiment.name.clone(),
         label: label.to_owned(),
         measures: measure(&records, &ground),
-        control_bytes_per_s: rates(
-            &counters_before,
-            &counters_after,
-            seconds,
-            experiment.routers.len(),
-        ),
+        control_bytes_per_s: rates(&counters_before, &counters_after, seconds),
         platform_calls_per_s: calls_after.saturating_sub(calls_before) as f64 / seconds,
         refusals: count_refusals(&records.callers),
     };
@@ -92,12 +88,16 @@
     experiment: &Arc<Experiment>,
     started: Instant,
 ) -> Vec<CallerRecord> {
+    let balancer = Balancer::of_experiment(experiment);
+    let checks = balancer.spawn_checks(client, experiment);
     let mut running = JoinSet::new();
     for planned in schedule(experiment) {
         tokio::time::sleep_until(started + planned.at).await;
-        running.spawn(call_owned(client.clone(), Arc::clone(experiment), planned));
+        let sending = call_owned(client.clone(), Arc::clone(experiment), balancer.clone(), planned);
+        running.spawn(sending);
     }
     let mut records = running.join_all().await;
+    drop(checks);
     records.sort_by_key(|record| record.number);
     records
 }
@@ -105,9 +105,10 @@
 async fn call_owned(
     client: HttpClient,
     experiment: Arc<Experiment>,
+    balancer: Balancer,
     planned: PlannedRequest,
 ) -> CallerRecord {
-    call(&client, &experiment, &planned).await
+    call(&client, &experiment, &balancer, &planned).await
 }
 
 async fn fetch_records<T: DeserializeOwned>(
@@ -173,19 +174,21 @@
     Ok(counts.reads + counts.watches + counts.lists + counts.writes + counts.sessions)
 }
 
-/// `sum_counters` adds up the routers' counters of control bytes, by class.
-async fn sum_counters(
-    client: &HttpClient,
-    experiment: &Experiment,
-) -> Result<HashMap<String, f64>> {
-    let mut sums = HashMap::default();
+/// `CounterTable` holds each router's counters of control bytes, by class.
+type CounterTable = Vec<HashMap<String, f64>>;
+
+/// `read_counters` reads the counters of every router; one that does not answer has none.
+async fn read_counters(client: &HttpClient, experiment: &Experiment) -> CounterTable {
+    let mut table = CounterTable::new();
     for router in &experiment.routers {
-        let text = fetch_text(client, router.operator_address, "/metrics").await?;
-        for (class, value) in text.lines().filter_map(control_bytes) {
-            *sums.entry(class).or_default() += value;
-        }
+        let text =
+            fetch_text(client, router.operator_address, "/metrics").await.unwrap_or_else(|error| {
+                log::warn!("control bytes of {} are left out: {error}", router.name);
+                String::new()
+            });
+        table.push(text.lines().filter_map(control_bytes).collect());
     }
-    Ok(sums)
+    table
 }
 
 /// `control_bytes` reads one line of Prometheus text when it counts control bytes sent.
@@ -196,19 +199,19 @@
     Some((class.to_owned(), value.parse().ok()?))
 }
 
-fn rates(
-    before: &HashMap<String, f64>,
-    after: &HashMap<String, f64>,
-    seconds: f64,
-    instances: usize,
-) -> HashMap<String, f64> {
-    after
-        .iter()
-        .map(|(class, value)| {
-            let sent = value - before.get(class).copied().unwrap_or(0.0);
-            (class.clone(), sent / seconds / instances.max(1) as f64)
-        })
-        .collect()
+/// `rates` returns the control bytes of an instance and second, by class.
+fn rates(before: &CounterTable, after: &CounterTable, seconds: f64) -> HashMap<String, f64> {
+    let instances = after.len().max(1) as f64;
+    let mut rates: HashMap<String, f64> = HashMap::default();
+    for (before, after) in before.iter().zip(after) {
+        for (class, value) in after {
+            let earlier = before.get(class).copied().unwrap_or(0.0);
+            // A router that was restarted counts from 0 again.
+            let sent = if earlier <= *value { value - earlier } else { *value };
+            *rates.entry(class.clone()).or_default() += sent / seconds / instances;
+        }
+    }
+    rates
 }
 
 fn count_refusals(callers: &[CallerRecord]) -> HashMap<String, u64> {
