Pass reports over a third instance when a link inside a domain is cut

Cause: behind a one-way cut inside a domain the instance that cannot hear the home took the duty itself, and both homes granted every slot; the other way round its reports were lost and it was taken for gone. Ruled out: electing by what all members hear (needs lists of members in each heartbeat). Change: a member that is not the home passes a report on; an instance whose reports are not seen sends them over another member, and does not take the duty while the home answers over one; teams out of reach do not count for the lead limit; a lead is repaid by half of the service instead of a quarter.

--- a/crates/bergamotpitch-control/src/grants.rs
+++ b/crates/bergamotpitch-control/src/grants.rs
@@ -10,7 +10,7 @@
 use crate::levels::{LEVEL_SCALE, Level, level_of_cost, share_of};
 use crate::messages::Message;
 use crate::outputs::Output;
-use crate::share_messages::{GrantLine, LevelLine, ShareGrant};
+use crate::share_messages::{GrantLine, LevelLine, PassedGrant, ShareGrant};
 use crate::spills;
 use crate::tables::Tables;
 use crate::windows::window;
@@ -45,21 +45,37 @@
 }
 
 fn refuse_unknown(tables: &Tables, service: ServiceId, home: &mut Home, outputs: &mut Vec<Output>) {
-    for (instance, adoption) in std::mem::take(&mut home.unknown) {
-        let Some(member) = tables.members.get(&instance) else { continue };
+    for (instance, (adoption, over)) in std::mem::take(&mut home.unknown) {
         let grant = ShareGrant { service, adoption, is_unknown: true, ..ShareGrant::default() };
-        outputs.push(Output::Send { to: member.address, message: Message::ShareGrant(grant) });
+        send_grant(tables, instance, over, grant, outputs);
     }
 }
 
+fn send_grant(
+    tables: &Tables,
+    instance: InstanceId,
+    over: Option<InstanceId>,
+    grant: ShareGrant,
+    outputs: &mut Vec<Output>,
+) {
+    let Some(member) = tables.members.get(&over.unwrap_or(instance)) else { return };
+    let message = if over.is_some() {
+        Message::PassedGrant(PassedGrant { instance, grant })
+    } else {
+        Message::ShareGrant(grant)
+    };
+    outputs.push(Output::Send { to: member.address, message });
+}
+
 fn drop_gone_routers(tables: &Tables, service: ServiceId, home: &mut Home) {
     let gone: Vec<InstanceId> = home
         .routers
         .iter()
         .filter(|(instance, router)| {
+            let is_silent = router.heard + tables.options.peer_timeout < tables.now;
             **instance != tables.options.instance
                 && tables.members.get(instance).is_none_or(|member| {
-                    member.suspected || member.incarnation != router.incarnation
+                    member.suspected && is_silent || router.incarnation < member.incarnation
                 })
         })
         .map(|(instance, _)| *instance)
@@ -209,18 +225,17 @@
     outputs: &mut Vec<Output>,
 ) {
     let Some(router) = home.routers.get(&instance) else { return };
-    let Some(member) = tables.members.get(&instance) else { return };
     let since = router.sent.map(|sent| tables.now.saturating_sub(sent));
     let waited = |time: Duration| since.is_none_or(|since| time <= since);
     if !waited(tables.options.share_spacing) {
         return;
     }
-    let to = member.address;
+    let over = router.over;
     let is_due = router.urgent
         || waited(tables.options.share_interval) && has_news(tables, service, home, router);
     if is_due {
         let grant = build_grant(tables, service, home, instance);
-        outputs.push(Output::Send { to, message: Message::ShareGrant(grant) });
+        send_grant(tables, instance, over, grant, outputs);
     }
 }
 
--- a/crates/bergamotpitch-control/src/homes.rs
+++ b/crates/bergamotpitch-control/src/homes.rs
@@ -36,7 +36,7 @@
     /// Instances of the domain that report here.
     pub routers: BTreeMap<InstanceId, HomeRouter>,
     /// Instances whose adoption is not known, to be told so.
-    pub unknown: BTreeMap<InstanceId, u32>,
+    pub unknown: BTreeMap<InstanceId, (u32, Option<InstanceId>)>,
     /// Teams that were ever reported.
     pub teams: BTreeMap<TeamId, HomeTeam>,
     /// Teams with requests that wait here and no grant under way, by effective level.
@@ -81,6 +81,10 @@
     pub outstanding: BTreeMap<TeamId, u32>,
     /// Leased slots that run nothing.
     pub idle_slots: u32,
+    /// When it last reported.
+    pub heard: Timestamp,
+    /// Instance over which its reports come.
+    pub over: Option<InstanceId>,
     /// When a grant was last sent to it.
     pub sent: Option<Timestamp>,
     /// Frontier that it was last told.
@@ -174,14 +178,29 @@
 }
 
 /// `apply_report` takes over what an instance of the domain reports.
-pub fn apply_report(tables: &mut Tables, sender: Sender, report: ShareReport) {
+pub fn apply_report(
+    tables: &mut Tables,
+    sender: Sender,
+    report: ShareReport,
+    over: Option<InstanceId>,
+) {
     let Some(mut home) = tables.homes.remove(&report.service) else { return };
     let service = report.service;
-    take_report(tables, &mut home, sender, report);
+    take_report(tables, &mut home, sender, report, over);
+    if let Some(router) = home.routers.get_mut(&sender.instance) {
+        router.over = over;
+        router.heard = tables.now;
+    }
     tables.homes.insert(service, home);
 }
 
-fn take_report(tables: &Tables, home: &mut Home, sender: Sender, report: ShareReport) {
+fn take_report(
+    tables: &Tables,
+    home: &mut Home,
+    sender: Sender,
+    report: ShareReport,
+    over: Option<InstanceId>,
+) {
     let estimate = crate::accounts::service_estimate(tables, report.service);
     let known = home.routers.get(&sender.instance);
     let is_older = known.is_some_and(|router| {
@@ -201,7 +220,7 @@
         // not know. It cannot count on from them, so it asks to be adopted anew; else the teams that
         // wait there would get nothing but the slots that the instance still holds.
         if report.sequence != 1 {
-            home.unknown.insert(sender.instance, report.adoption);
+            home.unknown.insert(sender.instance, (report.adoption, over));
             return;
         }
     }
@@ -310,9 +329,9 @@
     add_level(team, level_of_cost(cost, share));
 }
 
-/// Part of the service received while in debt that is added to repay it: a quarter, so a team that
-/// ran ahead unseen gets four fifths of its fair rate until it is even.
-const REPAYMENT_DIVISOR: i64 = 4;
+/// Part of the service received while in debt that is added to repay it: a half, so a team that ran
+/// ahead unseen gets two thirds of its fair rate until it is even.
+const REPAYMENT_DIVISOR: i64 = 2;
 
 /// `add_level` raises a team's level by service and repays some debt.
 pub fn add_level(team: &mut HomeTeam, level: Level) {
@@ -332,7 +351,15 @@
     }
     let limit = requests_level(tables, service, tables.options.lead_limit_requests);
     let local = home.order.first().map(|(level, _)| *level);
-    let remote = home.remote_order.first().map(|(level, _, _)| *level);
+    // A domain out of reach does not move. Measured against it all teams here would stand at the
+    // limit alike, and their order among themselves would be lost.
+    let remote = home
+        .remote_order
+        .iter()
+        .find(|(_, domain, _)| {
+            home.remotes.get(domain).is_some_and(|remote| !spills::is_silent(tables, remote))
+        })
+        .map(|(level, _, _)| *level);
     let Some(lowest) = local.into_iter().chain(remote).min() else { return };
     let top = lowest + limit;
     let mut leading: Vec<(Level, TeamId)> =
--- a/crates/bergamotpitch-control/src/leases.rs
+++ b/crates/bergamotpitch-control/src/leases.rs
@@ -48,6 +48,12 @@
     pub recalling: Vec<DomainId>,
     /// Idle slots that may be kept while nobody waits.
     pub keep_slots: u32,
+    /// Instance over which reports go; none when they go straight to the home.
+    pub detour: Option<InstanceId>,
+    /// When the detour was last changed.
+    pub detoured: Option<Timestamp>,
+    /// When the home last said that it saw a report.
+    pub answered: Option<Timestamp>,
     /// When the home was last heard.
     pub heard: Option<Timestamp>,
     /// When the last report was sent.
@@ -97,6 +103,8 @@
 pub fn adopt(leases: &mut Leases, home: InstanceId, incarnation: Incarnation, own: Incarnation) {
     leases.home = Some(home);
     leases.home_incarnation = incarnation;
+    leases.detour = None;
+    leases.detoured = None;
     // A restarted instance must not reuse the numbers of its earlier life: the home would take old
     // grants for new ones.
     leases.adoption =
@@ -118,15 +126,22 @@
 pub fn apply_grant(tables: &mut Tables, sender: InstanceId, grant: ShareGrant) {
     let now = tables.now;
     let Some(leases) = tables.leases.get_mut(&grant.service) else { return };
-    if leases.home != Some(sender) || leases.adoption != grant.adoption {
+    let is_expected = leases.home == Some(sender) || leases.detour == Some(sender);
+    if !is_expected || leases.adoption != grant.adoption {
         return;
     }
     if grant.is_unknown {
         let (incarnation, own) = (leases.home_incarnation, tables.options.incarnation);
-        adopt(leases, sender, incarnation, own);
+        let home = leases.home.unwrap_or(sender);
+        let detour = leases.detour;
+        adopt(leases, home, incarnation, own);
+        leases.detour = detour;
         return;
     }
     leases.heard = Some(now);
+    if leases.seen < grant.report_seen || leases.sequence == grant.report_seen {
+        leases.answered = Some(now);
+    }
     leases.seen = leases.seen.max(grant.report_seen);
     for line in &grant.granted {
         let next = leases.sequence + 1;
--- a/crates/bergamotpitch-control/src/lib.rs
+++ b/crates/bergamotpitch-control/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod claim_queues;
 mod claim_rounds;
 pub mod claims;
+pub mod detours;
 pub mod dispatches;
 pub mod domain_reports;
 pub mod errors;
--- a/crates/bergamotpitch-control/src/messages.rs
+++ b/crates/bergamotpitch-control/src/messages.rs
@@ -6,7 +6,7 @@
 use bergamotpitch_core::ids::{SheetVersion, UpstreamId};
 use serde::{Deserialize, Serialize};
 
-use crate::share_messages::{DomainReport, ShareGrant, ShareReport};
+use crate::share_messages::{DomainReport, PassedGrant, PassedReport, ShareGrant, ShareReport};
 
 /// `Message` is what one instance tells another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -19,6 +19,10 @@
     ShareGrant(ShareGrant),
     /// What one domain tells another of a service.
     DomainReport(DomainReport),
+    /// A share report of another instance, passed on to the home.
+    PassedReport(PassedReport),
+    /// A grant for another instance, to be passed on to it.
+    PassedGrant(PassedGrant),
 }
 
 /// `Heartbeat` says that the sender is alive and what it knows.
--- a/crates/bergamotpitch-control/src/share_messages.rs
+++ b/crates/bergamotpitch-control/src/share_messages.rs
@@ -3,7 +3,7 @@
 //! Each carries the sender's present numbers, which only rise within an adoption or an epoch, so a
 //! lost, repeated or late message is healed by the next one.
 
-use bergamotpitch_core::ids::{DomainId, ServiceId, TeamId, UpstreamId};
+use bergamotpitch_core::ids::{DomainId, Incarnation, InstanceId, ServiceId, TeamId, UpstreamId};
 use bergamotpitch_core::units::CostUnits;
 use serde::{Deserialize, Serialize};
 
@@ -77,6 +77,26 @@
     pub levels: Vec<LevelLine>,
 }
 
+/// `PassedReport` is a share report that came over another instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PassedReport {
+    /// Instance that it is from.
+    pub instance: InstanceId,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// The report.
+    pub report: ShareReport,
+}
+
+/// `PassedGrant` is a grant that goes over another instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PassedGrant {
+    /// Instance that it is for.
+    pub instance: InstanceId,
+    /// The grant.
+    pub grant: ShareGrant,
+}
+
 /// `GrantLine` counts the slots granted on one upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GrantLine {
--- a/crates/bergamotpitch-control/src/shares.rs
+++ b/crates/bergamotpitch-control/src/shares.rs
@@ -11,7 +11,7 @@
 use crate::outputs::Output;
 use crate::share_messages::ShareReport;
 use crate::tables::{QueueKey, Tables};
-use crate::{accounts, dispatches, domain_reports, grants, spills};
+use crate::{accounts, detours, dispatches, domain_reports, grants, spills};
 
 /// Time between two looks at who holds each duty.
 const DUTY_INTERVAL: Duration = Duration::from_millis(50);
@@ -78,7 +78,8 @@
     tables.duties_checked = Some(tables.now);
     let own = tables.options.instance;
     for service in tables.index.services.clone() {
-        let holder = homes::home_of(tables, service);
+        let holder = detours::reached_home(tables, service)
+            .unwrap_or_else(|| homes::home_of(tables, service));
         let incarnation = if holder == own {
             tables.options.incarnation
         } else {
@@ -141,13 +142,14 @@
 fn report(tables: &mut Tables, service: ServiceId, outputs: &mut Vec<Output>) {
     let Some(mut known) = tables.leases.remove(&service) else { return };
     note_waiting(tables, service, &mut known);
+    detours::settle(tables, service, &mut known);
     let own = tables.options.instance;
     if let Some(holder) = known.home
         && is_due(tables, &known, holder)
     {
         let idle = idle_slots(tables, &known);
         let report = leases::report(tables, service, &mut known, idle);
-        send_report(tables, holder, report, outputs);
+        send_report(tables, known.detour.unwrap_or(holder), report, outputs);
         if holder == own {
             known.seen = known.sequence;
         }
@@ -181,7 +183,7 @@
             domain: options.domain,
             address,
         };
-        homes::apply_report(tables, sender, report);
+        homes::apply_report(tables, sender, report, None);
         return;
     }
     let Some(member) = tables.members.get(&holder) else { return };
--- a/crates/bergamotpitch-control/src/steps.rs
+++ b/crates/bergamotpitch-control/src/steps.rs
@@ -8,7 +8,7 @@
 use crate::outputs::Output;
 use crate::tables::Tables;
 use crate::{
-    dispatches, domain_reports, homes, leases, members, requests, shares, sheet_duties,
+    detours, dispatches, domain_reports, leases, members, requests, shares, sheet_duties,
     sheet_indexes, sheets, upstreams, windows,
 };
 
@@ -54,7 +54,11 @@
             Message::Heartbeat(heartbeat) => {
                 members::apply_heartbeat(tables, sender, heartbeat, outputs)
             }
-            Message::ShareReport(report) => homes::apply_report(tables, sender, report),
+            Message::ShareReport(report) => {
+                detours::apply_report(tables, sender, report, outputs);
+            }
+            Message::PassedReport(passed) => detours::apply_passed_report(tables, sender, passed),
+            Message::PassedGrant(passed) => detours::apply_passed_grant(tables, passed, outputs),
             Message::ShareGrant(grant) => leases::apply_grant(tables, sender.instance, grant),
             Message::DomainReport(report) => domain_reports::apply(tables, sender, report),
         },
--- a/crates/bergamotpitch-proof/src/scenarios.rs
+++ b/crates/bergamotpitch-proof/src/scenarios.rs
@@ -92,6 +92,8 @@
         [at_ms(BEGIN_MS, Fault::Cut(Spot::Place(0), Spot::Place(1))), at_ms(END_MS, Fault::Heal)];
     let inside =
         [at_ms(BEGIN_MS, Fault::Cut(Spot::Router(0), Spot::Router(1))), at_ms(END_MS, Fault::Heal)];
+    let inside_back =
+        [at_ms(BEGIN_MS, Fault::Cut(Spot::Router(1), Spot::Router(0))), at_ms(END_MS, Fault::Heal)];
     let home = [at_ms(BEGIN_MS, Fault::StopHome(0)), at_ms(END_MS, Fault::StartStopped)];
     let restart = [
         at_ms(BEGIN_MS, Fault::Stop(1)),
@@ -117,6 +119,7 @@
         faulty("domain cut off", &cut_off, false, unheard),
         faulty("one-way cut", &one_way, false, unheard),
         faulty("one-way cut inside", &inside, false, STALENESS),
+        faulty("one-way cut inside, back", &inside_back, false, STALENESS),
         faulty("loss 10%", &loss, false, STALENESS * 2),
         faulty("key-value service out", &platform, false, STALENESS),
         faulty("home killed + loss", &both(&home, &loss), false, STALENESS * 2),
