--- a/crates/bergamotpitch-control/src/members.rs
+++ b/crates/bergamotpitch-control/src/members.rs
@@ -40,10 +40,8 @@
         draining: heartbeat.draining,
     };
     tables.members.insert(sender.instance, member);
+    upstreams::apply_leaving_lines(tables, &heartbeat.leaving_upstreams, outputs);
     sheet_duties::apply_heartbeat(tables, sender, &heartbeat, outputs);
-    for upstream in heartbeat.leaving_upstreams {
-        upstreams::mark_leaving(tables, upstream, outputs);
-    }
 }
 
 /// `run` sends heartbeats and suspects silent peers.
@@ -60,7 +58,10 @@
         sheet_doubtful: tables.sheet_duty.doubt.is_some(),
         platform_lost: tables.sheet_duty.platform_lost,
         draining: tables.draining,
-        leaving_upstreams: upstreams::leaving(tables),
+        leaving_upstreams: upstreams::leaving(tables)
+            .into_iter()
+            .filter_map(|upstream| upstreams::leaving_line(tables, upstream))
+            .collect(),
     };
     for to in addresses(tables) {
         outputs.push(Output::Send { to, message: Message::Heartbeat(heartbeat.clone()) });
--- a/crates/bergamotpitch-router/src/controls.rs
+++ b/crates/bergamotpitch-router/src/controls.rs
@@ -57,6 +57,7 @@
         incarnation: context.incarnation,
         domain: context.domain,
         policy: context.settings.policy,
+        drain_grace: context.options.shortest_drain,
         first_peers: context.settings.first_peers.clone(),
         seed: context.incarnation ^ u64::from(context.instance),
         ..Options::default()
@@ -166,6 +167,9 @@
         Output::WatchSheet { watching } => {
             control.context.watching.send_replace(watching);
         }
+        Output::LeadOrders { leading } => {
+            control.context.leading.send_replace(leading);
+        }
         Output::FetchSheet { from, version: _ } => {
             let _ = control.sends.try_send(PeerOutput::FetchSheet { from });
         }
