Send one heartbeat a domain across regions, and pass reports on to the home

The users pay for it by volume and ask for less than 500. Ruled out: a slower heartbeat to all (grows with the fleet: 744 far instances would need one each 27 s); one relay a pair of domains that passes whole heartbeats on inside the domain (5.6 KB/s a node at the planned size). Change: an instance picks one member in each other domain and sends it a heartbeat each 2 s, and at once when what it says changes; instances of a domain tell each other whom they heard, within a budget of bytes; unknown or silent instances are greeted; a domain report goes to the home heard last, or to any member, which passes it on. The wait before a new home takes over leaves time for a detour to answer.

--- a/crates/bergamotpitch-control/src/detours.rs
+++ b/crates/bergamotpitch-control/src/detours.rs
@@ -64,7 +64,7 @@
     let known = tables.leases.get(&service)?;
     let holder = known.home?;
     let member = tables.members.get(&holder)?;
-    let is_answered = known.heard.is_some_and(|heard| tables.now < heard + DETOUR_TIME);
+    let is_answered = known.heard.is_some_and(|heard| tables.now < heard + DETOUR_TIME * 2);
     let is_same = member.incarnation == known.home_incarnation && !member.draining;
     (member.suspected && is_same && is_answered).then_some(holder)
 }
--- a/crates/bergamotpitch-control/src/domain_reports.rs
+++ b/crates/bergamotpitch-control/src/domain_reports.rs
@@ -1,18 +1,21 @@
 //! Reports between domains: what a home tells the homes of its service elsewhere.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bergamotpitch_core::ids::{DomainId, InstanceId, ServiceId, TeamId};
 use bergamotpitch_core::units::Timestamp;
 
 use crate::accounts;
-use crate::homes::{Home, HomeTeam, add_level, lift, reindex, weight};
+use crate::homes::{self, Home, HomeTeam, add_level, lift, reindex, weight};
 use crate::inputs::Sender;
 use crate::leases::{SlotLease, held};
 use crate::levels::{LEVEL_SCALE, Level, level_of_cost, share_of};
 use crate::messages::Message;
 use crate::outputs::Output;
-use crate::share_messages::{DomainReport, DomainTeamLine, GrantLine, SERVED_QUANTUM, SlotLine};
+use crate::share_messages::{
+    DomainReport, DomainTeamLine, GrantLine, PassedDomainReport, SERVED_QUANTUM, SlotLine,
+};
 use crate::spills::{self, CUT_OFF_TIME, PreviousLife, Remote, RemoteTeam};
 use crate::tables::Tables;
 
@@ -49,7 +52,7 @@
         if domain == tables.options.domain {
             continue;
         }
-        let Some(to) = peer(tables, service, domain) else { continue };
+        let Some(to) = peer(tables, service, home.remotes.get(&domain), domain) else { continue };
         let remote = home.remotes.entry(domain).or_default();
         if !is_due(tables.now, remote, home.frontier.is_some()) {
             continue;
@@ -71,7 +74,19 @@
     remote.next_allowed <= now && (is_contended || sent + IDLE_INTERVAL <= now)
 }
 
-fn peer(tables: &Tables, service: ServiceId, domain: DomainId) -> Option<std::net::SocketAddr> {
+/// The home there that was heard last, else any member there: it passes the report on.
+fn peer(
+    tables: &Tables,
+    service: ServiceId,
+    remote: Option<&Remote>,
+    domain: DomainId,
+) -> Option<SocketAddr> {
+    if let Some(remote) = remote
+        && !spills::is_silent(tables, remote)
+        && remote.address.is_some()
+    {
+        return remote.address;
+    }
     tables
         .members
         .iter()
@@ -140,11 +155,35 @@
     }
 }
 
-/// `apply` takes over what the home of another domain reports.
-pub fn apply(tables: &mut Tables, sender: Sender, report: DomainReport) {
+/// `apply` takes over what the home of another domain reports, or passes it on to the home here.
+pub fn apply(tables: &mut Tables, sender: Sender, report: DomainReport, outputs: &mut Vec<Output>) {
     if sender.domain == tables.options.domain {
         return;
     }
+    if !tables.homes.contains_key(&report.service) {
+        pass_on(tables, sender, report, outputs);
+        return;
+    }
+    take(tables, sender, report);
+}
+
+/// `apply_passed` takes a domain report that another instance of this domain passed on.
+pub fn apply_passed(tables: &mut Tables, passed: PassedDomainReport) {
+    let PassedDomainReport { instance, incarnation, domain, address, report } = passed;
+    if domain != tables.options.domain {
+        take(tables, Sender { instance, incarnation, domain, address }, report);
+    }
+}
+
+fn pass_on(tables: &Tables, sender: Sender, report: DomainReport, outputs: &mut Vec<Output>) {
+    let holder = homes::home_of(tables, report.service);
+    let Some(member) = tables.members.get(&holder) else { return };
+    let Sender { instance, incarnation, domain, address } = sender;
+    let passed = PassedDomainReport { instance, incarnation, domain, address, report };
+    outputs.push(Output::Send { to: member.address, message: Message::PassedDomainReport(passed) });
+}
+
+fn take(tables: &mut Tables, sender: Sender, report: DomainReport) {
     let Some(mut home) = tables.homes.remove(&report.service) else { return };
     let service = report.service;
     take_report(tables, &mut home, sender, report);
@@ -169,6 +208,7 @@
     let is_rejoin = !is_first && CUT_OFF_TIME < silence;
     remote.frontier = report.frontier;
     remote.sequence = report.sequence;
+    remote.address = Some(sender.address);
     remote.heard = tables.now;
     if report.peer_epoch == home.epoch {
         take_slots(remote, &report, next);
--- a/crates/bergamotpitch-control/src/lib.rs
+++ b/crates/bergamotpitch-control/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod dispatches;
 pub mod domain_reports;
 pub mod errors;
+pub mod far_members;
 pub mod grants;
 pub mod homes;
 pub mod inputs;
--- a/crates/bergamotpitch-control/src/members.rs
+++ b/crates/bergamotpitch-control/src/members.rs
@@ -8,7 +8,7 @@
 use crate::messages::{Heartbeat, Message};
 use crate::outputs::{Event, Output};
 use crate::tables::{Member, Tables};
-use crate::{sheet_duties, upstreams};
+use crate::{far_members, sheet_duties, upstreams};
 
 /// `apply_heartbeat` notes that a peer is alive and takes over what it knows.
 pub fn apply_heartbeat(
@@ -38,6 +38,7 @@
         heard: tables.now,
         suspected: false,
         draining: heartbeat.draining,
+        is_heard_here: true,
     };
     tables.members.insert(sender.instance, member);
     upstreams::apply_leaving_lines(tables, &heartbeat.leaving_upstreams, outputs);
@@ -53,7 +54,16 @@
         return;
     }
     tables.heartbeat_sent = Some(tables.now);
-    let heartbeat = Heartbeat {
+    let heartbeat = heartbeat(tables);
+    for to in domain_addresses(tables) {
+        outputs.push(Output::Send { to, message: Message::Heartbeat(heartbeat.clone()) });
+    }
+    far_members::run(tables, heartbeat, outputs);
+}
+
+/// `heartbeat` is what this instance says of itself.
+pub fn heartbeat(tables: &Tables) -> Heartbeat {
+    Heartbeat {
         sheet_version: tables.sheet.as_ref().map_or(0, |sheet| sheet.version),
         sheet_doubtful: tables.sheet_duty.doubt.is_some(),
         platform_lost: tables.sheet_duty.platform_lost,
@@ -62,16 +72,17 @@
             .into_iter()
             .filter_map(|upstream| upstreams::leaving_line(tables, upstream))
             .collect(),
-    };
-    for to in addresses(tables) {
-        outputs.push(Output::Send { to, message: Message::Heartbeat(heartbeat.clone()) });
     }
 }
 
 fn suspect_silent_members(tables: &mut Tables, outputs: &mut Vec<Output>) {
     let now = tables.now;
-    let timeout = tables.options.peer_timeout;
     for (instance, member) in &mut tables.members {
+        let timeout = if member.domain == tables.options.domain {
+            tables.options.peer_timeout
+        } else {
+            far_members::TIMEOUT
+        };
         if !member.suspected && member.heard + timeout < now {
             member.suspected = true;
             outputs
@@ -80,10 +91,13 @@
     }
 }
 
-fn addresses(tables: &Tables) -> Vec<SocketAddr> {
-    let mut addresses: Vec<SocketAddr> =
-        tables.members.values().map(|member| member.address).collect();
-    addresses.extend(&tables.options.first_peers);
+fn domain_addresses(tables: &Tables) -> Vec<SocketAddr> {
+    let mut addresses: Vec<SocketAddr> = tables
+        .members
+        .values()
+        .filter(|member| member.domain == tables.options.domain)
+        .map(|member| member.address)
+        .collect();
     addresses.sort_unstable();
     addresses.dedup();
     addresses
--- a/crates/bergamotpitch-control/src/messages.rs
+++ b/crates/bergamotpitch-control/src/messages.rs
@@ -3,16 +3,24 @@
 //! Each message carries state, not a change of it, so that a lost, repeated or reordered message
 //! does no harm.
 
-use bergamotpitch_core::ids::{SheetVersion, UpstreamId};
+use std::net::SocketAddr;
+
+use bergamotpitch_core::ids::{DomainId, Incarnation, InstanceId, SheetVersion, UpstreamId};
 use serde::{Deserialize, Serialize};
 
-use crate::share_messages::{DomainReport, PassedGrant, PassedReport, ShareGrant, ShareReport};
+use crate::share_messages::{
+    DomainReport, PassedDomainReport, PassedGrant, PassedReport, ShareGrant, ShareReport,
+};
 
 /// `Message` is what one instance tells another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
     /// The sender is alive.
     Heartbeat(Heartbeat),
+    /// The sender is alive and has not heard the receiver; it wants a heartbeat back.
+    Greeting(Heartbeat),
+    /// Instances of other domains that the sender heard, for an instance of its own domain.
+    FarMembers(Vec<FarMember>),
     /// What waits and was served at the sender, for the home of a service.
     ShareReport(ShareReport),
     /// What the receiver may hand over, from the home of a service.
@@ -23,6 +31,8 @@
     PassedReport(PassedReport),
     /// A grant for another instance, to be passed on to it.
     PassedGrant(PassedGrant),
+    /// What another domain told, passed on to the home.
+    PassedDomainReport(PassedDomainReport),
 }
 
 /// `Heartbeat` says that the sender is alive and what it knows.
@@ -48,3 +58,20 @@
     /// Age of the latest evidence for it, in tenths of a second.
     pub age_ds: u16,
 }
+
+/// `FarMember` is an instance of another domain.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FarMember {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Its present life.
+    pub incarnation: Incarnation,
+    /// Failure domain that it stands in.
+    pub domain: DomainId,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// True when it is draining.
+    pub draining: bool,
+    /// Time since it was heard, in milliseconds.
+    pub age_ms: u32,
+}
--- a/crates/bergamotpitch-control/src/share_messages.rs
+++ b/crates/bergamotpitch-control/src/share_messages.rs
@@ -3,6 +3,8 @@
 //! Each carries the sender's present numbers, which only rise within an adoption or an epoch, so a
 //! lost, repeated or late message is healed by the next one.
 
+use std::net::SocketAddr;
+
 use bergamotpitch_core::ids::{DomainId, Incarnation, InstanceId, ServiceId, TeamId, UpstreamId};
 use bergamotpitch_core::units::CostUnits;
 use serde::{Deserialize, Serialize};
@@ -97,6 +99,21 @@
     pub grant: ShareGrant,
 }
 
+/// `PassedDomainReport` is a domain report that reached an instance that is not the home.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PassedDomainReport {
+    /// Home that sent it.
+    pub instance: InstanceId,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// The report.
+    pub report: DomainReport,
+}
+
 /// `GrantLine` counts the slots granted on one upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GrantLine {
--- a/crates/bergamotpitch-control/src/spills.rs
+++ b/crates/bergamotpitch-control/src/spills.rs
@@ -6,6 +6,7 @@
 //! straight over to the other domain's upstream.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bergamotpitch_core::ids::{DomainId, InstanceId, ServiceId, TeamId, UpstreamId};
@@ -39,6 +40,8 @@
 pub struct Remote {
     /// Instance that holds the duty there.
     pub instance: InstanceId,
+    /// Where it is reached.
+    pub address: Option<SocketAddr>,
     /// Life of the duty there.
     pub epoch: u32,
     /// Its last report.
--- a/crates/bergamotpitch-control/src/steps.rs
+++ b/crates/bergamotpitch-control/src/steps.rs
@@ -8,8 +8,8 @@
 use crate::outputs::Output;
 use crate::tables::Tables;
 use crate::{
-    detours, dispatches, domain_reports, leases, members, requests, shares, sheet_duties,
-    sheet_indexes, sheets, upstreams, windows,
+    detours, dispatches, domain_reports, far_members, leases, members, requests, shares,
+    sheet_duties, sheet_indexes, sheets, upstreams, windows,
 };
 
 /// `step` applies inputs at a time and runs every system over the tables.
@@ -61,7 +61,16 @@
             Message::PassedReport(passed) => detours::apply_passed_report(tables, sender, passed),
             Message::PassedGrant(passed) => detours::apply_passed_grant(tables, passed, outputs),
             Message::ShareGrant(grant) => leases::apply_grant(tables, sender.instance, grant),
-            Message::DomainReport(report) => domain_reports::apply(tables, sender, report),
+            Message::Greeting(heartbeat) => {
+                far_members::apply_greeting(tables, sender, heartbeat, outputs);
+            }
+            Message::FarMembers(lines) => {
+                far_members::apply_lines(tables, sender, lines, outputs);
+            }
+            Message::DomainReport(report) => {
+                domain_reports::apply(tables, sender, report, outputs);
+            }
+            Message::PassedDomainReport(passed) => domain_reports::apply_passed(tables, passed),
         },
         Input::LoadReported { upstream, report } => {
             upstreams::apply_load_report(tables, upstream, report, outputs);
--- a/crates/bergamotpitch-control/src/tables.rs
+++ b/crates/bergamotpitch-control/src/tables.rs
@@ -15,6 +15,7 @@
 use bergamotpitch_core::units::{CostUnits, Timestamp};
 
 use crate::accounts::Estimate;
+use crate::far_members::FarDuty;
 use crate::homes::Home;
 use crate::inputs::Arrival;
 use crate::leases::Leases;
@@ -118,6 +119,8 @@
     pub members: HashMap<InstanceId, Member>,
     /// Time of the last heartbeat sent.
     pub heartbeat_sent: Option<Timestamp>,
+    /// Heartbeats to other domains.
+    pub far_duty: FarDuty,
     /// Upstreams of the sheet in force.
     pub upstreams: HashMap<UpstreamId, Upstream>,
     /// Teams of the sheet in force.
@@ -174,6 +177,8 @@
     pub suspected: bool,
     /// True when it is draining.
     pub draining: bool,
+    /// True when it was heard straight, and not through another instance of this domain.
+    pub is_heard_here: bool,
 }
 
 /// `Upstream` is an upstream and what is known of its load.
