Measure the bytes a claim costs when shards are full of live claims

Change: runs may begin with live claims in the shards; the table shows the value bytes read and written for each claim. Conclusion: settled claims have to leave the record that is rewritten.

--- a/crates/bergamotpitch-proof/examples/claim_rates.rs
+++ b/crates/bergamotpitch-proof/examples/claim_rates.rs
@@ -13,26 +13,40 @@
 
 fn main() {
     println!(
-        "| routers | claims/s | shards | commit interval ms | writes/s | conflicts/s | reads/s | won claims a write | KB a claim | p50 ms | p99 ms | not won % |"
+        "| routers | claims/s | live claims | shards | commit interval ms | writes/s | conflicts/s \
+         | reads/s | claims a write | KB a claim | p50 ms | p99 ms | not won % |"
     );
-    println!("|---|---|---|---|---|---|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|");
     for router_count in [1, 8] {
         for claims_per_second in [50, 500] {
             for shard_count in [16, 64] {
                 for interval_ms in [20, 100] {
-                    print_row(router_count, claims_per_second, shard_count, interval_ms);
+                    let row = Row { router_count, claims_per_second, shard_count, interval_ms };
+                    print_row(row, 0);
                 }
             }
         }
     }
+    for (claims_per_second, live_claims) in [(50, 43_200), (50, 432_000)] {
+        for shard_count in [64, 256] {
+            let row = Row { router_count: 8, claims_per_second, shard_count, interval_ms: 20 };
+            print_row(row, live_claims);
+        }
+    }
+}
+
+#[derive(Clone, Copy)]
+struct Row {
+    router_count: usize,
+    claims_per_second: usize,
+    shard_count: u32,
+    interval_ms: u64,
 }
 
-fn print_row(router_count: usize, claims_per_second: usize, shard_count: u32, interval_ms: u64) {
-    let claims = ClaimOptions {
-        shard_count,
-        commit_interval: Duration::from_millis(interval_ms),
-        ..ClaimOptions::default()
-    };
+fn print_row(row: Row, live_claims: usize) {
+    let Row { router_count, claims_per_second, shard_count, interval_ms } = row;
+    let commit_interval = Duration::from_millis(interval_ms);
+    let claims = ClaimOptions { shard_count, commit_interval, ..ClaimOptions::default() };
     let result = run_claims(RunOptions {
         router_count,
         key_count: claims_per_second * TIME.as_secs() as usize,
@@ -41,6 +55,7 @@
         refused_percent: 0.0,
         unrun_percent: 0.0,
         lost_percent: 0.0,
+        live_claims,
         claims,
         ..RunOptions::default()
     });
@@ -48,8 +63,8 @@
     let won = result.claim_times.len();
     let counts = result.kv.counts;
     println!(
-        "| {router_count} | {claims_per_second} | {shard_count} | {interval_ms} | {:.0} | {:.0} | {:.0} | {:.2} | {:.1} | {:.1} | {:.1} | {:.2} |",
-        // Calls after the last arrival belong to its requests all the same.
+        "| {router_count} | {claims_per_second} | {live_claims} | {shard_count} | {interval_ms} \
+         | {:.0} | {:.0} | {:.0} | {:.2} | {:.1} | {:.1} | {:.1} | {:.2} |",
         counts.writes as f64 / seconds,
         counts.conflicts as f64 / seconds,
         counts.reads as f64 / seconds,
--- a/crates/bergamotpitch-proof/src/claim_runs.rs
+++ b/crates/bergamotpitch-proof/src/claim_runs.rs
@@ -12,7 +12,7 @@
     apply_write, record_outcome, release_claim, wish_claim,
 };
 use bergamotpitch_control::claims::{
-    ClaimKey, Nonce, Outcome, ShardId, ShardRecord, Verdict, claim_key,
+    Claim, ClaimKey, Nonce, Outcome, ShardId, ShardRecord, Verdict, claim_key, shard_of_key,
 };
 use bergamotpitch_core::units::Timestamp;
 
@@ -23,6 +23,9 @@
 /// Wall-clock time at which a run begins, in seconds since the Unix epoch.
 const FIRST_UNIX_S: u64 = 1_800_000_000;
 
+/// Nonces of the claims that the shards hold at the beginning.
+const EARLIER_NONCE: Nonce = 1 << 64;
+
 /// Time after which a caller tries again through another router.
 const PATIENCE: Duration = Duration::from_millis(1_500);
 
@@ -53,6 +56,8 @@
     pub unrun_percent: f64,
     /// Percent of answers that are lost between upstream and router.
     pub lost_percent: f64,
+    /// Claims of earlier requests, with their outcomes, that the shards hold at the beginning.
+    pub live_claims: usize,
     /// Constants of the claim queues.
     pub claims: ClaimOptions,
     /// Seed of the run.
@@ -74,6 +79,7 @@
             refused_percent: 15.0,
             unrun_percent: 15.0,
             lost_percent: 10.0,
+            live_claims: 0,
             claims: ClaimOptions { shard_count: 4, ..ClaimOptions::default() },
             seed: 1,
         }
@@ -198,6 +204,7 @@
         claim_times: Vec::new(),
         options,
     };
+    fill_shards(&mut run);
     run.routers = (0..run.options.router_count).map(|index| new_router(&run, index, 0)).collect();
     run
 }
@@ -208,6 +215,30 @@
     Router { queues: ClaimQueues::new(claims), life, wake_at: None, paused_until: Duration::ZERO }
 }
 
+fn fill_shards(run: &mut Run) {
+    let shard_count = run.options.claims.shard_count;
+    let mut records = vec![ShardRecord::default(); shard_count as usize];
+    for number in 0..run.options.live_claims {
+        let key = claim_key("team", "service", &format!("earlier-{number}"));
+        let outcome = Outcome { status: 200, headers: Vec::new(), body: Some(vec![0; 40]) };
+        let claim = Claim {
+            key,
+            fingerprint: [7; 16],
+            nonce: EARLIER_NONCE + number as Nonce,
+            expires_s: FIRST_UNIX_S + 3_600,
+            outcome: Some(outcome),
+        };
+        records[shard_of_key(&key, shard_count) as usize].claims.push(claim);
+    }
+    for (shard, record) in
+        records.iter().enumerate().filter(|(_, record)| !record.claims.is_empty())
+    {
+        let value = postcard::to_stdvec(record).expect("a record can be encoded");
+        fake_kvs::write(&mut run.kv, &shard_key(shard as ShardId), value, 0);
+    }
+    run.kv.counts = fake_kvs::CallCounts::default();
+}
+
 fn plan_events(run: &mut Run) {
     let whole = run.options.arrival_time;
     for key in 0..run.options.key_count {
@@ -506,7 +537,7 @@
     let mut held = Vec::new();
     for shard in 0..run.options.claims.shard_count {
         let record = decode(fake_kvs::peek(&run.kv, &shard_key(shard)).cloned());
-        for claim in record.claims {
+        for claim in record.claims.into_iter().filter(|claim| claim.nonce < EARLIER_NONCE) {
             let attempt = (claim.nonce - 1) as AttemptId;
             held.push((run.attempts[attempt].key, attempt, claim.outcome.is_some()));
         }
