Move settled claims into segments that never change

Ruled out: bands of time in the key, since two routers whose clocks differ could claim one key in two bands; more shards alone (0.6 MB with 256). Change: a record above 16 KB moves claims with an outcome into a segment that it names; the record's compare-and-swap stays the only decision. Each router keeps eight bytes a key of the segments that it has read. A segment is deleted only once no record can name it. Guards off fail first: without looking into segments a key runs twice, without care for doubtful ones a named segment is gone. A fleet that restarts as a whole comes near the read rate; larger segments or a home for each shard are the next things to weigh.

--- /dev/null
+++ b/crates/bergamotpitch-control/src/claim_calls.rs
@@ -0,0 +1,273 @@
+//! Claim calls: what follows from the results of calls, from the read of a shard's record to the
+//! write that ends the round.
+
+use std::time::Duration;
+
+use bergamotpitch_core::units::Timestamp;
+use rand_core::Rng;
+
+use crate::claim_queues::{
+    ClaimEffect, ClaimQueues, ReadResult, SegmentReadResult, ShardQueue, WriteResult,
+};
+use crate::claim_rounds::{Seen, Standing, judge_record};
+use crate::claim_segments::{
+    Segment, SegmentName, SegmentRound, key_set, next_segment, note_segment, split_record,
+};
+use crate::claims::{ClaimKey, ShardId, ShardRecord, UnixSeconds, find_claim};
+
+/// `Call` is the call under way for a shard.
+#[derive(Debug, Default)]
+pub(crate) enum Call {
+    /// None.
+    #[default]
+    Idle,
+    /// The record is being read.
+    Reading,
+    /// A segment is being read, with what the round knows so far.
+    ReadingSegment { record: ShardRecord, index: u64, round: SegmentRound },
+    /// A new segment is being written; the record that names it follows.
+    WritingSegment { record: ShardRecord, name: SegmentName, segment: Segment, writing: Writing },
+    /// The record is being written.
+    Writing(Writing),
+}
+
+/// `Writing` is what a write of the record brings with it.
+#[derive(Debug)]
+pub(crate) struct Writing {
+    /// Index on which the write is based.
+    index: u64,
+    /// Segment that the record names for the first time.
+    new_segment: Option<(SegmentName, Segment)>,
+    /// Segments that the record names no more, since their time is over.
+    expired: Vec<SegmentName>,
+}
+
+/// `Orphan` is a segment that was written and may be named by no record.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Orphan {
+    name: SegmentName,
+    /// Index on which the write of the record was based whose answer was lost. That write can still
+    /// take effect for as long as the record has this index.
+    doubt_index: u64,
+}
+
+/// `apply_read` judges what waits by the record that was read, and writes what is still wanted.
+pub fn apply_read(
+    queues: &mut ClaimQueues,
+    now: Timestamp,
+    now_s: UnixSeconds,
+    shard: ShardId,
+    result: ReadResult,
+    effects: &mut Vec<ClaimEffect>,
+) {
+    let Some(queue) = end_call(queues, shard) else { return };
+    let ReadResult::Read { record, index } = result else {
+        pause_shard(queues, shard, now);
+        return;
+    };
+    drop_orphans(queue, shard, &record, index, effects);
+    queue.caches.retain(|name, _| record.segments.iter().any(|reference| reference.name == *name));
+    let begun = Begun { record, index, round: SegmentRound::default() };
+    continue_round(queues, now, now_s, shard, begun, effects);
+}
+
+/// `apply_segment_read` goes on with the round that wanted the segment.
+pub fn apply_segment_read(
+    queues: &mut ClaimQueues,
+    now: Timestamp,
+    now_s: UnixSeconds,
+    (shard, name): (ShardId, SegmentName),
+    result: SegmentReadResult,
+    effects: &mut Vec<ClaimEffect>,
+) {
+    let Some(queue) = queues.shards.get_mut(&shard) else { return };
+    let Call::ReadingSegment { record, index, mut round } = std::mem::take(&mut queue.call) else {
+        return;
+    };
+    queues.calls_in_flight -= 1;
+    let SegmentReadResult::Read(segment) = result else {
+        pause_shard(queues, shard, now);
+        return;
+    };
+    let wished = wished_keys(queue, &record);
+    note_segment(&mut queue.caches, &mut round, name, segment, &wished);
+    continue_round(queues, now, now_s, shard, Begun { record, index, round }, effects);
+}
+
+/// `apply_segment_write` writes the record that names the new segment.
+pub fn apply_segment_write(
+    queues: &mut ClaimQueues,
+    now: Timestamp,
+    shard: ShardId,
+    result: WriteResult,
+    effects: &mut Vec<ClaimEffect>,
+) {
+    let Some(queue) = queues.shards.get_mut(&shard) else { return };
+    let Call::WritingSegment { record, name, segment, writing } = std::mem::take(&mut queue.call)
+    else {
+        return;
+    };
+    queues.calls_in_flight -= 1;
+    if result != WriteResult::Written {
+        // The record was not sent, so that nothing names the segment; it is written anew under
+        // another name in a later round.
+        effects.push(ClaimEffect::DropSegment { shard, name });
+        queue.pending.iter_mut().for_each(|pending| pending.leave_write(false));
+        pause_shard(queues, shard, now);
+        return;
+    }
+    let base_index = writing.index;
+    queue.call = Call::Writing(Writing { new_segment: Some((name, segment)), ..writing });
+    queues.calls_in_flight += 1;
+    effects.push(ClaimEffect::Write { shard, record, base_index });
+}
+
+/// `apply_write` settles what a write carried, or leaves it to the next round.
+pub fn apply_write(
+    queues: &mut ClaimQueues,
+    now: Timestamp,
+    shard: ShardId,
+    result: WriteResult,
+    effects: &mut Vec<ClaimEffect>,
+) {
+    let Some(queue) = queues.shards.get_mut(&shard) else { return };
+    let Call::Writing(writing) = std::mem::take(&mut queue.call) else { return };
+    let Writing { index, new_segment, expired } = writing;
+    queues.calls_in_flight -= 1;
+    let guards = queues.options.guards;
+    let is_trusted = result == WriteResult::InDoubt && !guards.reads_back;
+    if result == WriteResult::Written || is_trusted {
+        if let Some((name, segment)) = new_segment {
+            queue.caches.insert(name, key_set(&segment));
+        }
+        // Whoever still reads by an older record finds the segment gone and reads the record anew.
+        effects.extend(expired.into_iter().map(|name| ClaimEffect::DropSegment { shard, name }));
+        let count = queue.pending.len();
+        settle_written(queue, effects);
+        queues.waiting_operations -= count - queue.pending.len();
+        queue.pause = Duration::ZERO;
+        queue.due = now + queues.options.commit_interval;
+        return;
+    }
+    let in_doubt = result == WriteResult::InDoubt;
+    if let Some((name, _)) = new_segment {
+        // A record whose write is in doubt may name the segment. Without the segment nobody could
+        // tell whether one of its keys is claimed, and the whole shard would take no more claims.
+        if in_doubt && guards.keeps_doubtful_segments {
+            queue.orphans.push(Orphan { name, doubt_index: index });
+        } else {
+            effects.push(ClaimEffect::DropSegment { shard, name });
+        }
+    }
+    queue.pending.iter_mut().for_each(|pending| pending.leave_write(in_doubt));
+    pause_shard(queues, shard, now);
+}
+
+struct Begun {
+    record: ShardRecord,
+    index: u64,
+    round: SegmentRound,
+}
+
+fn continue_round(
+    queues: &mut ClaimQueues,
+    now: Timestamp,
+    now_s: UnixSeconds,
+    shard: ShardId,
+    begun: Begun,
+    effects: &mut Vec<ClaimEffect>,
+) {
+    let name: SegmentName =
+        (u128::from(queues.random.next_u64()) << 64) | u128::from(queues.random.next_u64());
+    let options = &queues.options;
+    let Some(queue) = queues.shards.get_mut(&shard) else { return };
+    let Begun { record, index, round } = begun;
+    if options.guards.looks_in_segments {
+        let wished = wished_keys(queue, &record);
+        if let Some(name) = next_segment(&record, &queue.caches, &round, &wished) {
+            queue.call = Call::ReadingSegment { record, index, round };
+            queues.calls_in_flight += 1;
+            effects.push(ClaimEffect::ReadSegment { shard, name });
+            return;
+        }
+    }
+    let named: Vec<SegmentName> = record.segments.iter().map(|reference| reference.name).collect();
+    let count = queue.pending.len();
+    let seen = Seen { record, index, found: &round.found };
+    let judged = judge_record(&mut queue.pending, seen, now_s, options, effects);
+    queues.waiting_operations -= count - queue.pending.len();
+    let Some(judged) = judged else {
+        queue.pause = Duration::ZERO;
+        queue.due = now + options.commit_interval;
+        return;
+    };
+    queues.calls_in_flight += 1;
+    let is_named =
+        |name: &SegmentName| judged.record.segments.iter().any(|reference| reference.name == *name);
+    let expired = named.into_iter().filter(|name| !is_named(name)).collect();
+    let writing = Writing { index, new_segment: None, expired };
+    let split = split_record(&judged.record, name, now_s, &judged.new_nonces, options);
+    if let Some((record, segment)) = split {
+        effects.push(ClaimEffect::WriteSegment { shard, name, segment: segment.clone() });
+        queue.call = Call::WritingSegment { record, name, segment, writing };
+        return;
+    }
+    queue.call = Call::Writing(writing);
+    effects.push(ClaimEffect::Write { shard, record: judged.record, base_index: index });
+}
+
+fn wished_keys(queue: &ShardQueue, record: &ShardRecord) -> Vec<ClaimKey> {
+    queue
+        .pending
+        .iter()
+        .filter_map(|pending| pending.wished_key())
+        .filter(|key| find_claim(record, key).is_none())
+        .collect()
+}
+
+// A segment whose record did not take effect is deleted, once that is certain.
+fn drop_orphans(
+    queue: &mut ShardQueue,
+    shard: ShardId,
+    record: &ShardRecord,
+    index: u64,
+    effects: &mut Vec<ClaimEffect>,
+) {
+    queue.orphans.retain(|orphan| {
+        if record.segments.iter().any(|reference| reference.name == orphan.name) {
+            return false;
+        }
+        let can_still_land = index <= orphan.doubt_index;
+        if !can_still_land {
+            effects.push(ClaimEffect::DropSegment { shard, name: orphan.name });
+        }
+        can_still_land
+    });
+}
+
+fn settle_written(queue: &mut ShardQueue, effects: &mut Vec<ClaimEffect>) {
+    queue.pending.retain(|pending| {
+        if !matches!(pending.standing, Standing::InWrite { .. }) {
+            return true;
+        }
+        effects.extend(pending.won_answer());
+        false
+    });
+}
+
+fn end_call(queues: &mut ClaimQueues, shard: ShardId) -> Option<&mut ShardQueue> {
+    let queue = queues.shards.get_mut(&shard)?;
+    queue.call = Call::Idle;
+    queues.calls_in_flight -= 1;
+    Some(queue)
+}
+
+// The pause doubles and has jitter: without both, routers that failed together would come back
+// together, and the service would be over its rate of calls again as soon as it answers.
+fn pause_shard(queues: &mut ClaimQueues, shard: ShardId, now: Timestamp) {
+    let jitter = f64::from(queues.random.next_u32()) / f64::from(u32::MAX);
+    let Some(queue) = queues.shards.get_mut(&shard) else { return };
+    let longest = queues.options.longest_pause;
+    queue.pause = (queue.pause * 2).clamp(queues.options.retry_pause, longest);
+    queue.due = now + queue.pause.mul_f64(0.5 + jitter / 2.0);
+}
--- a/crates/bergamotpitch-control/src/claim_queues.rs
+++ b/crates/bergamotpitch-control/src/claim_queues.rs
@@ -8,85 +8,19 @@
 
 use bergamotpitch_core::HashMap;
 use bergamotpitch_core::units::Timestamp;
-use rand_core::{Rng, SeedableRng};
+use rand_core::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
 
-use crate::claim_rounds::{Pending, Standing, judge_record};
+use crate::claim_calls::{Call, Orphan};
+pub use crate::claim_calls::{apply_read, apply_segment_read, apply_segment_write, apply_write};
+pub use crate::claim_options::{ClaimGuards, ClaimOptions};
+use crate::claim_rounds::Pending;
+use crate::claim_segments::{KeySet, Segment, SegmentName};
 use crate::claims::{
-    ClaimKey, Fingerprint, Nonce, Outcome, ShardId, ShardRecord, UnixSeconds, Verdict, shard_of_key,
+    ClaimKey, Fingerprint, Nonce, Outcome, ShardId, ShardRecord, UnixSeconds, Verdict,
+    outcome_size_bytes, shard_of_key,
 };
 
-/// `ClaimOptions` are the constants of the claim queues.
-#[derive(Debug, Clone)]
-pub struct ClaimOptions {
-    /// Shards; the same number at every router, for as long as claims live.
-    pub shard_count: u32,
-    /// Time for which a claim holds.
-    pub lifetime: Duration,
-    /// Most that two wall clocks may differ.
-    pub clock_margin: Duration,
-    /// Largest record of a shard, in bytes; a fuller shard takes no new claims.
-    pub shard_limit_bytes: usize,
-    /// Largest outcome that is kept whole, in bytes; of a larger one the body is left out.
-    pub outcome_limit_bytes: usize,
-    /// Operations that may wait at this router.
-    pub queue_limit_operations: usize,
-    /// Shards that may be read or written at one time.
-    pub calls_in_flight_limit: usize,
-    /// Time between two commits to one shard by this router.
-    pub commit_interval: Duration,
-    /// Time that an outcome waits for a round that begins for another reason.
-    pub outcome_delay: Duration,
-    /// Time after which a wish to claim is given up.
-    pub claim_timeout: Duration,
-    /// Pause after a failed call; it doubles up to `longest_pause`.
-    pub retry_pause: Duration,
-    /// Longest pause between two calls for one shard.
-    pub longest_pause: Duration,
-    /// Seed of the jitter.
-    pub seed: u64,
-    /// Guards that a test may switch off to show what they are for.
-    pub guards: ClaimGuards,
-}
-
-impl Default for ClaimOptions {
-    fn default() -> Self {
-        Self {
-            shard_count: 64,
-            lifetime: Duration::from_secs(24 * 3600),
-            clock_margin: Duration::from_secs(600),
-            shard_limit_bytes: 900_000,
-            outcome_limit_bytes: 2_048,
-            queue_limit_operations: 10_000,
-            calls_in_flight_limit: 16,
-            commit_interval: Duration::from_millis(20),
-            outcome_delay: Duration::from_millis(250),
-            claim_timeout: Duration::from_secs(2),
-            retry_pause: Duration::from_millis(10),
-            longest_pause: Duration::from_secs(1),
-            seed: 1,
-            guards: ClaimGuards::default(),
-        }
-    }
-}
-
-/// `ClaimGuards` are the rules that a proof switches off one by one; all are on by default.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ClaimGuards {
-    /// A write whose answer was lost is read back before anybody is told what it did.
-    pub reads_back: bool,
-    /// A claim that was given up while in doubt is released once it is seen.
-    pub releases_abandoned: bool,
-    /// A release is settled only once no copy of the doubtful write can take effect any more.
-    pub fences_doubtful: bool,
-}
-
-impl Default for ClaimGuards {
-    fn default() -> Self {
-        Self { reads_back: true, releases_abandoned: true, fences_doubtful: true }
-    }
-}
-
 /// `Ticket` names a wish to claim within this process.
 pub type Ticket = u64;
 
@@ -120,6 +54,29 @@
         /// Index that the record must still have; 0 when it must be absent.
         base_index: u64,
     },
+    /// Read a segment of a shard; the result goes to `apply_segment_read`.
+    ReadSegment {
+        /// The shard.
+        shard: ShardId,
+        /// The segment.
+        name: SegmentName,
+    },
+    /// Write a new segment of a shard; the result goes to `apply_segment_write`.
+    WriteSegment {
+        /// The shard.
+        shard: ShardId,
+        /// The segment.
+        name: SegmentName,
+        /// Its claims.
+        segment: Segment,
+    },
+    /// Delete a segment that no record names; nobody waits for the result.
+    DropSegment {
+        /// The shard.
+        shard: ShardId,
+        /// The segment.
+        name: SegmentName,
+    },
     /// Tell who wished to claim what became of it.
     Answer {
         /// The wish.
@@ -156,30 +113,35 @@
     InDoubt,
 }
 
+/// `SegmentReadResult` is what the read of a segment brought.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SegmentReadResult {
+    /// The segment.
+    Read(Segment),
+    /// The service did not answer, or the segment is gone: the record that names it is old then.
+    Failed,
+}
+
 /// `ClaimQueues` are the operations that wait at this router.
 #[derive(Debug)]
 pub struct ClaimQueues {
-    options: ClaimOptions,
-    shards: HashMap<ShardId, ShardQueue>,
-    waiting_operations: usize,
-    calls_in_flight: usize,
-    random: Xoshiro256PlusPlus,
+    pub(crate) options: ClaimOptions,
+    pub(crate) shards: HashMap<ShardId, ShardQueue>,
+    pub(crate) waiting_operations: usize,
+    pub(crate) calls_in_flight: usize,
+    pub(crate) random: Xoshiro256PlusPlus,
 }
 
 #[derive(Debug, Default)]
-struct ShardQueue {
-    pending: Vec<Pending>,
-    call: Call,
-    due: Timestamp,
-    pause: Duration,
-}
-
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-enum Call {
-    #[default]
-    Idle,
-    Reading,
-    Writing,
+pub(crate) struct ShardQueue {
+    pub(crate) pending: Vec<Pending>,
+    pub(crate) call: Call,
+    pub(crate) due: Timestamp,
+    pub(crate) pause: Duration,
+    /// Keys of the segments that were read.
+    pub(crate) caches: HashMap<SegmentName, KeySet>,
+    /// Segments that were written and may be named by no record.
+    pub(crate) orphans: Vec<Orphan>,
 }
 
 impl ClaimQueues {
@@ -292,81 +254,14 @@
     }
 }
 
-/// `apply_read` judges what waits by the record that was read, and writes what is still wanted.
-pub fn apply_read(
-    queues: &mut ClaimQueues,
-    now: Timestamp,
-    now_s: UnixSeconds,
-    shard: ShardId,
-    result: ReadResult,
-    effects: &mut Vec<ClaimEffect>,
-) {
-    let Some(queue) = queues.shards.get_mut(&shard) else { return };
-    queue.call = Call::Idle;
-    queues.calls_in_flight -= 1;
-    let ReadResult::Read { record, index } = result else {
-        pause_shard(queues, shard, now);
-        return;
-    };
-    let count = queue.pending.len();
-    let write = judge_record(&mut queue.pending, record, index, now_s, &queues.options, effects);
-    queues.waiting_operations -= count - queue.pending.len();
-    let Some(record) = write else {
-        queue.pause = Duration::ZERO;
-        queue.due = now + queues.options.commit_interval;
-        return;
-    };
-    queue.call = Call::Writing;
-    queues.calls_in_flight += 1;
-    effects.push(ClaimEffect::Write { shard, record, base_index: index });
-}
-
-/// `apply_write` settles what a write carried, or leaves it to the next round.
-pub fn apply_write(
-    queues: &mut ClaimQueues,
-    now: Timestamp,
-    shard: ShardId,
-    result: WriteResult,
-    effects: &mut Vec<ClaimEffect>,
-) {
-    let Some(queue) = queues.shards.get_mut(&shard) else { return };
-    queue.call = Call::Idle;
-    queues.calls_in_flight -= 1;
-    let is_trusted = result == WriteResult::InDoubt && !queues.options.guards.reads_back;
-    if result == WriteResult::Written || is_trusted {
-        let count = queue.pending.len();
-        settle_written(queue, effects);
-        queues.waiting_operations -= count - queue.pending.len();
-        queue.pause = Duration::ZERO;
-        queue.due = now + queues.options.commit_interval;
-        return;
-    }
-    for pending in &mut queue.pending {
-        pending.leave_write(result == WriteResult::InDoubt);
-    }
-    pause_shard(queues, shard, now);
-}
-
 fn round_due(queue: &ShardQueue) -> Option<Timestamp> {
-    if queue.call != Call::Idle {
+    if !matches!(queue.call, Call::Idle) {
         return None;
     }
     let wanted = queue.pending.iter().map(|pending| pending.wanted_at).min()?;
     Some(wanted.max(queue.due))
 }
 
-fn settle_written(queue: &mut ShardQueue, effects: &mut Vec<ClaimEffect>) {
-    queue.pending.retain(|pending| {
-        if !matches!(pending.standing, Standing::InWrite { .. }) {
-            return true;
-        }
-        if let Some(answer) = pending.won_answer() {
-            effects.push(answer);
-        }
-        false
-    });
-}
-
 fn give_up_late(
     queue: &mut ShardQueue,
     now: Timestamp,
@@ -389,23 +284,13 @@
     queues.waiting_operations += 1;
 }
 
-// The pause doubles and has jitter: without both, routers that failed together would come back
-// together, and the service would be over its rate of calls again as soon as it answers.
-fn pause_shard(queues: &mut ClaimQueues, shard: ShardId, now: Timestamp) {
-    let jitter = f64::from(queues.random.next_u32()) / f64::from(u32::MAX);
-    let Some(queue) = queues.shards.get_mut(&shard) else { return };
-    let longest = queues.options.longest_pause;
-    queue.pause = (queue.pause * 2).clamp(queues.options.retry_pause, longest);
-    queue.due = now + queue.pause.mul_f64(0.5 + jitter / 2.0);
-}
-
 // An outcome that would crowd a shard keeps its status and headers only.
 fn fitting_outcome(outcome: Outcome, limit_bytes: usize) -> Outcome {
-    if crate::claims::outcome_size_bytes(&outcome) <= limit_bytes {
+    if outcome_size_bytes(&outcome) <= limit_bytes {
         return outcome;
     }
     let without_body = Outcome { body: None, ..outcome };
-    if crate::claims::outcome_size_bytes(&without_body) <= limit_bytes {
+    if outcome_size_bytes(&without_body) <= limit_bytes {
         return without_body;
     }
     Outcome { headers: Vec::new(), ..without_body }
--- a/crates/bergamotpitch-control/src/claim_rounds.rs
+++ b/crates/bergamotpitch-control/src/claim_rounds.rs
@@ -2,7 +2,8 @@
 
 use bergamotpitch_core::units::Timestamp;
 
-use crate::claim_queues::{ClaimEffect, ClaimOptions, ClaimWish, Ticket};
+use crate::claim_options::ClaimOptions;
+use crate::claim_queues::{ClaimEffect, ClaimWish, Ticket};
 use crate::claims::{
     Claim, ClaimKey, Nonce, Outcome, ShardRecord, UnixSeconds, Verdict, claim_size_bytes,
     drop_expired, find_claim, find_own_claim, outcome_size_bytes, record_size_bytes, remove_claim,
@@ -96,6 +97,14 @@
         }
     }
 
+    /// `wished_key` is the key of a wish; other operations have none.
+    pub(crate) fn wished_key(&self) -> Option<ClaimKey> {
+        match &self.operation {
+            Operation::Claim { wish, .. } => Some(wish.key),
+            Operation::Record { .. } | Operation::Release { .. } => None,
+        }
+    }
+
     /// `give_up_at` tells when a wish is given up; other operations are not.
     pub(crate) fn give_up_at(&self) -> Option<Timestamp> {
         match &self.operation {
@@ -139,19 +148,29 @@
     }
 }
 
-/// `judge_record` settles what a record shows to be settled and returns the record to write, if
-/// any operation still wants a change.
+/// `Judged` is a record that a round has changed.
+#[derive(Debug)]
+pub(crate) struct Judged {
+    /// The record to write.
+    pub(crate) record: ShardRecord,
+    /// Nonces of claims that the round adds.
+    pub(crate) new_nonces: Vec<Nonce>,
+}
+
+/// `judge_record` settles what a record and the claims found in its segments show to be settled, and
+/// returns the record to write, if any operation still wants a change.
 pub(crate) fn judge_record(
     pending: &mut Vec<Pending>,
-    mut record: ShardRecord,
-    index: u64,
+    seen: Seen<'_>,
     now_s: UnixSeconds,
     options: &ClaimOptions,
     effects: &mut Vec<ClaimEffect>,
-) -> Option<ShardRecord> {
+) -> Option<Judged> {
+    let Seen { mut record, index, found } = seen;
     drop_expired(&mut record, now_s, options.clock_margin.as_secs());
     let size_bytes = record_size_bytes(&record);
-    let mut round = Round { record, index, size_bytes, new_nonces: Vec::new(), options, effects };
+    let new_nonces = Vec::new();
+    let mut round = Round { record, index, found, now_s, size_bytes, new_nonces, options, effects };
     pending.retain_mut(|pending| {
         let judgement = judge_operation(pending, &mut round);
         if judgement == Judgement::Write {
@@ -165,12 +184,25 @@
         return None;
     }
     round.record.revision += 1;
-    Some(round.record)
+    Some(Judged { record: round.record, new_nonces: round.new_nonces })
+}
+
+/// `Seen` is what a round judges by.
+#[derive(Debug)]
+pub(crate) struct Seen<'a> {
+    /// The record that was read.
+    pub(crate) record: ShardRecord,
+    /// Index of its last change.
+    pub(crate) index: u64,
+    /// Claims on wished keys that were found in its segments.
+    pub(crate) found: &'a [Claim],
 }
 
 struct Round<'a> {
     record: ShardRecord,
     index: u64,
+    found: &'a [Claim],
+    now_s: UnixSeconds,
     size_bytes: usize,
     /// Nonces of claims that this round adds; they are not committed yet.
     new_nonces: Vec<Nonce>,
@@ -203,7 +235,8 @@
     let Operation::Claim { wish, expires_s, .. } = &pending.operation else {
         return Judgement::Wait;
     };
-    let Some(held) = find_claim(&round.record, &wish.key) else {
+    let Some(held) = find_claim(&round.record, &wish.key).or_else(|| find_moved(round, &wish.key))
+    else {
         return add_claim(*wish, *expires_s, pending, round);
     };
     if round.new_nonces.contains(&held.nonce) {
@@ -224,6 +257,16 @@
     Judgement::Settled
 }
 
+// A claim that was released and made again may stand in a segment twice; none of them is older than
+// the record, which goes first.
+fn find_moved<'a>(round: &Round<'a>, key: &ClaimKey) -> Option<&'a Claim> {
+    let margin_s = round.options.clock_margin.as_secs();
+    round
+        .found
+        .iter()
+        .find(|claim| claim.key == *key && round.now_s <= claim.expires_s.saturating_add(margin_s))
+}
+
 fn add_claim(
     wish: ClaimWish,
     expires_s: UnixSeconds,
--- a/crates/bergamotpitch-control/src/claims.rs
+++ b/crates/bergamotpitch-control/src/claims.rs
@@ -6,6 +6,8 @@
 use bergamotpitch_core::units::Timestamp;
 use serde::{Deserialize, Serialize};
 
+use crate::claim_segments::{REFERENCE_SIZE_BYTES, SegmentReference};
+
 /// `ClaimKey` names what is claimed: a hash of team, service and idempotency key.
 pub type ClaimKey = [u8; 16];
 
@@ -36,8 +38,10 @@
     /// Count of writes. It makes each written value differ from the one before, since a service
     /// may leave the index as it is when a write changes nothing.
     pub revision: u64,
-    /// Claims, oldest first.
+    /// Claims that are in no segment, oldest first.
     pub claims: Vec<Claim>,
+    /// Segments that hold the other claims, oldest first.
+    pub segments: Vec<SegmentReference>,
 }
 
 /// `Claim` is a key that was claimed.
@@ -154,12 +158,15 @@
 /// The margin makes up for clocks that differ: without it, a router whose clock runs ahead would
 /// free a key that its owner may still hand over, and the request could run twice.
 pub fn drop_expired(record: &mut ShardRecord, now_s: UnixSeconds, clock_margin_s: u64) {
-    record.claims.retain(|claim| now_s <= claim.expires_s.saturating_add(clock_margin_s));
+    let holds = |expires_s: UnixSeconds| now_s <= expires_s.saturating_add(clock_margin_s);
+    record.claims.retain(|claim| holds(claim.expires_s));
+    record.segments.retain(|segment| holds(segment.expires_s));
 }
 
 /// `record_size_bytes` bounds the encoded size of a record from above.
 pub fn record_size_bytes(record: &ShardRecord) -> usize {
-    16 + record.claims.iter().map(claim_size_bytes).sum::<usize>()
+    let references = record.segments.len() * REFERENCE_SIZE_BYTES;
+    20 + references + record.claims.iter().map(claim_size_bytes).sum::<usize>()
 }
 
 /// `claim_size_bytes` bounds the encoded size of a claim from above.
--- a/crates/bergamotpitch-control/src/lib.rs
+++ b/crates/bergamotpitch-control/src/lib.rs
@@ -5,8 +5,11 @@
 //! out as [`Output`]s. A test can drive hundreds of control states in one thread with virtual time.
 
 pub mod accounts;
+mod claim_calls;
+pub mod claim_options;
 pub mod claim_queues;
 mod claim_rounds;
+pub mod claim_segments;
 pub mod claims;
 pub mod dispatches;
 pub mod domain_reports;
--- a/crates/bergamotpitch-platform/src/claims.rs
+++ b/crates/bergamotpitch-platform/src/claims.rs
@@ -8,25 +8,21 @@
 use std::time::Duration;
 
 use bergamotpitch_control::claim_queues::{
-    ClaimEffect, ClaimOptions, ClaimQueues, ClaimWish, ReadResult, Ticket, WriteResult,
-    abandon_wish, apply_read, apply_write, record_outcome, release_claim, run, wish_claim,
-};
-use bergamotpitch_control::claims::{
-    ClaimKey, Fingerprint, Nonce, Outcome, ShardId, ShardRecord, Verdict,
+    ClaimEffect, ClaimOptions, ClaimQueues, ClaimWish, ReadResult, SegmentReadResult, Ticket,
+    WriteResult, abandon_wish, apply_read, apply_segment_read, apply_segment_write, apply_write,
+    record_outcome, release_claim, run, wish_claim,
 };
+use bergamotpitch_control::claim_segments::SegmentName;
+use bergamotpitch_control::claims::{ClaimKey, Fingerprint, Nonce, Outcome, ShardId, Verdict};
 use bergamotpitch_core::HashMap;
-use bytes::Bytes;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{JoinHandle, JoinSet};
 
+use crate::claim_calls::{read_segment, read_shard, segment_key, shard_key, write_value};
 use crate::clients::Platform;
 use crate::clocks::{process_time, unix_seconds};
-use crate::errors::{Error, Result, malformed_error};
 use crate::nonces::fresh_number;
 
-/// Prefix of the keys that hold the shards.
-pub const CLAIMS_PREFIX: &str = "bergamotpitch/claims/";
-
 /// `ClaimResult` is what became of a wish to claim a key.
 #[derive(Debug)]
 pub enum ClaimResult {
@@ -198,6 +194,9 @@
 enum CallResult {
     Read(ShardId, ReadResult),
     Wrote(ShardId, WriteResult),
+    ReadSegment((ShardId, SegmentName), SegmentReadResult),
+    WroteSegment(ShardId, WriteResult),
+    Dropped,
 }
 
 async fn run_writer(
@@ -205,6 +204,8 @@
     options: ClaimOptions,
     mut commands: mpsc::UnboundedReceiver<Command>,
 ) {
+    // The names of segments come from this seed, and no two routers may choose the same.
+    let options = ClaimOptions { seed: fresh_number() as u64, ..options };
     let queues = ClaimQueues::new(options);
     let mut writer = Writer {
         platform,
@@ -268,6 +269,13 @@
         CallResult::Wrote(shard, result) => {
             apply_write(&mut writer.queues, now, shard, result, effects);
         }
+        CallResult::ReadSegment(segment, result) => {
+            apply_segment_read(&mut writer.queues, now, unix_seconds(), segment, result, effects);
+        }
+        CallResult::WroteSegment(shard, result) => {
+            apply_segment_write(&mut writer.queues, now, shard, result, effects);
+        }
+        CallResult::Dropped => {}
     }
 }
 
@@ -283,10 +291,36 @@
             ClaimEffect::Write { shard, record, base_index } => {
                 let platform = writer.platform.clone();
                 writer.calls.spawn(async move {
-                    let result = write_shard(&platform, shard, &record, base_index).await;
+                    let key = shard_key(shard);
+                    let result = write_value(&platform, &key, &record, base_index).await;
                     CallResult::Wrote(shard, result)
                 });
             }
+            ClaimEffect::ReadSegment { shard, name } => {
+                let platform = writer.platform.clone();
+                writer.calls.spawn(async move {
+                    let result = read_segment(&platform, shard, name).await;
+                    CallResult::ReadSegment((shard, name), result)
+                });
+            }
+            ClaimEffect::WriteSegment { shard, name, segment } => {
+                let platform = writer.platform.clone();
+                writer.calls.spawn(async move {
+                    let key = segment_key(shard, name);
+                    let result = write_value(&platform, &key, &segment, 0).await;
+                    CallResult::WroteSegment(shard, result)
+                });
+            }
+            ClaimEffect::DropSegment { shard, name } => {
+                let platform = writer.platform.clone();
+                writer.calls.spawn(async move {
+                    // A segment that stays is never read again and only takes up room.
+                    if let Err(error) = platform.delete(&segment_key(shard, name)).await {
+                        log::debug!("a segment of shard {shard} was not surely deleted: {error}");
+                    }
+                    CallResult::Dropped
+                });
+            }
             ClaimEffect::Answer { ticket, verdict } => {
                 let Some(reply) = writer.replies.remove(&ticket) else { continue };
                 // Whoever waited is gone when this fails; its waiter releases the claim.
@@ -296,53 +330,6 @@
     }
 }
 
-async fn read_shard(platform: &Platform, shard: ShardId) -> ReadResult {
-    match try_read_shard(platform, shard).await {
-        Ok((record, index)) => ReadResult::Read { record, index },
-        Err(error) => {
-            log::debug!("claims of shard {shard} cannot be read: {error}");
-            ReadResult::Failed
-        }
-    }
-}
-
-async fn try_read_shard(platform: &Platform, shard: ShardId) -> Result<(ShardRecord, u64)> {
-    let key = shard_key(shard);
-    let Some(entry) = platform.get(&key).await? else {
-        return Ok((ShardRecord::default(), 0));
-    };
-    let record = postcard::from_bytes(&entry.value)
-        .map_err(|error| malformed_error(&key, error.to_string()))?;
-    Ok((record, entry.modify_index))
-}
-
-async fn write_shard(
-    platform: &Platform,
-    shard: ShardId,
-    record: &ShardRecord,
-    base_index: u64,
-) -> WriteResult {
-    let Ok(value) = postcard::to_stdvec(record) else { return WriteResult::NoEffect };
-    let error = match platform.put_cas(&shard_key(shard), Bytes::from(value), base_index).await {
-        Ok(()) => return WriteResult::Written,
-        Err(error) => error,
-    };
-    log::debug!("claims of shard {shard} were not surely written: {error}");
-    match error {
-        Error::Conflict { .. } => WriteResult::Conflict,
-        Error::Unreachable { .. } | Error::RateLimited | Error::TooLarge { .. } => {
-            WriteResult::NoEffect
-        }
-        Error::LostAnswer { .. } | Error::Malformed { .. } | Error::Sheet(_) => {
-            WriteResult::InDoubt
-        }
-    }
-}
-
-fn shard_key(shard: ShardId) -> String {
-    format!("{CLAIMS_PREFIX}{shard}")
-}
-
 async fn sleep_until_due(queues: &ClaimQueues) {
     let Some(due) = queues.next_due() else { return std::future::pending().await };
     tokio::time::sleep(due.saturating_sub(process_time())).await;
--- a/crates/bergamotpitch-platform/src/entries.rs
+++ b/crates/bergamotpitch-platform/src/entries.rs
@@ -85,6 +85,18 @@
     }
 }
 
+impl Platform {
+    /// `delete` removes a key.
+    ///
+    /// # Errors
+    ///
+    /// `Unreachable` and `RateLimited` when nothing was removed, `LostAnswer` when that is unknown.
+    pub async fn delete(&self, key: &str) -> Result<()> {
+        self.write(Method::DELETE, &format!("/v1/kv/{key}"), Bytes::new()).await?;
+        Ok(())
+    }
+}
+
 /// `is_true` reads the answer of a write.
 pub(crate) fn is_true(what: &str, body: &[u8]) -> Result<bool> {
     match body.trim_ascii() {
--- a/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/claims.rs
+++ b/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/claims.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use bergamotpitch_control::claim_queues::{
-    self, ClaimEffect, ClaimOptions, ClaimQueues, ClaimWish, ReadResult, WriteResult,
+    self, ClaimEffect, ClaimOptions, ClaimQueues, ClaimWish, ReadResult, SegmentReadResult,
+    WriteResult,
 };
+use bergamotpitch_control::claim_segments::{Segment, SegmentName};
 use bergamotpitch_control::claims::{
-    Claim, ClaimKey, Outcome, ShardId, ShardRecord, Verdict, claim_key,
+    Claim, ClaimKey, Outcome, ShardId, ShardRecord, Verdict, claim_key, claim_size_bytes,
 };
 use bergamotpitch_core::HashMap;
 use bergamotpitch_core::units::Timestamp;
@@ -34,6 +36,8 @@
     ReadBack(usize, ShardId, ShardRecord, u64),
     Write(usize, ShardId, ShardRecord, u64),
     WriteBack(usize, ShardId, WriteResult),
+    SegmentReadBack(usize, ShardId, SegmentName),
+    SegmentWriteBack(usize, ShardId),
     Outcome(usize, ClaimKey, u128),
     Round(usize),
 }
@@ -58,6 +62,7 @@
 struct Run {
     queues: Vec<ClaimQueues>,
     shards: HashMap<ShardId, (ShardRecord, u64)>,
+    segments: HashMap<SegmentName, Segment>,
     wished: HashMap<u64, Wished>,
     due: BTreeMap<(Timestamp, u64), Due>,
     number: u64,
@@ -136,6 +141,7 @@
             .map(|router| ClaimQueues::new(ClaimOptions { seed: router as u64, ..options.clone() }))
             .collect(),
         shards: (0..options.shard_count).map(|shard| (shard, (filled(shard, held), 1))).collect(),
+        segments: HashMap::default(),
         wished: HashMap::default(),
         due: BTreeMap::new(),
         number: 0,
@@ -168,7 +174,7 @@
             outcome: Some(outcome()),
         })
         .collect();
-    ShardRecord { revision: 1, claims }
+    ShardRecord { revision: 1, claims, segments: Vec::new() }
 }
 
 fn outcome() -> Outcome {
@@ -209,6 +215,20 @@
             claim_queues::apply_write(queues, now, shard, result, &mut effects);
             router
         }
+        Due::SegmentReadBack(router, shard, name) => {
+            let segment = run.segments.get(&name).cloned();
+            let result = segment.map_or(SegmentReadResult::Failed, SegmentReadResult::Read);
+            let queues = &mut run.queues[router];
+            let named = (shard, name);
+            claim_queues::apply_segment_read(queues, now, NOW_S, named, result, &mut effects);
+            router
+        }
+        Due::SegmentWriteBack(router, shard) => {
+            let queues = &mut run.queues[router];
+            let result = WriteResult::Written;
+            claim_queues::apply_segment_write(queues, now, shard, result, &mut effects);
+            router
+        }
         Due::Outcome(router, key, nonce) => {
             claim_queues::record_outcome(&mut run.queues[router], now, key, nonce, outcome());
             router
@@ -254,6 +274,23 @@
         ClaimEffect::Write { shard, record, base_index } => {
             post(run, at, Due::Write(router, shard, record, base_index));
         }
+        ClaimEffect::ReadSegment { shard, name } => {
+            run.counts.reads += 1;
+            run.counts.bytes += run
+                .segments
+                .get(&name)
+                .map_or(0, |segment| segment.claims.iter().map(claim_size_bytes).sum());
+            post(run, at + WAY, Due::SegmentReadBack(router, shard, name));
+        }
+        ClaimEffect::WriteSegment { shard, name, segment } => {
+            run.counts.writes += 1;
+            run.counts.bytes += segment.claims.iter().map(claim_size_bytes).sum::<usize>();
+            run.segments.insert(name, segment);
+            post(run, at + WAY, Due::SegmentWriteBack(router, shard));
+        }
+        ClaimEffect::DropSegment { name, .. } => {
+            run.segments.remove(&name);
+        }
         ClaimEffect::Answer { ticket, verdict } => {
             let Some(wished) = run.wished.remove(&ticket) else { return };
             if !matches!(verdict, Verdict::Won { .. }) {
--- a/crates/bergamotpitch-proof/src/fake_kvs.rs
+++ b/crates/bergamotpitch-proof/src/fake_kvs.rs
@@ -160,6 +160,11 @@
     true
 }
 
+/// `delete` removes a key.
+pub fn delete(kv: &mut FakeKv, key: &str) {
+    kv.entries.remove(key);
+}
+
 /// `random_faults` draws a schedule of faults within a time, some of them at once.
 pub fn random_faults(
     random: &mut Xoshiro256PlusPlus,
--- a/crates/bergamotpitch-proof/src/lib.rs
+++ b/crates/bergamotpitch-proof/src/lib.rs
@@ -3,7 +3,10 @@
 //!
 //! The same options, seed and calls give the same history.
 
+mod claim_callers;
+mod claim_fills;
 pub mod claim_histories;
+mod claim_kv_calls;
 pub mod claim_runs;
 pub mod deployments;
 pub mod engines;
--- a/crates/bergamotpitch-proof/tests/claim_faults.rs
+++ b/crates/bergamotpitch-proof/tests/claim_faults.rs
@@ -18,16 +18,20 @@
 fn any_faults() {
     let mut runs = 0;
     let mut refusals = 0;
+    let mut segments = 0;
     for seed in SEEDS {
         let result = run_claims(faulty_options(seed, ClaimGuards::default()));
         let faults = check_claims(&result.records, &result.held);
         assert_eq!(faults, [], "seed {seed}");
+        assert_eq!(result.missing_segments, 0, "seed {seed}");
+        segments += result.segment_count;
         runs += count(&result, ClaimStep::Ran);
         refusals += count(&result, ClaimStep::ToldNotRun);
     }
     // The schedules leave enough work done and enough refused to show anything.
     assert!(1_000 < runs, "{runs}");
     assert!(500 < refusals, "{refusals}");
+    assert!(100 < segments, "{segments}");
 }
 
 /// A router that takes a write with a lost answer for done sends a request whose claim never took
@@ -55,6 +59,27 @@
     assert!(any_fault(guards, |fault| matches!(fault, ClaimFault::StuckClaim(_))));
 }
 
+/// A router that looks for a key in the record alone misses the claims that were moved out of it,
+/// and an order runs again when its caller asks for the answer.
+#[test]
+fn without_segments() {
+    let guards = ClaimGuards { looks_in_segments: false, ..ClaimGuards::default() };
+    assert!(any_fault(guards, |fault| matches!(fault, ClaimFault::RanTwice(_))));
+}
+
+/// The answer to the write that names a new segment is lost, and the router deletes the segment. The
+/// write took effect, so that nobody can read the segment that the record names, and no key of the
+/// shard can be claimed any more.
+#[test]
+fn without_segment_care() {
+    let guards = ClaimGuards { keeps_doubtful_segments: false, ..ClaimGuards::default() };
+    assert!(
+        SEEDS
+            .into_iter()
+            .any(|seed| { 0 < run_claims(faulty_options(seed, guards)).missing_segments })
+    );
+}
+
 /// Two runs with one seed must leave the same history, or no failure could be looked into again.
 #[test]
 fn same_history() {
@@ -81,6 +106,8 @@
         claims: ClaimOptions {
             shard_count: 4,
             // Some routers give up sooner than a slow write lands.
+            // Segments so small that many are made within a run.
+            segment_bytes: if seed.is_multiple_of(2) { 300 } else { 16_000 },
             claim_timeout: Duration::from_millis(600 + 350 * (seed % 5)),
             guards,
             ..ClaimOptions::default()
