Measure claims against a service that refuses calls over its rate

Ruled out: nothing yet; this is the measure. Change: the fake service refuses calls over given rates, and the table has rows for 300 writes/s and 2,000 reads/s.

--- a/crates/bergamotpitch-proof/examples/claim_rates.rs
+++ b/crates/bergamotpitch-proof/examples/claim_rates.rs
@@ -34,6 +34,17 @@
             print_row(row, live_claims, TIME * 3);
         }
     }
+    println!("\n8 routers, a service that takes 300 writes/s and 2,000 reads/s:\n");
+    println!(
+        "| claims/s | shards | writes/s | conflicts/s | reads/s | refused/s | claims a write \
+         | won % | p50 ms | p99 ms |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|");
+    for claims_per_second in [100, 200, 500, 1_000] {
+        for shard_count in [16, 64] {
+            print_limited(claims_per_second, shard_count);
+        }
+    }
 }
 
 #[derive(Clone, Copy)]
@@ -78,6 +89,38 @@
     );
 }
 
+// The service refuses calls above its rates; the claims that do not fit are refused as not run.
+fn print_limited(claims_per_second: usize, shard_count: u32) {
+    let claims = ClaimOptions { shard_count, ..ClaimOptions::default() };
+    let result = run_claims(RunOptions {
+        router_count: 8,
+        key_count: claims_per_second * TIME.as_secs() as usize,
+        arrival_time: TIME,
+        attempt_limit: 1,
+        refused_percent: 0.0,
+        unrun_percent: 0.0,
+        lost_percent: 0.0,
+        call_rates: (300.0, 2_000.0),
+        claims,
+        ..RunOptions::default()
+    });
+    let seconds = TIME.as_secs_f64();
+    let won = result.claim_times.len();
+    let counts = result.kv.counts;
+    let wished = claims_per_second as f64 * seconds;
+    println!(
+        "| {claims_per_second} | {shard_count} | {:.0} | {:.0} | {:.0} | {:.0} | {:.2} | {:.1} | {:.1} | {:.1} |",
+        counts.writes as f64 / seconds,
+        counts.conflicts as f64 / seconds,
+        counts.reads as f64 / seconds,
+        counts.refused as f64 / seconds,
+        won as f64 / counts.writes as f64,
+        100.0 * won as f64 / wished,
+        percentile_ms(&result, 50),
+        percentile_ms(&result, 99),
+    );
+}
+
 fn percentile_ms(result: &RunResult, percent: usize) -> f64 {
     let mut times = result.claim_times.clone();
     times.sort_unstable();
--- a/crates/bergamotpitch-proof/src/claim_kv_calls.rs
+++ b/crates/bergamotpitch-proof/src/claim_kv_calls.rs
@@ -32,7 +32,8 @@
 
 /// `call` makes the call that an effect asks for.
 pub(crate) fn call(run: &mut Run, router: usize, effect: ClaimEffect) {
-    let plan = fake_kvs::plan_call(&run.kv, run.now, &mut run.random);
+    let is_write = !matches!(effect, ClaimEffect::Read { .. } | ClaimEffect::ReadSegment { .. });
+    let plan = fake_kvs::plan_call(&mut run.kv, run.now, is_write, &mut run.random);
     let (without_answer, lost) = match plan {
         CallPlan::Refused { .. } => (WriteResult::NoEffect, true),
         CallPlan::Swallowed { .. } => (WriteResult::InDoubt, true),
--- a/crates/bergamotpitch-proof/src/claim_runs.rs
+++ b/crates/bergamotpitch-proof/src/claim_runs.rs
@@ -42,6 +42,8 @@
     pub attempt_limit: usize,
     /// Time of one way to the key-value service.
     pub way: Duration,
+    /// Writes and reads a second that the service takes; all while they are 0.
+    pub call_rates: (f64, f64),
     /// Faults of the key-value service.
     pub faults: Vec<FaultSpan>,
     /// Crashes without memory over the run.
@@ -74,6 +76,7 @@
             arrival_time: Duration::from_secs(10),
             attempt_limit: 6,
             way: Duration::from_millis(1),
+            call_rates: (0.0, 0.0),
             faults: Vec::new(),
             crash_count: 0,
             pause_count: 0,
@@ -203,6 +206,7 @@
         options,
     };
     claim_fills::fill_shards(&mut run);
+    (run.kv.write_rate, run.kv.read_rate) = run.options.call_rates;
     run.routers = (0..run.options.router_count).map(|index| new_router(&run, index, 0)).collect();
     run
 }
--- a/crates/bergamotpitch-proof/src/fake_kvs.rs
+++ b/crates/bergamotpitch-proof/src/fake_kvs.rs
@@ -19,10 +19,16 @@
     pub faults: Vec<FaultSpan>,
     /// Time that a call needs for each way.
     pub way: Duration,
+    /// Writes a second above which writes are refused; none are while it is 0.
+    pub write_rate: f64,
+    /// Reads a second above which reads are refused; none are while it is 0.
+    pub read_rate: f64,
     /// Calls that took effect or were refused, by kind.
     pub counts: CallCounts,
     entries: HashMap<String, FakeEntry>,
     last_index: u64,
+    writes: Bucket,
+    reads: Bucket,
 }
 
 impl FakeKv {
@@ -41,6 +47,13 @@
     pub modify_index: u64,
 }
 
+/// `Bucket` holds the calls that may be made now; it fills with the rate, for a second at most.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+struct Bucket {
+    calls: f64,
+    filled: Timestamp,
+}
+
 /// `CallCounts` counts what reached the service.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct CallCounts {
@@ -50,6 +63,8 @@
     pub writes: u64,
     /// Writes that lost against another.
     pub conflicts: u64,
+    /// Calls over the rate.
+    pub refused: u64,
     /// Bytes of the values read and written.
     pub value_bytes: u64,
 }
@@ -104,9 +119,19 @@
 }
 
 /// `plan_call` decides what becomes of a call.
-pub fn plan_call(kv: &FakeKv, now: Timestamp, random: &mut Xoshiro256PlusPlus) -> CallPlan {
+pub fn plan_call(
+    kv: &mut FakeKv,
+    now: Timestamp,
+    is_write: bool,
+    random: &mut Xoshiro256PlusPlus,
+) -> CallPlan {
+    let is_over_rate = !take_call(kv, now, is_write);
     let mut there = jittered(kv.way, random);
     let mut back = jittered(kv.way, random);
+    if is_over_rate {
+        kv.counts.refused += 1;
+        return CallPlan::Refused { at: now + there + back };
+    }
     let mut lost = false;
     for span in kv.faults.iter().filter(|span| span.from <= now && now < span.until) {
         match span.fault {
@@ -128,6 +153,23 @@
     CallPlan::Lands { at: now + there, reply_at, lost }
 }
 
+fn take_call(kv: &mut FakeKv, now: Timestamp, is_write: bool) -> bool {
+    let (rate, bucket) =
+        if is_write { (kv.write_rate, &mut kv.writes) } else { (kv.read_rate, &mut kv.reads) };
+    if rate == 0.0 {
+        return true;
+    }
+    // A tenth of a second's calls may come at once.
+    let filled = (now - bucket.filled).as_secs_f64() * rate;
+    bucket.calls = (bucket.calls + filled).min(rate / 10.0);
+    bucket.filled = now;
+    if bucket.calls < 1.0 {
+        return false;
+    }
+    bucket.calls -= 1.0;
+    true
+}
+
 /// `read` reads a key.
 pub fn read(kv: &mut FakeKv, key: &str) -> Option<FakeEntry> {
     let entry = kv.entries.get(key).cloned();
