Keep one pace for all shards while the service is at its rate

Cause: each shard backed off alone. All came back again and again, most calls were refused, and claims ran out of time while little was batched.

--- a/crates/bergamotpitch-control/src/claim_calls.rs
+++ b/crates/bergamotpitch-control/src/claim_calls.rs
@@ -61,9 +61,16 @@
     effects: &mut Vec<ClaimEffect>,
 ) {
     let Some(queue) = end_call(queues, shard) else { return };
-    let ReadResult::Read { record, index } = result else {
-        pause_shard(queues, shard, now);
-        return;
+    let (record, index) = match result {
+        ReadResult::Read { record, index } => (record, index),
+        ReadResult::RateLimited => {
+            queues.pace.note_refusal(now);
+            return;
+        }
+        ReadResult::Failed => {
+            pause_shard(queues, shard, now);
+            return;
+        }
     };
     drop_orphans(queue, shard, &record, index, effects);
     queue.caches.retain(|name, _| record.segments.iter().any(|reference| reference.name == *name));
@@ -144,6 +151,7 @@
         effects.extend(expired.into_iter().map(|name| ClaimEffect::DropSegment { shard, name }));
         let count = queue.pending.len();
         settle_written(queue, effects);
+        queues.pace.note_success();
         queues.waiting_operations -= count - queue.pending.len();
         queue.pause = Duration::ZERO;
         queue.due = now + queues.options.commit_interval;
@@ -160,6 +168,10 @@
         }
     }
     queue.pending.iter_mut().for_each(|pending| pending.leave_write(in_doubt));
+    if result == WriteResult::RateLimited {
+        queues.pace.note_refusal(now);
+        return;
+    }
     pause_shard(queues, shard, now);
 }
 
--- a/crates/bergamotpitch-control/src/claim_options.rs
+++ b/crates/bergamotpitch-control/src/claim_options.rs
@@ -40,7 +40,7 @@
 impl Default for ClaimOptions {
     fn default() -> Self {
         Self {
-            shard_count: 64,
+            shard_count: 32,
             lifetime: Duration::from_secs(24 * 3600),
             clock_margin: Duration::from_secs(600),
             segment_bytes: 16_000,
--- a/crates/bergamotpitch-control/src/claim_queues.rs
+++ b/crates/bergamotpitch-control/src/claim_queues.rs
@@ -14,6 +14,7 @@
 use crate::claim_calls::{Call, Orphan};
 pub use crate::claim_calls::{apply_read, apply_segment_read, apply_segment_write, apply_write};
 pub use crate::claim_options::{ClaimGuards, ClaimOptions};
+use crate::claim_paces::Pace;
 use crate::claim_rounds::Pending;
 use crate::claim_segments::{KeySet, Segment, SegmentName};
 use crate::claims::{
@@ -96,6 +97,8 @@
         /// Index of its last change.
         index: u64,
     },
+    /// The service refused the call over its rate.
+    RateLimited,
     /// The service did not answer.
     Failed,
 }
@@ -107,7 +110,9 @@
     Written,
     /// It had no effect, since the record had changed.
     Conflict,
-    /// It had no effect, since the service refused it or was out of reach.
+    /// It had no effect, since the service refused it over its rate.
+    RateLimited,
+    /// It had no effect, since the service was out of reach.
     NoEffect,
     /// Its answer was lost.
     InDoubt,
@@ -129,6 +134,7 @@
     pub(crate) shards: HashMap<ShardId, ShardQueue>,
     pub(crate) waiting_operations: usize,
     pub(crate) calls_in_flight: usize,
+    pub(crate) pace: Pace,
     pub(crate) random: Xoshiro256PlusPlus,
 }
 
@@ -153,6 +159,7 @@
             shards: HashMap::default(),
             waiting_operations: 0,
             calls_in_flight: 0,
+            pace: Pace::default(),
             random,
         }
     }
@@ -175,6 +182,7 @@
             .filter(|queue| !queue.pending.is_empty())
             .flat_map(|queue| {
                 let call = if may_call { round_due(queue) } else { None };
+                let call = call.map(|due| due.max(self.pace.next_round));
                 let give_up = queue.pending.iter().filter_map(Pending::give_up_at).min();
                 [call, give_up]
             })
@@ -241,13 +249,19 @@
         give_up_late(queue, now, releases, effects);
         queues.waiting_operations -= count - queue.pending.len();
         if let Some(at) = round_due(queue).filter(|at| *at <= now) {
-            due.push((at, *shard));
+            // Callers wait for claims; nobody waits for the rest.
+            let has_wish = queue.pending.iter().any(|pending| pending.ticket().is_some());
+            due.push((!has_wish, at, *shard));
         }
     }
     due.sort_unstable();
-    let free = queues.options.calls_in_flight_limit.saturating_sub(queues.calls_in_flight);
-    for (_, shard) in due.into_iter().take(free) {
+    for (_, _, shard) in due {
+        let may_call = queues.calls_in_flight < queues.options.calls_in_flight_limit;
+        if !may_call || !queues.pace.may_begin(now) {
+            return;
+        }
         let Some(queue) = queues.shards.get_mut(&shard) else { continue };
+        queues.pace.begin(now);
         queue.call = Call::Reading;
         queues.calls_in_flight += 1;
         effects.push(ClaimEffect::Read { shard });
--- a/crates/bergamotpitch-control/src/lib.rs
+++ b/crates/bergamotpitch-control/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod accounts;
 mod claim_calls;
 pub mod claim_options;
+mod claim_paces;
 pub mod claim_queues;
 mod claim_rounds;
 pub mod claim_segments;
--- a/crates/bergamotpitch-platform/src/claim_calls.rs
+++ b/crates/bergamotpitch-platform/src/claim_calls.rs
@@ -16,6 +16,7 @@
 pub(crate) async fn read_shard(platform: &Platform, shard: ShardId) -> ReadResult {
     match try_read_shard(platform, shard).await {
         Ok((record, index)) => ReadResult::Read { record, index },
+        Err(Error::RateLimited) => ReadResult::RateLimited,
         Err(error) => {
             log::debug!("claims of shard {shard} cannot be read: {error}");
             ReadResult::Failed
@@ -66,9 +67,8 @@
     log::debug!("{key} was not surely written: {error}");
     match error {
         Error::Conflict { .. } => WriteResult::Conflict,
-        Error::Unreachable { .. } | Error::RateLimited | Error::TooLarge { .. } => {
-            WriteResult::NoEffect
-        }
+        Error::RateLimited => WriteResult::RateLimited,
+        Error::Unreachable { .. } | Error::TooLarge { .. } => WriteResult::NoEffect,
         Error::LostAnswer { .. } | Error::Malformed { .. } | Error::Sheet(_) => {
             WriteResult::InDoubt
         }
--- a/crates/bergamotpitch-proof/examples/claim_rates.rs
+++ b/crates/bergamotpitch-proof/examples/claim_rates.rs
@@ -41,7 +41,7 @@
     );
     println!("|---|---|---|---|---|---|---|---|---|---|");
     for claims_per_second in [100, 200, 500, 1_000] {
-        for shard_count in [16, 64] {
+        for shard_count in [16, 32, 64] {
             print_limited(claims_per_second, shard_count);
         }
     }
--- a/crates/bergamotpitch-proof/src/claim_kv_calls.rs
+++ b/crates/bergamotpitch-proof/src/claim_kv_calls.rs
@@ -35,6 +35,7 @@
     let is_write = !matches!(effect, ClaimEffect::Read { .. } | ClaimEffect::ReadSegment { .. });
     let plan = fake_kvs::plan_call(&mut run.kv, run.now, is_write, &mut run.random);
     let (without_answer, lost) = match plan {
+        CallPlan::OverRate { .. } => (WriteResult::RateLimited, true),
         CallPlan::Refused { .. } => (WriteResult::NoEffect, true),
         CallPlan::Swallowed { .. } => (WriteResult::InDoubt, true),
         CallPlan::Lands { lost, .. } => (WriteResult::InDoubt, lost),
@@ -44,7 +45,7 @@
     let call = run.calls.len();
     run.calls.push(KvCall { router, life, effect, lost, result });
     match plan {
-        CallPlan::Refused { at } | CallPlan::Swallowed { at } => {
+        CallPlan::OverRate { at } | CallPlan::Refused { at } | CallPlan::Swallowed { at } => {
             post(run, at, Event::Reply { call });
         }
         CallPlan::Lands { at, reply_at, .. } => {
@@ -56,6 +57,9 @@
 
 fn failed(effect: &ClaimEffect, write_result: WriteResult) -> CallResult {
     match effect {
+        ClaimEffect::Read { .. } if write_result == WriteResult::RateLimited => {
+            CallResult::Read(ReadResult::RateLimited)
+        }
         ClaimEffect::Read { .. } => CallResult::Read(ReadResult::Failed),
         ClaimEffect::Write { .. } => CallResult::Written(write_result),
         ClaimEffect::ReadSegment { .. } => CallResult::SegmentRead(SegmentReadResult::Failed),
--- a/crates/bergamotpitch-proof/src/fake_kvs.rs
+++ b/crates/bergamotpitch-proof/src/fake_kvs.rs
@@ -97,6 +97,11 @@
 /// `CallPlan` is what becomes of a call that is made now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallPlan {
+    /// It is refused over the rate.
+    OverRate {
+        /// When the client hears it.
+        at: Timestamp,
+    },
     /// It is refused without an effect.
     Refused {
         /// When the client hears it.
@@ -130,7 +135,7 @@
     let mut back = jittered(kv.way, random);
     if is_over_rate {
         kv.counts.refused += 1;
-        return CallPlan::Refused { at: now + there + back };
+        return CallPlan::OverRate { at: now + there + back };
     }
     let mut lost = false;
     for span in kv.faults.iter().filter(|span| span.from <= now && now < span.until) {
@@ -139,7 +144,7 @@
                 return CallPlan::Refused { at: now + there + back };
             }
             Fault::Outage => return CallPlan::Swallowed { at: now + CALL_TIMEOUT },
-            Fault::RateLimited => return CallPlan::Refused { at: now + there + back },
+            Fault::RateLimited => return CallPlan::OverRate { at: now + there + back },
             Fault::Slow(most) => {
                 there += slowness(most, random);
                 back += slowness(most, random);
