Check that no request is sent after its claim has expired

Cause: expiry was argued from clocks and margins, and no run had shown it. Change: runs have wall clocks that differ, short lifetimes and long waits; check_expiry lists requests that ran after another had won their key.

--- a/crates/bergamotpitch-control/src/claims.rs
+++ b/crates/bergamotpitch-control/src/claims.rs
@@ -130,6 +130,21 @@
     number % shard_count.max(1)
 }
 
+/// `may_hand_over` tells whether a claimed request may still be sent; it is called right before.
+///
+/// An owner that was paused for longer than its claim's lifetime would otherwise send a request
+/// whose key another router may have claimed since.
+///
+/// ```
+/// use std::time::Duration;
+/// use bergamotpitch_control::claims::may_hand_over;
+/// assert!(may_hand_over(Duration::from_secs(9), Duration::from_secs(8)));
+/// assert!(!may_hand_over(Duration::from_secs(9), Duration::from_secs(9)));
+/// ```
+pub fn may_hand_over(dispatch_until: Timestamp, now: Timestamp) -> bool {
+    now < dispatch_until
+}
+
 /// `find_claim` finds the claim on a key.
 pub fn find_claim<'a>(record: &'a ShardRecord, key: &ClaimKey) -> Option<&'a Claim> {
     record.claims.iter().find(|claim| claim.key == *key)
--- a/crates/bergamotpitch-platform/src/claims.rs
+++ b/crates/bergamotpitch-platform/src/claims.rs
@@ -13,7 +13,9 @@
     record_outcome, release_claim, run, wish_claim,
 };
 use bergamotpitch_control::claim_segments::SegmentName;
-use bergamotpitch_control::claims::{ClaimKey, Fingerprint, Nonce, Outcome, ShardId, Verdict};
+use bergamotpitch_control::claims::{
+    ClaimKey, Fingerprint, Nonce, Outcome, ShardId, Verdict, may_hand_over,
+};
 use bergamotpitch_core::HashMap;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{JoinHandle, JoinSet};
@@ -132,7 +134,7 @@
     /// whose key another router may have claimed since.
     pub fn hand_over(mut self) -> Option<HandedOver> {
         let claim = self.claim.take()?;
-        (process_time() < claim.dispatch_until).then_some(HandedOver { claim })
+        may_hand_over(claim.dispatch_until, process_time()).then_some(HandedOver { claim })
     }
 }
 
--- a/crates/bergamotpitch-proof/examples/claim_rates.rs
+++ b/crates/bergamotpitch-proof/examples/claim_rates.rs
@@ -18,7 +18,7 @@
     println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|");
     for router_count in [1, 8] {
         for claims_per_second in [50, 500] {
-            for shard_count in [16, 64] {
+            for shard_count in [16, 32, 64] {
                 for interval_ms in [20, 100] {
                     let row = Row { router_count, claims_per_second, shard_count, interval_ms };
                     print_row(row, 0, Duration::ZERO);
@@ -27,7 +27,7 @@
         }
     }
     for (claims_per_second, live_claims) in [(50, 43_200), (50, 432_000)] {
-        for shard_count in [64, 256] {
+        for shard_count in [32, 64] {
             let row = Row { router_count: 8, claims_per_second, shard_count, interval_ms: 20 };
             // Once with routers that have read no segment yet, once after they have.
             print_row(row, live_claims, Duration::ZERO);
--- a/crates/bergamotpitch-proof/src/claim_callers.rs
+++ b/crates/bergamotpitch-proof/src/claim_callers.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bergamotpitch_control::claim_queues::{ClaimWish, record_outcome, release_claim, wish_claim};
-use bergamotpitch_control::claims::{Outcome, Verdict};
+use bergamotpitch_control::claims::{Outcome, Verdict, may_hand_over};
 
 use crate::claim_histories::{AttemptId, ClaimStep, KeyId};
 use crate::claim_runs::{
@@ -17,8 +17,16 @@
     }
     let router = draw_router(run);
     let attempt = run.attempts.len();
-    let (wished, is_told) = (run.now, false);
-    run.attempts.push(Attempt { key, number, router, life: usize::MAX, wished, is_told });
+    let (wished, dispatch_until, is_told) = (run.now, Duration::ZERO, false);
+    run.attempts.push(Attempt {
+        key,
+        number,
+        router,
+        life: usize::MAX,
+        wished,
+        dispatch_until,
+        is_told,
+    });
     let way = draw_time(run, Duration::from_millis(4));
     post(run, run.now + way, Event::Arrive { attempt });
     post(run, run.now + PATIENCE, Event::LosePatience { attempt });
@@ -36,18 +44,19 @@
         nonce: nonce_of(attempt),
     };
     let mut effects = Vec::new();
-    let now_s = unix_s(run);
+    let now_s = unix_s(run, router);
     wish_claim(&mut run.routers[router].queues, run.now, now_s, wish, &mut effects);
     tick(run, router, effects);
 }
 
 pub(crate) fn apply_verdict(run: &mut Run, attempt: AttemptId, verdict: Verdict) {
     match verdict {
-        Verdict::Won { .. } => {
+        Verdict::Won { dispatch_until } => {
             note(run, attempt, ClaimStep::Won);
+            run.attempts[attempt].dispatch_until = dispatch_until;
             let taken = run.now.saturating_sub(run.attempts[attempt].wished);
             run.claim_times.push(taken);
-            let wait = draw_time(run, Duration::from_millis(400));
+            let wait = draw_time(run, run.options.longest_wait);
             post(run, run.now + wait, Event::Decide { attempt });
         }
         Verdict::Answered(outcome) => {
@@ -73,7 +82,9 @@
     if !is_alive(run, attempt) {
         return;
     }
-    if draws(run, run.options.refused_percent) {
+    let is_too_old =
+        run.options.checks_age && !may_hand_over(run.attempts[attempt].dispatch_until, run.now);
+    if is_too_old || draws(run, run.options.refused_percent) {
         release(run, attempt);
         return;
     }
--- a/crates/bergamotpitch-proof/src/claim_histories.rs
+++ b/crates/bergamotpitch-proof/src/claim_histories.rs
@@ -90,6 +90,26 @@
     faults
 }
 
+/// `check_expiry` lists the attempts that ran after another attempt had won their key. Where claims
+/// expire a key may run again, but never while the owner before may still send.
+pub fn check_expiry(records: &[ClaimRecord]) -> Vec<AttemptId> {
+    let place = |attempt: AttemptId, step: ClaimStep| {
+        records.iter().position(|record| record.attempt == attempt && record.step == step)
+    };
+    let is_overtaken = |run: &ClaimRecord| {
+        let (won, ran) = (place(run.attempt, ClaimStep::Won), place(run.attempt, ClaimStep::Ran));
+        let (Some(won), Some(ran)) = (won, ran) else { return false };
+        records[won..ran].iter().any(|record| {
+            record.key == run.key && record.attempt != run.attempt && record.step == ClaimStep::Won
+        })
+    };
+    records
+        .iter()
+        .filter(|record| record.step == ClaimStep::Ran && is_overtaken(record))
+        .map(|record| record.attempt)
+        .collect()
+}
+
 fn check_runs(key: KeyId, records: &[ClaimRecord], faults: &mut Vec<ClaimFault>) {
     let runs = records.iter().filter(|record| record.step == ClaimStep::Ran).count();
     if 1 < runs {
--- a/crates/bergamotpitch-proof/src/claim_kv_calls.rs
+++ b/crates/bergamotpitch-proof/src/claim_kv_calls.rs
@@ -110,7 +110,7 @@
     if run.routers[router].life != life {
         return;
     }
-    let (now, now_s) = (run.now, unix_s(run));
+    let (now, now_s) = (run.now, unix_s(run, router));
     let mut effects = Vec::new();
     let queues = &mut run.routers[router].queues;
     let result = result.clone();
--- a/crates/bergamotpitch-proof/src/claim_runs.rs
+++ b/crates/bergamotpitch-proof/src/claim_runs.rs
@@ -52,6 +52,8 @@
     pub pause_count: usize,
     /// Longest pause.
     pub longest_pause: Duration,
+    /// Longest time that a won request waits in its queue.
+    pub longest_wait: Duration,
     /// Percent of won requests that are refused while they wait.
     pub refused_percent: f64,
     /// Percent of requests that the upstream proves it did not run.
@@ -62,6 +64,10 @@
     pub counted_from: Duration,
     /// Claims of earlier requests, with their outcomes, that the shards hold at the beginning.
     pub live_claims: usize,
+    /// Most that a router's wall clock is wrong.
+    pub clock_error: Duration,
+    /// True when owners look at their claim's age right before they send.
+    pub checks_age: bool,
     /// Constants of the claim queues.
     pub claims: ClaimOptions,
     /// Seed of the run.
@@ -81,10 +87,13 @@
             crash_count: 0,
             pause_count: 0,
             longest_pause: Duration::from_secs(3),
+            longest_wait: Duration::from_millis(400),
             refused_percent: 15.0,
             unrun_percent: 15.0,
             lost_percent: 10.0,
             counted_from: Duration::ZERO,
+            clock_error: Duration::ZERO,
+            checks_age: true,
             live_claims: 0,
             claims: ClaimOptions { shard_count: 4, ..ClaimOptions::default() },
             seed: 1,
@@ -130,6 +139,8 @@
 #[derive(Debug)]
 pub(crate) struct Router {
     pub(crate) queues: ClaimQueues,
+    /// Wall-clock time at which the run began, by this router's clock, in seconds.
+    pub(crate) first_unix_s: u64,
     pub(crate) life: usize,
     wake_at: Option<Timestamp>,
     paused_until: Timestamp,
@@ -142,6 +153,7 @@
     pub(crate) router: usize,
     pub(crate) life: usize,
     pub(crate) wished: Timestamp,
+    pub(crate) dispatch_until: Timestamp,
     pub(crate) is_told: bool,
 }
 
@@ -212,9 +224,14 @@
 }
 
 fn new_router(run: &Run, index: usize, life: usize) -> Router {
+    // Every other clock is ahead, the rest are behind.
+    let error_s = run.options.clock_error.as_secs();
+    let is_ahead = index.is_multiple_of(2);
+    let first_unix_s = if is_ahead { FIRST_UNIX_S + error_s } else { FIRST_UNIX_S - error_s };
     let seed = run.options.seed ^ ((index as u64) << 32) ^ (life as u64 + 1);
     let claims = ClaimOptions { seed, ..run.options.claims.clone() };
-    Router { queues: ClaimQueues::new(claims), life, wake_at: None, paused_until: Duration::ZERO }
+    let queues = ClaimQueues::new(claims);
+    Router { queues, first_unix_s, life, wake_at: None, paused_until: Duration::ZERO }
 }
 
 fn plan_events(run: &mut Run) {
@@ -370,8 +387,8 @@
     format!("claims/{shard}")
 }
 
-pub(crate) fn unix_s(run: &Run) -> u64 {
-    FIRST_UNIX_S + run.now.as_secs()
+pub(crate) fn unix_s(run: &Run, router: usize) -> u64 {
+    run.routers[router].first_unix_s + run.now.as_secs()
 }
 
 pub(crate) fn note(run: &mut Run, attempt: AttemptId, step: ClaimStep) {
