Let a retry go to another upstream than the one that failed

Cause: an engine that dies before its first token was paused for 50 ms, its request's retry for 25 to 75 ms, and the retry went back to it, since it was thought to hold the prompt's prefix.

Ruled out: remembering in each request which upstreams failed it (the pause already says it, for all requests at once).

Change: the first pause of an upstream is 250 ms, longer than that of a request's first retry.

Conclusion: a single dead engine costs a request one attempt.

--- a/crates/bergamotpitch-control/src/upstreams.rs
+++ b/crates/bergamotpitch-control/src/upstreams.rs
@@ -20,7 +20,8 @@
 use crate::tables::{Tables, Upstream};
 
 /// Time for which an upstream that failed gets no new work; it doubles with each failure in a row.
-const FAILING_PAUSE: Duration = Duration::from_millis(50);
+/// It is longer than the pause before a first retry, so that the retry goes elsewhere.
+const FAILING_PAUSE: Duration = Duration::from_millis(250);
 
 /// Longest time for which an upstream that failed gets no new work.
 const FAILING_PAUSE_LIMIT: Duration = Duration::from_secs(5);
