Run keyed calls once, through whichever instance they come

Cause: an idempotency key was passed on and otherwise ignored, so that a caller who lost an answer and asked again, here or at another instance, had its order run twice.

Ruled out: claiming at dispatch (a slot would stand idle for the round trip to the platform), and dropping a handed-over call when its caller leaves (its next try would hear "outcome unknown" of an order that ran to its end).

Change: a call that may not be repeated and carries a key claims it through the platform before it is queued; it is carried to its end although its caller left, once it was handed over; its answer is recorded and given again; what provably did not run gives the key back. An upstream that turns calls away gives its answer after five tries, not eight: their pauses had grown to 18 s.

That the HTTP client sends nothing again by itself is set, and not caught by a test: it would do so only with a request that its connection's task gave back untouched.

Conclusion: over two instances a keyed order runs once, and its caller gets its answer.

--- a/crates/bergamotpitch-control/src/requests.rs
+++ b/crates/bergamotpitch-control/src/requests.rs
@@ -17,7 +17,7 @@
 const ATTEMPT_LIMIT: u32 = 3;
 
 /// Attempts that one request may have when some were proved not to have run.
-const UNRUN_ATTEMPT_LIMIT: u32 = 8;
+const UNRUN_ATTEMPT_LIMIT: u32 = 5;
 
 /// Time after which a refused caller should come back when nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
--- a/crates/bergamotpitch-router/src/calls.rs
+++ b/crates/bergamotpitch-router/src/calls.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bergamotpitch_control::Input;
+use bergamotpitch_control::inputs::AttemptOutcome;
 use bergamotpitch_control::outputs::{Event, Refusal};
 use bergamotpitch_core::events::EventKind;
 use bergamotpitch_core::ids::{RequestId, UpstreamId};
@@ -12,10 +13,12 @@
 use dropshot::Body;
 use http::{Request, Response};
 use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 
 use crate::answers;
 use crate::arrivals::{self, Chat, Head, HeldBody};
 use crate::attempts;
+use crate::claims::{self, Claim};
 use crate::contexts::{Context, ControlInput, Decision};
 use crate::guards::CallGuard;
 use crate::refusals::{not_run, response_of_refusal};
@@ -41,6 +44,11 @@
 }
 
 impl Call {
+    /// `is_repeatable` tells whether it may be sent again after an attempt that may have run.
+    pub fn is_repeatable(&self) -> bool {
+        self.head.service.repeatable || self.head.method.is_safe()
+    }
+
     /// `body` is the body towards the upstream.
     pub fn body(&self) -> Bytes {
         self.body.bytes.clone()
@@ -63,7 +71,7 @@
     name: &str,
     received: Request<Body>,
 ) -> Result<Response<Body>, Refusal> {
-    let Some(mut guard) = CallGuard::open(context, request) else {
+    let Some(guard) = CallGuard::open(context, request) else {
         return Err(refuse_early(context, request, None, RefusalReason::Overloaded));
     };
     let call = match read_call(context, request, name, received).await {
@@ -73,15 +81,7 @@
             return Err(refuse_early(context, request, head.as_ref(), reason));
         }
     };
-    let arrival = arrivals::arrival_of_call(request, &call.head, &call.body.bytes, &call.chat);
-    let (sender, decisions) = mpsc::channel(2);
-    guard.mark_queued();
-    let arrived = ControlInput::Arrived { arrival, decisions: sender };
-    if context.controls.send(arrived).await.is_err() {
-        guard.close();
-        return Err(not_run(RefusalReason::Draining, RETRY_AFTER));
-    }
-    follow_decisions(context, call, guard, decisions).await
+    claims::carry(context, call, guard).await
 }
 
 async fn read_call(
@@ -118,46 +118,95 @@
     not_run(reason, RETRY_AFTER)
 }
 
-async fn follow_decisions(
+/// `follow` queues a call and follows what the control thread decides, up to the beginning of its
+/// answer. A call that was not handed over is given up when its caller has left.
+///
+/// # Errors
+///
+/// The refusal that the caller is told.
+pub async fn follow(
     context: &Arc<Context>,
     call: Arc<Call>,
-    guard: CallGuard,
-    mut decisions: mpsc::Receiver<Decision>,
+    mut guard: CallGuard,
+    mut claim: Claim,
+    left: CancellationToken,
 ) -> Result<Response<Body>, Refusal> {
+    let mut decisions = queue(context, &call, &mut guard).await?;
     let mut ran = Ran::NotRun;
     loop {
-        let patience = context.until(call.head.deadline) + DECISION_GRACE;
-        let decision = tokio::time::timeout(patience, decisions.recv()).await;
-        match decision {
-            Ok(Some(Decision::Refuse(refusal))) => {
+        let Some(decision) = next_decision(context, &call, &mut decisions, &left).await else {
+            // The control thread has ended or has lost the request: the caller is told the truth
+            // as far as this thread knows it.
+            return Err(Refusal {
+                reason: RefusalReason::Overloaded,
+                ran,
+                retry_after: RETRY_AFTER,
+            });
+        };
+        let (upstream, attempt) = match decision {
+            Decision::Dispatch { upstream, attempt } => (upstream, attempt),
+            Decision::Refuse(refusal) => {
                 guard.close();
                 return Err(refusal);
             }
-            Ok(Some(Decision::Dispatch { upstream, attempt })) => {
-                if attempt == 1 {
-                    context.metrics.record_queue_time(context.now() - call.head.arrived);
-                }
-                ran = Ran::Unknown;
-                match attempts::begin(context, &call, upstream).await {
-                    Ok(begun) => {
-                        return Ok(answers::pass_on(context, call, guard, upstream, begun));
-                    }
-                    Err(failure) => report_failure(context, &call, upstream, failure).await,
-                }
+        };
+        if attempt == 1 {
+            context.metrics.record_queue_time(context.now() - call.head.arrived);
+        }
+        let Some(handed_over) = claim.hand_over() else {
+            return Err(Refusal {
+                reason: RefusalReason::ClaimUnavailable,
+                ran,
+                retry_after: RETRY_AFTER,
+            });
+        };
+        claim = handed_over;
+        match attempts::begin(context, &call, upstream).await {
+            Ok(begun) => {
+                claim.record(&begun);
+                return Ok(answers::pass_on(context, call, guard, upstream, begun));
             }
-            // The control thread has ended or has lost the request: the caller is told the truth
-            // as far as this thread knows it.
-            Ok(None) | Err(_) => {
-                return Err(Refusal {
-                    reason: RefusalReason::Overloaded,
-                    ran,
-                    retry_after: RETRY_AFTER,
-                });
+            Err(failure) => {
+                if failure.outcome == AttemptOutcome::ProvedUnrun {
+                    claim = claim.take_back();
+                } else {
+                    ran = Ran::Unknown;
+                }
+                report_failure(context, &call, upstream, failure).await;
             }
         }
     }
 }
 
+async fn queue(
+    context: &Context,
+    call: &Call,
+    guard: &mut CallGuard,
+) -> Result<mpsc::Receiver<Decision>, Refusal> {
+    let arrival = arrivals::arrival_of_call(call.request, &call.head, &call.body.bytes, &call.chat);
+    let (sender, decisions) = mpsc::channel(2);
+    guard.mark_queued();
+    let arrived = ControlInput::Arrived { arrival, decisions: sender };
+    match context.controls.send(arrived).await {
+        Ok(()) => Ok(decisions),
+        Err(_) => Err(not_run(RefusalReason::Draining, RETRY_AFTER)),
+    }
+}
+
+async fn next_decision(
+    context: &Context,
+    call: &Call,
+    decisions: &mut mpsc::Receiver<Decision>,
+    left: &CancellationToken,
+) -> Option<Decision> {
+    let patience = context.until(call.head.deadline) + DECISION_GRACE;
+    tokio::select! {
+        biased;
+        () = left.cancelled() => None,
+        decision = tokio::time::timeout(patience, decisions.recv()) => decision.ok().flatten(),
+    }
+}
+
 async fn report_failure(
     context: &Context,
     call: &Call,
--- a/crates/bergamotpitch-router/src/contexts.rs
+++ b/crates/bergamotpitch-router/src/contexts.rs
@@ -6,6 +6,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bergamotpitch_control::Input;
+use bergamotpitch_control::claim_queues::ClaimOptions;
 use bergamotpitch_control::inputs::Arrival;
 use bergamotpitch_control::outputs::{Event, Refusal};
 use bergamotpitch_core::HashMap;
@@ -15,6 +16,8 @@
 use bergamotpitch_core::settings::RouterSettings;
 use bergamotpitch_core::sheets::AcceptedSheet;
 use bergamotpitch_core::units::Timestamp;
+use bergamotpitch_platform::Platform;
+use bergamotpitch_platform::claims::ClaimWriter;
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 
@@ -93,6 +96,10 @@
     pub events: EventSender,
     /// Counters and histograms.
     pub metrics: Metrics,
+    /// Client of the platform.
+    pub platform: Platform,
+    /// Claims on idempotency keys.
+    pub claims: ClaimWriter,
     /// Failure domains of the other instances' addresses.
     pub links: Links,
     /// True once the last request of a drain has ended; set by the control thread.
@@ -109,7 +116,7 @@
 }
 
 impl Context {
-    /// `of_settings` makes the context of a process that starts now.
+    /// `of_settings` makes the context of a process that starts now, within a tokio runtime.
     pub fn of_settings(
         settings: RouterSettings,
         options: Options,
@@ -117,7 +124,15 @@
         events: EventSender,
         metrics: Metrics,
     ) -> Self {
+        let platform_options = bergamotpitch_platform::Options {
+            address: settings.platform_address,
+            ..bergamotpitch_platform::Options::default()
+        };
+        let platform = Platform::new(platform_options);
+        let claim_options = ClaimOptions { seed: unix_time_us(), ..ClaimOptions::default() };
         Self {
+            claims: ClaimWriter::start(platform.clone(), claim_options),
+            platform,
             instance: id_of_name(&settings.instance),
             incarnation: unix_time_us(),
             domain: id_of_name(&settings.domain),
--- a/crates/bergamotpitch-router/src/lib.rs
+++ b/crates/bergamotpitch-router/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod attempts;
 pub mod callers;
 pub mod calls;
+pub mod claims;
 pub mod commands;
 pub mod contexts;
 pub mod controls;
--- a/crates/bergamotpitch-router/src/platforms.rs
+++ b/crates/bergamotpitch-router/src/platforms.rs
@@ -5,8 +5,8 @@
 
 use bergamotpitch_control::Input;
 use bergamotpitch_control::inputs::ListedInstance;
+use bergamotpitch_platform::Platform;
 use bergamotpitch_platform::instances::{Instance, ROUTER_SERVICE, UPSTREAM_SERVICE};
-use bergamotpitch_platform::{Options, Platform};
 use tokio::task::JoinSet;
 
 use crate::contexts::Context;
@@ -19,8 +19,7 @@
 
 /// `spawn` starts the exchange with the platform.
 pub fn spawn(context: &Arc<Context>, tasks: &mut JoinSet<()>) {
-    let options = Options { address: context.settings.platform_address, ..Options::default() };
-    let platform = Platform::new(options);
+    let platform = context.platform.clone();
     tasks.spawn(watch_sheet(Arc::clone(context), platform.clone()));
     tasks.spawn(read_list(Arc::clone(context), platform));
 }
--- a/crates/bergamotpitch-router/src/routers.rs
+++ b/crates/bergamotpitch-router/src/routers.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 use bergamotpitch_control::outputs::Event;
 use bergamotpitch_core::events::EventKind;
@@ -19,6 +20,9 @@
 use crate::peers::PeerPorts;
 use crate::{callers, controls, drains, loads, operators, orders, peers, platforms};
 
+/// Time for outcomes of claims to be recorded when the process stops.
+const CLAIMS_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// `Router` is a running router.
 pub struct Router {
     context: Arc<Context>,
@@ -95,6 +99,8 @@
         drains::drain(&context).await;
         drains::close_callers(&context, callers).await;
         context.emit(Event::of_kind(EventKind::ProcessStopped));
+        // What was answered under a claim is recorded before the process goes.
+        context.claims.clone().close(CLAIMS_TIMEOUT).await;
         let _ = operators.close().await;
         let _ = context.controls.send(ControlInput::Close).await;
         let _ = tokio::task::spawn_blocking(move || control.join()).await;
--- a/crates/bergamotpitch-router/tests/common/mod.rs
+++ b/crates/bergamotpitch-router/tests/common/mod.rs
@@ -52,22 +52,23 @@
     /// `start_with` does so with given times and bounds; a drain takes no longer than it must.
     pub async fn start_with(upstreams: &Upstreams, options: Options) -> Self {
         let platform = FakePlatform::start(&sheet_text(upstreams)).await;
-        let settings = settings(platform.address());
-        let options = Options { shortest_drain: Duration::from_millis(20), ..options };
-        let router = Router::start_with(settings, options).await.expect("the router starts");
+        let router = start_router(platform.address(), "is-reykjavik-a-1", options).await;
         let fleet =
             Self { router, platform, client: Client::builder(TokioExecutor::new()).build_http() };
         fleet.wait_until_ready().await;
         fleet
     }
 
+    /// `second_router` starts another router of the same fleet.
+    pub async fn second_router(&self) -> Router {
+        let address = self.platform.address();
+        let router = start_router(address, "is-reykjavik-a-2", Options::default()).await;
+        wait_until_ready(&router).await;
+        router
+    }
+
     async fn wait_until_ready(&self) {
-        let ready = async {
-            while !self.router.context().is_ready() {
-                tokio::time::sleep(Duration::from_millis(5)).await;
-            }
-        };
-        tokio::time::timeout(PATIENCE, ready).await.expect("the router gets its sheet");
+        wait_until_ready(&self.router).await;
     }
 
     /// `url` is the address of a path at the callers' port.
@@ -176,10 +177,24 @@
     problem
 }
 
-fn settings(platform: SocketAddr) -> RouterSettings {
+async fn start_router(platform: SocketAddr, instance: &str, options: Options) -> Router {
+    let options = Options { shortest_drain: Duration::from_millis(20), ..options };
+    Router::start_with(settings(platform, instance), options).await.expect("the router starts")
+}
+
+async fn wait_until_ready(router: &Router) {
+    let ready = async {
+        while !router.context().is_ready() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, ready).await.expect("the router gets its sheet");
+}
+
+fn settings(platform: SocketAddr, instance: &str) -> RouterSettings {
     let text = format!(
         r#"{{
-            "instance": "is-reykjavik-a-1",
+            "instance": "{instance}",
             "domain": "is-reykjavik-a",
             "caller_address": "127.0.0.1:0",
             "peer_address": "127.0.0.1:0",
--- a/crates/bergamotpitch-router/tests/common/platforms.rs
+++ b/crates/bergamotpitch-router/tests/common/platforms.rs
@@ -1,84 +1,45 @@
-//! A fake platform: one sheet in the key-value service and an instance list.
+//! The stand-in platform with a sheet applied.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
-use base64::Engine as _;
-use base64::engine::general_purpose::STANDARD;
+use bergamotpitch_platform::{Applied, Options, Platform};
+use bergamotpitch_standin::platforms::{self, PlatformOptions, start_platform};
 use bytes::Bytes;
-use http::{Request, Response};
+use http::Request;
 use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioExecutor, TokioIo};
-use hyper_util::server::conn::auto;
-use tokio::net::TcpListener;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
 
-/// `FakePlatform` answers the calls of a router to the platform.
+/// `FakePlatform` is a stand-in platform that holds version 1 of a sheet.
 pub struct FakePlatform {
-    address: SocketAddr,
-    list: Arc<Mutex<String>>,
+    standin: platforms::Platform,
 }
 
 impl FakePlatform {
-    /// `start` holds version 1 of a sheet.
+    /// `start` starts it and applies a sheet.
     pub async fn start(sheet: &str) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let address = listener.local_addr().expect("an address");
-        let list = Arc::new(Mutex::new("[]".to_owned()));
-        let record = format!(r#"{{"version":1,"nonce":"n","sheet":{sheet}}}"#);
-        let value = STANDARD.encode(record);
-        let entry = format!(
-            r#"[{{"Key":"bergamotpitch/sheet","Value":"{value}","ModifyIndex":1,"CreateIndex":1,"LockIndex":0}}]"#
-        );
-        let held = Arc::clone(&list);
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let (entry, list) = (entry.clone(), Arc::clone(&held));
-                let service =
-                    service_fn(move |request| answer(request, entry.clone(), Arc::clone(&list)));
-                tokio::spawn(async move {
-                    let builder = auto::Builder::new(TokioExecutor::new());
-                    let _ = builder.serve_connection(TokioIo::new(stream), service).await;
-                });
-            }
-        });
-        Self { address, list }
+        let addresses = vec![SocketAddr::from(([127, 0, 0, 1], 0))];
+        let options = PlatformOptions { addresses, rates: Default::default(), list_lag_ms: 0 };
+        let standin = start_platform(options).await.expect("the stand-in listens");
+        let address = standin.addresses[0];
+        let platform = Platform::new(Options { address, ..Options::default() });
+        let applied = platform.apply_sheet("sheet.json", sheet, 0).await.expect("it is applied");
+        assert_eq!(applied, Applied::Applied { version: 1 });
+        Self { standin }
     }
 
     /// `address` is where the platform is reached.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.standin.addresses[0]
     }
 
-    /// `list_upstream` puts one upstream into the instance list.
-    pub fn list_upstream(&self, name: &str, address: SocketAddr, leaving: bool) {
-        let line = format!(
-            r#"[{{"Service":{{"ID":"{name}","Address":"{}","Port":{},"Meta":{{"leaving":"{leaving}"}}}}}}]"#,
-            address.ip(),
-            address.port()
-        );
-        *self.list.lock().expect("no holder panicked") = line;
+    /// `set_faults` sets the faults of the platform.
+    pub async fn set_faults(&self, faults: &str) {
+        let client = Client::builder(TokioExecutor::new()).build_http();
+        let request = Request::post(format!("http://{}/_faults", self.address()))
+            .body(Full::new(Bytes::from(faults.to_owned())))
+            .expect("a request");
+        let response = client.request(request).await.expect("the stand-in answers");
+        assert!(response.status().is_success(), "{}", response.status());
     }
 }
-
-async fn answer(
-    request: Request<Incoming>,
-    entry: String,
-    list: Arc<Mutex<String>>,
-) -> Result<Response<Full<Bytes>>, http::Error> {
-    let path = request.uri().path();
-    let text = if path.ends_with("bergamotpitch-upstream") {
-        list.lock().expect("no holder panicked").clone()
-    } else if path.starts_with("/v1/health") {
-        "[]".to_owned()
-    } else {
-        // A watch that names the present index waits for a change that never comes.
-        if request.uri().query().is_some_and(|query| query.contains("index=1")) {
-            tokio::time::sleep(Duration::from_secs(10)).await;
-        }
-        entry
-    };
-    Response::builder().header("x-consul-index", "1").body(Full::from(text))
-}
