--- a/crates/bergamotpitch-control/src/lib.rs
+++ b/crates/bergamotpitch-control/src/lib.rs
@@ -5,8 +5,12 @@
 //! out as [`Output`]s. A test can drive hundreds of control states in one thread with virtual time.
 
 pub mod accounts;
+mod claim_calls;
+pub mod claim_options;
+mod claim_paces;
 pub mod claim_queues;
 mod claim_rounds;
+pub mod claim_segments;
 pub mod claims;
 pub mod detours;
 pub mod dispatches;
