Leave an engine that failed to the last until it answers again

Change: an upstream with failures since its last answer is not preferred for a prefix, and its idle slots are used after all others. Conclusion: one dead engine costs a request one attempt, and later requests none while others are free.

--- a/crates/bergamotpitch-control/src/dispatches.rs
+++ b/crates/bergamotpitch-control/src/dispatches.rs
@@ -46,6 +46,7 @@
     slots: u32,
     fresh: u32,
     is_own_domain: bool,
+    has_failed: bool,
     bound: Option<Level>,
 }
 
@@ -71,7 +72,8 @@
             leases::bound(tables, entry.service, known, entry.domain)
         };
         let fresh = lease.fresh.min(slots);
-        idle.push(Idle { upstream: *upstream, slots, fresh, is_own_domain, bound });
+        let has_failed = placements::has_failed(tables, *upstream);
+        idle.push(Idle { upstream: *upstream, slots, fresh, is_own_domain, has_failed, bound });
     }
     idle
 }
@@ -91,9 +93,11 @@
         .collect();
     while let Some((level, team)) = order.pop_first() {
         let key = QueueKey { service, team };
-        // Slots of the own domain come first: those of another are paid for by the byte.
+        // What has failed comes last, and slots of the own domain first: those of another are paid
+        // for by the byte.
         let usable = idle.iter().enumerate().filter(|(_, idle)| idle.takes(level));
-        let Some((index, _)) = usable.max_by_key(|(_, idle)| (idle.is_own_domain, idle.slots))
+        let Some((index, _)) =
+            usable.max_by_key(|(_, idle)| (!idle.has_failed, idle.is_own_domain, idle.slots))
         else {
             return;
         };
--- a/crates/bergamotpitch-control/src/placements.rs
+++ b/crates/bergamotpitch-control/src/placements.rs
@@ -21,10 +21,19 @@
     upstreams
         .iter()
         .filter(|upstream| tables.upstreams.get(upstream).is_some_and(|entry| !entry.leaving))
+        .filter(|upstream| !has_failed(tables, **upstream))
         .max_by_key(|upstream| (mixed(prefix, **upstream), **upstream))
         .copied()
 }
 
+/// `has_failed` tells whether an upstream failed and has not answered since.
+///
+/// A retry must not go back for the sake of a prefix: three attempts at one dead engine, and the
+/// caller would get a refusal while other engines are free.
+pub fn has_failed(tables: &Tables, upstream: UpstreamId) -> bool {
+    tables.health.failures.contains_key(&upstream)
+}
+
 fn mixed(prefix: u64, upstream: UpstreamId) -> u64 {
     let folded = (prefix ^ (prefix >> 32)) as u32;
     crate::homes::weight(folded, upstream)
