Prove promises over real routers under load and faults

Cause: whole answers, true refusals, single runs, drains and leaving upstreams were tested one request at a time or not at all; what happens under load with several faults at once was not. Ruled out: the demonstration as the test (its faults are none, and its verdict is a table). Change: three routers over two failure domains, three engines and two services take a seeded load of 220 requests a second for 3 s while upstreams break streams, send garbage, go silent, refuse, crash after a run or are gone, while the platform fails, while a router is drained, and while an engine leaves with the platform out. The load tool's figures that must be 0 are asserted; where nothing forbids it, every request must be answered.

--- a/crates/bergamotpitch-ctl/tests/common/mod.rs
+++ b/crates/bergamotpitch-ctl/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the helpers")]
 
 pub mod fields;
+pub mod fleets;
 pub mod pages;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
