--- a/crates/bergamotpitch-ctl/tests/common/mod.rs
+++ b/crates/bergamotpitch-ctl/tests/common/mod.rs
@@ -2,7 +2,6 @@
 #![allow(dead_code, reason = "each test file uses a part of the helpers")]
 
 pub mod fields;
-pub mod fleets;
 pub mod pages;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -13,7 +12,7 @@
 use bergamotpitch_standin::platforms::{self, PlatformOptions, start_platform};
 use bytes::Bytes;
 use http::Request;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 
@@ -42,16 +41,6 @@
     assert_eq!(client.request(request).await.unwrap().status(), 200);
 }
 
-/// `get_text` fetches a path of a stand-in.
-pub async fn get_text(address: SocketAddr, path: &str) -> String {
-    let request =
-        Request::get(format!("http://{address}{path}")).body(Full::new(Bytes::new())).unwrap();
-    let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
-    let response = client.request(request).await.unwrap();
-    let bytes = response.into_body().collect().await.unwrap().to_bytes();
-    String::from_utf8_lossy(&bytes).into_owned()
-}
-
 /// `sheet_file` writes a sheet with one team of a share, and returns the file's path.
 pub fn sheet_file(test: &str, share: u32) -> String {
     let hash = "ab".repeat(32);
--- a/crates/bergamotpitch-ctl/tests/fleet_sheets.rs
+++ b/crates/bergamotpitch-router/tests/fleet_sheets.rs
@@ -1,15 +1,15 @@
 //! A sheet that an operator applies comes into force at real routers, and none goes back.
 
-mod common;
+mod fleets;
 
 use std::time::Duration;
 
 use bergamotpitch_ctl::sheets::apply;
 use bergamotpitch_standin::calls::CallCounts;
-use common::fleets::{
-    Fleet, HANG_LIMIT, close_without_reverts, start_fleet, start_router, wait_in_force,
+use fleets::{
+    Fleet, HANG_LIMIT, close_without_reverts, get_text, set_faults, sheet_file, start_fleet,
+    start_router, wait_in_force,
 };
-use common::{get_text, set_faults, sheet_file};
 
 /// One failure domain is cut off from the platform before the morning's sheet is applied. Its
 /// routers must hear of the sheet from their peers, or that domain's teams would be refused all day.
--- a/crates/bergamotpitch-ctl/tests/common/fleets.rs
+++ b/crates/bergamotpitch-router/tests/fleets/mod.rs
@@ -1,7 +1,11 @@
 //! A fleet in one process: a stand-in platform with an address for each failure domain, and three
 //! real routers over two failure domains.
+#![allow(dead_code, reason = "each test file uses a part of the helpers")]
 
-use std::net::SocketAddr;
+pub mod processes;
+pub mod stages;
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use bergamotpitch_core::ids::SheetVersion;
@@ -14,8 +18,14 @@
 use bergamotpitch_standin::platforms::{self, PlatformOptions, start_platform};
 use bergamotpitch_timeline::files::{merge_events, read_file};
 use bergamotpitch_timeline::versions::reverts;
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
 
-use super::LOOPBACK;
+/// `LOOPBACK` is an address with a port that the system chooses.
+pub const LOOPBACK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
 /// Wait that ends a test whose fleet never gets there.
 pub const HANG_LIMIT: Duration = Duration::from_secs(30);
@@ -107,3 +117,48 @@
     assert!(!events.is_empty());
     assert_eq!(reverts(&events), []);
 }
+
+/// `set_faults` sets the faults of a stand-in.
+pub async fn set_faults(address: SocketAddr, faults: &str) {
+    let request = Request::post(format!("http://{address}/_faults"))
+        .body(Full::new(Bytes::copy_from_slice(faults.as_bytes())))
+        .unwrap();
+    let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+    assert_eq!(client.request(request).await.unwrap().status(), 200);
+}
+
+/// `get_text` fetches a path of a stand-in.
+pub async fn get_text(address: SocketAddr, path: &str) -> String {
+    let request =
+        Request::get(format!("http://{address}{path}")).body(Full::new(Bytes::new())).unwrap();
+    let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+    let response = client.request(request).await.unwrap();
+    let bytes = response.into_body().collect().await.unwrap().to_bytes();
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// `is_ready` tells whether the balancer would send requests to the router of an operator port.
+pub async fn is_ready(operator_address: SocketAddr) -> bool {
+    let request = Request::get(format!("http://{operator_address}/ready"))
+        .body(Full::new(Bytes::new()))
+        .unwrap();
+    let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+    client.request(request).await.is_ok_and(|response| response.status().is_success())
+}
+
+/// `sheet_file` writes a sheet with one team of a share, and returns the file's path.
+pub fn sheet_file(test: &str, share: u32) -> String {
+    let hash = "ab".repeat(32);
+    let text = format!(
+        r#"{{ // One team.
+            "domains": [{{ "name": "zuid-a", "region": "zuid" }}],
+            "services": [{{ "name": "order-registry", "kind": "plain" }}],
+            "upstreams": [{{ "name": "registry-1", "service": "order-registry",
+                "domain": "zuid-a", "address": "127.0.0.1:9000", "slots": 4 }}],
+            "teams": [{{ "name": "goes", "share": {share}, "key_hash": "{hash}",
+                "services": ["order-registry"] }}] }}"#
+    );
+    let file = format!("{}/{test}-{share}.jsonc", env!("CARGO_TARGET_TMPDIR"));
+    std::fs::write(&file, text).unwrap();
+    file
+}
