Let writes land late at the stand-in platform, and split its admin paths

Cause: a write that its caller gave up was dropped while the slow platform held it, so that no test met the worst case of a real service: the write that lands after its caller looked for it in vain. Ruled out: a fault of its own for it (every slow service does it). Change: writes run on without their caller. The new test never ended with writes tied to their callers, and passes now.

--- a/crates/bergamotpitch-standin/src/chats.rs
+++ b/crates/bergamotpitch-standin/src/chats.rs
@@ -18,8 +18,9 @@
 };
 use crate::engines::Engine;
 use crate::faults::UpstreamFaults;
+use crate::locks::lock;
 use crate::prefixes::prompt_blocks;
-use crate::upstreams::{REQUEST_ID, begin_record, broken, lock, mark_leaving, meet_faults};
+use crate::upstreams::{REQUEST_ID, begin_record, broken, mark_leaving, meet_faults};
 
 /// Header by which a caller says what it received of a broken stream.
 pub const LAST_EVENT_ID: &str = "last-event-id";
--- a/crates/bergamotpitch-standin/src/engines.rs
+++ b/crates/bergamotpitch-standin/src/engines.rs
@@ -11,18 +11,19 @@
 use tokio::sync::{Notify, mpsc};
 use tokio::time::Instant;
 
-use crate::batches::{Batch, BatchOptions, Ended, begin_step, end_step, new_batch};
+use crate::batches::{Batch, BatchOptions, Ended, Sequence, begin_step, end_step, new_batch};
 use crate::bodies::{Answer, Body, json_answer, json_lines_answer, read_whole, text_answer};
 use crate::caches::{CacheEvents, CacheOptions, publish_changes, visible_events};
 use crate::chats;
 use crate::clocks::wall_clock_us;
 use crate::errors::Result;
 use crate::lags::{Lagged, publish, read};
+use crate::locks::lock;
 use crate::orders::{Order, OrderBook, take_order};
 use crate::records::Record;
 use crate::servers::serve;
 use crate::upstreams::{
-    Shared, Upstream, add_record, answer_admin, is_leaving, lock, mark_leaving, new_shared,
+    Shared, Upstream, add_record, answer_admin, is_leaving, mark_leaving, new_shared,
 };
 
 /// `EngineOptions` describe a stand-in engine.
@@ -181,9 +182,7 @@
     for Ended { sequence, outcome } in ended {
         let Some(open) = lock(&engine.open_records).remove(&sequence.number) else { continue };
         let generated_tokens = sequence.last_token - sequence.resumed_after;
-        let prompt_tokens = sequence.started_us.map_or(0, |_| {
-            sequence.prompt_tokens - sequence.prompt_left_tokens.min(sequence.prompt_tokens)
-        });
+        let prompt_tokens = processed_prompt_tokens(&sequence);
         let record = Record {
             started_us: sequence.started_us,
             first_token_us: sequence.first_token_us,
@@ -201,6 +200,14 @@
     }
 }
 
+/// Tokens of the prompt that are paid for: those of the cache as well, none of what was not begun.
+fn processed_prompt_tokens(sequence: &Sequence) -> u32 {
+    if sequence.started_us.is_none() {
+        return 0;
+    }
+    sequence.prompt_tokens.saturating_sub(sequence.prompt_left_tokens)
+}
+
 fn report_load(engine: &Engine) {
     let report = {
         let batch = lock(&engine.batch);
--- a/crates/bergamotpitch-standin/src/lib.rs
+++ b/crates/bergamotpitch-standin/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! They are for tests and demonstrations alone and are never linked into a router.
 
+pub mod admins;
 pub mod answers;
 pub mod batches;
 pub mod bodies;
@@ -18,6 +19,7 @@
 pub mod instances;
 pub mod keys;
 pub mod lags;
+pub mod locks;
 pub mod orders;
 pub mod platforms;
 pub mod prefixes;
--- a/crates/bergamotpitch-standin/src/platforms.rs
+++ b/crates/bergamotpitch-standin/src/platforms.rs
@@ -13,19 +13,17 @@
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, watch};
-use tokio::time::Instant;
 
-use crate::bodies::{
-    Answer, Body, BrokenConnection, json_answer, query_value, read_whole, text_answer,
-};
+use crate::admins::answer_admin;
+use crate::bodies::{Answer, Body, BrokenConnection, read_whole, text_answer};
 use crate::calls::{Bucket, CallCounts, RateLimits};
 use crate::errors::Result;
-use crate::faults::{PlatformFaults, parse_platform_faults};
-use crate::instances::{InstanceChange, apply_change};
-use crate::lags::{Lagged, publish};
+use crate::faults::PlatformFaults;
+use crate::instances::InstanceChange;
+use crate::lags::Lagged;
+use crate::locks::lock;
 use crate::servers::{Crashes, Server, serve};
 use crate::stores::Store;
-use crate::upstreams::lock;
 use crate::{keys, sessions};
 
 /// `PlatformOptions` describe a stand-in platform.
@@ -133,11 +131,15 @@
 
 /// `Entrance` is one address of the platform.
 #[derive(Debug)]
-struct Entrance {
-    shared: Arc<Shared>,
-    faults: Mutex<PlatformFaults>,
-    frozen: Mutex<Option<Store>>,
-    crashes: Crashes,
+pub struct Entrance {
+    /// What it shares with the other addresses.
+    pub shared: Arc<Shared>,
+    /// Its faults.
+    pub faults: Mutex<PlatformFaults>,
+    /// Copy of the keys that reads are answered from.
+    pub frozen: Mutex<Option<Store>>,
+    /// Way to its server.
+    pub crashes: Crashes,
 }
 
 /// `Call` is a call to the platform, read whole.
@@ -164,7 +166,16 @@
     if call.path.starts_with("/_") {
         return Ok(answer_admin(&entrance, &call));
     }
-    let faults = lock_faults(&entrance).clone();
+    if call.method == Method::GET {
+        return answer_with_faults(entrance, call).await;
+    }
+    // A write goes on when its caller has given it up: it lands late, as at a slow service.
+    let written = tokio::spawn(answer_with_faults(entrance, call));
+    written.await.unwrap_or(Err(BrokenConnection))
+}
+
+async fn answer_with_faults(entrance: Arc<Entrance>, call: Call) -> Answer {
+    let faults = lock(&entrance.faults).clone();
     if faults.hang {
         lock_state(&entrance.shared).counts.failed += 1;
         return futures::future::pending().await;
@@ -203,7 +214,7 @@
 
 /// Percentages are met exactly over each hundred writes, so that a run can be repeated.
 fn loses_answer(entrance: &Entrance) -> bool {
-    let mut faults = lock_faults(entrance);
+    let mut faults = lock(&entrance.faults);
     if 0 < faults.lose_next_answers {
         faults.lose_next_answers -= 1;
         return true;
@@ -213,72 +224,3 @@
     let writes = state.counts.writes + state.counts.sessions;
     writes * percent / 100 != writes.saturating_sub(1) * percent / 100
 }
-
-fn answer_admin(entrance: &Entrance, call: &Call) -> Response<Body> {
-    match (&call.method, call.path.as_str()) {
-        (&Method::GET, "/_faults") => json_answer(StatusCode::OK, &*lock_faults(entrance)),
-        (&Method::POST, "/_faults") => match parse_platform_faults(&text_of(&call.body)) {
-            Ok(faults) => set_faults(entrance, faults),
-            Err(error) => text_answer(StatusCode::BAD_REQUEST, error.to_string()),
-        },
-        (&Method::POST, "/_instances") => match serde_json::from_slice(&call.body) {
-            Ok(change) => {
-                change_instance(&entrance.shared, change);
-                text_answer(StatusCode::OK, "listed")
-            }
-            Err(error) => text_answer(StatusCode::BAD_REQUEST, error.to_string()),
-        },
-        (&Method::GET, "/_instances") => {
-            json_answer(StatusCode::OK, &lock_state(&entrance.shared).instances)
-        }
-        (&Method::GET, "/_calls") => {
-            json_answer(StatusCode::OK, &lock_state(&entrance.shared).counts)
-        }
-        (&Method::POST, "/_rates") => match serde_json::from_slice(&call.body) {
-            Ok(rates) => {
-                lock_state(&entrance.shared).rates = rates;
-                text_answer(StatusCode::OK, "set")
-            }
-            Err(error) => text_answer(StatusCode::BAD_REQUEST, error.to_string()),
-        },
-        (&Method::POST, "/_list_lag") => match query_value(&call.query, "ms").map(str::parse) {
-            Some(Ok(list_lag_ms)) => {
-                lock_state(&entrance.shared).list_lag_ms = list_lag_ms;
-                text_answer(StatusCode::OK, "set")
-            }
-            _ => text_answer(StatusCode::BAD_REQUEST, "ms: is not a number of milliseconds"),
-        },
-        _ => text_answer(StatusCode::NOT_FOUND, "no such path"),
-    }
-}
-
-fn text_of(body: &[u8]) -> String {
-    String::from_utf8_lossy(body).into_owned()
-}
-
-fn set_faults(entrance: &Entrance, faults: PlatformFaults) -> Response<Body> {
-    if 0 < faults.down_ms {
-        // The server lives as long as its handler, so the order always arrives.
-        let _ = entrance.crashes.send(Duration::from_millis(faults.down_ms));
-    }
-    let mut frozen = lock(&entrance.frozen);
-    if !faults.frozen {
-        *frozen = None;
-    } else if frozen.is_none() {
-        *frozen = Some(lock_state(&entrance.shared).store.clone());
-    }
-    *lock_faults(entrance) = faults;
-    text_answer(StatusCode::OK, "set")
-}
-
-fn change_instance(shared: &Shared, change: InstanceChange) {
-    let mut state = lock_state(shared);
-    let lag = Duration::from_millis(state.list_lag_ms);
-    apply_change(&mut state.instances, change);
-    let instances = state.instances.clone();
-    publish(&mut state.listed, Instant::now(), lag, instances);
-}
-
-fn lock_faults(entrance: &Entrance) -> MutexGuard<'_, PlatformFaults> {
-    lock(&entrance.faults)
-}
--- a/crates/bergamotpitch-standin/src/services.rs
+++ b/crates/bergamotpitch-standin/src/services.rs
@@ -20,11 +20,12 @@
 use crate::clocks::wall_clock_us;
 use crate::engines::LoadReport;
 use crate::errors::{Result, unwritable_error};
+use crate::locks::lock;
 use crate::records::{Outcome, Record, Run};
 use crate::servers::serve;
 use crate::upstreams::{
     IDEMPOTENCY_KEY, REQUEST_ID, Shared, TEAM, Upstream, add_record, answer_admin, begin_record,
-    broken, is_leaving, lock, mark_leaving, meet_faults, new_shared,
+    broken, is_leaving, mark_leaving, meet_faults, new_shared,
 };
 
 /// `ServiceOptions` describe a stand-in plain service.
--- a/crates/bergamotpitch-standin/src/upstreams.rs
+++ b/crates/bergamotpitch-standin/src/upstreams.rs
@@ -1,7 +1,7 @@
 //! What engines and plain services have in common: a name, faults, records and admin paths.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,6 +14,7 @@
 };
 use crate::clocks::wall_clock_us;
 use crate::faults::{UpstreamFaults, take_turn};
+use crate::locks::lock;
 use crate::records::{Outcome, Record};
 use crate::servers::{Crashes, Server};
 
@@ -81,11 +82,6 @@
     }
 }
 
-/// `lock` gives access to a value, also after a panic elsewhere.
-pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// `is_leaving` tells whether the upstream says that it is leaving.
 pub fn is_leaving(shared: &Shared) -> bool {
     lock(&shared.faults).leaving
--- a/crates/bergamotpitch-standin/tests/platform_keys.rs
+++ b/crates/bergamotpitch-standin/tests/platform_keys.rs
@@ -8,6 +8,7 @@
 use bergamotpitch_standin::platforms::{Platform, PlatformOptions, start_platform};
 use common::{LOOPBACK, call, client, get, post};
 use http::{Method, Request};
+use tokio::io::AsyncWriteExt;
 
 async fn platform(addresses: usize) -> Platform {
     let addresses = vec![LOOPBACK; addresses];
@@ -155,3 +156,20 @@
     assert_eq!(read(old, "/v1/kv/k").await[0]["Value"], "Mg==");
     platform.close().await;
 }
+
+/// The platform is slow and the caller gives its write up. The write lands all the same, after the
+/// caller has looked for it in vain.
+#[tokio::test]
+async fn late_write() {
+    let platform = platform(2).await;
+    let (slow, sound) = (platform.addresses[0], platform.addresses[1]);
+    post(slow, "/_faults", r#"{ "slow_ms": 100 }"#).await;
+    let mut stream = tokio::net::TcpStream::connect(slow).await.unwrap();
+    stream.write_all(b"PUT /v1/kv/k HTTP/1.1\r\ncontent-length: 3\r\n\r\none").await.unwrap();
+    drop(stream);
+    while call(sound, Method::GET, "/v1/kv/k", "").await.0 == 404 {
+        tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+    }
+    assert_eq!(read(sound, "/v1/kv/k").await[0]["Value"], "b25l");
+    platform.close().await;
+}
