Answer the order to crash before the crash, and end watches of old copies early

Cause: the order that takes a stand-in down was answered over a connection that the crash breaks, so that whoever gave it might see a failure; a watch at an old copy slept its whole wait of 10 s. Ruled out: the order over an address of its own (each upstream would need two). Change: the crash follows its order by 20 ms; a watch at an old copy ends after 500 ms, as a watch may.

--- a/crates/bergamotpitch-standin/src/keys.rs
+++ b/crates/bergamotpitch-standin/src/keys.rs
@@ -19,6 +19,10 @@
 /// Time that a watch waits when it does not say how long.
 const DEFAULT_WAIT: Duration = Duration::from_secs(300);
 
+/// Longest wait of a watch at an old copy. A watch may end early without a change, and readers must
+/// meet the old value soon.
+const FROZEN_WATCH: Duration = Duration::from_millis(500);
+
 /// Time between two looks for sessions that lapsed while a watch waits.
 const LAPSE_CHECK: Duration = Duration::from_millis(50);
 
@@ -80,7 +84,7 @@
     }
     let (index, entries) = stores::read(&mut store, key, recurse, Instant::now());
     if index <= watched {
-        tokio::time::sleep(wait_of(call)).await;
+        tokio::time::sleep(wait_of(call).min(FROZEN_WATCH)).await;
     }
     entries_answer(shared, index, entries)
 }
--- a/crates/bergamotpitch-standin/src/servers.rs
+++ b/crates/bergamotpitch-standin/src/servers.rs
@@ -23,6 +23,9 @@
 /// Pause between two tries to listen again after a crash.
 const LISTEN_RETRY: Duration = Duration::from_millis(20);
 
+/// Time from the order to crash to the crash.
+const CRASH_DELAY: Duration = Duration::from_millis(20);
+
 /// `Server` is a listening address that is being served.
 #[derive(Debug)]
 pub struct Server {
@@ -73,7 +76,7 @@
         let connections = stopped.child_token();
         let crash = tokio::select! {
             () = stopped.cancelled() => None,
-            Some(pause) = crashes.recv() => Some(pause),
+            Some(pause) = next_crash(&mut crashes) => Some(pause),
             () = accept_all(&listener, &handler, &connections) => None,
         };
         connections.cancel();
@@ -85,6 +88,13 @@
     }
 }
 
+async fn next_crash(crashes: &mut CrashOrders) -> Option<Duration> {
+    let pause = crashes.recv().await;
+    // Whoever asked for the crash has to get the answer to that.
+    tokio::time::sleep(CRASH_DELAY).await;
+    pause
+}
+
 async fn listen_again(address: SocketAddr) -> TcpListener {
     loop {
         match TcpListener::bind(address).await {
