--- a/crates/bergamotpitch-control/src/domain_reports.rs
+++ b/crates/bergamotpitch-control/src/domain_reports.rs
@@ -1,18 +1,21 @@
 //! Reports between domains: what a home tells the homes of its service elsewhere.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bergamotpitch_core::ids::{DomainId, InstanceId, ServiceId, TeamId};
 use bergamotpitch_core::units::Timestamp;
 
 use crate::accounts;
-use crate::homes::{Home, HomeTeam, add_level, lift, reindex, weight};
+use crate::homes::{self, Home, HomeTeam, add_level, lift, reindex, weight};
 use crate::inputs::Sender;
 use crate::leases::{SlotLease, held};
 use crate::levels::{LEVEL_SCALE, Level, level_of_cost, share_of};
 use crate::messages::Message;
 use crate::outputs::Output;
-use crate::share_messages::{DomainReport, DomainTeamLine, GrantLine, SERVED_QUANTUM, SlotLine};
+use crate::share_messages::{
+    DomainReport, DomainTeamLine, GrantLine, PassedDomainReport, SERVED_QUANTUM, SlotLine,
+};
 use crate::spills::{self, CUT_OFF_TIME, PreviousLife, Remote, RemoteTeam};
 use crate::tables::Tables;
 
@@ -49,7 +52,7 @@
         if domain == tables.options.domain {
             continue;
         }
-        let Some(to) = peer(tables, service, domain) else { continue };
+        let Some(to) = peer(tables, service, home.remotes.get(&domain), domain) else { continue };
         let remote = home.remotes.entry(domain).or_default();
         if !is_due(tables.now, remote, home.frontier.is_some()) {
             continue;
@@ -71,7 +74,19 @@
     remote.next_allowed <= now && (is_contended || sent + IDLE_INTERVAL <= now)
 }
 
-fn peer(tables: &Tables, service: ServiceId, domain: DomainId) -> Option<std::net::SocketAddr> {
+/// The home there that was heard last, else any member there: it passes the report on.
+fn peer(
+    tables: &Tables,
+    service: ServiceId,
+    remote: Option<&Remote>,
+    domain: DomainId,
+) -> Option<SocketAddr> {
+    if let Some(remote) = remote
+        && !spills::is_silent(tables, remote)
+        && remote.address.is_some()
+    {
+        return remote.address;
+    }
     tables
         .members
         .iter()
@@ -140,11 +155,35 @@
     }
 }
 
-/// `apply` takes over what the home of another domain reports.
-pub fn apply(tables: &mut Tables, sender: Sender, report: DomainReport) {
+/// `apply` takes over what the home of another domain reports, or passes it on to the home here.
+pub fn apply(tables: &mut Tables, sender: Sender, report: DomainReport, outputs: &mut Vec<Output>) {
     if sender.domain == tables.options.domain {
         return;
     }
+    if !tables.homes.contains_key(&report.service) {
+        pass_on(tables, sender, report, outputs);
+        return;
+    }
+    take(tables, sender, report);
+}
+
+/// `apply_passed` takes a domain report that another instance of this domain passed on.
+pub fn apply_passed(tables: &mut Tables, passed: PassedDomainReport) {
+    let PassedDomainReport { instance, incarnation, domain, address, report } = passed;
+    if domain != tables.options.domain {
+        take(tables, Sender { instance, incarnation, domain, address }, report);
+    }
+}
+
+fn pass_on(tables: &Tables, sender: Sender, report: DomainReport, outputs: &mut Vec<Output>) {
+    let holder = homes::home_of(tables, report.service);
+    let Some(member) = tables.members.get(&holder) else { return };
+    let Sender { instance, incarnation, domain, address } = sender;
+    let passed = PassedDomainReport { instance, incarnation, domain, address, report };
+    outputs.push(Output::Send { to: member.address, message: Message::PassedDomainReport(passed) });
+}
+
+fn take(tables: &mut Tables, sender: Sender, report: DomainReport) {
     let Some(mut home) = tables.homes.remove(&report.service) else { return };
     let service = report.service;
     take_report(tables, &mut home, sender, report);
@@ -169,6 +208,7 @@
     let is_rejoin = !is_first && CUT_OFF_TIME < silence;
     remote.frontier = report.frontier;
     remote.sequence = report.sequence;
+    remote.address = Some(sender.address);
     remote.heard = tables.now;
     if report.peer_epoch == home.epoch {
         take_slots(remote, &report, next);
@@ -280,12 +320,13 @@
         }
         entry.ahead = 0;
         add_level(entry, level);
+        let told = base + i64::from(line.level) * LEVEL_SCALE;
+        let debt = i64::from(line.debt) * LEVEL_SCALE;
         if line.waiting_requests != 0 {
-            let told = base + i64::from(line.level) * LEVEL_SCALE;
-            merge_level(entry, told);
+            merge_level(entry, told, debt);
         }
         if is_reference {
-            entry.debt = i64::from(line.debt) * LEVEL_SCALE;
+            entry.debt = debt;
         }
         touched.push(team);
     }
@@ -301,13 +342,17 @@
 /// comes again as a sum from a third domain. Where the team waits only elsewhere, the other home
 /// knows best. Where it waits here too, levels draw together slowly, which heals counts that were
 /// lost with a home.
-fn merge_level(entry: &mut HomeTeam, told: Level) {
-    if !entry.is_known || entry.waiting_requests == 0 {
-        entry.level = told;
+fn merge_level(entry: &mut HomeTeam, told: Level, debt: Level) {
+    if entry.is_effective {
+        // The level came from instances that were never told of the debt.
+        (entry.level, entry.debt) = (told.max(entry.level + debt), debt);
+    } else if !entry.is_known || entry.waiting_requests == 0 {
+        (entry.level, entry.debt) = (told, debt);
     } else {
         entry.level += (told - entry.level) / MERGE_DIVISOR;
     }
     entry.is_known = true;
+    entry.is_effective = false;
 }
 
 fn note_rate(now: Timestamp, known: &mut RemoteTeam, served: u32, cost: i64, is_jump: bool) {
--- a/crates/bergamotpitch-control/src/lib.rs
+++ b/crates/bergamotpitch-control/src/lib.rs
@@ -5,12 +5,18 @@
 //! out as [`Output`]s. A test can drive hundreds of control states in one thread with virtual time.
 
 pub mod accounts;
+mod claim_calls;
+pub mod claim_options;
+mod claim_paces;
 pub mod claim_queues;
 mod claim_rounds;
+pub mod claim_segments;
 pub mod claims;
+pub mod detours;
 pub mod dispatches;
 pub mod domain_reports;
 pub mod errors;
+pub mod far_members;
 pub mod grants;
 pub mod homes;
 pub mod inputs;
--- a/crates/bergamotpitch-control/src/tables.rs
+++ b/crates/bergamotpitch-control/src/tables.rs
@@ -15,10 +15,12 @@
 use bergamotpitch_core::units::{CostUnits, Timestamp};
 
 use crate::accounts::Estimate;
+use crate::far_members::FarDuty;
 use crate::homes::Home;
 use crate::inputs::Arrival;
 use crate::leases::Leases;
 use crate::limits::Limits;
+use crate::shares::ShareGuards;
 use crate::sheet_duties::{SheetDuty, SheetGuards};
 use crate::sheet_indexes::SheetIndex;
 use crate::upstreams::HealthTable;
@@ -65,6 +67,8 @@
     pub share_spacing: Duration,
     /// Time between two other messages about one service to one instance.
     pub share_interval: Duration,
+    /// Rules of the fair shares that a proof switches off.
+    pub share_guards: ShareGuards,
     /// Bytes a second that one duty may send to other domains.
     pub cross_bytes_per_second: u64,
 }
@@ -88,8 +92,9 @@
             lead_limit_requests: 20.0,
             spill: true,
             prefix_placement: true,
-            share_spacing: Duration::from_millis(20),
-            share_interval: Duration::from_millis(100),
+            share_spacing: Duration::from_millis(40),
+            share_interval: Duration::from_millis(200),
+            share_guards: ShareGuards::default(),
             cross_bytes_per_second: 400,
         }
     }
@@ -118,6 +123,8 @@
     pub members: HashMap<InstanceId, Member>,
     /// Time of the last heartbeat sent.
     pub heartbeat_sent: Option<Timestamp>,
+    /// Heartbeats to other domains.
+    pub far_duty: FarDuty,
     /// Upstreams of the sheet in force.
     pub upstreams: HashMap<UpstreamId, Upstream>,
     /// Teams of the sheet in force.
@@ -174,6 +181,8 @@
     pub suspected: bool,
     /// True when it is draining.
     pub draining: bool,
+    /// True when it was heard straight, and not through another instance of this domain.
+    pub is_heard_here: bool,
 }
 
 /// `Upstream` is an upstream and what is known of its load.
