Measure what one router adds to a call

Cause: no figure told what a call costs through a router. Ruled out: comparing two runs of the load tool (their schedules differ in load); reading latency from the router itself.

--- a/crates/bergamotpitch-load/src/lib.rs
+++ b/crates/bergamotpitch-load/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod fetches;
 pub mod gaps;
 pub mod measures;
+pub mod overheads;
 pub mod plots;
 pub mod records;
 pub mod reports;
--- a/crates/bergamotpitch-load/src/main.rs
+++ b/crates/bergamotpitch-load/src/main.rs
@@ -2,15 +2,18 @@
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 use bergamotpitch_core::sheets::parse_sheet;
 use bergamotpitch_load::errors::{Result, file_error};
 use bergamotpitch_load::experiments::parse_experiment;
+use bergamotpitch_load::overheads::{OverheadOptions, measure_overhead};
 use bergamotpitch_load::plots::draw_service;
 use bergamotpitch_load::reports::{cuts, faults, load_report, store, table};
 use bergamotpitch_load::runs::run;
 
 mod flags {
+    use std::net::SocketAddr;
     use std::path::PathBuf;
 
     xflags::xflags! {
@@ -34,6 +37,23 @@
                 /// Label that tells this run apart in a table.
                 required --label label: String
             }
+            /// Compare calls through a router with the same calls to the upstream itself.
+            cmd overhead {
+                /// Caller port of the router.
+                required --router address: SocketAddr
+                /// Address of the upstream.
+                required --upstream address: SocketAddr
+                /// Service that the upstream runs.
+                required --service name: String
+                /// Bearer key of a team.
+                required --key key: String
+                /// Process id of the router.
+                required --pid pid: u32
+                /// Calls under way at once; 16 when not given.
+                optional --callers number: usize
+                /// Seconds for which each side is called; 5 when not given.
+                optional --seconds number: u64
+            }
             /// Print stored reports side by side; fails when a figure that must be 0 is not.
             cmd table {
                 /// Folders that runs were stored in.
@@ -55,6 +75,7 @@
         flags::BergamotpitchLoadCmd::Version(_) => print_version(),
         flags::BergamotpitchLoadCmd::Check(check) => check_file(&check.file),
         flags::BergamotpitchLoadCmd::Run(options) => run_file(&options),
+        flags::BergamotpitchLoadCmd::Overhead(options) => print_overhead(options),
         flags::BergamotpitchLoadCmd::Table(options) => print_table(&options),
     };
     match done {
@@ -92,6 +113,22 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn print_overhead(flags: flags::Overhead) -> Result<ExitCode> {
+    let options = OverheadOptions {
+        router: flags.router,
+        upstream: flags.upstream,
+        service: flags.service,
+        key: flags.key,
+        router_pid: flags.pid,
+        callers: flags.callers.unwrap_or(16).clamp(1, 512),
+        duration: Duration::from_secs(flags.seconds.unwrap_or(5).clamp(1, 60)),
+    };
+    let runtime =
+        tokio::runtime::Runtime::new().map_err(|error| file_error("tokio runtime", error))?;
+    print!("{}", runtime.block_on(measure_overhead(&options))?);
+    Ok(ExitCode::SUCCESS)
+}
+
 fn print_table(options: &flags::Table) -> Result<ExitCode> {
     let reports =
         options.folders.iter().map(|folder| load_report(folder)).collect::<Result<Vec<_>>>()?;
