Exchange heartbeats along a ring and over relays

Cause: each instance sent heartbeats to every other of the fleet, of all domains, and went on to send to those long gone. At 790 nodes that is a full mesh across regions; a replaced instance stayed in the table for ever; and a peer that one instance could not hear was gone for it alone.

Ruled out: a full mesh within a domain (46 instances would send 18 KB/s each at today's interval); longer intervals alone (a dead instance would be noticed after 20 s); taking the platform's list for the truth (it lags); judging instances of another domain from outside (a cut link would make all of its instances look dead).

Change: within a domain heartbeats go to the successors at the distances 1, 2, 4, … in the ring of ids, and those successors judge who is gone; judgements carry a version that the judged instance raises when it hears of its own end; between two domains one relay of each sends, and tries others when the other side falls silent; news travels at once and four times; older lines make up for lost ones; the list and the gone are asked, one address each half second; the gone are forgotten.

--- /dev/null
+++ b/crates/bergamotpitch-control/src/gossips.rs
@@ -0,0 +1,356 @@
+//! Gossip: to whom heartbeats go and what they tell of others.
+//!
+//! Within a failure domain each instance sends to its successors at the distances 1, 2, 4, … in the
+//! ring of instance ids, so that its cost grows with the logarithm of the domain. Between two domains
+//! one instance of each, the relay, sends to the relay of the other. Whatever is new travels on at
+//! once, and a few older lines with each heartbeat make up for lost ones.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bergamotpitch_core::ids::{DomainId, InstanceId, UpstreamId};
+use bergamotpitch_core::units::Timestamp;
+
+use crate::homes::weight;
+use crate::messages::{Heartbeat, LeavingLine, MemberLine, Message};
+use crate::outputs::Output;
+use crate::tables::{Member, Tables};
+use crate::upstreams;
+
+/// Time that each further receiver adds to the time between two heartbeats, so that the bytes sent a
+/// second stay the same.
+const TIME_PER_TARGET: Duration = Duration::from_millis(80);
+
+/// Shortest time between two heartbeats when there is news.
+const URGENT_SPACING: Duration = Duration::from_millis(20);
+
+/// Heartbeats in which news is told; more than one, since each may be lost.
+const NEWS_ROUNDS: u32 = 4;
+
+/// Lines of news in one heartbeat.
+const NEWS_LINES: usize = 12;
+
+/// Lines of other members in one heartbeat.
+const OLDER_LINES: usize = 1;
+
+/// Lines of other leaving upstreams in one heartbeat.
+const OLDER_LEAVING_LINES: usize = 4;
+
+/// Lines of the answer to an instance that was not known.
+const WELCOME_LINES: usize = 64;
+
+/// Time between two heartbeats to the relay of another domain.
+const RELAY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The same when it is news that an upstream leaves.
+const URGENT_RELAY_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Lines of members of the own domain in one heartbeat to a relay.
+const RELAY_LINES: usize = 3;
+
+/// Silence of another domain after which its other members are tried.
+const RELAY_SILENCE: Duration = Duration::from_secs(4);
+
+/// Time between two heartbeats to addresses where an instance may be.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Addresses that are probed at once while no instance is known.
+const FIRST_PROBES: usize = 16;
+
+/// `Gossip` is what this instance has to tell.
+#[derive(Debug, Default)]
+pub struct Gossip {
+    /// Number by which this instance contradicts those who think it gone.
+    pub version: u32,
+    /// Addresses of the platform's list.
+    pub listed: Vec<SocketAddr>,
+    /// When it was last looked at who is silent.
+    pub checked: Option<Timestamp>,
+    /// When a domain was last heard.
+    pub heard_domains: BTreeMap<DomainId, Timestamp>,
+    news: BTreeMap<InstanceId, u32>,
+    leaving_news: BTreeMap<UpstreamId, u32>,
+    is_urgent: bool,
+    next_line: usize,
+    next_relay_line: usize,
+    next_leaving: usize,
+    next_probe: usize,
+    next_relay: usize,
+    probed: Option<Timestamp>,
+    relayed: Option<Timestamp>,
+}
+
+/// `tell` has a member's line told in the next heartbeats, the first of them at once.
+pub fn tell(tables: &mut Tables, instance: InstanceId) {
+    tables.gossip.news.insert(instance, NEWS_ROUNDS);
+    tables.gossip.is_urgent = true;
+}
+
+/// `run` sends heartbeats when they are due.
+pub fn run(tables: &mut Tables, outputs: &mut Vec<Output>) {
+    for upstream in std::mem::take(&mut tables.health.untold) {
+        tables.gossip.leaving_news.insert(upstream, NEWS_ROUNDS);
+        tables.gossip.is_urgent = true;
+    }
+    let since = tables.heartbeat_sent.map(|sent| tables.now.saturating_sub(sent));
+    let waited = |time: Duration| since.is_none_or(|since| time <= since);
+    if !waited(URGENT_SPACING) {
+        return;
+    }
+    let mut targets = successors(tables);
+    if !waited(interval(tables, targets.len())) && !tables.gossip.is_urgent {
+        return;
+    }
+    tables.heartbeat_sent = Some(tables.now);
+    targets.extend(probe_targets(tables));
+    targets.sort_unstable();
+    targets.dedup();
+    let relays = relay_targets(tables);
+    if !relays.is_empty() {
+        let heartbeat = relay_heartbeat(tables);
+        send(&relays, &heartbeat, outputs);
+    }
+    let heartbeat = next_heartbeat(tables);
+    send(&targets, &heartbeat, outputs);
+}
+
+fn send(targets: &[SocketAddr], heartbeat: &Heartbeat, outputs: &mut Vec<Output>) {
+    for to in targets {
+        outputs.push(Output::Send { to: *to, message: Message::Heartbeat(heartbeat.clone()) });
+    }
+}
+
+/// `interval` is the time between two heartbeats to one of some receivers.
+pub fn interval(tables: &Tables, targets: usize) -> Duration {
+    tables.options.heartbeat_interval.max(TIME_PER_TARGET * targets as u32)
+}
+
+/// `timeout` is the silence after which a member that should send here is taken for gone.
+pub fn timeout(tables: &Tables, domain_members: usize) -> Duration {
+    let targets = (domain_members + 1).max(2).ilog2() as usize + 1;
+    let stretch = interval(tables, targets).as_secs_f64()
+        / tables.options.heartbeat_interval.as_secs_f64().max(0.001);
+    tables.options.peer_timeout.mul_f64(stretch)
+}
+
+/// `ring` lists the live instances of the domain, this one among them, in order.
+pub fn ring(tables: &Tables) -> Vec<InstanceId> {
+    let others = tables
+        .members
+        .iter()
+        .filter(|(_, member)| member.domain == tables.options.domain && !member.suspected);
+    let mut ring: Vec<InstanceId> = others.map(|(instance, _)| *instance).collect();
+    ring.push(tables.options.instance);
+    ring.sort_unstable();
+    ring
+}
+
+fn successors(tables: &Tables) -> Vec<SocketAddr> {
+    let ring = ring(tables);
+    let own = ring.binary_search(&tables.options.instance).unwrap_or(0);
+    let mut targets = Vec::new();
+    let mut distance = 1;
+    while distance < ring.len() {
+        let instance = ring[(own + distance) % ring.len()];
+        targets.extend(tables.members.get(&instance).map(|member| member.address));
+        distance *= 2;
+    }
+    targets
+}
+
+fn relay_targets(tables: &mut Tables) -> Vec<SocketAddr> {
+    let now = tables.now;
+    // That an upstream leaves must be known in all domains within seconds.
+    let has_news = !tables.gossip.leaving_news.is_empty();
+    let interval = if has_news { URGENT_RELAY_INTERVAL } else { RELAY_INTERVAL };
+    if tables.gossip.relayed.is_some_and(|relayed| now < relayed + interval) {
+        return Vec::new();
+    }
+    tables.gossip.relayed = Some(now);
+    tables.gossip.next_relay = tables.gossip.next_relay.wrapping_add(1);
+    let ring = ring(tables);
+    // Domains are taken from the members, not from the sheet: an instance that has no sheet yet gets
+    // it over this way.
+    let domains: BTreeSet<DomainId> = tables.members.values().map(|member| member.domain).collect();
+    let others = domains.into_iter().filter(|domain| *domain != tables.options.domain);
+    let relayed = others.filter(|domain| {
+        let relay = ring.iter().max_by_key(|instance| weight(**instance, *domain));
+        relay == Some(&tables.options.instance)
+    });
+    relayed.filter_map(|domain| relay_of_domain(tables, domain)).collect()
+}
+
+fn relay_of_domain(tables: &Tables, domain: DomainId) -> Option<SocketAddr> {
+    let own = tables.options.domain;
+    let mut members: Vec<(u64, SocketAddr)> = tables
+        .members
+        .iter()
+        .filter(|(_, member)| member.domain == domain && !member.suspected)
+        .map(|(instance, member)| (weight(*instance, own), member.address))
+        .collect();
+    members.sort_unstable_by(|left, right| right.cmp(left));
+    let heard = tables.gossip.heard_domains.get(&domain);
+    let is_silent = heard.is_none_or(|heard| *heard + RELAY_SILENCE < tables.now);
+    // The relay may have died together with those who would have told of it.
+    let place = if is_silent { tables.gossip.next_relay % members.len().max(1) } else { 0 };
+    members.get(place).map(|(_, address)| *address)
+}
+
+/// `probe_targets` are addresses where an instance may be that is not known, or was taken for gone:
+/// without them two halves of a partition would never find each other again.
+fn probe_targets(tables: &mut Tables) -> Vec<SocketAddr> {
+    let now = tables.now;
+    let is_alone = tables.members.values().all(|member| member.suspected);
+    let is_due = tables.gossip.probed.is_none_or(|probed| probed + PROBE_INTERVAL <= now);
+    if !is_alone && !is_due {
+        return Vec::new();
+    }
+    tables.gossip.probed = Some(now);
+    let live = |address: &SocketAddr| {
+        tables.members.values().any(|member| !member.suspected && member.address == *address)
+    };
+    let gone = tables.members.values().filter(|member| member.suspected);
+    let mut addresses: Vec<SocketAddr> = gone.map(|member| member.address).collect();
+    addresses.extend(&tables.options.first_peers);
+    addresses.extend(&tables.gossip.listed);
+    addresses.sort_unstable();
+    addresses.dedup();
+    addresses.retain(|address| !live(address));
+    let count = if is_alone { FIRST_PROBES } else { 1 };
+    let first = tables.gossip.next_probe;
+    tables.gossip.next_probe = first.wrapping_add(count);
+    let length = addresses.len();
+    (0..count.min(length)).map(|index| addresses[(first + index) % length]).collect()
+}
+
+/// `base_heartbeat` is a heartbeat without lines.
+pub fn base_heartbeat(tables: &Tables) -> Heartbeat {
+    Heartbeat {
+        version: tables.gossip.version,
+        sheet_version: tables.sheet.as_ref().map_or(0, |sheet| sheet.version),
+        sheet_doubtful: tables.sheet_duty.doubt.is_some(),
+        platform_lost: tables.sheet_duty.platform_lost,
+        draining: tables.draining,
+        leaving_upstreams: Vec::new(),
+        members: Vec::new(),
+    }
+}
+
+/// `welcome` is the answer to an instance that was not known: most of what this one knows.
+pub fn welcome(tables: &Tables) -> Heartbeat {
+    let own = tables.options.domain;
+    let mut known: Vec<(&InstanceId, &Member)> =
+        tables.members.iter().filter(|(_, member)| !member.suspected).collect();
+    known.sort_unstable_by_key(|(instance, member)| (member.domain != own, **instance));
+    let members = known.into_iter().take(WELCOME_LINES).map(|(id, member)| line(*id, member));
+    let leaving = tables.health.leaving.keys().take(WELCOME_LINES);
+    Heartbeat {
+        members: members.collect(),
+        leaving_upstreams: leaving
+            .filter_map(|upstream| upstreams::leaving_line(tables, *upstream))
+            .collect(),
+        ..base_heartbeat(tables)
+    }
+}
+
+/// `line` tells of a member.
+pub fn line(instance: InstanceId, member: &Member) -> MemberLine {
+    MemberLine {
+        instance,
+        incarnation: member.incarnation,
+        domain: member.domain,
+        address: member.address,
+        version: member.version,
+        gone: member.suspected,
+        draining: member.draining,
+    }
+}
+
+fn next_heartbeat(tables: &mut Tables) -> Heartbeat {
+    let mut heartbeat = base_heartbeat(tables);
+    let instances = next_members(tables);
+    heartbeat.members = instances
+        .iter()
+        .filter_map(|instance| Some(line(*instance, tables.members.get(instance)?)))
+        .collect();
+    heartbeat.leaving_upstreams = next_leaving(tables);
+    tables.gossip.is_urgent = !tables.gossip.news.is_empty() && NEWS_LINES <= instances.len();
+    heartbeat
+}
+
+/// `relay_heartbeat` has a count of its own for older lines. With the one of the other heartbeats,
+/// a relay that gets each fifth of them would hear of each fifth member only.
+fn relay_heartbeat(tables: &mut Tables) -> Heartbeat {
+    let own = tables.options.domain;
+    let mut members: Vec<(InstanceId, MemberLine)> = tables
+        .members
+        .iter()
+        .filter(|(_, member)| member.domain == own)
+        .map(|(instance, member)| (*instance, line(*instance, member)))
+        .collect();
+    members.sort_unstable_by_key(|(instance, _)| *instance);
+    let mut lines = Vec::new();
+    for _ in 0..RELAY_LINES.min(members.len()) {
+        lines.push(members[tables.gossip.next_relay_line % members.len()].1);
+        tables.gossip.next_relay_line = tables.gossip.next_relay_line.wrapping_add(1);
+    }
+    let told = tables.gossip.leaving_news.keys().copied().collect::<Vec<_>>();
+    let told = told.into_iter().chain(older_leaving(tables));
+    let leaving_upstreams = told.take(NEWS_LINES).collect::<BTreeSet<_>>();
+    Heartbeat {
+        members: lines,
+        leaving_upstreams: leaving_upstreams
+            .into_iter()
+            .filter_map(|upstream| upstreams::leaving_line(tables, upstream))
+            .collect(),
+        ..base_heartbeat(tables)
+    }
+}
+
+fn next_members(tables: &mut Tables) -> Vec<InstanceId> {
+    let mut told: Vec<InstanceId> = tables.gossip.news.keys().copied().take(NEWS_LINES).collect();
+    for instance in &told {
+        count_round(&mut tables.gossip.news, instance);
+    }
+    let mut others: Vec<InstanceId> = tables.members.keys().copied().collect();
+    others.sort_unstable();
+    for _ in 0..OLDER_LINES.min(others.len()) {
+        let instance = others[tables.gossip.next_line % others.len()];
+        tables.gossip.next_line = tables.gossip.next_line.wrapping_add(1);
+        if !told.contains(&instance) {
+            told.push(instance);
+        }
+    }
+    told
+}
+
+fn next_leaving(tables: &mut Tables) -> Vec<LeavingLine> {
+    let mut told: Vec<UpstreamId> = tables.gossip.leaving_news.keys().copied().collect();
+    told.truncate(NEWS_LINES);
+    for upstream in &told {
+        count_round(&mut tables.gossip.leaving_news, upstream);
+    }
+    for upstream in older_leaving(tables) {
+        if !told.contains(&upstream) {
+            told.push(upstream);
+        }
+    }
+    told.into_iter().filter_map(|upstream| upstreams::leaving_line(tables, upstream)).collect()
+}
+
+fn older_leaving(tables: &mut Tables) -> Vec<UpstreamId> {
+    let known = upstreams::leaving(tables);
+    let count = OLDER_LEAVING_LINES.min(known.len());
+    let first = tables.gossip.next_leaving;
+    tables.gossip.next_leaving = first.wrapping_add(count);
+    (0..count).map(|index| known[(first + index) % known.len()]).collect()
+}
+
+fn count_round(news: &mut BTreeMap<u32, u32>, id: &u32) {
+    let Some(rounds) = news.get_mut(id) else { return };
+    *rounds -= 1;
+    if *rounds == 0 {
+        news.remove(id);
+    }
+}
--- a/crates/bergamotpitch-control/src/lib.rs
+++ b/crates/bergamotpitch-control/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod dispatches;
 pub mod domain_reports;
 pub mod errors;
+pub mod gossips;
 pub mod grants;
 pub mod homes;
 pub mod inputs;
--- a/crates/bergamotpitch-control/src/members.rs
+++ b/crates/bergamotpitch-control/src/members.rs
@@ -1,14 +1,42 @@
-//! Membership: heartbeats between instances, and who is alive.
+//! Membership: who is alive, in the own failure domain and in others.
+//!
+//! Whether an instance is gone is judged only by those of its domain to which it should send. Each
+//! judgement names the version of the instance that it is about; an instance that hears of its own
+//! end raises its version, and the later version wins everywhere.
 
-use std::net::SocketAddr;
+use std::time::Duration;
 
 use bergamotpitch_core::events::EventKind;
+use bergamotpitch_core::ids::InstanceId;
+use bergamotpitch_core::units::Timestamp;
 
-use crate::inputs::Sender;
-use crate::messages::{Heartbeat, Message};
+use crate::inputs::{ListedInstance, Sender};
+use crate::messages::{Heartbeat, MemberLine, Message};
 use crate::outputs::{Event, Output};
 use crate::tables::{Member, Tables};
-use crate::{sheet_duties, upstreams};
+use crate::{gossips, sheet_duties, upstreams};
+
+/// Time for which an instance that is gone is still asked for.
+const GONE_MEMORY: Duration = Duration::from_secs(900);
+
+/// Instances that are gone and still asked for, at most.
+const GONE_LIMIT: usize = 256;
+
+/// Time after which an instance of another domain of which nothing is heard is forgotten.
+const UNHEARD_MEMORY: Duration = Duration::from_secs(600);
+
+/// Time between two looks at who is silent; a step for each message would spend itself on it.
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Doublings of the timeout of an instance that contradicted its end.
+const PATIENCE_LIMIT: u32 = 5;
+
+/// `apply_list` notes where the platform says that instances are. The list lags: it is a hint where
+/// to ask, and nobody is taken for alive or gone because of it.
+pub fn apply_list(tables: &mut Tables, list: &[ListedInstance]) {
+    let routers = list.iter().filter(|listed| listed.is_router && !listed.leaving);
+    tables.gossip.listed = routers.map(|listed| listed.address).collect();
+}
 
 /// `apply_heartbeat` notes that a peer is alive and takes over what it knows.
 pub fn apply_heartbeat(
@@ -25,66 +53,190 @@
     if known.is_some_and(|member| sender.incarnation < member.incarnation) {
         return;
     }
-    let is_new =
-        known.is_none_or(|member| member.suspected || member.incarnation < sender.incarnation);
-    if is_new {
-        outputs
-            .push(Output::Emit(Event::of_kind(EventKind::PeerJoined).with_peer(sender.instance)));
+    note_sender(tables, sender, &heartbeat, outputs);
+    tables.gossip.heard_domains.insert(sender.domain, tables.now);
+    for line in &heartbeat.members {
+        apply_line(tables, line, outputs);
     }
+    upstreams::apply_leaving_lines(tables, &heartbeat.leaving_upstreams, outputs);
+    sheet_duties::apply_heartbeat(tables, sender, &heartbeat, outputs);
+}
+
+fn note_sender(
+    tables: &mut Tables,
+    sender: Sender,
+    heartbeat: &Heartbeat,
+    outputs: &mut Vec<Output>,
+) {
+    let known = tables.members.get(&sender.instance);
+    let same_life = known.filter(|member| member.incarnation == sender.incarnation);
+    let is_new = same_life.is_none();
+    let was_gone = same_life.is_some_and(|member| member.suspected);
+    let version = same_life.map_or(0, |member| member.version).max(heartbeat.version);
+    let has_news = same_life.is_none_or(|member| {
+        member.suspected || member.version < version || member.draining != heartbeat.draining
+    });
     let member = Member {
         incarnation: sender.incarnation,
         domain: sender.domain,
         address: sender.address,
         heard: tables.now,
+        direct: Some(tables.now),
         suspected: false,
         draining: heartbeat.draining,
+        version,
+        patience: same_life.map_or(0, |member| member.patience),
     };
+    if was_gone && heartbeat.version <= version {
+        // Others hold it for gone as well. It learns so from this line, raises its version, and is
+        // believed everywhere.
+        let gone = MemberLine { gone: true, ..gossips::line(sender.instance, &member) };
+        let heartbeat = Heartbeat { members: vec![gone], ..gossips::base_heartbeat(tables) };
+        outputs.push(Output::Send { to: sender.address, message: Message::Heartbeat(heartbeat) });
+    }
     tables.members.insert(sender.instance, member);
-    upstreams::apply_leaving_lines(tables, &heartbeat.leaving_upstreams, outputs);
-    sheet_duties::apply_heartbeat(tables, sender, &heartbeat, outputs);
+    if has_news {
+        gossips::tell(tables, sender.instance);
+    }
+    if is_new || was_gone {
+        emit(EventKind::PeerJoined, sender.instance, outputs);
+    }
+    if is_new {
+        let message = Message::Heartbeat(gossips::welcome(tables));
+        outputs.push(Output::Send { to: sender.address, message });
+    }
 }
 
-/// `run` sends heartbeats and suspects silent peers.
-pub fn run(tables: &mut Tables, outputs: &mut Vec<Output>) {
-    suspect_silent_members(tables, outputs);
-    let interval = tables.options.heartbeat_interval;
-    let is_due = tables.heartbeat_sent.is_none_or(|sent| sent + interval <= tables.now);
-    if !is_due {
+fn apply_line(tables: &mut Tables, line: &MemberLine, outputs: &mut Vec<Output>) {
+    if line.instance == tables.options.instance {
+        let is_own_life = line.incarnation == tables.options.incarnation;
+        if is_own_life && line.gone && tables.gossip.version <= line.version {
+            tables.gossip.version = line.version + 1;
+            tables.heartbeat_sent = None;
+        }
         return;
     }
-    tables.heartbeat_sent = Some(tables.now);
-    let heartbeat = Heartbeat {
-        sheet_version: tables.sheet.as_ref().map_or(0, |sheet| sheet.version),
-        sheet_doubtful: tables.sheet_duty.doubt.is_some(),
-        platform_lost: tables.sheet_duty.platform_lost,
-        draining: tables.draining,
-        leaving_upstreams: upstreams::leaving(tables)
-            .into_iter()
-            .filter_map(|upstream| upstreams::leaving_line(tables, upstream))
-            .collect(),
+    let now = tables.now;
+    let Some(known) = tables.members.get_mut(&line.instance) else {
+        if !line.gone {
+            add_told(tables, line, outputs);
+        }
+        return;
     };
-    for to in addresses(tables) {
-        outputs.push(Output::Send { to, message: Message::Heartbeat(heartbeat.clone()) });
+    let order = |incarnation, version, gone: bool| (incarnation, version, gone);
+    let told = order(line.incarnation, line.version, line.gone);
+    let held = order(known.incarnation, known.version, known.suspected);
+    if told == held && !line.gone {
+        known.heard = now;
+    }
+    if told <= held {
+        return;
+    }
+    if known.incarnation < line.incarnation {
+        if !line.gone {
+            add_told(tables, line, outputs);
+        }
+        return;
+    }
+    let was_gone = known.suspected;
+    known.version = line.version;
+    known.draining = line.draining;
+    known.suspected = line.gone;
+    known.heard = now;
+    known.direct = None;
+    if was_gone && !line.gone {
+        known.patience = (known.patience + 1).min(PATIENCE_LIMIT);
     }
+    gossips::tell(tables, line.instance);
+    if was_gone != line.gone {
+        let kind = if line.gone { EventKind::PeerSuspected } else { EventKind::PeerJoined };
+        emit(kind, line.instance, outputs);
+    }
+}
+
+fn add_told(tables: &mut Tables, line: &MemberLine, outputs: &mut Vec<Output>) {
+    let member = Member {
+        incarnation: line.incarnation,
+        domain: line.domain,
+        address: line.address,
+        heard: tables.now,
+        direct: None,
+        suspected: false,
+        draining: line.draining,
+        version: line.version,
+        patience: 0,
+    };
+    tables.members.insert(line.instance, member);
+    gossips::tell(tables, line.instance);
+    emit(EventKind::PeerJoined, line.instance, outputs);
 }
 
+/// `run` suspects silent peers, forgets those that are long gone, and sends heartbeats.
+pub fn run(tables: &mut Tables, outputs: &mut Vec<Output>) {
+    let is_due = tables.gossip.checked.is_none_or(|at| at + CHECK_INTERVAL <= tables.now);
+    if is_due {
+        tables.gossip.checked = Some(tables.now);
+        suspect_silent_members(tables, outputs);
+        forget_members(tables);
+    }
+    gossips::run(tables, outputs);
+}
+
+/// An instance is watched by those to which it should send: its predecessors in the ring are watched
+/// here. One that was only told of is watched from now on.
 fn suspect_silent_members(tables: &mut Tables, outputs: &mut Vec<Output>) {
+    let ring = gossips::ring(tables);
+    let timeout = gossips::timeout(tables, ring.len());
+    let Ok(own) = ring.binary_search(&tables.options.instance) else { return };
     let now = tables.now;
-    let timeout = tables.options.peer_timeout;
-    for (instance, member) in &mut tables.members {
-        if !member.suspected && member.heard + timeout < now {
+    let mut silent = Vec::new();
+    let mut distance = 1;
+    while distance < ring.len() {
+        let instance = ring[(own + ring.len() - distance) % ring.len()];
+        distance *= 2;
+        let Some(member) = tables.members.get_mut(&instance) else { continue };
+        let direct = *member.direct.get_or_insert(now);
+        if is_silent(direct, now, timeout * 2_u32.pow(member.patience)) {
             member.suspected = true;
-            outputs
-                .push(Output::Emit(Event::of_kind(EventKind::PeerSuspected).with_peer(*instance)));
+            member.direct = None;
+            silent.push(instance);
         }
     }
+    for instance in silent {
+        gossips::tell(tables, instance);
+        emit(EventKind::PeerSuspected, instance, outputs);
+    }
+}
+
+fn is_silent(direct: Timestamp, now: Timestamp, timeout: Duration) -> bool {
+    direct + timeout < now
+}
+
+/// Without this the table, and the addresses that are asked, would grow with every instance that was
+/// ever replaced.
+fn forget_members(tables: &mut Tables) {
+    let now = tables.now;
+    let own = tables.options.domain;
+    tables.members.retain(|_, member| {
+        let memory = if member.suspected { GONE_MEMORY } else { UNHEARD_MEMORY };
+        member.domain == own && !member.suspected || now < member.heard + memory
+    });
+    let gone = tables.members.values().filter(|member| member.suspected).count();
+    if gone <= GONE_LIMIT {
+        return;
+    }
+    let mut oldest: Vec<(Timestamp, InstanceId)> = tables
+        .members
+        .iter()
+        .filter(|(_, member)| member.suspected)
+        .map(|(instance, member)| (member.heard, *instance))
+        .collect();
+    oldest.sort_unstable();
+    for (_, instance) in oldest.into_iter().take(gone - GONE_LIMIT) {
+        tables.members.remove(&instance);
+    }
 }
 
-fn addresses(tables: &Tables) -> Vec<SocketAddr> {
-    let mut addresses: Vec<SocketAddr> =
-        tables.members.values().map(|member| member.address).collect();
-    addresses.extend(&tables.options.first_peers);
-    addresses.sort_unstable();
-    addresses.dedup();
-    addresses
+fn emit(kind: EventKind, peer: InstanceId, outputs: &mut Vec<Output>) {
+    outputs.push(Output::Emit(Event::of_kind(kind).with_peer(peer)));
 }
--- a/crates/bergamotpitch-control/src/messages.rs
+++ b/crates/bergamotpitch-control/src/messages.rs
@@ -3,7 +3,9 @@
 //! Each message carries state, not a change of it, so that a lost, repeated or reordered message
 //! does no harm.
 
-use bergamotpitch_core::ids::{SheetVersion, UpstreamId};
+use std::net::SocketAddr;
+
+use bergamotpitch_core::ids::{DomainId, Incarnation, InstanceId, SheetVersion, UpstreamId};
 use serde::{Deserialize, Serialize};
 
 use crate::share_messages::{DomainReport, ShareGrant, ShareReport};
@@ -24,6 +26,8 @@
 /// `Heartbeat` says that the sender is alive and what it knows.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Heartbeat {
+    /// Number by which the sender contradicts those who think it gone.
+    pub version: u32,
     /// Version of the sheet in force at the sender; 0 when it has none.
     pub sheet_version: SheetVersion,
     /// True when the sender slept and nobody has confirmed its sheet since.
@@ -34,6 +38,27 @@
     pub draining: bool,
     /// Upstreams that the sender knows to be leaving.
     pub leaving_upstreams: Vec<LeavingLine>,
+    /// Other instances that the sender knows.
+    pub members: Vec<MemberLine>,
+}
+
+/// `MemberLine` tells of another instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberLine {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Its present life.
+    pub incarnation: Incarnation,
+    /// Failure domain that it stands in.
+    pub domain: DomainId,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Number by which it contradicts those who think it gone.
+    pub version: u32,
+    /// True when it is taken for gone.
+    pub gone: bool,
+    /// True when it is draining.
+    pub draining: bool,
 }
 
 /// `LeavingLine` says that an upstream is leaving.
--- a/crates/bergamotpitch-control/src/steps.rs
+++ b/crates/bergamotpitch-control/src/steps.rs
@@ -66,7 +66,10 @@
         Input::UpstreamLeaving { upstream } => {
             upstreams::mark_leaving(tables, upstream, outputs);
         }
-        Input::Listed(list) => upstreams::apply_list(tables, &list, outputs),
+        Input::Listed(list) => {
+            upstreams::apply_list(tables, &list, outputs);
+            members::apply_list(tables, &list);
+        }
         Input::SheetLearned(sheet) => {
             sheet_duties::note_confirmation(tables, sheet.version);
             sheets::apply_sheet(tables, sheet, outputs);
--- a/crates/bergamotpitch-control/src/tables.rs
+++ b/crates/bergamotpitch-control/src/tables.rs
@@ -15,6 +15,7 @@
 use bergamotpitch_core::units::{CostUnits, Timestamp};
 
 use crate::accounts::Estimate;
+use crate::gossips::Gossip;
 use crate::homes::Home;
 use crate::inputs::Arrival;
 use crate::leases::Leases;
@@ -118,6 +119,8 @@
     pub members: HashMap<InstanceId, Member>,
     /// Time of the last heartbeat sent.
     pub heartbeat_sent: Option<Timestamp>,
+    /// What this instance has to tell of others.
+    pub gossip: Gossip,
     /// Upstreams of the sheet in force.
     pub upstreams: HashMap<UpstreamId, Upstream>,
     /// Teams of the sheet in force.
@@ -168,12 +171,18 @@
     pub domain: DomainId,
     /// Where it is reached.
     pub address: SocketAddr,
-    /// When it was last heard.
+    /// When it was last heard or told of.
     pub heard: Timestamp,
+    /// When it was last heard itself, while it should send here.
+    pub direct: Option<Timestamp>,
     /// True when it has been silent for longer than the timeout.
     pub suspected: bool,
     /// True when it is draining.
     pub draining: bool,
+    /// Number by which it contradicts those who think it gone.
+    pub version: u32,
+    /// Times that it contradicted its end; each doubles its timeout here.
+    pub patience: u32,
 }
 
 /// `Upstream` is an upstream and what is known of its load.
