--- a/crates/bergamotpitch-control/src/gossips.rs
+++ b/crates/bergamotpitch-control/src/gossips.rs
@@ -41,16 +41,19 @@
 const WELCOME_LINES: usize = 64;
 
 /// Time between two heartbeats to the relay of another domain.
-const RELAY_INTERVAL: Duration = Duration::from_secs(1);
+const RELAY_INTERVAL: Duration = Duration::from_secs(2);
 
 /// The same when it is news that an upstream leaves.
 const URGENT_RELAY_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Lines of members of the own domain in one heartbeat to a relay.
-const RELAY_LINES: usize = 3;
+const RELAY_LINES: usize = 2;
 
 /// Silence of another domain after which its other members are tried.
-const RELAY_SILENCE: Duration = Duration::from_secs(4);
+const RELAY_SILENCE: Duration = Duration::from_secs(7);
+
+/// Time for which an instance that fell silent still gets heartbeats.
+const RECENT_TIME: Duration = Duration::from_secs(60);
 
 /// Time between two heartbeats to addresses where an instance may be.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
@@ -146,8 +149,24 @@
     ring
 }
 
+/// An instance that was heard until a short time ago gets heartbeats still: it may hear this one
+/// although it is not heard, and would take this one for gone too.
 fn successors(tables: &Tables) -> Vec<SocketAddr> {
-    let ring = ring(tables);
+    let own = tables.options.domain;
+    let mut targets = successors_in(tables, &ring(tables));
+    let is_recent = |member: &Member| tables.now < member.heard + RECENT_TIME;
+    let silent = tables.members.iter().filter(|(_, member)| member.suspected);
+    let silent = silent.filter(|(_, member)| member.domain == own && is_recent(member));
+    let mut wider = ring(tables);
+    wider.extend(silent.map(|(instance, _)| *instance));
+    wider.sort_unstable();
+    targets.extend(successors_in(tables, &wider));
+    targets.sort_unstable();
+    targets.dedup();
+    targets
+}
+
+fn successors_in(tables: &Tables, ring: &[InstanceId]) -> Vec<SocketAddr> {
     let own = ring.binary_search(&tables.options.instance).unwrap_or(0);
     let mut targets = Vec::new();
     let mut distance = 1;
--- a/crates/bergamotpitch-control/src/lib.rs
+++ b/crates/bergamotpitch-control/src/lib.rs
@@ -5,9 +5,14 @@
 //! out as [`Output`]s. A test can drive hundreds of control states in one thread with virtual time.
 
 pub mod accounts;
+mod claim_calls;
+pub mod claim_options;
+mod claim_paces;
 pub mod claim_queues;
 mod claim_rounds;
+pub mod claim_segments;
 pub mod claims;
+pub mod detours;
 pub mod dispatches;
 pub mod domain_reports;
 pub mod errors;
@@ -24,6 +29,7 @@
 pub mod orders;
 pub mod outputs;
 pub mod placements;
+pub mod platforms;
 pub mod requests;
 pub mod share_messages;
 pub mod shares;
--- a/crates/bergamotpitch-control/src/members.rs
+++ b/crates/bergamotpitch-control/src/members.rs
@@ -31,6 +31,19 @@
 /// Doublings of the timeout of an instance that contradicted its end.
 const PATIENCE_LIMIT: u32 = 5;
 
+/// `MemberGuards` are the rules that a proof switches off; all are on by default.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MemberGuards {
+    /// What others say of an instance of the domain counts, not only what is heard here.
+    pub believes_others: bool,
+}
+
+impl Default for MemberGuards {
+    fn default() -> Self {
+        Self { believes_others: true }
+    }
+}
+
 /// `apply_list` notes where the platform says that instances are. The list lags: it is a hint where
 /// to ask, and nobody is taken for alive or gone because of it.
 pub fn apply_list(tables: &mut Tables, list: &[ListedInstance]) {
@@ -139,6 +152,11 @@
         return;
     }
     let was_gone = known.suspected;
+    // An instance that cannot hear its home would otherwise take the duty itself, for as long as a
+    // link is cut one way, although all others hear both.
+    if known.domain == tables.options.domain && !tables.options.member_guards.believes_others {
+        return;
+    }
     known.version = line.version;
     known.draining = line.draining;
     known.suspected = line.gone;
--- a/crates/bergamotpitch-control/src/messages.rs
+++ b/crates/bergamotpitch-control/src/messages.rs
@@ -8,7 +8,9 @@
 use bergamotpitch_core::ids::{DomainId, Incarnation, InstanceId, SheetVersion, UpstreamId};
 use serde::{Deserialize, Serialize};
 
-use crate::share_messages::{DomainReport, ShareGrant, ShareReport};
+use crate::share_messages::{
+    DomainReport, PassedDomainReport, PassedGrant, PassedReport, ShareGrant, ShareReport,
+};
 
 /// `Message` is what one instance tells another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -21,6 +23,12 @@
     ShareGrant(ShareGrant),
     /// What one domain tells another of a service.
     DomainReport(DomainReport),
+    /// A share report of another instance, passed on to the home.
+    PassedReport(PassedReport),
+    /// A grant for another instance, to be passed on to it.
+    PassedGrant(PassedGrant),
+    /// What another domain told, passed on to the home.
+    PassedDomainReport(PassedDomainReport),
 }
 
 /// `Heartbeat` says that the sender is alive and what it knows.
--- a/crates/bergamotpitch-control/src/shares.rs
+++ b/crates/bergamotpitch-control/src/shares.rs
@@ -11,7 +11,26 @@
 use crate::outputs::Output;
 use crate::share_messages::ShareReport;
 use crate::tables::{QueueKey, Tables};
-use crate::{accounts, dispatches, domain_reports, grants, spills};
+use crate::{accounts, detours, dispatches, domain_reports, grants, spills};
+
+/// `ShareGuards` are the rules that a proof switches off one by one; all are on by default.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ShareGuards {
+    /// A team that was idle comes in at the lowest level of those that wait.
+    pub lifts_idle: bool,
+    /// A home tells an instance that it does not know its adoption.
+    pub refuses_unknown: bool,
+    /// A lead beyond a limit becomes debt.
+    pub caps_leads: bool,
+    /// Reports that are not seen go over another instance.
+    pub takes_detours: bool,
+}
+
+impl Default for ShareGuards {
+    fn default() -> Self {
+        Self { lifts_idle: true, refuses_unknown: true, caps_leads: true, takes_detours: true }
+    }
+}
 
 /// Time between two looks at who holds each duty.
 const DUTY_INTERVAL: Duration = Duration::from_millis(50);
@@ -78,7 +97,8 @@
     tables.duties_checked = Some(tables.now);
     let own = tables.options.instance;
     for service in tables.index.services.clone() {
-        let holder = homes::home_of(tables, service);
+        let holder = detours::reached_home(tables, service)
+            .unwrap_or_else(|| homes::home_of(tables, service));
         let incarnation = if holder == own {
             tables.options.incarnation
         } else {
@@ -141,13 +161,14 @@
 fn report(tables: &mut Tables, service: ServiceId, outputs: &mut Vec<Output>) {
     let Some(mut known) = tables.leases.remove(&service) else { return };
     note_waiting(tables, service, &mut known);
+    detours::settle(tables, service, &mut known);
     let own = tables.options.instance;
     if let Some(holder) = known.home
         && is_due(tables, &known, holder)
     {
         let idle = idle_slots(tables, &known);
         let report = leases::report(tables, service, &mut known, idle);
-        send_report(tables, holder, report, outputs);
+        send_report(tables, known.detour.unwrap_or(holder), report, outputs);
         if holder == own {
             known.seen = known.sequence;
         }
@@ -181,7 +202,7 @@
             domain: options.domain,
             address,
         };
-        homes::apply_report(tables, sender, report);
+        homes::apply_report(tables, sender, report, None);
         return;
     }
     let Some(member) = tables.members.get(&holder) else { return };
--- a/crates/bergamotpitch-control/src/steps.rs
+++ b/crates/bergamotpitch-control/src/steps.rs
@@ -8,8 +8,8 @@
 use crate::outputs::Output;
 use crate::tables::Tables;
 use crate::{
-    dispatches, domain_reports, homes, leases, members, requests, shares, sheet_duties,
-    sheet_indexes, sheets, upstreams, windows,
+    detours, dispatches, domain_reports, leases, members, platforms, requests, shares,
+    sheet_duties, sheet_indexes, sheets, upstreams, windows,
 };
 
 /// `step` applies inputs at a time and runs every system over the tables.
@@ -55,9 +55,16 @@
             Message::Heartbeat(heartbeat) => {
                 members::apply_heartbeat(tables, sender, heartbeat, outputs)
             }
-            Message::ShareReport(report) => homes::apply_report(tables, sender, report),
+            Message::ShareReport(report) => {
+                detours::apply_report(tables, sender, report, outputs);
+            }
+            Message::PassedReport(passed) => detours::apply_passed_report(tables, sender, passed),
+            Message::PassedGrant(passed) => detours::apply_passed_grant(tables, passed, outputs),
             Message::ShareGrant(grant) => leases::apply_grant(tables, sender.instance, grant),
-            Message::DomainReport(report) => domain_reports::apply(tables, sender, report),
+            Message::DomainReport(report) => {
+                domain_reports::apply(tables, sender, report, outputs);
+            }
+            Message::PassedDomainReport(passed) => domain_reports::apply_passed(tables, passed),
         },
         Input::LoadReported { upstream, report } => {
             upstreams::apply_load_report(tables, upstream, report, outputs);
@@ -75,7 +82,9 @@
             sheets::apply_sheet(tables, sheet, outputs);
         }
         Input::PeerSheetLearned(sheet) => sheets::apply_sheet(tables, sheet, outputs),
-        Input::PlatformReachable(reachable) => tables.sheet_duty.platform_lost = !reachable,
+        Input::PlatformReachable(reachable) => {
+            platforms::apply_reachable(tables, reachable, outputs);
+        }
         Input::DrainBegun => requests::apply_drain(tables, outputs),
         Input::DrainEnding => requests::apply_drain_end(tables, outputs),
     }
--- a/crates/bergamotpitch-control/tests/member_gossip.rs
+++ b/crates/bergamotpitch-control/tests/member_gossip.rs
@@ -215,6 +215,10 @@
     let instances = [domain(100, 46), domain(200, 3), domain(300, 2)].concat();
     let mut net = Net::new(&instances);
     net.run(Duration::from_secs(15));
+    // A rollout is under way, so that this one is not the only mark that travels.
+    let others = (1_000..1_100).map(|upstream| (117, Input::UpstreamLeaving { upstream }));
+    net.on_way.extend(others);
+    net.run(Duration::from_secs(10));
     net.on_way.push((117, Input::UpstreamLeaving { upstream: 9 }));
     net.run(Duration::from_millis(2_500));
     let unaware: Vec<u32> = net
