--- a/crates/bergamotpitch-router/src/contexts.rs
+++ b/crates/bergamotpitch-router/src/contexts.rs
@@ -11,7 +11,7 @@
 use bergamotpitch_control::outputs::{Event, Refusal};
 use bergamotpitch_core::HashMap;
 use bergamotpitch_core::ids::{
-    DomainId, Incarnation, InstanceId, RequestId, UpstreamId, id_of_name,
+    DomainId, Incarnation, InstanceId, RequestId, ServiceId, UpstreamId, id_of_name,
 };
 use bergamotpitch_core::settings::RouterSettings;
 use bergamotpitch_core::sheets::AcceptedSheet;
@@ -94,6 +94,8 @@
     pub client: UpstreamClient,
     /// Way to the event file.
     pub events: EventSender,
+    /// Services whose home this instance is; set by the control thread.
+    pub duties: ArcSwap<Vec<ServiceId>>,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Client of the platform.
@@ -137,6 +139,7 @@
             incarnation: unix_time_us(),
             domain: id_of_name(&settings.domain),
             accepted: ArcSwapOption::empty(),
+            duties: ArcSwap::default(),
             snapshot: ArcSwap::from_pointee(Snapshot::default()),
             controls,
             free_calls: Arc::new(Semaphore::new(options.call_limit_requests)),
--- a/crates/bergamotpitch-router/src/controls.rs
+++ b/crates/bergamotpitch-router/src/controls.rs
@@ -81,6 +81,7 @@
             put_out(&mut control, output);
         }
         publish_drained(&control);
+        publish_duties(&control);
         for question in taken.questions {
             answer_question(&control, question);
         }
@@ -190,6 +191,14 @@
     control.context.emit(event);
 }
 
+fn publish_duties(control: &Control) {
+    let duties = control.tables.homes.keys();
+    let published = control.context.duties.load();
+    if !duties.clone().eq(published.iter()) {
+        control.context.duties.store(Arc::new(duties.copied().collect()));
+    }
+}
+
 fn publish_drained(control: &Control) {
     let is_drained = control.tables.draining && control.tables.requests.is_empty();
     if is_drained && !*control.context.drained.borrow() {
--- a/crates/bergamotpitch-router/src/loads.rs
+++ b/crates/bergamotpitch-router/src/loads.rs
@@ -7,6 +7,7 @@
 use bergamotpitch_control::Input;
 use bergamotpitch_control::inputs::LoadReport;
 use bergamotpitch_core::ids::UpstreamId;
+use bergamotpitch_core::settings::Policy;
 use bytes::Bytes;
 use futures::StreamExt;
 use http::Request;
@@ -19,6 +20,9 @@
 /// Time between two reports of one upstream.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time that each upstream adds to the time between two reports: 40 polls a second at most.
+const TIME_PER_UPSTREAM: Duration = Duration::from_millis(25);
+
 /// Time for a report to come.
 const POLL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -34,11 +38,11 @@
 }
 
 async fn poll_all(context: Arc<Context>) {
-    let mut interval = tokio::time::interval(POLL_INTERVAL);
-    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        interval.tick().await;
-        let upstreams = context.snapshot.load().upstreams_of_domain(&context.settings.domain);
+        let upstreams = polled_upstreams(&context);
+        // The time between two rounds grows with the upstreams, so that asking costs the same.
+        let pause = POLL_INTERVAL.max(TIME_PER_UPSTREAM * upstreams.len() as u32);
+        tokio::time::sleep(pause).await;
         futures::stream::iter(upstreams)
             .for_each_concurrent(CONCURRENT_POLLS, |(upstream, address)| {
                 poll(&context, upstream, address)
@@ -47,6 +51,21 @@
     }
 }
 
+/// `polled_upstreams` are the upstreams that this instance asks: those of the services whose home it
+/// is, which alone needs their reports, or all of the domain's when a baseline policy is in force.
+/// Were all asked by every instance, the polls would grow with instances times upstreams.
+fn polled_upstreams(context: &Context) -> Vec<(UpstreamId, SocketAddr)> {
+    let snapshot = context.snapshot.load();
+    let duties = context.duties.load();
+    // Whoever orders models must know which are loaded.
+    let asks_all = context.settings.policy != Policy::Fair || *context.leading.borrow();
+    snapshot
+        .upstreams_of_domain(&context.settings.domain)
+        .filter(|(_, upstream)| asks_all || duties.contains(&upstream.service))
+        .map(|(id, upstream)| (id, upstream.address))
+        .collect()
+}
+
 async fn poll(context: &Context, upstream: UpstreamId, address: SocketAddr) {
     match tokio::time::timeout(POLL_TIMEOUT, read_report(context, address)).await {
         Ok(Some(body)) => {
--- a/crates/bergamotpitch-router/src/snapshots.rs
+++ b/crates/bergamotpitch-router/src/snapshots.rs
@@ -25,6 +25,8 @@
 pub struct KnownUpstream {
     /// Name of the upstream.
     pub name: String,
+    /// Service that it runs.
+    pub service: ServiceId,
     /// Where it is reached.
     pub address: SocketAddr,
     /// Name of the failure domain that it stands in.
@@ -49,6 +51,7 @@
         let upstreams = sheet.upstreams.iter().map(|upstream| {
             let known = KnownUpstream {
                 name: upstream.name.clone(),
+                service: id_of_name(&upstream.service),
                 address: upstream.address,
                 domain: upstream.domain.clone(),
             };
@@ -95,11 +98,13 @@
     }
 
     /// `upstreams_of_domain` lists the upstreams of a failure domain.
-    pub fn upstreams_of_domain(&self, domain: &str) -> Vec<(UpstreamId, SocketAddr)> {
+    pub fn upstreams_of_domain(
+        &self,
+        domain: &str,
+    ) -> impl Iterator<Item = (UpstreamId, &KnownUpstream)> {
         self.upstreams
             .iter()
-            .filter(|(_, upstream)| upstream.domain == domain)
-            .map(|(id, upstream)| (*id, upstream.address))
-            .collect()
+            .filter(move |(_, upstream)| upstream.domain == domain)
+            .map(|(id, upstream)| (*id, upstream))
     }
 }
