--- a/crates/bergamotpitch-proof/src/lib.rs
+++ b/crates/bergamotpitch-proof/src/lib.rs
@@ -24,4 +24,5 @@
 pub mod sheet_histories;
 pub mod sheet_runs;
 pub mod slopes;
+pub mod soaks;
 pub mod workloads;
--- a/crates/bergamotpitch-proof/tests/claim_faults.rs
+++ b/crates/bergamotpitch-proof/tests/claim_faults.rs
@@ -1,15 +1,12 @@
 //! Keyed requests under faults of the key-value service, crashes and pauses.
 
-use std::time::Duration;
-
-use bergamotpitch_control::claim_queues::{ClaimGuards, ClaimOptions};
+use bergamotpitch_control::claim_queues::ClaimGuards;
 use bergamotpitch_proof::claim_histories::{ClaimFault, ClaimStep, check_claims};
-use bergamotpitch_proof::claim_runs::{RunOptions, RunResult, run_claims};
-use bergamotpitch_proof::fake_kvs::random_faults;
-use bergamotpitch_proof::randoms::seeded;
+use bergamotpitch_proof::claim_runs::{RunResult, run_claims};
+use bergamotpitch_proof::soaks::claim_schedule;
 
 /// Fault schedules that are run, one for each seed.
-const SEEDS: std::ops::Range<u64> = 1..61;
+const SEEDS: std::ops::Range<u64> = 1..101;
 
 /// The key-value service goes out, gets slow, refuses calls over its rate and loses answers after
 /// the write, while routers crash and pause and callers try again elsewhere. If claims went wrong, a
@@ -20,7 +17,7 @@
     let mut refusals = 0;
     let mut segments = 0;
     for seed in SEEDS {
-        let result = run_claims(faulty_options(seed, ClaimGuards::default()));
+        let result = run_claims(claim_schedule(seed, ClaimGuards::default()));
         let faults = check_claims(&result.records, &result.held);
         assert_eq!(faults, [], "seed {seed}");
         assert_eq!(result.missing_segments, 0, "seed {seed}");
@@ -76,47 +73,25 @@
     assert!(
         SEEDS
             .into_iter()
-            .any(|seed| { 0 < run_claims(faulty_options(seed, guards)).missing_segments })
+            .any(|seed| { 0 < run_claims(claim_schedule(seed, guards)).missing_segments })
     );
 }
 
 /// Two runs with one seed must leave the same history, or no failure could be looked into again.
 #[test]
 fn same_history() {
-    let first = run_claims(faulty_options(7, ClaimGuards::default()));
-    let second = run_claims(faulty_options(7, ClaimGuards::default()));
+    let first = run_claims(claim_schedule(7, ClaimGuards::default()));
+    let second = run_claims(claim_schedule(7, ClaimGuards::default()));
     assert_eq!(first.records, second.records);
 }
 
 fn any_fault(guards: ClaimGuards, is_it: impl Fn(&ClaimFault) -> bool) -> bool {
     SEEDS.into_iter().any(|seed| {
-        let result = run_claims(faulty_options(seed, guards));
+        let result = run_claims(claim_schedule(seed, guards));
         check_claims(&result.records, &result.held).iter().any(&is_it)
     })
 }
 
-fn faulty_options(seed: u64, guards: ClaimGuards) -> RunOptions {
-    let mut random = seeded(seed);
-    let arrival_time = Duration::from_secs(10);
-    RunOptions {
-        arrival_time,
-        faults: random_faults(&mut random, 6, arrival_time),
-        crash_count: (seed % 4) as usize,
-        pause_count: (seed % 3) as usize,
-        claims: ClaimOptions {
-            shard_count: 4,
-            // Some routers give up sooner than a slow write lands.
-            // Segments so small that many are made within a run.
-            segment_bytes: if seed.is_multiple_of(2) { 300 } else { 16_000 },
-            claim_timeout: Duration::from_millis(600 + 350 * (seed % 5)),
-            guards,
-            ..ClaimOptions::default()
-        },
-        seed,
-        ..RunOptions::default()
-    }
-}
-
 fn count(result: &RunResult, step: ClaimStep) -> usize {
     result.records.iter().filter(|record| record.step == step).count()
 }
--- a/crates/bergamotpitch-proof/tests/order_fences.rs
+++ b/crates/bergamotpitch-proof/tests/order_fences.rs
@@ -5,10 +5,8 @@
 
 use bergamotpitch_control::order_leases::OrderGuards;
 use bergamotpitch_proof::order_histories::{OrderTaken, check_orders, check_pace};
-use bergamotpitch_proof::order_runs::{
-    OrderFleet, cut_holder, new_fleet, pause_holder, run_for, set_holding,
-};
-use bergamotpitch_proof::randoms::{seeded, unit};
+use bergamotpitch_proof::order_runs::{new_fleet, run_for};
+use bergamotpitch_proof::soaks::order_schedule;
 
 /// Runs, one for each seed.
 const SEEDS: std::ops::Range<u64> = 1..31;
@@ -20,7 +18,7 @@
 fn paused_holders() {
     for checks_fencing in [true, false] {
         for seed in SEEDS {
-            let fleet = run_with_pauses(checks_fencing, OrderGuards::default(), seed);
+            let fleet = order_schedule(checks_fencing, OrderGuards::default(), seed);
             assert_eq!(check_orders(&fleet.history), [], "seed {seed}, checks {checks_fencing}");
             assert!(fleet.history.iter().map(|order| order.fencing).max() > Some(3), "{seed}");
         }
@@ -31,7 +29,7 @@
 #[test]
 fn right_model() {
     for seed in SEEDS {
-        let fleet = run_with_pauses(false, OrderGuards::default(), seed);
+        let fleet = order_schedule(false, OrderGuards::default(), seed);
         let wanted = format!("model-{}", fleet.wanted);
         assert!(
             fleet.engines.iter().all(|engine| engine.model.as_ref() == Some(&wanted)),
@@ -93,31 +91,5 @@
 }
 
 fn has_late_order(checks_fencing: bool, guards: OrderGuards, seed: u64) -> bool {
-    !check_orders(&run_with_pauses(checks_fencing, guards, seed).history).is_empty()
-}
-
-fn run_with_pauses(checks_fencing: bool, guards: OrderGuards, seed: u64) -> OrderFleet {
-    let mut fleet = new_fleet(3, 3, checks_fencing, guards, seed);
-    let mut random = seeded(seed);
-    let mut draw_ms = |most: u64| Duration::from_millis((unit(&mut random) * most as f64) as u64);
-    for round in 0..15 {
-        fleet.wanted += 1;
-        run_for(&mut fleet, draw_ms(8_000));
-        // The fault comes while orders of this change are being decided and sent.
-        fleet.wanted += 1;
-        run_for(&mut fleet, draw_ms(600));
-        match round % 5 {
-            0..=2 => pause_holder(&mut fleet, Duration::from_secs(8) + draw_ms(12_000)),
-            3 => cut_holder(&mut fleet),
-            _ => set_holding(&mut fleet, round % 3, false),
-        }
-        for _ in 0..8 {
-            fleet.wanted += 1;
-            run_for(&mut fleet, draw_ms(4_000));
-        }
-        fleet.holders.iter_mut().for_each(|holder| holder.platform_cut = false);
-        (0..3).for_each(|holder| set_holding(&mut fleet, holder, true));
-    }
-    run_for(&mut fleet, Duration::from_secs(120));
-    fleet
+    !check_orders(&order_schedule(checks_fencing, guards, seed).history).is_empty()
 }
--- a/crates/bergamotpitch-proof/tests/sheet_restarts.rs
+++ b/crates/bergamotpitch-proof/tests/sheet_restarts.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use bergamotpitch_control::sheet_duties::SheetGuards;
-use bergamotpitch_proof::randoms::{seeded, unit};
 use bergamotpitch_proof::sheet_histories::{SheetFault, check_times, check_versions};
 use bergamotpitch_proof::sheet_runs::{
     SheetFleet, accept, cut_platform, new_fleet, pause, restart, run_for, version_of,
 };
+use bergamotpitch_proof::soaks::sheet_schedule;
 
 /// Routers of today's deployments by failure domain.
 const DOMAINS: [usize; 3] = [3, 3, 2];
@@ -122,7 +122,7 @@
 #[test]
 fn any_faults() {
     for seed in 1..41 {
-        let fleet = faulty_history(SheetGuards::default(), seed);
+        let fleet = sheet_schedule(seed, SheetGuards::default());
         assert_eq!(check_versions(&fleet.history), [], "seed {seed}");
         assert!((0..8).all(|router| version_of(&fleet, router) == fleet.version), "seed {seed}");
     }
@@ -133,7 +133,7 @@
 fn without_rising() {
     let guards = SheetGuards { only_rises: false, ..SheetGuards::default() };
     let went_back = |fault: &SheetFault| matches!(fault, SheetFault::WentBack(_));
-    assert!((1..41).any(|seed| has(&faulty_history(guards, seed), went_back)));
+    assert!((1..41).any(|seed| has(&sheet_schedule(seed, guards), went_back)));
 }
 
 /// Without faults each change is in force on every router within the limit, and only two routers of
@@ -183,33 +183,6 @@
     fleet
 }
 
-fn faulty_history(guards: SheetGuards, seed: u64) -> SheetFleet {
-    let mut fleet = new_fleet(&DOMAINS, guards, seed);
-    let mut random = seeded(seed);
-    let mut draw = |most: usize| (unit(&mut random) * most as f64) as usize;
-    for _ in 0..30 {
-        let router = draw(8);
-        match draw(6) {
-            0 | 1 => {
-                accept(&mut fleet);
-            }
-            2 => restart(&mut fleet, router, Duration::from_millis(draw(3_000) as u64)),
-            3 => pause(&mut fleet, router, Duration::from_millis(draw(8_000) as u64)),
-            4 => cut_platform(&mut fleet, &[router], draw(2) == 0),
-            _ => {
-                let other = draw(8);
-                fleet.routers[router].cut_from = vec![other];
-            }
-        }
-        run_for(&mut fleet, Duration::from_millis(draw(2_000) as u64));
-    }
-    cut_platform(&mut fleet, &[0, 1, 2, 3, 4, 5, 6, 7], false);
-    fleet.routers.iter_mut().for_each(|router| router.cut_from.clear());
-    accept(&mut fleet);
-    run_for(&mut fleet, Duration::from_secs(8) + LIMIT);
-    fleet
-}
-
 fn cut_domain(fleet: &mut SheetFleet, routers: &[usize], is_cut: bool) {
     cut_platform(fleet, routers, is_cut);
     cut_links(fleet, routers, is_cut);
