Take a watch without an index for a fault, and soak with the platform out

Cause: a platform that names no index would be called without a pause by every watcher; the sheet schedules never had the platform out for all. Ruled out: a pause after every watch, which would delay each change.

--- a/crates/bergamotpitch-platform/src/entries.rs
+++ b/crates/bergamotpitch-platform/src/entries.rs
@@ -62,6 +62,11 @@
         let path = format!("/v1/kv/{key}?index={index}&wait={}ms", wait.as_millis());
         let answer = self.read(&path, wait).await?;
         let entry = parse_entry(key, answer.status, &answer.body)?;
+        // A watch from index 0 is answered at once, so that an answer without an index would make
+        // whoever goes on from it call the platform without a pause.
+        if answer.index == 0 {
+            return Err(malformed_error(key, "the answer to a watch names no index"));
+        }
         Ok(Watched { entry, index: answer.index })
     }
 
--- a/crates/bergamotpitch-proof/src/soaks.rs
+++ b/crates/bergamotpitch-proof/src/soaks.rs
@@ -19,6 +19,9 @@
 /// Routers of today's deployments by failure domain.
 const DOMAINS: [usize; 3] = [3, 3, 2];
 
+/// Indexes of those routers.
+const ALL_ROUTERS: [usize; 8] = [0, 1, 2, 3, 4, 5, 6, 7];
+
 /// Time within which an accepted sheet is in force everywhere after the last fault.
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(5);
 
@@ -100,13 +103,15 @@
     let mut draw = |most: usize| (unit(&mut random) * most as f64) as usize;
     for _ in 0..30 {
         let router = draw(8);
-        match draw(6) {
+        match draw(8) {
             0 | 1 => {
                 accept(&mut fleet);
             }
             2 => restart(&mut fleet, router, Duration::from_millis(draw(3_000) as u64)),
             3 => pause(&mut fleet, router, Duration::from_millis(draw(8_000) as u64)),
             4 => cut_platform(&mut fleet, &[router], draw(2) == 0),
+            5 => cut_platform(&mut fleet, &ALL_ROUTERS, true),
+            6 => cut_platform(&mut fleet, &ALL_ROUTERS, false),
             _ => {
                 let other = draw(8);
                 fleet.routers[router].cut_from = vec![other];
@@ -114,7 +119,7 @@
         }
         sheet_runs::run_for(&mut fleet, Duration::from_millis(draw(2_000) as u64));
     }
-    cut_platform(&mut fleet, &[0, 1, 2, 3, 4, 5, 6, 7], false);
+    cut_platform(&mut fleet, &ALL_ROUTERS, false);
     fleet.routers.iter_mut().for_each(|router| router.cut_from.clear());
     accept(&mut fleet);
     // The longest pause may still last.
