Show the public functions of claims, orders and sheets at work

Cause: most of them had no runnable example, and that a released claim cannot be sent stood in words only. Ruled out: examples against a fake written for them; the stand-in is there. Change: examples on the functions that others call; one that must not compile shows that a token is gone after its release.

--- a/crates/bergamotpitch-control/src/claim_queues.rs
+++ b/crates/bergamotpitch-control/src/claim_queues.rs
@@ -192,6 +192,21 @@
 }
 
 /// `wish_claim` queues a wish; when too many wait it is answered at once.
+///
+/// ```
+/// use std::time::Duration;
+/// use bergamotpitch_control::claim_queues::{
+///     ClaimEffect, ClaimOptions, ClaimQueues, ClaimWish, run, wish_claim,
+/// };
+/// use bergamotpitch_control::claims::claim_key;
+/// let mut queues = ClaimQueues::new(ClaimOptions { shard_count: 1, ..ClaimOptions::default() });
+/// let key = claim_key("roses", "crm", "a");
+/// let wish = ClaimWish { ticket: 1, key, fingerprint: [0; 16], nonce: 7 };
+/// let mut effects = Vec::new();
+/// wish_claim(&mut queues, Duration::ZERO, 0, wish, &mut effects);
+/// run(&mut queues, Duration::ZERO, &mut effects);
+/// assert_eq!(effects, [ClaimEffect::Read { shard: 0 }]);
+/// ```
 pub fn wish_claim(
     queues: &mut ClaimQueues,
     now: Timestamp,
--- a/crates/bergamotpitch-control/src/claim_segments.rs
+++ b/crates/bergamotpitch-control/src/claim_segments.rs
@@ -53,6 +53,13 @@
 }
 
 /// `may_hold` tells whether a segment may hold a key; false is certain.
+///
+/// ```
+/// use bergamotpitch_control::claim_segments::{Segment, key_set, may_hold};
+/// use bergamotpitch_control::claims::claim_key;
+/// let keys = key_set(&Segment::default());
+/// assert!(!may_hold(&keys, &claim_key("roses", "crm", "a")));
+/// ```
 pub fn may_hold(keys: &KeySet, key: &ClaimKey) -> bool {
     keys.prefixes.binary_search(&prefix_of_key(key)).is_ok()
 }
--- a/crates/bergamotpitch-control/src/claims.rs
+++ b/crates/bergamotpitch-control/src/claims.rs
@@ -146,6 +146,12 @@
 }
 
 /// `find_claim` finds the claim on a key.
+///
+/// ```
+/// use bergamotpitch_control::claims::{ShardRecord, claim_key, find_claim};
+/// let key = claim_key("roses", "crm", "a");
+/// assert_eq!(find_claim(&ShardRecord::default(), &key), None);
+/// ```
 pub fn find_claim<'a>(record: &'a ShardRecord, key: &ClaimKey) -> Option<&'a Claim> {
     record.claims.iter().find(|claim| claim.key == *key)
 }
@@ -172,6 +178,17 @@
 ///
 /// The margin makes up for clocks that differ: without it, a router whose clock runs ahead would
 /// free a key that its owner may still hand over, and the request could run twice.
+///
+/// ```
+/// use bergamotpitch_control::claims::{Claim, ShardRecord, claim_key, drop_expired};
+/// let key = claim_key("roses", "crm", "a");
+/// let claim = Claim { key, fingerprint: [0; 16], nonce: 1, expires_s: 100, outcome: None };
+/// let mut record = ShardRecord { claims: vec![claim], ..ShardRecord::default() };
+/// drop_expired(&mut record, 110, 10);
+/// assert_eq!(record.claims.len(), 1);
+/// drop_expired(&mut record, 111, 10);
+/// assert_eq!(record.claims.len(), 0);
+/// ```
 pub fn drop_expired(record: &mut ShardRecord, now_s: UnixSeconds, clock_margin_s: u64) {
     let holds = |expires_s: UnixSeconds| now_s <= expires_s.saturating_add(clock_margin_s);
     record.claims.retain(|claim| holds(claim.expires_s));
--- a/crates/bergamotpitch-control/src/orders.rs
+++ b/crates/bergamotpitch-control/src/orders.rs
@@ -205,6 +205,16 @@
 ///
 /// A holder that was paused after it decided on the order would otherwise send it when another one
 /// has ordered something newer, and an engine that does not check numbers would go back.
+///
+/// ```
+/// use std::time::Duration;
+/// use bergamotpitch_control::order_leases::OrderGuards;
+/// use bergamotpitch_control::orders::{Order, may_send};
+/// let send_by = Duration::from_secs(8);
+/// let order = Order { upstream: 1, fencing: 1, model: "roses".to_owned(), send_by };
+/// assert!(may_send(&order, Duration::from_secs(7), OrderGuards::default()));
+/// assert!(!may_send(&order, Duration::from_secs(8), OrderGuards::default()));
+/// ```
 pub fn may_send(order: &Order, now: Timestamp, guards: OrderGuards) -> bool {
     now < order.send_by || !guards.stops_before_lapse
 }
@@ -213,6 +223,14 @@
 ///
 /// The weight store's rate is split evenly by domain ahead of time, so that domains need not talk
 /// to keep it.
+///
+/// ```
+/// use std::time::Duration;
+/// use bergamotpitch_control::orders::{OrderOptions, load_interval};
+/// let options =
+///     OrderOptions { store_loads_per_minute: 60.0, domain_count: 3, ..OrderOptions::default() };
+/// assert_eq!(load_interval(&options), Duration::from_secs(3));
+/// ```
 pub fn load_interval(options: &OrderOptions) -> Duration {
     let loads_per_second = options.store_loads_per_minute / 60.0;
     let interval = f64::from(options.domain_count.max(1)) / loads_per_second.max(1e-6);
--- a/crates/bergamotpitch-control/src/sheet_duties.rs
+++ b/crates/bergamotpitch-control/src/sheet_duties.rs
@@ -217,6 +217,13 @@
 ///
 /// They are the first in rendezvous order of the live instances that reach the platform. Two views
 /// that differ only cost a further watch: a sheet is accepted by the platform alone.
+///
+/// ```
+/// use bergamotpitch_control::Tables;
+/// use bergamotpitch_control::sheet_duties::is_sheet_watcher;
+/// // An instance that knows of no other watches.
+/// assert!(is_sheet_watcher(&Tables::default()));
+/// ```
 pub fn is_sheet_watcher(tables: &Tables) -> bool {
     platform_rank(tables).is_some_and(|rank| rank < WATCHERS)
 }
--- a/crates/bergamotpitch-platform/src/claims.rs
+++ b/crates/bergamotpitch-platform/src/claims.rs
@@ -70,6 +70,25 @@
     /// `claim` claims a key for a request with the given fingerprint.
     ///
     /// When the future is dropped before it ends, a claim that it may have made is released.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// use bergamotpitch_control::claim_queues::ClaimOptions;
+    /// use bergamotpitch_control::claims::{claim_key, request_fingerprint};
+    /// use bergamotpitch_platform::{ClaimResult, ClaimWriter, Options, Platform};
+    /// use bergamotpitch_standin::platforms::{PlatformOptions, start_platform};
+    /// # let addresses = vec!["127.0.0.1:0".parse().unwrap()];
+    /// # let options = PlatformOptions { addresses, rates: Default::default(), list_lag_ms: 0 };
+    /// let standin = start_platform(options).await.unwrap();
+    /// let address = standin.addresses[0];
+    /// let platform = Platform::new(Options { address, ..Options::default() });
+    /// let writer = ClaimWriter::start(platform, ClaimOptions::default());
+    /// let key = claim_key("roses", "florist-crm-api", "order-7");
+    /// let fingerprint = request_fingerprint("POST", "/orders", b"12 roses");
+    /// let result = writer.claim(key, fingerprint).await;
+    /// assert!(matches!(result, ClaimResult::Won(_)));
+    /// # });
+    /// ```
     pub async fn claim(&self, key: ClaimKey, fingerprint: Fingerprint) -> ClaimResult {
         let ticket = self.next_ticket.fetch_add(1, Ordering::Relaxed);
         let wish = ClaimWish { ticket, key, fingerprint, nonce: fresh_number() };
@@ -116,6 +135,15 @@
 
 /// `ClaimToken` is a claim whose request has not been handed over. Dropping it releases the claim,
 /// so that a request refused while it waited may be sent again.
+///
+/// A claim that was released cannot be handed over any more:
+///
+/// ```compile_fail,E0382
+/// fn send_after_release(token: bergamotpitch_platform::ClaimToken) {
+///     token.release();
+///     token.hand_over();
+/// }
+/// ```
 #[derive(Debug)]
 pub struct ClaimToken {
     claim: Option<Held>,
--- a/crates/bergamotpitch-platform/src/entries.rs
+++ b/crates/bergamotpitch-platform/src/entries.rs
@@ -76,6 +76,22 @@
     ///
     /// `Conflict`, `Unreachable`, `RateLimited` and `TooLarge` when the write had no effect,
     /// `LostAnswer` when that is unknown.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// use bergamotpitch_platform::{Error, Options, Platform};
+    /// use bergamotpitch_standin::platforms::{PlatformOptions, start_platform};
+    /// # let addresses = vec!["127.0.0.1:0".parse().unwrap()];
+    /// # let options = PlatformOptions { addresses, rates: Default::default(), list_lag_ms: 0 };
+    /// let standin = start_platform(options).await.unwrap();
+    /// let address = standin.addresses[0];
+    /// let platform = Platform::new(Options { address, ..Options::default() });
+    /// platform.put_cas("key", "first".into(), 0).await.unwrap();
+    /// let second = platform.put_cas("key", "second".into(), 0).await;
+    /// assert_eq!(second, Err(Error::Conflict { key: "key".to_owned() }));
+    /// assert_eq!(platform.get("key").await.unwrap().unwrap().value, b"first");
+    /// # });
+    /// ```
     pub async fn put_cas(&self, key: &str, value: Bytes, base_index: u64) -> Result<()> {
         if VALUE_LIMIT_BYTES < value.len() {
             return Err(Error::TooLarge {
@@ -88,9 +104,7 @@
         let answer = self.write(Method::PUT, &path, value).await?;
         if is_true(key, &answer.body)? { Ok(()) } else { Err(conflict_error(key)) }
     }
-}
 
-impl Platform {
     /// `delete` removes a key.
     ///
     /// # Errors
--- a/crates/bergamotpitch-proof/src/order_histories.rs
+++ b/crates/bergamotpitch-proof/src/order_histories.rs
@@ -19,6 +19,11 @@
 }
 
 /// `check_orders` lists the orders that took effect after a newer one at the same engine.
+///
+/// ```
+/// use bergamotpitch_proof::order_histories::check_orders;
+/// assert!(check_orders(&[]).is_empty());
+/// ```
 pub fn check_orders(history: &[OrderTaken]) -> Vec<OrderTaken> {
     let is_late = |index: usize, order: &OrderTaken| {
         history[..index].iter().any(|earlier| {
