--- a/crates/bergamotpitch-router/tests/fleet_faults.rs
+++ b/crates/bergamotpitch-router/tests/fleet_faults.rs
@@ -8,8 +8,8 @@
 use bergamotpitch_ctl::operators::status;
 use bergamotpitch_timeline::files::read_file;
 use fleets::stages::{
-    Fault, LOAD_TIME, LONG_DEADLINES, SHORT_DEADLINES, close_stage, load_of_stage, measure_while,
-    set_all, start_stage, upstream_fault,
+    Fault, KEYED_CALLS, LOAD_TIME, LONG_DEADLINES, SHORT_DEADLINES, close_stage, load_of_stage,
+    measure_while, set_all, start_stage, upstream_fault,
 };
 use fleets::{HANG_LIMIT, entries, get_text, set_faults};
 use serde_json::json;
@@ -61,6 +61,33 @@
     close_stage(stage).await;
 }
 
+/// Calls with idempotency keys are tried again through other routers, as careful callers do, while the
+/// platform that holds the claims is out, slow or loses answers and services crash after their runs. An
+/// order must not run twice whichever router its next try meets.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn keyed_calls() {
+    let stage = start_stage("keyed-calls").await;
+    let experiment = load_of_stage(&stage, KEYED_CALLS);
+    let platform = |at_ms, number: usize, faults| {
+        let address = stage.fleet.platform.addresses[number];
+        Fault { at_ms, address, faults }
+    };
+    let crash = r#"{ "crash_before_answer": true, "times": 10 }"#;
+    let faults = vec![
+        platform(200, 0, r#"{ "lose_answers_percent": 50 }"#),
+        platform(400, 1, r#"{ "slow_ms": 300, "lose_answers_percent": 20 }"#),
+        upstream_fault(&stage, 600, "s1", crash),
+        upstream_fault(&stage, 900, "s2", crash),
+        platform(1_200, 0, r#"{ "outage": true }"#),
+        upstream_fault(&stage, 1_400, "s1", r#"{ "half_open": true, "times": 5 }"#),
+        platform(1_700, 1, r#"{ "down_ms": 300 }"#),
+        platform(2_000, 0, r#"{ "slow_ms": 1500 }"#),
+        platform(2_500, 0, "{}"),
+    ];
+    measure_while(&stage.sheet, experiment, set_all(faults)).await;
+    close_stage(stage).await;
+}
+
 /// Engines break their connections in the middle of answers. A drafter who gets half an order text has
 /// to ask again for all of it; the router must go on where the stream broke.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
--- a/crates/bergamotpitch-router/tests/fleets/stages.rs
+++ b/crates/bergamotpitch-router/tests/fleets/stages.rs
@@ -22,6 +22,9 @@
 /// Time for which requests are sent.
 pub const LOAD_TIME: Duration = Duration::from_millis(3_000);
 
+/// Time that a call of a plain service takes.
+const SHORT_CALL_MS: u64 = 5;
+
 /// `Fault` is a fault that begins at a moment of the load.
 pub struct Fault {
     pub at_ms: u64,
@@ -30,7 +33,7 @@
 }
 
 /// `start_upstreams` starts two engines and a service in one failure domain, one of each in the other.
-pub async fn start_upstreams() -> Vec<Upstream> {
+pub async fn start_upstreams(call_ms: u64) -> Vec<Upstream> {
     let mut upstreams = Vec::new();
     for (name, domain) in [("e1", "zuid-a"), ("e2", "zuid-a"), ("e3", "noord-oost-a")] {
         let batch = BatchOptions { slots: 8, step_us: 2_000, ..BatchOptions::default() };
@@ -48,6 +51,7 @@
             name: name.to_owned(),
             address: LOOPBACK,
             domain: domain.to_owned(),
+            call_ms,
             ..ServiceOptions::default()
         };
         upstreams.push(start_service(options).await.unwrap());
@@ -92,6 +96,9 @@
 /// Waits that outlast every fault, so that each request can be answered.
 pub const LONG_DEADLINES: Load = Load { deadline_ms: 60_000, keyed_percent: 0 };
 
+/// Short waits, and an idempotency key on every second call of the plain service.
+pub const KEYED_CALLS: Load = Load { deadline_ms: 3_000, keyed_percent: 50 };
+
 /// `Place` is where a router is reached.
 #[derive(Clone, Copy)]
 pub struct Place {
@@ -145,7 +152,7 @@
 /// `start_stage` starts a fleet with upstreams and puts their sheet in force.
 pub async fn start_stage(test: &str) -> Stage {
     let fleet = start_fleet(test).await;
-    let upstreams = start_upstreams().await;
+    let upstreams = start_upstreams(SHORT_CALL_MS).await;
     let sheet = apply_sheet(test, &fleet.operator, &upstreams).await;
     wait_in_force(&fleet, 1).await;
     Stage { fleet, upstreams, sheet }
--- a/crates/bergamotpitch-router/tests/killed_processes.rs
+++ b/crates/bergamotpitch-router/tests/killed_processes.rs
@@ -10,9 +10,12 @@
 use fleets::LOOPBACK;
 use fleets::processes::{Process, kill, restart, start_process, wait_ready};
 use fleets::stages::{
-    LOAD_TIME, LONG_DEADLINES, Place, apply_sheet, experiment_of, measure_while, start_upstreams,
+    KEYED_CALLS, LOAD_TIME, Place, apply_sheet, experiment_of, measure_while, start_upstreams,
 };
 
+/// Time that a call of a plain service takes, so that several run at the moment of a kill.
+const LONG_CALL_MS: u64 = 100;
+
 /// Two of three routers are killed one after the other while they serve, and come back without memory.
 /// Their callers lose connections, which they see; none may get part of an answer as if it were whole,
 /// and no order may run twice because another router takes its caller's next try.
@@ -23,7 +26,7 @@
     let platform = start_platform(options).await.unwrap();
     let address = platform.addresses[0];
     let operator = Platform::new(Options { address, ..Options::default() });
-    let upstreams = start_upstreams().await;
+    let upstreams = start_upstreams(LONG_CALL_MS).await;
     let sheet = apply_sheet("killed", &operator, &upstreams).await;
     let mut processes: Vec<Process> = Vec::new();
     for (name, domain) in
@@ -35,7 +38,7 @@
     }
     wait_ready(&mut processes).await;
     let places: Vec<Place> = processes.iter().map(|process| process.place).collect();
-    let experiment = experiment_of(&places, address, LONG_DEADLINES);
+    let experiment = experiment_of(&places, address, KEYED_CALLS);
     let killing = async {
         for number in [1, 0] {
             tokio::time::sleep(LOAD_TIME / 4).await;
