Freeze a router process under load

Cause: a router that is paused past its peers' timeout and wakes stood in tests of the control state alone; over processes its open connections, timers and leases were never met. Ruled out: a pause inside one process (timers of all routers would stop together).

--- a/crates/bergamotpitch-router/tests/fleets/processes.rs
+++ b/crates/bergamotpitch-router/tests/fleets/processes.rs
@@ -59,6 +59,13 @@
     let _ = process.child.wait();
 }
 
+/// `signal` sends a signal, such as `STOP` and `CONT`, to one process.
+pub fn signal(process: &Process, name: &str) {
+    let pid = process.child.id().to_string();
+    let sent = Command::new("kill").args([format!("-{name}"), pid]).status().unwrap();
+    assert!(sent.success());
+}
+
 /// `restart` starts the next life of a process that was killed.
 pub fn restart(process: &mut Process) {
     process.child = spawn(&process.settings_file);
