--- a/crates/bergamotpitch-control/src/messages.rs
+++ b/crates/bergamotpitch-control/src/messages.rs
@@ -17,10 +17,6 @@
 pub enum Message {
     /// The sender is alive.
     Heartbeat(Heartbeat),
-    /// The sender is alive and has not heard the receiver; it wants a heartbeat back.
-    Greeting(Heartbeat),
-    /// Instances of other domains that the sender heard, for an instance of its own domain.
-    FarMembers(Vec<FarMember>),
     /// What waits and was served at the sender, for the home of a service.
     ShareReport(ShareReport),
     /// What the receiver may hand over, from the home of a service.
@@ -38,6 +34,8 @@
 /// `Heartbeat` says that the sender is alive and what it knows.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Heartbeat {
+    /// Number by which the sender contradicts those who think it gone.
+    pub version: u32,
     /// Version of the sheet in force at the sender; 0 when it has none.
     pub sheet_version: SheetVersion,
     /// True when the sender slept and nobody has confirmed its sheet since.
@@ -48,20 +46,13 @@
     pub draining: bool,
     /// Upstreams that the sender knows to be leaving.
     pub leaving_upstreams: Vec<LeavingLine>,
+    /// Other instances that the sender knows.
+    pub members: Vec<MemberLine>,
 }
 
-/// `LeavingLine` says that an upstream is leaving.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeavingLine {
-    /// The upstream.
-    pub upstream: UpstreamId,
-    /// Age of the latest evidence for it, in tenths of a second.
-    pub age_ds: u16,
-}
-
-/// `FarMember` is an instance of another domain.
+/// `MemberLine` tells of another instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct FarMember {
+pub struct MemberLine {
     /// The instance.
     pub instance: InstanceId,
     /// Its present life.
@@ -70,8 +61,19 @@
     pub domain: DomainId,
     /// Where it is reached.
     pub address: SocketAddr,
+    /// Number by which it contradicts those who think it gone.
+    pub version: u32,
+    /// True when it is taken for gone.
+    pub gone: bool,
     /// True when it is draining.
     pub draining: bool,
-    /// Time since it was heard, in milliseconds.
-    pub age_ms: u32,
+}
+
+/// `LeavingLine` says that an upstream is leaving.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingLine {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Age of the latest evidence for it, in tenths of a second.
+    pub age_ds: u16,
 }
