Await a new sheet from the own domain before it is fetched over paid links

Cause: a router fetched a newer sheet from whichever peer it heard first; in part of the changes that was a peer of another region. Ruled out: never fetching from other domains, as a domain that is cut off from the platform has no other way. Change: a version heard from another domain is fetched there only after 1.5 s; among equal versions a fresh instance takes the near one.

--- a/crates/bergamotpitch-control/src/sheet_duties.rs
+++ b/crates/bergamotpitch-control/src/sheet_duties.rs
@@ -29,6 +29,9 @@
 /// Time between two fetches by an instance without a sheet.
 const FETCH_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time for which a newer version is awaited from the own domain before it is fetched from another.
+const CROSS_FETCH_DELAY: Duration = Duration::from_millis(1_500);
+
 /// Time after a sleep in which heartbeats may still be from before it.
 const BUFFERED_TIME: Duration = Duration::from_secs(2);
 
@@ -45,6 +48,8 @@
     pub offers: HashMap<InstanceId, SheetOffer>,
     /// Highest version that a believed peer said it has.
     pub heard_version: SheetVersion,
+    /// Since when another domain is known to have a newer version than this instance.
+    pub awaited_since: Option<Timestamp>,
     /// Set while this instance slept and nobody has confirmed its sheet since.
     pub doubt: Option<Doubt>,
     /// True when the platform did not answer this instance last.
@@ -79,6 +84,8 @@
 pub struct SheetOffer {
     /// Version in force there; 0 when there is none.
     pub version: SheetVersion,
+    /// True when the peer stands in the same failure domain.
+    pub is_near: bool,
     /// True when the peer doubts its own sheet.
     pub doubtful: bool,
     /// True when the peer does not reach the platform.
@@ -123,6 +130,7 @@
 ) {
     let offer = SheetOffer {
         version: heartbeat.sheet_version,
+        is_near: sender.domain == tables.options.domain,
         doubtful: heartbeat.sheet_doubtful,
         platform_lost: heartbeat.platform_lost,
         address: sender.address,
@@ -135,17 +143,26 @@
     }
     let Some(in_force) = tables.sheet.as_ref().map(|sheet| sheet.version) else { return };
     if in_force < offer.version {
-        outputs.push(Output::FetchSheet { from: offer.address, version: offer.version });
+        if offer.is_near || has_awaited(&mut tables.sheet_duty, tables.now) {
+            outputs.push(Output::FetchSheet { from: offer.address, version: offer.version });
+        }
         return;
     }
-    let is_confirmed =
-        !offer.doubtful && offer.version != 0 && sender.domain == tables.options.domain;
+    let is_confirmed = !offer.doubtful && offer.version != 0 && offer.is_near;
     let duty = &mut tables.sheet_duty;
     if is_confirmed && duty.doubt.is_some_and(|doubt| doubt.since + BUFFERED_TIME < tables.now) {
         duty.doubt = None;
     }
 }
 
+// The watchers of the own domain hear of a version at about the same time as those of others. If each
+// instance fetched it from whoever is heard first, a part of them would do so over paid links; a
+// domain that is cut off from the platform has no other way.
+fn has_awaited(duty: &mut SheetDuty, now: Timestamp) -> bool {
+    let since = *duty.awaited_since.get_or_insert(now);
+    since + CROSS_FETCH_DELAY <= now
+}
+
 /// `note_confirmation` counts an answer of the platform towards the end of a doubt.
 pub fn note_confirmation(tables: &mut Tables, version: SheetVersion) {
     let in_force = tables.sheet.as_ref().map_or(0, |sheet| sheet.version);
@@ -201,7 +218,7 @@
         .offers
         .iter()
         .filter(|(_, offer)| !offer.doubtful && offer.version != 0 && oldest <= offer.heard)
-        .max_by_key(|(instance, offer)| (offer.version, **instance));
+        .max_by_key(|(instance, offer)| (offer.version, offer.is_near, **instance));
     let Some((_, offer)) = newest else { return };
     outputs.push(Output::FetchSheet { from: offer.address, version: offer.version });
     duty.fetch_asked = Some(now);
--- a/crates/bergamotpitch-control/src/sheets.rs
+++ b/crates/bergamotpitch-control/src/sheets.rs
@@ -25,6 +25,7 @@
     }
     fill_upstreams(tables, &sheet);
     fill_teams(tables, &sheet);
+    tables.sheet_duty.awaited_since = None;
     tables.sheet = Some(Arc::clone(&sheet));
     let event =
         Event::of_kind(EventKind::SheetInForce).with_detail(format!("version {}", sheet.version));
--- a/crates/bergamotpitch-proof/src/sheet_runs.rs
+++ b/crates/bergamotpitch-proof/src/sheet_runs.rs
@@ -37,6 +37,8 @@
     pub history: Vec<InForce>,
     /// Calls to the platform.
     pub calls: u64,
+    /// Fetches from a router of another domain.
+    pub cross_fetches: u64,
     guards: SheetGuards,
     random: Random,
 }
@@ -71,6 +73,7 @@
         routers: Vec::new(),
         history: Vec::new(),
         calls: 0,
+        cross_fetches: 0,
         guards,
         random: randoms::seeded(seed),
     };
@@ -200,6 +203,8 @@
             let sheet = fleet.routers[other].tables.sheet.clone();
             if let Some(sheet) = sheet.filter(|_| !is_cut && !is_paused) {
                 let at = fleet.now + Duration::from_millis(4);
+                let is_cross = fleet.routers[router].domain != fleet.routers[other].domain;
+                fleet.cross_fetches += u64::from(is_cross);
                 fleet.routers[router].inbox.push((at, Input::PeerSheetLearned(sheet)));
             }
         }
--- a/crates/bergamotpitch-proof/tests/sheet_restarts.rs
+++ b/crates/bergamotpitch-proof/tests/sheet_restarts.rs
@@ -117,6 +117,22 @@
     assert_eq!(check_times(&fleet.history, &[0, 1, 2], version, accepted, LIMIT), []);
 }
 
+/// A whole domain is cut from the platform but not from the other domains. Its planners' sheet comes
+/// from a neighbour, a little later than elsewhere.
+#[test]
+fn domain_without_platform() {
+    let mut fleet = new_fleet(&DOMAINS, SheetGuards::default(), 1);
+    accept(&mut fleet);
+    run_for(&mut fleet, Duration::from_secs(5));
+    cut_platform(&mut fleet, &[0, 1, 2], true);
+    run_for(&mut fleet, Duration::from_secs(5));
+    let version = accept(&mut fleet);
+    let accepted = fleet.now;
+    run_for(&mut fleet, Duration::from_secs(10));
+    let routers: Vec<usize> = (0..8).collect();
+    assert_eq!(check_times(&fleet.history, &routers, version, accepted, LIMIT), []);
+}
+
 /// Restarts, pauses and cuts come at any time while operators change the sheet. Versions never go
 /// back, and after the last fault the newest one is in force everywhere in time.
 #[test]
@@ -142,6 +158,10 @@
 fn change_spreads() {
     let mut fleet = new_fleet(&DOMAINS, SheetGuards::default(), 1);
     let routers: Vec<usize> = (0..8).collect();
+    // The first sheet is fetched from wherever it is.
+    accept(&mut fleet);
+    run_for(&mut fleet, LIMIT);
+    fleet.cross_fetches = 0;
     for _ in 0..10 {
         let version = accept(&mut fleet);
         let accepted = fleet.now;
@@ -151,6 +171,7 @@
     let watching =
         fleet.routers.iter().filter(|router| !router.tables.sheet_duty.left_to_others).count();
     assert_eq!(watching, 6);
+    assert_eq!(fleet.cross_fetches, 0, "fetches over paid links");
 }
 
 fn sleeper_history(guards: SheetGuards) -> SheetFleet {
