Split the claim runs by what they do, with a comment on each function

Ruled out: nothing. Change: what the shards hold at the end stands in a module of its own; doc comments on the functions that modules share. Conclusion: no change in what is run.

--- a/crates/bergamotpitch-proof/src/claim_callers.rs
+++ b/crates/bergamotpitch-proof/src/claim_callers.rs
@@ -11,6 +11,7 @@
     key_of, nonce_of, note, post, tick, unix_s,
 };
 
+/// `begin_attempt` lets a caller try, unless it has its answer or has tried often enough.
 pub(crate) fn begin_attempt(run: &mut Run, key: KeyId, number: usize) {
     if run.options.attempt_limit <= number || run.answered[key] {
         return;
@@ -32,6 +33,7 @@
     post(run, run.now + PATIENCE, Event::LosePatience { attempt });
 }
 
+/// `arrive` lets a router wish to claim the key of an attempt.
 pub(crate) fn arrive(run: &mut Run, attempt: AttemptId) {
     let router = run.attempts[attempt].router;
     run.attempts[attempt].life = run.routers[router].life;
@@ -49,6 +51,7 @@
     tick(run, router, effects);
 }
 
+/// `apply_verdict` tells the caller, or lets the request wait for its turn.
 pub(crate) fn apply_verdict(run: &mut Run, attempt: AttemptId, verdict: Verdict) {
     match verdict {
         Verdict::Won { dispatch_until } => {
@@ -77,7 +80,7 @@
     }
 }
 
-// The request has waited in its queue: it is refused there, or handed over.
+/// `decide` refuses the request where it waits, or hands it over.
 pub(crate) fn decide(run: &mut Run, attempt: AttemptId) {
     if !is_alive(run, attempt) {
         return;
@@ -92,6 +95,7 @@
     post(run, run.now + way, Event::ReachUpstream { attempt });
 }
 
+/// `reach_upstream` lets the upstream run the request, or prove that it did not.
 pub(crate) fn reach_upstream(run: &mut Run, attempt: AttemptId) {
     let way = draw_time(run, Duration::from_millis(2));
     if draws(run, run.options.unrun_percent) {
@@ -106,6 +110,7 @@
     post(run, run.now + length + way, Event::Answer { attempt });
 }
 
+/// `refuse_unrun` takes in the upstream's proof that the request did not run.
 pub(crate) fn refuse_unrun(run: &mut Run, attempt: AttemptId) {
     if is_alive(run, attempt) {
         release(run, attempt);
@@ -120,6 +125,7 @@
     tell_not_run(run, attempt);
 }
 
+/// `answer` takes in the upstream's answer and records it.
 pub(crate) fn answer(run: &mut Run, attempt: AttemptId) {
     if !is_alive(run, attempt) {
         return;
@@ -153,6 +159,7 @@
     post(run, run.now + wait, Event::Begin { key, number: number + 1 });
 }
 
+/// `lose_patience` lets the caller try elsewhere while the first try may still run.
 pub(crate) fn lose_patience(run: &mut Run, attempt: AttemptId) {
     let Attempt { key, number, is_told, .. } = run.attempts[attempt];
     if !is_told {
--- a/crates/bergamotpitch-proof/src/claim_fills.rs
+++ b/crates/bergamotpitch-proof/src/claim_fills.rs
@@ -8,6 +8,7 @@
 use crate::claim_runs::{EARLIER_NONCE, FIRST_UNIX_S, Run, shard_key};
 use crate::{claim_kv_calls, fake_kvs};
 
+/// `fill_shards` puts the claims of earlier requests into the segments of the shards.
 pub(crate) fn fill_shards(run: &mut Run) {
     let shard_count = run.options.claims.shard_count;
     let mut records = vec![ShardRecord::default(); shard_count as usize];
--- a/crates/bergamotpitch-proof/src/claim_runs.rs
+++ b/crates/bergamotpitch-proof/src/claim_runs.rs
@@ -8,17 +8,14 @@
 use std::time::Duration;
 
 use bergamotpitch_control::claim_queues::{ClaimEffect, ClaimOptions, ClaimQueues};
-use bergamotpitch_control::claim_segments::SegmentName;
-use bergamotpitch_control::claims::{
-    Claim, ClaimKey, Nonce, Outcome, ShardId, ShardRecord, claim_key,
-};
+use bergamotpitch_control::claims::{ClaimKey, Nonce, Outcome, ShardId, ShardRecord, claim_key};
 use bergamotpitch_core::units::Timestamp;
 
 use crate::claim_histories::{AttemptId, ClaimRecord, ClaimStep, KeyId};
 use crate::claim_kv_calls::{self, KvCall};
 use crate::fake_kvs::{self, CallCounts, FakeKv, FaultSpan};
 use crate::randoms::{self, Random};
-use crate::{claim_callers, claim_fills};
+use crate::{claim_callers, claim_ends, claim_fills};
 
 /// Wall-clock time at which a run begins, in seconds since the Unix epoch.
 pub(crate) const FIRST_UNIX_S: u64 = 1_800_000_000;
@@ -186,10 +183,10 @@
             _ => apply_event(&mut run, event),
         }
     }
-    let held = held_keys(&run);
-    let missing_segments = missing_segments(&run);
+    let held = claim_ends::held_keys(&run);
+    let missing_segments = claim_ends::missing_segments(&run);
     let segment_count = (0..run.options.claims.shard_count)
-        .map(|shard| shard_record(&run, shard).segments.len())
+        .map(|shard| claim_ends::shard_record(&run, shard).segments.len())
         .sum();
     RunResult {
         segment_count,
@@ -291,7 +288,7 @@
     }
 }
 
-// A router's turn: it begins what is due, and its next turn is planned.
+/// `tick` is a router's turn: it begins what is due, and its next turn is planned.
 pub(crate) fn tick(run: &mut Run, router: usize, mut effects: Vec<ClaimEffect>) {
     bergamotpitch_control::claim_queues::run(
         &mut run.routers[router].queues,
@@ -325,90 +322,68 @@
     run.routers[router] = new_router(run, router, life + 1);
 }
 
+/// `is_alive` tells whether the router of an attempt still has the life that received it.
 pub(crate) fn is_alive(run: &Run, attempt: AttemptId) -> bool {
     let Attempt { router, life, .. } = run.attempts[attempt];
     run.routers[router].life == life
 }
 
-fn held_keys(run: &Run) -> Vec<(KeyId, AttemptId, bool)> {
-    let mut held = Vec::new();
-    for shard in 0..run.options.claims.shard_count {
-        let record = shard_record(run, shard);
-        let moved = record.segments.iter().filter_map(|reference| {
-            let key = claim_kv_calls::segment_key(shard, reference.name);
-            fake_kvs::peek(&run.kv, &key).map(claim_kv_calls::decode_segment)
-        });
-        let moved: Vec<Claim> = moved.flat_map(|segment| segment.claims).collect();
-        let claims = record.claims.into_iter().chain(moved);
-        for claim in claims.filter(|claim| claim.nonce < EARLIER_NONCE) {
-            let attempt = (claim.nonce - 1) as AttemptId;
-            held.push((run.attempts[attempt].key, attempt, claim.outcome.is_some()));
-        }
-    }
-    held
-}
-
-fn missing_segments(run: &Run) -> usize {
-    let is_missing = |shard: ShardId, name: SegmentName| {
-        fake_kvs::peek(&run.kv, &claim_kv_calls::segment_key(shard, name)).is_none()
-    };
-    (0..run.options.claims.shard_count)
-        .map(|shard| {
-            let record = shard_record(run, shard);
-            record.segments.iter().filter(|segment| is_missing(shard, segment.name)).count()
-        })
-        .sum()
-}
-
-fn shard_record(run: &Run, shard: ShardId) -> ShardRecord {
-    decode_record(fake_kvs::peek(&run.kv, &shard_key(shard)).cloned())
-}
-
+/// `decode_record` reads the value of a shard.
 pub(crate) fn decode_record(entry: Option<fake_kvs::FakeEntry>) -> ShardRecord {
     entry.map_or_else(ShardRecord::default, |entry| {
         postcard::from_bytes(&entry.value).expect("a shard holds a record")
     })
 }
 
+/// `attempt_of_outcome` names the attempt whose run gave an outcome.
 pub(crate) fn attempt_of_outcome(outcome: &Outcome) -> AttemptId {
     let body = outcome.body.as_deref().and_then(|body| body.try_into().ok());
     body.map_or(usize::MAX, |body| u64::from_le_bytes(body) as AttemptId)
 }
 
+/// `key_of` is the claim key of a key's number.
 pub(crate) fn key_of(key: KeyId) -> ClaimKey {
     claim_key("team", "service", &key.to_string())
 }
 
+/// `nonce_of` is the nonce of an attempt.
 pub(crate) fn nonce_of(attempt: AttemptId) -> Nonce {
     attempt as Nonce + 1
 }
 
+/// `shard_key` is the key of a shard's record.
 pub(crate) fn shard_key(shard: ShardId) -> String {
     format!("claims/{shard}")
 }
 
+/// `unix_s` is a router's wall-clock time, in seconds since the Unix epoch.
 pub(crate) fn unix_s(run: &Run, router: usize) -> u64 {
     run.routers[router].first_unix_s + run.now.as_secs()
 }
 
+/// `note` adds a record of an attempt.
 pub(crate) fn note(run: &mut Run, attempt: AttemptId, step: ClaimStep) {
     let key = run.attempts[attempt].key;
     run.records.push(ClaimRecord { at: run.now, key, attempt, step });
 }
 
+/// `post` plans an event.
 pub(crate) fn post(run: &mut Run, at: Timestamp, event: Event) {
     run.event_count += 1;
     run.events.push(Reverse((at, run.event_count, event)));
 }
 
+/// `draw_time` draws a time up to a limit.
 pub(crate) fn draw_time(run: &mut Run, most: Duration) -> Duration {
     most.mul_f64(randoms::unit(&mut run.random))
 }
 
+/// `draw_router` draws a router.
 pub(crate) fn draw_router(run: &mut Run) -> usize {
     (randoms::unit(&mut run.random) * run.options.router_count as f64) as usize
 }
 
+/// `draws` tells whether an event of so many percent happens.
 pub(crate) fn draws(run: &mut Run, percent: f64) -> bool {
     randoms::unit(&mut run.random) * 100.0 < percent
 }
--- a/crates/bergamotpitch-proof/src/lib.rs
+++ b/crates/bergamotpitch-proof/src/lib.rs
@@ -4,6 +4,7 @@
 //! The same options, seed and calls give the same history.
 
 mod claim_callers;
+mod claim_ends;
 mod claim_fills;
 pub mod claim_histories;
 mod claim_kv_calls;
