Report the model of an idle stand-in engine

Cause: the stand-in engine reported its load at each step, so that an idle one showed the old model after an order until the next request, and its answers named the model of the start for ever; whoever orders models by what engines report would order the same one again and again. Ruled out: a report on each look (the lag of reports would be lost). Change: a model is loaded once its time has passed, also at an idle engine; a later order replaces one that is under way; answers name the model that is loaded. The counter of sequences moved into the engine and the making of a sequence out of the answer's function. The test of the idle engine never ended before the change.

--- a/crates/bergamotpitch-standin/src/chats.rs
+++ b/crates/bergamotpitch-standin/src/chats.rs
@@ -1,13 +1,14 @@
 //! Chat completions of the stand-in engine, streamed or whole.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use futures::stream;
 use http::request::Parts;
 use http::{Response, StatusCode};
 use serde::Serialize;
-use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 use crate::answers::{
     ChatRequest, answer_tokens, prompt_of, prompt_tokens, short_hash, token_text,
@@ -101,21 +102,7 @@
     };
     let plan = plan_answer(&engine, &parts, &request, &faults);
     let (tokens, received) = unbounded_channel();
-    let prompt = prompt_of(&request);
-    let sequence = Sequence {
-        number: next_number(),
-        blocks: prompt_blocks(&prompt),
-        prompt_tokens: plan.usage.prompt_tokens,
-        cached_tokens: 0,
-        prompt_left_tokens: 0,
-        resumed_after: plan.first_token - 1,
-        last_token: plan.first_token - 1,
-        end_token: plan.end_token,
-        arrived_us: record.arrived_us,
-        started_us: None,
-        first_token_us: None,
-        tokens,
-    };
+    let sequence = new_sequence(&engine, &plan, &request, record.arrived_us, tokens);
     lock(&engine.open_records).insert(sequence.number, record);
     lock(&engine.batch).waiting.push_back(sequence);
     engine.arrived.notify_one();
@@ -131,9 +118,27 @@
     Ok(response)
 }
 
-fn next_number() -> u64 {
-    static LAST_NUMBER: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
-    LAST_NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed)
+fn new_sequence(
+    engine: &Engine,
+    plan: &AnswerPlan,
+    request: &ChatRequest,
+    arrived_us: u64,
+    tokens: UnboundedSender<u32>,
+) -> Sequence {
+    Sequence {
+        number: engine.next_number.fetch_add(1, Ordering::Relaxed),
+        blocks: prompt_blocks(&prompt_of(request)),
+        prompt_tokens: plan.usage.prompt_tokens,
+        cached_tokens: 0,
+        prompt_left_tokens: 0,
+        resumed_after: plan.first_token - 1,
+        last_token: plan.first_token - 1,
+        end_token: plan.end_token,
+        arrived_us,
+        started_us: None,
+        first_token_us: None,
+        tokens,
+    }
 }
 
 fn plan_answer(
@@ -150,7 +155,7 @@
         header_text(parts, LAST_EVENT_ID).and_then(|text| text.parse().ok()).unwrap_or(0);
     AnswerPlan {
         id: header_text(parts, REQUEST_ID).unwrap_or_else(|| "no-request-id".to_owned()),
-        model: engine.options.model.clone(),
+        model: lock(&engine.model).clone(),
         prompt_hash: short_hash(prompt.as_bytes()),
         end_token,
         usage: Usage {
--- a/crates/bergamotpitch-standin/src/engines.rs
+++ b/crates/bergamotpitch-standin/src/engines.rs
@@ -1,6 +1,7 @@
 //! The stand-in engine: continuous batching, streams, a prefix cache and lagged reports.
 
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -107,13 +108,23 @@
     pub batch: Mutex<Batch>,
     /// Records of the sequences in the batch, by their number.
     pub open_records: Mutex<bergamotpitch_core::HashMap<u64, Record>>,
+    /// Number of the next sequence.
+    pub next_number: AtomicU64,
     /// Wakes the worker when a sequence came.
     pub arrived: Notify,
+    /// Model that is loaded.
+    pub model: Mutex<String>,
     load: Mutex<Lagged<LoadReport>>,
     cache_events: Mutex<CacheEvents>,
     orders: Mutex<OrderBook>,
-    model: Mutex<String>,
-    loading_until: Mutex<Option<Instant>>,
+    loading: Mutex<Option<Loading>>,
+}
+
+/// `Loading` is a model that is being loaded.
+#[derive(Debug, Clone)]
+struct Loading {
+    model: String,
+    until: Instant,
 }
 
 /// `start_engine` starts a stand-in engine.
@@ -148,22 +159,20 @@
         shared,
         batch: Mutex::new(new_batch(options.batch.clone())),
         open_records: Mutex::default(),
+        next_number: AtomicU64::new(0),
         arrived: Notify::new(),
         load: Mutex::default(),
         cache_events: Mutex::default(),
         orders: Mutex::new(orders),
         model: Mutex::new(options.model.clone()),
-        loading_until: Mutex::new(None),
+        loading: Mutex::default(),
         options,
     }
 }
 
 async fn work(engine: Arc<Engine>) {
     loop {
-        let loading_until = *lock(&engine.loading_until);
-        if let Some(until) = loading_until.filter(|until| Instant::now() < *until) {
-            tokio::time::sleep_until(until).await;
-        }
+        finish_loading(&engine).await;
         let step = begin_step(&mut lock(&engine.batch), wall_clock_us());
         report_load(&engine);
         if step.is_zero() {
@@ -178,6 +187,25 @@
     }
 }
 
+/// Nothing runs while a model is loaded; a later order replaces an earlier one that is under way.
+async fn finish_loading(engine: &Engine) {
+    while let Some(until) = take_loaded(engine) {
+        tokio::time::sleep_until(until).await;
+    }
+}
+
+/// `take_loaded` takes over a model that has been loaded, or returns when the one under way will be.
+fn take_loaded(engine: &Engine) -> Option<Instant> {
+    let mut loading = lock(&engine.loading);
+    let Loading { model, until } = loading.clone()?;
+    if Instant::now() < until {
+        return Some(until);
+    }
+    *lock(&engine.model) = model;
+    *loading = None;
+    None
+}
+
 fn close_records(engine: &Engine, ended: Vec<Ended>, now_us: u64) {
     for Ended { sequence, outcome } in ended {
         let Some(open) = lock(&engine.open_records).remove(&sequence.number) else { continue };
@@ -272,11 +300,11 @@
     if !accepted {
         return text_answer(StatusCode::CONFLICT, "the fencing number is old");
     }
-    let mut model = lock(&engine.model);
-    if *model != order.model {
-        *model = order.model;
-        let load_time = Duration::from_millis(engine.options.model_load_ms);
-        *lock(&engine.loading_until) = Some(Instant::now() + load_time);
+    if *lock(&engine.model) != order.model {
+        let until = Instant::now() + Duration::from_millis(engine.options.model_load_ms);
+        *lock(&engine.loading) = Some(Loading { model: order.model, until });
+        // An idle engine has to begin as well, and to report its model afterwards.
+        engine.arrived.notify_one();
     }
     text_answer(StatusCode::OK, "loaded")
 }
--- a/crates/bergamotpitch-standin/tests/engine_reports.rs
+++ b/crates/bergamotpitch-standin/tests/engine_reports.rs
@@ -54,10 +54,27 @@
         let seen: Vec<(u64, bool, bool)> =
             orders.iter().map(|order| (order.fencing, order.accepted, order.stale)).collect();
         assert_eq!(seen, [(2, true, false), (1, !checks_fencing, true)]);
+        let chat = r#"{ "messages": [{ "role": "user", "content": "a" }], "max_tokens": 1 }"#;
+        let (_, answer) = call(engine.address, Method::POST, "/v1/chat/completions", chat).await;
+        let model = if checks_fencing { "new" } else { "old" };
+        assert!(answer.contains(&format!("\"model\":\"{model}\"")), "{answer}");
         engine.close().await;
     }
 }
 
+/// An idle engine is ordered to load a model. Whoever orders it looks at its report; if that showed the
+/// old model until the next request, the order would be given again and again.
+#[tokio::test]
+async fn model_of_idle_engine() {
+    let options = EngineOptions { address: LOOPBACK, model_load_ms: 10, ..Default::default() };
+    let engine = start_engine(options).await.unwrap();
+    post(engine.address, "/orders", r#"{ "fencing": 1, "model": "new" }"#).await;
+    while !get(engine.address, "/load").await.contains(r#""model":"new""#) {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    engine.close().await;
+}
+
 #[tokio::test]
 async fn leaving_load() {
     let engine =
