Name the team to upstreams, and take out what callers claim

Cause: upstreams were told of a request's team only by what its caller wrote into the header that they read: nothing as a rule, and another team's name if the caller liked. Ruled out: the header of the caller for want of a better one (it cannot be believed). Change: the router takes the header out and sets the name of the team whose key was shown. Conclusion: records at upstreams name the team that the key belongs to.

--- a/crates/bergamotpitch-router/src/attempts.rs
+++ b/crates/bergamotpitch-router/src/attempts.rs
@@ -117,6 +117,7 @@
         .map_err(|error| unrun(error.to_string()))?;
     *request.headers_mut() = call.head.headers.clone();
     name_request(request.headers_mut(), call, last_event);
+    name_team(request.headers_mut(), context, call);
     let response =
         context.client.request(request).await.map_err(|error| failure_of_error(&error))?;
     if headers::is_true(response.headers(), &headers::LEAVING) {
@@ -134,6 +135,15 @@
     }
 }
 
+fn name_team(headers: &mut HeaderMap, context: &Context, call: &Call) {
+    let snapshot = context.snapshot.load();
+    let Some(team) = snapshot.team(call.head.team) else { return };
+    // Names hold any letters; the check of the sheet keeps out what a header cannot carry.
+    if let Ok(name) = HeaderValue::from_bytes(team.name.as_bytes()) {
+        headers.insert(headers::TEAM, name);
+    }
+}
+
 /// `failure_of_error` tells whether a failed exchange proves that nothing was sent.
 ///
 /// It does in two cases. No connection was made. Or the request was given back by the connection's
--- a/crates/bergamotpitch-router/src/headers.rs
+++ b/crates/bergamotpitch-router/src/headers.rs
@@ -15,6 +15,9 @@
 /// Header by which an upstream says that it is leaving.
 pub const LEAVING: HeaderName = HeaderName::from_static("bergamotpitch-leaving");
 
+/// Header that names the team to an upstream; one that a caller sends is taken out.
+pub const TEAM: HeaderName = HeaderName::from_static("bergamotpitch-team");
+
 /// Header that carries a request's id to an upstream.
 pub const UPSTREAM_REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 
@@ -65,6 +68,7 @@
         EXPECT,
         DEADLINE_MS,
         LAST_EVENT_ID,
+        TEAM,
         UPSTREAM_REQUEST_ID,
     ] {
         headers.remove(name);
