--- a/crates/bergamotpitch-control/src/tables.rs
+++ b/crates/bergamotpitch-control/src/tables.rs
@@ -15,11 +15,12 @@
 use bergamotpitch_core::units::{CostUnits, Timestamp};
 
 use crate::accounts::Estimate;
-use crate::far_members::FarDuty;
+use crate::gossips::Gossip;
 use crate::homes::Home;
 use crate::inputs::Arrival;
 use crate::leases::Leases;
 use crate::limits::Limits;
+use crate::members::MemberGuards;
 use crate::shares::ShareGuards;
 use crate::sheet_duties::{SheetDuty, SheetGuards};
 use crate::sheet_indexes::SheetIndex;
@@ -67,6 +68,8 @@
     pub share_spacing: Duration,
     /// Time between two other messages about one service to one instance.
     pub share_interval: Duration,
+    /// Rules of membership that a proof switches off.
+    pub member_guards: MemberGuards,
     /// Rules of the fair shares that a proof switches off.
     pub share_guards: ShareGuards,
     /// Bytes a second that one duty may send to other domains.
@@ -94,6 +97,7 @@
             prefix_placement: true,
             share_spacing: Duration::from_millis(40),
             share_interval: Duration::from_millis(200),
+            member_guards: MemberGuards::default(),
             share_guards: ShareGuards::default(),
             cross_bytes_per_second: 370,
         }
@@ -123,8 +127,8 @@
     pub members: HashMap<InstanceId, Member>,
     /// Time of the last heartbeat sent.
     pub heartbeat_sent: Option<Timestamp>,
-    /// Heartbeats to other domains.
-    pub far_duty: FarDuty,
+    /// What this instance has to tell of others.
+    pub gossip: Gossip,
     /// Upstreams of the sheet in force.
     pub upstreams: HashMap<UpstreamId, Upstream>,
     /// Teams of the sheet in force.
@@ -175,14 +179,18 @@
     pub domain: DomainId,
     /// Where it is reached.
     pub address: SocketAddr,
-    /// When it was last heard.
+    /// When it was last heard or told of.
     pub heard: Timestamp,
+    /// When it was last heard itself, while it should send here.
+    pub direct: Option<Timestamp>,
     /// True when it has been silent for longer than the timeout.
     pub suspected: bool,
     /// True when it is draining.
     pub draining: bool,
-    /// True when it was heard straight, and not through another instance of this domain.
-    pub is_heard_here: bool,
+    /// Number by which it contradicts those who think it gone.
+    pub version: u32,
+    /// Times that it contradicted its end; each doubles its timeout here.
+    pub patience: u32,
 }
 
 /// `Upstream` is an upstream and what is known of its load.
