Tell the control thread of a whole answer once

Cause: a plain answer that came whole was told as begun and, a moment later, as ended; the first of the two woke the control thread for a step that decided nothing.

Ruled out: leaving the beginning out for streams as well (the first token's time is a signal of an engine's load).

Change: the beginning is told only of answers of which more is to come.

--- a/crates/bergamotpitch-router/src/attempts.rs
+++ b/crates/bergamotpitch-router/src/attempts.rs
@@ -87,9 +87,13 @@
     let is_events = is_event_stream(response.headers());
     let (parts, body) = response.into_parts();
     let begun = if is_events { first_event(parts, body).await } else { hold(parts, body).await };
-    if begun.is_ok() {
+    if let Ok(begun) = &begun {
         context.metrics.record_first_byte(context.now() - call.head.arrived);
-        context.hint(Input::FirstByte { request: call.request });
+        // The end of a whole answer is told at once; its beginning would be a further step of the
+        // control thread for nothing.
+        if !matches!(begun, Begun::Whole { .. }) {
+            context.hint(Input::FirstByte { request: call.request });
+        }
     }
     begun
 }
