--- a/crates/bergamotpitch-router/src/drops.rs
+++ b/crates/bergamotpitch-router/src/drops.rs
@@ -15,7 +15,10 @@
 
 /// `report` tells of messages that were dropped since the last look, for as long as it runs.
 pub async fn report(context: Arc<Context>, endpoint: Arc<Endpoint>) {
-    let mut told = endpoint.dropped().all();
+    // Counting from the first look instead would pass over what came before this task first ran: a
+    // forged message in that moment would stand in no event.
+    let mut told: Vec<_> =
+        endpoint.dropped().all().into_iter().map(|(reason, _)| (reason, 0)).collect();
     loop {
         tokio::time::sleep(LOOK_INTERVAL).await;
         let counted = endpoint.dropped().all();
