Tell in the demo how soon the sheet was in force

Cause: the demo measured the load only; the time line can tell the seconds to force, and ctl notes the acceptance. Ruled out: reading the time from the routers' own status.

--- a/crates/bergamotpitch-load/src/main.rs
+++ b/crates/bergamotpitch-load/src/main.rs
@@ -17,7 +17,7 @@
         /// Loads a fleet, measures it and draws plots.
         cmd bergamotpitch-load {
             /// Print the version.
-            cmd version {}
+            optional --version
             /// Check an experiment file.
             cmd check {
                 /// Experiment file.
@@ -47,12 +47,16 @@
 
 fn main() -> ExitCode {
     env_logger::init();
+    // The macro wants a subcommand; the version is asked for without one.
+    if std::env::args().nth(1).as_deref() == Some("--version") {
+        println!("bergamotpitch-load {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
     let flags = match flags::BergamotpitchLoad::from_env() {
         Ok(flags) => flags,
         Err(error) => error.exit(),
     };
     let done = match flags.subcommand {
-        flags::BergamotpitchLoadCmd::Version(_) => print_version(),
         flags::BergamotpitchLoadCmd::Check(check) => check_file(&check.file),
         flags::BergamotpitchLoadCmd::Run(options) => run_file(&options),
         flags::BergamotpitchLoadCmd::Table(options) => print_table(&options),
@@ -66,11 +70,6 @@
     }
 }
 
-fn print_version() -> Result<ExitCode> {
-    println!("bergamotpitch-load {}", env!("CARGO_PKG_VERSION"));
-    Ok(ExitCode::SUCCESS)
-}
-
 fn check_file(file: &Path) -> Result<ExitCode> {
     parse_experiment(&file.display().to_string(), &read(file)?)?;
     println!("{}: well formed", file.display());
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -107,7 +107,8 @@
     list_instance bergamotpitch-router "router-$number" $((port_base + 400 + number)) "$(router_domain "$number")" false
     start_router "$number"
   done
-  "$binaries/bergamotpitch-ctl" --platform "$platform" sheet apply "examples/sheet.$deployment.jsonc" > "$folder/apply.txt"
+  "$binaries/bergamotpitch-ctl" --platform "$platform" sheet apply "examples/sheet.$deployment.jsonc" \
+    --event-file "$folder/ctl.events.jsonl" > "$folder/apply.txt"
   for number in 1 2 3 4 5 6 7 8; do wait_for $((port_base + 500 + number)) /ready; done
 }
 
