Prove what a drain that passes its limit says

Cause: no test showed that requests which wait at the end of a drain's limit are told so before the process goes.

Ruled out: a limit of minutes in virtual time (the router runs on the real clock; the limit is a setting, and the test sets 300 ms).

Change: a test with an endless stream and a full engine; tests can change settings.

Conclusion: what waits is refused as "not run" before the process goes, whatever streams.

--- a/crates/bergamotpitch-router/tests/common/mod.rs
+++ b/crates/bergamotpitch-router/tests/common/mod.rs
@@ -51,8 +51,19 @@
 
     /// `start_with` does so with given times and bounds; a drain takes no longer than it must.
     pub async fn start_with(upstreams: &Upstreams, options: Options) -> Self {
+        Self::start_changed(upstreams, options, |_| ()).await
+    }
+
+    /// `start_changed` does so with changed settings.
+    pub async fn start_changed(
+        upstreams: &Upstreams,
+        options: Options,
+        change: impl FnOnce(&mut RouterSettings),
+    ) -> Self {
         let platform = FakePlatform::start(&sheet_text(upstreams)).await;
-        let router = start_router(platform.address(), "is-reykjavik-a-1", options).await;
+        let mut settings = settings(platform.address(), "is-reykjavik-a-1");
+        change(&mut settings);
+        let router = start_router(settings, options).await;
         let fleet =
             Self { router, platform, client: Client::builder(TokioExecutor::new()).build_http() };
         fleet.wait_until_ready().await;
@@ -62,7 +73,8 @@
     /// `second_router` starts another router of the same fleet.
     pub async fn second_router(&self) -> Router {
         let address = self.platform.address();
-        let router = start_router(address, "is-reykjavik-a-2", Options::default()).await;
+        let settings = settings(address, "is-reykjavik-a-2");
+        let router = start_router(settings, Options::default()).await;
         wait_until_ready(&router).await;
         router
     }
@@ -177,9 +189,9 @@
     problem
 }
 
-async fn start_router(platform: SocketAddr, instance: &str, options: Options) -> Router {
+async fn start_router(settings: RouterSettings, options: Options) -> Router {
     let options = Options { shortest_drain: Duration::from_millis(20), ..options };
-    Router::start_with(settings(platform, instance), options).await.expect("the router starts")
+    Router::start_with(settings, options).await.expect("the router starts")
 }
 
 async fn wait_until_ready(router: &Router) {
--- a/crates/bergamotpitch-router/tests/drained_routers.rs
+++ b/crates/bergamotpitch-router/tests/drained_routers.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use bergamotpitch_core::settings::RouterSettings;
 use bergamotpitch_router::Options;
 use common::engines::{FakeUpstream, events, last_events, token};
 use common::{Fleet, Upstreams, assert_refused, text};
@@ -66,3 +67,38 @@
     }
     tokio::time::timeout(common::PATIENCE, closing).await.expect("it leaves").expect("in order");
 }
+
+/// Answers stream for longer than a drain may take. The process has to go: what still waits must hear
+/// that it did not run, and the caller of the stream must see that its answer is cut.
+#[tokio::test]
+async fn limit_passed() {
+    let engine = FakeUpstream::start(|_, _| {
+        Box::pin(async {
+            events(futures::stream::iter([Ok(token(1))]).chain(futures::stream::pending()))
+        })
+    })
+    .await;
+    let upstreams = Upstreams { engines: vec![engine.address], ..Upstreams::default() };
+    let change = |settings: &mut RouterSettings| settings.drain_limit_ms = 300;
+    let fleet = Fleet::start_changed(&upstreams, Options::default(), change).await;
+    let running = fleet.chat().await;
+    let url = fleet.url("/bergamot-llm/v1/chat/completions");
+    let mut waiting = Vec::new();
+    while fleet.status().await["queued_requests"] == 0 {
+        waiting.push(tokio::spawn(common::read_chat(url.clone())));
+        let count = waiting.len() + 1;
+        fleet
+            .wait_for("the request is known", |status| {
+                let known = |field: &str| status[field].as_u64().unwrap_or_default() as usize;
+                known("queued_requests") + known("running_requests") == count
+            })
+            .await;
+    }
+    let last = waiting.pop().expect("a caller that waits");
+    let closing = tokio::spawn(fleet.router.close());
+    let refusal = tokio::time::timeout(common::PATIENCE, last).await.expect("it is answered");
+    let refusal = refusal.expect("the caller runs").expect("a whole answer");
+    assert!(refusal.contains(r#""reason":"draining","ran":"not_run""#), "{refusal}");
+    tokio::time::timeout(common::PATIENCE, closing).await.expect("it leaves").expect("in order");
+    drop((running, waiting));
+}
