Let a new home begin from recent levels, and report a charge once it matters

Ruled out: a longer recovery (the level was wrong, not late). Change: a level is handed on only if it was told within 4 s; a new home starts no team further below the middle one than the lead limit; a home that is not recovered does not report to other domains; an instance tells its home of a team's service once it moved by half a mean request, or with its waiting.

--- a/crates/bergamotpitch-control/src/domain_reports.rs
+++ b/crates/bergamotpitch-control/src/domain_reports.rs
@@ -45,7 +45,8 @@
 
 /// `run` reports to the other domains, within the budget of bytes.
 pub fn run(tables: &Tables, service: ServiceId, home: &mut Home, outputs: &mut Vec<Output>) {
-    if !tables.index.repeatable.contains(&service) && home.order.is_empty() {
+    // Until it is recovered a home has no levels that others could go by.
+    if !home.recovered || !tables.index.repeatable.contains(&service) && home.order.is_empty() {
         return;
     }
     for domain in tables.index.domains.iter().copied() {
--- a/crates/bergamotpitch-control/src/homes.rs
+++ b/crates/bergamotpitch-control/src/homes.rs
@@ -317,15 +317,20 @@
 ///
 /// A new home that took them to be at zero would take all others to be far ahead, and give every
 /// slot to the newcomers.
-pub fn end_recovery(home: &mut Home) {
+pub fn end_recovery(home: &mut Home, limit: Level) {
     home.recovered = true;
     let told = home.teams.values().filter(|team| team.is_known && team.waiting_requests != 0);
-    let lowest = told.map(effective_level).min();
+    let mut told: Vec<Level> = told.map(effective_level).collect();
+    told.sort_unstable();
+    // One team far below the others would make all others leads to be repaid.
+    let lowest = told.get(told.len() / 2).map(|middle| told[0].max(middle - limit));
     let remote = home.remotes.values().filter_map(|remote| remote.frontier).min();
     home.floor = lowest.or(remote).unwrap_or(home.floor);
-    for team in home.teams.values_mut().filter(|team| !team.is_known) {
-        lift(team, home.floor);
-        team.is_known = true;
+    for team in home.teams.values_mut() {
+        if !team.is_known || team.waiting_requests != 0 {
+            lift(team, home.floor);
+            team.is_known = true;
+        }
     }
 }
 
--- a/crates/bergamotpitch-control/src/leases.rs
+++ b/crates/bergamotpitch-control/src/leases.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bergamotpitch_core::ids::{DomainId, Incarnation, InstanceId, ServiceId, TeamId, UpstreamId};
-use bergamotpitch_core::units::Timestamp;
+use bergamotpitch_core::units::{CostUnits, Timestamp};
 
 use crate::accounts;
 use crate::levels::{Level, level_of_cost, share_of};
@@ -21,6 +21,9 @@
 /// Time for which the level of a team that does not wait here is kept.
 const LEVEL_LIFETIME: Duration = Duration::from_millis(1_500);
 
+/// Time for which a level that the last home told is handed to the next one.
+const INHERITED_LIFETIME: Duration = Duration::from_millis(4_000);
+
 /// `Leases` are the leases of this instance for one service.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Leases {
@@ -90,6 +93,8 @@
     pub waiting_requests: u32,
     /// Number of the report that first carried the present numbers.
     pub changed: u32,
+    /// Service that was last reported, in cost units.
+    pub reported_cost: CostUnits,
     /// Times in a row that the oldest request here was passed over for a cached prefix.
     pub passed_over: u32,
 }
@@ -241,6 +246,10 @@
         })
         .collect();
     let is_first = seen == 0;
+    // A level told long ago would put its team far below all others at the new home.
+    let is_recent = |entry: &LeaseTeam| {
+        entry.elsewhere.is_some() && tables.now < entry.told + INHERITED_LIFETIME
+    };
     let teams = leases
         .teams
         .iter()
@@ -251,14 +260,19 @@
                 team: *team,
                 waiting_requests: entry.waiting_requests,
                 served_cost: tables.accounts.get(&key).copied().unwrap_or(0),
-                level: if is_first && entry.elsewhere.is_some() && entry.waiting_requests != 0 {
+                level: if is_first && is_recent(entry) && entry.waiting_requests != 0 {
                     Some(level(tables, leases, key))
                 } else {
                     None
                 },
             }
         })
-        .collect();
+        .collect::<Vec<TeamLine>>();
+    for line in &teams {
+        if let Some(entry) = leases.teams.get_mut(&line.team) {
+            entry.reported_cost = line.served_cost;
+        }
+    }
     leases.sent = Some(tables.now);
     leases.urgent = false;
     leases.changed = false;
--- a/crates/bergamotpitch-control/src/shares.rs
+++ b/crates/bergamotpitch-control/src/shares.rs
@@ -137,7 +137,8 @@
         .filter(|(_, member)| member.domain == tables.options.domain && !member.suspected);
     let all_heard = members.all(|(instance, _)| home.routers.contains_key(instance));
     if all_heard || home.since + homes::RECOVERY_TIME <= tables.now {
-        homes::end_recovery(home);
+        let limit = tables.options.lead_limit_requests;
+        homes::end_recovery(home, grants::requests_level(tables, service, limit));
         let estimate = accounts::service_estimate(tables, service);
         for team in home.teams.keys().copied().collect::<Vec<TeamId>>() {
             homes::reindex(home, &tables.teams, team, estimate);
@@ -146,13 +147,21 @@
     home.changed = true;
 }
 
-/// Only teams that were charged are looked at; a tick costs nothing for the thousands that rest.
+/// Only teams that were charged are looked at; a tick costs nothing for the thousands that rest. A
+/// charge that is small against a request is told with the next larger one: told one by one, the
+/// progress of each running request would be most of the traffic inside a domain.
 fn note_charges(tables: &mut Tables) {
     let charged = std::mem::take(&mut tables.charged);
     for key in charged {
+        let step = accounts::service_estimate(tables, key.service) as f64;
+        let step = (step * tables.options.report_step_requests) as u64;
+        let account = tables.accounts.get(&key).copied().unwrap_or(0);
         let known = tables.leases.entry(key.service).or_default();
         let next = known.sequence + 1;
         let team = known.teams.entry(key.team).or_default();
+        if account.abs_diff(team.reported_cost) < step {
+            continue;
+        }
         team.changed = next;
         known.changed = true;
     }
--- a/crates/bergamotpitch-control/src/tables.rs
+++ b/crates/bergamotpitch-control/src/tables.rs
@@ -53,6 +53,8 @@
     pub window_depth_requests: u32,
     /// How far ahead of the domain's frontier a team may use a free slot, in mean requests.
     pub slack_requests: f64,
+    /// Service that an instance leaves untold to its home, for each team, in mean requests.
+    pub report_step_requests: f64,
     /// How far a team must lag before another domain lends it slots it needs itself, in mean
     /// requests.
     pub spill_margin_requests: f64,
@@ -88,6 +90,7 @@
             sheet_guards: SheetGuards::default(),
             window_depth_requests: 2,
             slack_requests: 1.0,
+            report_step_requests: 0.5,
             spill_margin_requests: 2.0,
             lead_limit_requests: 20.0,
             spill: true,
