--- a/crates/bergamotpitch-control/src/placements.rs
+++ b/crates/bergamotpitch-control/src/placements.rs
@@ -7,7 +7,7 @@
 use crate::tables::Tables;
 
 /// Requests of one team among which the free slot's prefix is looked for.
-const LOOK_AHEAD_REQUESTS: usize = 8;
+const LOOK_AHEAD_REQUESTS: usize = 16;
 
 /// Times in a row that the oldest request of a team may be passed over.
 pub const PASS_OVER_LIMIT: u32 = 8;
