--- a/crates/bergamotpitch-control/src/detours.rs
+++ b/crates/bergamotpitch-control/src/detours.rs
@@ -5,13 +5,13 @@
 
 use bergamotpitch_core::ids::{InstanceId, ServiceId};
 
-use crate::homes;
 use crate::inputs::Sender;
 use crate::leases::Leases;
 use crate::messages::Message;
 use crate::outputs::Output;
 use crate::share_messages::{PassedGrant, PassedReport, ShareReport};
 use crate::tables::Tables;
+use crate::{home_reports, homes};
 
 /// Time without an answer from the home after which reports go over another instance.
 const DETOUR_TIME: Duration = Duration::from_millis(700);
@@ -30,7 +30,7 @@
     outputs: &mut Vec<Output>,
 ) {
     if tables.homes.contains_key(&report.service) {
-        homes::apply_report(tables, sender, report, None);
+        home_reports::apply_report(tables, sender, report, None);
         return;
     }
     let holder = homes::home_of(tables, report.service);
@@ -46,7 +46,7 @@
 /// `apply_passed_report` takes a report that came over another instance; it goes no further.
 pub fn apply_passed_report(tables: &mut Tables, sender: Sender, passed: PassedReport) {
     let from = Sender { instance: passed.instance, incarnation: passed.incarnation, ..sender };
-    homes::apply_report(tables, from, passed.report, Some(sender.instance));
+    home_reports::apply_report(tables, from, passed.report, Some(sender.instance));
 }
 
 /// `apply_passed_grant` hands a grant on to the instance that it is for.
--- a/crates/bergamotpitch-control/src/grants.rs
+++ b/crates/bergamotpitch-control/src/grants.rs
@@ -5,7 +5,8 @@
 use bergamotpitch_core::ids::{DomainId, InstanceId, ServiceId, TeamId, UpstreamId};
 
 use crate::accounts;
-use crate::homes::{self, Home, HomeRouter, effective_level, reindex};
+use crate::home_reports;
+use crate::homes::{Home, HomeRouter, effective_level, reindex};
 use crate::leases::slack;
 use crate::levels::{LEVEL_SCALE, Level, level_of_cost, share_of};
 use crate::messages::Message;
@@ -82,7 +83,7 @@
         .collect();
     let estimate = accounts::service_estimate(tables, service);
     for instance in gone {
-        homes::forget_router(tables, home, instance, estimate);
+        home_reports::forget_router(tables, home, instance, estimate);
         home.changed = true;
     }
 }
--- /dev/null
+++ b/crates/bergamotpitch-control/src/home_reports.rs
@@ -0,0 +1,174 @@
+//! Reports to a home: what the instances of its domain tell it, and what becomes of their leases.
+
+use bergamotpitch_core::ids::{InstanceId, TeamId};
+
+use crate::homes::{Home, HomeTeam, add_level, lift, reindex};
+use crate::inputs::Sender;
+use crate::leases::held;
+use crate::levels::{level_of_cost, share_of};
+use crate::share_messages::{ShareReport, TeamLine};
+use crate::spills;
+use crate::tables::Tables;
+
+/// `apply_report` takes over what an instance of the domain reports.
+pub fn apply_report(
+    tables: &mut Tables,
+    sender: Sender,
+    report: ShareReport,
+    over: Option<InstanceId>,
+) {
+    let Some(mut home) = tables.homes.remove(&report.service) else { return };
+    let service = report.service;
+    take_report(tables, &mut home, sender, report, over);
+    if let Some(router) = home.routers.get_mut(&sender.instance) {
+        router.over = over;
+        router.heard = tables.now;
+    }
+    tables.homes.insert(service, home);
+}
+
+fn take_report(
+    tables: &Tables,
+    home: &mut Home,
+    sender: Sender,
+    report: ShareReport,
+    over: Option<InstanceId>,
+) {
+    let estimate = crate::accounts::service_estimate(tables, report.service);
+    let known = home.routers.get(&sender.instance);
+    let is_older = known.is_some_and(|router| {
+        let life = (router.incarnation, router.adoption);
+        let its = (sender.incarnation, report.adoption);
+        its < life || (its == life && report.sequence <= router.sequence)
+    });
+    if is_older {
+        return;
+    }
+    let is_new = known.is_none_or(|router| {
+        (router.incarnation, router.adoption) != (sender.incarnation, report.adoption)
+    });
+    if is_new {
+        forget_router(tables, home, sender.instance, estimate);
+        // A home that restarted, or that took the instance for gone, is told of grants that it does
+        // not know. It cannot count on from them, so it asks to be adopted anew; else the teams that
+        // wait there would get nothing but the slots that the instance still holds.
+        if report.sequence != 1 {
+            if tables.options.share_guards.refuses_unknown {
+                home.unknown.insert(sender.instance, (report.adoption, over));
+            }
+            return;
+        }
+    }
+    let router = home.routers.entry(sender.instance).or_default();
+    router.incarnation = sender.incarnation;
+    router.adoption = report.adoption;
+    router.sequence = report.sequence;
+    router.idle_slots = report.idle_slots;
+    for line in &report.slots {
+        let slot = router.slots.entry(line.upstream).or_default();
+        let before = held(&slot.lease);
+        slot.lease.base = line.base;
+        slot.lease.returned = slot.lease.returned.max(line.returned);
+        slot.confirmed = slot.confirmed.max(line.granted);
+        let leased = home.leased.entry(line.upstream).or_default();
+        *leased = (*leased + held(&slot.lease)).saturating_sub(before);
+    }
+    if is_new {
+        spills::take_in(tables, home, &report.slots);
+    }
+    let Some(router) = home.routers.get_mut(&sender.instance) else { return };
+    home.changed = true;
+    let mut touched: Vec<TeamId> = Vec::new();
+    if router.slots.values().all(|slot| slot.confirmed == slot.lease.granted) {
+        touched.extend(clear_outstanding(home, sender.instance));
+    }
+    for line in &report.teams {
+        take_team(home, tables, sender.instance, line, is_new);
+        touched.push(line.team);
+    }
+    for team in touched {
+        reindex(home, &tables.teams, team, estimate);
+    }
+}
+
+fn clear_outstanding(home: &mut Home, instance: InstanceId) -> Vec<TeamId> {
+    let Some(router) = home.routers.get_mut(&instance) else { return Vec::new() };
+    let outstanding = std::mem::take(&mut router.outstanding);
+    for (team, count) in &outstanding {
+        if let Some(entry) = home.teams.get_mut(team) {
+            entry.outstanding = entry.outstanding.saturating_sub(*count);
+        }
+    }
+    outstanding.into_keys().collect()
+}
+
+fn take_team(
+    home: &mut Home,
+    tables: &Tables,
+    instance: InstanceId,
+    line: &TeamLine,
+    is_new: bool,
+) {
+    let Some(router) = home.routers.get_mut(&instance) else { return };
+    let known = router.teams.entry(line.team).or_default();
+    // The first report of an adoption only sets where counting starts; what came before is in the
+    // level that it carries.
+    let more = if is_new { 0 } else { line.served_cost as i64 - known.served_cost as i64 };
+    known.served_cost = line.served_cost;
+    known.waiting_requests = line.waiting_requests;
+    let floor = home.floor;
+    let changed = home.sequence + 1;
+    let entry = home.teams.entry(line.team).or_default();
+    let was_idle = entry.waiting_requests == 0 && entry.remote_waiting.is_empty();
+    let before = entry.waiters.insert(instance, line.waiting_requests).unwrap_or(0);
+    if line.waiting_requests == 0 {
+        entry.waiters.remove(&instance);
+    }
+    entry.waiting_requests = (entry.waiting_requests + line.waiting_requests) - before;
+    if let Some(level) = line.level {
+        if !home.recovered {
+            entry.level = if entry.is_known { entry.level.max(level) } else { level };
+            entry.is_known = true;
+            entry.is_effective = true;
+        }
+        home.anchored = true;
+    }
+    entry.changed = changed;
+    add_service(entry, share_of(&tables.teams, line.team), more);
+    let guards = tables.options.share_guards;
+    // A team that was idle comes in at the lowest level of those that wait, so that it has saved up
+    // no credit; without this a team back from a night's rest would take every slot for hours.
+    if line.waiting_requests != 0 && home.recovered && (was_idle || !entry.is_known) {
+        if guards.lifts_idle {
+            lift(entry, floor);
+        }
+        entry.is_known = true;
+    }
+}
+
+/// `add_service` counts service of this domain.
+fn add_service(team: &mut HomeTeam, share: u32, cost: i64) {
+    team.served_cost += cost;
+    add_level(team, level_of_cost(cost, share));
+}
+
+/// `forget_router` drops an instance that is gone or has begun anew; its service stays counted.
+pub fn forget_router(tables: &Tables, home: &mut Home, instance: InstanceId, estimate: u64) {
+    let mut touched = clear_outstanding(home, instance);
+    let Some(router) = home.routers.remove(&instance) else { return };
+    for (upstream, slot) in &router.slots {
+        let leased = home.leased.entry(*upstream).or_default();
+        *leased = leased.saturating_sub(held(&slot.lease));
+        spills::hand_back(home, *upstream, held(&slot.lease));
+    }
+    for team in router.teams.into_keys() {
+        if let Some(entry) = home.teams.get_mut(&team) {
+            let before = entry.waiters.remove(&instance).unwrap_or(0);
+            entry.waiting_requests -= before;
+        }
+        touched.push(team);
+    }
+    for team in touched {
+        reindex(home, &tables.teams, team, estimate);
+    }
+}
--- a/crates/bergamotpitch-control/src/lib.rs
+++ b/crates/bergamotpitch-control/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod errors;
 pub mod gossips;
 pub mod grants;
+pub mod home_reports;
 pub mod homes;
 pub mod inputs;
 pub mod leases;
--- a/crates/bergamotpitch-control/src/shares.rs
+++ b/crates/bergamotpitch-control/src/shares.rs
@@ -11,7 +11,7 @@
 use crate::outputs::Output;
 use crate::share_messages::ShareReport;
 use crate::tables::{QueueKey, Tables};
-use crate::{accounts, detours, dispatches, domain_reports, grants, spills};
+use crate::{accounts, detours, dispatches, domain_reports, grants, home_reports, spills};
 
 /// `ShareGuards` are the rules that a proof switches off one by one; all are on by default.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -211,7 +211,7 @@
             domain: options.domain,
             address,
         };
-        homes::apply_report(tables, sender, report, None);
+        home_reports::apply_report(tables, sender, report, None);
         return;
     }
     let Some(member) = tables.members.get(&holder) else { return };
