--- a/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/costs.rs
+++ b/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/costs.rs
@@ -11,7 +11,12 @@
     pub step_us: Vec<f64>,
     /// Bytes that it received.
     pub received_bytes: usize,
-    sent_bytes: usize,
+    /// Messages that were too large to be sent.
+    pub unsent_messages: usize,
+    /// Bytes that it sent.
+    pub sent_bytes: usize,
+    /// Bytes of its largest message.
+    pub largest_bytes: usize,
     far_bytes: usize,
     messages: usize,
     kinds: BTreeMap<String, usize>,
@@ -23,6 +28,7 @@
         self.sent_bytes += bytes;
         self.far_bytes += if is_far { bytes } else { 0 };
         self.messages += 1;
+        self.largest_bytes = self.largest_bytes.max(bytes);
         let text = format!("{message:?}");
         let kind = text.split(['(', ' ', '{']).next().unwrap_or_default();
         *self.kinds.entry(kind.to_owned()).or_default() += bytes;
@@ -50,6 +56,9 @@
     pub messages: f64,
     /// Requests that ended each second, for each router.
     pub ended: f64,
+    /// Memory of the mean router at the end, with its tables and its requests but without the sheet,
+    /// in kilobytes.
+    pub tables_kb: f64,
     /// Steps that were measured.
     pub steps: usize,
     /// Bytes sent a second by the mean router, by the kind of message.
@@ -80,6 +89,7 @@
         far_bytes: mean_of(|meter| meter.far_bytes),
         messages: mean_of(|meter| meter.messages),
         ended: ended as f64 / seconds / routers,
+        tables_kb: 0.0,
         steps: times.len(),
         kinds,
     }
--- a/crates/bergamotpitch-proof/src/lib.rs
+++ b/crates/bergamotpitch-proof/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! The same options, seed and calls give the same history.
 
+pub mod capacity_pages;
 pub mod claim_histories;
 pub mod claim_runs;
 pub mod deployments;
