--- a/crates/bergamotpitch-control/src/share_messages.rs
+++ b/crates/bergamotpitch-control/src/share_messages.rs
@@ -59,16 +59,20 @@
     pub service: ServiceId,
     /// Adoption that the numbers belong to.
     pub adoption: u32,
+    /// True when the home does not know this adoption; the instance adopts it anew.
+    pub is_unknown: bool,
     /// Number of the last report that the home has seen.
     pub report_seen: u32,
     /// Slots granted since the adoption, of the upstreams whose number was not yet confirmed.
     pub granted: Vec<GrantLine>,
     /// Lowest level of a team that waits in the domain; none when none waits.
     pub frontier: Option<Level>,
+    /// How far below that a team lags elsewhere, beyond the margin.
+    pub remote_lag: Level,
     /// Idle slots that the instance may keep while nobody waits.
     pub keep_slots: u32,
-    /// Highest levels at which borrowed slots may be used.
-    pub ceilings: Vec<CeilingLine>,
+    /// Domains that want slots back that were borrowed from them.
+    pub recalling: Vec<DomainId>,
     /// Levels, less the service received at the instance and less the frontier, that changed.
     pub levels: Vec<LevelLine>,
 }
@@ -82,15 +86,6 @@
     pub count: u32,
 }
 
-/// `CeilingLine` bounds the use of slots borrowed from one domain.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CeilingLine {
-    /// The domain.
-    pub domain: DomainId,
-    /// The highest level.
-    pub level: Level,
-}
-
 /// `LevelLine` is the level of one team.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LevelLine {
@@ -116,6 +111,8 @@
     pub seen: u32,
     /// Lowest level of a team that waits here; none when none waits.
     pub frontier: Option<Level>,
+    /// Slots of the sender's domain that the receiver may hold in all.
+    pub allowed_slots: u32,
     /// Teams that changed since the last report that the receiver has seen.
     pub teams: Vec<DomainTeamLine>,
     /// Slots lent to the receiver since its epoch, of the upstreams not yet confirmed.
@@ -135,6 +132,8 @@
     pub waiting_requests: u32,
     /// Level less the frontier, in cost units a share; only of a team that waits.
     pub level: i32,
+    /// Part of the level that is repaid bit by bit, in cost units a share.
+    pub debt: u32,
 }
 
 /// Cost units of one unit of [`DomainTeamLine::served`].
--- a/crates/bergamotpitch-control/src/shares.rs
+++ b/crates/bergamotpitch-control/src/shares.rs
@@ -11,7 +11,7 @@
 use crate::outputs::Output;
 use crate::share_messages::ShareReport;
 use crate::tables::{QueueKey, Tables};
-use crate::{dispatches, domain_reports, grants, spills};
+use crate::{accounts, dispatches, domain_reports, grants, spills};
 
 /// Time between two looks at who holds each duty.
 const DUTY_INTERVAL: Duration = Duration::from_millis(50);
@@ -19,11 +19,21 @@
 /// Time for which a started instance listens for others before it holds a duty.
 const LISTENING_TIME: Duration = Duration::from_millis(350);
 
+/// Time between two steps from which on this instance was paused.
+const PAUSE_TIME: Duration = Duration::from_millis(500);
+
 /// Time after which a report that was not seen is sent again.
 const REPEAT_TIME: Duration = Duration::from_millis(300);
 
 /// `run` hands over, reports, grants, and hands over what was granted to this instance itself.
 pub fn run(tables: &mut Tables, outputs: &mut Vec<Output>) {
+    let last = tables.shares_run.replace(tables.now);
+    // An instance that wakes from a pause has heard nobody for a while. It would take itself for
+    // the only one left and grant itself every slot, so it listens first, like a fresh one.
+    if last.is_some_and(|last| last + PAUSE_TIME < tables.now) {
+        tables.started = Some(tables.now);
+        tables.homes.clear();
+    }
     let started = *tables.started.get_or_insert(tables.now);
     // A restarted instance that has heard nobody would take itself for the home and grant every
     // slot a second time.
@@ -44,7 +54,7 @@
     dispatches::run_leased(tables, service, outputs);
     report(tables, service, outputs);
     let Some(mut home) = tables.homes.remove(&service) else { return };
-    recover(tables, &mut home);
+    recover(tables, service, &mut home);
     spills::extrapolate(tables, service, &mut home);
     grants::run(tables, service, &mut home, outputs);
     domain_reports::run(tables, service, &mut home, outputs);
@@ -76,12 +86,13 @@
         };
         let own_incarnation = tables.options.incarnation;
         let known = tables.leases.entry(service).or_default();
-        if known.home != Some(holder) || known.home_incarnation != incarnation {
+        let begins = holder == own && !tables.homes.contains_key(&service);
+        if begins || known.home != Some(holder) || known.home_incarnation != incarnation {
             leases::adopt(known, holder, incarnation, own_incarnation);
         }
         if holder != own {
             tables.homes.remove(&service);
-        } else if !tables.homes.contains_key(&service) {
+        } else if begins {
             let home = begin(tables, service);
             tables.homes.insert(service, home);
         }
@@ -96,7 +107,7 @@
 }
 
 /// A new home hears what each member holds before it grants, so that slots are not granted twice.
-fn recover(tables: &Tables, home: &mut Home) {
+fn recover(tables: &Tables, service: ServiceId, home: &mut Home) {
     if home.recovered {
         return;
     }
@@ -105,7 +116,13 @@
         .iter()
         .filter(|(_, member)| member.domain == tables.options.domain && !member.suspected);
     let all_heard = members.all(|(instance, _)| home.routers.contains_key(instance));
-    home.recovered = all_heard || home.since + homes::RECOVERY_TIME <= tables.now;
+    if all_heard || home.since + homes::RECOVERY_TIME <= tables.now {
+        homes::end_recovery(home);
+        let estimate = accounts::service_estimate(tables, service);
+        for team in home.teams.keys().copied().collect::<Vec<TeamId>>() {
+            homes::reindex(home, &tables.teams, team, estimate);
+        }
+    }
     home.changed = true;
 }
 
