Name only teams that matter to a new home, in slices

Cause: after the home of a service is lost, each instance named every team it had ever served to the next one. At 6,500 teams that report is larger than the largest message and was never sent, so the new home heard of nobody; at 3,250 it was 23 datagrams from each instance at once. Ruled out: a larger largest message (nine services of 46 instances send 20,000 datagrams at one moment, and one lost datagram loses the whole report); naming the resting teams later, in slices (54 reports to say nothing new). Change: at an adoption only teams that wait are named, 200 a report, the longest not named first; a resting team's first line carries where its count starts, so that its past is not added a second time. Conclusion: a takeover costs what waits, not what was ever served.

--- a/crates/bergamotpitch-control/src/homes.rs
+++ b/crates/bergamotpitch-control/src/homes.rs
@@ -229,7 +229,7 @@
         touched.extend(clear_outstanding(home, sender.instance));
     }
     for line in &report.teams {
-        take_team(home, &tables.teams, sender.instance, line, is_new);
+        take_team(home, &tables.teams, sender.instance, line);
         touched.push(line.team);
     }
     for team in touched {
@@ -253,13 +253,16 @@
     teams: &HashMap<TeamId, Team>,
     instance: InstanceId,
     line: &crate::share_messages::TeamLine,
-    is_new: bool,
 ) {
     let Some(router) = home.routers.get_mut(&instance) else { return };
-    let known = router.teams.entry(line.team).or_default();
-    // The first report of an adoption only sets where counting starts; what came before is in the
-    // level that it carries.
-    let more = if is_new { 0 } else { line.served_cost as i64 - known.served_cost as i64 };
+    // Counting starts at the service before the adoption; that is in the level that the first line
+    // of a team that waits carries.
+    let base_cost = line.base_cost.unwrap_or(line.served_cost);
+    let known = router
+        .teams
+        .entry(line.team)
+        .or_insert(RouterTeam { served_cost: base_cost, ..RouterTeam::default() });
+    let more = line.served_cost as i64 - known.served_cost as i64;
     known.served_cost = line.served_cost;
     known.waiting_requests = line.waiting_requests;
     let floor = home.floor;
--- a/crates/bergamotpitch-control/src/leases.rs
+++ b/crates/bergamotpitch-control/src/leases.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bergamotpitch_core::ids::{DomainId, Incarnation, InstanceId, ServiceId, TeamId, UpstreamId};
-use bergamotpitch_core::units::Timestamp;
+use bergamotpitch_core::units::{CostUnits, Timestamp};
 
 use crate::accounts;
 use crate::levels::{Level, level_of_cost, share_of};
@@ -21,6 +21,10 @@
 /// Time for which the level of a team that does not wait here is kept.
 const LEVEL_LIFETIME: Duration = Duration::from_millis(1_500);
 
+/// Teams that one report names; the next report names more. A report so takes three datagrams at the
+/// most, however many teams an instance serves.
+const REPORT_TEAMS: usize = 200;
+
 /// `Leases` are the leases of this instance for one service.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Leases {
@@ -84,6 +88,14 @@
     pub waiting_requests: u32,
     /// Number of the report that first carried the present numbers.
     pub changed: u32,
+    /// Number of the last report that named the team.
+    pub named: u32,
+    /// Number of the report that first named the team in this adoption; 0 when none has.
+    pub first_named: u32,
+    /// Service received here when charges were last looked at, in cost units.
+    pub noted_cost: CostUnits,
+    /// Service received here before this adoption, in cost units; none when none was received since.
+    pub base_cost: Option<CostUnits>,
     /// Times in a row that the oldest request here was passed over for a cached prefix.
     pub passed_over: u32,
 }
@@ -107,8 +119,13 @@
     for lease in leases.slots.values_mut() {
         *lease = SlotLease { base: held(lease), changed: 1, ..SlotLease::default() };
     }
+    // Of teams that rest here there is nothing to say until they come back: an instance that has served
+    // thousands of teams would otherwise have to name them all, in messages too large to be sent.
     for team in leases.teams.values_mut() {
-        team.changed = 1;
+        team.changed = u32::from(team.waiting_requests != 0);
+        team.named = 0;
+        team.first_named = 0;
+        team.base_cost = None;
     }
     leases.changed = true;
     leases.urgent = true;
@@ -225,28 +242,10 @@
             returned: lease.returned,
         })
         .collect();
-    let is_first = seen == 0;
-    let teams = leases
-        .teams
-        .iter()
-        .filter(|(_, team)| seen < team.changed)
-        .map(|(team, entry)| {
-            let key = QueueKey { service, team: *team };
-            TeamLine {
-                team: *team,
-                waiting_requests: entry.waiting_requests,
-                served_cost: tables.accounts.get(&key).copied().unwrap_or(0),
-                level: if is_first && entry.elsewhere.is_some() && entry.waiting_requests != 0 {
-                    Some(level(tables, leases, key))
-                } else {
-                    None
-                },
-            }
-        })
-        .collect();
+    let teams = team_lines(tables, service, leases);
     leases.sent = Some(tables.now);
     leases.urgent = false;
-    leases.changed = false;
+    leases.changed = leases.teams.values().any(|team| leases.sequence < team.changed);
     ShareReport {
         service,
         adoption: leases.adoption,
@@ -256,3 +255,42 @@
         teams,
     }
 }
+
+/// Names teams that changed, the longest not named first.
+fn team_lines(tables: &Tables, service: ServiceId, leases: &mut Leases) -> Vec<TeamLine> {
+    let (seen, sequence) = (leases.seen, leases.sequence);
+    let mut changed: Vec<(u32, TeamId)> = leases
+        .teams
+        .iter()
+        .filter(|(_, team)| seen < team.changed)
+        .map(|(team, entry)| (entry.named, *team))
+        .collect();
+    changed.sort_unstable();
+    let later = changed.split_off(changed.len().min(REPORT_TEAMS));
+    for (_, team) in later {
+        if let Some(entry) = leases.teams.get_mut(&team) {
+            entry.changed = sequence + 1;
+        }
+    }
+    let mut lines = Vec::with_capacity(changed.len());
+    for (_, team) in changed {
+        let key = QueueKey { service, team };
+        let known_level = level(tables, leases, key);
+        let Some(entry) = leases.teams.get_mut(&team) else { continue };
+        entry.named = sequence;
+        if entry.first_named == 0 {
+            entry.first_named = sequence;
+        }
+        let served_cost = tables.accounts.get(&key).copied().unwrap_or(0);
+        let is_first = seen < entry.first_named;
+        let has_level = seen == 0 && entry.elsewhere.is_some() && entry.waiting_requests != 0;
+        lines.push(TeamLine {
+            team,
+            waiting_requests: entry.waiting_requests,
+            served_cost,
+            base_cost: is_first.then_some(entry.base_cost.unwrap_or(served_cost)),
+            level: has_level.then_some(known_level),
+        });
+    }
+    lines
+}
--- a/crates/bergamotpitch-control/src/share_messages.rs
+++ b/crates/bergamotpitch-control/src/share_messages.rs
@@ -48,6 +48,9 @@
     pub waiting_requests: u32,
     /// Service received in this life of the instance, in cost units.
     pub served_cost: CostUnits,
+    /// Service received before the adoption; only until the home has seen the first line of the
+    /// team.
+    pub base_cost: Option<CostUnits>,
     /// Level as the last home told it; only in the first reports to a new home.
     pub level: Option<Level>,
 }
--- a/crates/bergamotpitch-control/src/shares.rs
+++ b/crates/bergamotpitch-control/src/shares.rs
@@ -133,6 +133,8 @@
         let known = tables.leases.entry(key.service).or_default();
         let next = known.sequence + 1;
         let team = known.teams.entry(key.team).or_default();
+        team.base_cost.get_or_insert(team.noted_cost);
+        team.noted_cost = tables.accounts.get(&key).copied().unwrap_or(0);
         team.changed = next;
         known.changed = true;
     }
