Tell a home of service in steps that follow the size of the domain

Cause: every running request has news five times a second, so nearly every team stood in every report; in a domain of 47 that is 142,000 lines a second at the homes. Ruled out: a fixed step of half a request (at 3 instances it would be seen in the gap); telling at the end of a request only (a long answer would run unseen). Change: a team is named when its service has moved by a mean request times the instances of the domain, over 64.

--- a/crates/bergamotpitch-control/src/leases.rs
+++ b/crates/bergamotpitch-control/src/leases.rs
@@ -94,6 +94,8 @@
     pub first_named: u32,
     /// Service received here when charges were last looked at, in cost units.
     pub noted_cost: CostUnits,
+    /// Service received here as last told, in cost units.
+    pub told_cost: CostUnits,
     /// Service received here before this adoption, in cost units; none when none was received since.
     pub base_cost: Option<CostUnits>,
     /// Times in a row that the oldest request here was passed over for a cached prefix.
@@ -282,6 +284,7 @@
             entry.first_named = sequence;
         }
         let served_cost = tables.accounts.get(&key).copied().unwrap_or(0);
+        entry.told_cost = served_cost;
         let is_first = seen < entry.first_named;
         let has_level = seen == 0 && entry.elsewhere.is_some() && entry.waiting_requests != 0;
         lines.push(TeamLine {
--- a/crates/bergamotpitch-control/src/shares.rs
+++ b/crates/bergamotpitch-control/src/shares.rs
@@ -25,6 +25,13 @@
 /// Time after which a report that was not seen is sent again.
 const REPEAT_TIME: Duration = Duration::from_millis(300);
 
+/// An instance of a domain of this many tells the home of a team each time it has received the
+/// service of a mean request; one of a smaller domain tells in proportion more often.
+///
+/// Every running request has news several times a second. Told at each, a domain of 47 would send
+/// its homes 140,000 lines a second, which is more than they have the time to read.
+const TOLD_ROUTERS: u64 = 64;
+
 /// `run` hands over, reports, grants, and hands over what was granted to this instance itself.
 pub fn run(tables: &mut Tables, outputs: &mut Vec<Output>) {
     let last = tables.shares_run.replace(tables.now);
@@ -129,14 +136,21 @@
 /// Only teams that were charged are looked at; a tick costs nothing for the thousands that rest.
 fn note_charges(tables: &mut Tables) {
     let charged = std::mem::take(&mut tables.charged);
+    let members = tables.members.values();
+    let domain = tables.options.domain;
+    let routers = 1 + members.filter(|member| member.domain == domain && !member.suspected).count();
     for key in charged {
+        let estimate = accounts::service_estimate(tables, key.service);
+        let step_cost = estimate * routers as u64 / TOLD_ROUTERS;
         let known = tables.leases.entry(key.service).or_default();
         let next = known.sequence + 1;
         let team = known.teams.entry(key.team).or_default();
         team.base_cost.get_or_insert(team.noted_cost);
         team.noted_cost = tables.accounts.get(&key).copied().unwrap_or(0);
-        team.changed = next;
-        known.changed = true;
+        if step_cost < team.noted_cost.abs_diff(team.told_cost) {
+            team.changed = next;
+            known.changed = true;
+        }
     }
 }
 
