Talk at a pace that follows the domain, and forget instances that are gone

Ruled out: counting live members only for the pace (a moment of silence would shorten the timeout of those who keep to the slow pace); forgetting a domain that is silent as a whole (two domains that were cut off would never meet again). Change: heartbeats, reports, grants and the timeouts that belong to them are slowed from 16 instances of a domain on, five times at the most; a member is forgotten an hour after it was last heard in its own domain, a minute after in another one that still has two live members.

--- a/crates/bergamotpitch-control/src/grants.rs
+++ b/crates/bergamotpitch-control/src/grants.rs
@@ -4,16 +4,15 @@
 
 use bergamotpitch_core::ids::{DomainId, InstanceId, ServiceId, TeamId, UpstreamId};
 
-use crate::accounts;
 use crate::homes::{self, Home, HomeRouter, effective_level, reindex};
 use crate::leases::slack;
 use crate::levels::{LEVEL_SCALE, Level, level_of_cost, share_of};
 use crate::messages::Message;
 use crate::outputs::Output;
 use crate::share_messages::{GrantLine, LevelLine, PassedGrant, ShareGrant};
-use crate::spills;
 use crate::tables::Tables;
 use crate::windows::window;
+use crate::{accounts, paces, spills};
 
 /// Time after which a grant that was not confirmed is sent again, and levels are told anew.
 const REFRESH_TIME: Duration = Duration::from_millis(500);
@@ -72,7 +71,8 @@
         .routers
         .iter()
         .filter(|(instance, router)| {
-            let is_silent = router.heard + tables.options.peer_timeout < tables.now;
+            let is_silent =
+                router.heard + paces::slowed(tables, tables.options.peer_timeout) < tables.now;
             **instance != tables.options.instance
                 && tables.members.get(instance).is_none_or(|member| {
                     member.suspected && is_silent || router.incarnation < member.incarnation
@@ -227,12 +227,13 @@
     let Some(router) = home.routers.get(&instance) else { return };
     let since = router.sent.map(|sent| tables.now.saturating_sub(sent));
     let waited = |time: Duration| since.is_none_or(|since| time <= since);
-    if !waited(tables.options.share_spacing) {
+    if !waited(paces::slowed(tables, tables.options.share_spacing)) {
         return;
     }
     let over = router.over;
     let is_due = router.urgent
-        || waited(tables.options.share_interval) && has_news(tables, service, home, router);
+        || waited(paces::slowed(tables, tables.options.share_interval))
+            && has_news(tables, service, home, router);
     if is_due {
         let grant = build_grant(tables, service, home, instance);
         send_grant(tables, instance, over, grant, outputs);
@@ -245,7 +246,8 @@
         (Some(now), Some(told)) => step < (now - told).abs(),
         (now, told) => now != told,
     };
-    let is_stale = router.sent.is_none_or(|sent| sent + REFRESH_TIME <= tables.now);
+    let is_stale =
+        router.sent.is_none_or(|sent| sent + paces::slowed(tables, REFRESH_TIME) <= tables.now);
     let recalls = home.remotes.values().any(|remote| spills::recalled(tables, remote) != 0);
     moved || is_stale || recalls || router.sent_seen != router.sequence
 }
@@ -308,7 +310,8 @@
     let step = slack(tables, service) / TOLD_PART;
     let base = home.frontier.unwrap_or(0);
     let Some(router) = home.routers.get_mut(&instance) else { return Vec::new() };
-    let is_refresh = router.sent.is_none_or(|sent| sent + REFRESH_TIME <= tables.now);
+    let is_refresh =
+        router.sent.is_none_or(|sent| sent + paces::slowed(tables, REFRESH_TIME) <= tables.now);
     let mut lines = Vec::new();
     for (team, entry) in &mut router.teams {
         if entry.waiting_requests == 0 {
--- a/crates/bergamotpitch-control/src/leases.rs
+++ b/crates/bergamotpitch-control/src/leases.rs
@@ -10,10 +10,10 @@
 use bergamotpitch_core::ids::{DomainId, Incarnation, InstanceId, ServiceId, TeamId, UpstreamId};
 use bergamotpitch_core::units::{CostUnits, Timestamp};
 
-use crate::accounts;
 use crate::levels::{Level, level_of_cost, share_of};
 use crate::share_messages::{ShareGrant, ShareReport, SlotLine, TeamLine};
 use crate::tables::{QueueKey, Tables};
+use crate::{accounts, paces};
 
 /// Silence of the home after which its frontier no longer binds.
 const FRONTIER_LIFETIME: Duration = Duration::from_millis(700);
@@ -215,7 +215,9 @@
     leases: &Leases,
     domain: DomainId,
 ) -> Option<Level> {
-    let is_fresh = leases.heard.is_some_and(|heard| tables.now < heard + FRONTIER_LIFETIME);
+    let interval = tables.options.share_interval;
+    let frontier_lifetime = FRONTIER_LIFETIME + paces::slowed(tables, interval) - interval;
+    let is_fresh = leases.heard.is_some_and(|heard| tables.now < heard + frontier_lifetime);
     if !is_fresh {
         return None;
     }
--- a/crates/bergamotpitch-control/src/lib.rs
+++ b/crates/bergamotpitch-control/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod order_leases;
 pub mod orders;
 pub mod outputs;
+pub mod paces;
 pub mod placements;
 pub mod requests;
 pub mod share_messages;
--- a/crates/bergamotpitch-control/src/members.rs
+++ b/crates/bergamotpitch-control/src/members.rs
@@ -1,14 +1,30 @@
 //! Membership: heartbeats between instances, and who is alive.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use bergamotpitch_core::HashMap;
 use bergamotpitch_core::events::EventKind;
+use bergamotpitch_core::ids::DomainId;
 
 use crate::inputs::Sender;
 use crate::messages::{Heartbeat, Message};
 use crate::outputs::{Event, Output};
 use crate::tables::{Member, Tables};
-use crate::{far_members, sheet_duties, upstreams};
+use crate::{far_members, paces, sheet_duties, upstreams};
+
+/// Time between two looks for members that are gone.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Silence after which a member of the domain is forgotten. A rack whose switch is out comes back
+/// within it, or its instances have been replaced.
+const DOMAIN_MEMORY: Duration = Duration::from_secs(3_600);
+
+/// Silence after which a member of another domain is forgotten, if others of that domain are heard.
+const FAR_MEMORY: Duration = Duration::from_secs(60);
+
+/// Members of another domain that must be heard before a silent one is forgotten.
+const LIVE_WITNESSES: usize = 2;
 
 /// `apply_heartbeat` notes that a peer is alive and takes over what it knows.
 pub fn apply_heartbeat(
@@ -48,7 +64,8 @@
 /// `run` sends heartbeats and suspects silent peers.
 pub fn run(tables: &mut Tables, outputs: &mut Vec<Output>) {
     suspect_silent_members(tables, outputs);
-    let interval = tables.options.heartbeat_interval;
+    forget_gone_members(tables);
+    let interval = paces::slowed(tables, tables.options.heartbeat_interval);
     let is_due = tables.heartbeat_sent.is_none_or(|sent| sent + interval <= tables.now);
     if !is_due {
         return;
@@ -77,9 +94,10 @@
 
 fn suspect_silent_members(tables: &mut Tables, outputs: &mut Vec<Output>) {
     let now = tables.now;
+    let domain_timeout = paces::slowed(tables, tables.options.peer_timeout);
     for (instance, member) in &mut tables.members {
         let timeout = if member.domain == tables.options.domain {
-            tables.options.peer_timeout
+            domain_timeout
         } else {
             far_members::TIMEOUT
         };
@@ -91,6 +109,30 @@
     }
 }
 
+// 1,100 instances are replaced a day. Kept for ever, each would go on to be sent heartbeats, until the
+// instances talk to no one but the dead. A domain that is silent as a whole may only be cut off, and
+// is kept: forgotten on both sides, two domains would never find each other again.
+fn forget_gone_members(tables: &mut Tables) {
+    let now = tables.now;
+    let own = tables.options.domain;
+    let is_due = tables.members_swept.is_none_or(|at| at + SWEEP_INTERVAL <= now);
+    if !is_due {
+        return;
+    }
+    tables.members_swept = Some(now);
+    let mut live: HashMap<DomainId, usize> = HashMap::default();
+    for member in tables.members.values().filter(|member| !member.suspected) {
+        *live.entry(member.domain).or_default() += 1;
+    }
+    tables.members.retain(|_, member| {
+        let kept = if member.domain == own { DOMAIN_MEMORY } else { FAR_MEMORY };
+        let is_cut_off = live.get(&member.domain).copied().unwrap_or(0) < LIVE_WITNESSES;
+        !member.suspected || now < member.heard + kept || is_cut_off && member.domain != own
+    });
+    let members = &tables.members;
+    tables.sheet_duty.offers.retain(|instance, _| members.contains_key(instance));
+}
+
 fn domain_addresses(tables: &Tables) -> Vec<SocketAddr> {
     let mut addresses: Vec<SocketAddr> = tables
         .members
--- a/crates/bergamotpitch-control/src/shares.rs
+++ b/crates/bergamotpitch-control/src/shares.rs
@@ -11,7 +11,7 @@
 use crate::outputs::Output;
 use crate::share_messages::ShareReport;
 use crate::tables::{QueueKey, Tables};
-use crate::{accounts, detours, dispatches, domain_reports, grants, spills};
+use crate::{accounts, detours, dispatches, domain_reports, grants, paces, spills};
 
 /// Time between two looks at who holds each duty.
 const DUTY_INTERVAL: Duration = Duration::from_millis(50);
@@ -83,6 +83,7 @@
         return;
     }
     tables.duties_checked = Some(tables.now);
+    paces::note_instances(tables);
     let own = tables.options.instance;
     for service in tables.index.services.clone() {
         let holder = detours::reached_home(tables, service)
@@ -137,12 +138,9 @@
 /// Only teams that were charged are looked at; a tick costs nothing for the thousands that rest.
 fn note_charges(tables: &mut Tables) {
     let charged = std::mem::take(&mut tables.charged);
-    let members = tables.members.values();
-    let domain = tables.options.domain;
-    let routers = 1 + members.filter(|member| member.domain == domain && !member.suspected).count();
     for key in charged {
         let estimate = accounts::service_estimate(tables, key.service);
-        let step_cost = estimate * routers as u64 / TOLD_ROUTERS;
+        let step_cost = estimate * u64::from(tables.domain_instances) / TOLD_ROUTERS;
         let known = tables.leases.entry(key.service).or_default();
         let next = known.sequence + 1;
         let team = known.teams.entry(key.team).or_default();
@@ -179,9 +177,9 @@
     }
     let waited = |time: Duration| known.sent.is_none_or(|sent| sent + time <= tables.now);
     let is_unseen = known.seen < known.sequence;
-    known.urgent && waited(tables.options.share_spacing)
-        || known.changed && waited(tables.options.share_interval)
-        || (is_unseen || known.sequence == 0) && waited(REPEAT_TIME)
+    known.urgent && waited(paces::slowed(tables, tables.options.share_spacing))
+        || known.changed && waited(paces::slowed(tables, tables.options.share_interval))
+        || (is_unseen || known.sequence == 0) && waited(paces::slowed(tables, REPEAT_TIME))
 }
 
 fn send_report(
--- a/crates/bergamotpitch-control/src/sheet_duties.rs
+++ b/crates/bergamotpitch-control/src/sheet_duties.rs
@@ -15,6 +15,7 @@
 use crate::inputs::Sender;
 use crate::messages::Heartbeat;
 use crate::outputs::Output;
+use crate::paces;
 use crate::tables::Tables;
 
 /// Instances of one failure domain that watch the platform.
@@ -190,13 +191,13 @@
 fn fetch_first_sheet(tables: &mut Tables, outputs: &mut Vec<Output>) {
     let now = tables.now;
     let guarded = tables.options.sheet_guards.settles;
+    let oldest = tables.now.saturating_sub(paces::slowed(tables, tables.options.peer_timeout));
     let duty = &mut tables.sheet_duty;
     let has_settled = !guarded || duty.started.is_some_and(|started| started + SETTLE_TIME <= now);
     let was_asked = duty.fetch_asked.is_some_and(|asked| now < asked + FETCH_INTERVAL);
     if !has_settled || was_asked {
         return;
     }
-    let oldest = now.saturating_sub(tables.options.peer_timeout);
     let newest = duty
         .offers
         .iter()
--- a/crates/bergamotpitch-control/src/tables.rs
+++ b/crates/bergamotpitch-control/src/tables.rs
@@ -117,6 +117,10 @@
     pub health: HealthTable,
     /// Other instances.
     pub members: HashMap<InstanceId, Member>,
+    /// When members that are gone were last looked for.
+    pub members_swept: Option<Timestamp>,
+    /// Instances of the domain, this one included, as last counted.
+    pub domain_instances: u32,
     /// Time of the last heartbeat sent.
     pub heartbeat_sent: Option<Timestamp>,
     /// Heartbeats to other domains.
--- /dev/null
+++ b/crates/bergamotpitch-control/tests/gone_members.rs
@@ -0,0 +1,71 @@
+//! Instances that are gone are forgotten; domains that are only cut off are not.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bergamotpitch_control::inputs::Sender;
+use bergamotpitch_control::messages::Heartbeat;
+use bergamotpitch_control::{Input, Message, Options, Output, Tables, step};
+
+const OWN_DOMAIN: u32 = 1;
+const FAR_DOMAIN: u32 = 2;
+
+/// A thousand instances are replaced in a day. An instance that remembers all of them sends its
+/// heartbeats to the dead: after a day it sends 400 kB a second, and pays for it.
+#[test]
+fn replaced_instances() {
+    let mut tables = tables();
+    let mut now = Duration::ZERO;
+    for day in 0..2 {
+        for number in 0..600 {
+            let name = 10 + day * 1_000 + number;
+            let domain = if number % 2 == 0 { OWN_DOMAIN } else { FAR_DOMAIN };
+            now += Duration::from_secs(144);
+            live_on(&mut tables, now, vec![heard(name, domain)]);
+        }
+    }
+    let live = 6;
+    let replaced_within_memory = 3_600 / 144 / 2 + 2;
+    assert!(tables.members.len() <= live + replaced_within_memory, "{}", tables.members.len());
+}
+
+/// Two regions lose each other for two hours. If each had forgotten the other, they would go on as
+/// two fleets after the link is mended, and a team could get twice its share.
+#[test]
+fn cut_off_domain() {
+    let mut tables = tables();
+    let mut now = Duration::from_secs(1);
+    step(&mut tables, now, vec![heard(50, FAR_DOMAIN + 1), heard(51, FAR_DOMAIN + 1)]);
+    let mut greeted = false;
+    while now < Duration::from_secs(7_200) {
+        now += Duration::from_secs(1);
+        let outputs = live_on(&mut tables, now, Vec::new());
+        greeted = outputs
+            .iter()
+            .any(|output| matches!(output, Output::Send { to, .. } if *to == address(50)))
+            || greeted && now < Duration::from_secs(7_000);
+    }
+    assert!(tables.members.contains_key(&50) && tables.members.contains_key(&51));
+    assert!(greeted, "the lost domain was not greeted at the end");
+}
+
+fn tables() -> Tables {
+    let options = Options { instance: 1, incarnation: 1, domain: OWN_DOMAIN, ..Options::default() };
+    Tables { options, ..Tables::default() }
+}
+
+// Three instances of each of two domains live on; the step that takes them in follows at once.
+fn live_on(tables: &mut Tables, now: Duration, mut inputs: Vec<Input>) -> Vec<Output> {
+    inputs.extend((2..5).map(|number| heard(number, OWN_DOMAIN)));
+    inputs.extend((5..8).map(|number| heard(number, FAR_DOMAIN)));
+    step(tables, now, inputs)
+}
+
+fn heard(number: u32, domain: u32) -> Input {
+    let sender = Sender { instance: number, incarnation: 1, domain, address: address(number) };
+    Input::Received { sender, message: Message::Heartbeat(Heartbeat::default()) }
+}
+
+fn address(number: u32) -> SocketAddr {
+    SocketAddr::from(([10, 0, (number >> 8) as u8, number as u8], 7))
+}
--- a/crates/bergamotpitch-control/tests/takeover_reports.rs
+++ b/crates/bergamotpitch-control/tests/takeover_reports.rs
@@ -59,7 +59,7 @@
             teams: vec![line],
             ..ShareReport::default()
         };
-        homes::apply_report(&mut tables, sender(), report);
+        homes::apply_report(&mut tables, sender(), report, None);
     }
     assert_eq!(tables.homes[&SERVICE].teams[&1].served_cost, 900);
 }
