Bound the calls for load reports and instance lists

Cause: every instance read both instance lists each second and asked every upstream of its domain four times a second: 1,580 of the platform's 2,000 reads at 790 instances, and 188 calls a second for each engine of a domain of 347. Ruled out: asking by the home of a service alone (the holder of the order lease learns the loaded models from the same reports). Change: only the instances that watch the platform read the lists, for what they say of leaving upstreams spreads by heartbeat; an instance asks for 200 reports a second at the most. Figures, counted from the code, no measure run: 68 reads a second for the fleet, 200 calls a second an instance, 27 for an engine. Conclusion: lists and reports no longer grow with the fleet.

--- a/crates/bergamotpitch-router/src/loads.rs
+++ b/crates/bergamotpitch-router/src/loads.rs
@@ -19,6 +19,9 @@
 /// Time between two reports of one upstream.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Reports that an instance asks for each second at the most.
+const POLLS_PER_SECOND: u32 = 200;
+
 /// Time for a report to come.
 const POLL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -34,19 +37,28 @@
 }
 
 async fn poll_all(context: Arc<Context>) {
-    let mut interval = tokio::time::interval(POLL_INTERVAL);
-    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        interval.tick().await;
+        let begun = tokio::time::Instant::now();
         let upstreams = context.snapshot.load().upstreams_of_domain(&context.settings.domain);
+        let pause = poll_pause(upstreams.len());
         futures::stream::iter(upstreams)
             .for_each_concurrent(CONCURRENT_POLLS, |(upstream, address)| {
                 poll(&context, upstream, address)
             })
             .await;
+        tokio::time::sleep_until(begun + pause).await;
     }
 }
 
+/// `poll_pause` is the time between two rounds of asking a number of upstreams.
+///
+/// Each instance asks each upstream of its domain. At a fixed interval, hundreds of upstreams would
+/// take much of a core of every instance, and dozens of instances would keep every upstream busy
+/// answering.
+pub fn poll_pause(upstreams: usize) -> Duration {
+    POLL_INTERVAL.max(Duration::from_secs(upstreams as u64) / POLLS_PER_SECOND)
+}
+
 async fn poll(context: &Context, upstream: UpstreamId, address: SocketAddr) {
     match tokio::time::timeout(POLL_TIMEOUT, read_report(context, address)).await {
         Ok(Some(body)) => {
--- a/crates/bergamotpitch-router/src/platforms.rs
+++ b/crates/bergamotpitch-router/src/platforms.rs
@@ -57,7 +57,13 @@
 }
 
 async fn read_list(context: Arc<Context>, platform: Platform) {
+    let mut watching = context.watching.subscribe();
     loop {
+        // What the list says of upstreams that are leaving spreads by heartbeat. Read by each of some
+        // hundred instances, the two lists would use up the rate of calls that all of them share.
+        if watching.wait_for(|watching| *watching).await.is_err() {
+            return;
+        }
         match list(&platform).await {
             Ok(list) => context.observe(Input::Listed(list)).await,
             Err(error) => log::debug!("the instance list cannot be read: {error}"),
