Spread the homes of services over the instances of a large domain

Ruled out: a penalty on the weight (it would not forbid a pair, only make it rarer); spreading in small domains (of three instances, the loss of one home moves the other too). Change: from three instances a service on, services choose in the order of their ids, each among the instances that no one before has chosen. With the rule off, the test of distinct homes failed.

--- a/crates/bergamotpitch-control/src/homes.rs
+++ b/crates/bergamotpitch-control/src/homes.rs
@@ -19,6 +19,9 @@
 use crate::spills::{self, Remote};
 use crate::tables::{Tables, Team};
 
+/// Instances for each service from which on no instance holds two services.
+const SPREADING_INSTANCES: usize = 3;
+
 /// Time for which a new home listens before it grants, unless all members have reported.
 pub const RECOVERY_TIME: Duration = Duration::from_millis(600);
 
@@ -154,19 +157,36 @@
 }
 
 /// `home_of` is the instance of this domain that holds the duty for a service.
+///
+/// In a domain with many more instances than services no instance holds two: the services choose in
+/// the order of their ids, each the first of its own order that no one before has chosen. Left to
+/// chance, one instance of 47 is the home of four services of nine, and sends four times as much.
+/// With few instances each service has its first, because the loss of one home would else move
+/// others too.
 pub fn home_of(tables: &Tables, service: ServiceId) -> InstanceId {
     let own = tables.options.instance;
-    let others = tables
+    let mut live: Vec<InstanceId> = tables
         .members
         .iter()
         .filter(|(_, member)| member.domain == tables.options.domain)
         .filter(|(_, member)| !member.suspected && !member.draining)
-        .map(|(instance, _)| *instance);
-    let own = (!tables.draining).then_some(own);
-    own.into_iter()
-        .chain(others)
-        .max_by_key(|instance| (weight(*instance, service), *instance))
-        .unwrap_or(tables.options.instance)
+        .map(|(instance, _)| *instance)
+        .collect();
+    if !tables.draining {
+        live.push(own);
+    }
+    let services = &tables.index.services;
+    if services.len() * SPREADING_INSTANCES <= live.len() {
+        for earlier in services.iter().take_while(|earlier| **earlier != service) {
+            let chosen = first_of(&live, *earlier);
+            live.retain(|instance| Some(*instance) != chosen);
+        }
+    }
+    first_of(&live, service).unwrap_or(own)
+}
+
+fn first_of(instances: &[InstanceId], service: ServiceId) -> Option<InstanceId> {
+    instances.iter().copied().max_by_key(|instance| (weight(*instance, service), *instance))
 }
 
 /// `weight` is the rendezvous weight of a pair.
