Merge the proofs of the shares, and keep small domains at each news

Ruled out: easing the test. Change: steps begin above eight instances of a domain; lifetimes of frontiers and levels follow the pace, since refreshes do; a line that carries a level counts from what is in it. Conclusion: small domains are as they were, large ones tell in steps.

--- a/crates/bergamotpitch-control/src/homes.rs
+++ b/crates/bergamotpitch-control/src/homes.rs
@@ -50,8 +50,6 @@
     pub floor: Level,
     /// Homes of the service in other domains.
     pub remotes: BTreeMap<DomainId, Remote>,
-    /// When it was last decided which borrowed slots go back.
-    pub kept_settled: Timestamp,
     /// When levels were last extrapolated.
     pub extrapolated: Timestamp,
     /// Slots of each upstream that are leased to instances of the domain.
@@ -127,6 +125,8 @@
     pub level: Level,
     /// True once the level stands on the scale of the home's other levels.
     pub is_known: bool,
+    /// True while the level is what instances went by under the home before, less any debt.
+    pub is_effective: bool,
     /// Part of the level that is repaid bit by bit.
     pub debt: Level,
     /// Level that remote service has likely added since the last reports.
@@ -240,7 +240,9 @@
         // not know. It cannot count on from them, so it asks to be adopted anew; else the teams that
         // wait there would get nothing but the slots that the instance still holds.
         if report.sequence != 1 {
-            home.unknown.insert(sender.instance, (report.adoption, over));
+            if tables.options.share_guards.refuses_unknown {
+                home.unknown.insert(sender.instance, (report.adoption, over));
+            }
             return;
         }
     }
@@ -268,7 +270,7 @@
         touched.extend(clear_outstanding(home, sender.instance));
     }
     for line in &report.teams {
-        take_team(home, &tables.teams, sender.instance, line);
+        take_team(home, tables, sender.instance, line);
         touched.push(line.team);
     }
     for team in touched {
@@ -289,14 +291,15 @@
 
 fn take_team(
     home: &mut Home,
-    teams: &HashMap<TeamId, Team>,
+    tables: &Tables,
     instance: InstanceId,
     line: &crate::share_messages::TeamLine,
 ) {
     let Some(router) = home.routers.get_mut(&instance) else { return };
-    // Counting starts at the service before the adoption; that is in the level that the first line
-    // of a team that waits carries.
-    let base_cost = line.base_cost.unwrap_or(line.served_cost);
+    // Counting starts at the service before the adoption, or, when the line carries the level with
+    // which a new home begins, at what is in that level.
+    let begins_with_level = line.level.is_some() && !home.recovered;
+    let base_cost = line.base_cost.filter(|_| !begins_with_level).unwrap_or(line.served_cost);
     let known = router
         .teams
         .entry(line.team)
@@ -317,15 +320,19 @@
         if !home.recovered {
             entry.level = if entry.is_known { entry.level.max(level) } else { level };
             entry.is_known = true;
+            entry.is_effective = true;
         }
         home.anchored = true;
     }
     entry.changed = changed;
-    add_service(entry, share_of(teams, line.team), more);
+    add_service(entry, share_of(&tables.teams, line.team), more);
+    let guards = tables.options.share_guards;
     // A team that was idle comes in at the lowest level of those that wait, so that it has saved up
     // no credit; without this a team back from a night's rest would take every slot for hours.
     if line.waiting_requests != 0 && home.recovered && (was_idle || !entry.is_known) {
-        lift(entry, floor);
+        if guards.lifts_idle {
+            lift(entry, floor);
+        }
         entry.is_known = true;
     }
 }
@@ -369,7 +376,10 @@
 /// callers see as an outage. With the limit they wait a moment at most, and repay the rest bit by
 /// bit. One home decides and tells the others, so that homes agree on the order.
 pub fn cap_leads(tables: &Tables, service: ServiceId, home: &mut Home) {
-    if !home.recovered || spills::reference(tables, home) != tables.options.domain {
+    if !tables.options.share_guards.caps_leads
+        || !home.recovered
+        || spills::reference(tables, home) != tables.options.domain
+    {
         return;
     }
     let limit = requests_level(tables, service, tables.options.lead_limit_requests);
--- a/crates/bergamotpitch-control/src/leases.rs
+++ b/crates/bergamotpitch-control/src/leases.rs
@@ -196,7 +196,9 @@
     let floor = leases.frontier.unwrap_or(0);
     let Some(team) = leases.teams.get(&key.team) else { return floor };
     match team.elsewhere {
-        Some(elsewhere) if tables.now < team.told + LEVEL_LIFETIME => elsewhere + own,
+        Some(elsewhere) if tables.now < team.told + paces::slowed(tables, LEVEL_LIFETIME) => {
+            elsewhere + own
+        }
         // The team may have been idle: it comes in at the frontier, with no credit saved up.
         Some(elsewhere) => floor.max(elsewhere + own),
         None => floor,
@@ -215,8 +217,7 @@
     leases: &Leases,
     domain: DomainId,
 ) -> Option<Level> {
-    let interval = tables.options.share_interval;
-    let frontier_lifetime = FRONTIER_LIFETIME + paces::slowed(tables, interval) - interval;
+    let frontier_lifetime = paces::slowed(tables, FRONTIER_LIFETIME);
     let is_fresh = leases.heard.is_some_and(|heard| tables.now < heard + frontier_lifetime);
     if !is_fresh {
         return None;
--- a/crates/bergamotpitch-control/src/shares.rs
+++ b/crates/bergamotpitch-control/src/shares.rs
@@ -13,6 +13,25 @@
 use crate::tables::{QueueKey, Tables};
 use crate::{accounts, detours, dispatches, domain_reports, grants, paces, spills};
 
+/// `ShareGuards` are the rules that a proof switches off one by one; all are on by default.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ShareGuards {
+    /// A team that was idle comes in at the lowest level of those that wait.
+    pub lifts_idle: bool,
+    /// A home tells an instance that it does not know its adoption.
+    pub refuses_unknown: bool,
+    /// A lead beyond a limit becomes debt.
+    pub caps_leads: bool,
+    /// Reports that are not seen go over another instance.
+    pub takes_detours: bool,
+}
+
+impl Default for ShareGuards {
+    fn default() -> Self {
+        Self { lifts_idle: true, refuses_unknown: true, caps_leads: true, takes_detours: true }
+    }
+}
+
 /// Time between two looks at who holds each duty.
 const DUTY_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -25,8 +44,9 @@
 /// Time after which a report that was not seen is sent again.
 const REPEAT_TIME: Duration = Duration::from_millis(300);
 
-/// An instance of a domain of this many tells the home of a team each time it has received the
-/// service of a mean request; one of a smaller domain tells in proportion more often.
+/// An instance of a domain that is larger by this many than one of the full pace tells the home of a
+/// team each time it has received the service of a mean request; one of a smaller domain tells in
+/// proportion more often, and one of a domain of the full pace at each news.
 ///
 /// Every running request has news several times a second. Told at each, a domain of 47 would send
 /// its homes 140,000 lines a second, which is more than they have the time to read.
@@ -140,13 +160,14 @@
     let charged = std::mem::take(&mut tables.charged);
     for key in charged {
         let estimate = accounts::service_estimate(tables, key.service);
-        let step_cost = estimate * u64::from(tables.domain_instances) / TOLD_ROUTERS;
+        let crowd = tables.domain_instances.saturating_sub(paces::FULL_PACE_INSTANCES);
+        let step_cost = estimate * u64::from(crowd) / TOLD_ROUTERS;
         let known = tables.leases.entry(key.service).or_default();
         let next = known.sequence + 1;
         let team = known.teams.entry(key.team).or_default();
         team.base_cost.get_or_insert(team.noted_cost);
         team.noted_cost = tables.accounts.get(&key).copied().unwrap_or(0);
-        if step_cost < team.noted_cost.abs_diff(team.told_cost) {
+        if step_cost <= team.noted_cost.abs_diff(team.told_cost) {
             team.changed = next;
             known.changed = true;
         }
