Let detours and recovery follow the pace, and take measured ends

Cause: at the slow pace of a large domain, reports took detours though the home was only quiet, and a home granted before the members had noticed the loss; and the line through a bent curve gave 11,000 bytes/s where 13,700 were measured. Ruled out: a shorter slowest pace (heartbeats alone are then twice the budget). Change: both times follow the pace; the page takes the cost measured at a size where there is one; the slopes tool can fill a page without measuring.

--- a/crates/bergamotpitch-control/src/detours.rs
+++ b/crates/bergamotpitch-control/src/detours.rs
@@ -5,13 +5,13 @@
 
 use bergamotpitch_core::ids::{InstanceId, ServiceId};
 
-use crate::homes;
 use crate::inputs::Sender;
 use crate::leases::Leases;
 use crate::messages::Message;
 use crate::outputs::Output;
 use crate::share_messages::{PassedGrant, PassedReport, ShareReport};
 use crate::tables::Tables;
+use crate::{homes, paces};
 
 /// Time without an answer from the home after which reports go over another instance.
 const DETOUR_TIME: Duration = Duration::from_millis(700);
@@ -67,7 +67,9 @@
     let known = tables.leases.get(&service)?;
     let holder = known.home?;
     let member = tables.members.get(&holder)?;
-    let is_answered = known.heard.is_some_and(|heard| tables.now < heard + DETOUR_TIME * 2);
+    let is_answered = known
+        .heard
+        .is_some_and(|heard| tables.now < heard + paces::slowed(tables, DETOUR_TIME) * 2);
     let is_same = member.incarnation == known.home_incarnation && !member.draining;
     (member.suspected && is_same && is_answered).then_some(holder)
 }
@@ -83,8 +85,9 @@
         return;
     };
     // Grants that still come say nothing of the reports; only a report that was seen does.
-    let is_answered = known.answered.is_some_and(|at| tables.now < at + DETOUR_TIME);
-    let patience = if is_answered { STRAIGHT_TIME } else { DETOUR_TIME };
+    let detour_time = paces::slowed(tables, DETOUR_TIME);
+    let is_answered = known.answered.is_some_and(|at| tables.now < at + detour_time);
+    let patience = if is_answered { STRAIGHT_TIME } else { detour_time };
     let is_unheard = tables.members.get(&holder).is_none_or(|member| member.suspected);
     let is_good = is_answered && (known.detour.is_none() || is_unheard);
     if tables.now < settled + patience || is_good {
--- a/crates/bergamotpitch-control/src/shares.rs
+++ b/crates/bergamotpitch-control/src/shares.rs
@@ -145,7 +145,7 @@
         .iter()
         .filter(|(_, member)| member.domain == tables.options.domain && !member.suspected);
     let all_heard = members.all(|(instance, _)| home.routers.contains_key(instance));
-    if all_heard || home.since + homes::RECOVERY_TIME <= tables.now {
+    if all_heard || home.since + paces::slowed(tables, homes::RECOVERY_TIME) <= tables.now {
         homes::end_recovery(home);
         let estimate = accounts::service_estimate(tables, service);
         for team in home.teams.keys().copied().collect::<Vec<TeamId>>() {
--- a/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/flags.rs
+++ b/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/flags.rs
@@ -14,6 +14,8 @@
         optional --plot path: PathBuf
         /// Page whose tables are filled from the results.
         optional --page path: PathBuf
+        /// Results to take instead of measuring, for a page whose text has changed.
+        optional --from path: PathBuf
         /// Date that is written into the results.
         optional --date date: String
         /// Measure only this part: sheets, wires, claims, memberships, memories, takeovers or ticks.
--- a/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/main.rs
+++ b/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/main.rs
@@ -13,6 +13,7 @@
 mod wires;
 
 use std::error::Error;
+use std::path::Path;
 use std::time::Duration;
 
 use bergamotpitch_proof::capacity_pages::fill_page;
@@ -28,7 +29,16 @@
 
 fn main() -> std::process::ExitCode {
     let flags = BergamotpitchSlopes::from_env_or_exit();
-    let results = measure(&flags);
+    let results = match &flags.from {
+        Some(path) => match read(path) {
+            Ok(results) => results,
+            Err(error) => {
+                eprintln!("{}: {error}", path.display());
+                return std::process::ExitCode::FAILURE;
+            }
+        },
+        None => measure(&flags),
+    };
     for slope in &results.slopes {
         println!(
             "{:32} {:12.4} + {:10.6} {} per {} (residual {:.1}%)",
@@ -49,6 +59,10 @@
     }
 }
 
+fn read(path: &Path) -> Result<Results, Box<dyn Error>> {
+    Ok(serde_json::from_str(&std::fs::read_to_string(path)?)?)
+}
+
 fn measure(flags: &BergamotpitchSlopes) -> Results {
     let limit = Duration::from_millis(flags.limit_ms.unwrap_or(DEFAULT_LIMIT_MS));
     let wants = |part: &str| flags.only.as_deref().is_none_or(|only| only == part);
--- a/crates/bergamotpitch-proof/src/capacity_pages.rs
+++ b/crates/bergamotpitch-proof/src/capacity_pages.rs
@@ -104,12 +104,18 @@
         text.replace(',', "").parse::<f64>().map_err(|error| format!("{line}: {text}: {error}"))
     };
     let slope = find(results, cells[2], line)?;
-    let value = slope.fit.at(number(cells[3])?) * number(cells[4])?;
+    let value = cost_at(slope, number(cells[3])?) * number(cells[4])?;
     let passed_times = if cells[7] == "-" { None } else { Some(value / number(cells[7])?) };
     let what = format!("{}: {}", cells[0], cells[1]);
     Ok((Need { what, slope: slope.name.clone(), passed_times }, value))
 }
 
+// Where the size itself was measured, that counts: a line through a bent curve lies below its end.
+fn cost_at(slope: &Slope, size: f64) -> f64 {
+    let measured = slope.points.iter().find(|point| point.size == size);
+    measured.map_or(slope.fit.at(size), |point| point.value)
+}
+
 fn fill_slope(line: &str, results: &Results) -> Result<String, String> {
     let cells = cells_of(line, 7)?;
     let slope = find(results, cells[0], line)?;
