--- a/crates/bergamotpitch-router/src/loads.rs
+++ b/crates/bergamotpitch-router/src/loads.rs
@@ -7,6 +7,7 @@
 use bergamotpitch_control::Input;
 use bergamotpitch_control::inputs::LoadReport;
 use bergamotpitch_core::ids::UpstreamId;
+use bergamotpitch_core::settings::Policy;
 use bytes::Bytes;
 use futures::StreamExt;
 use http::Request;
@@ -19,8 +20,8 @@
 /// Time between two reports of one upstream.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Reports that an instance asks for each second at the most.
-const POLLS_PER_SECOND: u32 = 200;
+/// Time that each upstream adds to the time between two reports: 40 polls a second at most.
+const TIME_PER_UPSTREAM: Duration = Duration::from_millis(25);
 
 /// Time for a report to come.
 const POLL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -38,25 +39,36 @@
 
 async fn poll_all(context: Arc<Context>) {
     loop {
-        let begun = tokio::time::Instant::now();
-        let upstreams = context.snapshot.load().upstreams_of_domain(&context.settings.domain);
+        let upstreams = polled_upstreams(&context);
         let pause = poll_pause(upstreams.len());
+        tokio::time::sleep(pause).await;
         futures::stream::iter(upstreams)
             .for_each_concurrent(CONCURRENT_POLLS, |(upstream, address)| {
                 poll(&context, upstream, address)
             })
             .await;
-        tokio::time::sleep_until(begun + pause).await;
     }
 }
 
-/// `poll_pause` is the time between two rounds of asking a number of upstreams.
-///
-/// Each instance asks each upstream of its domain. At a fixed interval, hundreds of upstreams would
-/// take much of a core of every instance, and dozens of instances would keep every upstream busy
-/// answering.
+/// `poll_pause` is the time between two rounds of asking a number of upstreams; it grows with them, so
+/// that asking costs the same.
 pub fn poll_pause(upstreams: usize) -> Duration {
-    POLL_INTERVAL.max(Duration::from_secs(upstreams as u64) / POLLS_PER_SECOND)
+    POLL_INTERVAL.max(TIME_PER_UPSTREAM * upstreams as u32)
+}
+
+/// `polled_upstreams` are the upstreams that this instance asks: those of the services whose home it
+/// is, which alone needs their reports, or all of the domain's when a baseline policy is in force.
+/// Were all asked by every instance, the polls would grow with instances times upstreams.
+fn polled_upstreams(context: &Context) -> Vec<(UpstreamId, SocketAddr)> {
+    let snapshot = context.snapshot.load();
+    let duties = context.duties.load();
+    // Whoever orders models must know which are loaded.
+    let asks_all = context.settings.policy != Policy::Fair || *context.leading.borrow();
+    snapshot
+        .upstreams_of_domain(&context.settings.domain)
+        .filter(|(_, upstream)| asks_all || duties.contains(&upstream.service))
+        .map(|(id, upstream)| (id, upstream.address))
+        .collect()
 }
 
 async fn poll(context: &Context, upstream: UpstreamId, address: SocketAddr) {
