--- a/crates/bergamotpitch-proof/src/lib.rs
+++ b/crates/bergamotpitch-proof/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod capacity_pages;
 mod claim_callers;
+mod claim_ends;
 mod claim_fills;
 pub mod claim_histories;
 mod claim_kv_calls;
--- a/crates/bergamotpitch-router/src/attempts.rs
+++ b/crates/bergamotpitch-router/src/attempts.rs
@@ -87,9 +87,13 @@
     let is_events = is_event_stream(response.headers());
     let (parts, body) = response.into_parts();
     let begun = if is_events { first_event(parts, body).await } else { hold(parts, body).await };
-    if begun.is_ok() {
+    if let Ok(begun) = &begun {
         context.metrics.record_first_byte(context.now() - call.head.arrived);
-        context.hint(Input::FirstByte { request: call.request });
+        // The end of a whole answer is told at once; its beginning would be a further step of the
+        // control thread for nothing.
+        if !matches!(begun, Begun::Whole { .. }) {
+            context.hint(Input::FirstByte { request: call.request });
+        }
     }
     begun
 }
@@ -117,6 +121,7 @@
         .map_err(|error| unrun(error.to_string()))?;
     *request.headers_mut() = call.head.headers.clone();
     name_request(request.headers_mut(), call, last_event);
+    name_team(request.headers_mut(), context, call);
     let response =
         context.client.request(request).await.map_err(|error| failure_of_error(&error))?;
     if headers::is_true(response.headers(), &headers::LEAVING) {
@@ -134,6 +139,15 @@
     }
 }
 
+fn name_team(headers: &mut HeaderMap, context: &Context, call: &Call) {
+    let snapshot = context.snapshot.load();
+    let Some(team) = snapshot.team(call.head.team) else { return };
+    // Names hold any letters; the check of the sheet keeps out what a header cannot carry.
+    if let Ok(name) = HeaderValue::from_bytes(team.name.as_bytes()) {
+        headers.insert(headers::TEAM, name);
+    }
+}
+
 /// `failure_of_error` tells whether a failed exchange proves that nothing was sent.
 ///
 /// It does in two cases. No connection was made. Or the request was given back by the connection's
