--- a/crates/bergamotpitch-control/src/home_reports.rs
+++ b/crates/bergamotpitch-control/src/home_reports.rs
@@ -2,7 +2,7 @@
 
 use bergamotpitch_core::ids::{InstanceId, TeamId};
 
-use crate::homes::{Home, HomeTeam, add_level, lift, reindex};
+use crate::homes::{Home, HomeTeam, RouterTeam, add_level, lift, reindex};
 use crate::inputs::Sender;
 use crate::leases::held;
 use crate::levels::{level_of_cost, share_of};
@@ -83,7 +83,7 @@
         touched.extend(clear_outstanding(home, sender.instance));
     }
     for line in &report.teams {
-        take_team(home, tables, sender.instance, line, is_new);
+        take_team(home, tables, sender.instance, line);
         touched.push(line.team);
     }
     for team in touched {
@@ -102,18 +102,17 @@
     outstanding.into_keys().collect()
 }
 
-fn take_team(
-    home: &mut Home,
-    tables: &Tables,
-    instance: InstanceId,
-    line: &TeamLine,
-    is_new: bool,
-) {
+fn take_team(home: &mut Home, tables: &Tables, instance: InstanceId, line: &TeamLine) {
     let Some(router) = home.routers.get_mut(&instance) else { return };
-    let known = router.teams.entry(line.team).or_default();
-    // The first report of an adoption only sets where counting starts; what came before is in the
-    // level that it carries.
-    let more = if is_new { 0 } else { line.served_cost as i64 - known.served_cost as i64 };
+    // Counting starts at the service before the adoption, or, when the line carries the level with
+    // which a new home begins, at what is in that level.
+    let begins_with_level = line.level.is_some() && !home.recovered;
+    let base_cost = line.base_cost.filter(|_| !begins_with_level).unwrap_or(line.served_cost);
+    let known = router
+        .teams
+        .entry(line.team)
+        .or_insert(RouterTeam { served_cost: base_cost, ..RouterTeam::default() });
+    let more = line.served_cost as i64 - known.served_cost as i64;
     known.served_cost = line.served_cost;
     known.waiting_requests = line.waiting_requests;
     let floor = home.floor;
--- a/crates/bergamotpitch-control/src/lib.rs
+++ b/crates/bergamotpitch-control/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod order_leases;
 pub mod orders;
 pub mod outputs;
+pub mod paces;
 pub mod placements;
 pub mod platforms;
 pub mod requests;
--- a/crates/bergamotpitch-control/src/tables.rs
+++ b/crates/bergamotpitch-control/src/tables.rs
@@ -128,6 +128,8 @@
     pub health: HealthTable,
     /// Other instances.
     pub members: HashMap<InstanceId, Member>,
+    /// Instances of the domain, this one included, as last counted.
+    pub domain_instances: u32,
     /// Time of the last heartbeat sent.
     pub heartbeat_sent: Option<Timestamp>,
     /// What this instance has to tell of others.
