Listen for two seconds before a first sheet, as peers send to few at a time

Change: the first sheet is fetched after two seconds. Conclusion: kept; a restart with the platform out takes a second longer.

--- a/crates/bergamotpitch-control/src/sheet_duties.rs
+++ b/crates/bergamotpitch-control/src/sheet_duties.rs
@@ -20,8 +20,9 @@
 /// Instances of one failure domain that watch the platform.
 pub const WATCHERS: usize = 2;
 
-/// Time for which an instance without a sheet listens to its peers before it fetches one.
-pub const SETTLE_TIME: Duration = Duration::from_secs(1);
+/// Time for which an instance without a sheet listens to its peers before it fetches one. Each peer
+/// sends to a few others at a time, so that it takes a while until all were heard.
+pub const SETTLE_TIME: Duration = Duration::from_secs(2);
 
 /// Gap between two steps after which an instance doubts its sheet.
 pub const SLEEP_LIMIT: Duration = Duration::from_secs(3);
