--- a/crates/bergamotpitch-control/src/members.rs
+++ b/crates/bergamotpitch-control/src/members.rs
@@ -4,10 +4,11 @@
 //! judgement names the version of the instance that it is about; an instance that hears of its own
 //! end raises its version, and the later version wins everywhere.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use bergamotpitch_core::events::EventKind;
-use bergamotpitch_core::ids::InstanceId;
+use bergamotpitch_core::ids::{DomainId, InstanceId};
 use bergamotpitch_core::units::Timestamp;
 
 use crate::inputs::{ListedInstance, Sender};
@@ -235,10 +236,17 @@
 fn forget_members(tables: &mut Tables) {
     let now = tables.now;
     let own = tables.options.domain;
+    let heard = tables.members.values().filter(|member| now < member.heard + UNHEARD_MEMORY);
+    let heard_domains: BTreeSet<DomainId> = heard.map(|member| member.domain).collect();
+    // A domain of which nobody is heard may only be cut off. Forgotten on both sides, two domains
+    // would go on as two fleets after the link is mended, until the platform's list is read again.
     tables.members.retain(|_, member| {
         let memory = if member.suspected { GONE_MEMORY } else { UNHEARD_MEMORY };
-        member.domain == own && !member.suspected || now < member.heard + memory
+        let is_cut_off = member.domain != own && !heard_domains.contains(&member.domain);
+        member.domain == own && !member.suspected || now < member.heard + memory || is_cut_off
     });
+    let members = &tables.members;
+    tables.sheet_duty.offers.retain(|instance, _| members.contains_key(instance));
     let gone = tables.members.values().filter(|member| member.suspected).count();
     if gone <= GONE_LIMIT {
         return;
--- a/crates/bergamotpitch-control/src/shares.rs
+++ b/crates/bergamotpitch-control/src/shares.rs
@@ -11,7 +11,7 @@
 use crate::outputs::Output;
 use crate::share_messages::ShareReport;
 use crate::tables::{QueueKey, Tables};
-use crate::{accounts, detours, dispatches, domain_reports, grants, spills};
+use crate::{accounts, detours, dispatches, domain_reports, grants, home_reports, paces, spills};
 
 /// `ShareGuards` are the rules that a proof switches off one by one; all are on by default.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,6 +44,14 @@
 /// Time after which a report that was not seen is sent again.
 const REPEAT_TIME: Duration = Duration::from_millis(300);
 
+/// An instance of a domain that is larger by this many than one of the full pace tells the home of a
+/// team each time it has received the service of a mean request; one of a smaller domain tells in
+/// proportion more often, and one of a domain of the full pace at each news.
+///
+/// Every running request has news several times a second. Told at each, a domain of 47 would send
+/// its homes 140,000 lines a second, which is more than they have the time to read.
+const TOLD_ROUTERS: u64 = 64;
+
 /// `run` hands over, reports, grants, and hands over what was granted to this instance itself.
 pub fn run(tables: &mut Tables, outputs: &mut Vec<Output>) {
     let last = tables.shares_run.replace(tables.now);
@@ -95,6 +103,7 @@
         return;
     }
     tables.duties_checked = Some(tables.now);
+    paces::note_instances(tables);
     let own = tables.options.instance;
     for service in tables.index.services.clone() {
         let holder = detours::reached_home(tables, service)
@@ -136,8 +145,9 @@
         .iter()
         .filter(|(_, member)| member.domain == tables.options.domain && !member.suspected);
     let all_heard = members.all(|(instance, _)| home.routers.contains_key(instance));
-    if all_heard || home.since + homes::RECOVERY_TIME <= tables.now {
-        homes::end_recovery(home);
+    if all_heard || home.since + paces::slowed(tables, homes::RECOVERY_TIME) <= tables.now {
+        let limit = tables.options.lead_limit_requests;
+        homes::end_recovery(home, grants::requests_level(tables, service, limit));
         let estimate = accounts::service_estimate(tables, service);
         for team in home.teams.keys().copied().collect::<Vec<TeamId>>() {
             homes::reindex(home, &tables.teams, team, estimate);
@@ -146,15 +156,26 @@
     home.changed = true;
 }
 
-/// Only teams that were charged are looked at; a tick costs nothing for the thousands that rest.
+/// Only teams that were charged are looked at; a tick costs nothing for the thousands that rest. A
+/// charge that is small against a request is told with the next larger one: told one by one, the
+/// progress of each running request would be most of the traffic inside a domain.
 fn note_charges(tables: &mut Tables) {
     let charged = std::mem::take(&mut tables.charged);
     for key in charged {
+        let estimate = accounts::service_estimate(tables, key.service);
+        let crowd = tables.domain_instances.saturating_sub(paces::FULL_PACE_INSTANCES);
+        let crowd_step_cost = estimate * u64::from(crowd) / TOLD_ROUTERS;
+        let step_cost = (estimate as f64 * tables.options.report_step_requests) as u64;
+        let step_cost = step_cost.max(crowd_step_cost);
         let known = tables.leases.entry(key.service).or_default();
         let next = known.sequence + 1;
         let team = known.teams.entry(key.team).or_default();
-        team.changed = next;
-        known.changed = true;
+        team.base_cost.get_or_insert(team.noted_cost);
+        team.noted_cost = tables.accounts.get(&key).copied().unwrap_or(0);
+        if step_cost <= team.noted_cost.abs_diff(team.told_cost) {
+            team.changed = next;
+            known.changed = true;
+        }
     }
 }
 
@@ -182,9 +203,9 @@
     }
     let waited = |time: Duration| known.sent.is_none_or(|sent| sent + time <= tables.now);
     let is_unseen = known.seen < known.sequence;
-    known.urgent && waited(tables.options.share_spacing)
-        || known.changed && waited(tables.options.share_interval)
-        || (is_unseen || known.sequence == 0) && waited(REPEAT_TIME)
+    known.urgent && waited(paces::slowed(tables, tables.options.share_spacing))
+        || known.changed && waited(paces::slowed(tables, tables.options.share_interval))
+        || (is_unseen || known.sequence == 0) && waited(paces::slowed(tables, REPEAT_TIME))
 }
 
 fn send_report(
@@ -202,7 +223,7 @@
             domain: options.domain,
             address,
         };
-        homes::apply_report(tables, sender, report, None);
+        home_reports::apply_report(tables, sender, report, None);
         return;
     }
     let Some(member) = tables.members.get(&holder) else { return };
--- a/crates/bergamotpitch-proof/src/lib.rs
+++ b/crates/bergamotpitch-proof/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! The same options, seed and calls give the same history.
 
+pub mod capacity_pages;
 mod claim_callers;
 mod claim_ends;
 mod claim_fills;
--- a/crates/bergamotpitch-router/src/loads.rs
+++ b/crates/bergamotpitch-router/src/loads.rs
@@ -40,8 +40,7 @@
 async fn poll_all(context: Arc<Context>) {
     loop {
         let upstreams = polled_upstreams(&context);
-        // The time between two rounds grows with the upstreams, so that asking costs the same.
-        let pause = POLL_INTERVAL.max(TIME_PER_UPSTREAM * upstreams.len() as u32);
+        let pause = poll_pause(upstreams.len());
         tokio::time::sleep(pause).await;
         futures::stream::iter(upstreams)
             .for_each_concurrent(CONCURRENT_POLLS, |(upstream, address)| {
@@ -51,6 +50,12 @@
     }
 }
 
+/// `poll_pause` is the time between two rounds of asking a number of upstreams; it grows with them, so
+/// that asking costs the same.
+pub fn poll_pause(upstreams: usize) -> Duration {
+    POLL_INTERVAL.max(TIME_PER_UPSTREAM * upstreams as u32)
+}
+
 /// `polled_upstreams` are the upstreams that this instance asks: those of the services whose home it
 /// is, which alone needs their reports, or all of the domain's when a baseline policy is in force.
 /// Were all asked by every instance, the polls would grow with instances times upstreams.
