Keep borrowed slots in use while a home changes

The records show the engines of ANOTHER domain at 28, 14 and 57% for 1.5 s when the killed router came back: a home that has just begun has not heard of the domains whose slots its routers hold, took them to be cut off and had every borrowed slot given back. Ruled out: the lender taking them back (its allowance is no smaller); the listening of the restarted router (routers go on with what they hold); leases of the dead router, which explain the dip at the kill alone. What is left is the time after which a silent instance is taken for gone.

--- a/crates/bergamotpitch-control/src/grants.rs
+++ b/crates/bergamotpitch-control/src/grants.rs
@@ -249,7 +249,7 @@
     };
     let is_stale =
         router.sent.is_none_or(|sent| sent + paces::slowed(tables, REFRESH_TIME) <= tables.now);
-    let recalls = home.remotes.values().any(|remote| spills::recalled(tables, remote) != 0);
+    let recalls = home.remotes.values().any(|remote| spills::recalled(tables, home, remote) != 0);
     moved || is_stale || recalls || router.sent_seen != router.sequence
 }
 
@@ -297,7 +297,7 @@
 fn recalling(tables: &Tables, home: &Home) -> Vec<DomainId> {
     home.remotes
         .iter()
-        .filter(|(_, remote)| spills::recalled(tables, remote) != 0)
+        .filter(|(_, remote)| spills::recalled(tables, home, remote) != 0)
         .map(|(domain, _)| *domain)
         .collect()
 }
--- a/crates/bergamotpitch-control/src/spills.rs
+++ b/crates/bergamotpitch-control/src/spills.rs
@@ -155,9 +155,19 @@
 }
 
 /// `recalled` is how many of the slots borrowed from a domain it wants back.
-pub fn recalled(tables: &Tables, remote: &Remote) -> u32 {
+///
+/// A home that has just begun has not heard of the other domains, and they have not seen what its
+/// routers hold of theirs: what they allow says nothing of it yet. Were it to give the slots back for
+/// that, they would stand idle after each change of a home until they were borrowed again.
+pub fn recalled(tables: &Tables, home: &Home, remote: &Remote) -> u32 {
+    let is_young = tables.now < home.since + CUT_OFF_TIME;
+    if is_young && remote.epoch == 0 {
+        return 0;
+    }
     let allowed = if is_silent(tables, remote) { 0 } else { remote.allowed_here };
-    borrowed(remote).saturating_sub(allowed)
+    let is_counted = |lease: &&SlotLease| !is_young || lease.changed <= remote.seen;
+    let counted: u32 = remote.borrowed.values().filter(is_counted).map(held).sum();
+    counted.saturating_sub(allowed)
 }
 
 /// `borrowed` is how many slots of a domain are held here.
@@ -167,7 +177,7 @@
 
 /// `unused_slot` is a borrowed slot that no instance holds and that may be used.
 pub fn unused_slot(tables: &Tables, home: &Home) -> Option<UpstreamId> {
-    home.remotes.values().filter(|remote| recalled(tables, remote) == 0).find_map(|remote| {
+    home.remotes.values().filter(|remote| recalled(tables, home, remote) == 0).find_map(|remote| {
         let unused = remote.borrowed.iter().find(|(upstream, lease)| {
             home.leased.get(upstream).copied().unwrap_or(0) < held(lease)
         });
