--- a/crates/bergamotpitch-proof/src/lib.rs
+++ b/crates/bergamotpitch-proof/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod deployments;
 pub mod engines;
 pub mod fake_kvs;
+pub mod fleets;
 pub mod histories;
 pub mod links;
 pub mod loops;
--- a/crates/bergamotpitch-proof/src/links.rs
+++ b/crates/bergamotpitch-proof/src/links.rs
@@ -7,7 +7,8 @@
 use bergamotpitch_control::{Input, Message};
 use bergamotpitch_core::ids::id_of_name;
 
-use crate::loops::{Delivery, Fleet, post};
+use crate::fleets::{Delivery, Fleet};
+use crate::loops::post;
 use crate::randoms;
 
 /// Bytes of headers and seal around each datagram, as measured for docs/design/wire.md.
--- a/crates/bergamotpitch-proof/src/observers.rs
+++ b/crates/bergamotpitch-proof/src/observers.rs
@@ -9,9 +9,10 @@
 use bergamotpitch_core::units::CostUnits;
 
 use crate::engines;
+use crate::fleets::{Delivery, Fleet};
 use crate::histories::Sample;
 use crate::links::reaches;
-use crate::loops::{Delivery, Fleet, post};
+use crate::loops::post;
 
 pub(crate) fn count_service(fleet: &mut Fleet, request: RequestId, cost: CostUnits) {
     let Some(pending) = fleet.pending.get_mut(&request) else { return };
