Do not pause an upstream for a caller in a hurry

Cause: an attempt that the caller's deadline cut short counted as a failure of its upstream: 250 ms without new work, doubled with each in a row. Under overload with deadlines a sound engine was paused for its callers. Ruled out: longer deadlines at the engine (the caller must hear at once); counting no such attempt at all (a half-open upstream would take request after request: half_open, unchanged, still asks for upstream_failed). Change: the attempt ends as DeadlinePassed. It counts against the upstream, and the caller hears upstream_failed, only when the upstream has sent nothing here since the hand-over, for 50 ms at least; else the caller hears deadline_passed. "ran" is unknown in both.

--- a/crates/bergamotpitch-control/src/dispatches.rs
+++ b/crates/bergamotpitch-control/src/dispatches.rs
@@ -164,6 +164,7 @@
     let Some(entry) = tables.requests.get_mut(&request) else { return };
     entry.attempts += 1;
     entry.state = RequestState::Running { upstream };
+    entry.handed_over = tables.now;
     let attempt = entry.attempts;
     let arrival = entry.arrival.clone();
     count_waiting(tables, &arrival, false);
--- a/crates/bergamotpitch-control/src/inputs.rs
+++ b/crates/bergamotpitch-control/src/inputs.rs
@@ -105,6 +105,8 @@
     ProvedUnrun,
     /// The attempt failed before any byte of an answer was delivered; it may have run.
     FailedBeforeAnswer,
+    /// The request's deadline passed before the answer began; it may have run.
+    DeadlinePassed,
     /// The answer broke after some of it was delivered.
     AnswerCut,
     /// The upstream answered with something that is not an answer.
--- a/crates/bergamotpitch-control/src/requests.rs
+++ b/crates/bergamotpitch-control/src/requests.rs
@@ -19,6 +19,9 @@
 /// Attempts that one request may have when some were proved not to have run.
 const UNRUN_ATTEMPT_LIMIT: u32 = 5;
 
+/// Shortest silence of an upstream that counts against it when a deadline passes there.
+const SHORTEST_SILENCE: Duration = Duration::from_millis(50);
+
 /// Time after which a refused caller should come back when nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -41,6 +44,7 @@
         arrived: tables.now,
         attempts: 0,
         state: RequestState::Queued,
+        handed_over: tables.now,
         charged_cost: 0,
         ran: Ran::NotRun,
         paused_until: None,
@@ -85,8 +89,17 @@
     outputs.push(Output::Emit(event));
 }
 
+/// `apply_first_byte` notes that the upstream of a running request answers.
+pub fn apply_first_byte(tables: &mut Tables, request: RequestId) {
+    let state = tables.requests.get(&request).map(|entry| entry.state);
+    if let Some(RequestState::Running { upstream }) = state {
+        upstreams::note_answer(tables, upstream);
+    }
+}
+
 /// `apply_progress` trues up the charge of a running request.
 pub fn apply_progress(tables: &mut Tables, request: RequestId, cost: CostUnits) {
+    apply_first_byte(tables, request);
     let Some(entry) = tables.requests.get(&request) else { return };
     // The estimate stays charged until the real cost is above it; the end settles the rest.
     if entry.charged_cost < cost {
@@ -121,6 +134,7 @@
             upstreams::mark_failing(tables, upstream, outputs);
             try_elsewhere(tables, request, outputs);
         }
+        AttemptOutcome::DeadlinePassed => end_late(tables, request, upstream, outputs),
         AttemptOutcome::FailedBeforeAnswer | AttemptOutcome::Garbage => {
             upstreams::mark_failing(tables, upstream, outputs);
             try_again(tables, request, reason_of_outcome(outcome), outputs);
@@ -146,6 +160,28 @@
     outputs.push(Output::Emit(Event::of_kind(kind).with_request(request).with_upstream(upstream)));
 }
 
+/// `end_late` gives up a request whose deadline passed at an upstream.
+///
+/// That is evidence against an upstream that has sent nothing to anyone since, for long enough. One
+/// that answers others is only busy: paused for each caller in a hurry, it would stand idle while
+/// work waits.
+fn end_late(
+    tables: &mut Tables,
+    request: RequestId,
+    upstream: UpstreamId,
+    outputs: &mut Vec<Output>,
+) {
+    let Some(mut entry) = take_out(tables, request) else { return };
+    entry.ran = Ran::Unknown;
+    let was_short = tables.now < entry.handed_over + SHORTEST_SILENCE;
+    if was_short || upstreams::has_answered_since(tables, upstream, entry.handed_over) {
+        give_up(tables, &entry, RefusalReason::DeadlinePassed, outputs);
+        return;
+    }
+    upstreams::mark_failing(tables, upstream, outputs);
+    give_up(tables, &entry, RefusalReason::UpstreamFailed, outputs);
+}
+
 /// `try_elsewhere` queues a request that provably did not run. It costs no retry: the upstream that
 /// turned it away gets nothing more until its pause is over.
 fn try_elsewhere(tables: &mut Tables, request: RequestId, outputs: &mut Vec<Output>) {
--- a/crates/bergamotpitch-control/src/steps.rs
+++ b/crates/bergamotpitch-control/src/steps.rs
@@ -46,7 +46,7 @@
     match input {
         Input::Arrived(arrival) => requests::apply_arrival(tables, arrival, outputs),
         Input::CallerLeft { request } => requests::apply_caller_left(tables, request, outputs),
-        Input::FirstByte { request: _ } => {}
+        Input::FirstByte { request } => requests::apply_first_byte(tables, request),
         Input::Progressed { request, cost } => requests::apply_progress(tables, request, cost),
         Input::AttemptEnded { request, outcome, cost } => {
             requests::apply_attempt_end(tables, request, outcome, cost, outputs);
--- a/crates/bergamotpitch-control/src/tables.rs
+++ b/crates/bergamotpitch-control/src/tables.rs
@@ -245,6 +245,8 @@
     pub ran: Ran,
     /// Where it stands.
     pub state: RequestState,
+    /// When it was last handed over.
+    pub handed_over: Timestamp,
     /// Cost charged to the team so far, in cost units.
     pub charged_cost: CostUnits,
     /// End of the pause before its next attempt, while it is not in its queue.
--- a/crates/bergamotpitch-control/src/upstreams.rs
+++ b/crates/bergamotpitch-control/src/upstreams.rs
@@ -41,6 +41,8 @@
 pub struct HealthTable {
     /// Failures in a row, by upstream.
     pub failures: HashMap<UpstreamId, u32>,
+    /// When an upstream last sent some of an answer to this instance.
+    pub answered: HashMap<UpstreamId, Timestamp>,
     /// Time of the latest evidence that an upstream is leaving.
     pub leaving: BTreeMap<UpstreamId, Timestamp>,
     /// Marks that became known and have not been told to peers.
@@ -130,8 +132,9 @@
         for upstream in leaving(tables) {
             set_leaving(tables, upstream, true, outputs);
         }
-        let HealthTable { failures, .. } = &mut tables.health;
+        let HealthTable { failures, answered, .. } = &mut tables.health;
         failures.retain(|upstream, _| tables.upstreams.contains_key(upstream));
+        answered.retain(|upstream, _| tables.upstreams.contains_key(upstream));
     }
     let now = tables.now;
     let over: Vec<UpstreamId> = tables
@@ -167,8 +170,19 @@
     outputs.push(Output::Emit(Event::of_kind(EventKind::UpstreamFailing).with_upstream(upstream)));
 }
 
+/// `note_answer` notes that an upstream sends some of an answer.
+pub fn note_answer(tables: &mut Tables, upstream: UpstreamId) {
+    tables.health.answered.insert(upstream, tables.now);
+}
+
+/// `has_answered_since` tells whether an upstream has sent any of an answer here since a time.
+pub fn has_answered_since(tables: &Tables, upstream: UpstreamId, since: Timestamp) -> bool {
+    tables.health.answered.get(&upstream).is_some_and(|answered| since < *answered)
+}
+
 /// `mark_sound` notes that an upstream answered.
 pub fn mark_sound(tables: &mut Tables, upstream: UpstreamId, outputs: &mut Vec<Output>) {
+    note_answer(tables, upstream);
     if tables.health.failures.remove(&upstream).is_none() {
         return;
     }
--- a/crates/bergamotpitch-router/src/attempts.rs
+++ b/crates/bergamotpitch-router/src/attempts.rs
@@ -70,7 +70,11 @@
     match tokio::time::timeout(time, begin_untimed(context, call, upstream)).await {
         Ok(begun) => begun,
         // An upstream that accepts and never answers must not hold the caller past its deadline.
-        Err(_) => Err(failed(format!("no answer began within {time:?}"))),
+        Err(_) => Err(Failure {
+            outcome: AttemptOutcome::DeadlinePassed,
+            detail: format!("no answer began within {time:?}"),
+            cost: 0,
+        }),
     }
 }
 
