--- a/crates/bergamotpitch-router/tests/drained_routers.rs
+++ b/crates/bergamotpitch-router/tests/drained_routers.rs
@@ -12,6 +12,7 @@
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
 /// A router is told to stop, as in each rollout, while answers stream and requests wait. The answers
 /// must reach their callers whole, what waits must be served, and what comes later must hear that it
@@ -34,18 +35,7 @@
     let fleet = Fleet::start_with(&upstreams, Options::default()).await;
     let mut running = fleet.chat().await;
     running.body_mut().frame().await.expect("a first frame").expect("it is whole");
-    let url = fleet.url("/bergamot-llm/v1/chat/completions");
-    let mut waiting = Vec::new();
-    while fleet.status().await["queued_requests"] == 0 {
-        waiting.push(tokio::spawn(common::read_chat(url.clone())));
-        let count = waiting.len() + 1;
-        fleet
-            .wait_for("the request is known", |status| {
-                let known = |field: &str| status[field].as_u64().unwrap_or_default() as usize;
-                known("queued_requests") + known("running_requests") == count
-            })
-            .await;
-    }
+    let waiting = fill_slots(&fleet).await;
     let operators = format!("http://{}", fleet.router.operator_address());
     let drain = Request::post(format!("{operators}/drain")).body(Full::default());
     assert_eq!(fleet.send(drain.expect("a request")).await.status(), StatusCode::ACCEPTED);
@@ -82,6 +72,18 @@
     let change = |settings: &mut RouterSettings| settings.drain_limit_ms = 300;
     let fleet = Fleet::start_changed(&upstreams, Options::default(), change).await;
     let running = fleet.chat().await;
+    let mut waiting = fill_slots(&fleet).await;
+    let last = waiting.pop().expect("a caller that waits");
+    let closing = tokio::spawn(fleet.router.close());
+    let refusal = tokio::time::timeout(common::PATIENCE, last).await.expect("it is answered");
+    let refusal = refusal.expect("the caller runs").expect("a whole answer");
+    assert!(refusal.contains(r#""reason":"draining","ran":"not_run""#), "{refusal}");
+    tokio::time::timeout(common::PATIENCE, closing).await.expect("it leaves").expect("in order");
+    drop((running, waiting));
+}
+
+/// Sends requests beside the one that runs until one of them has to wait; it is the last.
+async fn fill_slots(fleet: &Fleet) -> Vec<JoinHandle<Option<String>>> {
     let url = fleet.url("/bergamot-llm/v1/chat/completions");
     let mut waiting = Vec::new();
     while fleet.status().await["queued_requests"] == 0 {
@@ -94,11 +96,5 @@
             })
             .await;
     }
-    let last = waiting.pop().expect("a caller that waits");
-    let closing = tokio::spawn(fleet.router.close());
-    let refusal = tokio::time::timeout(common::PATIENCE, last).await.expect("it is answered");
-    let refusal = refusal.expect("the caller runs").expect("a whole answer");
-    assert!(refusal.contains(r#""reason":"draining","ran":"not_run""#), "{refusal}");
-    tokio::time::timeout(common::PATIENCE, closing).await.expect("it leaves").expect("in order");
-    drop((running, waiting));
+    waiting
 }
