--- a/crates/bergamotpitch-control/src/lib.rs
+++ b/crates/bergamotpitch-control/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod spills;
 pub mod steps;
 pub mod tables;
+pub mod traffic;
 pub mod upstreams;
 pub mod windows;
 
--- /dev/null
+++ b/crates/bergamotpitch-control/src/traffic.rs
@@ -0,0 +1,15 @@
+//! Traffic: where a request may go, whether it is admitted, and to which upstream it is sent.
+//!
+//! Every module here is a table or a decision without I/O and without a clock: the caller hands
+//! over the time as a [`Timestamp`](bergamotpitch_core::units::Timestamp). The arrows point one
+//! way: [`admissions`] reads all the other tables, none of which knows another.
+
+pub mod admissions;
+pub mod catalogs;
+pub mod engine_loads;
+pub mod evidences;
+pub mod facts;
+pub mod prefixes;
+pub mod registries;
+pub mod retry_budgets;
+pub mod team_windows;
--- /dev/null
+++ b/crates/bergamotpitch-control/src/traffic/facts.rs
@@ -0,0 +1,86 @@
+//! Facts: what a request says of itself, in the product's own words.
+
+use std::time::Duration;
+
+/// `PartId` names one part of a prompt; equal parts of two prompts have equal ids.
+pub type PartId = u64;
+
+/// `PromptPart` is one part of a prompt, in the order in which an engine reads them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Name of the part.
+    pub id: PartId,
+    /// Its length, in tokens.
+    pub tokens: u32,
+}
+
+/// `RequestFacts` are what a request's headers say.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RequestFacts {
+    /// Id of this attempt of the caller, as text; an upstream's answer must echo it.
+    pub attempt_id: String,
+    /// How long the caller waits from now on; `None` when it does not say.
+    pub time_budget: Option<Duration>,
+    /// Length of the whole prompt, in tokens; 0 for a plain call.
+    pub prompt_tokens: u64,
+    /// Most tokens that may be generated; 0 for a plain call.
+    pub output_tokens_max: u64,
+    /// The caller's estimate of the tokens that will be generated.
+    pub output_tokens_hint: Option<u64>,
+    /// Parts of the prompt, the shared ones first.
+    pub prefix: Vec<PromptPart>,
+    /// Id of the last event that the caller holds of a broken stream.
+    pub resume_after: Option<String>,
+}
+
+impl RequestFacts {
+    /// `is_generation` tells whether an engine reads a prompt for this request.
+    ///
+    /// ```
+    /// use bergamotpitch_control::traffic::facts::RequestFacts;
+    ///
+    /// assert!(!RequestFacts::default().is_generation());
+    /// assert!(RequestFacts { prompt_tokens: 7, ..Default::default() }.is_generation());
+    /// ```
+    pub fn is_generation(&self) -> bool {
+        0 < self.prompt_tokens
+    }
+
+    /// `output_tokens` returns how many tokens the answer is expected to have.
+    ///
+    /// ```
+    /// use bergamotpitch_control::traffic::facts::RequestFacts;
+    ///
+    /// let facts = RequestFacts {
+    ///     output_tokens_max: 80,
+    ///     output_tokens_hint: Some(300),
+    ///     ..Default::default()
+    /// };
+    /// assert_eq!(facts.output_tokens(), 80);
+    /// ```
+    pub fn output_tokens(&self) -> u64 {
+        match self.output_tokens_hint {
+            Some(hint) => hint.min(self.output_tokens_max),
+            // Without a hint, answers are on average about half of their bound.
+            None => self.output_tokens_max / 2,
+        }
+    }
+
+    /// `pool_tokens` returns the cost of the request in tokens of the pool: a token that is read
+    /// counts one, a generated one [`GENERATED_TOKEN_COST`].
+    ///
+    /// ```
+    /// use bergamotpitch_control::traffic::facts::RequestFacts;
+    ///
+    /// let facts =
+    ///     RequestFacts { prompt_tokens: 100, output_tokens_max: 40, ..Default::default() };
+    /// assert_eq!(facts.pool_tokens(), 140);
+    /// ```
+    pub fn pool_tokens(&self) -> u64 {
+        self.prompt_tokens + GENERATED_TOKEN_COST * self.output_tokens()
+    }
+}
+
+/// `GENERATED_TOKEN_COST` is what a generated token takes of the pool, in tokens that are read;
+/// operators state the pool's rate with this weight.
+pub const GENERATED_TOKEN_COST: u64 = 2;
--- /dev/null
+++ b/crates/bergamotpitch-control/src/traffic/registries.rs
@@ -0,0 +1,250 @@
+//! Registries: which upstreams there are, and which of them take new work.
+//!
+//! The registry learns of an upstream from the platform's list, from its own answers and from
+//! peers. The first source that says "leaving" wins; only a new incarnation comes back.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bergamotpitch_core::HashMap;
+use bergamotpitch_core::units::Timestamp;
+
+/// `UpstreamKey` is a number for one incarnation of an upstream within this process. It is never
+/// used again, so that late news of an earlier incarnation cannot touch the next.
+pub type UpstreamKey = u32;
+
+/// `Registration` is what the platform's list says of one upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Registration {
+    /// Its id, which it checks on each request.
+    pub id: String,
+    /// Start of its process, by its own clock: another value is another incarnation.
+    pub born_ms: Option<u64>,
+    /// Service that it belongs to.
+    pub service: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Failure domain that it stands in.
+    pub domain: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it announced that it leaves.
+    pub is_leaving: bool,
+    /// How much longer it is slow after its start.
+    pub cold_left: Duration,
+}
+
+/// `Upstream` is one incarnation of a registered upstream.
+#[derive(Debug, Clone)]
+pub struct Upstream {
+    /// Its number in this process.
+    pub key: UpstreamKey,
+    /// What the list says.
+    pub registration: Registration,
+    /// Why it gets no new work; `None` while it takes some.
+    pub leaving: Option<LeavingSource>,
+    /// Set while its entry is missing from a list that may have lapsed in an outage.
+    lapsed: Option<Timestamp>,
+}
+
+impl Upstream {
+    /// `takes_work` tells whether a request may be sent there.
+    pub fn takes_work(&self) -> bool {
+        self.leaving.is_none()
+    }
+}
+
+/// `LeavingSource` tells who said first that an upstream leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum LeavingSource {
+    /// The platform's list.
+    List,
+    /// An answer of the upstream itself.
+    Answer,
+    /// Another instance.
+    Peer,
+}
+
+/// `Change` is what a step made of the table.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// A new incarnation takes work.
+    Joined(UpstreamKey),
+    /// It gets nothing new.
+    Left(UpstreamKey, LeavingSource),
+    /// It is forgotten: nothing of it is kept.
+    Gone(UpstreamKey),
+}
+
+/// `LAPSE_GRACE` is the time after the end of an outage for which a vanished entry is kept: live
+/// upstreams are listed again within about two seconds.
+pub const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
+
+/// `Registry` is the table of upstreams.
+#[derive(Debug, Default)]
+pub struct Registry {
+    upstreams: HashMap<UpstreamKey, Upstream>,
+    key_of_id: HashMap<String, UpstreamKey>,
+    of_service: HashMap<String, Vec<UpstreamKey>>,
+    last_key: UpstreamKey,
+    outage: Outage,
+}
+
+#[derive(Debug, Default, Clone, Copy, PartialEq)]
+enum Outage {
+    #[default]
+    None,
+    Lasting,
+    EndedAt(Timestamp),
+}
+
+impl Registry {
+    /// `get` returns an upstream by its number.
+    pub fn get(&self, key: UpstreamKey) -> Option<&Upstream> {
+        self.upstreams.get(&key)
+    }
+
+    /// `key_of` returns the number of an id's present incarnation.
+    pub fn key_of(&self, id: &str) -> Option<UpstreamKey> {
+        self.key_of_id.get(id).copied()
+    }
+
+    /// `of_service` returns the upstreams of a service, also those that leave.
+    pub fn of_service(&self, service: &str) -> &[UpstreamKey] {
+        self.of_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// `all` returns every upstream, in no order.
+    pub fn all(&self) -> impl Iterator<Item = &Upstream> {
+        self.upstreams.values()
+    }
+
+    /// `list_lost` notes that the platform's list is out of reach.
+    pub fn list_lost(&mut self) {
+        self.outage = Outage::Lasting;
+    }
+
+    /// `list_back` notes that the list is read again.
+    pub fn list_back(&mut self, now: Timestamp) {
+        if self.outage == Outage::Lasting {
+            self.outage = Outage::EndedAt(now);
+        }
+    }
+
+    /// `listed` takes in one entry of the list.
+    pub fn listed(&mut self, registration: Registration) -> Vec<Change> {
+        let mut changes = Vec::new();
+        let known = self.key_of(&registration.id).and_then(|key| self.upstreams.get_mut(&key));
+        if let Some(known) = known {
+            // A write of an earlier life may arrive late; it says nothing on the present one.
+            if registration.born_ms < known.registration.born_ms {
+                return changes;
+            }
+            if is_same_life(&known.registration, &registration) {
+                known.lapsed = None;
+                known.registration = registration;
+                if known.registration.is_leaving && known.leaving.is_none() {
+                    known.leaving = Some(LeavingSource::List);
+                    changes.push(Change::Left(known.key, LeavingSource::List));
+                }
+                return changes;
+            }
+            let key = known.key;
+            self.forget(key, &mut changes);
+        }
+        let is_leaving = registration.is_leaving;
+        let key = self.add(registration);
+        if is_leaving {
+            changes.push(Change::Left(key, LeavingSource::List));
+        } else {
+            changes.push(Change::Joined(key));
+        }
+        changes
+    }
+
+    /// `unlisted` takes in that the list no longer holds an id.
+    ///
+    /// An entry that vanishes while the list is out of reach, or shortly after, may only have
+    /// lapsed; dropping a sound upstream then would leave its capacity idle.
+    pub fn unlisted(&mut self, id: &str, now: Timestamp) -> Vec<Change> {
+        let mut changes = Vec::new();
+        let Some(key) = self.key_of(id) else { return changes };
+        let may_have_lapsed = match self.outage {
+            Outage::None => false,
+            Outage::Lasting => true,
+            Outage::EndedAt(end) => now < end + LAPSE_GRACE,
+        };
+        let Some(upstream) = self.upstreams.get_mut(&key) else { return changes };
+        if may_have_lapsed && upstream.leaving.is_none() {
+            upstream.lapsed.get_or_insert(now);
+            return changes;
+        }
+        self.forget(key, &mut changes);
+        changes
+    }
+
+    /// `list_replaced` takes in that the list was read in full and holds only `ids`.
+    pub fn list_replaced(&mut self, ids: &[&str], now: Timestamp) -> Vec<Change> {
+        let missing: Vec<String> =
+            self.key_of_id.keys().filter(|id| !ids.contains(&id.as_str())).cloned().collect();
+        missing.iter().flat_map(|id| self.unlisted(id, now)).collect()
+    }
+
+    /// `step` forgets entries that are still missing when the grace after an outage is over.
+    pub fn step(&mut self, now: Timestamp) -> Vec<Change> {
+        let mut changes = Vec::new();
+        let Outage::EndedAt(end) = self.outage else { return changes };
+        if now < end + LAPSE_GRACE {
+            return changes;
+        }
+        self.outage = Outage::None;
+        let lapsed: Vec<UpstreamKey> = self
+            .upstreams
+            .values()
+            .filter(|upstream| upstream.lapsed.is_some())
+            .map(|upstream| upstream.key)
+            .collect();
+        for key in lapsed {
+            self.forget(key, &mut changes);
+        }
+        changes
+    }
+
+    /// `left` takes in from another source than the list that an upstream leaves.
+    pub fn left(&mut self, key: UpstreamKey, source: LeavingSource) -> Option<Change> {
+        let upstream = self.upstreams.get_mut(&key)?;
+        if upstream.leaving.is_some() {
+            return None;
+        }
+        upstream.leaving = Some(source);
+        Some(Change::Left(key, source))
+    }
+
+    fn add(&mut self, registration: Registration) -> UpstreamKey {
+        self.last_key += 1;
+        let key = self.last_key;
+        self.key_of_id.insert(registration.id.clone(), key);
+        self.of_service.entry(registration.service.clone()).or_default().push(key);
+        let leaving = registration.is_leaving.then_some(LeavingSource::List);
+        self.upstreams.insert(key, Upstream { key, registration, leaving, lapsed: None });
+        key
+    }
+
+    fn forget(&mut self, key: UpstreamKey, changes: &mut Vec<Change>) {
+        let Some(upstream) = self.upstreams.remove(&key) else { return };
+        self.key_of_id.remove(&upstream.registration.id);
+        if let Some(keys) = self.of_service.get_mut(&upstream.registration.service) {
+            keys.retain(|other| *other != key);
+        }
+        changes.push(Change::Gone(key));
+    }
+}
+
+fn is_same_life(known: &Registration, listed: &Registration) -> bool {
+    let is_same_start = match (known.born_ms, listed.born_ms) {
+        (Some(known), Some(listed)) => known == listed,
+        _ => true,
+    };
+    is_same_start && known.address == listed.address && known.service == listed.service
+}
--- /dev/null
+++ b/crates/bergamotpitch-control/src/traffic/retry_budgets.rs
@@ -0,0 +1,79 @@
+//! Retry budgets: how many requests one instance may send to a second upstream.
+//!
+//! Load pattern: an upstream or a whole service fails, and each request that is sent again adds
+//! load where there is too little capacity. The fleet's budget is a part of the requests in a
+//! sliding window plus a fixed number. Each instance takes its part of the ratio from what it
+//! received itself and an even part of the fixed number, so that the sum stays below the budget
+//! without any talk between instances.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use bergamotpitch_core::units::Timestamp;
+
+/// `Options` of a budget.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Options {
+    /// Repeats allowed for each request.
+    pub ratio: f64,
+    /// Repeats allowed besides, over the whole fleet.
+    pub fixed: f64,
+    /// Length of the sliding window.
+    pub window: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        // One repeat for ten requests is the usual default of retry budgets.
+        Self { ratio: 0.1, fixed: 10.0, window: Duration::from_secs(10) }
+    }
+}
+
+/// `SAFETY` is the part of the budget that is used; the rest covers instances that joined and are
+/// not yet counted, and windows that are cut differently.
+const SAFETY: f64 = 0.6;
+
+/// `RetryBudget` counts one service's requests and repeats at this instance.
+#[derive(Debug, Default)]
+pub struct RetryBudget {
+    requests: VecDeque<Timestamp>,
+    repeats: VecDeque<Timestamp>,
+}
+
+impl RetryBudget {
+    /// `note_request` counts a request of a caller.
+    pub fn note_request(&mut self, now: Timestamp, options: &Options) {
+        drop_before(&mut self.requests, now, options.window);
+        self.requests.push_back(now);
+    }
+
+    /// `take` tells whether one more repeat fits, and counts it if so.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bergamotpitch_control::traffic::retry_budgets::{Options, RetryBudget};
+    ///
+    /// let options = Options { ratio: 0.0, fixed: 2.0, ..Options::default() };
+    /// let mut budget = RetryBudget::default();
+    /// assert!(budget.take(Duration::ZERO, 1, &options));
+    /// assert!(!budget.take(Duration::ZERO, 1, &options));
+    /// ```
+    pub fn take(&mut self, now: Timestamp, instances: usize, options: &Options) -> bool {
+        drop_before(&mut self.requests, now, options.window);
+        drop_before(&mut self.repeats, now, options.window);
+        let requests = self.requests.len() as f64;
+        let allowed = options.ratio * requests + options.fixed / instances.max(1) as f64;
+        if SAFETY * allowed < self.repeats.len() as f64 + 1.0 {
+            return false;
+        }
+        self.repeats.push_back(now);
+        true
+    }
+}
+
+fn drop_before(times: &mut VecDeque<Timestamp>, now: Timestamp, window: Duration) {
+    while times.front().is_some_and(|time| *time + window <= now) {
+        times.pop_front();
+    }
+}
--- /dev/null
+++ b/crates/bergamotpitch-control/src/traffic/team_windows.rs
@@ -0,0 +1,226 @@
+//! Team windows: what each team asked for and began lately over the whole fleet, and the level up
+//! to which all teams are served alike.
+//!
+//! Load pattern: teams ask for about twice what the engines give, and one of them floods. A team
+//! that asks for less than the level is served in full; all others are served up to the level
+//! (max-min fairness), and beyond it only with capacity that would stand idle. Each instance
+//! counts what it saw itself and adds the peers' sums, a fraction of a second old. A peer that
+//! falls silent is left out after [`Options::peer_timeout`], so that what is left of the fleet
+//! divides the whole pool.
+
+use std::time::Duration;
+
+use bergamotpitch_core::HashMap;
+use bergamotpitch_core::ids::{InstanceId, TeamId};
+use bergamotpitch_core::units::Timestamp;
+
+/// `Options` of the windows.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Options {
+    /// Length of the window over which shares are even.
+    pub window: Duration,
+    /// Age at which a peer's sums no longer count.
+    pub peer_timeout: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        // Four seconds are short for a person who waits and long against a request of the largest
+        // kind; the timeout is several of the peers' sending intervals.
+        Self { window: Duration::from_secs(4), peer_timeout: Duration::from_millis(1_500) }
+    }
+}
+
+/// `BUCKETS` is the number of parts into which a window is cut: what leaves the window leaves it
+/// in steps of an eighth.
+const BUCKETS: usize = 8;
+
+/// `LEVEL_INTERVAL` is the least time between two computations of the level, as it takes some
+/// microseconds for each team and peers' sums are older than this anyway.
+const LEVEL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// `TeamSums` are one instance's sums for a team over the window, in tokens of the pool.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TeamSums {
+    /// What its callers asked for.
+    pub asked_tokens: u64,
+    /// What was sent to engines.
+    pub begun_tokens: u64,
+}
+
+/// `TeamWindows` is the table of all teams.
+#[derive(Debug)]
+pub struct TeamWindows {
+    options: Options,
+    own: HashMap<TeamId, Ring>,
+    peers: HashMap<InstanceId, PeerSums>,
+    level: Option<Level>,
+}
+
+#[derive(Debug, Default)]
+struct Ring {
+    buckets: [TeamSums; BUCKETS],
+    newest: u64,
+}
+
+#[derive(Debug)]
+struct PeerSums {
+    heard: Timestamp,
+    teams: HashMap<TeamId, TeamSums>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Level {
+    computed: Timestamp,
+    pool_tokens_per_s: Option<u64>,
+    tokens: f64,
+}
+
+impl TeamWindows {
+    /// `new` returns an empty table.
+    pub fn new(options: Options) -> Self {
+        Self { options, own: HashMap::default(), peers: HashMap::default(), level: None }
+    }
+
+    /// `note_asked` counts a request of a caller.
+    pub fn note_asked(&mut self, team: TeamId, tokens: u64, now: Timestamp) {
+        let bucket = self.bucket(now);
+        self.own.entry(team).or_default().at(bucket).asked_tokens += tokens;
+    }
+
+    /// `note_begun` counts a request that is sent to an engine.
+    pub fn note_begun(&mut self, team: TeamId, tokens: u64, now: Timestamp) {
+        let bucket = self.bucket(now);
+        self.own.entry(team).or_default().at(bucket).begun_tokens += tokens;
+    }
+
+    /// `own_sums` returns this instance's sums, as peers are told.
+    pub fn own_sums(&mut self, now: Timestamp) -> Vec<(TeamId, TeamSums)> {
+        let bucket = self.bucket(now);
+        let sums = self.own.iter_mut().map(|(team, ring)| (*team, ring.sum(bucket)));
+        sums.filter(|(_, sums)| *sums != TeamSums::default()).collect()
+    }
+
+    /// `peer_heard` takes in a peer's sums.
+    pub fn peer_heard(
+        &mut self,
+        peer: InstanceId,
+        teams: impl IntoIterator<Item = (TeamId, TeamSums)>,
+        now: Timestamp,
+    ) {
+        self.peers.insert(peer, PeerSums { heard: now, teams: teams.into_iter().collect() });
+    }
+
+    /// `level` returns the tokens of one window up to which every team is served; infinite when
+    /// operators state no rate of the pool.
+    pub fn level(&mut self, pool_tokens_per_s: Option<u64>, now: Timestamp) -> f64 {
+        if let Some(level) = self.level
+            && level.pool_tokens_per_s == pool_tokens_per_s
+            && now < level.computed + LEVEL_INTERVAL
+        {
+            return level.tokens;
+        }
+        let tokens = match pool_tokens_per_s {
+            None => f64::INFINITY,
+            Some(rate) => {
+                let asked = self.fleet_sums(now).into_values().map(|sums| sums.asked_tokens as f64);
+                max_min_level(asked.collect(), rate as f64 * self.options.window.as_secs_f64())
+            }
+        };
+        self.level = Some(Level { computed: now, pool_tokens_per_s, tokens });
+        tokens
+    }
+
+    /// `is_within_share` tells whether a request of `tokens` fits into the team's even share. A
+    /// request larger than the whole share fits when the team had nothing else in the window.
+    pub fn is_within_share(
+        &mut self,
+        team: TeamId,
+        tokens: u64,
+        pool_tokens_per_s: Option<u64>,
+        now: Timestamp,
+    ) -> bool {
+        let level = self.level(pool_tokens_per_s, now);
+        let begun = self.fleet_begun(team, now) as f64;
+        begun == 0.0 || begun + tokens as f64 / 2.0 <= level
+    }
+
+    fn fleet_begun(&mut self, team: TeamId, now: Timestamp) -> u64 {
+        let bucket = self.bucket(now);
+        let own = self.own.get_mut(&team).map_or(0, |ring| ring.sum(bucket).begun_tokens);
+        let timeout = self.options.peer_timeout;
+        let peers = self.peers.values().filter(|peer| now < peer.heard + timeout);
+        own + peers
+            .filter_map(|peer| peer.teams.get(&team))
+            .map(|sums| sums.begun_tokens)
+            .sum::<u64>()
+    }
+
+    fn fleet_sums(&mut self, now: Timestamp) -> HashMap<TeamId, TeamSums> {
+        let timeout = self.options.peer_timeout;
+        self.peers.retain(|_, peer| now < peer.heard + timeout);
+        let mut fleet: HashMap<TeamId, TeamSums> = self.own_sums(now).into_iter().collect();
+        for peer in self.peers.values() {
+            for (team, sums) in &peer.teams {
+                let total = fleet.entry(*team).or_default();
+                total.asked_tokens += sums.asked_tokens;
+                total.begun_tokens += sums.begun_tokens;
+            }
+        }
+        fleet
+    }
+
+    fn bucket(&self, now: Timestamp) -> u64 {
+        let bucket_ms = (self.options.window.as_millis() / BUCKETS as u128).max(1);
+        u64::try_from(now.as_millis() / bucket_ms).unwrap_or(u64::MAX)
+    }
+}
+
+impl Ring {
+    fn at(&mut self, bucket: u64) -> &mut TeamSums {
+        self.advance(bucket);
+        &mut self.buckets[(bucket % BUCKETS as u64) as usize]
+    }
+
+    fn sum(&mut self, bucket: u64) -> TeamSums {
+        self.advance(bucket);
+        self.buckets.iter().fold(TeamSums::default(), |total, sums| TeamSums {
+            asked_tokens: total.asked_tokens + sums.asked_tokens,
+            begun_tokens: total.begun_tokens + sums.begun_tokens,
+        })
+    }
+
+    fn advance(&mut self, bucket: u64) {
+        if bucket <= self.newest {
+            return;
+        }
+        let steps = (bucket - self.newest).min(BUCKETS as u64);
+        for step in 0..steps {
+            self.buckets[((bucket - step) % BUCKETS as u64) as usize] = TeamSums::default();
+        }
+        self.newest = bucket;
+    }
+}
+
+/// `max_min_level` returns the level at which the demands, each cut at the level, add up to
+/// `capacity`; infinite when all of them fit.
+///
+/// ```
+/// use bergamotpitch_control::traffic::team_windows::max_min_level;
+///
+/// assert_eq!(max_min_level(vec![10.0, 100.0, 100.0], 110.0), 50.0);
+/// assert_eq!(max_min_level(vec![10.0], 110.0), f64::INFINITY);
+/// ```
+pub fn max_min_level(mut demands: Vec<f64>, capacity: f64) -> f64 {
+    demands.sort_by(f64::total_cmp);
+    let mut left = capacity;
+    let count = demands.len();
+    for (index, demand) in demands.iter().enumerate() {
+        let even = left / (count - index) as f64;
+        if even < *demand {
+            return even;
+        }
+        left -= demand;
+    }
+    f64::INFINITY
+}
--- a/crates/bergamotpitch-core/src/events.rs
+++ b/crates/bergamotpitch-core/src/events.rs
@@ -30,6 +30,8 @@
     ProcessStopped = 2,
     /// A drain began.
     DrainBegan = 3,
+    /// The settings were read again.
+    SettingsReloaded = 4,
     /// A request arrived.
     RequestArrived = 100,
     /// A request was handed over to an upstream.
@@ -52,6 +54,8 @@
     SheetPassedOver = 201,
     /// The platform accepted a sheet that an operator applied.
     SheetAccepted = 202,
+    /// An entry of the platform's store cannot be understood and is ignored.
+    EntryIgnored = 203,
     /// A peer was heard for the first time, or with a new incarnation.
     PeerJoined = 300,
     /// A peer has been silent for longer than the timeout.
@@ -64,6 +68,10 @@
     UpstreamFailing = 401,
     /// An upstream is back.
     UpstreamBack = 402,
+    /// An upstream is listed and takes work.
+    UpstreamJoined = 403,
+    /// An upstream is no longer listed.
+    UpstreamGone = 404,
     /// The key-value service is out of reach.
     PlatformLost = 500,
     /// The key-value service answers again.
--- /dev/null
+++ b/crates/bergamotpitch-gateway/src/beats.rs
@@ -0,0 +1,246 @@
+//! Beats: what instances tell each other, in one datagram each some times a second.
+//!
+//! A beat may be lost; each holds whole sums, so that the next one makes up for it.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bergamotpitch_control::traffic::catalogs::CatalogVersion;
+use bergamotpitch_control::traffic::engine_loads::Figures;
+use bergamotpitch_control::traffic::registries::LeavingSource;
+use bergamotpitch_control::traffic::team_windows::TeamSums;
+use bergamotpitch_core::HashMap;
+use bergamotpitch_core::ids::{Incarnation, InstanceId, TeamId, UpstreamId, id_of_name};
+use bergamotpitch_core::units::Timestamp;
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+
+use crate::gateways::Gateway;
+
+/// `BEAT_INTERVAL` is the time between two beats to peers of the own domain. Two instances see the
+/// same free place at an engine for about as long as this.
+pub const BEAT_INTERVAL: Duration = Duration::from_millis(120);
+
+/// `REMOTE_BEATS` is how many beats of the own domain go by for one to other domains, over links
+/// that are paid.
+const REMOTE_BEATS: u64 = 3;
+
+/// `BEAT_BYTES` bounds a beat: one datagram that is not cut on the way.
+const BEAT_BYTES: usize = 1_400;
+
+/// `PeerAddress` is where a peer is found.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerAddress {
+    /// Its number.
+    pub instance: InstanceId,
+    /// Failure domain that it stands in.
+    pub domain: String,
+    /// Where its beats come from and go to.
+    pub beat_address: SocketAddr,
+    /// Where its documents are fetched.
+    pub relay_address: SocketAddr,
+}
+
+/// `Peer` is a peer as it was last heard.
+#[derive(Debug, Clone)]
+pub struct Peer {
+    /// Where it is.
+    pub address: PeerAddress,
+    /// Its life and the number of its latest beat.
+    latest: (Incarnation, u64),
+    /// When it was heard.
+    pub heard: Option<Timestamp>,
+    /// Version of its configuration.
+    pub version: CatalogVersion,
+}
+
+/// `Peers` is the table of all peers.
+pub type Peers = HashMap<InstanceId, Peer>;
+
+/// `Beat` is what one instance tells.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Beat {
+    /// Who tells.
+    pub instance: InstanceId,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Number of the beat within this life.
+    pub sequence: u64,
+    /// Version of its configuration.
+    pub version: CatalogVersion,
+    /// What it has in hand at each upstream.
+    pub loads: Vec<LoadLine>,
+    /// What its teams asked and began.
+    pub teams: Vec<TeamLine>,
+    /// Upstreams of which it knows that they leave.
+    pub leaving: Vec<UpstreamId>,
+}
+
+/// `LoadLine` is what one instance has in hand at one upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct LoadLine {
+    upstream: UpstreamId,
+    requests: u32,
+    unread_tokens: u32,
+    memory_tokens: u64,
+}
+
+/// `TeamLine` is one team's sums at one instance.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct TeamLine {
+    team: TeamId,
+    asked_tokens: u64,
+    begun_tokens: u64,
+}
+
+/// `replace_peers` takes in where all peers are.
+pub fn replace_peers(peers: &mut Peers, addresses: Vec<PeerAddress>) {
+    peers.retain(|instance, _| addresses.iter().any(|address| address.instance == *instance));
+    for address in addresses {
+        let instance = address.instance;
+        let known = peers.get(&instance);
+        if known.is_some_and(|peer| peer.address == address) {
+            continue;
+        }
+        peers.insert(instance, Peer { address, latest: (0, 0), heard: None, version: 0 });
+    }
+}
+
+/// `send_beat` sends one beat to the peers that are due.
+pub async fn send_beat(gateway: &Rc<Gateway>, socket: &UdpSocket, sequence: u64) {
+    let to_remote = sequence.is_multiple_of(REMOTE_BEATS);
+    let own_domain = &gateway.options.admission.domain;
+    let receivers: Vec<SocketAddr> = gateway
+        .peers
+        .borrow()
+        .values()
+        .filter(|peer| to_remote || peer.address.domain == *own_domain)
+        .map(|peer| peer.address.beat_address)
+        .collect();
+    if receivers.is_empty() {
+        return;
+    }
+    let Some(bytes) = encode(make_beat(gateway, sequence)) else { return };
+    for receiver in receivers {
+        // A beat that is not sent is made up for by the next one.
+        let _ = socket.try_send_to(&bytes, receiver);
+    }
+}
+
+/// `receive` takes in peers' beats until it is dropped.
+pub async fn receive(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; 2 * BEAT_BYTES];
+    loop {
+        let (length, sender) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                // A port that is closed at a peer comes back as an error here.
+                log::debug!("event=beat_not_received error={error}");
+                continue;
+            }
+        };
+        match postcard::from_bytes::<Beat>(&buffer[..length]) {
+            Ok(beat) => take_in(&gateway, beat, sender),
+            Err(error) => log::info!("event=302 name=message_dropped peer={sender} error={error}"),
+        }
+    }
+}
+
+fn make_beat(gateway: &Gateway, sequence: u64) -> Beat {
+    let now = gateway.now();
+    let mut traffic = gateway.traffic.borrow_mut();
+    let teams = traffic.windows.own_sums(now);
+    let loads = traffic.loads().filter_map(|(key, load)| {
+        let figures = load.own_figures();
+        let upstream = traffic.registry.get(key)?;
+        (figures != Figures::default()).then(|| LoadLine {
+            upstream: id_of_name(&upstream.registration.id),
+            requests: figures.requests,
+            unread_tokens: figures.unread_tokens.max(0.0) as u32,
+            memory_tokens: figures.memory_tokens,
+        })
+    });
+    let leaving = traffic
+        .registry
+        .all()
+        .filter(|upstream| upstream.leaving == Some(LeavingSource::List))
+        .map(|upstream| id_of_name(&upstream.registration.id));
+    Beat {
+        instance: gateway.options.instance,
+        incarnation: gateway.options.incarnation,
+        sequence,
+        version: gateway.version(),
+        loads: loads.collect(),
+        leaving: leaving.collect(),
+        teams: teams
+            .into_iter()
+            .map(|(team, sums)| TeamLine {
+                team,
+                asked_tokens: sums.asked_tokens,
+                begun_tokens: sums.begun_tokens,
+            })
+            .collect(),
+    }
+}
+
+fn encode(mut beat: Beat) -> Option<Vec<u8>> {
+    loop {
+        match postcard::to_stdvec(&beat) {
+            Ok(bytes) if bytes.len() <= BEAT_BYTES => return Some(bytes),
+            // The smallest lines say least.
+            Ok(_) if 1 < beat.teams.len() => {
+                beat.teams.sort_by_key(|line| std::cmp::Reverse(line.asked_tokens));
+                beat.teams.truncate(beat.teams.len() / 2);
+            }
+            Ok(_) if 1 < beat.loads.len() => {
+                beat.loads.sort_by_key(|line| std::cmp::Reverse(line.requests));
+                beat.loads.truncate(beat.loads.len() / 2);
+            }
+            Ok(_) => return None,
+            Err(error) => {
+                log::warn!("event=beat_not_encoded error={error}");
+                return None;
+            }
+        }
+    }
+}
+
+fn take_in(gateway: &Gateway, beat: Beat, sender: SocketAddr) {
+    let now = gateway.now();
+    let mut peers = gateway.peers.borrow_mut();
+    let Some(peer) = peers.get_mut(&beat.instance) else { return };
+    if peer.address.beat_address != sender || (beat.incarnation, beat.sequence) <= peer.latest {
+        return;
+    }
+    if peer.latest.0 != beat.incarnation {
+        log::info!(
+            "event=300 name=peer_joined peer={} incarnation={}",
+            beat.instance,
+            beat.incarnation
+        );
+    }
+    peer.latest = (beat.incarnation, beat.sequence);
+    peer.heard = Some(now);
+    peer.version = beat.version;
+    drop(peers);
+    gateway.take_in_loads(beat.instance, &figures_of_beat(&beat), now);
+    gateway.take_in_leaving(&beat.leaving);
+    let teams = beat.teams.iter().map(|line| {
+        let sums = TeamSums { asked_tokens: line.asked_tokens, begun_tokens: line.begun_tokens };
+        (line.team, sums)
+    });
+    gateway.traffic.borrow_mut().windows.peer_heard(beat.instance, teams, now);
+}
+
+fn figures_of_beat(beat: &Beat) -> HashMap<UpstreamId, Figures> {
+    let figures = beat.loads.iter().map(|line| {
+        let figures = Figures {
+            requests: line.requests,
+            unread_tokens: f64::from(line.unread_tokens),
+            memory_tokens: line.memory_tokens,
+        };
+        (line.upstream, figures)
+    });
+    figures.collect()
+}
--- /dev/null
+++ b/crates/bergamotpitch-gateway/src/bodies.rs
@@ -0,0 +1,316 @@
+//! Bodies: answers as they go to the caller, whole or as a stream of events.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bergamotpitch_core::events::EventKind;
+use bytes::Bytes;
+use http::HeaderMap;
+use http::header::CONTENT_TYPE;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::time::Sleep;
+
+use crate::calls::Call;
+use crate::connections::Sender;
+use crate::errors::Cut;
+use crate::exchanges::{self, Answer, Reuse};
+use crate::gateways::{Gateway, InFlight};
+use crate::logs::decision;
+use crate::placements::{Run, place};
+use crate::sse::EventCutter;
+
+/// `ANSWER_LIMIT_BYTES` bounds an answer that is read in full before it is passed on.
+const ANSWER_LIMIT_BYTES: usize = 8 << 20;
+
+/// `RESUME_LIMIT` bounds how often one stream goes on at another upstream.
+const RESUME_LIMIT: u32 = 2;
+
+/// `AnswerBody` is the body of an answer to a caller.
+pub enum AnswerBody {
+    /// All of it.
+    Whole(Option<Bytes>),
+    /// Events as they come.
+    Stream(Box<StreamAnswer>),
+}
+
+impl AnswerBody {
+    /// `whole` is a body that is known in full.
+    pub fn whole(bytes: Bytes) -> Self {
+        Self::Whole((!bytes.is_empty()).then_some(bytes))
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Stream(stream) => stream.poll(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Self::Stream(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// `is_event_stream` tells whether an answer is a stream of events.
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    headers
+        .get(CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok())
+        .is_some_and(|value| value.starts_with("text/event-stream"))
+}
+
+/// `read_whole` reads an answer to its end.
+///
+/// # Errors
+///
+/// Fails when it breaks off or is larger than the limit.
+pub async fn read_whole(body: Incoming) -> Result<Bytes, String> {
+    let limited = Limited::new(body, ANSWER_LIMIT_BYTES);
+    limited.collect().await.map(|body| body.to_bytes()).map_err(|error| error.to_string())
+}
+
+type Resumption = Pin<Box<dyn Future<Output = Option<(Run, Answer)>>>>;
+
+/// `StreamAnswer` passes the events of an upstream on, and goes on at another upstream where the
+/// route allows it.
+pub struct StreamAnswer {
+    gateway: Rc<Gateway>,
+    call: Rc<Call>,
+    run: Option<Run>,
+    source: Source,
+    reuse: Reuse,
+    cutter: EventCutter,
+    resumes: u32,
+    first_event: Option<Duration>,
+    deadline: Pin<Box<Sleep>>,
+    _in_flight: InFlight,
+}
+
+enum Source {
+    Reading(Incoming, Sender),
+    Resuming(Resumption),
+    Ended,
+}
+
+impl StreamAnswer {
+    /// `new` passes on the events of `body`.
+    pub fn new(
+        gateway: &Rc<Gateway>,
+        call: &Rc<Call>,
+        run: Run,
+        body: Incoming,
+        sender: Sender,
+        reuse: Reuse,
+    ) -> Self {
+        let left = call.deadline.saturating_sub(gateway.now());
+        Self {
+            gateway: Rc::clone(gateway),
+            call: Rc::clone(call),
+            run: Some(run),
+            source: Source::Reading(body, sender),
+            reuse,
+            cutter: EventCutter::default(),
+            resumes: 0,
+            first_event: None,
+            deadline: Box::pin(tokio::time::sleep(left)),
+            _in_flight: gateway.enter(),
+        }
+    }
+
+    fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        if self.deadline.as_mut().poll(context).is_ready() {
+            return Poll::Ready(self.cut(Cut::TimedOut));
+        }
+        loop {
+            match &mut self.source {
+                Source::Reading(body, _) => match Pin::new(body).poll_frame(context) {
+                    Poll::Pending => return Poll::Pending,
+                    Poll::Ready(Some(Ok(frame))) => {
+                        let Ok(data) = frame.into_data() else { continue };
+                        if let Some(events) = self.take_in(data) {
+                            return Poll::Ready(Some(Ok(Frame::data(events))));
+                        }
+                    }
+                    Poll::Ready(None) if self.cutter.is_at_boundary() => {
+                        self.end();
+                        return Poll::Ready(None);
+                    }
+                    Poll::Ready(None) => {
+                        if let Some(cut) = self.broken("it ended within an event") {
+                            return Poll::Ready(cut);
+                        }
+                    }
+                    Poll::Ready(Some(Err(error))) => {
+                        let detail = error.to_string();
+                        if let Some(cut) = self.broken(&detail) {
+                            return Poll::Ready(cut);
+                        }
+                    }
+                },
+                Source::Resuming(resumption) => match resumption.as_mut().poll(context) {
+                    Poll::Pending => return Poll::Pending,
+                    Poll::Ready(Some((run, answer))) => self.go_on(run, answer),
+                    Poll::Ready(None) => return Poll::Ready(self.cut(Cut::UpstreamBroke)),
+                },
+                Source::Ended => return Poll::Ready(None),
+            }
+        }
+    }
+
+    fn take_in(&mut self, data: Bytes) -> Option<Bytes> {
+        let last = self.cutter.last_id().map(str::to_owned);
+        let mut events = self.cutter.push(data);
+        if 0 < self.resumes {
+            events = EventCutter::after(events, last.as_deref());
+        }
+        if events.is_empty() {
+            return None;
+        }
+        if let Some(run) = &mut self.run {
+            let seen = run.begun();
+            self.gateway.note_life(run.key());
+            self.first_event.get_or_insert(seen);
+        }
+        Some(events)
+    }
+
+    fn end(&mut self) {
+        let source = std::mem::replace(&mut self.source, Source::Ended);
+        let Some(run) = self.run.take() else { return };
+        let key = run.key();
+        run.settle(false);
+        if let (Source::Reading(_, sender), Reuse::Idle(idle)) = (source, self.reuse) {
+            self.gateway.pools.put(key, sender, idle, self.gateway.now());
+        }
+        let first_event = self.first_event.unwrap_or_default();
+        self.gateway.metrics.count_answer(first_event);
+        decision(
+            EventKind::RequestAnswered,
+            format_args!(
+                "request={} upstream={} first_event_ms={} total_ms={} resumes={} last_event={}",
+                self.call.facts.attempt_id,
+                self.gateway.id_of(key).unwrap_or_default(),
+                first_event.as_millis(),
+                self.gateway.now().saturating_sub(self.call.arrived).as_millis(),
+                self.resumes,
+                self.cutter.last_id().unwrap_or("-"),
+            ),
+        );
+    }
+
+    /// Takes in that the upstream broke off; returns what the caller sees when the stream cannot go
+    /// on elsewhere.
+    fn broken(&mut self, detail: &str) -> Option<Option<Result<Frame<Bytes>, Cut>>> {
+        let key = self.run.as_ref().map(Run::key);
+        if let Some(run) = self.run.take() {
+            run.settle(true);
+        }
+        decision(
+            EventKind::AttemptFailed,
+            format_args!(
+                "request={} upstream={} after_event={} detail={detail:?}",
+                self.call.facts.attempt_id,
+                key.and_then(|key| self.gateway.id_of(key)).unwrap_or_default(),
+                self.cutter.last_id().unwrap_or("-"),
+            ),
+        );
+        let attempts = self.resumes + 1;
+        let may_resume = self.call.route.is_resumable
+            && self.resumes < RESUME_LIMIT
+            && attempts < self.call.route.attempts_max
+            && self.gateway.take_repeat(&self.call.service);
+        if !may_resume {
+            return Some(self.cut(Cut::UpstreamBroke));
+        }
+        self.resumes += 1;
+        self.cutter.restart();
+        let last = self.cutter.last_id().map(str::to_owned);
+        let resumption = resume(Rc::clone(&self.gateway), Rc::clone(&self.call), key, last);
+        self.source = Source::Resuming(Box::pin(resumption));
+        None
+    }
+
+    fn go_on(&mut self, run: Run, answer: Answer) {
+        decision(
+            EventKind::RequestRetried,
+            format_args!(
+                "request={} upstream={} after_event={}",
+                self.call.facts.attempt_id,
+                self.gateway.id_of(run.key()).unwrap_or_default(),
+                self.cutter.last_id().unwrap_or("-"),
+            ),
+        );
+        self.run = Some(run);
+        self.reuse = answer.reuse;
+        self.source = Source::Reading(answer.response.into_body(), answer.sender);
+    }
+
+    fn cut(&mut self, cut: Cut) -> Option<Result<Frame<Bytes>, Cut>> {
+        self.source = Source::Ended;
+        self.run = None;
+        self.gateway.metrics.cut_answers.inc();
+        decision(
+            EventKind::AnswerCut,
+            format_args!(
+                "request={} after_event={} reason={:?} total_ms={}",
+                self.call.facts.attempt_id,
+                self.cutter.last_id().unwrap_or("-"),
+                cut.to_string(),
+                self.gateway.now().saturating_sub(self.call.arrived).as_millis(),
+            ),
+        );
+        Some(Err(cut))
+    }
+}
+
+impl Drop for StreamAnswer {
+    fn drop(&mut self) {
+        if matches!(self.source, Source::Ended) {
+            return;
+        }
+        decision(
+            EventKind::CallerLeft,
+            format_args!(
+                "request={} after_event={} total_ms={}",
+                self.call.facts.attempt_id,
+                self.cutter.last_id().unwrap_or("-"),
+                self.gateway.now().saturating_sub(self.call.arrived).as_millis(),
+            ),
+        );
+    }
+}
+
+async fn resume(
+    gateway: Rc<Gateway>,
+    call: Rc<Call>,
+    broken: Option<bergamotpitch_control::traffic::registries::UpstreamKey>,
+    last: Option<String>,
+) -> Option<(Run, Answer)> {
+    let tried: Vec<_> = broken.into_iter().collect();
+    let placement = place(&gateway, &call, &tried).await.ok()?;
+    let run = Run::open(&gateway, &call, &placement);
+    let sent =
+        exchanges::send(&gateway, &call, placement.upstream, last.as_deref(), call.deadline).await;
+    let answer = sent.ok()?;
+    let head = &answer.response;
+    (head.status().is_success() && is_event_stream(head.headers())).then_some((run, answer))
+}
--- /dev/null
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -0,0 +1,472 @@
+//! Calls: the way of one request from its arrival to its answer.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bergamotpitch_control::traffic::admissions::Placement;
+use bergamotpitch_control::traffic::catalogs::{Catalog, Route, RouteKind, Team};
+use bergamotpitch_control::traffic::facts::RequestFacts;
+use bergamotpitch_control::traffic::registries::UpstreamKey;
+use bergamotpitch_core::events::EventKind;
+use bergamotpitch_core::ids::id_of_name;
+use bergamotpitch_core::refusals::RefusalReason;
+use bergamotpitch_core::units::Timestamp;
+use bytes::{Bytes, BytesMut};
+use http::header::{
+    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, request,
+};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::bodies::{AnswerBody, StreamAnswer, is_event_stream, read_whole};
+use crate::exchanges::{self, Answer, Failure, Reuse};
+use crate::gateways::Gateway;
+use crate::logs::decision;
+use crate::placements::{Run, place};
+use crate::refusals::{Refusal, response_of_refusal};
+
+/// `UNSTATED_BUDGET` is how long a caller is taken to wait that does not say so.
+const UNSTATED_BUDGET: Duration = Duration::from_secs(60);
+
+/// `UNREACHABLE_LIMIT` bounds how many upstreams are tried that take no connection; such a try does
+/// not count as an attempt, as nothing was sent.
+const UNREACHABLE_LIMIT: usize = 3;
+
+/// `NOT_READY_RETURN` is when to come back to an instance that has no configuration yet.
+const NOT_READY_RETURN: Duration = Duration::from_millis(500);
+
+/// `BUSY_RETURN` is when to come back after an upstream proved that it did not run a request that
+/// may not be sent to another.
+const BUSY_RETURN: Duration = Duration::from_millis(150);
+
+/// `PATIENCE_FACTOR` is how many times the predicted time an upstream may take before a request
+/// that can be repeated is sent to another one.
+const PATIENCE_FACTOR: f64 = 4.0;
+
+/// `LEAST_PATIENCE` is the least such time, as a part of the target latency.
+const LEAST_PATIENCE: f64 = 1.2;
+
+/// `Call` is one request, read in full.
+#[derive(Debug)]
+pub struct Call {
+    /// Number within this process.
+    pub number: u64,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// Service to which the route sends it.
+    pub service: String,
+    /// Configuration that was in force when it arrived.
+    pub catalog: Arc<Catalog>,
+    /// Its team.
+    pub team: Option<Arc<Team>>,
+    /// What its headers say.
+    pub facts: RequestFacts,
+    /// Method.
+    pub method: Method,
+    /// Path and query, as the caller sent them.
+    pub target: Uri,
+    /// Host, as the caller sent it.
+    pub host: HeaderValue,
+    /// Headers that are passed on.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// When its head was read.
+    pub arrived: Timestamp,
+    /// When its final answer is due.
+    pub deadline: Timestamp,
+    /// Time that the caller had spent on earlier attempts.
+    pub elapsed_before: Duration,
+    /// Memory of one engine of its service, in tokens.
+    pub memory_tokens: u64,
+}
+
+/// `answer` serves one request.
+pub async fn answer(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let arrived = gateway.now();
+    let facts = (gateway.dialect.request_facts)(request.headers());
+    let attempt_id = facts.as_ref().map(|facts| facts.attempt_id.clone()).unwrap_or_default();
+    let _in_flight = gateway.enter();
+    gateway.metrics.requests.inc();
+    let result = match facts {
+        Ok(facts) => carry(&gateway, request, facts, arrived).await,
+        Err(error) => {
+            log::info!("event=bad_header request={attempt_id:?} error={error:?}");
+            Err(Refusal::denied(StatusCode::BAD_REQUEST, RefusalReason::BadRequest))
+        }
+    };
+    match result {
+        Ok(response) => response,
+        Err(refusal) => {
+            gateway.metrics.count_refusal(&refusal);
+            decision(
+                EventKind::RequestRefused,
+                format_args!(
+                    "request={attempt_id} status={} reason={} ran={} retry_after_ms={} held_ms={} version={}",
+                    refusal.status.as_u16(),
+                    refusal.reason,
+                    refusal.ran,
+                    refusal.retry_after.unwrap_or_default().as_millis(),
+                    gateway.now().saturating_sub(arrived).as_millis(),
+                    gateway.version(),
+                ),
+            );
+            response_of_refusal(&gateway.dialect, &attempt_id, &refusal, gateway.is_draining())
+        }
+    }
+}
+
+async fn carry(
+    gateway: &Rc<Gateway>,
+    request: Request<Incoming>,
+    facts: RequestFacts,
+    arrived: Timestamp,
+) -> Result<Response<AnswerBody>, Refusal> {
+    if gateway.refuses_new() {
+        return Err(Refusal::not_run(RefusalReason::Draining, BUSY_RETURN));
+    }
+    let catalog =
+        gateway.catalog().ok_or(Refusal::not_run(RefusalReason::NotReady, NOT_READY_RETURN))?;
+    let (parts, body) = request.into_parts();
+    let host = host_of(&parts).ok_or_else(bad_request)?;
+    let host_text = host.to_str().map_err(|_| bad_request())?;
+    let route = catalog
+        .route_of(host_text, parts.uri.path())
+        .cloned()
+        .ok_or(Refusal::denied(StatusCode::NOT_FOUND, RefusalReason::ServiceNotAllowed))?;
+    let team = team_of(gateway, &catalog, &route, &parts.headers)?;
+    let budget = facts.time_budget.unwrap_or(UNSTATED_BUDGET);
+    let deadline = arrived + budget.min(route.timeout);
+    let body = read_body(&parts.headers, body, &catalog, deadline.saturating_sub(arrived)).await?;
+    let hash = u64::from(id_of_name(&facts.attempt_id));
+    let service = route
+        .target_of(hash)
+        .ok_or(Refusal::not_run(RefusalReason::NoUpstream, NOT_READY_RETURN))?
+        .to_owned();
+    let engine = catalog.services.get(&service).and_then(|service| service.engine.as_ref());
+    let call = Call {
+        number: gateway.fresh_number(),
+        memory_tokens: engine.map_or(u64::MAX, |engine| engine.memory_tokens),
+        elapsed_before: gateway.elapsed_before(&route, budget),
+        headers: passed_headers(gateway, &parts.headers),
+        route,
+        service,
+        catalog,
+        team,
+        facts,
+        method: parts.method,
+        target: target_of(&parts.uri),
+        host,
+        body,
+        arrived,
+        deadline,
+    };
+    gateway.note_request(&call);
+    follow(gateway, Rc::new(call)).await
+}
+
+/// Sends a call to one upstream after another until there is an answer to pass on.
+async fn follow(gateway: &Rc<Gateway>, call: Rc<Call>) -> Result<Response<AnswerBody>, Refusal> {
+    let mut tried: Vec<UpstreamKey> = Vec::new();
+    let mut attempts = 0;
+    let mut unreachable = 0;
+    let mut may_have_run = false;
+    loop {
+        let placement = match place(gateway, &call, &tried).await {
+            Ok(placement) => placement,
+            Err(refusal) => return Err(after_attempts(refusal, may_have_run)),
+        };
+        let run = Run::open(gateway, &call, &placement);
+        note_dispatch(&call, &placement, gateway, attempts);
+        let until = patience(gateway, &call, &placement, attempts);
+        match exchanges::send(gateway, &call, placement.upstream, None, until).await {
+            Ok(answer) => match pass_on(gateway, &call, run, answer, attempts).await {
+                Ok(response) => return Ok(response),
+                Err(detail) => {
+                    may_have_run = true;
+                    note_failure(&call, &placement, gateway, &Failure::Broken { detail });
+                }
+            },
+            Err(failure) => {
+                note_failure(&call, &placement, gateway, &failure);
+                if failure == Failure::Unreachable {
+                    gateway.note_unreachable(placement.upstream);
+                    drop(run);
+                    tried.push(placement.upstream);
+                    unreachable += 1;
+                    if unreachable < UNREACHABLE_LIMIT {
+                        continue;
+                    }
+                    let refusal = Refusal::not_run(RefusalReason::NoUpstream, BUSY_RETURN);
+                    return Err(after_attempts(refusal, may_have_run));
+                }
+                let ran = !matches!(failure, Failure::NotRun { .. });
+                if ran {
+                    run.settle(true);
+                } else {
+                    if failure == (Failure::NotRun { status: StatusCode::MISDIRECTED_REQUEST }) {
+                        gateway.note_misdirected(placement.upstream);
+                    }
+                    drop(run);
+                }
+                may_have_run |= ran;
+            }
+        }
+        attempts += 1;
+        tried.push(placement.upstream);
+        if !may_go_on(gateway, &call, attempts, may_have_run) {
+            return Err(final_refusal(gateway, &call, may_have_run));
+        }
+        note_retry(&call, gateway, attempts);
+    }
+}
+
+/// Passes an answer on; an answer that breaks off before anything was passed on is an error, after
+/// which a repeatable call may be sent again.
+async fn pass_on(
+    gateway: &Rc<Gateway>,
+    call: &Rc<Call>,
+    mut run: Run,
+    answer: Answer,
+    attempts: u32,
+) -> Result<Response<AnswerBody>, String> {
+    let Answer { response, sender, reuse } = answer;
+    let (mut parts, body) = response.into_parts();
+    remove_hop_headers(&mut parts.headers);
+    if parts.status.is_success() && is_event_stream(&parts.headers) {
+        parts.headers.remove(CONTENT_LENGTH);
+        let stream = StreamAnswer::new(gateway, call, run, body, sender, reuse);
+        return Ok(Response::from_parts(parts, AnswerBody::Stream(Box::new(stream))));
+    }
+    let time = call.deadline.saturating_sub(gateway.now());
+    let whole = tokio::time::timeout(time, read_whole(body)).await;
+    let seen = run.begun();
+    let key = run.key();
+    let bytes = match whole {
+        Ok(Ok(bytes)) => bytes,
+        Ok(Err(error)) => {
+            run.settle(true);
+            return Err(error);
+        }
+        Err(_) => {
+            run.settle(true);
+            return Err("its body did not end in time".to_owned());
+        }
+    };
+    if let Reuse::Idle(idle) = reuse {
+        gateway.pools.put(key, sender, idle, gateway.now());
+    }
+    let is_failure = parts.status.is_server_error();
+    run.settle(is_failure);
+    if is_failure && may_go_on(gateway, call, attempts + 1, true) {
+        return Err(format!("status {}", parts.status));
+    }
+    decision(
+        EventKind::RequestAnswered,
+        format_args!(
+            "request={} upstream={} status={} answer_ms={} attempts={} version={}",
+            call.facts.attempt_id,
+            gateway.id_of(key).unwrap_or_default(),
+            parts.status.as_u16(),
+            seen.as_millis(),
+            attempts + 1,
+            call.catalog.version,
+        ),
+    );
+    gateway.metrics.count_answer(seen);
+    parts.headers.remove(CONTENT_LENGTH);
+    Ok(Response::from_parts(parts, AnswerBody::whole(bytes)))
+}
+
+fn may_go_on(gateway: &Gateway, call: &Call, attempts: u32, may_have_run: bool) -> bool {
+    let is_allowed = !may_have_run || call.route.is_repeatable();
+    is_allowed
+        && attempts < call.route.attempts_max
+        && gateway.now() < call.deadline
+        && gateway.take_repeat(&call.service)
+}
+
+fn final_refusal(gateway: &Gateway, call: &Call, may_have_run: bool) -> Refusal {
+    if !may_have_run {
+        return Refusal::not_run(RefusalReason::Overloaded, BUSY_RETURN);
+    }
+    if call.deadline <= gateway.now() {
+        return Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, RefusalReason::DeadlinePassed);
+    }
+    Refusal::unknown(StatusCode::BAD_GATEWAY, RefusalReason::UpstreamFailed)
+}
+
+/// A refusal that would promise "not run" is only true while no attempt may have run.
+fn after_attempts(refusal: Refusal, may_have_run: bool) -> Refusal {
+    if may_have_run {
+        return Refusal::unknown(StatusCode::BAD_GATEWAY, RefusalReason::UpstreamFailed);
+    }
+    refusal
+}
+
+/// Until when an attempt may take: a repeatable call does not spend all its time on one upstream.
+fn patience(gateway: &Gateway, call: &Call, placement: &Placement, attempts: u32) -> Timestamp {
+    if !call.route.is_repeatable() || call.route.attempts_max <= attempts + 1 {
+        return call.deadline;
+    }
+    let least = call.route.target_latency.mul_f64(LEAST_PATIENCE);
+    let patience = placement.predicted.mul_f64(PATIENCE_FACTOR).max(least);
+    (gateway.now() + patience).min(call.deadline)
+}
+
+fn team_of(
+    gateway: &Gateway,
+    catalog: &Catalog,
+    route: &Route,
+    headers: &HeaderMap,
+) -> Result<Option<Arc<Team>>, Refusal> {
+    let team = (gateway.dialect.caller_key)(headers).and_then(|key| catalog.team_of(key)).cloned();
+    if team.is_none() && catalog.has_teams() && !route.is_public {
+        return Err(Refusal::denied(StatusCode::UNAUTHORIZED, RefusalReason::UnknownTeam));
+    }
+    Ok(team)
+}
+
+fn bad_request() -> Refusal {
+    Refusal::denied(StatusCode::BAD_REQUEST, RefusalReason::BadRequest)
+}
+
+fn host_of(parts: &request::Parts) -> Option<HeaderValue> {
+    if let Some(authority) = parts.uri.authority() {
+        return HeaderValue::from_str(authority.as_str()).ok();
+    }
+    parts.headers.get(HOST).cloned()
+}
+
+fn target_of(uri: &Uri) -> Uri {
+    let Some(target) = uri.path_and_query() else { return Uri::from_static("/") };
+    // Path and query of a URI are a URI by themselves.
+    Uri::from(target.clone())
+}
+
+async fn read_body(
+    headers: &HeaderMap,
+    mut body: Incoming,
+    catalog: &Catalog,
+    time: Duration,
+) -> Result<Bytes, Refusal> {
+    let limit_bytes = catalog.limits.body_bytes;
+    let too_large = Refusal::denied(StatusCode::PAYLOAD_TOO_LARGE, RefusalReason::BodyTooLarge);
+    let declared: Option<usize> = headers
+        .get(CONTENT_LENGTH)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.parse().ok());
+    if declared.is_some_and(|bytes| limit_bytes < bytes) {
+        return Err(too_large);
+    }
+    let read = async {
+        let mut first = Bytes::new();
+        let mut rest = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.map_err(|_| bad_request())?.into_data() else { continue };
+            if limit_bytes < first.len() + rest.len() + data.len() {
+                return Err(too_large);
+            }
+            // Most bodies come in one piece, which is not copied.
+            if first.is_empty() && rest.is_empty() {
+                first = data;
+                continue;
+            }
+            if rest.is_empty() {
+                rest.extend_from_slice(&std::mem::take(&mut first));
+            }
+            rest.extend_from_slice(&data);
+        }
+        Ok(if rest.is_empty() { first } else { rest.freeze() })
+    };
+    match tokio::time::timeout(time, read).await {
+        Ok(result) => result,
+        Err(_) => Err(Refusal::denied(StatusCode::REQUEST_TIMEOUT, RefusalReason::DeadlinePassed)),
+    }
+}
+
+fn passed_headers(gateway: &Gateway, headers: &HeaderMap) -> HeaderMap {
+    let mut passed = headers.clone();
+    remove_hop_headers(&mut passed);
+    passed.remove(CONTENT_LENGTH);
+    passed.remove(EXPECT);
+    passed.remove(HOST);
+    (gateway.dialect.strip_caller_headers)(&mut passed);
+    passed
+}
+
+fn remove_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    let fixed = [
+        CONNECTION,
+        PROXY_AUTHENTICATE,
+        PROXY_AUTHORIZATION,
+        TE,
+        TRAILER,
+        TRANSFER_ENCODING,
+        UPGRADE,
+        HeaderName::from_static("keep-alive"),
+        HeaderName::from_static("proxy-connection"),
+    ];
+    for name in fixed {
+        headers.remove(name);
+    }
+}
+
+fn note_dispatch(call: &Call, placement: &Placement, gateway: &Gateway, attempts: u32) {
+    gateway.metrics.dispatches.inc();
+    decision(
+        EventKind::RequestDispatched,
+        format_args!(
+            "request={} route={} team={} upstream={} attempt={} predicted_ms={} requests_there={} \
+             unread_tokens={:.0} within_share={} waited_ms={} elapsed_before_ms={} version={}",
+            call.facts.attempt_id,
+            call.route.name,
+            call.team.as_deref().map_or("-", |team| &team.name),
+            gateway.id_of(placement.upstream).unwrap_or_default(),
+            attempts + 1,
+            placement.predicted.as_millis(),
+            placement.requests,
+            placement.work.unread_tokens,
+            placement.is_within_share,
+            gateway.now().saturating_sub(call.arrived).as_millis(),
+            call.elapsed_before.as_millis(),
+            call.catalog.version,
+        ),
+    );
+}
+
+fn note_failure(call: &Call, placement: &Placement, gateway: &Gateway, failure: &Failure) {
+    gateway.metrics.failed_attempts.inc();
+    decision(
+        EventKind::AttemptFailed,
+        format_args!(
+            "request={} upstream={} kind={} failure={failure:?}",
+            call.facts.attempt_id,
+            gateway.id_of(placement.upstream).unwrap_or_default(),
+            if call.route.kind == RouteKind::Unsafe { "once" } else { "repeatable" },
+        ),
+    );
+}
+
+fn note_retry(call: &Call, gateway: &Gateway, attempts: u32) {
+    gateway.metrics.repeats.inc();
+    decision(
+        EventKind::RequestRetried,
+        format_args!("request={} attempt={}", call.facts.attempt_id, attempts + 1),
+    );
+}
--- /dev/null
+++ b/crates/bergamotpitch-gateway/src/connections.rs
@@ -0,0 +1,147 @@
+//! Connections to upstreams: warm ones are used again, doubtful ones are closed.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bergamotpitch_control::traffic::registries::UpstreamKey;
+use bergamotpitch_core::HashMap;
+use bergamotpitch_core::units::Timestamp;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+
+/// `CONNECT_TIMEOUT` is the time for a connection to be made: a lost opening packet is sent again
+/// only after a second, by which time another upstream has long answered.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// `KEEP_ALIVE_PROBE` is the time between two probes on a silent connection; a link that has gone
+/// dark is noticed after about three of them and not at the deadline.
+const KEEP_ALIVE_PROBE: Duration = Duration::from_millis(1_000);
+
+/// `USER_TIMEOUT` is the time for which sent bytes may stay unacknowledged; it is longer than a few
+/// retransmissions on a link that loses packets.
+const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// `UNSTATED_IDLE` is the time for which an idle connection is used again when the upstream does
+/// not say when it closes it.
+const UNSTATED_IDLE: Duration = Duration::from_secs(4);
+
+/// `IDLE_MARGIN` is left before the time at which the upstream closes an idle connection: a request
+/// that crosses the close is lost, and may not be repeated.
+const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
+
+/// `DOUBT` is the time for which connections to an upstream are used only once after one of them
+/// carried bytes that belong to no request: the next answer on another may be foreign as well.
+const DOUBT: Duration = Duration::from_secs(5);
+
+/// `Sender` sends requests on one connection.
+pub type Sender = SendRequest<Full<Bytes>>;
+
+/// `Pools` holds the idle connections to all upstreams.
+#[derive(Debug, Default)]
+pub struct Pools {
+    idle: RefCell<HashMap<UpstreamKey, Vec<Idle>>>,
+    doubted_until: RefCell<HashMap<UpstreamKey, Timestamp>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    sender: Sender,
+    usable_until: Timestamp,
+}
+
+impl Pools {
+    /// `take` returns a warm connection that is safe to use.
+    pub fn take(&self, key: UpstreamKey, now: Timestamp) -> Option<Sender> {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(&key)?;
+        while let Some(connection) = connections.pop() {
+            if now < connection.usable_until && connection.sender.is_ready() {
+                return Some(connection.sender);
+            }
+        }
+        None
+    }
+
+    /// `put` keeps a connection whose answer was read to its end.
+    pub fn put(
+        &self,
+        key: UpstreamKey,
+        sender: Sender,
+        stated_idle: Option<Duration>,
+        now: Timestamp,
+    ) {
+        if self.is_doubted(key, now) {
+            return;
+        }
+        let idle = stated_idle.unwrap_or(UNSTATED_IDLE);
+        let usable_until = now + idle.saturating_sub(IDLE_MARGIN).max(idle / 4);
+        self.idle.borrow_mut().entry(key).or_default().push(Idle { sender, usable_until });
+    }
+
+    /// `doubt` takes in that a connection to an upstream carried bytes that belong to no request.
+    pub fn doubt(&self, key: UpstreamKey, now: Timestamp) {
+        self.doubted_until.borrow_mut().insert(key, now + DOUBT);
+        self.idle.borrow_mut().remove(&key);
+    }
+
+    /// `close_all_of` closes the idle connections to an upstream that is gone.
+    pub fn close_all_of(&self, key: UpstreamKey) {
+        self.idle.borrow_mut().remove(&key);
+        self.doubted_until.borrow_mut().remove(&key);
+    }
+
+    /// `sweep` closes connections that are too old to be used again.
+    pub fn sweep(&self, now: Timestamp) {
+        let mut idle = self.idle.borrow_mut();
+        for connections in idle.values_mut() {
+            connections.retain(|idle| now < idle.usable_until && !idle.sender.is_closed());
+        }
+        idle.retain(|_, connections| !connections.is_empty());
+    }
+
+    fn is_doubted(&self, key: UpstreamKey, now: Timestamp) -> bool {
+        self.doubted_until.borrow().get(&key).is_some_and(|until| now < *until)
+    }
+}
+
+/// `connect` opens a connection to an upstream and serves it on this thread.
+///
+/// # Errors
+///
+/// Fails when the upstream does not take the connection within [`CONNECT_TIMEOUT`]; nothing was
+/// sent then.
+pub async fn connect(address: SocketAddr) -> std::io::Result<Sender> {
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        .await
+        .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
+    tune(&stream)?;
+    let (sender, connection) =
+        http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+    tokio::task::spawn_local(async move {
+        if let Err(error) = connection.await {
+            log::debug!("event=connection_ended address={address} error={error}");
+        }
+    });
+    Ok(sender)
+}
+
+/// `tune` makes a socket send at once and notice a dead link.
+///
+/// # Errors
+///
+/// Fails when the system refuses an option.
+pub fn tune(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(KEEP_ALIVE_PROBE)
+        .with_interval(KEEP_ALIVE_PROBE)
+        .with_retries(3);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+}
--- /dev/null
+++ b/crates/bergamotpitch-gateway/src/exchanges.rs
@@ -0,0 +1,183 @@
+//! Exchanges: one request on one connection to one upstream, up to the head of its answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bergamotpitch_control::traffic::registries::UpstreamKey;
+use bergamotpitch_core::units::Timestamp;
+use bytes::Bytes;
+use http::header::{CONNECTION, HOST};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use crate::calls::Call;
+use crate::connections::{Sender, connect};
+use crate::dialects::{AnswerFacts, UpstreamHeaders};
+use crate::gateways::Gateway;
+
+/// `Answer` is the head of an upstream's answer to this very request, and its body to come.
+#[derive(Debug)]
+pub struct Answer {
+    /// Head and body.
+    pub response: Response<Incoming>,
+    /// The connection, to be kept when the body was read to its end.
+    pub sender: Sender,
+    /// How long the upstream keeps the connection when idle; `None` when it closes it.
+    pub reuse: Reuse,
+}
+
+/// `Reuse` tells whether a connection may carry another request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reuse {
+    /// It is closed after this answer.
+    Never,
+    /// It is closed when idle for this time, or for a time that the upstream does not state.
+    Idle(Option<Duration>),
+}
+
+/// `Failure` is why there is no answer.
+#[derive(Debug, Clone, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Failure {
+    /// No connection could be made: nothing was sent.
+    Unreachable,
+    /// The upstream proves that it did not run the request.
+    NotRun {
+        /// What it answered.
+        status: StatusCode,
+    },
+    /// The connection broke or carried what is no answer to this request: it may have run.
+    Broken {
+        /// What went wrong.
+        detail: String,
+    },
+    /// No answer within the time given to the attempt: it may have run.
+    TimedOut,
+}
+
+/// `send` sends a call to an upstream and returns the head of its answer.
+///
+/// # Errors
+///
+/// Says in [`Failure`] whether the request may have run.
+pub async fn send(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    key: UpstreamKey,
+    resume_after: Option<&str>,
+    until: Timestamp,
+) -> Result<Answer, Failure> {
+    let time = until.saturating_sub(gateway.now());
+    match tokio::time::timeout(time, exchange(gateway, call, key, resume_after)).await {
+        Ok(result) => result,
+        Err(_) => Err(Failure::TimedOut),
+    }
+}
+
+async fn exchange(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    key: UpstreamKey,
+    resume_after: Option<&str>,
+) -> Result<Answer, Failure> {
+    let mut warm = gateway.pools.take(key, gateway.now());
+    loop {
+        let is_warm = warm.is_some();
+        let mut sender = match warm.take() {
+            Some(sender) => sender,
+            None => open(gateway, key).await?,
+        };
+        let request = request_of_call(gateway, call, key, resume_after)?;
+        match sender.try_send_request(request).await {
+            Ok(response) => return read_head(gateway, call, key, response, sender),
+            // The connection closed before anything was written: a fresh one may carry it.
+            Err(error) if is_warm && error.message().is_some() => {}
+            Err(mut error) => {
+                if error.take_message().is_some() {
+                    return Err(Failure::Unreachable);
+                }
+                return Err(Failure::Broken { detail: error.into_error().to_string() });
+            }
+        }
+    }
+}
+
+async fn open(gateway: &Rc<Gateway>, key: UpstreamKey) -> Result<Sender, Failure> {
+    let address = gateway.address_of(key).ok_or(Failure::Unreachable)?;
+    gateway.metrics.connections_opened.inc();
+    connect(address).await.map_err(|error| {
+        log::info!("event=connect_failed upstream={address} error={error}");
+        Failure::Unreachable
+    })
+}
+
+fn request_of_call(
+    gateway: &Gateway,
+    call: &Call,
+    key: UpstreamKey,
+    resume_after: Option<&str>,
+) -> Result<Request<Full<Bytes>>, Failure> {
+    let upstream_id = gateway.id_of(key).ok_or(Failure::Unreachable)?;
+    let mut headers = call.headers.clone();
+    let written = UpstreamHeaders {
+        time_left: call.deadline.saturating_sub(gateway.now()),
+        upstream_id: &upstream_id,
+        team: call.team.as_deref().map(|team| team.name.as_str()),
+        resume_after,
+    };
+    (gateway.dialect.write_upstream_headers)(&mut headers, &written);
+    headers.insert(HOST, call.host.clone());
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.target.clone();
+    *request.headers_mut() = headers;
+    Ok(request)
+}
+
+fn read_head(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    key: UpstreamKey,
+    response: Response<Incoming>,
+    sender: Sender,
+) -> Result<Answer, Failure> {
+    let facts = (gateway.dialect.answer_facts)(response.status(), response.headers());
+    gateway.note_answer_head(key, &facts);
+    if !is_answer_to(&facts, call, response.status()) {
+        gateway.pools.doubt(key, gateway.now());
+        let echoed = facts.attempt_id.unwrap_or_default();
+        return Err(Failure::Broken { detail: format!("foreign answer for {echoed:?}") });
+    }
+    let closes = says_close(response.headers());
+    if facts.is_not_run {
+        return Err(Failure::NotRun { status: response.status() });
+    }
+    let reuse = if closes { Reuse::Never } else { Reuse::Idle(stated_idle(response.headers())) };
+    Ok(Answer { response, sender, reuse })
+}
+
+/// An answer that echoes another id was meant for an earlier request on this connection. Only the
+/// refusals of an upstream that read no further than the head may come without one.
+fn is_answer_to(facts: &AnswerFacts, call: &Call, status: StatusCode) -> bool {
+    match &facts.attempt_id {
+        Some(echoed) => *echoed == call.facts.attempt_id,
+        None => facts.is_not_run || status.is_client_error(),
+    }
+}
+
+fn says_close(headers: &HeaderMap) -> bool {
+    headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .any(|token| token.trim().eq_ignore_ascii_case("close"))
+}
+
+fn stated_idle(headers: &HeaderMap) -> Option<Duration> {
+    let value: &HeaderValue = headers.get("keep-alive")?;
+    let timeout =
+        value.to_str().ok()?.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    timeout.trim().parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -0,0 +1,492 @@
+//! Gateways: the state of one process, and its start.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bergamotpitch_control::traffic::admissions::Traffic;
+use bergamotpitch_control::traffic::catalogs::{CallerLimits, Catalog, CatalogVersion, Route};
+use bergamotpitch_control::traffic::engine_loads::Figures;
+use bergamotpitch_control::traffic::registries::{
+    Change, LeavingSource, Registration, UpstreamKey,
+};
+use bergamotpitch_core::HashMap;
+use bergamotpitch_core::events::EventKind;
+use bergamotpitch_core::ids::{InstanceId, UpstreamId, id_of_name};
+use bergamotpitch_core::units::Timestamp;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::Notify;
+
+use crate::beats::{self, BEAT_INTERVAL, PeerAddress, Peers};
+use crate::callers::{self, CallerConnection};
+use crate::calls::Call;
+use crate::connections::Pools;
+use crate::dialects::{AnswerFacts, Dialect};
+use crate::errors::{Error, Result};
+use crate::logs::decision;
+use crate::metrics::Metrics;
+use crate::options::Options;
+use crate::probes::{self, Port};
+use crate::relays::{self, Document, Documents};
+
+/// `LAG_TOLERANCE` is how long a peer may have a newer configuration before it is asked for it: the
+/// platform's own notice mostly comes first.
+const LAG_TOLERANCE: Duration = Duration::from_millis(400);
+
+/// `FETCH_INTERVAL` is the least time between two questions to peers.
+const FETCH_INTERVAL: Duration = Duration::from_millis(600);
+
+/// `SWEEP_BEATS` is how many beats go by between two sweeps over connections.
+const SWEEP_BEATS: u64 = 4;
+
+/// `TakeDocuments` hands documents that a peer sent to whoever understands them.
+pub type TakeDocuments = Box<dyn Fn(Vec<Document>)>;
+
+/// `Gateway` is the state of one process; it lives on one thread.
+pub struct Gateway {
+    /// What it was started with.
+    pub options: Options,
+    /// How requests and answers are spelled.
+    pub dialect: Dialect,
+    /// Tables of the decisions.
+    pub traffic: RefCell<Traffic>,
+    /// Idle connections to upstreams.
+    pub pools: Pools,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Peers.
+    pub peers: RefCell<Peers>,
+    /// Documents for peers.
+    pub documents: RefCell<Documents>,
+    /// Told when a place may have become free.
+    pub changed: Notify,
+    take_documents: RefCell<Option<TakeDocuments>>,
+    catalog: RefCell<Option<Arc<Catalog>>>,
+    longest_budgets: RefCell<HashMap<String, Duration>>,
+    connections: RefCell<Vec<Rc<CallerConnection>>>,
+    started: Instant,
+    last_number: Cell<u64>,
+    in_flight: Rc<Cell<usize>>,
+    is_listed: Cell<bool>,
+    is_draining: Cell<bool>,
+    refuses_new: Cell<bool>,
+    lagging_since: Cell<Option<Timestamp>>,
+    next_fetch: Cell<Timestamp>,
+}
+
+impl std::fmt::Debug for Gateway {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("Gateway").field("options", &self.options).finish_non_exhaustive()
+    }
+}
+
+/// `InFlight` counts a request for as long as it lives.
+#[derive(Debug)]
+pub struct InFlight(Rc<Cell<usize>>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl Gateway {
+    /// `start` opens all ports and serves them on the present thread's local tasks.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be bound.
+    pub async fn start(options: Options, dialect: Dialect) -> Result<Rc<Self>> {
+        let callers = listen("caller_address", options.caller_address).await?;
+        let ready = listen("ready_address", options.ready_address).await?;
+        let mut inner = Vec::new();
+        for address in &options.relay_addresses {
+            inner.push(listen("relay_address", *address).await?);
+        }
+        let address = options.beat_address;
+        let socket = UdpSocket::bind(address).await.map_err(|source| Error::Bind {
+            setting: "beat_address",
+            address,
+            source,
+        })?;
+        let gateway = Rc::new(Self::new(options, dialect));
+        tokio::task::spawn_local(callers::serve(Rc::clone(&gateway), callers));
+        tokio::task::spawn_local(probes::serve(Rc::clone(&gateway), ready, Port::Ready));
+        for listener in inner {
+            tokio::task::spawn_local(probes::serve(Rc::clone(&gateway), listener, Port::Inner));
+        }
+        let socket = Rc::new(socket);
+        tokio::task::spawn_local(beats::receive(Rc::clone(&gateway), Rc::clone(&socket)));
+        tokio::task::spawn_local(beat(Rc::clone(&gateway), socket));
+        Ok(gateway)
+    }
+
+    fn new(options: Options, dialect: Dialect) -> Self {
+        Self {
+            traffic: RefCell::new(Traffic::new(options.admission.clone())),
+            options,
+            dialect,
+            pools: Pools::default(),
+            metrics: Metrics::default(),
+            peers: RefCell::default(),
+            documents: RefCell::default(),
+            changed: Notify::new(),
+            take_documents: RefCell::default(),
+            catalog: RefCell::default(),
+            longest_budgets: RefCell::default(),
+            connections: RefCell::default(),
+            started: Instant::now(),
+            last_number: Cell::new(0),
+            in_flight: Rc::default(),
+            is_listed: Cell::new(false),
+            is_draining: Cell::new(false),
+            refuses_new: Cell::new(false),
+            lagging_since: Cell::new(None),
+            next_fetch: Cell::new(Timestamp::ZERO),
+        }
+    }
+
+    /// `now` returns the time since the process started.
+    pub fn now(&self) -> Timestamp {
+        self.started.elapsed()
+    }
+
+    /// `catalog` returns the configuration in force.
+    pub fn catalog(&self) -> Option<Arc<Catalog>> {
+        self.catalog.borrow().clone()
+    }
+
+    /// `version` returns the version of the configuration in force; 0 before the first.
+    pub fn version(&self) -> CatalogVersion {
+        self.catalog.borrow().as_ref().map_or(0, |catalog| catalog.version)
+    }
+
+    /// `limits` returns the limits for callers.
+    pub fn limits(&self) -> CallerLimits {
+        self.catalog.borrow().as_ref().map_or_else(CallerLimits::default, |catalog| catalog.limits)
+    }
+
+    /// `put_catalog` puts a configuration in force unless a newer one is; it tells whether it did.
+    pub fn put_catalog(&self, catalog: Catalog, source: &str) -> bool {
+        let version = self.version();
+        if self.catalog.borrow().is_some() && catalog.version <= version {
+            if catalog.version < version {
+                decision(
+                    EventKind::SheetPassedOver,
+                    format_args!("version={} in_force={version} source={source}", catalog.version),
+                );
+            }
+            return false;
+        }
+        decision(
+            EventKind::SheetInForce,
+            format_args!(
+                "version={} before={version} source={source} routes={} teams={}",
+                catalog.version,
+                catalog.route_count(),
+                catalog.team_count()
+            ),
+        );
+        *self.catalog.borrow_mut() = Some(Arc::new(catalog));
+        self.lagging_since.set(None);
+        true
+    }
+
+    /// `upstreams_known` notes that the list of upstreams was read once.
+    pub fn upstreams_known(&self) {
+        self.is_listed.set(true);
+    }
+
+    /// `change_upstreams` lets a change be made to the registry and follows it.
+    pub fn change_upstreams(&self, change: impl FnOnce(&mut Traffic, Timestamp) -> Vec<Change>) {
+        let now = self.now();
+        let mut traffic = self.traffic.borrow_mut();
+        let changes = change(&mut traffic, now);
+        if changes.is_empty() {
+            return;
+        }
+        for change in &changes {
+            self.note_change(&traffic, change);
+        }
+        traffic.forget(&changes);
+        drop(traffic);
+        self.changed.notify_waiters();
+    }
+
+    /// `upstream_listed` takes in an entry of the list.
+    pub fn upstream_listed(&self, registration: Registration) {
+        self.change_upstreams(|traffic, _| traffic.registry.listed(registration));
+    }
+
+    fn note_change(&self, traffic: &Traffic, change: &Change) {
+        let describe = |key: UpstreamKey| {
+            traffic.registry.get(key).map_or_else(
+                || format!("key={key}"),
+                |upstream| {
+                    let listed = &upstream.registration;
+                    format!(
+                        "upstream={} address={} service={} domain={} born_ms={:?}",
+                        listed.id, listed.address, listed.service, listed.domain, listed.born_ms
+                    )
+                },
+            )
+        };
+        match change {
+            Change::Joined(key) => {
+                decision(EventKind::UpstreamJoined, format_args!("{}", describe(*key)));
+            }
+            Change::Left(key, source) => decision(
+                EventKind::UpstreamLeaving,
+                format_args!("{} source={source}", describe(*key)),
+            ),
+            Change::Gone(key) => {
+                self.pools.close_all_of(*key);
+                decision(EventKind::UpstreamGone, format_args!("{}", describe(*key)));
+            }
+        }
+    }
+
+    /// `address_of` returns where an upstream listens.
+    pub fn address_of(&self, key: UpstreamKey) -> Option<SocketAddr> {
+        let traffic = self.traffic.borrow();
+        traffic.registry.get(key).map(|upstream| upstream.registration.address)
+    }
+
+    /// `id_of` returns the id of an upstream.
+    pub fn id_of(&self, key: UpstreamKey) -> Option<String> {
+        let traffic = self.traffic.borrow();
+        traffic.registry.get(key).map(|upstream| upstream.registration.id.clone())
+    }
+
+    /// `note_answer_head` takes in what the head of an answer says of its upstream.
+    pub fn note_answer_head(&self, key: UpstreamKey, facts: &AnswerFacts) {
+        let now = self.now();
+        let mut traffic = self.traffic.borrow_mut();
+        traffic.evidence(key).note_life(now);
+        if let Some(report) = facts.load {
+            traffic.load(key).reported(report, now);
+        }
+    }
+
+    /// `note_life` takes in that bytes came from an upstream.
+    pub fn note_life(&self, key: UpstreamKey) {
+        let now = self.now();
+        self.traffic.borrow_mut().evidence(key).note_life(now);
+    }
+
+    /// `note_unreachable` takes in that an upstream took no connection.
+    pub fn note_unreachable(&self, key: UpstreamKey) {
+        let now = self.now();
+        self.traffic.borrow_mut().evidence(key).note_unreachable(now);
+    }
+
+    /// `note_misdirected` takes in that another upstream answers at an address.
+    pub fn note_misdirected(&self, key: UpstreamKey) {
+        self.change_upstreams(|traffic, _| {
+            traffic.registry.left(key, LeavingSource::Answer).into_iter().collect()
+        });
+        self.pools.close_all_of(key);
+    }
+
+    /// `note_request` counts a caller's request.
+    pub fn note_request(&self, call: &Call) {
+        let now = self.now();
+        let mut traffic = self.traffic.borrow_mut();
+        let options = traffic.options.retries;
+        traffic.budget(&call.service).note_request(now, &options);
+        if let Some(team) = &call.team
+            && call.facts.is_generation()
+        {
+            traffic.windows.note_asked(id_of_name(&team.name), call.facts.pool_tokens(), now);
+        }
+    }
+
+    /// `take_repeat` takes one request to a second upstream out of the service's budget.
+    pub fn take_repeat(&self, service: &str) -> bool {
+        let now = self.now();
+        let instances = self.peers.borrow().len() + 1;
+        let mut traffic = self.traffic.borrow_mut();
+        let options = traffic.options.retries;
+        traffic.budget(service).take(now, instances, &options)
+    }
+
+    /// `elapsed_before` returns how long a caller has waited on earlier attempts: a caller that
+    /// comes back has less time left than the longest seen on its route.
+    pub fn elapsed_before(&self, route: &Route, budget: Duration) -> Duration {
+        let mut longest = self.longest_budgets.borrow_mut();
+        let longest = longest.entry(route.name.clone()).or_insert(budget);
+        *longest = (*longest).max(budget);
+        *longest - budget
+    }
+
+    /// `fresh_number` numbers a request.
+    pub fn fresh_number(&self) -> u64 {
+        self.last_number.set(self.last_number.get() + 1);
+        self.last_number.get()
+    }
+
+    /// `enter` counts a request as in flight until the result is dropped.
+    pub fn enter(&self) -> InFlight {
+        self.in_flight.set(self.in_flight.get() + 1);
+        InFlight(Rc::clone(&self.in_flight))
+    }
+
+    /// `in_flight` returns how many requests are in flight.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.get()
+    }
+
+    /// `open_connection` counts a caller's connection.
+    pub fn open_connection(&self) -> Rc<CallerConnection> {
+        let connection = Rc::new(CallerConnection::default());
+        self.connections.borrow_mut().push(Rc::clone(&connection));
+        connection
+    }
+
+    /// `close_connection` forgets a caller's connection.
+    pub fn close_connection(&self, connection: &Rc<CallerConnection>) {
+        self.connections.borrow_mut().retain(|open| !Rc::ptr_eq(open, connection));
+    }
+
+    /// `each_connection` visits the open connections of callers.
+    pub fn each_connection(&self, visit: impl Fn(&CallerConnection)) {
+        self.connections.borrow().iter().for_each(|connection| visit(connection));
+    }
+
+    /// `connection_count` returns how many connections of callers are open.
+    pub fn connection_count(&self) -> usize {
+        self.connections.borrow().len()
+    }
+
+    /// `is_ready` tells whether new callers should come here.
+    pub fn is_ready(&self) -> bool {
+        self.catalog.borrow().is_some() && self.is_listed.get() && !self.is_draining.get()
+    }
+
+    /// `is_draining` tells whether the process is about to end.
+    pub fn is_draining(&self) -> bool {
+        self.is_draining.get()
+    }
+
+    /// `begin_drain` takes the instance out of rotation.
+    pub fn begin_drain(&self) {
+        self.is_draining.set(true);
+    }
+
+    /// `refuses_new` tells whether requests that come now are refused.
+    pub fn refuses_new(&self) -> bool {
+        self.refuses_new.get()
+    }
+
+    /// `refuse_new` lets requests that come from now on be refused.
+    pub fn refuse_new(&self) {
+        self.refuses_new.set(true);
+    }
+
+    /// `replace_peers` takes in where all peers are.
+    pub fn replace_peers(&self, addresses: Vec<PeerAddress>) {
+        let own = self.options.instance;
+        let others = addresses.into_iter().filter(|address| address.instance != own).collect();
+        beats::replace_peers(&mut self.peers.borrow_mut(), others);
+    }
+
+    /// `take_in_loads` takes in what a peer has in hand.
+    pub fn take_in_loads(
+        &self,
+        peer: InstanceId,
+        figures: &HashMap<UpstreamId, Figures>,
+        now: Timestamp,
+    ) {
+        let mut traffic = self.traffic.borrow_mut();
+        let known: Vec<(UpstreamKey, UpstreamId)> = traffic
+            .registry
+            .all()
+            .map(|upstream| (upstream.key, id_of_name(&upstream.registration.id)))
+            .collect();
+        for (key, id) in known {
+            let figures = figures.get(&id).copied().unwrap_or_default();
+            traffic.load(key).peer_heard(peer, figures, now);
+        }
+    }
+
+    /// `take_in_leaving` takes in of which upstreams a peer knows that they leave.
+    pub fn take_in_leaving(&self, leaving: &[UpstreamId]) {
+        if leaving.is_empty() {
+            return;
+        }
+        self.change_upstreams(|traffic, _| {
+            let keys: Vec<UpstreamKey> = traffic
+                .registry
+                .all()
+                .filter(|upstream| upstream.takes_work())
+                .filter(|upstream| leaving.contains(&id_of_name(&upstream.registration.id)))
+                .map(|upstream| upstream.key)
+                .collect();
+            keys.into_iter()
+                .filter_map(|key| traffic.registry.left(key, LeavingSource::Peer))
+                .collect()
+        });
+    }
+
+    /// `on_documents` sets who takes in documents that peers hand over.
+    pub fn on_documents(&self, take: TakeDocuments) {
+        *self.take_documents.borrow_mut() = Some(take);
+    }
+
+    /// `fetch_documents` asks another instance for what it knows.
+    pub async fn fetch_documents(&self, from: SocketAddr) {
+        match relays::fetch(from).await {
+            Ok(documents) => {
+                log::info!("event=documents_fetched peer={from} count={}", documents.len());
+                if let Some(take) = self.take_documents.borrow().as_ref() {
+                    take(documents);
+                }
+            }
+            Err(error) => log::info!("event=documents_not_fetched peer={from} error={error}"),
+        }
+    }
+
+    /// The peer with a newer configuration, once that has lasted.
+    fn ahead_peer(&self) -> Option<SocketAddr> {
+        let now = self.now();
+        let version = self.version();
+        let peers = self.peers.borrow();
+        let ahead = peers.values().filter(|peer| version < peer.version);
+        let Some(ahead) = ahead.max_by_key(|peer| (peer.version, peer.heard)) else {
+            self.lagging_since.set(None);
+            return None;
+        };
+        let since = self.lagging_since.get().unwrap_or(now);
+        self.lagging_since.set(Some(since));
+        if now < since + LAG_TOLERANCE || now < self.next_fetch.get() {
+            return None;
+        }
+        self.next_fetch.set(now + FETCH_INTERVAL);
+        Some(ahead.address.relay_address)
+    }
+}
+
+async fn listen(setting: &'static str, address: SocketAddr) -> Result<TcpListener> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|source| Error::Bind { setting, address, source })
+}
+
+async fn beat(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    let mut sequence = 0;
+    loop {
+        tokio::time::sleep(BEAT_INTERVAL).await;
+        sequence += 1;
+        beats::send_beat(&gateway, &socket, sequence).await;
+        gateway.change_upstreams(|traffic, now| traffic.registry.step(now));
+        if sequence.is_multiple_of(SWEEP_BEATS) {
+            gateway.pools.sweep(gateway.now());
+            callers::drop_slow_heads(&gateway);
+        }
+        if let Some(peer) = gateway.ahead_peer() {
+            let gateway = Rc::clone(&gateway);
+            tokio::task::spawn_local(async move { gateway.fetch_documents(peer).await });
+        }
+    }
+}
--- /dev/null
+++ b/crates/bergamotpitch-gateway/src/lib.rs
@@ -0,0 +1,32 @@
+//! The way of a request between a caller and an upstream.
+//!
+//! A [`Gateway`](gateways::Gateway) takes callers' requests on one port, decides on each with the
+//! tables of [`bergamotpitch_control::traffic`], and passes the upstream's answer on as it comes.
+//! It runs on one thread: a router has a fraction of one core, on which a second thread only adds
+//! switches, and all state is then reached without locks.
+//!
+//! How requests and answers are spelled is no matter of this crate: a [`Dialect`](dialects::Dialect)
+//! reads and writes headers, and whoever starts the gateway hands it catalogs, upstreams and peers.
+
+pub mod beats;
+pub mod bodies;
+pub mod callers;
+pub mod calls;
+pub mod connections;
+pub mod dialects;
+pub mod drains;
+pub mod errors;
+pub mod exchanges;
+pub mod gateways;
+pub mod logs;
+pub mod metrics;
+pub mod options;
+pub mod placements;
+pub mod probes;
+pub mod refusals;
+pub mod relays;
+pub mod sse;
+
+pub use crate::errors::{Error, Result};
+pub use crate::gateways::Gateway;
+pub use crate::options::Options;
--- /dev/null
+++ b/crates/bergamotpitch-gateway/src/logs.rs
@@ -0,0 +1,151 @@
+//! Logs: structured lines on standard output, bounded in number, written by a thread of their own.
+//!
+//! A reader of standard output that stops reading would block the writer. Lines therefore go into
+//! a bounded buffer that a separate thread writes out; when the buffer or the budget of a second
+//! is spent, lines are left out and counted, and requests go on.
+
+use std::fmt::Write as _;
+use std::io::Write as _;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use bergamotpitch_core::events::EventKind;
+use log::{LevelFilter, Log, Metadata, Record};
+
+/// `LINES_PER_SECOND` bounds the volume: twice what a router writes at 100 requests a second.
+const LINES_PER_SECOND: u32 = 400;
+
+/// `BUFFER_BYTES` bounds the memory of lines that a slow reader has not taken.
+const BUFFER_BYTES: usize = 256 << 10;
+
+/// `WRITE_INTERVAL` is the time between two writes; a write for each line would cost a wake-up
+/// each.
+const WRITE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// `LineLog` is the log of this process.
+#[derive(Debug)]
+pub struct LineLog {
+    instance: String,
+    start: Instant,
+    buffer: Arc<Mutex<Buffer>>,
+}
+
+#[derive(Debug, Default)]
+struct Buffer {
+    lines: String,
+    second: u64,
+    written_lines: u32,
+    left_out: u64,
+    is_closing: bool,
+}
+
+/// `install` makes a line log the log of this process and starts its writer.
+pub fn install(instance: &str, level: LevelFilter) -> LogHandle {
+    let buffer = Arc::new(Mutex::new(Buffer::default()));
+    let log = LineLog {
+        instance: instance.to_owned(),
+        start: Instant::now(),
+        buffer: Arc::clone(&buffer),
+    };
+    if log::set_boxed_logger(Box::new(log)).is_ok() {
+        log::set_max_level(level);
+    }
+    let shared = Arc::clone(&buffer);
+    let writer =
+        std::thread::Builder::new().name("log".to_owned()).spawn(move || write_all(&shared));
+    LogHandle { buffer, writer: writer.ok() }
+}
+
+/// `LogHandle` writes out what is left when it is closed.
+#[derive(Debug)]
+pub struct LogHandle {
+    buffer: Arc<Mutex<Buffer>>,
+    writer: Option<std::thread::JoinHandle<()>>,
+}
+
+impl LogHandle {
+    /// `close` waits until all lines are written.
+    pub fn close(self) {
+        lock(&self.buffer).is_closing = true;
+        if let Some(writer) = self.writer {
+            writer.thread().unpark();
+            // A writer that panicked has nothing left to write.
+            let _ = writer.join();
+        }
+    }
+}
+
+impl Log for LineLog {
+    fn enabled(&self, _: &Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        let elapsed = self.start.elapsed();
+        let mut buffer = lock(&self.buffer);
+        if !buffer.admit(elapsed.as_secs(), record.level() <= log::Level::Warn) {
+            return;
+        }
+        // Writing into a string does not fail.
+        let _ = writeln!(
+            buffer.lines,
+            "t={:.3} level={} instance={} {}",
+            elapsed.as_secs_f64(),
+            record.level(),
+            self.instance,
+            record.args()
+        );
+    }
+
+    fn flush(&self) {}
+}
+
+impl Buffer {
+    fn admit(&mut self, second: u64, is_urgent: bool) -> bool {
+        if self.second != second {
+            self.second = second;
+            self.written_lines = 0;
+        }
+        // Warnings may use the budget twice over, so that a flood of decisions hides none.
+        let limit = if is_urgent { 2 * LINES_PER_SECOND } else { LINES_PER_SECOND };
+        if limit <= self.written_lines || BUFFER_BYTES <= self.lines.len() {
+            self.left_out += 1;
+            return false;
+        }
+        self.written_lines += 1;
+        true
+    }
+
+    fn take(&mut self) -> String {
+        let mut lines = std::mem::take(&mut self.lines);
+        if self.left_out != 0 {
+            let _ = writeln!(lines, "event=lines_left_out count={}", self.left_out);
+            self.left_out = 0;
+        }
+        lines
+    }
+}
+
+/// `decision` writes one line on a decision, with its event number and name.
+pub fn decision(kind: EventKind, details: std::fmt::Arguments<'_>) {
+    log::info!("event={} name={kind} {details}", kind as u16);
+}
+
+fn write_all(buffer: &Mutex<Buffer>) {
+    loop {
+        std::thread::park_timeout(WRITE_INTERVAL);
+        let (lines, is_closing) = {
+            let mut buffer = lock(buffer);
+            (buffer.take(), buffer.is_closing)
+        };
+        // Nobody is left to be told when standard output is closed.
+        let _ = std::io::stdout().write_all(lines.as_bytes());
+        if is_closing {
+            return;
+        }
+    }
+}
+
+fn lock(buffer: &Mutex<Buffer>) -> std::sync::MutexGuard<'_, Buffer> {
+    buffer.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/bergamotpitch-gateway/src/options.rs
@@ -0,0 +1,47 @@
+//! Options: what a gateway is told when it starts.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bergamotpitch_control::traffic::admissions;
+use bergamotpitch_core::ids::{Incarnation, InstanceId};
+
+/// `Options` of a gateway.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Name of this instance, for logs.
+    pub instance_name: String,
+    /// Number of this instance among its peers.
+    pub instance: InstanceId,
+    /// Its present life.
+    pub incarnation: Incarnation,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where the balancer asks whether this instance takes callers.
+    pub ready_address: SocketAddr,
+    /// Where peers' datagrams come in.
+    pub beat_address: SocketAddr,
+    /// Where peers and fresh instances fetch the documents that this instance knows.
+    pub relay_addresses: Vec<SocketAddr>,
+    /// Decisions.
+    pub admission: admissions::Options,
+    /// Time between SIGTERM and the end of the process.
+    pub grace: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            instance_name: String::new(),
+            instance: 0,
+            incarnation: 0,
+            caller_address: any_port,
+            ready_address: any_port,
+            beat_address: any_port,
+            relay_addresses: vec![any_port],
+            admission: admissions::Options::default(),
+            grace: Duration::from_secs(8),
+        }
+    }
+}
