--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -115,7 +115,7 @@
     pub team: Option<TeamId>,
     /// Its target latency.
     pub target: Duration,
-    /// Time since the caller's first attempt.
+    /// Time since the request arrived.
     pub elapsed: Duration,
     /// Upstreams that must not get it.
     pub tried: &'a [UpstreamKey],
--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -80,8 +80,6 @@
     pub arrived: Timestamp,
     /// When its final answer is due.
     pub deadline: Timestamp,
-    /// Time that the caller had spent on earlier attempts.
-    pub elapsed_before: Duration,
     /// Memory of one engine of its service, in tokens.
     pub memory_tokens: u64,
 }
@@ -152,7 +150,6 @@
     let call = Call {
         number: gateway.fresh_number(),
         memory_tokens: engine.map_or(u64::MAX, |engine| engine.memory_tokens),
-        elapsed_before: gateway.elapsed_before(&route, budget),
         headers: passed_headers(gateway, &parts.headers),
         route,
         service,
@@ -433,7 +430,7 @@
         EventKind::RequestDispatched,
         format_args!(
             "request={} route={} team={} upstream={} attempt={} predicted_ms={} requests_there={} \
-             unread_tokens={:.0} within_share={} waited_ms={} elapsed_before_ms={} version={}",
+             unread_tokens={:.0} within_share={} waited_ms={} version={}",
             call.facts.attempt_id,
             call.route.name,
             call.team.as_deref().map_or("-", |team| &team.name),
@@ -444,7 +441,6 @@
             placement.work.unread_tokens,
             placement.is_within_share,
             gateway.now().saturating_sub(call.arrived).as_millis(),
-            call.elapsed_before.as_millis(),
             call.catalog.version,
         ),
     );
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bergamotpitch_control::traffic::admissions::Traffic;
-use bergamotpitch_control::traffic::catalogs::{CallerLimits, Catalog, CatalogVersion, Route};
+use bergamotpitch_control::traffic::catalogs::{CallerLimits, Catalog, CatalogVersion};
 use bergamotpitch_control::traffic::engine_loads::Figures;
 use bergamotpitch_control::traffic::registries::{
     Change, LeavingSource, Registration, UpstreamKey,
@@ -64,7 +64,6 @@
     pub changed: Notify,
     take_documents: RefCell<Option<TakeDocuments>>,
     catalog: RefCell<Option<Arc<Catalog>>>,
-    longest_budgets: RefCell<HashMap<String, Duration>>,
     connections: RefCell<Vec<Rc<CallerConnection>>>,
     started: Instant,
     last_number: Cell<u64>,
@@ -135,7 +134,6 @@
             changed: Notify::new(),
             take_documents: RefCell::default(),
             catalog: RefCell::default(),
-            longest_budgets: RefCell::default(),
             connections: RefCell::default(),
             started: Instant::now(),
             last_number: Cell::new(0),
@@ -312,15 +310,6 @@
         traffic.budget(service).take(now, instances, &options)
     }
 
-    /// `elapsed_before` returns how long a caller has waited on earlier attempts: a caller that
-    /// comes back has less time left than the longest seen on its route.
-    pub fn elapsed_before(&self, route: &Route, budget: Duration) -> Duration {
-        let mut longest = self.longest_budgets.borrow_mut();
-        let longest = longest.entry(route.name.clone()).or_insert(budget);
-        *longest = (*longest).max(budget);
-        *longest - budget
-    }
-
     /// `fresh_number` numbers a request.
     pub fn fresh_number(&self) -> u64 {
         self.last_number.set(self.last_number.get() + 1);
--- a/crates/bergamotpitch-gateway/src/placements.rs
+++ b/crates/bergamotpitch-gateway/src/placements.rs
@@ -66,7 +66,7 @@
         facts: &call.facts,
         team: call.team.as_ref().map(|team| id_of_name(&team.name)),
         target: call.route.target_latency,
-        elapsed: call.elapsed_before + now.saturating_sub(call.arrived),
+        elapsed: now.saturating_sub(call.arrived),
         tried,
         memory_tokens: call.memory_tokens,
         pool_tokens_per_s: call.catalog.pool_tokens_per_s,
