--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -82,13 +82,19 @@
 /// queue keeps its slots busy.
 const PLAIN_SLOTS_FACTOR: f64 = 3.0;
 
-/// `KEPT_ELSEWHERE_PART` is the part of a prompt's shared start that the engine preferred for it is
-/// expected to keep although this instance did not send it there: peers prefer the same engine.
-const KEPT_ELSEWHERE_PART: f64 = 0.7;
+/// `KEPT_PARTS` are the parts of a prompt's shared start that the first and the second engine by
+/// rendezvous are expected to keep although this instance did not send it there: peers agree on the
+/// order without any talk, and use the second when the first is full.
+const KEPT_PARTS: [f64; 2] = [0.9, 0.3];
 
-/// `READ_AGAIN_WEIGHT` is how much a millisecond of prefill on an engine weighs against a
-/// millisecond of waiting: it is paid by all that run there.
-const READ_AGAIN_WEIGHT: f64 = 0.5;
+/// `READ_AGAIN_WEIGHT` is how much a millisecond of reading a shared start again weighs against a
+/// millisecond of waiting: it is taken from all that run on the engine, and the start takes memory
+/// in which other starts are kept.
+const READ_AGAIN_WEIGHT: f64 = 2.0;
+
+/// `REMOTE_WEIGHT_MS` is what the bytes of a request and its answer weigh when they go to another
+/// failure domain, in milliseconds of waiting.
+const REMOTE_WEIGHT_MS: f64 = 20.0;
 
 /// `SLOTS_WEIGHT_MS` spreads requests over engines by their running requests where prompts are
 /// short, in milliseconds for a full engine.
@@ -226,11 +232,11 @@
         if candidates.is_empty() {
             return Choice::NoUpstream(NO_UPSTREAM_RETURN);
         }
-        let preferred = self.preferred(ask, &candidates);
+        let ranked = self.ranked(ask, &candidates);
         let mut best: Option<(f64, Placement)> = None;
         let mut least_excess = LONGEST_RETURN;
         for key in candidates {
-            let Some(seen) = self.look(key, ask, preferred, now) else { continue };
+            let Some(seen) = self.look(key, ask, ranked, now) else { continue };
             match seen.fit(ask, &fill) {
                 Fit::Fits if best.as_ref().is_none_or(|(score, _)| seen.score < *score) => {
                     best = Some((seen.score, seen.placement(is_within_share)));
@@ -313,27 +319,46 @@
         !evidence.is_failing(mean_rate) || evidence.is_trial_due(now)
     }
 
-    /// The engine of the own domain on which instances agree for the shared start of a prompt.
-    fn preferred(&self, ask: &Ask<'_>, candidates: &[UpstreamKey]) -> Option<UpstreamKey> {
-        let shared = ask.facts.prefix.iter().rev().nth(1)?;
-        candidates
-            .iter()
-            .filter_map(|key| self.registry.get(*key))
-            .filter(|upstream| upstream.registration.domain == self.options.domain)
-            .max_by_key(|upstream| rendezvous_weight(shared.id, &upstream.registration.id))
-            .map(|upstream| upstream.key)
+    /// The first and the second engine by rendezvous for the shared start of a prompt.
+    ///
+    /// A long start is kept by one engine of the whole fleet: each domain reads it too seldom to
+    /// keep it warm, and the way to another domain takes less time than reading it again. A short
+    /// one is kept in each domain.
+    fn ranked(&self, ask: &Ask<'_>, candidates: &[UpstreamKey]) -> [Option<UpstreamKey>; 2] {
+        let Some(shared) = ask.facts.prefix.iter().rev().nth(1) else { return [None, None] };
+        let read_ms = ask.facts.shared_tokens() as f64 / self.options.loads.prefill_tokens_per_ms;
+        let way_ms = millis(self.options.remote_round_trip) + REMOTE_WEIGHT_MS;
+        let is_global = way_ms < READ_AGAIN_WEIGHT * read_ms;
+        let mut ranked = [None, None];
+        let mut weights = [0, 0];
+        let engines = candidates.iter().filter_map(|key| self.registry.get(*key));
+        for engine in engines {
+            let listed = &engine.registration;
+            if !is_global && listed.domain != self.options.domain {
+                continue;
+            }
+            let weight = rendezvous_weight(shared.id, &listed.id);
+            if weights[0] < weight {
+                ranked = [Some(engine.key), ranked[0]];
+                weights = [weight, weights[0]];
+            } else if weights[1] < weight {
+                ranked[1] = Some(engine.key);
+                weights[1] = weight;
+            }
+        }
+        ranked
     }
 
     fn look(
         &self,
         key: UpstreamKey,
         ask: &Ask<'_>,
-        preferred: Option<UpstreamKey>,
+        ranked: [Option<UpstreamKey>; 2],
         now: Timestamp,
     ) -> Option<Look> {
         let upstream = self.registry.get(key)?;
         let options = &self.options.loads;
-        let work = self.work_at(key, ask, preferred);
+        let work = self.work_at(key, ask, ranked);
         let idle = UpstreamLoad::default();
         let load = self.loads.get(&key).unwrap_or(&idle);
         let slots = upstream.registration.slots;
@@ -343,9 +368,9 @@
         let figures = load.figures(now, options);
         let own_ms = work.unread_tokens / options.prefill_tokens_per_ms;
         let taken_part = f64::from(figures.requests) / f64::from(slots.max(1));
-        // Another domain is used when the own one has no room, not to save some milliseconds:
-        // bytes between regions are paid and their links are slow.
-        let remote_ms = if is_remote { 10_000.0 } else { 0.0 };
+        let remote_ms = if is_remote { REMOTE_WEIGHT_MS } else { 0.0 };
+        let own_tokens = (ask.facts.own_tokens() as f64).min(work.unread_tokens);
+        let read_again_ms = (work.unread_tokens - own_tokens) / options.prefill_tokens_per_ms;
         Some(Look {
             key,
             work,
@@ -355,22 +380,21 @@
             slots,
             memory_tokens: figures.memory_tokens + work.memory_tokens,
             score: millis(predicted)
-                + READ_AGAIN_WEIGHT * own_ms
+                + READ_AGAIN_WEIGHT * read_again_ms
                 + SLOTS_WEIGHT_MS * taken_part * taken_part
                 + remote_ms,
         })
     }
 
-    fn work_at(&self, key: UpstreamKey, ask: &Ask<'_>, preferred: Option<UpstreamKey>) -> Work {
+    fn work_at(&self, key: UpstreamKey, ask: &Ask<'_>, ranked: [Option<UpstreamKey>; 2]) -> Work {
         let facts = ask.facts;
         if !facts.is_generation() {
             return Work::default();
         }
         let kept = self.kept.get(&key).map_or(0, |kept| kept.kept_tokens(&facts.prefix)) as f64;
-        let shared: u64 =
-            facts.prefix.iter().rev().skip(1).map(|part| u64::from(part.tokens)).sum();
-        let expected =
-            if preferred == Some(key) { KEPT_ELSEWHERE_PART * shared as f64 } else { 0.0 };
+        let rank = ranked.iter().position(|ranked| *ranked == Some(key));
+        let expected_part = rank.map_or(0.0, |rank| KEPT_PARTS[rank]);
+        let expected = expected_part * facts.shared_tokens() as f64;
         Work {
             unread_tokens: (facts.prompt_tokens as f64 - kept.max(expected)).max(1.0),
             memory_tokens: facts.prompt_tokens + facts.output_tokens(),
--- a/crates/bergamotpitch-control/src/traffic/facts.rs
+++ b/crates/bergamotpitch-control/src/traffic/facts.rs
@@ -66,6 +66,25 @@
         }
     }
 
+    /// `shared_tokens` returns the length of the prompt's start that other requests share: all parts
+    /// but the last.
+    ///
+    /// ```
+    /// use bergamotpitch_control::traffic::facts::{PromptPart, RequestFacts};
+    ///
+    /// let prefix = vec![PromptPart { id: 1, tokens: 500 }, PromptPart { id: 2, tokens: 70 }];
+    /// let facts = RequestFacts { prompt_tokens: 570, prefix, ..Default::default() };
+    /// assert_eq!((facts.shared_tokens(), facts.own_tokens()), (500, 70));
+    /// ```
+    pub fn shared_tokens(&self) -> u64 {
+        self.prefix.iter().rev().skip(1).map(|part| u64::from(part.tokens)).sum()
+    }
+
+    /// `own_tokens` returns the length of what no other request shares.
+    pub fn own_tokens(&self) -> u64 {
+        self.prompt_tokens.saturating_sub(self.shared_tokens())
+    }
+
     /// `pool_tokens` returns the cost of the request in tokens of the pool: a token that is read
     /// counts one, a generated one [`GENERATED_TOKEN_COST`].
     ///
