--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -136,8 +136,13 @@
 pub enum Choice {
     /// It goes to this upstream now.
     Send(Placement),
-    /// It fits nowhere; it is worth asking again at this time.
-    Full(Duration),
+    /// It fits nowhere.
+    Full {
+        /// When it is worth asking again.
+        after: Duration,
+        /// Whether it fits into its team's share.
+        is_within_share: bool,
+    },
     /// No upstream of the service takes work; it is worth asking again at this time.
     NoUpstream(Duration),
 }
@@ -247,7 +252,7 @@
         }
         match best {
             Some((_, placement)) => Choice::Send(placement),
-            None => Choice::Full(least_excess.max(SHORTEST_RETURN)),
+            None => Choice::Full { after: least_excess.max(SHORTEST_RETURN), is_within_share },
         }
     }
 
--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -91,8 +91,9 @@
     let attempt_id = facts.as_ref().map(|facts| facts.attempt_id.clone()).unwrap_or_default();
     let _in_flight = gateway.enter();
     gateway.metrics.requests.inc();
+    let mut known = Known::default();
     let result = match facts {
-        Ok(facts) => carry(&gateway, request, facts, arrived).await,
+        Ok(facts) => carry(&gateway, request, facts, arrived, &mut known).await,
         Err(error) => {
             log::info!("event=bad_header request={attempt_id:?} error={error:?}");
             Err(Refusal::denied(StatusCode::BAD_REQUEST, RefusalReason::BadRequest))
@@ -105,7 +106,10 @@
             decision(
                 EventKind::RequestRefused,
                 format_args!(
-                    "request={attempt_id} status={} reason={} ran={} retry_after_ms={} held_ms={} version={}",
+                    "request={attempt_id} route={} team={} status={} reason={} ran={} \
+                     retry_after_ms={} held_ms={} version={}",
+                    known.route.as_deref().map_or("-", |route| &route.name),
+                    known.team.as_deref().map_or("-", |team| &team.name),
                     refusal.status.as_u16(),
                     refusal.reason,
                     refusal.ran,
@@ -119,11 +123,19 @@
     }
 }
 
+/// `Known` is what was found out on a request before it was refused, for the log.
+#[derive(Debug, Default)]
+struct Known {
+    route: Option<Arc<Route>>,
+    team: Option<Arc<Team>>,
+}
+
 async fn carry(
     gateway: &Rc<Gateway>,
     request: Request<Incoming>,
     facts: RequestFacts,
     arrived: Timestamp,
+    known: &mut Known,
 ) -> Result<Response<AnswerBody>, Refusal> {
     if gateway.refuses_new() {
         return Err(Refusal::not_run(RefusalReason::Draining, BUSY_RETURN));
@@ -137,7 +149,9 @@
         .route_of(host_text, parts.uri.path())
         .cloned()
         .ok_or(Refusal::denied(StatusCode::NOT_FOUND, RefusalReason::ServiceNotAllowed))?;
+    known.route = Some(Arc::clone(&route));
     let team = team_of(gateway, &catalog, &route, &parts.headers)?;
+    known.team.clone_from(&team);
     let budget = facts.time_budget.unwrap_or(UNSTATED_BUDGET);
     let deadline = arrived + budget.min(route.timeout);
     let body = read_body(&parts.headers, body, &catalog, deadline.saturating_sub(arrived)).await?;
--- a/crates/bergamotpitch-gateway/src/placements.rs
+++ b/crates/bergamotpitch-gateway/src/placements.rs
@@ -38,7 +38,8 @@
         let now = gateway.now();
         let (reason, after) = match try_place(gateway, call, tried, now) {
             Choice::Send(placement) => return Ok(placement),
-            Choice::Full(after) => (RefusalReason::QueueFull, after),
+            Choice::Full { after, is_within_share: true } => (RefusalReason::Overloaded, after),
+            Choice::Full { after, is_within_share: false } => (RefusalReason::QueueFull, after),
             Choice::NoUpstream(after) => (RefusalReason::NoUpstream, after),
         };
         if hold_until <= now {
