--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -51,6 +51,9 @@
     pub slots_part: f64,
     /// Part of the memory that may be taken by running requests.
     pub memory_part: f64,
+    /// By which part the bounds shrink for a prompt of which all that is to be read was read by
+    /// another engine before: reading it again takes room from requests that need not.
+    pub read_again_part: f64,
 }
 
 impl Default for Options {
@@ -67,12 +70,14 @@
                 others_part: 0.4,
                 slots_part: 0.95,
                 memory_part: 0.9,
+                read_again_part: 0.1,
             },
             beyond_share: Fill {
                 target_part: 0.5,
                 others_part: 0.25,
                 slots_part: 0.8,
                 memory_part: 0.75,
+                read_again_part: 0.8,
             },
         }
     }
@@ -160,6 +165,9 @@
     pub requests: u32,
     /// Whether it fits into its team's share.
     pub is_within_share: bool,
+    /// Place of the upstream in the rendezvous order for the prompt's shared start, of the first
+    /// two.
+    pub rank: Option<usize>,
 }
 
 /// `Traffic` is the state on which requests are decided.
@@ -378,12 +386,14 @@
         let read_again_ms = (work.unread_tokens - own_tokens) / options.prefill_tokens_per_ms;
         Some(Look {
             key,
+            rank: ranked.iter().position(|ranked| *ranked == Some(key)),
             work,
             predicted,
             own: Duration::from_secs_f64(own_ms / 1_000.0),
             requests: figures.requests,
             slots,
             memory_tokens: figures.memory_tokens + work.memory_tokens,
+            read_again_part: read_again_ms / (read_again_ms + own_ms).max(1.0),
             score: millis(predicted)
                 + READ_AGAIN_WEIGHT * read_again_ms
                 + SLOTS_WEIGHT_MS * taken_part * taken_part
@@ -410,12 +420,14 @@
 /// `Look` is one upstream as seen for one request.
 struct Look {
     key: UpstreamKey,
+    rank: Option<usize>,
     work: Work,
     predicted: Duration,
     own: Duration,
     requests: u32,
     slots: u32,
     memory_tokens: u64,
+    read_again_part: f64,
     score: f64,
 }
 
@@ -428,7 +440,8 @@
 impl Look {
     fn fit(&self, ask: &Ask<'_>, fill: &Fill) -> Fit {
         let is_generation = ask.facts.is_generation();
-        let slots_part = if is_generation { fill.slots_part } else { PLAIN_SLOTS_FACTOR };
+        let shrink = 1.0 - fill.read_again_part * self.read_again_part;
+        let slots_part = if is_generation { fill.slots_part * shrink } else { PLAIN_SLOTS_FACTOR };
         let has_slot =
             f64::from(self.requests) + 1.0 <= (f64::from(self.slots) * slots_part).max(1.0);
         let memory = ask.memory_tokens as f64 * fill.memory_part;
@@ -438,8 +451,8 @@
         if !has_slot || !has_memory {
             return Fit::Excess(ask.target);
         }
-        let in_time = ask.target.mul_f64(fill.target_part).saturating_sub(ask.elapsed);
-        let long_prompt = self.own + ask.target.mul_f64(fill.others_part);
+        let in_time = ask.target.mul_f64(fill.target_part * shrink).saturating_sub(ask.elapsed);
+        let long_prompt = self.own + ask.target.mul_f64(fill.others_part * shrink);
         let limit = in_time.max(long_prompt);
         if self.predicted <= limit { Fit::Fits } else { Fit::Excess(self.predicted - limit) }
     }
@@ -451,6 +464,7 @@
             predicted: self.predicted,
             requests: self.requests,
             is_within_share,
+            rank: self.rank,
         }
     }
 }
