--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -77,7 +77,7 @@
                 others_part: 0.25,
                 slots_part: 0.8,
                 memory_part: 0.75,
-                read_again_part: 0.8,
+                read_again_part: 0.95,
             },
         }
     }
@@ -95,7 +95,7 @@
 /// `READ_AGAIN_WEIGHT` is how much a millisecond of reading a shared start again weighs against a
 /// millisecond of waiting: it is taken from all that run on the engine, and the start takes memory
 /// in which other starts are kept.
-const READ_AGAIN_WEIGHT: f64 = 2.0;
+const READ_AGAIN_WEIGHT: f64 = 4.0;
 
 /// `REMOTE_WEIGHT_MS` is what the bytes of a request and its answer weigh when they go to another
 /// failure domain, in milliseconds of waiting.
@@ -105,8 +105,12 @@
 /// short, in milliseconds for a full engine.
 const SLOTS_WEIGHT_MS: f64 = 150.0;
 
+/// `IDLE_SLOTS_PART` is the part of its slots below which an engine has room for any request, also
+/// for one that reads again what another engine holds: its capacity would stand idle.
+const IDLE_SLOTS_PART: f64 = 0.4;
+
 /// `SHORTEST_RETURN` and `LONGEST_RETURN` bound the time after which a caller should come back.
-const SHORTEST_RETURN: Duration = Duration::from_millis(250);
+const SHORTEST_RETURN: Duration = Duration::from_millis(80);
 
 /// `LONGEST_RETURN` see [`SHORTEST_RETURN`].
 const LONGEST_RETURN: Duration = Duration::from_millis(2_000);
@@ -393,7 +397,7 @@
             requests: figures.requests,
             slots,
             memory_tokens: figures.memory_tokens + work.memory_tokens,
-            read_again_part: read_again_ms / (read_again_ms + own_ms).max(1.0),
+            read_again_part: read_again_ms / own_ms.max(1.0),
             score: millis(predicted)
                 + READ_AGAIN_WEIGHT * read_again_ms
                 + SLOTS_WEIGHT_MS * taken_part * taken_part
@@ -440,7 +444,9 @@
 impl Look {
     fn fit(&self, ask: &Ask<'_>, fill: &Fill) -> Fit {
         let is_generation = ask.facts.is_generation();
-        let shrink = 1.0 - fill.read_again_part * self.read_again_part;
+        let taken_part = f64::from(self.requests) / f64::from(self.slots.max(1));
+        let is_idle = taken_part < IDLE_SLOTS_PART;
+        let shrink = if is_idle { 1.0 } else { 1.0 - fill.read_again_part * self.read_again_part };
         let slots_part = if is_generation { fill.slots_part * shrink } else { PLAIN_SLOTS_FACTOR };
         let has_slot =
             f64::from(self.requests) + 1.0 <= (f64::from(self.slots) * slots_part).max(1.0);
