--- /dev/null
+++ b/crates/bergamotpitch-control/tests/engines/mod.rs
@@ -0,0 +1,139 @@
+//! A stand-in for model engines in virtual time: prompts are read first come, first served, in
+//! chunks between decoding steps; the most recently used starts of prompts are kept.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use bergamotpitch_control::traffic::facts::{PartId, PromptPart};
+
+const PREFILL_TOKENS_PER_MS: f64 = 100.0;
+const CHUNK_TOKENS: f64 = 4_096.0;
+const STEP_MS: f64 = 3.0;
+const STEP_MS_PER_REQUEST: f64 = 0.025;
+
+/// `Engine` is one engine.
+pub struct Engine {
+    pub slots: usize,
+    pub room_tokens: u64,
+    pub read_again_tokens: f64,
+    waiting: VecDeque<Work>,
+    reading: VecDeque<Work>,
+    running: Vec<Work>,
+    kept: VecDeque<PromptPart>,
+    time_ms: f64,
+}
+
+/// `Work` is one request at an engine.
+#[derive(Clone)]
+pub struct Work {
+    pub number: u64,
+    pub prefix: Vec<PromptPart>,
+    unread_tokens: f64,
+    left_tokens: f64,
+}
+
+/// `Happening` is what an engine tells.
+pub enum Happening {
+    Began(u64, Duration),
+    Ended(u64),
+}
+
+impl Engine {
+    pub fn new(slots: usize, room_tokens: u64) -> Self {
+        Self {
+            slots,
+            room_tokens,
+            read_again_tokens: 0.0,
+            waiting: VecDeque::new(),
+            reading: VecDeque::new(),
+            running: Vec::new(),
+            kept: VecDeque::new(),
+            time_ms: 0.0,
+        }
+    }
+
+    pub fn send(&mut self, number: u64, prefix: Vec<PromptPart>, output_tokens: u64) {
+        let left_tokens = output_tokens.max(1) as f64;
+        self.waiting.push_back(Work { number, prefix, unread_tokens: 0.0, left_tokens });
+    }
+
+    /// `run` goes on until `until` and returns what happened.
+    pub fn run(&mut self, until: Duration) -> Vec<Happening> {
+        let until_ms = until.as_secs_f64() * 1_000.0;
+        let mut happenings = Vec::new();
+        while self.time_ms < until_ms {
+            self.admit();
+            if self.reading.is_empty() && self.running.is_empty() {
+                self.time_ms = until_ms;
+                break;
+            }
+            self.step(&mut happenings);
+        }
+        happenings
+    }
+
+    fn admit(&mut self) {
+        while self.reading.len() + self.running.len() < self.slots {
+            let Some(mut work) = self.waiting.pop_front() else { return };
+            work.unread_tokens = self.unread_tokens(&work.prefix);
+            self.keep(&work.prefix);
+            self.reading.push_back(work);
+        }
+    }
+
+    fn unread_tokens(&mut self, prefix: &[PromptPart]) -> f64 {
+        let kept = |part: &PromptPart| self.kept.iter().any(|kept| kept.id == part.id);
+        let tokens = |parts: &[PromptPart]| parts.iter().map(|part| f64::from(part.tokens)).sum();
+        let first_unread = prefix.iter().position(|part| !kept(part)).unwrap_or(prefix.len());
+        let shared = prefix.len().saturating_sub(1).max(first_unread);
+        let again: f64 = tokens(&prefix[first_unread..shared]);
+        self.read_again_tokens += again;
+        tokens(&prefix[first_unread..])
+    }
+
+    fn keep(&mut self, prefix: &[PromptPart]) {
+        for part in prefix {
+            self.kept.retain(|kept| kept.id != part.id);
+            self.kept.push_back(*part);
+        }
+        let mut used: u64 = self.kept.iter().map(|part| u64::from(part.tokens)).sum();
+        while self.room_tokens < used {
+            let Some(dropped) = self.kept.pop_front() else { return };
+            used -= u64::from(dropped.tokens);
+        }
+    }
+
+    fn step(&mut self, happenings: &mut Vec<Happening>) {
+        let mut chunk = CHUNK_TOKENS;
+        let mut begun = Vec::new();
+        while let Some(work) = self.reading.front_mut() {
+            let read = work.unread_tokens.min(chunk);
+            work.unread_tokens -= read;
+            chunk -= read;
+            if 0.0 < work.unread_tokens {
+                break;
+            }
+            begun.extend(self.reading.pop_front());
+        }
+        let decoding = self.running.len() as f64;
+        self.time_ms += (CHUNK_TOKENS - chunk) / PREFILL_TOKENS_PER_MS
+            + STEP_MS
+            + STEP_MS_PER_REQUEST * decoding;
+        for work in &mut self.running {
+            work.left_tokens -= 1.0;
+        }
+        let ended = self.running.iter().filter(|work| work.left_tokens <= 0.0);
+        happenings.extend(ended.map(|work| Happening::Ended(work.number)));
+        self.running.retain(|work| 0.0 < work.left_tokens);
+        for work in begun {
+            let time = Duration::from_secs_f64(self.time_ms / 1_000.0);
+            happenings.push(Happening::Began(work.number, time));
+            self.running.push(work);
+        }
+    }
+}
+
+/// `part` is one part of a prompt.
+pub fn part(id: PartId, tokens: u32) -> PromptPart {
+    PromptPart { id, tokens }
+}
--- /dev/null
+++ b/crates/bergamotpitch-control/tests/even_shares.rs
@@ -0,0 +1,78 @@
+//! Teams' shares are even over the fleet, whatever one of them asks for.
+
+use std::time::Duration;
+
+use bergamotpitch_control::traffic::team_windows::{Options, TeamSums, TeamWindows, max_min_level};
+
+const SMALL: u32 = 1;
+const LARGE: u32 = 2;
+const RATE: Option<u64> = Some(1_000);
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// One team sends seven times its usual. The small team's requests still fit, the flood's do not,
+/// once it has begun what everyone may.
+#[test]
+fn one_flood() {
+    let mut windows = TeamWindows::new(Options::default());
+    windows.note_asked(SMALL, 500, at(100));
+    windows.note_asked(LARGE, 50_000, at(100));
+    let level = windows.level(RATE, at(200));
+    assert_eq!(level, 3_500.0);
+    windows.note_begun(SMALL, 400, at(200));
+    windows.note_begun(LARGE, 3_600, at(200));
+    assert!(windows.is_within_share(SMALL, 100, RATE, at(210)));
+    assert!(!windows.is_within_share(LARGE, 100, RATE, at(210)));
+    // What was begun leaves the window after four seconds.
+    assert!(windows.is_within_share(LARGE, 100, RATE, at(4_700)));
+}
+
+/// The same team comes in at two instances. Without the peer's sums it would get its share twice.
+#[test]
+fn two_instances() {
+    let mut windows = TeamWindows::new(Options::default());
+    windows.note_asked(SMALL, 9_000, at(0));
+    windows.note_asked(LARGE, 9_000, at(0));
+    let begun = TeamSums { asked_tokens: 9_000, begun_tokens: 3_000 };
+    windows.peer_heard(7, [(LARGE, begun)], at(10));
+    assert!(!windows.is_within_share(LARGE, 100, RATE, at(100)));
+    assert!(windows.is_within_share(SMALL, 100, RATE, at(100)));
+    // A peer that fell silent no longer counts: the rest of the fleet has the whole pool.
+    assert!(windows.is_within_share(LARGE, 100, RATE, at(1_600)));
+}
+
+/// A request that is larger than a whole share would otherwise never be served.
+#[test]
+fn large_request() {
+    let mut windows = TeamWindows::new(Options::default());
+    windows.note_asked(SMALL, 90_000, at(0));
+    windows.note_asked(LARGE, 90_000, at(0));
+    assert!(windows.is_within_share(LARGE, 90_000, RATE, at(0)));
+    windows.note_begun(LARGE, 90_000, at(0));
+    assert!(!windows.is_within_share(LARGE, 90_000, RATE, at(0)));
+}
+
+#[test]
+fn no_rate() {
+    let mut windows = TeamWindows::new(Options::default());
+    windows.note_asked(LARGE, 1 << 40, at(0));
+    assert_eq!(windows.level(None, at(0)), f64::INFINITY);
+}
+
+#[test]
+fn level_fills_pool() {
+    arbtest::arbtest(|random| {
+        let demands: Vec<f64> = (0..random.int_in_range(1..=20)?)
+            .map(|_| random.int_in_range(0_u32..=10_000).map(f64::from))
+            .collect::<Result<_, _>>()?;
+        let capacity = f64::from(random.int_in_range(1_u32..=50_000)?);
+        let level = max_min_level(demands.clone(), capacity);
+        let served: f64 = demands.iter().map(|demand| demand.min(level)).sum();
+        let asked: f64 = demands.iter().sum();
+        assert!((served - asked.min(capacity)).abs() < 0.01, "{served} {asked} {capacity}");
+        Ok(())
+    })
+    .seed(0x7e1a_0002_0000_0100);
+}
--- /dev/null
+++ b/crates/bergamotpitch-control/tests/listed_upstreams.rs
@@ -0,0 +1,92 @@
+//! The registry keeps sound upstreams through outages of the list and gives leaving ones no work.
+
+use std::time::Duration;
+
+use bergamotpitch_control::traffic::registries::{
+    Change, LAPSE_GRACE, LeavingSource, Registration, Registry,
+};
+
+fn registration(id: &str, born_ms: u64) -> Registration {
+    Registration {
+        id: id.to_owned(),
+        born_ms: Some(born_ms),
+        service: "engines".to_owned(),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        domain: "a".to_owned(),
+        slots: 8,
+        is_leaving: false,
+        cold_left: Duration::ZERO,
+    }
+}
+
+fn leaving(id: &str, born_ms: u64) -> Registration {
+    Registration { is_leaving: true, ..registration(id, born_ms) }
+}
+
+/// An operator empties an engine. Work that still goes there is cut when the engine exits.
+#[test]
+fn leaving_stays() {
+    let mut registry = Registry::default();
+    registry.listed(registration("e", 1));
+    let key = registry.key_of("e").unwrap();
+    let changes = registry.listed(leaving("e", 1));
+    assert_eq!(changes, [Change::Left(key, LeavingSource::List)]);
+    // A late write of the time before must not bring it back.
+    assert!(registry.listed(registration("e", 1)).is_empty());
+    assert!(!registry.get(key).unwrap().takes_work());
+}
+
+/// An engine crashes and starts again under its id. What was known of the earlier life would send
+/// requests to memory that is gone, and news of the earlier life would empty the new one.
+#[test]
+fn second_life() {
+    let mut registry = Registry::default();
+    registry.listed(registration("e", 1));
+    let first = registry.key_of("e").unwrap();
+    let changes = registry.listed(registration("e", 2));
+    let second = registry.key_of("e").unwrap();
+    assert_eq!(changes, [Change::Gone(first), Change::Joined(second)]);
+    assert_eq!(registry.left(first, LeavingSource::Answer), None);
+    assert!(registry.listed(leaving("e", 1)).is_empty(), "a late write of the first life counts");
+    assert!(registry.get(second).unwrap().takes_work());
+    assert_eq!(registry.of_service("engines"), [second]);
+}
+
+/// The platform's list is down and its entries lapse. An instance that believed it would refuse
+/// all callers although every engine works.
+#[test]
+fn lapsed_list() {
+    let mut registry = Registry::default();
+    registry.listed(registration("alive", 1));
+    registry.listed(registration("dead", 1));
+    registry.list_lost();
+    let back = Duration::from_secs(10);
+    registry.list_back(back);
+    assert!(registry.list_replaced(&[], back).is_empty());
+    assert!(registry.get(registry.key_of("alive").unwrap()).unwrap().takes_work());
+    registry.listed(registration("alive", 1));
+    assert!(registry.step(back + LAPSE_GRACE / 2).is_empty());
+    let dead = registry.key_of("dead").unwrap();
+    assert_eq!(registry.step(back + LAPSE_GRACE), [Change::Gone(dead)]);
+    assert!(registry.key_of("alive").is_some());
+}
+
+/// Outside an outage an entry that vanishes is an engine that has left.
+#[test]
+fn vanished_entry() {
+    let mut registry = Registry::default();
+    registry.listed(registration("e", 1));
+    let key = registry.key_of("e").unwrap();
+    assert_eq!(registry.unlisted("e", Duration::from_secs(1)), [Change::Gone(key)]);
+    assert!(registry.unlisted("e", Duration::from_secs(1)).is_empty());
+}
+
+/// A leaving engine's entry is removed during an outage of the list: its end was announced before,
+/// so it is no lapse.
+#[test]
+fn announced_end() {
+    let mut registry = Registry::default();
+    registry.listed(leaving("e", 1));
+    registry.list_lost();
+    assert_eq!(registry.unlisted("e", Duration::from_secs(1)).len(), 1);
+}
--- /dev/null
+++ b/crates/bergamotpitch-gateway/tests/caller_limits.rs
@@ -0,0 +1,126 @@
+//! What callers may send is bounded, and what upstreams are told is the system's own word.
+
+mod common;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use common::{FakeUpstream, ask, catalog, request, run, start, start_with, whole};
+use http_body_util::Full;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+async fn ok_upstream() -> FakeUpstream {
+    FakeUpstream::start(Box::new(|_| vec![whole("200 OK", "done")])).await
+}
+
+#[test]
+fn own_headers() {
+    run(async {
+        let upstream = ok_upstream().await;
+        let (_, address) = start(&[&upstream]).await;
+        let mut asked = request("POST", "/closed/a", "one");
+        let headers = asked.headers_mut();
+        headers.insert("x-key", "secret".parse().unwrap());
+        headers.insert("x-team", "forged".parse().unwrap());
+        headers.insert("connection", "x-hop".parse().unwrap());
+        headers.insert("x-hop", "1".parse().unwrap());
+        headers.insert("x-other", "kept".parse().unwrap());
+        assert_eq!(ask(address, asked).await.unwrap().status, 200);
+        let seen = upstream.seen.borrow()[0].clone();
+        assert_eq!(seen.header("x-team"), Some("florists"));
+        assert_eq!(seen.header("x-upstream"), Some("u0"));
+        assert_eq!(seen.header("x-other"), Some("kept"));
+        assert_eq!((seen.header("x-key"), seen.header("x-hop")), (None, None));
+        assert_eq!(seen.header("x-id"), Some("one"));
+        assert_eq!(seen.body, b"a body");
+        let left_ms: u64 = seen.header("x-budget-ms").unwrap().parse().unwrap();
+        assert!((2_000..=3_000).contains(&left_ms), "{left_ms}");
+    });
+}
+
+#[test]
+fn denied_callers() {
+    run(async {
+        let upstream = ok_upstream().await;
+        let (_, address) = start(&[&upstream]).await;
+        let status = async |path: &str, key: Option<&str>| {
+            let mut asked = request("GET", path, "one");
+            if let Some(key) = key {
+                asked.headers_mut().insert("x-key", key.parse().unwrap());
+            }
+            ask(address, asked).await.unwrap().status
+        };
+        assert_eq!(status("/closed/", None).await, 401);
+        assert_eq!(status("/closed/", Some("wrong")).await, 401);
+        assert_eq!(status("/closed/", Some("secret")).await, 200);
+        assert_eq!(status("/nowhere/", Some("secret")).await, 404);
+        assert_eq!(status("/safe/", Some("wrong")).await, 200, "a public route needs no key");
+    });
+}
+
+/// An instance that has read no configuration yet knows neither routes nor keys: 404 or 401 would
+/// be wrong, and callers do not repeat after them.
+#[test]
+fn no_configuration() {
+    run(async {
+        let options = bergamotpitch_gateway::Options::default();
+        let address = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let options = bergamotpitch_gateway::Options { caller_address: address, ..options };
+        let gateway =
+            bergamotpitch_gateway::Gateway::start(options, common::DIALECT).await.unwrap();
+        assert!(!gateway.is_ready());
+        let got = ask(address, request("GET", "/safe/", "one")).await.unwrap();
+        assert_eq!(got.status, 503);
+        assert!(got.headers.contains_key("retry-after"));
+    });
+}
+
+#[test]
+fn large_body() {
+    run(async {
+        let upstream = ok_upstream().await;
+        let mut catalog = catalog(1);
+        catalog.limits.body_bytes = 1_000;
+        let (_, address) = start_with(&[&upstream], catalog).await;
+        let mut asked = request("POST", "/safe/", "one");
+        *asked.body_mut() = Full::new(Bytes::from(vec![b'x'; 1_001]));
+        assert_eq!(ask(address, asked).await.unwrap().status, 413);
+        assert_eq!(upstream.count(), 0);
+    });
+}
+
+/// A caller sends its head byte by byte, for ever. Each such connection holds a descriptor.
+#[test]
+fn slow_head() {
+    run(async {
+        let upstream = ok_upstream().await;
+        let mut catalog = catalog(1);
+        catalog.limits.header_timeout = Duration::from_millis(300);
+        let (gateway, address) = start_with(&[&upstream], catalog).await;
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_all(b"GET /safe/ HTTP/1.1\r\nho").await.unwrap();
+        let read = tokio::time::timeout(Duration::from_secs(5), stream.read(&mut [0; 16])).await;
+        assert_eq!(read.expect("the connection stays open").unwrap_or(0), 0);
+        assert_eq!(gateway.connection_count(), 0);
+    });
+}
+
+/// A connection without a request stays open for the time that callers may reuse it, and no longer.
+#[test]
+fn idle_connection() {
+    run(async {
+        let upstream = ok_upstream().await;
+        let mut catalog = catalog(1);
+        catalog.limits.header_timeout = Duration::from_millis(100);
+        catalog.limits.idle_timeout = Duration::from_millis(1_200);
+        let (gateway, address) = start_with(&[&upstream], catalog).await;
+        let mut sender = common::connect(address).await;
+        common::ask_on(&mut sender, request("GET", "/safe/", "one")).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(800)).await;
+        let again = common::ask_on(&mut sender, request("GET", "/safe/", "two")).await;
+        assert_eq!(again.expect("closed too early").status, 200);
+        tokio::time::sleep(Duration::from_millis(1_800)).await;
+        assert_eq!(gateway.connection_count(), 0);
+    });
+}
--- /dev/null
+++ b/crates/bergamotpitch-gateway/tests/event_streams.rs
@@ -0,0 +1,102 @@
+//! Streams are passed on as they come, whole events only, and never end cleanly when cut.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Act, FakeUpstream, ask, event, request, run, start, stream_end, stream_head};
+
+fn events(from: u32, to: u32) -> Vec<Act> {
+    (from..=to).map(event).collect()
+}
+
+fn text(from: u32, to: u32) -> String {
+    (from..=to).map(|id| format!("id: {id}\ndata: piece {id}\n\n")).collect()
+}
+
+#[test]
+fn whole_stream() {
+    run(async {
+        let script = |_| [vec![stream_head()], events(1, 5), vec![stream_end()]].concat();
+        let upstream = FakeUpstream::start(Box::new(script)).await;
+        let (_, address) = start(&[&upstream]).await;
+        for id in ["one", "two"] {
+            let got = ask(address, request("POST", "/stream/", id)).await.unwrap();
+            assert_eq!((got.status, got.body, got.is_whole), (200, text(1, 5), true));
+        }
+    });
+}
+
+/// An engine crashes in the middle of an event. The caller must see that the stream is cut, and no
+/// half of an event.
+#[test]
+fn cut_stream() {
+    run(async {
+        let half = Act::Write("8\r\nid: 3\nda\r\n".to_owned());
+        let script =
+            move |_| [vec![stream_head()], events(1, 2), vec![half.clone(), Act::Reset]].concat();
+        let upstream = FakeUpstream::start(Box::new(script)).await;
+        let (_, address) = start(&[&upstream]).await;
+        let got = ask(address, request("POST", "/stream/", "one")).await.unwrap();
+        assert!(!got.is_whole, "{got:?}");
+        assert!(text(1, 2).starts_with(&got.body), "{}", got.body);
+        assert_eq!(upstream.count(), 1, "a stream that may not be repeated is sent again");
+    });
+}
+
+/// A stream that ends in order, but within an event, was cut by an engine that says otherwise.
+#[test]
+fn end_within_event() {
+    run(async {
+        let half = Act::Write("8\r\nid: 2\nda\r\n".to_owned());
+        let script = move |_| vec![stream_head(), event(1), half.clone(), stream_end()];
+        let upstream = FakeUpstream::start(Box::new(script)).await;
+        let (_, address) = start(&[&upstream]).await;
+        let got = ask(address, request("POST", "/stream/", "one")).await.unwrap();
+        assert!(!got.is_whole, "{got:?}");
+    });
+}
+
+/// An engine crashes, and the route allows the stream to go on at another one. No event is missing
+/// and none comes twice, also where the second engine begins a little early.
+#[test]
+fn resumed_stream() {
+    run(async {
+        let script = |_| {
+            [
+                vec![stream_head()],
+                events(1, 3),
+                vec![Act::Pause(Duration::from_millis(50)), Act::Reset],
+            ]
+            .concat()
+        };
+        let broken = FakeUpstream::start(Box::new(script)).await;
+        let rest = |_| [vec![stream_head()], events(3, 6), vec![stream_end()]].concat();
+        let good = FakeUpstream::start(Box::new(rest)).await;
+        let (gateway, address) = start(&[&broken]).await;
+        let asked = tokio::task::spawn_local(async move {
+            ask(address, request("POST", "/resumed/", "one")).await.unwrap()
+        });
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        gateway.upstream_listed(common::registration("good", good.address));
+        let got = asked.await.unwrap();
+        assert_eq!((got.body, got.is_whole), (text(1, 6), true));
+        assert_eq!(good.seen.borrow()[0].header("last-event-id"), Some("3"));
+        assert_eq!(good.seen.borrow()[0].header("x-id"), Some("one"));
+    });
+}
+
+/// The first event must not wait for the second.
+#[test]
+fn at_once() {
+    run(async {
+        let script = |_| vec![stream_head(), event(1), Act::Hang];
+        let upstream = FakeUpstream::start(Box::new(script)).await;
+        let (_, address) = start(&[&upstream]).await;
+        let mut sender = common::connect(address).await;
+        let response = sender.send_request(request("POST", "/stream/", "one")).await.unwrap();
+        let mut body = response.into_body();
+        let first = http_body_util::BodyExt::frame(&mut body).await.unwrap().unwrap();
+        assert_eq!(first.into_data().unwrap(), text(1, 1));
+    });
+}
