--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -151,6 +151,8 @@
         after: Duration,
         /// Whether it fits into its team's share.
         is_within_share: bool,
+        /// Requests at the upstream that has fewest.
+        least_requests: u32,
     },
     /// No upstream of the service takes work; it is worth asking again at this time.
     NoUpstream(Duration),
@@ -252,8 +254,10 @@
         let ranked = self.ranked(ask, &candidates);
         let mut best: Option<(f64, Placement)> = None;
         let mut least_excess = LONGEST_RETURN;
+        let mut least_requests = u32::MAX;
         for key in candidates {
             let Some(seen) = self.look(key, ask, ranked, now) else { continue };
+            least_requests = least_requests.min(seen.requests);
             match seen.fit(ask, &fill) {
                 Fit::Fits if best.as_ref().is_none_or(|(score, _)| seen.score < *score) => {
                     best = Some((seen.score, seen.placement(is_within_share)));
@@ -264,7 +268,11 @@
         }
         match best {
             Some((_, placement)) => Choice::Send(placement),
-            None => Choice::Full { after: least_excess.max(SHORTEST_RETURN), is_within_share },
+            None => Choice::Full {
+                after: least_excess.max(SHORTEST_RETURN),
+                is_within_share,
+                least_requests,
+            },
         }
     }
 
--- a/crates/bergamotpitch-gateway/src/placements.rs
+++ b/crates/bergamotpitch-gateway/src/placements.rs
@@ -40,18 +40,24 @@
     loop {
         let changed = gateway.changed.notified();
         let now = gateway.now();
-        let (reason, after, hold_part) = match try_place(gateway, call, tried, now) {
+        let choice = try_place(gateway, call, tried, now);
+        let (reason, after, hold_part) = match choice {
             Choice::Send(placement) => return Ok(placement),
-            Choice::Full { after, is_within_share: true } => {
+            Choice::Full { after, is_within_share: true, .. } => {
                 (RefusalReason::Overloaded, after, HOLD_PART_WITHIN_SHARE)
             }
-            Choice::Full { after, is_within_share: false } => {
+            Choice::Full { after, is_within_share: false, .. } => {
                 (RefusalReason::QueueFull, after, HOLD_PART)
             }
             Choice::NoUpstream(after) => (RefusalReason::NoUpstream, after, HOLD_PART),
         };
         let hold_until = call.arrived + call.route.target_latency.mul_f64(hold_part);
         if hold_until <= now {
+            log::info!(
+                "event=no_place request={} service={} choice={choice:?}",
+                call.facts.attempt_id,
+                call.service
+            );
             return Err(Refusal::not_run(reason, spread(after, call.number)));
         }
         // Running out of time is no failure here: the next round decides.
