--- a/crates/bergamotpitch-control/src/traffic/registries.rs
+++ b/crates/bergamotpitch-control/src/traffic/registries.rs
@@ -132,6 +132,16 @@
         }
     }
 
+    /// `removals_doubted` takes in that several entries of upstreams that announced nothing vanished
+    /// together. A short outage can end before any call has failed; what it let lapse is told all
+    /// at once, and dropping it would leave a service without upstreams until they are listed
+    /// again.
+    pub fn removals_doubted(&mut self, now: Timestamp) {
+        if self.outage == Outage::None {
+            self.outage = Outage::EndedAt(now);
+        }
+    }
+
     /// `listed` takes in one entry of the list.
     pub fn listed(&mut self, registration: Registration) -> Vec<Change> {
         let mut changes = Vec::new();
