--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -4,7 +4,7 @@
 //! about three late ones, so a request is sent only where it is predicted to begin within its
 //! target; what does not fit anywhere is told at once when to come back, instead of waiting for a
 //! place that comes too late. Requests within their team's even share may fill an upstream nearly
-//! up; those beyond it get only capacity that would stand idle.
+//! up; those beyond it get what room is left, evenly between the teams that want it.
 
 use std::time::Duration;
 
@@ -18,7 +18,7 @@
 use crate::traffic::prefixes::KeptParts;
 use crate::traffic::registries::{Change, Registry, Upstream, UpstreamKey};
 use crate::traffic::retry_budgets::{self, RetryBudget};
-use crate::traffic::team_windows::{self, TeamWindows};
+use crate::traffic::team_windows::{self, Standing, TeamWindows};
 
 /// `Options` of the decision.
 #[derive(Debug, Clone)]
@@ -35,8 +35,10 @@
     pub remote_round_trip: Duration,
     /// How full upstreams may be for requests within their team's share.
     pub within_share: Fill,
-    /// How full they may be for requests beyond it.
-    pub beyond_share: Fill,
+    /// How full they may be for requests within an even part of what the engines give besides.
+    pub even_surplus: Fill,
+    /// How full they may be for requests of a team that had more than others that wait.
+    pub beyond_even: Fill,
 }
 
 /// `Fill` bounds how full an upstream may be when a request is sent there.
@@ -72,13 +74,20 @@
                 memory_part: 0.9,
                 read_again_part: 0.1,
             },
-            beyond_share: Fill {
+            even_surplus: Fill {
                 target_part: 0.35,
                 others_part: 0.25,
                 slots_part: 0.7,
                 memory_part: 0.75,
                 read_again_part: 0.95,
             },
+            beyond_even: Fill {
+                target_part: 0.2,
+                others_part: 0.1,
+                slots_part: 0.5,
+                memory_part: 0.6,
+                read_again_part: 0.95,
+            },
         }
     }
 }
@@ -149,8 +158,8 @@
     Full {
         /// When it is worth asking again.
         after: Duration,
-        /// Whether it fits into its team's share.
-        is_within_share: bool,
+        /// How it stands against its team's share.
+        standing: Standing,
         /// Requests at the upstream that has fewest.
         least_requests: u32,
     },
@@ -169,8 +178,8 @@
     pub predicted: Duration,
     /// Requests that the upstream had in hand.
     pub requests: u32,
-    /// Whether it fits into its team's share.
-    pub is_within_share: bool,
+    /// How the request stands against its team's share.
+    pub standing: Standing,
     /// Place of the upstream in the rendezvous order for the prompt's shared start, of the first
     /// two.
     pub rank: Option<usize>,
@@ -244,9 +253,12 @@
 
     /// `choose` decides on a request; it changes nothing.
     pub fn choose(&mut self, ask: &Ask<'_>, now: Timestamp) -> Choice {
-        let is_within_share = self.is_within_share(ask, now);
-        let fill =
-            if is_within_share { self.options.within_share } else { self.options.beyond_share };
+        let standing = self.standing(ask, now);
+        let fill = match standing {
+            Standing::WithinShare => self.options.within_share,
+            Standing::EvenSurplus => self.options.even_surplus,
+            Standing::BeyondEven => self.options.beyond_even,
+        };
         let candidates = self.candidates(ask, now);
         if candidates.is_empty() {
             return Choice::NoUpstream(NO_UPSTREAM_RETURN);
@@ -260,7 +272,7 @@
             least_requests = least_requests.min(seen.requests);
             match seen.fit(ask, &fill) {
                 Fit::Fits if best.as_ref().is_none_or(|(score, _)| seen.score < *score) => {
-                    best = Some((seen.score, seen.placement(is_within_share)));
+                    best = Some((seen.score, seen.placement(standing)));
                 }
                 Fit::Fits => {}
                 Fit::Excess(excess) => least_excess = least_excess.min(excess),
@@ -268,11 +280,9 @@
         }
         match best {
             Some((_, placement)) => Choice::Send(placement),
-            None => Choice::Full {
-                after: least_excess.max(SHORTEST_RETURN),
-                is_within_share,
-                least_requests,
-            },
+            None => {
+                Choice::Full { after: least_excess.max(SHORTEST_RETURN), standing, least_requests }
+            }
         }
     }
 
@@ -302,12 +312,12 @@
         self.evidence(key).note_trial(now);
     }
 
-    fn is_within_share(&mut self, ask: &Ask<'_>, now: Timestamp) -> bool {
-        let Some(team) = ask.team else { return true };
+    fn standing(&mut self, ask: &Ask<'_>, now: Timestamp) -> Standing {
+        let Some(team) = ask.team else { return Standing::WithinShare };
         if !ask.facts.is_generation() {
-            return true;
+            return Standing::WithinShare;
         }
-        self.windows.is_within_share(team, ask.facts.pool_tokens(), ask.pool_tokens_per_s, now)
+        self.windows.standing(team, ask.facts.pool_tokens(), ask.pool_tokens_per_s, now)
     }
 
     /// Upstreams that may get the request: those with bad evidence only where no other is left, or
@@ -471,13 +481,13 @@
         if self.predicted <= limit { Fit::Fits } else { Fit::Excess(self.predicted - limit) }
     }
 
-    fn placement(&self, is_within_share: bool) -> Placement {
+    fn placement(&self, standing: Standing) -> Placement {
         Placement {
             upstream: self.key,
             work: self.work,
             predicted: self.predicted,
             requests: self.requests,
-            is_within_share,
+            standing,
             rank: self.rank,
         }
     }
--- a/crates/bergamotpitch-control/src/traffic/team_windows.rs
+++ b/crates/bergamotpitch-control/src/traffic/team_windows.rs
@@ -54,7 +54,7 @@
     options: Options,
     own: HashMap<TeamId, Ring>,
     peers: HashMap<InstanceId, PeerSums>,
-    level: Option<Level>,
+    levels: Option<Levels>,
 }
 
 #[derive(Debug, Default)]
@@ -70,16 +70,35 @@
 }
 
 #[derive(Debug, Clone, Copy)]
-struct Level {
+struct Levels {
     computed: Timestamp,
     pool_tokens_per_s: Option<u64>,
-    tokens: f64,
+    /// Level at which the stated rate of the pool is spent.
+    share_tokens: f64,
+    /// Level at which what the engines gave lately is spent.
+    surplus_tokens: f64,
 }
 
+/// `Standing` tells how a request stands against its team's even share.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Standing {
+    /// It is within the share that the stated rate of the pool gives the team.
+    WithinShare,
+    /// It is beyond the share, and within an even part of what the engines give besides.
+    EvenSurplus,
+    /// Other teams that wait had less.
+    BeyondEven,
+}
+
+/// `SURPLUS_GROWTH` is by how much the engines are taken to be able to give more than they gave in
+/// the last window, so that the even part grows where they can.
+const SURPLUS_GROWTH: f64 = 1.1;
+
 impl TeamWindows {
     /// `new` returns an empty table.
     pub fn new(options: Options) -> Self {
-        Self { options, own: HashMap::default(), peers: HashMap::default(), level: None }
+        Self { options, own: HashMap::default(), peers: HashMap::default(), levels: None }
     }
 
     /// `note_asked` counts a request of a caller.
@@ -114,35 +133,51 @@
     /// `level` returns the tokens of one window up to which every team is served; infinite when
     /// operators state no rate of the pool.
     pub fn level(&mut self, pool_tokens_per_s: Option<u64>, now: Timestamp) -> f64 {
-        if let Some(level) = self.level
-            && level.pool_tokens_per_s == pool_tokens_per_s
-            && now < level.computed + LEVEL_INTERVAL
-        {
-            return level.tokens;
-        }
-        let tokens = match pool_tokens_per_s {
-            None => f64::INFINITY,
-            Some(rate) => {
-                let asked = self.fleet_sums(now).into_values().map(|sums| sums.asked_tokens as f64);
-                max_min_level(asked.collect(), rate as f64 * self.options.window.as_secs_f64())
-            }
-        };
-        self.level = Some(Level { computed: now, pool_tokens_per_s, tokens });
-        tokens
+        self.levels(pool_tokens_per_s, now).share_tokens
     }
 
-    /// `is_within_share` tells whether a request of `tokens` fits into the team's even share. A
-    /// request larger than the whole share fits when the team had nothing else in the window.
-    pub fn is_within_share(
+    /// `standing` tells how a request of `tokens` stands against the team's even share. A request
+    /// larger than the whole share is within it when the team had nothing else in the window.
+    pub fn standing(
         &mut self,
         team: TeamId,
         tokens: u64,
         pool_tokens_per_s: Option<u64>,
         now: Timestamp,
-    ) -> bool {
-        let level = self.level(pool_tokens_per_s, now);
+    ) -> Standing {
+        let levels = self.levels(pool_tokens_per_s, now);
         let begun = self.fleet_begun(team, now) as f64;
-        begun == 0.0 || begun + tokens as f64 / 2.0 <= level
+        let with_request = begun + tokens as f64 / 2.0;
+        if begun == 0.0 || with_request <= levels.share_tokens {
+            Standing::WithinShare
+        } else if with_request <= levels.surplus_tokens {
+            Standing::EvenSurplus
+        } else {
+            Standing::BeyondEven
+        }
+    }
+
+    fn levels(&mut self, pool_tokens_per_s: Option<u64>, now: Timestamp) -> Levels {
+        if let Some(levels) = self.levels
+            && levels.pool_tokens_per_s == pool_tokens_per_s
+            && now < levels.computed + LEVEL_INTERVAL
+        {
+            return levels;
+        }
+        let fleet = self.fleet_sums(now);
+        let asked: Vec<f64> = fleet.values().map(|sums| sums.asked_tokens as f64).collect();
+        let begun: u64 = fleet.values().map(|sums| sums.begun_tokens).sum();
+        let window_s = self.options.window.as_secs_f64();
+        let pool = pool_tokens_per_s.map(|rate| rate as f64 * window_s);
+        let given = (SURPLUS_GROWTH * begun as f64).max(pool.unwrap_or(0.0));
+        let levels = Levels {
+            computed: now,
+            pool_tokens_per_s,
+            share_tokens: pool.map_or(f64::INFINITY, |pool| max_min_level(asked.clone(), pool)),
+            surplus_tokens: max_min_level(asked, given),
+        };
+        self.levels = Some(levels);
+        levels
     }
 
     fn fleet_begun(&mut self, team: TeamId, now: Timestamp) -> u64 {
--- a/crates/bergamotpitch-control/tests/even_shares.rs
+++ b/crates/bergamotpitch-control/tests/even_shares.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::team_windows::{Options, TeamSums, TeamWindows, max_min_level};
+use bergamotpitch_control::traffic::team_windows::{
+    Options, Standing, TeamSums, TeamWindows, max_min_level,
+};
 
 const SMALL: u32 = 1;
 const LARGE: u32 = 2;
@@ -23,10 +25,10 @@
     assert_eq!(level, 3_500.0);
     windows.note_begun(SMALL, 400, at(200));
     windows.note_begun(LARGE, 3_600, at(200));
-    assert!(windows.is_within_share(SMALL, 100, RATE, at(210)));
-    assert!(!windows.is_within_share(LARGE, 100, RATE, at(210)));
+    assert_eq!(windows.standing(SMALL, 100, RATE, at(210)), Standing::WithinShare);
+    assert_ne!(windows.standing(LARGE, 100, RATE, at(210)), Standing::WithinShare);
     // What was begun leaves the window after four seconds.
-    assert!(windows.is_within_share(LARGE, 100, RATE, at(4_700)));
+    assert_eq!(windows.standing(LARGE, 100, RATE, at(4_700)), Standing::WithinShare);
 }
 
 /// The same team comes in at two instances. Without the peer's sums it would get its share twice.
@@ -37,10 +39,10 @@
     windows.note_asked(LARGE, 9_000, at(0));
     let begun = TeamSums { asked_tokens: 9_000, begun_tokens: 3_000 };
     windows.peer_heard(7, [(LARGE, begun)], at(10));
-    assert!(!windows.is_within_share(LARGE, 100, RATE, at(100)));
-    assert!(windows.is_within_share(SMALL, 100, RATE, at(100)));
+    assert_ne!(windows.standing(LARGE, 100, RATE, at(100)), Standing::WithinShare);
+    assert_eq!(windows.standing(SMALL, 100, RATE, at(100)), Standing::WithinShare);
     // A peer that fell silent no longer counts: the rest of the fleet has the whole pool.
-    assert!(windows.is_within_share(LARGE, 100, RATE, at(1_600)));
+    assert_eq!(windows.standing(LARGE, 100, RATE, at(1_600)), Standing::WithinShare);
 }
 
 /// A request that is larger than a whole share would otherwise never be served.
@@ -49,9 +51,9 @@
     let mut windows = TeamWindows::new(Options::default());
     windows.note_asked(SMALL, 90_000, at(0));
     windows.note_asked(LARGE, 90_000, at(0));
-    assert!(windows.is_within_share(LARGE, 90_000, RATE, at(0)));
+    assert_eq!(windows.standing(LARGE, 90_000, RATE, at(0)), Standing::WithinShare);
     windows.note_begun(LARGE, 90_000, at(0));
-    assert!(!windows.is_within_share(LARGE, 90_000, RATE, at(0)));
+    assert_ne!(windows.standing(LARGE, 90_000, RATE, at(0)), Standing::WithinShare);
 }
 
 #[test]
--- a/crates/bergamotpitch-control/tests/worst_load.rs
+++ b/crates/bergamotpitch-control/tests/worst_load.rs
@@ -8,6 +8,7 @@
 use bergamotpitch_control::traffic::admissions::{Ask, Choice, Options, Placement, Traffic};
 use bergamotpitch_control::traffic::facts::RequestFacts;
 use bergamotpitch_control::traffic::registries::{Registration, UpstreamKey};
+use bergamotpitch_control::traffic::team_windows::Standing;
 use engines::{Engine, Happening, part};
 use rand_core::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
@@ -190,7 +191,7 @@
         work: Default::default(),
         predicted: Duration::ZERO,
         requests,
-        is_within_share: true,
+        standing: Standing::WithinShare,
         rank: None,
     };
     traffic.send(number, &placement, ask, now);
@@ -235,6 +236,34 @@
     }
 }
 
+/// Two teams ask for more than their share, one of them four times as much as the other. What the
+/// engines give beyond the shares must not go to whoever asks most: the lesser of the two would
+/// wait all the while and get a fraction of what the other gets.
+#[test]
+fn even_surplus() {
+    for seed in 1..=3 {
+        let mut asked = arrivals(seed, 120.0, 0.9);
+        for (index, request) in asked.iter_mut().enumerate() {
+            if request.team == 9 && index % 5 == 0 {
+                request.team = 8;
+            }
+        }
+        let mut begun: HashMap<u32, u64> = HashMap::new();
+        let mut wanted: HashMap<u32, u64> = HashMap::new();
+        for request in &asked {
+            *wanted.entry(request.team).or_default() += request.facts.pool_tokens();
+        }
+        replay(&asked, |traffic, ask, number, now| {
+            let placement = chosen(traffic, ask, number, now)?;
+            *begun.entry(ask.team?).or_default() += ask.facts.pool_tokens();
+            Some(placement)
+        });
+        let due = wanted[&8].min(begun[&9]);
+        println!("seed {seed}: begun {begun:?} wanted {wanted:?}");
+        assert!(due * 7 / 10 <= begun[&8], "{seed}: {} of {due}", begun[&8]);
+    }
+}
+
 /// At a third of the load nobody is refused, whoever asks: capacity must not stand idle while work
 /// waits.
 #[test]
--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -444,7 +444,7 @@
         EventKind::RequestDispatched,
         format_args!(
             "request={} route={} team={} upstream={} attempt={} predicted_ms={} requests_there={} \
-             unread_tokens={:.0} rank={:?} within_share={} waited_ms={} version={}",
+             unread_tokens={:.0} rank={:?} standing={} waited_ms={} version={}",
             call.facts.attempt_id,
             call.route.name,
             call.team.as_deref().map_or("-", |team| &team.name),
@@ -454,7 +454,7 @@
             placement.requests,
             placement.work.unread_tokens,
             placement.rank,
-            placement.is_within_share,
+            placement.standing,
             gateway.now().saturating_sub(call.arrived).as_millis(),
             call.catalog.version,
         ),
--- a/crates/bergamotpitch-gateway/src/placements.rs
+++ b/crates/bergamotpitch-gateway/src/placements.rs
@@ -5,6 +5,7 @@
 
 use bergamotpitch_control::traffic::admissions::{Ask, Choice, Placement};
 use bergamotpitch_control::traffic::registries::UpstreamKey;
+use bergamotpitch_control::traffic::team_windows::Standing;
 use bergamotpitch_core::ids::id_of_name;
 use bergamotpitch_core::refusals::RefusalReason;
 use bergamotpitch_core::units::Timestamp;
@@ -43,12 +44,10 @@
         let choice = try_place(gateway, call, tried, now);
         let (reason, after, hold_part) = match choice {
             Choice::Send(placement) => return Ok(placement),
-            Choice::Full { after, is_within_share: true, .. } => {
+            Choice::Full { after, standing: Standing::WithinShare, .. } => {
                 (RefusalReason::Overloaded, after, HOLD_PART_WITHIN_SHARE)
             }
-            Choice::Full { after, is_within_share: false, .. } => {
-                (RefusalReason::QueueFull, after, HOLD_PART)
-            }
+            Choice::Full { after, .. } => (RefusalReason::QueueFull, after, HOLD_PART),
             Choice::NoUpstream(after) => (RefusalReason::NoUpstream, after, HOLD_PART),
         };
         let hold_until = call.arrived + call.route.target_latency.mul_f64(hold_part);
