--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -119,7 +119,7 @@
 const IDLE_SLOTS_PART: f64 = 0.3;
 
 /// `SHORTEST_RETURN` and `LONGEST_RETURN` bound the time after which a caller should come back.
-const SHORTEST_RETURN: Duration = Duration::from_millis(80);
+const SHORTEST_RETURN: Duration = Duration::from_millis(40);
 
 /// `LONGEST_RETURN` see [`SHORTEST_RETURN`].
 const LONGEST_RETURN: Duration = Duration::from_millis(2_000);
