--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -218,7 +218,7 @@
     /// `forget` drops what is kept on upstreams that are gone.
     pub fn forget(&mut self, changes: &[Change]) {
         for change in changes {
-            if let Change::Gone(key) = change {
+            if let Change::Gone(key, _) = change {
                 self.kept.remove(key);
                 self.evidences.remove(key);
             }
--- a/crates/bergamotpitch-control/src/traffic/registries.rs
+++ b/crates/bergamotpitch-control/src/traffic/registries.rs
@@ -73,8 +73,8 @@
     Joined(UpstreamKey),
     /// It gets nothing new.
     Left(UpstreamKey, LeavingSource),
-    /// It is forgotten: nothing of it is kept.
-    Gone(UpstreamKey),
+    /// It is forgotten: nothing of it is kept but its id, for the log.
+    Gone(UpstreamKey, String),
 }
 
 /// `LAPSE_GRACE` is the time after the end of an outage for which a vanished entry is kept: live
@@ -247,7 +247,7 @@
         if let Some(keys) = self.of_service.get_mut(&upstream.registration.service) {
             keys.retain(|other| *other != key);
         }
-        changes.push(Change::Gone(key));
+        changes.push(Change::Gone(key, upstream.registration.id));
     }
 }
 
--- a/crates/bergamotpitch-control/tests/listed_upstreams.rs
+++ b/crates/bergamotpitch-control/tests/listed_upstreams.rs
@@ -45,7 +45,7 @@
     let first = registry.key_of("e").unwrap();
     let changes = registry.listed(registration("e", 2));
     let second = registry.key_of("e").unwrap();
-    assert_eq!(changes, [Change::Gone(first), Change::Joined(second)]);
+    assert_eq!(changes, [Change::Gone(first, "e".to_owned()), Change::Joined(second)]);
     assert_eq!(registry.left(first, LeavingSource::Answer), None);
     assert!(registry.listed(leaving("e", 1)).is_empty(), "a late write of the first life counts");
     assert!(registry.get(second).unwrap().takes_work());
@@ -67,7 +67,7 @@
     registry.listed(registration("alive", 1));
     assert!(registry.step(back + LAPSE_GRACE / 2).is_empty());
     let dead = registry.key_of("dead").unwrap();
-    assert_eq!(registry.step(back + LAPSE_GRACE), [Change::Gone(dead)]);
+    assert_eq!(registry.step(back + LAPSE_GRACE), [Change::Gone(dead, "dead".to_owned())]);
     assert!(registry.key_of("alive").is_some());
 }
 
@@ -77,7 +77,7 @@
     let mut registry = Registry::default();
     registry.listed(registration("e", 1));
     let key = registry.key_of("e").unwrap();
-    assert_eq!(registry.unlisted("e", Duration::from_secs(1)), [Change::Gone(key)]);
+    assert_eq!(registry.unlisted("e", Duration::from_secs(1)), [Change::Gone(key, "e".to_owned())]);
     assert!(registry.unlisted("e", Duration::from_secs(1)).is_empty());
 }
 
--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -439,7 +439,9 @@
 }
 
 fn note_dispatch(call: &Call, placement: &Placement, gateway: &Gateway, attempts: u32) {
+    let waited = gateway.now().saturating_sub(call.arrived);
     gateway.metrics.dispatches.inc();
+    gateway.metrics.count_wait(waited);
     decision(
         EventKind::RequestDispatched,
         format_args!(
@@ -455,7 +457,7 @@
             placement.work.unread_tokens,
             placement.rank,
             placement.standing,
-            gateway.now().saturating_sub(call.arrived).as_millis(),
+            waited.as_millis(),
             call.catalog.version,
         ),
     );
--- a/crates/bergamotpitch-gateway/src/errors.rs
+++ b/crates/bergamotpitch-gateway/src/errors.rs
@@ -20,6 +20,11 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// the metrics cannot be registered: {reason}
+    Metrics {
+        /// What the registry said.
+        reason: String,
+    },
 }
 
 /// `Cut` ends an answer that cannot be completed: the connection closes without a clean end, so
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -110,7 +110,7 @@
             address,
             source,
         })?;
-        let gateway = Rc::new(Self::new(options, dialect));
+        let gateway = Rc::new(Self::new(options, dialect, Metrics::register()?));
         tokio::task::spawn_local(callers::serve(Rc::clone(&gateway), callers));
         tokio::task::spawn_local(probes::serve(Rc::clone(&gateway), ready, Port::Ready));
         for listener in inner {
@@ -122,13 +122,13 @@
         Ok(gateway)
     }
 
-    fn new(options: Options, dialect: Dialect) -> Self {
+    fn new(options: Options, dialect: Dialect, metrics: Metrics) -> Self {
         Self {
             traffic: RefCell::new(Traffic::new(options.admission.clone())),
             options,
             dialect,
             pools: Pools::default(),
-            metrics: Metrics::default(),
+            metrics,
             peers: RefCell::default(),
             documents: RefCell::default(),
             changed: Notify::new(),
@@ -239,9 +239,9 @@
                 EventKind::UpstreamLeaving,
                 format_args!("{} source={source}", describe(*key)),
             ),
-            Change::Gone(key) => {
+            Change::Gone(key, id) => {
                 self.pools.close_all_of(*key);
-                decision(EventKind::UpstreamGone, format_args!("{}", describe(*key)));
+                decision(EventKind::UpstreamGone, format_args!("upstream={id}"));
             }
         }
     }
--- a/crates/bergamotpitch-gateway/src/metrics.rs
+++ b/crates/bergamotpitch-gateway/src/metrics.rs
@@ -1,106 +1,136 @@
-//! Metrics: counters and latency histograms, as text for the metrics address.
+//! Metrics: counters and latency histograms, shown in the Prometheus text format.
 
-use std::cell::{Cell, RefCell};
-use std::fmt::Write as _;
 use std::time::Duration;
 
-use bergamotpitch_core::HashMap;
 use bergamotpitch_core::refusals::RefusalReason;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
 
+use crate::errors::{Error, Result};
 use crate::refusals::Refusal;
 
-/// `Counter` counts on one thread.
-#[derive(Debug, Default)]
-pub struct Counter(Cell<u64>);
+/// `LATENCY_BOUNDS_S` are the upper bounds of the latency histograms, in seconds; they lie around
+/// the targets that operators set.
+const LATENCY_BOUNDS_S: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 5.0];
 
-impl Counter {
+/// `Count` counts one thing.
+#[derive(Debug)]
+pub struct Count(Counter<u64>);
+
+impl Count {
     /// `inc` adds one.
     pub fn inc(&self) {
-        self.0.set(self.0.get() + 1);
-    }
-
-    /// `get` returns the count.
-    pub fn get(&self) -> u64 {
-        self.0.get()
+        self.0.add(1, &[]);
     }
 }
 
-/// `BOUNDS_MS` are the upper bounds of the latency histogram, in milliseconds; they lie around the
-/// targets that operators set.
-const BOUNDS_MS: [u64; 10] = [25, 50, 100, 200, 300, 400, 600, 1_000, 2_000, 5_000];
-
-/// `Histogram` counts times by upper bound.
-#[derive(Debug, Default)]
-struct Histogram {
-    buckets: [u64; BOUNDS_MS.len()],
-    count: u64,
-    sum: Duration,
-}
-
 /// `Metrics` of one gateway.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Metrics {
     /// Requests of callers.
-    pub requests: Counter,
+    pub requests: Count,
     /// Requests sent to upstreams.
-    pub dispatches: Counter,
+    pub dispatches: Count,
     /// Attempts that failed.
-    pub failed_attempts: Counter,
+    pub failed_attempts: Count,
     /// Requests sent to a second upstream.
-    pub repeats: Counter,
+    pub repeats: Count,
     /// Streams closed without their end.
-    pub cut_answers: Counter,
+    pub cut_answers: Count,
     /// Connections opened to upstreams.
-    pub connections_opened: Counter,
-    refusals: RefCell<HashMap<RefusalReason, u64>>,
-    answers: RefCell<Histogram>,
+    pub connections_opened: Count,
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    refusals: Counter<u64>,
+    answer_s: Histogram<f64>,
+    wait_s: Histogram<f64>,
 }
 
 impl Metrics {
+    /// `register` makes the instruments in a registry of their own.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the registry refuses them.
+    ///
+    /// ```
+    /// let metrics = bergamotpitch_gateway::metrics::Metrics::register().unwrap();
+    /// metrics.requests.inc();
+    /// assert!(metrics.text().contains("bergamotpitch_requests_total"));
+    /// ```
+    pub fn register() -> Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()
+            .map_err(|error| Error::Metrics { reason: error.to_string() })?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("bergamotpitch");
+        let count = |name: &'static str, description: &'static str| {
+            Count(meter.u64_counter(name).with_description(description).build())
+        };
+        Ok(Self {
+            requests: count("bergamotpitch_requests", "Requests of callers"),
+            dispatches: count("bergamotpitch_dispatches", "Requests sent to upstreams"),
+            failed_attempts: count("bergamotpitch_failed_attempts", "Attempts that failed"),
+            repeats: count("bergamotpitch_repeats", "Requests sent to a second upstream"),
+            cut_answers: count("bergamotpitch_cut_answers", "Streams closed without their end"),
+            connections_opened: count(
+                "bergamotpitch_connections_opened",
+                "Connections opened to upstreams",
+            ),
+            refusals: meter
+                .u64_counter("bergamotpitch_refusals")
+                .with_description("Refusals by reason")
+                .build(),
+            answer_s: latency(
+                &meter,
+                "bergamotpitch_answer_seconds",
+                "Time from the sending to the first event or the answer",
+            ),
+            wait_s: latency(
+                &meter,
+                "bergamotpitch_wait_seconds",
+                "Time from the arrival to the sending",
+            ),
+            registry,
+            _provider: provider,
+        })
+    }
+
     /// `count_refusal` counts a refusal by its reason.
     pub fn count_refusal(&self, refusal: &Refusal) {
-        *self.refusals.borrow_mut().entry(refusal.reason).or_default() += 1;
+        let reason: &'static str = RefusalReason::into(refusal.reason);
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
     /// `count_answer` counts an answer with the time to its first event, or to itself.
     pub fn count_answer(&self, time: Duration) {
-        let mut answers = self.answers.borrow_mut();
-        answers.count += 1;
-        answers.sum += time;
-        for (bucket, bound_ms) in answers.buckets.iter_mut().zip(BOUNDS_MS) {
-            if time <= Duration::from_millis(bound_ms) {
-                *bucket += 1;
-            }
-        }
+        self.answer_s.record(time.as_secs_f64(), &[]);
+    }
+
+    /// `count_wait` counts the time for which a request waited for a place.
+    pub fn count_wait(&self, time: Duration) {
+        self.wait_s.record(time.as_secs_f64(), &[]);
     }
 
-    /// `text` writes all metrics in the Prometheus text format.
+    /// `text` shows everything in the Prometheus text format.
     pub fn text(&self) -> String {
-        let mut text = String::new();
-        let counters = [
-            ("requests", &self.requests),
-            ("dispatches", &self.dispatches),
-            ("failed_attempts", &self.failed_attempts),
-            ("repeats", &self.repeats),
-            ("cut_answers", &self.cut_answers),
-            ("connections_opened", &self.connections_opened),
-        ];
-        // Writing into a string does not fail.
-        for (name, counter) in counters {
-            let _ = writeln!(text, "bergamotpitch_{name}_total {}", counter.get());
-        }
-        for (reason, count) in self.refusals.borrow().iter() {
-            let _ = writeln!(text, "bergamotpitch_refusals_total{{reason=\"{reason}\"}} {count}");
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::warn!("event=metrics_not_encoded error={error}");
         }
-        let answers = self.answers.borrow();
-        for (count, bound_ms) in answers.buckets.iter().zip(BOUNDS_MS) {
-            let bound = Duration::from_millis(bound_ms).as_secs_f64();
-            let _ = writeln!(text, "bergamotpitch_answer_seconds_bucket{{le=\"{bound}\"}} {count}");
-        }
-        let _ =
-            writeln!(text, "bergamotpitch_answer_seconds_bucket{{le=\"+Inf\"}} {}", answers.count);
-        let _ = writeln!(text, "bergamotpitch_answer_seconds_sum {}", answers.sum.as_secs_f64());
-        let _ = writeln!(text, "bergamotpitch_answer_seconds_count {}", answers.count);
-        text
+        String::from_utf8_lossy(&text).into_owned()
     }
 }
+
+fn latency(meter: &Meter, name: &'static str, description: &'static str) -> Histogram<f64> {
+    meter
+        .f64_histogram(name)
+        .with_description(description)
+        .with_boundaries(LATENCY_BOUNDS_S.to_vec())
+        .build()
+}
