--- a/crates/bergamotpitch-control/src/traffic/team_windows.rs
+++ b/crates/bergamotpitch-control/src/traffic/team_windows.rs
@@ -26,8 +26,9 @@
 impl Default for Options {
     fn default() -> Self {
         // Four seconds are short for a person who waits and long against a request of the largest
-        // kind; the timeout is several of the peers' sending intervals.
-        Self { window: Duration::from_secs(4), peer_timeout: Duration::from_millis(1_500) }
+        // kind. In a fleet of a hundred instances a peer's turn comes every 3 s, and what it told
+        // leaves the window after four.
+        Self { window: Duration::from_secs(4), peer_timeout: Duration::from_millis(4_000) }
     }
 }
 
--- a/crates/bergamotpitch-gateway/src/beats.rs
+++ b/crates/bergamotpitch-gateway/src/beats.rs
@@ -26,6 +26,10 @@
 /// that are paid.
 const REMOTE_BEATS: u64 = 3;
 
+/// `PEERS_A_BEAT` bounds how many peers get one beat: a datagram takes some 20 microseconds of a
+/// core at each end, of which a small router has an eighth. Larger fleets are told in turns.
+const PEERS_A_BEAT: usize = 12;
+
 /// `BEAT_BYTES` bounds a beat: one datagram that is not cut on the way.
 const BEAT_BYTES: usize = 1_400;
 
@@ -53,6 +57,8 @@
     pub heard: Option<Timestamp>,
     /// Version of its configuration.
     pub version: CatalogVersion,
+    /// Revision of the latest change of the list of upstreams that it has seen.
+    pub list_change: u64,
 }
 
 /// `Peers` is the table of all peers.
@@ -69,6 +75,8 @@
     pub sequence: u64,
     /// Version of its configuration.
     pub version: CatalogVersion,
+    /// Revision of the latest change of the list of upstreams that it has seen.
+    pub list_change: u64,
     /// What it has in hand at each upstream.
     pub loads: Vec<LoadLine>,
     /// What its teams asked and began.
@@ -103,21 +111,16 @@
         if known.is_some_and(|peer| peer.address == address) {
             continue;
         }
-        peers.insert(instance, Peer { address, latest: (0, 0), heard: None, version: 0 });
+        peers.insert(
+            instance,
+            Peer { address, latest: (0, 0), heard: None, version: 0, list_change: 0 },
+        );
     }
 }
 
 /// `send_beat` sends one beat to the peers that are due.
 pub async fn send_beat(gateway: &Rc<Gateway>, socket: &UdpSocket, sequence: u64) {
-    let to_remote = sequence.is_multiple_of(REMOTE_BEATS);
-    let own_domain = &gateway.options.admission.domain;
-    let receivers: Vec<SocketAddr> = gateway
-        .peers
-        .borrow()
-        .values()
-        .filter(|peer| to_remote || peer.address.domain == *own_domain)
-        .map(|peer| peer.address.beat_address)
-        .collect();
+    let receivers = receivers(gateway, sequence);
     if receivers.is_empty() {
         return;
     }
@@ -128,6 +131,28 @@
     }
 }
 
+/// The peers whose turn it is: those of the own domain with each beat, the others with every third,
+/// and of both no more than [`PEERS_A_BEAT`] at a time.
+fn receivers(gateway: &Gateway, sequence: u64) -> Vec<SocketAddr> {
+    let own_domain = &gateway.options.admission.domain;
+    let peers = gateway.peers.borrow();
+    let (own, remote): (Vec<&PeerAddress>, Vec<&PeerAddress>) =
+        peers.values().map(|peer| &peer.address).partition(|address| address.domain == *own_domain);
+    let mut receivers = turn(own, sequence);
+    if sequence.is_multiple_of(REMOTE_BEATS) {
+        receivers.extend(turn(remote, sequence / REMOTE_BEATS));
+    }
+    receivers
+}
+
+fn turn(mut addresses: Vec<&PeerAddress>, round: u64) -> Vec<SocketAddr> {
+    addresses.sort_by_key(|address| address.instance);
+    let turns = addresses.len().div_ceil(PEERS_A_BEAT).max(1);
+    let current = (round % turns as u64) as usize;
+    let due = addresses.iter().enumerate().filter(|(index, _)| index % turns == current);
+    due.map(|(_, address)| address.beat_address).collect()
+}
+
 /// `receive` takes in peers' beats until it is dropped.
 pub async fn receive(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; 2 * BEAT_BYTES];
@@ -171,6 +196,7 @@
         incarnation: gateway.options.incarnation,
         sequence,
         version: gateway.version(),
+        list_change: gateway.list_change(),
         loads: loads.collect(),
         leaving: leaving.collect(),
         teams: teams
@@ -223,6 +249,7 @@
     peer.latest = (beat.incarnation, beat.sequence);
     peer.heard = Some(now);
     peer.version = beat.version;
+    peer.list_change = beat.list_change;
     drop(peers);
     gateway.take_in_loads(beat.instance, &figures_of_beat(&beat), now);
     gateway.take_in_leaving(&beat.leaving);
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -41,6 +41,21 @@
 /// `SWEEP_BEATS` is how many beats go by between two sweeps over connections.
 const SWEEP_BEATS: u64 = 4;
 
+/// `LIST_TOLERANCE` is how long peers may know a newer list of upstreams before the own watch is
+/// given up: the store tells all watches within some milliseconds.
+const LIST_TOLERANCE: Duration = Duration::from_millis(800);
+
+/// `PEER_SILENCE` is the time after which a peer that was not heard is not counted on: some of its
+/// turns in a large fleet.
+const PEER_SILENCE: Duration = Duration::from_secs(5);
+
+/// `OVERLOAD_LATENESS` is how late a timer may be before new requests are refused: the processor is
+/// behind, each further request makes all others later, and another instance may have time.
+const OVERLOAD_LATENESS: Duration = Duration::from_millis(150);
+
+/// `LATENESS_GAIN` is the weight of one timer's lateness against those before.
+const LATENESS_GAIN: f64 = 0.4;
+
 /// `TakeDocuments` hands documents that a peer sent to whoever understands them.
 pub type TakeDocuments = Box<dyn Fn(Vec<Document>)>;
 
@@ -62,6 +77,9 @@
     pub documents: RefCell<Documents>,
     /// Told when a place may have become free.
     pub changed: Notify,
+    /// Told when peers know more of the platform's list than this instance, whose watch must have
+    /// gone silent.
+    pub list_behind: Notify,
     take_documents: RefCell<Option<TakeDocuments>>,
     catalog: RefCell<Option<Arc<Catalog>>>,
     connections: RefCell<Vec<Rc<CallerConnection>>>,
@@ -71,6 +89,10 @@
     is_listed: Cell<bool>,
     is_draining: Cell<bool>,
     refuses_new: Cell<bool>,
+    list_known: Cell<u64>,
+    list_change: Cell<u64>,
+    list_behind_since: Cell<Option<Timestamp>>,
+    lateness: Cell<Duration>,
     lagging_since: Cell<Option<Timestamp>>,
     next_fetch: Cell<Timestamp>,
 }
@@ -132,6 +154,7 @@
             peers: RefCell::default(),
             documents: RefCell::default(),
             changed: Notify::new(),
+            list_behind: Notify::new(),
             take_documents: RefCell::default(),
             catalog: RefCell::default(),
             connections: RefCell::default(),
@@ -141,6 +164,10 @@
             is_listed: Cell::new(false),
             is_draining: Cell::new(false),
             refuses_new: Cell::new(false),
+            list_known: Cell::new(0),
+            list_change: Cell::new(0),
+            list_behind_since: Cell::new(None),
+            lateness: Cell::new(Duration::ZERO),
             lagging_since: Cell::new(None),
             next_fetch: Cell::new(Timestamp::ZERO),
         }
@@ -197,6 +224,39 @@
         self.is_listed.set(true);
     }
 
+    /// `list_change` returns the revision of the latest change of the list of upstreams that this
+    /// instance has seen.
+    pub fn list_change(&self) -> u64 {
+        self.list_change.get()
+    }
+
+    /// `list_read` notes that the list is known up to a revision of the store, and the latest change
+    /// that was seen in it.
+    pub fn list_read(&self, known: u64, change: u64) {
+        self.list_known.set(self.list_known.get().max(known));
+        self.list_change.set(self.list_change.get().max(change));
+    }
+
+    /// `domain_rank` returns how many instances of the own domain that were heard lately come before
+    /// this one. The first few look after the domain, and the others hear from them.
+    pub fn domain_rank(&self) -> usize {
+        let now = self.now();
+        let own = &self.options;
+        let peers = self.peers.borrow();
+        let before = peers.values().filter(|peer| {
+            let is_heard = peer.heard.is_some_and(|heard| now < heard + PEER_SILENCE);
+            is_heard
+                && peer.address.domain == own.admission.domain
+                && peer.address.instance < own.instance
+        });
+        before.count()
+    }
+
+    /// `is_overloaded` tells whether this instance is late with all that it does.
+    pub fn is_overloaded(&self) -> bool {
+        OVERLOAD_LATENESS < self.lateness.get()
+    }
+
     /// `change_upstreams` lets a change be made to the registry and follows it.
     pub fn change_upstreams(&self, change: impl FnOnce(&mut Traffic, Timestamp) -> Vec<Change>) {
         let now = self.now();
@@ -437,6 +497,28 @@
         }
     }
 
+    fn note_lateness(&self, late: Duration) {
+        let before = self.lateness.get().mul_f64(1.0 - LATENESS_GAIN);
+        self.lateness.set(before + late.mul_f64(LATENESS_GAIN));
+    }
+
+    /// Gives the own watch up once a peer has known more of the list for some time.
+    fn compare_lists(&self) {
+        let now = self.now();
+        let known = self.list_known.get();
+        if self.peers.borrow().values().all(|peer| peer.list_change <= known) {
+            self.list_behind_since.set(None);
+            return;
+        }
+        let since = self.list_behind_since.get().unwrap_or(now);
+        self.list_behind_since.set(Some(since));
+        if since + LIST_TOLERANCE <= now {
+            self.list_behind_since.set(Some(now));
+            log::info!("event=list_behind revision={known}");
+            self.list_behind.notify_waiters();
+        }
+    }
+
     /// The peer with a newer configuration, once that has lasted.
     fn ahead_peer(&self) -> Option<SocketAddr> {
         let now = self.now();
@@ -465,7 +547,9 @@
 async fn beat(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     let mut sequence = 0;
     loop {
-        tokio::time::sleep(BEAT_INTERVAL).await;
+        let due = tokio::time::Instant::now() + BEAT_INTERVAL;
+        tokio::time::sleep_until(due).await;
+        gateway.note_lateness(due.elapsed());
         sequence += 1;
         beats::send_beat(&gateway, &socket, sequence).await;
         gateway.change_upstreams(|traffic, now| traffic.registry.step(now));
@@ -473,6 +557,7 @@
             gateway.pools.sweep(gateway.now());
             callers::drop_slow_heads(&gateway);
         }
+        gateway.compare_lists();
         if let Some(peer) = gateway.ahead_peer() {
             let gateway = Rc::clone(&gateway);
             tokio::task::spawn_local(async move { gateway.fetch_documents(peer).await });
