--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bergamotpitch_core::HashMap;
-use bergamotpitch_core::ids::TeamId;
+use bergamotpitch_core::ids::{TeamId, UpstreamId};
 use bergamotpitch_core::units::Timestamp;
 
 use crate::traffic::engine_loads::{self, RequestNumber, UpstreamLoad, Work};
@@ -238,6 +238,12 @@
         self.loads.iter().map(|(key, load)| (*key, load))
     }
 
+    /// `step` forgets what peers said that were not heard for too long.
+    pub fn step(&mut self, now: Timestamp) {
+        let options = self.options.loads;
+        self.loads.values_mut().for_each(|load| load.drop_silent_peers(now, &options));
+    }
+
     /// `evidence` returns what is known of an upstream from its outcomes.
     pub fn evidence(&mut self, key: UpstreamKey) -> &mut Evidence {
         self.evidences.entry(key).or_default()
@@ -372,7 +378,7 @@
             if !is_global && listed.domain != self.options.domain {
                 continue;
             }
-            let weight = rendezvous_weight(shared.id, &listed.id);
+            let weight = rendezvous_weight(shared.id, engine.id_number);
             if weights[0] < weight {
                 ranked = [Some(engine.key), ranked[0]];
                 weights = [weight, weights[0]];
@@ -493,14 +499,13 @@
     }
 }
 
-fn rendezvous_weight(part: PartId, upstream: &str) -> u64 {
-    let mut hash = 0xcbf2_9ce4_8422_2325_u64 ^ part;
-    for byte in upstream.bytes() {
-        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
+fn rendezvous_weight(part: PartId, upstream: UpstreamId) -> u64 {
+    let mut hash = part ^ (u64::from(upstream) << 32) ^ u64::from(upstream);
+    // Two rounds of a multiplicative mix; with one, neighbouring parts go to the same engine.
+    for _ in 0..2 {
+        hash ^= hash >> 33;
+        hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
     }
-    // The last bytes alone must not decide; this mixes them into all bits.
-    hash ^= hash >> 33;
-    hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
     hash ^ (hash >> 33)
 }
 
--- a/crates/bergamotpitch-control/src/traffic/engine_loads.rs
+++ b/crates/bergamotpitch-control/src/traffic/engine_loads.rs
@@ -44,7 +44,8 @@
             step_ms_per_request: 0.025,
             chunk_tokens: 4_096.0,
             plain_work_ms: 40.0,
-            peer_timeout: Duration::from_millis(1_000),
+            // In a fleet of a hundred instances a peer's turn comes every 3 s.
+            peer_timeout: Duration::from_millis(3_500),
             report_timeout: Duration::from_millis(250),
         }
     }
@@ -88,6 +89,20 @@
     pub memory_tokens: u64,
 }
 
+impl Figures {
+    fn add(&mut self, other: &Figures) {
+        self.requests += other.requests;
+        self.unread_tokens += other.unread_tokens;
+        self.memory_tokens += other.memory_tokens;
+    }
+
+    fn subtract(&mut self, other: &Figures) {
+        self.requests = self.requests.saturating_sub(other.requests);
+        self.unread_tokens -= other.unread_tokens;
+        self.memory_tokens = self.memory_tokens.saturating_sub(other.memory_tokens);
+    }
+}
+
 /// `Report` is what an upstream's answer says of its load.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Report {
@@ -103,6 +118,7 @@
     own: HashMap<RequestNumber, Sent>,
     own_figures: Figures,
     peers: HashMap<InstanceId, (Timestamp, Figures)>,
+    peer_figures: Figures,
     strangers: Option<(Timestamp, u32)>,
     pace: Option<Pace>,
     plain_ms: Option<f64>,
@@ -180,7 +196,32 @@
 
     /// `peer_heard` takes in a peer's sums.
     pub fn peer_heard(&mut self, peer: InstanceId, figures: Figures, now: Timestamp) {
-        self.peers.insert(peer, (now, figures));
+        let before = if figures == Figures::default() {
+            self.peers.remove(&peer)
+        } else {
+            self.peers.insert(peer, (now, figures))
+        };
+        if let Some((_, before)) = before {
+            self.peer_figures.subtract(&before);
+        }
+        self.peer_figures.add(&figures);
+        if self.peers.is_empty() {
+            // Sums of fractions drift; an empty table starts anew.
+            self.peer_figures = Figures::default();
+        }
+    }
+
+    /// `drop_silent_peers` forgets the sums of peers that were not heard for too long. The sum over
+    /// all peers is kept, as a request that is placed looks at it for each upstream.
+    pub fn drop_silent_peers(&mut self, now: Timestamp, options: &Options) {
+        let sum = &mut self.peer_figures;
+        self.peers.retain(|_, (heard, figures)| {
+            let is_heard = now < *heard + options.peer_timeout;
+            if !is_heard {
+                sum.subtract(figures);
+            }
+            is_heard
+        });
     }
 
     /// `reported` takes in what an answer said of the load.
@@ -197,14 +238,9 @@
     /// `figures` returns the sums over all instances.
     pub fn figures(&self, now: Timestamp, options: &Options) -> Figures {
         let mut all = self.own_figures;
-        let mut peer_requests = 0;
-        for (heard, figures) in self.peers.values() {
-            if now < *heard + options.peer_timeout {
-                peer_requests += figures.requests;
-                all.unread_tokens += figures.unread_tokens;
-                all.memory_tokens += figures.memory_tokens;
-            }
-        }
+        all.unread_tokens += self.peer_figures.unread_tokens;
+        all.memory_tokens += self.peer_figures.memory_tokens;
+        let peer_requests = self.peer_figures.requests;
         // The upstream knows of callers that no peer told of, and is right about peers' requests
         // that have ended meanwhile.
         all.requests += match self.strangers {
--- a/crates/bergamotpitch-control/src/traffic/registries.rs
+++ b/crates/bergamotpitch-control/src/traffic/registries.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bergamotpitch_core::HashMap;
+use bergamotpitch_core::ids::{UpstreamId, id_of_name};
 use bergamotpitch_core::units::Timestamp;
 
 /// `UpstreamKey` is a number for one incarnation of an upstream within this process. It is never
@@ -39,6 +40,8 @@
 pub struct Upstream {
     /// Its number in this process.
     pub key: UpstreamKey,
+    /// Its number among instances, derived from its id.
+    pub id_number: UpstreamId,
     /// What the list says.
     pub registration: Registration,
     /// Why it gets no new work; `None` while it takes some.
@@ -237,7 +240,9 @@
         self.key_of_id.insert(registration.id.clone(), key);
         self.of_service.entry(registration.service.clone()).or_default().push(key);
         let leaving = registration.is_leaving.then_some(LeavingSource::List);
-        self.upstreams.insert(key, Upstream { key, registration, leaving, lapsed: None });
+        let id_number = id_of_name(&registration.id);
+        let upstream = Upstream { key, id_number, registration, leaving, lapsed: None };
+        self.upstreams.insert(key, upstream);
         key
     }
 
--- a/crates/bergamotpitch-gateway/src/beats.rs
+++ b/crates/bergamotpitch-gateway/src/beats.rs
@@ -11,7 +11,7 @@
 use bergamotpitch_control::traffic::registries::LeavingSource;
 use bergamotpitch_control::traffic::team_windows::TeamSums;
 use bergamotpitch_core::HashMap;
-use bergamotpitch_core::ids::{Incarnation, InstanceId, TeamId, UpstreamId, id_of_name};
+use bergamotpitch_core::ids::{Incarnation, InstanceId, TeamId, UpstreamId};
 use bergamotpitch_core::units::Timestamp;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -180,7 +180,7 @@
         let figures = load.own_figures();
         let upstream = traffic.registry.get(key)?;
         (figures != Figures::default()).then(|| LoadLine {
-            upstream: id_of_name(&upstream.registration.id),
+            upstream: upstream.id_number,
             requests: figures.requests,
             unread_tokens: figures.unread_tokens.max(0.0) as u32,
             memory_tokens: figures.memory_tokens,
@@ -190,7 +190,7 @@
         .registry
         .all()
         .filter(|upstream| upstream.leaving == Some(LeavingSource::List))
-        .map(|upstream| id_of_name(&upstream.registration.id));
+        .map(|upstream| upstream.id_number);
     Beat {
         instance: gateway.options.instance,
         incarnation: gateway.options.incarnation,
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -60,6 +60,10 @@
 /// about the last two seconds.
 const SLOW_LATENESS_GAIN: f64 = 0.06;
 
+/// `LOOK_AGAIN_INTERVAL` is the least time between two looks of requests that wait for a place: a
+/// fiftieth of the shortest target.
+const LOOK_AGAIN_INTERVAL: Duration = Duration::from_millis(8);
+
 /// `LATENESS_GAIN` is the weight of one timer's lateness against those before.
 const LATENESS_GAIN: f64 = 0.4;
 
@@ -82,8 +86,11 @@
     pub peers: RefCell<Peers>,
     /// Documents for peers.
     pub documents: RefCell<Documents>,
-    /// Told when a place may have become free.
+    /// Told some milliseconds after a place may have become free.
     pub changed: Notify,
+    change_is_due: Cell<bool>,
+    /// How many requests wait for a place.
+    pub waiting: Cell<usize>,
     /// Told when peers know more of the platform's list than this instance, whose watch must have
     /// gone silent.
     pub list_behind: Notify,
@@ -162,6 +169,8 @@
             peers: RefCell::default(),
             documents: RefCell::default(),
             changed: Notify::new(),
+            change_is_due: Cell::new(false),
+            waiting: Cell::new(0),
             list_behind: Notify::new(),
             take_documents: RefCell::default(),
             catalog: RefCell::default(),
@@ -233,6 +242,21 @@
         self.is_listed.set(true);
     }
 
+    /// `note_change_of_load` lets requests that wait for a place look again soon. Under high load
+    /// something changes every few milliseconds and dozens wait; looking at each change took more
+    /// time than all else.
+    pub fn note_change_of_load(self: &Rc<Self>) {
+        if self.waiting.get() == 0 || self.change_is_due.replace(true) {
+            return;
+        }
+        let gateway = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(LOOK_AGAIN_INTERVAL).await;
+            gateway.change_is_due.set(false);
+            gateway.changed.notify_waiters();
+        });
+    }
+
     /// `list_change` returns the revision of the latest change of the list of upstreams that this
     /// instance has seen.
     pub fn list_change(&self) -> u64 {
@@ -275,7 +299,7 @@
             return;
         }
         for change in &changes {
-            self.note_change(&traffic, change);
+            self.log_change(&traffic, change);
         }
         traffic.forget(&changes);
         drop(traffic);
@@ -287,7 +311,7 @@
         self.change_upstreams(|traffic, _| traffic.registry.listed(registration));
     }
 
-    fn note_change(&self, traffic: &Traffic, change: &Change) {
+    fn log_change(&self, traffic: &Traffic, change: &Change) {
         let describe = |key: UpstreamKey| {
             traffic.registry.get(key).map_or_else(
                 || format!("key={key}"),
@@ -460,11 +484,8 @@
         now: Timestamp,
     ) {
         let mut traffic = self.traffic.borrow_mut();
-        let known: Vec<(UpstreamKey, UpstreamId)> = traffic
-            .registry
-            .all()
-            .map(|upstream| (upstream.key, id_of_name(&upstream.registration.id)))
-            .collect();
+        let known: Vec<(UpstreamKey, UpstreamId)> =
+            traffic.registry.all().map(|upstream| (upstream.key, upstream.id_number)).collect();
         for (key, id) in known {
             let figures = figures.get(&id).copied().unwrap_or_default();
             traffic.load(key).peer_heard(peer, figures, now);
@@ -481,7 +502,7 @@
                 .registry
                 .all()
                 .filter(|upstream| upstream.takes_work())
-                .filter(|upstream| leaving.contains(&id_of_name(&upstream.registration.id)))
+                .filter(|upstream| leaving.contains(&upstream.id_number))
                 .map(|upstream| upstream.key)
                 .collect();
             keys.into_iter()
@@ -565,7 +586,10 @@
         gateway.note_lateness(due.elapsed());
         sequence += 1;
         beats::send_beat(&gateway, &socket, sequence).await;
-        gateway.change_upstreams(|traffic, now| traffic.registry.step(now));
+        gateway.change_upstreams(|traffic, now| {
+            traffic.step(now);
+            traffic.registry.step(now)
+        });
         if sequence.is_multiple_of(SWEEP_BEATS) {
             gateway.pools.sweep(gateway.now());
             callers::drop_slow_heads(&gateway);
--- a/crates/bergamotpitch-gateway/src/placements.rs
+++ b/crates/bergamotpitch-gateway/src/placements.rs
@@ -59,11 +59,28 @@
             );
             return Err(Refusal::not_run(reason, spread(after, call.number)));
         }
+        let _waiting = Waiting::enter(gateway);
         // Running out of time is no failure here: the next round decides.
         let _ = tokio::time::timeout(hold_until - now, changed).await;
     }
 }
 
+/// `Waiting` counts a request as waiting for a place for as long as it lives.
+struct Waiting<'a>(&'a Gateway);
+
+impl<'a> Waiting<'a> {
+    fn enter(gateway: &'a Gateway) -> Self {
+        gateway.waiting.set(gateway.waiting.get() + 1);
+        Self(gateway)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.waiting.set(self.0.waiting.get() - 1);
+    }
+}
+
 fn try_place(gateway: &Gateway, call: &Call, tried: &[UpstreamKey], now: Timestamp) -> Choice {
     let ask = ask_of_call(call, tried, now);
     let mut traffic = gateway.traffic.borrow_mut();
@@ -135,7 +152,7 @@
             let mut traffic = self.gateway.traffic.borrow_mut();
             traffic.load(self.key).begun(self.number, now);
             drop(traffic);
-            self.gateway.changed.notify_waiters();
+            self.gateway.note_change_of_load();
         }
         now.saturating_sub(self.sent)
     }
@@ -157,7 +174,7 @@
             traffic.evidence(self.key).note_outcome(failed, now);
         }
         drop(traffic);
-        self.gateway.changed.notify_waiters();
+        self.gateway.note_change_of_load();
     }
 }
 
