--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -16,7 +16,7 @@
 use crate::traffic::evidences::Evidence;
 use crate::traffic::facts::{PartId, RequestFacts};
 use crate::traffic::prefixes::KeptParts;
-use crate::traffic::registries::{Change, Registry, Upstream, UpstreamKey};
+use crate::traffic::registries::{Registry, Upstream, UpstreamKey};
 use crate::traffic::retry_budgets::{self, RetryBudget};
 use crate::traffic::team_windows::{self, Standing, TeamWindows};
 
@@ -215,17 +215,14 @@
         }
     }
 
-    /// `forget` drops what is kept on upstreams that are gone.
-    pub fn forget(&mut self, changes: &[Change]) {
-        for change in changes {
-            if let Change::Gone(key, _) = change {
-                self.kept.remove(key);
-                self.evidences.remove(key);
-            }
-        }
+    /// `forget_gone` drops what is kept on upstreams that are gone, but for requests that still run
+    /// there.
+    pub fn forget_gone(&mut self) {
         let registry = &self.registry;
-        self.loads
-            .retain(|key, load| registry.get(*key).is_some() || load.own_figures().requests != 0);
+        let is_listed = |key: &UpstreamKey| registry.get(*key).is_some();
+        self.kept.retain(|key, _| is_listed(key));
+        self.evidences.retain(|key, _| is_listed(key));
+        self.loads.retain(|key, load| is_listed(key) || load.own_figures().requests != 0);
     }
 
     /// `load` returns the model of an upstream.
@@ -337,18 +334,25 @@
             .filter(|key| !ask.tried.contains(key))
             .filter(|key| self.registry.get(*key).is_some_and(Upstream::takes_work))
             .collect();
-        let rates: f64 = open.iter().map(|key| self.failure_rate(*key)).sum();
-        let mean_rate = rates / open.len().max(1) as f64;
+        let usual_rate = self.usual_failure_rate(&open);
         let sound: Vec<UpstreamKey> =
-            open.iter().copied().filter(|key| self.is_sound(*key, mean_rate, now)).collect();
+            open.iter().copied().filter(|key| self.is_sound(*key, usual_rate, now)).collect();
         if sound.is_empty() { open } else { sound }
     }
 
+    /// The failure rate of the upstream in the middle; the lower one of two. A mean would rise with
+    /// the failures of a few, and hide them.
+    fn usual_failure_rate(&self, keys: &[UpstreamKey]) -> f64 {
+        let mut rates: Vec<f64> = keys.iter().map(|key| self.failure_rate(*key)).collect();
+        rates.sort_by(f64::total_cmp);
+        rates.get(rates.len().saturating_sub(1) / 2).copied().unwrap_or_default()
+    }
+
     fn failure_rate(&self, key: UpstreamKey) -> f64 {
         self.evidences.get(&key).map_or(0.0, Evidence::failure_rate)
     }
 
-    fn is_sound(&self, key: UpstreamKey, mean_rate: f64, now: Timestamp) -> bool {
+    fn is_sound(&self, key: UpstreamKey, usual_rate: f64, now: Timestamp) -> bool {
         let Some(evidence) = self.evidences.get(&key) else { return true };
         if evidence.is_paused(now) {
             return false;
@@ -357,7 +361,7 @@
         if evidence.is_hung(oldest, now) {
             return false;
         }
-        !evidence.is_failing(mean_rate) || evidence.is_trial_due(now)
+        !evidence.is_failing(usual_rate) || evidence.is_trial_due(now)
     }
 
     /// The first and the second engine by rendezvous for the shared start of a prompt.
--- a/crates/bergamotpitch-control/src/traffic/evidences.rs
+++ b/crates/bergamotpitch-control/src/traffic/evidences.rs
@@ -16,7 +16,7 @@
 /// could be chance.
 const LEAST_OUTCOMES: f64 = 4.0;
 
-/// `RATE_MARGIN` is by how much the failure rate must exceed twice the service's mean before an
+/// `RATE_MARGIN` is by how much the failure rate must exceed twice the service's usual one before an
 /// upstream is passed over. Some services fail one call in seven when all is well.
 const RATE_MARGIN: f64 = 0.15;
 
@@ -93,9 +93,9 @@
         since + SILENCE <= now
     }
 
-    /// `is_failing` tells whether it does clearly worse than the mean of its service.
-    pub fn is_failing(&self, mean_rate: f64) -> bool {
-        2.0 * mean_rate + RATE_MARGIN < self.failure_rate()
+    /// `is_failing` tells whether it does clearly worse than is usual in its service.
+    pub fn is_failing(&self, usual_rate: f64) -> bool {
+        2.0 * usual_rate + RATE_MARGIN < self.failure_rate()
     }
 
     /// `is_trial_due` tells whether one request may be risked to see if it works again.
--- /dev/null
+++ b/crates/bergamotpitch-gateway/src/arrivals.rs
@@ -0,0 +1,111 @@
+//! Arrivals: what a caller's request says and brings, read within bounds.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bergamotpitch_control::traffic::catalogs::{Catalog, Route, Team};
+use bergamotpitch_core::refusals::RefusalReason;
+use bytes::{Bytes, BytesMut};
+use http::header::{CONTENT_LENGTH, EXPECT, HOST};
+use http::{HeaderMap, HeaderValue, StatusCode, Uri, request};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::gateways::Gateway;
+use crate::headers::remove_hop_headers;
+use crate::refusals::Refusal;
+
+/// `team_of` finds the team whose key a caller shows.
+///
+/// # Errors
+///
+/// Denies a caller without a known key on a route that needs one.
+pub fn team_of(
+    gateway: &Gateway,
+    catalog: &Catalog,
+    route: &Route,
+    headers: &HeaderMap,
+) -> Result<Option<Arc<Team>>, Refusal> {
+    let team = (gateway.dialect.caller_key)(headers).and_then(|key| catalog.team_of(key)).cloned();
+    if team.is_none() && catalog.has_teams() && !route.is_public {
+        return Err(Refusal::denied(StatusCode::UNAUTHORIZED, RefusalReason::UnknownTeam));
+    }
+    Ok(team)
+}
+
+/// `bad_request` refuses what cannot be understood.
+pub fn bad_request() -> Refusal {
+    Refusal::denied(StatusCode::BAD_REQUEST, RefusalReason::BadRequest)
+}
+
+/// `host_of` returns the host that a request names.
+pub fn host_of(parts: &request::Parts) -> Option<HeaderValue> {
+    if let Some(authority) = parts.uri.authority() {
+        return HeaderValue::from_str(authority.as_str()).ok();
+    }
+    parts.headers.get(HOST).cloned()
+}
+
+/// `target_of` returns path and query as the caller sent them.
+pub fn target_of(uri: &Uri) -> Uri {
+    let Some(target) = uri.path_and_query() else { return Uri::from_static("/") };
+    // Path and query of a URI are a URI by themselves.
+    Uri::from(target.clone())
+}
+
+/// `read_body` reads a body within the limits.
+///
+/// # Errors
+///
+/// Denies one that is too large, broken off or too slow.
+pub async fn read_body(
+    headers: &HeaderMap,
+    mut body: Incoming,
+    catalog: &Catalog,
+    time: Duration,
+) -> Result<Bytes, Refusal> {
+    let limit_bytes = catalog.limits.body_bytes;
+    let too_large = Refusal::denied(StatusCode::PAYLOAD_TOO_LARGE, RefusalReason::BodyTooLarge);
+    let declared: Option<usize> = headers
+        .get(CONTENT_LENGTH)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.parse().ok());
+    if declared.is_some_and(|bytes| limit_bytes < bytes) {
+        return Err(too_large);
+    }
+    let read = async {
+        let mut first = Bytes::new();
+        let mut rest = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.map_err(|_| bad_request())?.into_data() else { continue };
+            if limit_bytes < first.len() + rest.len() + data.len() {
+                return Err(too_large);
+            }
+            // Most bodies come in one piece, which is not copied.
+            if first.is_empty() && rest.is_empty() {
+                first = data;
+                continue;
+            }
+            if rest.is_empty() {
+                rest.extend_from_slice(&std::mem::take(&mut first));
+            }
+            rest.extend_from_slice(&data);
+        }
+        Ok(if rest.is_empty() { first } else { rest.freeze() })
+    };
+    match tokio::time::timeout(time, read).await {
+        Ok(result) => result,
+        Err(_) => Err(Refusal::denied(StatusCode::REQUEST_TIMEOUT, RefusalReason::DeadlinePassed)),
+    }
+}
+
+/// `passed_headers` are the headers that an upstream sees of a caller's.
+pub fn passed_headers(gateway: &Gateway, headers: &HeaderMap) -> HeaderMap {
+    let mut passed = headers.clone();
+    remove_hop_headers(&mut passed);
+    passed.remove(CONTENT_LENGTH);
+    passed.remove(EXPECT);
+    passed.remove(HOST);
+    (gateway.dialect.strip_caller_headers)(&mut passed);
+    passed
+}
--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -12,20 +12,16 @@
 use bergamotpitch_core::ids::id_of_name;
 use bergamotpitch_core::refusals::RefusalReason;
 use bergamotpitch_core::units::Timestamp;
-use bytes::{Bytes, BytesMut};
-use http::header::{
-    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
-    TRANSFER_ENCODING, UPGRADE,
-};
-use http::{
-    HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, request,
-};
-use http_body_util::BodyExt;
+use bytes::Bytes;
+use http::header::CONTENT_LENGTH;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use hyper::body::Incoming;
 
+use crate::arrivals::{bad_request, host_of, passed_headers, read_body, target_of, team_of};
 use crate::bodies::{AnswerBody, StreamAnswer, is_event_stream, read_whole};
 use crate::exchanges::{self, Answer, Failure, Reuse};
 use crate::gateways::Gateway;
+use crate::headers::remove_hop_headers;
 use crate::logs::decision;
 use crate::placements::{Run, place};
 use crate::refusals::{Refusal, response_of_refusal};
@@ -118,7 +114,7 @@
                     gateway.version(),
                 ),
             );
-            let closes = gateway.is_draining() || gateway.is_overloaded();
+            let closes = gateway.is_draining() || gateway.lateness.is_overloaded();
             response_of_refusal(&gateway.dialect, &attempt_id, &refusal, closes)
         }
     }
@@ -141,6 +137,9 @@
     if gateway.refuses_new() {
         return Err(Refusal::not_run(RefusalReason::Draining, BUSY_RETURN));
     }
+    if gateway.lateness.is_overloaded() {
+        return Err(Refusal::not_run(RefusalReason::Overloaded, BUSY_RETURN));
+    }
     let catalog =
         gateway.catalog().ok_or(Refusal::not_run(RefusalReason::NotReady, NOT_READY_RETURN))?;
     let (parts, body) = request.into_parts();
@@ -218,14 +217,11 @@
                     return Err(after_attempts(refusal, may_have_run));
                 }
                 let ran = !matches!(failure, Failure::NotRun { .. });
-                if ran {
-                    run.settle(true);
-                } else {
-                    if failure == (Failure::NotRun { status: StatusCode::MISDIRECTED_REQUEST }) {
-                        gateway.note_misdirected(placement.upstream);
-                    }
-                    drop(run);
+                if failure == (Failure::NotRun { status: StatusCode::MISDIRECTED_REQUEST }) {
+                    gateway.note_misdirected(placement.upstream);
                 }
+                // An upstream that turns away what fits by the books is worse than others, too.
+                run.settle(true);
                 may_have_run |= ran;
             }
         }
@@ -331,114 +327,6 @@
     (gateway.now() + patience).min(call.deadline)
 }
 
-fn team_of(
-    gateway: &Gateway,
-    catalog: &Catalog,
-    route: &Route,
-    headers: &HeaderMap,
-) -> Result<Option<Arc<Team>>, Refusal> {
-    let team = (gateway.dialect.caller_key)(headers).and_then(|key| catalog.team_of(key)).cloned();
-    if team.is_none() && catalog.has_teams() && !route.is_public {
-        return Err(Refusal::denied(StatusCode::UNAUTHORIZED, RefusalReason::UnknownTeam));
-    }
-    Ok(team)
-}
-
-fn bad_request() -> Refusal {
-    Refusal::denied(StatusCode::BAD_REQUEST, RefusalReason::BadRequest)
-}
-
-fn host_of(parts: &request::Parts) -> Option<HeaderValue> {
-    if let Some(authority) = parts.uri.authority() {
-        return HeaderValue::from_str(authority.as_str()).ok();
-    }
-    parts.headers.get(HOST).cloned()
-}
-
-fn target_of(uri: &Uri) -> Uri {
-    let Some(target) = uri.path_and_query() else { return Uri::from_static("/") };
-    // Path and query of a URI are a URI by themselves.
-    Uri::from(target.clone())
-}
-
-async fn read_body(
-    headers: &HeaderMap,
-    mut body: Incoming,
-    catalog: &Catalog,
-    time: Duration,
-) -> Result<Bytes, Refusal> {
-    let limit_bytes = catalog.limits.body_bytes;
-    let too_large = Refusal::denied(StatusCode::PAYLOAD_TOO_LARGE, RefusalReason::BodyTooLarge);
-    let declared: Option<usize> = headers
-        .get(CONTENT_LENGTH)
-        .and_then(|value| value.to_str().ok())
-        .and_then(|value| value.parse().ok());
-    if declared.is_some_and(|bytes| limit_bytes < bytes) {
-        return Err(too_large);
-    }
-    let read = async {
-        let mut first = Bytes::new();
-        let mut rest = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let Ok(data) = frame.map_err(|_| bad_request())?.into_data() else { continue };
-            if limit_bytes < first.len() + rest.len() + data.len() {
-                return Err(too_large);
-            }
-            // Most bodies come in one piece, which is not copied.
-            if first.is_empty() && rest.is_empty() {
-                first = data;
-                continue;
-            }
-            if rest.is_empty() {
-                rest.extend_from_slice(&std::mem::take(&mut first));
-            }
-            rest.extend_from_slice(&data);
-        }
-        Ok(if rest.is_empty() { first } else { rest.freeze() })
-    };
-    match tokio::time::timeout(time, read).await {
-        Ok(result) => result,
-        Err(_) => Err(Refusal::denied(StatusCode::REQUEST_TIMEOUT, RefusalReason::DeadlinePassed)),
-    }
-}
-
-fn passed_headers(gateway: &Gateway, headers: &HeaderMap) -> HeaderMap {
-    let mut passed = headers.clone();
-    remove_hop_headers(&mut passed);
-    passed.remove(CONTENT_LENGTH);
-    passed.remove(EXPECT);
-    passed.remove(HOST);
-    (gateway.dialect.strip_caller_headers)(&mut passed);
-    passed
-}
-
-fn remove_hop_headers(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named {
-        headers.remove(name);
-    }
-    let fixed = [
-        CONNECTION,
-        PROXY_AUTHENTICATE,
-        PROXY_AUTHORIZATION,
-        TE,
-        TRAILER,
-        TRANSFER_ENCODING,
-        UPGRADE,
-        HeaderName::from_static("keep-alive"),
-        HeaderName::from_static("proxy-connection"),
-    ];
-    for name in fixed {
-        headers.remove(name);
-    }
-}
-
 fn note_dispatch(call: &Call, placement: &Placement, gateway: &Gateway, attempts: u32) {
     let waited = gateway.now().saturating_sub(call.arrived);
     gateway.metrics.dispatches.inc();
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -8,65 +8,32 @@
 
 use bergamotpitch_control::traffic::admissions::Traffic;
 use bergamotpitch_control::traffic::catalogs::{CallerLimits, Catalog, CatalogVersion};
-use bergamotpitch_control::traffic::engine_loads::Figures;
-use bergamotpitch_control::traffic::registries::{
-    Change, LeavingSource, Registration, UpstreamKey,
-};
-use bergamotpitch_core::HashMap;
 use bergamotpitch_core::events::EventKind;
-use bergamotpitch_core::ids::{InstanceId, UpstreamId, id_of_name};
+use bergamotpitch_core::ids::id_of_name;
 use bergamotpitch_core::units::Timestamp;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::Notify;
 
-use crate::beats::{self, BEAT_INTERVAL, PeerAddress, Peers};
+use crate::beats::{self, BEAT_INTERVAL, Peers};
 use crate::callers::{self, CallerConnection};
 use crate::calls::Call;
 use crate::connections::Pools;
-use crate::dialects::{AnswerFacts, Dialect};
+use crate::dialects::Dialect;
 use crate::errors::{Error, Result};
+use crate::lateness::Lateness;
 use crate::logs::decision;
 use crate::metrics::Metrics;
 use crate::options::Options;
 use crate::probes::{self, Port};
-use crate::relays::{self, Document, Documents};
-
-/// `LAG_TOLERANCE` is how long a peer may have a newer configuration before it is asked for it: the
-/// platform's own notice mostly comes first.
-const LAG_TOLERANCE: Duration = Duration::from_millis(400);
-
-/// `FETCH_INTERVAL` is the least time between two questions to peers.
-const FETCH_INTERVAL: Duration = Duration::from_millis(600);
+use crate::relays::{Document, Documents};
 
 /// `SWEEP_BEATS` is how many beats go by between two sweeps over connections.
 const SWEEP_BEATS: u64 = 4;
 
-/// `LIST_TOLERANCE` is how long peers may know a newer list of upstreams before the own watch is
-/// given up: the store tells all watches within some milliseconds.
-const LIST_TOLERANCE: Duration = Duration::from_millis(800);
-
-/// `PEER_SILENCE` is the time after which a peer that was not heard is not counted on: some of its
-/// turns in a large fleet.
-const PEER_SILENCE: Duration = Duration::from_secs(5);
-
-/// `OVERLOAD_LATENESS` is how late a timer may be before new requests are refused: the processor is
-/// behind, each further request makes all others later, and another instance may have time.
-const OVERLOAD_LATENESS: Duration = Duration::from_millis(150);
-
-/// `UNREADY_LATENESS` is how late timers may be over seconds before new callers are sent elsewhere.
-const UNREADY_LATENESS: Duration = Duration::from_millis(100);
-
-/// `SLOW_LATENESS_GAIN` is the weight of one timer's lateness for [`UNREADY_LATENESS`]: the mean of
-/// about the last two seconds.
-const SLOW_LATENESS_GAIN: f64 = 0.06;
-
 /// `LOOK_AGAIN_INTERVAL` is the least time between two looks of requests that wait for a place: a
 /// fiftieth of the shortest target.
 const LOOK_AGAIN_INTERVAL: Duration = Duration::from_millis(8);
 
-/// `LATENESS_GAIN` is the weight of one timer's lateness against those before.
-const LATENESS_GAIN: f64 = 0.4;
-
 /// `TakeDocuments` hands documents that a peer sent to whoever understands them.
 pub type TakeDocuments = Box<dyn Fn(Vec<Document>)>;
 
@@ -80,6 +47,8 @@
     pub traffic: RefCell<Traffic>,
     /// Idle connections to upstreams.
     pub pools: Pools,
+    /// Whether this process keeps up.
+    pub lateness: Lateness,
     /// Counters.
     pub metrics: Metrics,
     /// Peers.
@@ -94,7 +63,7 @@
     /// Told when peers know more of the platform's list than this instance, whose watch must have
     /// gone silent.
     pub list_behind: Notify,
-    take_documents: RefCell<Option<TakeDocuments>>,
+    pub(crate) take_documents: RefCell<Option<TakeDocuments>>,
     catalog: RefCell<Option<Arc<Catalog>>>,
     connections: RefCell<Vec<Rc<CallerConnection>>>,
     started: Instant,
@@ -103,13 +72,11 @@
     is_listed: Cell<bool>,
     is_draining: Cell<bool>,
     refuses_new: Cell<bool>,
-    list_known: Cell<u64>,
-    list_change: Cell<u64>,
-    list_behind_since: Cell<Option<Timestamp>>,
-    lateness: Cell<Duration>,
-    slow_lateness: Cell<Duration>,
-    lagging_since: Cell<Option<Timestamp>>,
-    next_fetch: Cell<Timestamp>,
+    pub(crate) list_known: Cell<u64>,
+    pub(crate) list_change: Cell<u64>,
+    pub(crate) list_behind_since: Cell<Option<Timestamp>>,
+    pub(crate) lagging_since: Cell<Option<Timestamp>>,
+    pub(crate) next_fetch: Cell<Timestamp>,
 }
 
 impl std::fmt::Debug for Gateway {
@@ -165,6 +132,7 @@
             options,
             dialect,
             pools: Pools::default(),
+            lateness: Lateness::default(),
             metrics,
             peers: RefCell::default(),
             documents: RefCell::default(),
@@ -184,8 +152,6 @@
             list_known: Cell::new(0),
             list_change: Cell::new(0),
             list_behind_since: Cell::new(None),
-            lateness: Cell::new(Duration::ZERO),
-            slow_lateness: Cell::new(Duration::ZERO),
             lagging_since: Cell::new(None),
             next_fetch: Cell::new(Timestamp::ZERO),
         }
@@ -257,130 +223,6 @@
         });
     }
 
-    /// `list_change` returns the revision of the latest change of the list of upstreams that this
-    /// instance has seen.
-    pub fn list_change(&self) -> u64 {
-        self.list_change.get()
-    }
-
-    /// `list_read` notes that the list is known up to a revision of the store, and the latest change
-    /// that was seen in it.
-    pub fn list_read(&self, known: u64, change: u64) {
-        self.list_known.set(self.list_known.get().max(known));
-        self.list_change.set(self.list_change.get().max(change));
-    }
-
-    /// `domain_rank` returns how many instances of the own domain that were heard lately come before
-    /// this one. The first few look after the domain, and the others hear from them.
-    pub fn domain_rank(&self) -> usize {
-        let now = self.now();
-        let own = &self.options;
-        let peers = self.peers.borrow();
-        let before = peers.values().filter(|peer| {
-            let is_heard = peer.heard.is_some_and(|heard| now < heard + PEER_SILENCE);
-            is_heard
-                && peer.address.domain == own.admission.domain
-                && peer.address.instance < own.instance
-        });
-        before.count()
-    }
-
-    /// `is_overloaded` tells whether this instance is late with all that it does.
-    pub fn is_overloaded(&self) -> bool {
-        OVERLOAD_LATENESS < self.lateness.get()
-    }
-
-    /// `change_upstreams` lets a change be made to the registry and follows it.
-    pub fn change_upstreams(&self, change: impl FnOnce(&mut Traffic, Timestamp) -> Vec<Change>) {
-        let now = self.now();
-        let mut traffic = self.traffic.borrow_mut();
-        let changes = change(&mut traffic, now);
-        if changes.is_empty() {
-            return;
-        }
-        for change in &changes {
-            self.log_change(&traffic, change);
-        }
-        traffic.forget(&changes);
-        drop(traffic);
-        self.changed.notify_waiters();
-    }
-
-    /// `upstream_listed` takes in an entry of the list.
-    pub fn upstream_listed(&self, registration: Registration) {
-        self.change_upstreams(|traffic, _| traffic.registry.listed(registration));
-    }
-
-    fn log_change(&self, traffic: &Traffic, change: &Change) {
-        let describe = |key: UpstreamKey| {
-            traffic.registry.get(key).map_or_else(
-                || format!("key={key}"),
-                |upstream| {
-                    let listed = &upstream.registration;
-                    format!(
-                        "upstream={} address={} service={} domain={} born_ms={:?}",
-                        listed.id, listed.address, listed.service, listed.domain, listed.born_ms
-                    )
-                },
-            )
-        };
-        match change {
-            Change::Joined(key) => {
-                decision(EventKind::UpstreamJoined, format_args!("{}", describe(*key)));
-            }
-            Change::Left(key, source) => decision(
-                EventKind::UpstreamLeaving,
-                format_args!("{} source={source}", describe(*key)),
-            ),
-            Change::Gone(key, id) => {
-                self.pools.close_all_of(*key);
-                decision(EventKind::UpstreamGone, format_args!("upstream={id}"));
-            }
-        }
-    }
-
-    /// `address_of` returns where an upstream listens.
-    pub fn address_of(&self, key: UpstreamKey) -> Option<SocketAddr> {
-        let traffic = self.traffic.borrow();
-        traffic.registry.get(key).map(|upstream| upstream.registration.address)
-    }
-
-    /// `id_of` returns the id of an upstream.
-    pub fn id_of(&self, key: UpstreamKey) -> Option<String> {
-        let traffic = self.traffic.borrow();
-        traffic.registry.get(key).map(|upstream| upstream.registration.id.clone())
-    }
-
-    /// `note_answer_head` takes in what the head of an answer says of its upstream.
-    pub fn note_answer_head(&self, key: UpstreamKey, facts: &AnswerFacts) {
-        let now = self.now();
-        let mut traffic = self.traffic.borrow_mut();
-        traffic.evidence(key).note_life(now);
-        if let Some(report) = facts.load {
-            traffic.load(key).reported(report, now);
-        }
-    }
-
-    /// `note_life` takes in that bytes came from an upstream.
-    pub fn note_life(&self, key: UpstreamKey) {
-        let now = self.now();
-        self.traffic.borrow_mut().evidence(key).note_life(now);
-    }
-
-    /// `note_unreachable` takes in that an upstream took no connection.
-    pub fn note_unreachable(&self, key: UpstreamKey) {
-        let now = self.now();
-        self.traffic.borrow_mut().evidence(key).note_unreachable(now);
-    }
-
-    /// `note_misdirected` takes in that another upstream answers at an address.
-    pub fn note_misdirected(&self, key: UpstreamKey) {
-        self.change_upstreams(|traffic, _| {
-            traffic.registry.left(key, LeavingSource::Answer).into_iter().collect()
-        });
-        self.pools.close_all_of(key);
-    }
-
     /// `note_request` counts a caller's request.
     pub fn note_request(&self, call: &Call) {
         let now = self.now();
@@ -445,8 +287,7 @@
     /// `is_ready` tells whether new callers should come here.
     pub fn is_ready(&self) -> bool {
         let knows_all = self.catalog.borrow().is_some() && self.is_listed.get();
-        let keeps_up = self.slow_lateness.get() < UNREADY_LATENESS;
-        knows_all && keeps_up && !self.is_draining.get()
+        knows_all && self.lateness.keeps_up() && !self.is_draining.get()
     }
 
     /// `is_draining` tells whether the process is about to end.
@@ -469,108 +310,10 @@
         self.refuses_new.set(true);
     }
 
-    /// `replace_peers` takes in where all peers are.
-    pub fn replace_peers(&self, addresses: Vec<PeerAddress>) {
-        let own = self.options.instance;
-        let others = addresses.into_iter().filter(|address| address.instance != own).collect();
-        beats::replace_peers(&mut self.peers.borrow_mut(), others);
-    }
-
-    /// `take_in_loads` takes in what a peer has in hand.
-    pub fn take_in_loads(
-        &self,
-        peer: InstanceId,
-        figures: &HashMap<UpstreamId, Figures>,
-        now: Timestamp,
-    ) {
-        let mut traffic = self.traffic.borrow_mut();
-        let known: Vec<(UpstreamKey, UpstreamId)> =
-            traffic.registry.all().map(|upstream| (upstream.key, upstream.id_number)).collect();
-        for (key, id) in known {
-            let figures = figures.get(&id).copied().unwrap_or_default();
-            traffic.load(key).peer_heard(peer, figures, now);
-        }
-    }
-
-    /// `take_in_leaving` takes in of which upstreams a peer knows that they leave.
-    pub fn take_in_leaving(&self, leaving: &[UpstreamId]) {
-        if leaving.is_empty() {
-            return;
-        }
-        self.change_upstreams(|traffic, _| {
-            let keys: Vec<UpstreamKey> = traffic
-                .registry
-                .all()
-                .filter(|upstream| upstream.takes_work())
-                .filter(|upstream| leaving.contains(&upstream.id_number))
-                .map(|upstream| upstream.key)
-                .collect();
-            keys.into_iter()
-                .filter_map(|key| traffic.registry.left(key, LeavingSource::Peer))
-                .collect()
-        });
-    }
-
     /// `on_documents` sets who takes in documents that peers hand over.
     pub fn on_documents(&self, take: TakeDocuments) {
         *self.take_documents.borrow_mut() = Some(take);
     }
-
-    /// `fetch_documents` asks another instance for what it knows.
-    pub async fn fetch_documents(&self, from: SocketAddr) {
-        match relays::fetch(from).await {
-            Ok(documents) => {
-                log::info!("event=documents_fetched peer={from} count={}", documents.len());
-                if let Some(take) = self.take_documents.borrow().as_ref() {
-                    take(documents);
-                }
-            }
-            Err(error) => log::info!("event=documents_not_fetched peer={from} error={error}"),
-        }
-    }
-
-    fn note_lateness(&self, late: Duration) {
-        let before = self.lateness.get().mul_f64(1.0 - LATENESS_GAIN);
-        self.lateness.set(before + late.mul_f64(LATENESS_GAIN));
-        let before = self.slow_lateness.get().mul_f64(1.0 - SLOW_LATENESS_GAIN);
-        self.slow_lateness.set(before + late.mul_f64(SLOW_LATENESS_GAIN));
-    }
-
-    /// Gives the own watch up once a peer has known more of the list for some time.
-    fn compare_lists(&self) {
-        let now = self.now();
-        let known = self.list_known.get();
-        if self.peers.borrow().values().all(|peer| peer.list_change <= known) {
-            self.list_behind_since.set(None);
-            return;
-        }
-        let since = self.list_behind_since.get().unwrap_or(now);
-        self.list_behind_since.set(Some(since));
-        if since + LIST_TOLERANCE <= now {
-            self.list_behind_since.set(Some(now));
-            log::info!("event=list_behind revision={known}");
-            self.list_behind.notify_waiters();
-        }
-    }
-
-    /// The peer with a newer configuration, once that has lasted.
-    fn ahead_peer(&self) -> Option<SocketAddr> {
-        let now = self.now();
-        let version = self.version();
-        let peers = self.peers.borrow();
-        let ahead = peers.values().filter(|peer| version < peer.version);
-        let Some(ahead) = ahead.max_by_key(|peer| (peer.version, peer.heard)) else {
-            self.lagging_since.set(None);
-            return None;
-        };
-        let since = self.lagging_since.get().unwrap_or(now);
-        self.lagging_since.set(Some(since));
-        if now < since + LAG_TOLERANCE || now < self.next_fetch.get() {
-            return None;
-        }
-        self.next_fetch.set(now + FETCH_INTERVAL);
-        Some(ahead.address.relay_address)
-    }
 }
 
 async fn listen(setting: &'static str, address: SocketAddr) -> Result<TcpListener> {
@@ -583,7 +326,7 @@
     loop {
         let due = tokio::time::Instant::now() + BEAT_INTERVAL;
         tokio::time::sleep_until(due).await;
-        gateway.note_lateness(due.elapsed());
+        gateway.lateness.note(due.elapsed());
         sequence += 1;
         beats::send_beat(&gateway, &socket, sequence).await;
         gateway.change_upstreams(|traffic, now| {
--- a/crates/bergamotpitch-gateway/src/lib.rs
+++ b/crates/bergamotpitch-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! How requests and answers are spelled is no matter of this crate: a [`Dialect`](dialects::Dialect)
 //! reads and writes headers, and whoever starts the gateway hands it catalogs, upstreams and peers.
 
+pub mod arrivals;
 pub mod beats;
 pub mod bodies;
 pub mod callers;
@@ -18,14 +19,18 @@
 pub mod errors;
 pub mod exchanges;
 pub mod gateways;
+pub mod headers;
+pub mod lateness;
 pub mod logs;
 pub mod metrics;
 pub mod options;
+pub mod peers;
 pub mod placements;
 pub mod probes;
 pub mod refusals;
 pub mod relays;
 pub mod sse;
+pub mod upstreams;
 
 pub use crate::errors::{Error, Result};
 pub use crate::gateways::Gateway;
--- /dev/null
+++ b/crates/bergamotpitch-gateway/src/upstreams.rs
@@ -0,0 +1,145 @@
+//! Upstreams: changes of the registry, and what answers and peers say of an upstream.
+
+use std::net::SocketAddr;
+
+use bergamotpitch_control::traffic::admissions::Traffic;
+use bergamotpitch_control::traffic::engine_loads::Figures;
+use bergamotpitch_control::traffic::registries::{
+    Change, LeavingSource, Registration, UpstreamKey,
+};
+use bergamotpitch_core::HashMap;
+use bergamotpitch_core::events::EventKind;
+use bergamotpitch_core::ids::{InstanceId, UpstreamId};
+use bergamotpitch_core::units::Timestamp;
+
+use crate::dialects::AnswerFacts;
+use crate::gateways::Gateway;
+use crate::logs::decision;
+
+impl Gateway {
+    /// `change_upstreams` lets a change be made to the registry and follows it.
+    pub fn change_upstreams(&self, change: impl FnOnce(&mut Traffic, Timestamp) -> Vec<Change>) {
+        let now = self.now();
+        let mut traffic = self.traffic.borrow_mut();
+        let changes = change(&mut traffic, now);
+        if changes.is_empty() {
+            return;
+        }
+        for change in &changes {
+            self.log_change(&traffic, change);
+        }
+        traffic.forget_gone();
+        drop(traffic);
+        self.changed.notify_waiters();
+    }
+
+    /// `upstream_listed` takes in an entry of the list.
+    pub fn upstream_listed(&self, registration: Registration) {
+        self.change_upstreams(|traffic, _| traffic.registry.listed(registration));
+    }
+
+    fn log_change(&self, traffic: &Traffic, change: &Change) {
+        let describe = |key: UpstreamKey| {
+            traffic.registry.get(key).map_or_else(
+                || format!("key={key}"),
+                |upstream| {
+                    let listed = &upstream.registration;
+                    format!(
+                        "upstream={} address={} service={} domain={} born_ms={:?}",
+                        listed.id, listed.address, listed.service, listed.domain, listed.born_ms
+                    )
+                },
+            )
+        };
+        match change {
+            Change::Joined(key) => {
+                decision(EventKind::UpstreamJoined, format_args!("{}", describe(*key)));
+            }
+            Change::Left(key, source) => decision(
+                EventKind::UpstreamLeaving,
+                format_args!("{} source={source}", describe(*key)),
+            ),
+            Change::Gone(key, id) => {
+                self.pools.close_all_of(*key);
+                decision(EventKind::UpstreamGone, format_args!("upstream={id}"));
+            }
+        }
+    }
+
+    /// `address_of` returns where an upstream listens.
+    pub fn address_of(&self, key: UpstreamKey) -> Option<SocketAddr> {
+        let traffic = self.traffic.borrow();
+        traffic.registry.get(key).map(|upstream| upstream.registration.address)
+    }
+
+    /// `id_of` returns the id of an upstream.
+    pub fn id_of(&self, key: UpstreamKey) -> Option<String> {
+        let traffic = self.traffic.borrow();
+        traffic.registry.get(key).map(|upstream| upstream.registration.id.clone())
+    }
+
+    /// `note_answer_head` takes in what the head of an answer says of its upstream.
+    pub fn note_answer_head(&self, key: UpstreamKey, facts: &AnswerFacts) {
+        let now = self.now();
+        let mut traffic = self.traffic.borrow_mut();
+        traffic.evidence(key).note_life(now);
+        if let Some(report) = facts.load {
+            traffic.load(key).reported(report, now);
+        }
+    }
+
+    /// `note_life` takes in that bytes came from an upstream.
+    pub fn note_life(&self, key: UpstreamKey) {
+        let now = self.now();
+        self.traffic.borrow_mut().evidence(key).note_life(now);
+    }
+
+    /// `note_unreachable` takes in that an upstream took no connection.
+    pub fn note_unreachable(&self, key: UpstreamKey) {
+        let now = self.now();
+        self.traffic.borrow_mut().evidence(key).note_unreachable(now);
+    }
+
+    /// `note_misdirected` takes in that another upstream answers at an address.
+    pub fn note_misdirected(&self, key: UpstreamKey) {
+        self.change_upstreams(|traffic, _| {
+            traffic.registry.left(key, LeavingSource::Answer).into_iter().collect()
+        });
+        self.pools.close_all_of(key);
+    }
+
+    /// `take_in_loads` takes in what a peer has in hand.
+    pub fn take_in_loads(
+        &self,
+        peer: InstanceId,
+        figures: &HashMap<UpstreamId, Figures>,
+        now: Timestamp,
+    ) {
+        let mut traffic = self.traffic.borrow_mut();
+        let known: Vec<(UpstreamKey, UpstreamId)> =
+            traffic.registry.all().map(|upstream| (upstream.key, upstream.id_number)).collect();
+        for (key, id) in known {
+            let figures = figures.get(&id).copied().unwrap_or_default();
+            traffic.load(key).peer_heard(peer, figures, now);
+        }
+    }
+
+    /// `take_in_leaving` takes in of which upstreams a peer knows that they leave.
+    pub fn take_in_leaving(&self, leaving: &[UpstreamId]) {
+        if leaving.is_empty() {
+            return;
+        }
+        self.change_upstreams(|traffic, _| {
+            let keys: Vec<UpstreamKey> = traffic
+                .registry
+                .all()
+                .filter(|upstream| upstream.takes_work())
+                .filter(|upstream| leaving.contains(&upstream.id_number))
+                .map(|upstream| upstream.key)
+                .collect();
+            keys.into_iter()
+                .filter_map(|key| traffic.registry.left(key, LeavingSource::Peer))
+                .collect()
+        });
+    }
+}
--- a/crates/bergamotpitch-gateway/tests/single_runs.rs
+++ b/crates/bergamotpitch-gateway/tests/single_runs.rs
@@ -90,3 +90,21 @@
         assert!(!traffic.registry.get(key).unwrap().takes_work());
     });
 }
+
+/// An upstream turns away what it has room for. Each such call costs a repeat of the shared budget,
+/// and callers of routes that allow one upstream are refused for nothing.
+#[test]
+fn shedding_upstream() {
+    run(async {
+        let shedding = FakeUpstream::start(Box::new(|_| vec![not_run()])).await;
+        // It is slower than one that has answered nothing yet is taken to be.
+        let slow = |_| vec![Act::Pause(Duration::from_millis(60)), whole("200 OK", "done")];
+        let good = FakeUpstream::start(Box::new(slow)).await;
+        let (_, address) = start(&[&shedding, &good]).await;
+        for number in 0..30 {
+            let got = ask(address, request("POST", "/once/", &format!("n{number}"))).await.unwrap();
+            assert_eq!(got.status, 200, "{got:?}");
+        }
+        assert!(shedding.count() <= 8, "{} of 30 calls went there", shedding.count());
+    });
+}
--- a/crates/bergamotpitch-router/src/headers.rs
+++ b/crates/bergamotpitch-router/src/headers.rs
@@ -1,9 +1,7 @@
 //! Headers: which are passed on, and the ones of the project's own.
 
-use http::header::{
-    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, PROXY_AUTHENTICATE,
-    PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
-};
+use bergamotpitch_gateway::headers::remove_hop_headers;
+use http::header::{AUTHORIZATION, CONTENT_LENGTH, EXPECT, HOST};
 use http::{HeaderMap, HeaderName};
 
 /// Header with which a caller states how long it waits, in milliseconds.
@@ -27,35 +25,6 @@
 /// Header with which a caller names a request that it may send again.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
-const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
-
-/// `remove_hop_headers` removes the headers that are about one connection only.
-pub fn remove_hop_headers(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named {
-        headers.remove(name);
-    }
-    let hop_headers = [
-        CONNECTION,
-        KEEP_ALIVE,
-        PROXY_AUTHENTICATE,
-        PROXY_AUTHORIZATION,
-        TE,
-        TRAILER,
-        TRANSFER_ENCODING,
-        UPGRADE,
-    ];
-    for name in hop_headers {
-        headers.remove(name);
-    }
-}
-
 /// `request_headers` are the headers that go to an upstream.
 pub fn request_headers(from_caller: &HeaderMap) -> HeaderMap {
     let mut headers = from_caller.clone();
