--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -178,6 +178,9 @@
         deadline,
     };
     gateway.note_request(&call);
+    // The connection looks for its end between two turns of this request. Without one, a request
+    // that was read late is sent on although its caller closed the connection long ago.
+    tokio::task::yield_now().await;
     follow(gateway, Rc::new(call)).await
 }
 
--- a/crates/bergamotpitch-gateway/tests/leaving_callers.rs
+++ b/crates/bergamotpitch-gateway/tests/leaving_callers.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{Act, FakeUpstream, connect, event, request, run, start, stream_head};
+use common::{Act, FakeUpstream, connect, event, request, run, start, stream_head, whole};
 
 /// `FREED_WITHIN` is the time within which an upstream must be free again.
 const FREED_WITHIN: Duration = Duration::from_millis(500);
@@ -44,3 +44,25 @@
         assert_eq!(gateway.in_flight(), 0);
     });
 }
+
+/// An instance is late, and by the time it reads a request its caller has long given up and closed
+/// the connection. Sent on, the request would keep an engine busy for nobody.
+#[test]
+fn before_reading() {
+    run(async {
+        let upstream = FakeUpstream::start(Box::new(|_| vec![whole("200 OK", "done")])).await;
+        let (_, address) = start(&[&upstream]).await;
+        // With a warm connection to the upstream, nothing but the caller's end holds a request up.
+        common::ask(address, request("GET", "/safe/", "warm")).await.unwrap();
+        for number in 0..5 {
+            let mut caller = std::net::TcpStream::connect(address).unwrap();
+            let head = format!(
+                "GET /safe/ HTTP/1.1\r\nhost: test.example\r\nx-id: n{number}\r\n\r\n"
+            );
+            std::io::Write::write_all(&mut caller, head.as_bytes()).unwrap();
+            drop(caller);
+        }
+        tokio::time::sleep(FREED_WITHIN).await;
+        assert_eq!(upstream.count(), 1);
+    });
+}
