--- a/crates/bergamotpitch-gateway/src/callers.rs
+++ b/crates/bergamotpitch-gateway/src/callers.rs
@@ -7,9 +7,11 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::io;
+use std::mem::MaybeUninit;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use bergamotpitch_core::units::Timestamp;
 use http::header::CONNECTION;
@@ -18,6 +20,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -29,9 +32,13 @@
 /// `LEAST_BUFFER_BYTES` is the smallest buffer that the library takes.
 const LEAST_BUFFER_BYTES: usize = 8 << 10;
 
+/// `ENDED_AT_ONCE` is how many idle connections are ended when there are too many.
+const ENDED_AT_ONCE: usize = 32;
+
 /// `CallerConnection` is one open connection of a caller.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct CallerConnection {
+    stream: Rc<TcpStream>,
     head_began: Cell<Option<Timestamp>>,
     is_in_request: Cell<bool>,
     is_ending: Cell<bool>,
@@ -39,6 +46,31 @@
 }
 
 impl CallerConnection {
+    /// `new` follows a connection that was just accepted.
+    pub fn new(stream: Rc<TcpStream>) -> Self {
+        Self {
+            stream,
+            head_began: Cell::new(None),
+            is_in_request: Cell::new(false),
+            is_ending: Cell::new(false),
+            wake: Notify::new(),
+        }
+    }
+
+    /// `is_idle` tells whether it carries no request.
+    pub fn is_idle(&self) -> bool {
+        !self.is_in_request.get() && self.head_began.get().is_none() && !self.is_ending.get()
+    }
+
+    /// `is_left` tells whether the caller has closed it.
+    pub fn is_left(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        match SockRef::from(&*self.stream).peek(&mut byte) {
+            Ok(received) => received == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
     /// `end` lets the connection close after the request that it carries, or at once when idle.
     pub fn end(&self) {
         self.is_ending.set(true);
@@ -56,11 +88,15 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
+                if gateway.options.caller_connections_max <= gateway.connection_count() {
+                    gateway.end_idle_connections(ENDED_AT_ONCE);
+                }
                 tokio::task::spawn_local(serve_connection(Rc::clone(&gateway), stream));
             }
             Err(error) => {
-                // No descriptor is left; those in use are freed by answers that end meanwhile.
+                // No descriptor is left, and callers wait in the system's queue until they give up.
                 log::warn!("event=accept_failed error={error}");
+                gateway.end_idle_connections(ENDED_AT_ONCE);
                 tokio::time::sleep(std::time::Duration::from_millis(50)).await;
             }
         }
@@ -72,7 +108,8 @@
         log::info!("event=caller_lost error={error}");
         return;
     }
-    let connection = gateway.open_connection();
+    let stream = Rc::new(stream);
+    let connection = gateway.open_connection(Rc::clone(&stream));
     let limits = gateway.limits();
     let watched =
         WatchedStream { stream, connection: Rc::clone(&connection), gateway: Rc::clone(&gateway) };
@@ -112,7 +149,7 @@
     connection: Rc<CallerConnection>,
     request: Request<Incoming>,
 ) -> Result<http::Response<crate::bodies::AnswerBody>, Infallible> {
-    let mut response = calls::answer(Rc::clone(&gateway), request).await;
+    let mut response = calls::answer(Rc::clone(&gateway), &connection, request).await;
     connection.is_in_request.set(false);
     connection.head_began.set(None);
     if gateway.is_draining() {
@@ -135,19 +172,28 @@
 
 /// `WatchedStream` notes when the first byte of a head comes in.
 struct WatchedStream {
-    stream: TcpStream,
+    stream: Rc<TcpStream>,
     connection: Rc<CallerConnection>,
     gateway: Rc<Gateway>,
 }
 
 impl AsyncRead for WatchedStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let result = loop {
+            if let Err(error) = ready!(self.stream.poll_read_ready(context)) {
+                return Poll::Ready(Err(error));
+            }
+            match self.stream.try_read_buf(buffer) {
+                Ok(_) => break Poll::Ready(Ok(())),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        };
         let is_head = !self.connection.is_in_request.get();
         if is_head && before < buffer.filled().len() && self.connection.head_began.get().is_none() {
             self.connection.head_began.set(Some(self.gateway.now()));
@@ -158,30 +204,44 @@
 
 impl AsyncWrite for WatchedStream {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         data: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, data)
+        write_with(&self.stream, context, || self.stream.try_write(data))
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         data: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, data)
+        write_with(&self.stream, context, || self.stream.try_write_vectored(data))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
+    }
+}
+
+fn write_with(
+    stream: &TcpStream,
+    context: &mut Context<'_>,
+    write: impl Fn() -> io::Result<usize>,
+) -> Poll<io::Result<usize>> {
+    loop {
+        ready!(stream.poll_write_ready(context))?;
+        match write() {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            written => return Poll::Ready(written),
+        }
     }
 }
--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -19,6 +19,7 @@
 
 use crate::arrivals::{bad_request, host_of, passed_headers, read_body, target_of, team_of};
 use crate::bodies::{AnswerBody, StreamAnswer, is_event_stream, read_whole};
+use crate::callers::CallerConnection;
 use crate::exchanges::{self, Answer, Failure, Reuse};
 use crate::gateways::Gateway;
 use crate::headers::remove_hop_headers;
@@ -81,7 +82,11 @@
 }
 
 /// `answer` serves one request.
-pub async fn answer(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+pub async fn answer(
+    gateway: Rc<Gateway>,
+    connection: &CallerConnection,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
     let arrived = gateway.now();
     let facts = (gateway.dialect.request_facts)(request.headers());
     let attempt_id = facts.as_ref().map(|facts| facts.attempt_id.clone()).unwrap_or_default();
@@ -89,7 +94,11 @@
     gateway.metrics.requests.inc();
     let mut known = Known::default();
     let result = match facts {
-        Ok(facts) => carry(&gateway, request, facts, arrived, &mut known).await,
+        Ok(facts) => match read_call(&gateway, request, facts, arrived, &mut known).await {
+            Ok(call) if connection.is_left() => Err(left_before_sent(&call)),
+            Ok(call) => follow(&gateway, Rc::new(call)).await,
+            Err(refusal) => Err(refusal),
+        },
         Err(error) => {
             log::info!("event=bad_header request={attempt_id:?} error={error:?}");
             Err(Refusal::denied(StatusCode::BAD_REQUEST, RefusalReason::BadRequest))
@@ -127,13 +136,14 @@
     team: Option<Arc<Team>>,
 }
 
-async fn carry(
+/// Reads a request in full and finds out what it wants.
+async fn read_call(
     gateway: &Rc<Gateway>,
     request: Request<Incoming>,
     facts: RequestFacts,
     arrived: Timestamp,
     known: &mut Known,
-) -> Result<Response<AnswerBody>, Refusal> {
+) -> Result<Call, Refusal> {
     if gateway.refuses_new() {
         return Err(Refusal::not_run(RefusalReason::Draining, BUSY_RETURN));
     }
@@ -178,10 +188,17 @@
         deadline,
     };
     gateway.note_request(&call);
-    // The connection looks for its end between two turns of this request. Without one, a request
-    // that was read late is sent on although its caller closed the connection long ago.
-    tokio::task::yield_now().await;
-    follow(gateway, Rc::new(call)).await
+    Ok(call)
+}
+
+/// A request that was read late may have lost its caller long ago. Sent on, it would keep an
+/// upstream busy for nobody; the refusal reaches nobody either.
+fn left_before_sent(call: &Call) -> Refusal {
+    decision(
+        EventKind::CallerLeft,
+        format_args!("request={} before_sent=true", call.facts.attempt_id),
+    );
+    Refusal::not_run(RefusalReason::DeadlinePassed, BUSY_RETURN)
 }
 
 /// Sends a call to one upstream after another until there is an answer to pass on.
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -11,7 +11,7 @@
 use bergamotpitch_core::events::EventKind;
 use bergamotpitch_core::ids::id_of_name;
 use bergamotpitch_core::units::Timestamp;
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::Notify;
 
 use crate::beats::{self, BEAT_INTERVAL, Peers};
@@ -263,12 +263,20 @@
     }
 
     /// `open_connection` counts a caller's connection.
-    pub fn open_connection(&self) -> Rc<CallerConnection> {
-        let connection = Rc::new(CallerConnection::default());
+    pub fn open_connection(&self, stream: Rc<TcpStream>) -> Rc<CallerConnection> {
+        let connection = Rc::new(CallerConnection::new(stream));
         self.connections.borrow_mut().push(Rc::clone(&connection));
         connection
     }
 
+    /// `end_idle_connections` ends the oldest connections that carry no request, at most `count`.
+    /// Callers open others when they have something to ask.
+    pub fn end_idle_connections(&self, count: usize) {
+        let connections = self.connections.borrow();
+        let idle = connections.iter().filter(|connection| connection.is_idle());
+        idle.take(count).for_each(|connection| connection.end());
+    }
+
     /// `close_connection` forgets a caller's connection.
     pub fn close_connection(&self, connection: &Rc<CallerConnection>) {
         self.connections.borrow_mut().retain(|open| !Rc::ptr_eq(open, connection));
--- a/crates/bergamotpitch-gateway/src/options.rs
+++ b/crates/bergamotpitch-gateway/src/options.rs
@@ -23,6 +23,8 @@
     pub beat_address: SocketAddr,
     /// Where peers and fresh instances fetch the documents that this instance knows.
     pub relay_addresses: Vec<SocketAddr>,
+    /// Connections of callers from which on idle ones are ended.
+    pub caller_connections_max: usize,
     /// Decisions.
     pub admission: admissions::Options,
     /// Time between SIGTERM and the end of the process.
@@ -40,6 +42,7 @@
             ready_address: any_port,
             beat_address: any_port,
             relay_addresses: vec![any_port],
+            caller_connections_max: 2_000,
             admission: admissions::Options::default(),
             grace: Duration::from_secs(8),
         }
--- a/crates/bergamotpitch-gateway/tests/caller_limits.rs
+++ b/crates/bergamotpitch-gateway/tests/caller_limits.rs
@@ -124,3 +124,22 @@
         assert_eq!(gateway.connection_count(), 0);
     });
 }
+
+/// Callers open connection after connection and keep them. Without an end to idle ones no descriptor
+/// is left, and whoever comes next waits in the system's queue until it gives up.
+#[test]
+fn many_connections() {
+    run(async {
+        let upstream = ok_upstream().await;
+        let (gateway, address) = common::start_bounded(&[&upstream], 40).await;
+        let mut callers = Vec::new();
+        for number in 0..120 {
+            let mut sender = common::connect(address).await;
+            let asked = request("GET", "/safe/", &format!("n{number}"));
+            let got = common::ask_on(&mut sender, asked).await;
+            assert_eq!(got.expect("a fresh connection is served").status, 200);
+            callers.push(sender);
+        }
+        assert!(gateway.connection_count() <= 72, "{}", gateway.connection_count());
+    });
+}
--- a/crates/bergamotpitch-gateway/tests/common/mod.rs
+++ b/crates/bergamotpitch-gateway/tests/common/mod.rs
@@ -291,10 +291,27 @@
 pub async fn start_with(
     upstreams: &[&FakeUpstream],
     catalog: Catalog,
+) -> (Rc<Gateway>, SocketAddr) {
+    launch(upstreams, catalog, 2_000).await
+}
+
+/// `start_bounded` starts a gateway that keeps only so many connections of callers.
+pub async fn start_bounded(
+    upstreams: &[&FakeUpstream],
+    connections_max: usize,
+) -> (Rc<Gateway>, SocketAddr) {
+    launch(upstreams, catalog(1), connections_max).await
+}
+
+async fn launch(
+    upstreams: &[&FakeUpstream],
+    catalog: Catalog,
+    caller_connections_max: usize,
 ) -> (Rc<Gateway>, SocketAddr) {
     let caller_address = free_address();
     let mut options = Options {
         caller_address,
+        caller_connections_max,
         ready_address: free_address(),
         beat_address: free_address(),
         relay_addresses: vec![free_address()],
--- a/crates/bergamotpitch-gateway/tests/leaving_callers.rs
+++ b/crates/bergamotpitch-gateway/tests/leaving_callers.rs
@@ -2,8 +2,11 @@
 
 mod common;
 
+use std::rc::Rc;
 use std::time::Duration;
 
+use bergamotpitch_gateway::callers::CallerConnection;
+
 use common::{Act, FakeUpstream, connect, event, request, run, start, stream_head, whole};
 
 /// `FREED_WITHIN` is the time within which an upstream must be free again.
@@ -56,9 +59,8 @@
         common::ask(address, request("GET", "/safe/", "warm")).await.unwrap();
         for number in 0..5 {
             let mut caller = std::net::TcpStream::connect(address).unwrap();
-            let head = format!(
-                "GET /safe/ HTTP/1.1\r\nhost: test.example\r\nx-id: n{number}\r\n\r\n"
-            );
+            let head =
+                format!("GET /safe/ HTTP/1.1\r\nhost: test.example\r\nx-id: n{number}\r\n\r\n");
             std::io::Write::write_all(&mut caller, head.as_bytes()).unwrap();
             drop(caller);
         }
@@ -66,3 +68,24 @@
         assert_eq!(upstream.count(), 1);
     });
 }
+
+/// The end of a caller's connection may stand behind a request that was not read yet.
+#[test]
+fn noticed_end() {
+    run(async {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let mut caller = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let (stream, _) = listener.accept().await.unwrap();
+        let connection = CallerConnection::new(Rc::new(stream));
+        assert!(!connection.is_left(), "an idle caller is taken for gone");
+        std::io::Write::write_all(&mut caller, b"GET").unwrap();
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        assert!(!connection.is_left(), "a caller that sends more is taken for gone");
+        let left = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let (stream, _) = listener.accept().await.unwrap();
+        let connection = CallerConnection::new(Rc::new(stream));
+        drop(left);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        assert!(connection.is_left());
+    });
+}
