--- a/crates/bergamotpitch-ctl/tests/settings_page.rs
+++ b/crates/bergamotpitch-ctl/tests/settings_page.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use bergamotpitch_adapter::settings::Settings as AdapterSettings;
 use bergamotpitch_core::settings::{RouterSettings, parse_router_settings};
 use bergamotpitch_core::sheets::{
     DomainEntry, ServiceEntry, Sheet, TeamEntry, UpstreamEntry, parse_sheet,
@@ -159,6 +160,20 @@
     check_section(&page, "TokenRange", fields_of::<TokenRange>(), &range, part::<TokenRange>);
 }
 
+#[test]
+fn platform_adapter() {
+    let page = page();
+    let address = "127.0.0.1:1";
+    let least = json!({ "instance": "i", "domain": "d", "caller_address": address,
+        "ready_address": address, "beat_address": address, "relay_address": address,
+        "store_address": address, "grace_s": 8, "retry_ratio": 0.2, "retry_fixed": 54,
+        "retry_window_s": 10 });
+    let fields = fields_of::<AdapterSettings>();
+    check_section(&page, "AdapterSettings", fields, &least, |document| {
+        filled(AdapterSettings::parse("file", &document.to_string()))
+    });
+}
+
 /// Every struct that a section names is compared by a test above, so that no section is forgotten.
 #[test]
 fn sections_named() {
