--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -39,7 +39,7 @@
 
 /// `Gateway` is the state of one process; it lives on one thread.
 pub struct Gateway {
-    /// What it was started with.
+    /// What it was started with; a port of 0 is replaced by the one that the system chose.
     pub options: Options,
     /// How requests and answers are spelled.
     pub dialect: Dialect,
@@ -101,19 +101,14 @@
     /// # Errors
     ///
     /// Fails when an address cannot be bound.
-    pub async fn start(options: Options, dialect: Dialect) -> Result<Rc<Self>> {
-        let callers = listen("caller_address", options.caller_address).await?;
-        let ready = listen("ready_address", options.ready_address).await?;
+    pub async fn start(mut options: Options, dialect: Dialect) -> Result<Rc<Self>> {
+        let callers = listen("caller_address", &mut options.caller_address).await?;
+        let ready = listen("ready_address", &mut options.ready_address).await?;
         let mut inner = Vec::new();
-        for address in &options.relay_addresses {
-            inner.push(listen("relay_address", *address).await?);
+        for address in &mut options.relay_addresses {
+            inner.push(listen("relay_address", address).await?);
         }
-        let address = options.beat_address;
-        let socket = UdpSocket::bind(address).await.map_err(|source| Error::Bind {
-            setting: "beat_address",
-            address,
-            source,
-        })?;
+        let socket = bind_datagrams("beat_address", &mut options.beat_address).await?;
         let gateway = Rc::new(Self::new(options, dialect, Metrics::register()?));
         tokio::task::spawn_local(callers::serve(Rc::clone(&gateway), callers));
         tokio::task::spawn_local(probes::serve(Rc::clone(&gateway), ready, Port::Ready));
@@ -324,9 +319,19 @@
     }
 }
 
-async fn listen(setting: &'static str, address: SocketAddr) -> Result<TcpListener> {
-    let listener = TcpListener::bind(address).await;
-    listener.map_err(|source| Error::Bind { setting, address, source })
+/// Listens, and puts the port that the system chose into the address.
+async fn listen(setting: &'static str, address: &mut SocketAddr) -> Result<TcpListener> {
+    let failed = |source| Error::Bind { setting, address: *address, source };
+    let listener = TcpListener::bind(*address).await.map_err(failed)?;
+    *address = listener.local_addr().map_err(failed)?;
+    Ok(listener)
+}
+
+async fn bind_datagrams(setting: &'static str, address: &mut SocketAddr) -> Result<UdpSocket> {
+    let failed = |source| Error::Bind { setting, address: *address, source };
+    let socket = UdpSocket::bind(*address).await.map_err(failed)?;
+    *address = socket.local_addr().map_err(failed)?;
+    Ok(socket)
 }
 
 async fn beat(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
--- a/crates/bergamotpitch-gateway/tests/caller_limits.rs
+++ b/crates/bergamotpitch-gateway/tests/caller_limits.rs
@@ -65,11 +65,10 @@
 fn no_configuration() {
     run(async {
         let options = bergamotpitch_gateway::Options::default();
-        let address = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-        let options = bergamotpitch_gateway::Options { caller_address: address, ..options };
         let gateway =
             bergamotpitch_gateway::Gateway::start(options, common::DIALECT).await.unwrap();
         assert!(!gateway.is_ready());
+        let address = gateway.options.caller_address;
         let got = ask(address, request("GET", "/safe/", "one")).await.unwrap();
         assert_eq!(got.status, 503);
         assert!(got.headers.contains_key("retry-after"));
--- a/crates/bergamotpitch-gateway/tests/common/mod.rs
+++ b/crates/bergamotpitch-gateway/tests/common/mod.rs
@@ -21,7 +21,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// `run` runs a test on one thread with local tasks.
 pub fn run(test: impl Future<Output = ()>) {
@@ -308,15 +308,7 @@
     catalog: Catalog,
     caller_connections_max: usize,
 ) -> (Rc<Gateway>, SocketAddr) {
-    let caller_address = free_address();
-    let mut options = Options {
-        caller_address,
-        caller_connections_max,
-        ready_address: free_address(),
-        beat_address: free_address(),
-        relay_addresses: vec![free_address()],
-        ..Options::default()
-    };
+    let mut options = Options { caller_connections_max, ..Options::default() };
     options.admission.domain = "a".to_owned();
     options.admission.retries.fixed = 100.0;
     let gateway = Gateway::start(options, DIALECT).await.unwrap();
@@ -325,6 +317,7 @@
         gateway.upstream_listed(registration(&format!("u{index}"), upstream.address));
     }
     gateway.upstreams_known();
+    let caller_address = gateway.options.caller_address;
     (gateway, caller_address)
 }
 
@@ -342,8 +335,13 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+/// `closed_port` is a port that refuses connections for as long as the result is kept: nobody else
+/// can take it meanwhile.
+pub fn closed_port() -> (TcpSocket, SocketAddr) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = socket.local_addr().unwrap();
+    (socket, address)
 }
 
 /// `Got` is what a caller got.
--- a/crates/bergamotpitch-gateway/tests/single_runs.rs
+++ b/crates/bergamotpitch-gateway/tests/single_runs.rs
@@ -48,7 +48,7 @@
     run(async {
         let good = FakeUpstream::start(Box::new(|_| vec![whole("200 OK", "done")])).await;
         let (gateway, address) = start(&[&good]).await;
-        let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let (_held, closed) = common::closed_port();
         gateway.upstream_listed(common::registration("dead", closed));
         for number in 0..4 {
             let got = ask(address, request("POST", "/once/", &format!("n{number}"))).await.unwrap();
