--- a/crates/bergamotpitch-gateway/src/arrivals.rs
+++ b/crates/bergamotpitch-gateway/src/arrivals.rs
@@ -13,6 +13,7 @@
 
 use crate::gateways::Gateway;
 use crate::headers::remove_hop_headers;
+use crate::held_bytes::Hold;
 use crate::refusals::Refusal;
 
 /// `team_of` finds the team whose key a caller shows.
@@ -53,17 +54,31 @@
     Uri::from(target.clone())
 }
 
+/// `HeldBody` is a request's body and the memory that it takes.
+#[derive(Debug)]
+pub struct HeldBody {
+    /// The body.
+    pub bytes: Bytes,
+    _hold: Hold,
+}
+
+/// `MEMORY_RETURN` is when to come back to an instance whose memory is full of bodies; most
+/// requests end within a few seconds.
+const MEMORY_RETURN: Duration = Duration::from_millis(500);
+
 /// `read_body` reads a body within the limits.
 ///
 /// # Errors
 ///
-/// Denies one that is too large, broken off or too slow.
+/// Denies one that is too large, broken off or too slow, and refuses one for which there is no
+/// memory at present.
 pub async fn read_body(
     headers: &HeaderMap,
     mut body: Incoming,
     catalog: &Catalog,
+    mut hold: Hold,
     time: Duration,
-) -> Result<Bytes, Refusal> {
+) -> Result<HeldBody, Refusal> {
     let limit_bytes = catalog.limits.body_bytes;
     let too_large = Refusal::denied(StatusCode::PAYLOAD_TOO_LARGE, RefusalReason::BodyTooLarge);
     let declared: Option<usize> = headers
@@ -73,6 +88,10 @@
     if declared.is_some_and(|bytes| limit_bytes < bytes) {
         return Err(too_large);
     }
+    let no_memory = Refusal::not_run(RefusalReason::Overloaded, MEMORY_RETURN);
+    if !hold.reach(declared.unwrap_or_default()) {
+        return Err(no_memory);
+    }
     let read = async {
         let mut first = Bytes::new();
         let mut rest = BytesMut::new();
@@ -81,6 +100,9 @@
             if limit_bytes < first.len() + rest.len() + data.len() {
                 return Err(too_large);
             }
+            if !hold.reach(first.len() + rest.len() + data.len()) {
+                return Err(no_memory);
+            }
             // Most bodies come in one piece, which is not copied.
             if first.is_empty() && rest.is_empty() {
                 first = data;
@@ -94,7 +116,7 @@
         Ok(if rest.is_empty() { first } else { rest.freeze() })
     };
     match tokio::time::timeout(time, read).await {
-        Ok(result) => result,
+        Ok(result) => result.map(|bytes| HeldBody { bytes, _hold: hold }),
         Err(_) => Err(Refusal::denied(StatusCode::REQUEST_TIMEOUT, RefusalReason::DeadlinePassed)),
     }
 }
--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -12,12 +12,13 @@
 use bergamotpitch_core::ids::id_of_name;
 use bergamotpitch_core::refusals::RefusalReason;
 use bergamotpitch_core::units::Timestamp;
-use bytes::Bytes;
 use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use hyper::body::Incoming;
 
-use crate::arrivals::{bad_request, host_of, passed_headers, read_body, target_of, team_of};
+use crate::arrivals::{
+    HeldBody, bad_request, host_of, passed_headers, read_body, target_of, team_of,
+};
 use crate::bodies::{AnswerBody, StreamAnswer, is_event_stream, read_whole};
 use crate::callers::CallerConnection;
 use crate::exchanges::{self, Answer, Failure, Reuse};
@@ -72,7 +73,7 @@
     /// Headers that are passed on.
     pub headers: HeaderMap,
     /// Body.
-    pub body: Bytes,
+    pub body: HeldBody,
     /// When its head was read.
     pub arrived: Timestamp,
     /// When its final answer is due.
@@ -164,7 +165,9 @@
     known.team.clone_from(&team);
     let budget = facts.time_budget.unwrap_or(UNSTATED_BUDGET);
     let deadline = arrived + budget.min(route.timeout);
-    let body = read_body(&parts.headers, body, &catalog, deadline.saturating_sub(arrived)).await?;
+    let time = deadline.saturating_sub(arrived);
+    let hold = gateway.held_bytes.open();
+    let body = read_body(&parts.headers, body, &catalog, hold, time).await?;
     let hash = u64::from(id_of_name(&facts.attempt_id));
     let service = route
         .target_of(hash)
--- a/crates/bergamotpitch-gateway/src/exchanges.rs
+++ b/crates/bergamotpitch-gateway/src/exchanges.rs
@@ -128,7 +128,7 @@
     };
     (gateway.dialect.write_upstream_headers)(&mut headers, &written);
     headers.insert(HOST, call.host.clone());
-    let mut request = Request::new(Full::new(call.body.clone()));
+    let mut request = Request::new(Full::new(call.body.bytes.clone()));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.target.clone();
     *request.headers_mut() = headers;
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -20,6 +20,7 @@
 use crate::connections::Pools;
 use crate::dialects::Dialect;
 use crate::errors::{Error, Result};
+use crate::held_bytes::HeldBytes;
 use crate::lateness::Lateness;
 use crate::logs::decision;
 use crate::metrics::Metrics;
@@ -49,6 +50,8 @@
     pub pools: Pools,
     /// Whether this process keeps up.
     pub lateness: Lateness,
+    /// Memory that the bodies of requests take.
+    pub held_bytes: HeldBytes,
     /// Counters.
     pub metrics: Metrics,
     /// Peers.
@@ -124,6 +127,7 @@
     fn new(options: Options, dialect: Dialect, metrics: Metrics) -> Self {
         Self {
             traffic: RefCell::new(Traffic::new(options.admission.clone())),
+            held_bytes: HeldBytes::new(options.body_bytes_max),
             options,
             dialect,
             pools: Pools::default(),
--- a/crates/bergamotpitch-gateway/src/lib.rs
+++ b/crates/bergamotpitch-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod exchanges;
 pub mod gateways;
 pub mod headers;
+pub mod held_bytes;
 pub mod lateness;
 pub mod logs;
 pub mod metrics;
--- a/crates/bergamotpitch-gateway/src/options.rs
+++ b/crates/bergamotpitch-gateway/src/options.rs
@@ -25,6 +25,8 @@
     pub relay_addresses: Vec<SocketAddr>,
     /// Connections of callers from which on idle ones are ended.
     pub caller_connections_max: usize,
+    /// Bytes that the bodies of all requests in flight may take.
+    pub body_bytes_max: usize,
     /// Decisions.
     pub admission: admissions::Options,
     /// Time between SIGTERM and the end of the process.
@@ -43,6 +45,7 @@
             beat_address: any_port,
             relay_addresses: vec![any_port],
             caller_connections_max: 2_000,
+            body_bytes_max: 64 << 20,
             admission: admissions::Options::default(),
             grace: Duration::from_secs(8),
         }
--- a/crates/bergamotpitch-gateway/tests/caller_limits.rs
+++ b/crates/bergamotpitch-gateway/tests/caller_limits.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use common::{FakeUpstream, ask, catalog, request, run, start, start_with, whole};
+use common::{Act, FakeUpstream, ask, catalog, request, run, start, start_with, whole};
 use http_body_util::Full;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -89,6 +89,38 @@
     });
 }
 
+/// Callers send large bodies while requests with large bodies wait for their answers. Held without a
+/// bound, they take all of the memory, and the process ends with every request that it serves.
+#[test]
+fn many_bodies() {
+    run(async {
+        let upstream = FakeUpstream::start(Box::new(|_| vec![Act::Hang])).await;
+        let (gateway, address) = common::start_with_memory(&[&upstream], 2_500).await;
+        let large = |id: &str| {
+            let mut asked = request("POST", "/safe/", id);
+            *asked.body_mut() = Full::new(Bytes::from(vec![b'x'; 1_000]));
+            asked
+        };
+        let mut held: Vec<_> = Vec::new();
+        for number in 0..2 {
+            let asked = large(&format!("n{number}"));
+            held.push(tokio::task::spawn_local(ask(address, asked)));
+        }
+        while upstream.count() < 2 {
+            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+        }
+        assert_eq!(gateway.held_bytes.used(), 2_000);
+        let refused = ask(address, large("late")).await.unwrap();
+        assert_eq!(refused.status, 503);
+        assert!(refused.headers.contains_key("retry-after"));
+        assert_eq!(upstream.count(), 2);
+        held.iter().for_each(tokio::task::JoinHandle::abort);
+        while gateway.held_bytes.used() != 0 {
+            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+        }
+    });
+}
+
 /// A caller sends its head byte by byte, for ever. Each such connection holds a descriptor.
 #[test]
 fn slow_head() {
--- a/crates/bergamotpitch-gateway/tests/common/mod.rs
+++ b/crates/bergamotpitch-gateway/tests/common/mod.rs
@@ -292,7 +292,7 @@
     upstreams: &[&FakeUpstream],
     catalog: Catalog,
 ) -> (Rc<Gateway>, SocketAddr) {
-    launch(upstreams, catalog, 2_000).await
+    launch(upstreams, catalog, Options::default()).await
 }
 
 /// `start_bounded` starts a gateway that keeps only so many connections of callers.
@@ -300,15 +300,24 @@
     upstreams: &[&FakeUpstream],
     connections_max: usize,
 ) -> (Rc<Gateway>, SocketAddr) {
-    launch(upstreams, catalog(1), connections_max).await
+    let options = Options { caller_connections_max: connections_max, ..Options::default() };
+    launch(upstreams, catalog(1), options).await
+}
+
+/// `start_with_memory` starts a gateway that holds only so many bytes of bodies.
+pub async fn start_with_memory(
+    upstreams: &[&FakeUpstream],
+    body_bytes_max: usize,
+) -> (Rc<Gateway>, SocketAddr) {
+    let options = Options { body_bytes_max, ..Options::default() };
+    launch(upstreams, catalog(1), options).await
 }
 
 async fn launch(
     upstreams: &[&FakeUpstream],
     catalog: Catalog,
-    caller_connections_max: usize,
+    mut options: Options,
 ) -> (Rc<Gateway>, SocketAddr) {
-    let mut options = Options { caller_connections_max, ..Options::default() };
     options.admission.domain = "a".to_owned();
     options.admission.retries.fixed = 100.0;
     let gateway = Gateway::start(options, DIALECT).await.unwrap();
