--- a/crates/bergamotpitch-platform/src/clients.rs
+++ b/crates/bergamotpitch-platform/src/clients.rs
@@ -1,16 +1,13 @@
-//! Calls to the platform over HTTP, with their timeouts and errors.
+//! Clients: the platform as this project speaks with it, with its errors.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use http::{HeaderValue, Method, StatusCode};
 
+use crate::calls::{self, CallError, CallOptions, Caller};
 use crate::errors::{Error, Result, lost_answer_error, unreachable_error};
 
 /// Largest value that the platform takes, in bytes.
@@ -55,7 +52,7 @@
 #[derive(Debug, Clone)]
 pub struct Platform {
     options: Arc<Options>,
-    client: Client<HttpConnector, Full<Bytes>>,
+    caller: Caller,
 }
 
 impl Platform {
@@ -69,11 +66,14 @@
     /// assert_eq!(platform.options().address.port(), 8500);
     /// ```
     pub fn new(options: Options) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(options.connect_timeout));
-        connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new()).build(connector);
-        Self { options: Arc::new(options), client }
+        let caller = Caller::new(CallOptions {
+            address: options.address,
+            connect_timeout: options.connect_timeout,
+            call_timeout: options.call_timeout,
+            answer_limit_bytes: ANSWER_LIMIT_BYTES,
+            content_type: HeaderValue::from_static("application/octet-stream"),
+        });
+        Self { options: Arc::new(options), caller }
     }
 
     /// `options` returns what the client was made with.
@@ -103,28 +103,12 @@
         body: Bytes,
         extra_wait: Duration,
     ) -> Result<Answer> {
-        let timeout = self.options.call_timeout + extra_wait;
-        match tokio::time::timeout(timeout, self.exchange(method, path, body)).await {
-            Ok(answer) => answer,
-            Err(_) => Err(lost_answer_error(format!("no answer within {timeout:?}"))),
-        }
-    }
-
-    async fn exchange(&self, method: Method, path: &str, body: Bytes) -> Result<Answer> {
-        let request = Request::builder()
-            .method(method)
-            .uri(format!("http://{}{path}", self.options.address))
-            .body(Full::new(body))
-            .map_err(|error| unreachable_error(error.to_string()))?;
-        let response = self.client.request(request).await.map_err(|error| {
-            // Without a connection nothing was sent; any later failure leaves the effect in doubt.
-            if error.is_connect() {
-                unreachable_error(error.to_string())
-            } else {
-                lost_answer_error(error.to_string())
-            }
+        let answer = self.caller.call(method, path, body, extra_wait).await;
+        let answer = answer.map_err(|error| match error {
+            CallError::NotSent { reason } => unreachable_error(reason),
+            CallError::AnswerLost { reason } => lost_answer_error(reason),
         })?;
-        read_answer(response).await
+        judge_answer(answer)
     }
 }
 
@@ -139,19 +123,13 @@
     pub body: Bytes,
 }
 
-async fn read_answer(response: Response<hyper::body::Incoming>) -> Result<Answer> {
-    let status = response.status();
-    let index = response
-        .headers()
+fn judge_answer(answer: calls::Answer) -> Result<Answer> {
+    let calls::Answer { status, headers, body } = answer;
+    let index = headers
         .get("x-consul-index")
         .and_then(|value| value.to_str().ok())
         .and_then(|value| value.parse().ok())
         .unwrap_or(0);
-    let body = Limited::new(response.into_body(), ANSWER_LIMIT_BYTES)
-        .collect()
-        .await
-        .map_err(|error| lost_answer_error(error.to_string()))?
-        .to_bytes();
     match status {
         StatusCode::TOO_MANY_REQUESTS => Err(Error::RateLimited),
         StatusCode::OK | StatusCode::NOT_FOUND => Ok(Answer { status, index, body }),
--- a/crates/bergamotpitch-platform/src/lib.rs
+++ b/crates/bergamotpitch-platform/src/lib.rs
@@ -4,6 +4,7 @@
 //! here, once: a write whose answer did not come is never taken for done or for undone before the
 //! service itself has said which.
 
+pub mod calls;
 mod claim_calls;
 pub mod claims;
 pub mod clients;
