--- a/crates/bergamotpitch-control/src/traffic.rs
+++ b/crates/bergamotpitch-control/src/traffic.rs
@@ -9,6 +9,7 @@
 pub mod engine_loads;
 pub mod evidences;
 pub mod facts;
+pub mod fits;
 pub mod prefixes;
 pub mod registries;
 pub mod retry_budgets;
--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -9,12 +9,13 @@
 use std::time::Duration;
 
 use bergamotpitch_core::HashMap;
-use bergamotpitch_core::ids::{TeamId, UpstreamId};
+use bergamotpitch_core::ids::{DomainId, TeamId, UpstreamId, id_of_name};
 use bergamotpitch_core::units::Timestamp;
 
 use crate::traffic::engine_loads::{self, RequestNumber, UpstreamLoad, Work};
 use crate::traffic::evidences::Evidence;
 use crate::traffic::facts::{PartId, RequestFacts};
+use crate::traffic::fits::{Fill, Fit, Look, READ_AGAIN_WEIGHT, REMOTE_WEIGHT_MS, millis};
 use crate::traffic::prefixes::KeptParts;
 use crate::traffic::registries::{Registry, Upstream, UpstreamKey};
 use crate::traffic::retry_budgets::{self, RetryBudget};
@@ -41,23 +42,6 @@
     pub beyond_even: Fill,
 }
 
-/// `Fill` bounds how full an upstream may be when a request is sent there.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Fill {
-    /// Part of the target latency within which the first event is predicted.
-    pub target_part: f64,
-    /// Part of the target latency that others' prompts may take when the request's own prompt
-    /// takes longer than its target; without it, the longest prompts were never sent.
-    pub others_part: f64,
-    /// Part of the slots that may be taken.
-    pub slots_part: f64,
-    /// Part of the memory that may be taken by running requests.
-    pub memory_part: f64,
-    /// By which part the bounds shrink for a prompt of which all that is to be read was read by
-    /// another engine before: reading it again takes room from requests that need not.
-    pub read_again_part: f64,
-}
-
 impl Default for Options {
     fn default() -> Self {
         Self {
@@ -92,32 +76,11 @@
     }
 }
 
-/// `PLAIN_SLOTS_FACTOR` is how many calls a plain service may have in hand for each slot: a short
-/// queue keeps its slots busy.
-const PLAIN_SLOTS_FACTOR: f64 = 3.0;
-
-/// `KEPT_PARTS` are the parts of a prompt's shared start that the first and the second engine by
-/// rendezvous are expected to keep although this instance did not send it there: peers agree on the
-/// order without any talk, and use the second when the first is full.
+/// `KEPT_PARTS` are the parts of a prompt's shared start that the first engines by rendezvous are
+/// expected to keep although this instance did not send it there: peers agree on the order without
+/// any talk, and use the next when those before it are full.
 const KEPT_PARTS: [f64; 2] = [0.9, 0.7];
 
-/// `READ_AGAIN_WEIGHT` is how much a millisecond of reading a shared start again weighs against a
-/// millisecond of waiting: it is taken from all that run on the engine, and the start takes memory
-/// in which other starts are kept.
-const READ_AGAIN_WEIGHT: f64 = 4.0;
-
-/// `REMOTE_WEIGHT_MS` is what the bytes of a request and its answer weigh when they go to another
-/// failure domain, in milliseconds of waiting.
-const REMOTE_WEIGHT_MS: f64 = 20.0;
-
-/// `SLOTS_WEIGHT_MS` spreads requests over engines by their running requests where prompts are
-/// short, in milliseconds for a full engine.
-const SLOTS_WEIGHT_MS: f64 = 150.0;
-
-/// `IDLE_SLOTS_PART` is the part of its slots below which an engine has room for any request, also
-/// for one that reads again what another engine holds: its capacity would stand idle.
-const IDLE_SLOTS_PART: f64 = 0.3;
-
 /// `SHORTEST_RETURN` and `LONGEST_RETURN` bound the time after which a caller should come back.
 const SHORTEST_RETURN: Duration = Duration::from_millis(40);
 
@@ -194,56 +157,74 @@
     pub registry: Registry,
     /// Teams' windows.
     pub windows: TeamWindows,
-    loads: HashMap<UpstreamKey, UpstreamLoad>,
-    kept: HashMap<UpstreamKey, KeptParts>,
-    evidences: HashMap<UpstreamKey, Evidence>,
+    domain_number: DomainId,
+    states: HashMap<UpstreamKey, UpstreamState>,
     budgets: HashMap<String, RetryBudget>,
 }
 
+/// `UpstreamState` is all that is known of one upstream besides its registration. It is one entry,
+/// as a decision looks at each upstream of a service.
+#[derive(Debug, Default)]
+struct UpstreamState {
+    load: UpstreamLoad,
+    kept: KeptParts,
+    evidence: Evidence,
+}
+
+/// `Needs` are the sizes of a request and the engines that likely keep its start, found once for all
+/// upstreams.
+#[derive(Debug, Clone, Copy)]
+struct Needs {
+    is_generation: bool,
+    prompt_tokens: f64,
+    shared_tokens: f64,
+    own_tokens: f64,
+    memory_tokens: u64,
+    ranked: Ranked,
+}
+
 impl Traffic {
     /// `new` returns a state without any upstream.
     pub fn new(options: Options) -> Self {
         let windows = TeamWindows::new(options.windows);
         Self {
+            domain_number: id_of_name(&options.domain),
             options,
             registry: Registry::default(),
             windows,
-            loads: HashMap::default(),
-            kept: HashMap::default(),
-            evidences: HashMap::default(),
+            states: HashMap::default(),
             budgets: HashMap::default(),
         }
     }
 
-    /// `forget_gone` drops what is kept on upstreams that are gone, but for requests that still run
-    /// there.
+    /// `forget_gone` drops what is kept on upstreams that are gone, but for those at which requests
+    /// of this instance still run.
     pub fn forget_gone(&mut self) {
         let registry = &self.registry;
-        let is_listed = |key: &UpstreamKey| registry.get(*key).is_some();
-        self.kept.retain(|key, _| is_listed(key));
-        self.evidences.retain(|key, _| is_listed(key));
-        self.loads.retain(|key, load| is_listed(key) || load.own_figures().requests != 0);
+        self.states.retain(|key, state| {
+            registry.get(*key).is_some() || state.load.own_figures().requests != 0
+        });
     }
 
     /// `load` returns the model of an upstream.
     pub fn load(&mut self, key: UpstreamKey) -> &mut UpstreamLoad {
-        self.loads.entry(key).or_default()
+        &mut self.states.entry(key).or_default().load
     }
 
     /// `loads` returns the models of all upstreams, in no order.
     pub fn loads(&self) -> impl Iterator<Item = (UpstreamKey, &UpstreamLoad)> {
-        self.loads.iter().map(|(key, load)| (*key, load))
+        self.states.iter().map(|(key, state)| (*key, &state.load))
     }
 
     /// `step` forgets what peers said that were not heard for too long.
     pub fn step(&mut self, now: Timestamp) {
         let options = self.options.loads;
-        self.loads.values_mut().for_each(|load| load.drop_silent_peers(now, &options));
+        self.states.values_mut().for_each(|state| state.load.drop_silent_peers(now, &options));
     }
 
     /// `evidence` returns what is known of an upstream from its outcomes.
     pub fn evidence(&mut self, key: UpstreamKey) -> &mut Evidence {
-        self.evidences.entry(key).or_default()
+        &mut self.states.entry(key).or_default().evidence
     }
 
     /// `budget` returns the retry budget of a service.
@@ -266,18 +247,23 @@
         if candidates.is_empty() {
             return Choice::NoUpstream(NO_UPSTREAM_RETURN);
         }
-        let ranked = self.ranked(ask, &candidates);
+        let mut needs = Needs::of_request(ask);
+        needs.ranked = self.ranked(ask, &needs, &candidates);
+        let unknown = UpstreamState::default();
         let mut best: Option<(f64, Placement)> = None;
         let mut least_excess = LONGEST_RETURN;
         let mut least_requests = u32::MAX;
-        for key in candidates {
-            let Some(seen) = self.look(key, ask, ranked, now) else { continue };
-            least_requests = least_requests.min(seen.requests);
+        for upstream in &candidates {
+            let state = self.states.get(&upstream.key).unwrap_or(&unknown);
+            let seen = self.look(upstream, state, ask, &needs, now);
+            least_requests = least_requests.min(seen.figures.requests);
             match seen.fit(ask, &fill) {
-                Fit::Fits if best.as_ref().is_none_or(|(score, _)| seen.score < *score) => {
-                    best = Some((seen.score, seen.placement(standing)));
+                Fit::Fits => {
+                    let score = seen.score();
+                    if best.as_ref().is_none_or(|(least, _)| score < *least) {
+                        best = Some((score, placement_of_look(&seen, standing)));
+                    }
                 }
-                Fit::Fits => {}
                 Fit::Excess(excess) => least_excess = least_excess.min(excess),
             }
         }
@@ -300,19 +286,18 @@
         let key = placement.upstream;
         let slots = self.registry.get(key).map_or(1, |upstream| upstream.registration.slots);
         let options = self.options.loads;
-        let load = self.loads.entry(key).or_default();
-        load.send(request, placement.work, slots, now, &options);
-        if let Some(team) = ask.team
-            && ask.facts.is_generation()
-        {
-            self.windows.note_begun(team, ask.facts.pool_tokens(), now);
+        let state = self.states.entry(key).or_default();
+        state.load.send(request, placement.work, slots, now, &options);
+        state.evidence.note_trial(now);
+        if !ask.facts.is_generation() {
+            return;
         }
-        if ask.facts.is_generation() {
-            let running = load.figures(now, &options).memory_tokens;
-            let room_tokens = ask.memory_tokens.saturating_sub(running);
-            self.kept.entry(key).or_default().note(&ask.facts.prefix, room_tokens);
+        let running = state.load.figures(now, &options).memory_tokens;
+        let room_tokens = ask.memory_tokens.saturating_sub(running);
+        state.kept.note(&ask.facts.prefix, room_tokens);
+        if let Some(team) = ask.team {
+            self.windows.note_begun(team, ask.facts.pool_tokens(), now);
         }
-        self.evidence(key).note_trial(now);
     }
 
     fn standing(&mut self, ask: &Ask<'_>, now: Timestamp) -> Standing {
@@ -325,181 +310,148 @@
 
     /// Upstreams that may get the request: those with bad evidence only where no other is left, or
     /// when a trial is due.
-    fn candidates(&self, ask: &Ask<'_>, now: Timestamp) -> Vec<UpstreamKey> {
-        let open: Vec<UpstreamKey> = self
+    fn candidates(&self, ask: &Ask<'_>, now: Timestamp) -> Vec<&Upstream> {
+        let open: Vec<&Upstream> = self
             .registry
             .of_service(ask.service)
             .iter()
-            .copied()
             .filter(|key| !ask.tried.contains(key))
-            .filter(|key| self.registry.get(*key).is_some_and(Upstream::takes_work))
+            .filter_map(|key| self.registry.get(*key))
+            .filter(|upstream| upstream.takes_work())
             .collect();
         let usual_rate = self.usual_failure_rate(&open);
-        let sound: Vec<UpstreamKey> =
-            open.iter().copied().filter(|key| self.is_sound(*key, usual_rate, now)).collect();
+        let sound: Vec<&Upstream> = open
+            .iter()
+            .copied()
+            .filter(|upstream| self.is_sound(upstream.key, usual_rate, now))
+            .collect();
         if sound.is_empty() { open } else { sound }
     }
 
     /// The failure rate of the upstream in the middle; the lower one of two. A mean would rise with
     /// the failures of a few, and hide them.
-    fn usual_failure_rate(&self, keys: &[UpstreamKey]) -> f64 {
-        let mut rates: Vec<f64> = keys.iter().map(|key| self.failure_rate(*key)).collect();
+    fn usual_failure_rate(&self, upstreams: &[&Upstream]) -> f64 {
+        let rates = upstreams.iter().map(|upstream| self.failure_rate(upstream.key));
+        let mut rates: Vec<f64> = rates.filter(|rate| 0.0 < *rate).collect();
+        let sound = upstreams.len() - rates.len();
+        let middle = upstreams.len().saturating_sub(1) / 2;
+        if middle < sound {
+            return 0.0;
+        }
         rates.sort_by(f64::total_cmp);
-        rates.get(rates.len().saturating_sub(1) / 2).copied().unwrap_or_default()
+        rates.get(middle - sound).copied().unwrap_or_default()
     }
 
     fn failure_rate(&self, key: UpstreamKey) -> f64 {
-        self.evidences.get(&key).map_or(0.0, Evidence::failure_rate)
+        self.states.get(&key).map_or(0.0, |state| state.evidence.failure_rate())
     }
 
     fn is_sound(&self, key: UpstreamKey, usual_rate: f64, now: Timestamp) -> bool {
-        let Some(evidence) = self.evidences.get(&key) else { return true };
+        let Some(UpstreamState { load, evidence, .. }) = self.states.get(&key) else {
+            return true;
+        };
         if evidence.is_paused(now) {
             return false;
         }
-        let oldest = self.loads.get(&key).and_then(UpstreamLoad::oldest_unanswered);
-        if evidence.is_hung(oldest, now) {
+        if evidence.is_silent(now) && evidence.is_hung(load.oldest_unanswered(), now) {
             return false;
         }
         !evidence.is_failing(usual_rate) || evidence.is_trial_due(now)
     }
 
-    /// The first and the second engine by rendezvous for the shared start of a prompt.
+    /// The first engines by rendezvous for the shared start of a prompt.
     ///
-    /// A long start is kept by one engine of the whole fleet: each domain reads it too seldom to
+    /// A long start is kept by few engines of the whole fleet: each domain reads it too seldom to
     /// keep it warm, and the way to another domain takes less time than reading it again. A short
     /// one is kept in each domain.
-    fn ranked(&self, ask: &Ask<'_>, candidates: &[UpstreamKey]) -> [Option<UpstreamKey>; 2] {
-        let Some(shared) = ask.facts.prefix.iter().rev().nth(1) else { return [None, None] };
-        let read_ms = ask.facts.shared_tokens() as f64 / self.options.loads.prefill_tokens_per_ms;
+    fn ranked(&self, ask: &Ask<'_>, needs: &Needs, candidates: &[&Upstream]) -> Ranked {
+        let mut ranked = [None; KEPT_PARTS.len()];
+        let Some(shared) = ask.facts.prefix.iter().rev().nth(1) else { return ranked };
+        let read_ms = needs.shared_tokens / self.options.loads.prefill_tokens_per_ms;
         let way_ms = millis(self.options.remote_round_trip) + REMOTE_WEIGHT_MS;
         let is_global = way_ms < READ_AGAIN_WEIGHT * read_ms;
-        let mut ranked = [None, None];
-        let mut weights = [0, 0];
-        let engines = candidates.iter().filter_map(|key| self.registry.get(*key));
-        for engine in engines {
-            let listed = &engine.registration;
-            if !is_global && listed.domain != self.options.domain {
+        let mut weights = [0; KEPT_PARTS.len()];
+        for engine in candidates {
+            if !is_global && engine.domain_number != self.domain_number {
                 continue;
             }
             let weight = rendezvous_weight(shared.id, engine.id_number);
-            if weights[0] < weight {
-                ranked = [Some(engine.key), ranked[0]];
-                weights = [weight, weights[0]];
-            } else if weights[1] < weight {
-                ranked[1] = Some(engine.key);
-                weights[1] = weight;
-            }
+            let Some(place) = weights.iter().position(|other| *other < weight) else { continue };
+            weights[place..].rotate_right(1);
+            ranked[place..].rotate_right(1);
+            weights[place] = weight;
+            ranked[place] = Some(engine.key);
         }
         ranked
     }
 
     fn look(
         &self,
-        key: UpstreamKey,
+        upstream: &Upstream,
+        state: &UpstreamState,
         ask: &Ask<'_>,
-        ranked: [Option<UpstreamKey>; 2],
+        needs: &Needs,
         now: Timestamp,
-    ) -> Option<Look> {
-        let upstream = self.registry.get(key)?;
+    ) -> Look {
         let options = &self.options.loads;
-        let work = self.work_at(key, ask, ranked);
-        let idle = UpstreamLoad::default();
-        let load = self.loads.get(&key).unwrap_or(&idle);
+        let rank = needs.ranked.iter().position(|ranked| *ranked == Some(upstream.key));
+        let work = work_at(state, ask, needs, rank);
         let slots = upstream.registration.slots;
-        let is_remote = upstream.registration.domain != self.options.domain;
-        let way = if is_remote { self.options.remote_round_trip } else { Duration::ZERO };
-        let predicted = load.predict(work, slots, now, options) + way;
-        let figures = load.figures(now, options);
-        let own_ms = work.unread_tokens / options.prefill_tokens_per_ms;
-        let taken_part = f64::from(figures.requests) / f64::from(slots.max(1));
-        let remote_ms = if is_remote { REMOTE_WEIGHT_MS } else { 0.0 };
-        let own_tokens = (ask.facts.own_tokens() as f64).min(work.unread_tokens);
-        let read_again_ms = (work.unread_tokens - own_tokens) / options.prefill_tokens_per_ms;
-        Some(Look {
-            key,
-            rank: ranked.iter().position(|ranked| *ranked == Some(key)),
+        let is_remote = upstream.domain_number != self.domain_number;
+        let way_ms = if is_remote { millis(self.options.remote_round_trip) } else { 0.0 };
+        let figures = state.load.figures(now, options);
+        let own_tokens = needs.own_tokens.min(work.unread_tokens);
+        Look {
+            key: upstream.key,
+            rank,
             work,
-            predicted,
-            own: Duration::from_secs_f64(own_ms / 1_000.0),
-            requests: figures.requests,
+            predicted_ms: state.load.predict_ms(work, &figures, slots, now, options) + way_ms,
+            own_ms: work.unread_tokens / options.prefill_tokens_per_ms,
+            read_again_ms: (work.unread_tokens - own_tokens) / options.prefill_tokens_per_ms,
+            figures,
             slots,
-            memory_tokens: figures.memory_tokens + work.memory_tokens,
-            read_again_part: read_again_ms / own_ms.max(1.0),
-            score: millis(predicted)
-                + READ_AGAIN_WEIGHT * read_again_ms
-                + SLOTS_WEIGHT_MS * taken_part * taken_part
-                + remote_ms,
-        })
+            is_remote,
+        }
     }
+}
+
+/// The first engines in the rendezvous order for the shared start of a prompt.
+type Ranked = [Option<UpstreamKey>; KEPT_PARTS.len()];
 
-    fn work_at(&self, key: UpstreamKey, ask: &Ask<'_>, ranked: [Option<UpstreamKey>; 2]) -> Work {
+impl Needs {
+    fn of_request(ask: &Ask<'_>) -> Self {
         let facts = ask.facts;
-        if !facts.is_generation() {
-            return Work::default();
-        }
-        let kept = self.kept.get(&key).map_or(0, |kept| kept.kept_tokens(&facts.prefix)) as f64;
-        let rank = ranked.iter().position(|ranked| *ranked == Some(key));
-        let expected_part = rank.map_or(0.0, |rank| KEPT_PARTS[rank]);
-        let expected = expected_part * facts.shared_tokens() as f64;
-        Work {
-            unread_tokens: (facts.prompt_tokens as f64 - kept.max(expected)).max(1.0),
+        Self {
+            is_generation: facts.is_generation(),
+            prompt_tokens: facts.prompt_tokens as f64,
+            shared_tokens: facts.shared_tokens() as f64,
+            own_tokens: facts.own_tokens() as f64,
             memory_tokens: facts.prompt_tokens + facts.output_tokens(),
+            ranked: Ranked::default(),
         }
     }
 }
 
-/// `Look` is one upstream as seen for one request.
-struct Look {
-    key: UpstreamKey,
-    rank: Option<usize>,
-    work: Work,
-    predicted: Duration,
-    own: Duration,
-    requests: u32,
-    slots: u32,
-    memory_tokens: u64,
-    read_again_part: f64,
-    score: f64,
-}
-
-enum Fit {
-    Fits,
-    /// How much too late or too full, as a time to wait.
-    Excess(Duration),
-}
-
-impl Look {
-    fn fit(&self, ask: &Ask<'_>, fill: &Fill) -> Fit {
-        let is_generation = ask.facts.is_generation();
-        let taken_part = f64::from(self.requests) / f64::from(self.slots.max(1));
-        let is_idle = taken_part < IDLE_SLOTS_PART;
-        let shrink = if is_idle { 1.0 } else { 1.0 - fill.read_again_part * self.read_again_part };
-        let slots_part = if is_generation { fill.slots_part * shrink } else { PLAIN_SLOTS_FACTOR };
-        let has_slot =
-            f64::from(self.requests) + 1.0 <= (f64::from(self.slots) * slots_part).max(1.0);
-        let memory = ask.memory_tokens as f64 * fill.memory_part;
-        // An idle engine takes any request: one that is larger than its memory is refused there.
-        let has_memory =
-            !is_generation || self.requests == 0 || (self.memory_tokens as f64) <= memory;
-        if !has_slot || !has_memory {
-            return Fit::Excess(ask.target);
-        }
-        let in_time = ask.target.mul_f64(fill.target_part * shrink).saturating_sub(ask.elapsed);
-        let long_prompt = self.own + ask.target.mul_f64(fill.others_part * shrink);
-        let limit = in_time.max(long_prompt);
-        if self.predicted <= limit { Fit::Fits } else { Fit::Excess(self.predicted - limit) }
+fn work_at(state: &UpstreamState, ask: &Ask<'_>, needs: &Needs, rank: Option<usize>) -> Work {
+    if !needs.is_generation {
+        return Work::default();
     }
+    let kept = state.kept.kept_tokens(&ask.facts.prefix) as f64;
+    let expected = rank.map_or(0.0, |rank| KEPT_PARTS[rank]) * needs.shared_tokens;
+    Work {
+        unread_tokens: (needs.prompt_tokens - kept.max(expected)).max(1.0),
+        memory_tokens: needs.memory_tokens,
+    }
+}
 
-    fn placement(&self, standing: Standing) -> Placement {
-        Placement {
-            upstream: self.key,
-            work: self.work,
-            predicted: self.predicted,
-            requests: self.requests,
-            standing,
-            rank: self.rank,
-        }
+fn placement_of_look(seen: &Look, standing: Standing) -> Placement {
+    Placement {
+        upstream: seen.key,
+        work: seen.work,
+        predicted: Duration::from_secs_f64(seen.predicted_ms / 1_000.0),
+        requests: seen.figures.requests,
+        standing,
+        rank: seen.rank,
     }
 }
 
@@ -512,7 +464,3 @@
     }
     hash ^ (hash >> 33)
 }
-
-fn millis(duration: Duration) -> f64 {
-    duration.as_secs_f64() * 1_000.0
-}
--- a/crates/bergamotpitch-control/src/traffic/engine_loads.rs
+++ b/crates/bergamotpitch-control/src/traffic/engine_loads.rs
@@ -148,7 +148,8 @@
         now: Timestamp,
         options: &Options,
     ) {
-        let predicted_ms = self.unpaced_ms(work, slots, now, options);
+        let figures = self.figures(now, options);
+        let predicted_ms = self.unpaced_ms(work, &figures, slots, options);
         self.own_figures.requests += 1;
         self.own_figures.unread_tokens += work.unread_tokens;
         self.own_figures.memory_tokens += work.memory_tokens;
@@ -250,14 +251,20 @@
         all
     }
 
-    /// `predict` returns the time until a request's first event, or a plain call's answer.
-    pub fn predict(&self, work: Work, slots: u32, now: Timestamp, options: &Options) -> Duration {
-        let predicted_ms = self.unpaced_ms(work, slots, now, options) * self.ratio(now);
-        Duration::from_secs_f64(predicted_ms / 1_000.0)
+    /// `predict_ms` returns the time until a request's first event, or a plain call's answer, with
+    /// the upstream's sums as [`UpstreamLoad::figures`] returns them.
+    pub fn predict_ms(
+        &self,
+        work: Work,
+        figures: &Figures,
+        slots: u32,
+        now: Timestamp,
+        options: &Options,
+    ) -> f64 {
+        self.unpaced_ms(work, figures, slots, options) * self.ratio(now)
     }
 
-    fn unpaced_ms(&self, work: Work, slots: u32, now: Timestamp, options: &Options) -> f64 {
-        let figures = self.figures(now, options);
+    fn unpaced_ms(&self, work: Work, figures: &Figures, slots: u32, options: &Options) -> f64 {
         if work.unread_tokens == 0.0 {
             let work_ms = self.plain_ms.unwrap_or(options.plain_work_ms);
             let ahead = f64::from(figures.requests) / f64::from(slots.max(1));
--- a/crates/bergamotpitch-control/src/traffic/evidences.rs
+++ b/crates/bergamotpitch-control/src/traffic/evidences.rs
@@ -85,6 +85,11 @@
         now < self.paused_until
     }
 
+    /// `is_silent` tells whether no byte came from the upstream lately; only then can it be hung.
+    pub fn is_silent(&self, now: Timestamp) -> bool {
+        self.last_life.is_none_or(|life| life + SILENCE <= now)
+    }
+
     /// `is_hung` tells whether the upstream is silent although a request waits there since
     /// `oldest_unanswered`.
     pub fn is_hung(&self, oldest_unanswered: Option<Timestamp>, now: Timestamp) -> bool {
--- /dev/null
+++ b/crates/bergamotpitch-control/src/traffic/fits.rs
@@ -0,0 +1,124 @@
+//! Fits: how one upstream looks for one request, and whether the request fits there.
+
+use std::time::Duration;
+
+use crate::traffic::admissions::Ask;
+use crate::traffic::engine_loads::{Figures, Work};
+use crate::traffic::registries::UpstreamKey;
+
+/// `Fill` bounds how full an upstream may be when a request is sent there.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Fill {
+    /// Part of the target latency within which the first event is predicted.
+    pub target_part: f64,
+    /// Part of the target latency that others' prompts may take when the request's own prompt
+    /// takes longer than its target; without it, the longest prompts were never sent.
+    pub others_part: f64,
+    /// Part of the slots that may be taken.
+    pub slots_part: f64,
+    /// Part of the memory that may be taken by running requests.
+    pub memory_part: f64,
+    /// By which part the bounds shrink for a prompt of which all that is to be read was read by
+    /// another engine before: reading it again takes room from requests that need not.
+    pub read_again_part: f64,
+}
+
+/// `PLAIN_SLOTS_FACTOR` is how many calls a plain service may have in hand for each slot: a short
+/// queue keeps its slots busy.
+const PLAIN_SLOTS_FACTOR: f64 = 3.0;
+
+/// `READ_AGAIN_WEIGHT` is how much a millisecond of reading a shared start again weighs against a
+/// millisecond of waiting: it is taken from all that run on the engine, and the start takes memory
+/// in which other starts are kept.
+pub const READ_AGAIN_WEIGHT: f64 = 4.0;
+
+/// `REMOTE_WEIGHT_MS` is what the bytes of a request and its answer weigh when they go to another
+/// failure domain, in milliseconds of waiting.
+pub const REMOTE_WEIGHT_MS: f64 = 20.0;
+
+/// `SLOTS_WEIGHT_MS` spreads requests over engines by their running requests where prompts are
+/// short, in milliseconds for a full engine.
+const SLOTS_WEIGHT_MS: f64 = 150.0;
+
+/// `IDLE_SLOTS_PART` is the part of its slots below which an engine has room for any request, also
+/// for one that reads again what another engine holds: its capacity would stand idle.
+const IDLE_SLOTS_PART: f64 = 0.3;
+
+/// `Look` is one upstream as seen for one request.
+#[derive(Debug)]
+pub struct Look {
+    /// The upstream.
+    pub key: UpstreamKey,
+    /// Its place in the rendezvous order for the prompt's shared start.
+    pub rank: Option<usize>,
+    /// What the request means for it.
+    pub work: Work,
+    /// Predicted time until the first event or the answer, with the way there and back.
+    pub predicted_ms: f64,
+    /// Time to read what the engine does not keep of the prompt.
+    pub own_ms: f64,
+    /// Part of that time in which a shared start is read again.
+    pub read_again_ms: f64,
+    /// What all instances have in hand there.
+    pub figures: Figures,
+    /// Its slots.
+    pub slots: u32,
+    /// Whether it stands in another failure domain.
+    pub is_remote: bool,
+}
+
+/// `Fit` tells whether a request fits.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Fit {
+    /// It fits.
+    Fits,
+    /// It is so much too late, or too full for so long.
+    Excess(Duration),
+}
+
+impl Look {
+    /// `score` compares upstreams that a request fits: the least is best.
+    pub fn score(&self) -> f64 {
+        let taken_part = self.taken_part();
+        let remote_ms = if self.is_remote { REMOTE_WEIGHT_MS } else { 0.0 };
+        self.predicted_ms
+            + READ_AGAIN_WEIGHT * self.read_again_ms
+            + SLOTS_WEIGHT_MS * taken_part * taken_part
+            + remote_ms
+    }
+
+    /// `fit` tells whether the request fits within a fill.
+    pub fn fit(&self, ask: &Ask<'_>, fill: &Fill) -> Fit {
+        let is_generation = ask.facts.is_generation();
+        let read_again_part = self.read_again_ms / self.own_ms.max(1.0);
+        let is_idle = self.taken_part() < IDLE_SLOTS_PART;
+        let shrink = if is_idle { 1.0 } else { 1.0 - fill.read_again_part * read_again_part };
+        let slots_part = if is_generation { fill.slots_part * shrink } else { PLAIN_SLOTS_FACTOR };
+        let requests = f64::from(self.figures.requests);
+        let has_slot = requests + 1.0 <= (f64::from(self.slots) * slots_part).max(1.0);
+        let memory = ask.memory_tokens as f64 * fill.memory_part;
+        let memory_taken = (self.figures.memory_tokens + self.work.memory_tokens) as f64;
+        // An idle engine takes any request: one that is larger than its memory is refused there.
+        let has_memory = !is_generation || self.figures.requests == 0 || memory_taken <= memory;
+        if !has_slot || !has_memory {
+            return Fit::Excess(ask.target);
+        }
+        let target_ms = millis(ask.target);
+        let in_time_ms = target_ms * fill.target_part * shrink - millis(ask.elapsed);
+        let long_prompt_ms = self.own_ms + target_ms * fill.others_part * shrink;
+        let excess_ms = self.predicted_ms - in_time_ms.max(long_prompt_ms);
+        if excess_ms <= 0.0 {
+            return Fit::Fits;
+        }
+        Fit::Excess(Duration::from_secs_f64(excess_ms / 1_000.0))
+    }
+
+    fn taken_part(&self) -> f64 {
+        f64::from(self.figures.requests) / f64::from(self.slots.max(1))
+    }
+}
+
+/// `millis` returns a duration in milliseconds.
+pub fn millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
--- a/crates/bergamotpitch-control/src/traffic/registries.rs
+++ b/crates/bergamotpitch-control/src/traffic/registries.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bergamotpitch_core::HashMap;
-use bergamotpitch_core::ids::{UpstreamId, id_of_name};
+use bergamotpitch_core::ids::{DomainId, UpstreamId, id_of_name};
 use bergamotpitch_core::units::Timestamp;
 
 /// `UpstreamKey` is a number for one incarnation of an upstream within this process. It is never
@@ -42,6 +42,8 @@
     pub key: UpstreamKey,
     /// Its number among instances, derived from its id.
     pub id_number: UpstreamId,
+    /// Number of its failure domain, which is compared for each request and upstream.
+    pub domain_number: DomainId,
     /// What the list says.
     pub registration: Registration,
     /// Why it gets no new work; `None` while it takes some.
@@ -156,6 +158,7 @@
             }
             if is_same_life(&known.registration, &registration) {
                 known.lapsed = None;
+                known.domain_number = id_of_name(&registration.domain);
                 known.registration = registration;
                 if known.registration.is_leaving && known.leaving.is_none() {
                     known.leaving = Some(LeavingSource::List);
@@ -241,7 +244,9 @@
         self.of_service.entry(registration.service.clone()).or_default().push(key);
         let leaving = registration.is_leaving.then_some(LeavingSource::List);
         let id_number = id_of_name(&registration.id);
-        let upstream = Upstream { key, id_number, registration, leaving, lapsed: None };
+        let domain_number = id_of_name(&registration.domain);
+        let upstream =
+            Upstream { key, id_number, domain_number, registration, leaving, lapsed: None };
         self.upstreams.insert(key, upstream);
         key
     }
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -35,6 +35,12 @@
 /// fiftieth of the shortest target.
 const LOOK_AGAIN_INTERVAL: Duration = Duration::from_millis(8);
 
+/// `LOOKS_AT_ONCE` is how many waiting requests look again then, the longest waiting first and all
+/// in turn. While one team floods an instance with an eighth of a core, dozens wait there; when all
+/// of them looked each time, looking took the whole core, and news of upstreams that leave was read
+/// seconds late.
+const LOOKS_AT_ONCE: usize = 4;
+
 /// `TakeDocuments` hands documents that a peer sent to whoever understands them.
 pub type TakeDocuments = Box<dyn Fn(Vec<Document>)>;
 
@@ -218,7 +224,7 @@
         tokio::task::spawn_local(async move {
             tokio::time::sleep(LOOK_AGAIN_INTERVAL).await;
             gateway.change_is_due.set(false);
-            gateway.changed.notify_waiters();
+            (0..LOOKS_AT_ONCE).for_each(|_| gateway.changed.notify_one());
         });
     }
 
