--- a/crates/bergamotpitch-control/src/traffic/registries.rs
+++ b/crates/bergamotpitch-control/src/traffic/registries.rs
@@ -40,8 +40,10 @@
 pub struct Upstream {
     /// Its number in this process.
     pub key: UpstreamKey,
-    /// Its number among instances, derived from its id.
+    /// Its number among all upstreams, derived from its id.
     pub id_number: UpstreamId,
+    /// The number of this incarnation among instances, derived from its id and start.
+    pub life_number: UpstreamId,
     /// Number of its failure domain, which is compared for each request and upstream.
     pub domain_number: DomainId,
     /// What the list says.
@@ -245,8 +247,16 @@
         let leaving = registration.is_leaving.then_some(LeavingSource::List);
         let id_number = id_of_name(&registration.id);
         let domain_number = id_of_name(&registration.domain);
-        let upstream =
-            Upstream { key, id_number, domain_number, registration, leaving, lapsed: None };
+        let life_number = life_number(&registration);
+        let upstream = Upstream {
+            key,
+            id_number,
+            life_number,
+            domain_number,
+            registration,
+            leaving,
+            lapsed: None,
+        };
         self.upstreams.insert(key, upstream);
         key
     }
@@ -261,6 +271,13 @@
     }
 }
 
+/// An upstream may start again under the id that it had. What peers say of the life before, that it
+/// leaves and what it has in hand, must not be taken for the present one: it would get no work for
+/// as long as it lives.
+fn life_number(registration: &Registration) -> UpstreamId {
+    id_of_name(&format!("{}@{}", registration.id, registration.born_ms.unwrap_or_default()))
+}
+
 fn is_same_life(known: &Registration, listed: &Registration) -> bool {
     let is_same_start = match (known.born_ms, listed.born_ms) {
         (Some(known), Some(listed)) => known == listed,
--- a/crates/bergamotpitch-core/src/events.rs
+++ b/crates/bergamotpitch-core/src/events.rs
@@ -32,6 +32,8 @@
     DrainBegan = 3,
     /// The settings were read again.
     SettingsReloaded = 4,
+    /// The instance began or ceased to ask for new callers.
+    ReadinessChanged = 5,
     /// A request arrived.
     RequestArrived = 100,
     /// A request was handed over to an upstream.
--- a/crates/bergamotpitch-gateway/src/beats.rs
+++ b/crates/bergamotpitch-gateway/src/beats.rs
@@ -81,13 +81,14 @@
     pub loads: Vec<LoadLine>,
     /// What its teams asked and began.
     pub teams: Vec<TeamLine>,
-    /// Upstreams of which it knows that they leave.
+    /// Upstreams, by the numbers of their lives, of which it knows that they leave.
     pub leaving: Vec<UpstreamId>,
 }
 
 /// `LoadLine` is what one instance has in hand at one upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct LoadLine {
+    /// Number of the upstream's life.
     upstream: UpstreamId,
     requests: u32,
     unread_tokens: u32,
@@ -180,7 +181,7 @@
         let figures = load.own_figures();
         let upstream = traffic.registry.get(key)?;
         (figures != Figures::default()).then(|| LoadLine {
-            upstream: upstream.id_number,
+            upstream: upstream.life_number,
             requests: figures.requests,
             unread_tokens: figures.unread_tokens.max(0.0) as u32,
             memory_tokens: figures.memory_tokens,
@@ -190,7 +191,7 @@
         .registry
         .all()
         .filter(|upstream| upstream.leaving == Some(LeavingSource::List))
-        .map(|upstream| upstream.id_number);
+        .map(|upstream| upstream.life_number);
     Beat {
         instance: gateway.options.instance,
         incarnation: gateway.options.incarnation,
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -79,6 +79,7 @@
     last_number: Cell<u64>,
     in_flight: Rc<Cell<usize>>,
     is_listed: Cell<bool>,
+    was_ready: Cell<bool>,
     is_draining: Cell<bool>,
     refuses_new: Cell<bool>,
     pub(crate) list_known: Cell<u64>,
@@ -152,6 +153,7 @@
             last_number: Cell::new(0),
             in_flight: Rc::default(),
             is_listed: Cell::new(false),
+            was_ready: Cell::new(false),
             is_draining: Cell::new(false),
             refuses_new: Cell::new(false),
             list_known: Cell::new(0),
@@ -297,10 +299,32 @@
         self.connections.borrow().len()
     }
 
+    /// `knows_all` tells whether the configuration and the list of upstreams were read.
+    pub fn knows_all(&self) -> bool {
+        self.catalog.borrow().is_some() && self.is_listed.get()
+    }
+
     /// `is_ready` tells whether new callers should come here.
     pub fn is_ready(&self) -> bool {
-        let knows_all = self.catalog.borrow().is_some() && self.is_listed.get();
-        knows_all && self.lateness.keeps_up() && !self.is_draining.get()
+        self.knows_all() && self.lateness.keeps_up() && !self.is_draining.get()
+    }
+
+    fn note_readiness(&self) {
+        let is_ready = self.is_ready();
+        if self.was_ready.replace(is_ready) == is_ready {
+            return;
+        }
+        decision(
+            EventKind::ReadinessChanged,
+            format_args!(
+                "ready={is_ready} knows_all={} {} connections={} in_flight={} waiting={}",
+                self.knows_all(),
+                self.lateness,
+                self.connection_count(),
+                self.in_flight(),
+                self.waiting.get(),
+            ),
+        );
     }
 
     /// `is_draining` tells whether the process is about to end.
@@ -350,6 +374,7 @@
         let due = tokio::time::Instant::now() + BEAT_INTERVAL;
         tokio::time::sleep_until(due).await;
         gateway.lateness.note(due.elapsed());
+        gateway.note_readiness();
         sequence += 1;
         beats::send_beat(&gateway, &socket, sequence).await;
         gateway.change_upstreams(|traffic, now| {
--- a/crates/bergamotpitch-gateway/src/lateness.rs
+++ b/crates/bergamotpitch-gateway/src/lateness.rs
@@ -5,6 +5,7 @@
 //! left. Timers that fire late show it before any request does.
 
 use std::cell::Cell;
+use std::fmt;
 use std::time::Duration;
 
 /// `OVERLOAD_LATENESS` is how late a timer may be before new requests are refused: the processor is
@@ -58,6 +59,13 @@
     }
 }
 
+impl fmt::Display for Lateness {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (quick, slow) = (self.quick.get().as_millis(), self.slow.get().as_millis());
+        write!(formatter, "late_quick_ms={quick} late_slow_ms={slow}")
+    }
+}
+
 fn mean(before: Duration, late: Duration, gain: f64) -> Duration {
     before.mul_f64(1.0 - gain) + late.mul_f64(gain)
 }
--- a/crates/bergamotpitch-gateway/src/logs.rs
+++ b/crates/bergamotpitch-gateway/src/logs.rs
@@ -6,6 +6,7 @@
 
 use std::fmt::Write as _;
 use std::io::Write as _;
+use std::ops::Range;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -23,6 +24,17 @@
 /// each.
 const WRITE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// `REQUEST_EVENTS` are the numbers of events that touch one request.
+const REQUEST_EVENTS: Range<u16> = 100..200;
+
+/// `REQUEST_TARGET` marks lines on one request.
+const REQUEST_TARGET: &str = "request";
+
+/// `BELIEF_TARGET` marks lines on what this process believes: configuration, upstreams, peers, the
+/// platform. They have the budget of warnings, as a flood of requests would otherwise hide why they
+/// were decided so.
+const BELIEF_TARGET: &str = "belief";
+
 /// `LineLog` is the log of this process.
 #[derive(Debug)]
 pub struct LineLog {
@@ -84,7 +96,8 @@
     fn log(&self, record: &Record<'_>) {
         let elapsed = self.start.elapsed();
         let mut buffer = lock(&self.buffer);
-        if !buffer.admit(elapsed.as_secs(), record.level() <= log::Level::Warn) {
+        let is_urgent = record.level() <= log::Level::Warn || record.target() == BELIEF_TARGET;
+        if !buffer.admit(elapsed.as_secs(), is_urgent) {
             return;
         }
         // Writing into a string does not fail.
@@ -107,7 +120,7 @@
             self.second = second;
             self.written_lines = 0;
         }
-        // Warnings may use the budget twice over, so that a flood of decisions hides none.
+        // Warnings and beliefs may use the budget twice over, so that a flood of requests hides none.
         let limit = if is_urgent { 2 * LINES_PER_SECOND } else { LINES_PER_SECOND };
         if limit <= self.written_lines || BUFFER_BYTES <= self.lines.len() {
             self.left_out += 1;
@@ -129,7 +142,9 @@
 
 /// `decision` writes one line on a decision, with its event number and name.
 pub fn decision(kind: EventKind, details: std::fmt::Arguments<'_>) {
-    log::info!("event={} name={kind} {details}", kind as u16);
+    let number = kind as u16;
+    let target = if REQUEST_EVENTS.contains(&number) { REQUEST_TARGET } else { BELIEF_TARGET };
+    log::info!(target: target, "event={number} name={kind} {details}");
 }
 
 fn write_all(buffer: &Mutex<Buffer>) {
--- a/crates/bergamotpitch-gateway/src/upstreams.rs
+++ b/crates/bergamotpitch-gateway/src/upstreams.rs
@@ -117,7 +117,7 @@
     ) {
         let mut traffic = self.traffic.borrow_mut();
         let known: Vec<(UpstreamKey, UpstreamId)> =
-            traffic.registry.all().map(|upstream| (upstream.key, upstream.id_number)).collect();
+            traffic.registry.all().map(|upstream| (upstream.key, upstream.life_number)).collect();
         for (key, id) in known {
             let figures = figures.get(&id).copied().unwrap_or_default();
             traffic.load(key).peer_heard(peer, figures, now);
@@ -134,7 +134,7 @@
                 .registry
                 .all()
                 .filter(|upstream| upstream.takes_work())
-                .filter(|upstream| leaving.contains(&upstream.id_number))
+                .filter(|upstream| leaving.contains(&upstream.life_number))
                 .map(|upstream| upstream.key)
                 .collect();
             keys.into_iter()
