--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -15,7 +15,7 @@
 use crate::traffic::engine_loads::{self, RequestNumber, UpstreamLoad, Work};
 use crate::traffic::evidences::Evidence;
 use crate::traffic::facts::{PartId, RequestFacts};
-use crate::traffic::fits::{Fill, Fit, Look, READ_AGAIN_WEIGHT, REMOTE_WEIGHT_MS, millis};
+use crate::traffic::fits::{Distance, FAR_WEIGHT_MS, Fill, Fit, Look, READ_AGAIN_WEIGHT, millis};
 use crate::traffic::prefixes::KeptParts;
 use crate::traffic::registries::{Registry, Upstream, UpstreamKey};
 use crate::traffic::retry_budgets::{self, RetryBudget};
@@ -32,7 +32,9 @@
     pub windows: team_windows::Options,
     /// The retry budget of each service.
     pub retries: retry_budgets::Options,
-    /// Way to another failure domain and back.
+    /// Other failure domains of the own region, over links that are short and cheap.
+    pub near_domains: Vec<String>,
+    /// Way to a failure domain of another region and back.
     pub remote_round_trip: Duration,
     /// How full upstreams may be for requests within their team's share.
     pub within_share: Fill,
@@ -46,6 +48,7 @@
     fn default() -> Self {
         Self {
             domain: String::new(),
+            near_domains: Vec::new(),
             loads: engine_loads::Options::default(),
             windows: team_windows::Options::default(),
             retries: retry_budgets::Options::default(),
@@ -158,6 +161,7 @@
     /// Teams' windows.
     pub windows: TeamWindows,
     domain_number: DomainId,
+    near_numbers: Vec<DomainId>,
     states: HashMap<UpstreamKey, UpstreamState>,
     budgets: HashMap<String, RetryBudget>,
 }
@@ -189,6 +193,7 @@
         let windows = TeamWindows::new(options.windows);
         Self {
             domain_number: id_of_name(&options.domain),
+            near_numbers: options.near_domains.iter().map(|domain| id_of_name(domain)).collect(),
             options,
             registry: Registry::default(),
             windows,
@@ -368,7 +373,7 @@
         let mut ranked = [None; KEPT_PARTS.len()];
         let Some(shared) = ask.facts.prefix.iter().rev().nth(1) else { return ranked };
         let read_ms = needs.shared_tokens / self.options.loads.prefill_tokens_per_ms;
-        let way_ms = millis(self.options.remote_round_trip) + REMOTE_WEIGHT_MS;
+        let way_ms = millis(self.options.remote_round_trip) + FAR_WEIGHT_MS;
         let is_global = way_ms < READ_AGAIN_WEIGHT * read_ms;
         let mut weights = [0; KEPT_PARTS.len()];
         for engine in candidates {
@@ -385,6 +390,16 @@
         ranked
     }
 
+    fn distance(&self, upstream: &Upstream) -> Distance {
+        if upstream.domain_number == self.domain_number {
+            Distance::Own
+        } else if self.near_numbers.contains(&upstream.domain_number) {
+            Distance::Near
+        } else {
+            Distance::Far
+        }
+    }
+
     fn look(
         &self,
         upstream: &Upstream,
@@ -397,8 +412,11 @@
         let rank = needs.ranked.iter().position(|ranked| *ranked == Some(upstream.key));
         let work = work_at(state, ask, needs, rank);
         let slots = upstream.registration.slots;
-        let is_remote = upstream.domain_number != self.domain_number;
-        let way_ms = if is_remote { millis(self.options.remote_round_trip) } else { 0.0 };
+        let distance = self.distance(upstream);
+        let way_ms = match distance {
+            Distance::Own | Distance::Near => 0.0,
+            Distance::Far => millis(self.options.remote_round_trip),
+        };
         let figures = state.load.figures(now, options);
         let own_tokens = needs.own_tokens.min(work.unread_tokens);
         Look {
@@ -410,7 +428,7 @@
             read_again_ms: (work.unread_tokens - own_tokens) / options.prefill_tokens_per_ms,
             figures,
             slots,
-            is_remote,
+            distance,
         }
     }
 }
--- a/crates/bergamotpitch-control/src/traffic/fits.rs
+++ b/crates/bergamotpitch-control/src/traffic/fits.rs
@@ -32,9 +32,13 @@
 /// in which other starts are kept.
 pub const READ_AGAIN_WEIGHT: f64 = 4.0;
 
-/// `REMOTE_WEIGHT_MS` is what the bytes of a request and its answer weigh when they go to another
-/// failure domain, in milliseconds of waiting.
-pub const REMOTE_WEIGHT_MS: f64 = 20.0;
+/// `FAR_WEIGHT_MS` is what the bytes of a request and its answer weigh when they go to another region,
+/// in milliseconds of waiting.
+pub const FAR_WEIGHT_MS: f64 = 20.0;
+
+/// `NEAR_WEIGHT_MS` is the same for another failure domain of the own region, where links are cheaper
+/// by an order of magnitude and half a millisecond long.
+const NEAR_WEIGHT_MS: f64 = 8.0;
 
 /// `SLOTS_WEIGHT_MS` spreads requests over engines by their running requests where prompts are
 /// short, in milliseconds for a full engine.
@@ -63,8 +67,19 @@
     pub figures: Figures,
     /// Its slots.
     pub slots: u32,
-    /// Whether it stands in another failure domain.
-    pub is_remote: bool,
+    /// Where it stands.
+    pub distance: Distance,
+}
+
+/// `Distance` tells where an upstream stands as seen from this instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Distance {
+    /// In the own failure domain.
+    Own,
+    /// In another failure domain of the own region.
+    Near,
+    /// In another region.
+    Far,
 }
 
 /// `Fit` tells whether a request fits.
@@ -80,11 +95,15 @@
     /// `score` compares upstreams that a request fits: the least is best.
     pub fn score(&self) -> f64 {
         let taken_part = self.taken_part();
-        let remote_ms = if self.is_remote { REMOTE_WEIGHT_MS } else { 0.0 };
+        let distance_ms = match self.distance {
+            Distance::Own => 0.0,
+            Distance::Near => NEAR_WEIGHT_MS,
+            Distance::Far => FAR_WEIGHT_MS,
+        };
         self.predicted_ms
             + READ_AGAIN_WEIGHT * self.read_again_ms
             + SLOTS_WEIGHT_MS * taken_part * taken_part
-            + remote_ms
+            + distance_ms
     }
 
     /// `fit` tells whether the request fits within a fill.
