--- a/crates/bergamotpitch-control/src/dispatches.rs
+++ b/crates/bergamotpitch-control/src/admission/dispatches.rs
@@ -6,13 +6,13 @@
 use bergamotpitch_core::ids::{RequestId, ServiceId, TeamId, UpstreamId};
 use bergamotpitch_core::settings::Policy;
 
-use crate::accounts::{charge_up_to, team_estimate};
-use crate::leases::{self, Leases, give_back, held};
-use crate::levels::{Level, level_of_cost, share_of};
+use crate::admission::requests::count_waiting;
+use crate::capacity::{placements, windows};
+use crate::fairness::accounts::{charge_up_to, team_estimate};
+use crate::fairness::leases::{self, Leases, give_back, held};
+use crate::fairness::levels::{Level, level_of_cost, share_of};
 use crate::outputs::{Event, Output};
-use crate::requests::count_waiting;
 use crate::tables::{QueueKey, RequestState, Tables};
-use crate::{placements, windows};
 
 /// `run` hands waiting requests over while an upstream of their service has a free slot, by a
 /// baseline policy: each instance uses an equal part of every window.
--- a/crates/bergamotpitch-control/src/limits.rs
+++ b/crates/bergamotpitch-control/src/admission/limits.rs
@@ -131,7 +131,7 @@
     let mixed = tables.options.seed
         ^ request.wrapping_mul(0x9e37_79b9_7f4a_7c15)
         ^ u64::from(attempt).wrapping_mul(0xc2b2_ae3d_27d4_eb4f);
-    let random = crate::homes::weight((mixed >> 32) as u32, mixed as u32);
+    let random = crate::fairness::homes::weight((mixed >> 32) as u32, mixed as u32);
     (random >> 11) as f64 / (1_u64 << 53) as f64
 }
 
--- a/crates/bergamotpitch-control/src/requests.rs
+++ b/crates/bergamotpitch-control/src/admission/requests.rs
@@ -7,11 +7,12 @@
 use bergamotpitch_core::refusals::{Ran, RefusalReason};
 use bergamotpitch_core::units::{CostUnits, Timestamp};
 
+use crate::admission::limits;
+use crate::capacity::upstreams;
+use crate::fairness::accounts;
 use crate::inputs::{Arrival, AttemptOutcome};
-use crate::limits;
 use crate::outputs::{Event, Output, Refusal};
 use crate::tables::{QueueKey, Request, RequestState, Tables};
-use crate::{accounts, upstreams};
 
 /// Attempts that one request may have when each of them may have run.
 const ATTEMPT_LIMIT: u32 = 3;
--- a/crates/bergamotpitch-control/src/placements.rs
+++ b/crates/bergamotpitch-control/src/capacity/placements.rs
@@ -36,7 +36,7 @@
 
 fn mixed(prefix: u64, upstream: UpstreamId) -> u64 {
     let folded = (prefix ^ (prefix >> 32)) as u32;
-    crate::homes::weight(folded, upstream)
+    crate::fairness::homes::weight(folded, upstream)
 }
 
 /// `choose` is the place in a team's queue of the request that a free slot should take.
--- a/crates/bergamotpitch-control/src/upstreams.rs
+++ b/crates/bergamotpitch-control/src/capacity/upstreams.rs
@@ -13,8 +13,8 @@
 use bergamotpitch_core::ids::{ServiceId, SheetVersion, UpstreamId, id_of_name};
 use bergamotpitch_core::units::Timestamp;
 
+use crate::admission::limits::jitter;
 use crate::inputs::{ListedInstance, LoadReport};
-use crate::limits::jitter;
 use crate::messages::LeavingLine;
 use crate::outputs::{Event, Output};
 use crate::tables::{Tables, Upstream};
--- a/crates/bergamotpitch-control/src/sheet_duties.rs
+++ b/crates/bergamotpitch-control/src/configuration/sheet_duties.rs
@@ -13,9 +13,9 @@
 use bergamotpitch_core::units::Timestamp;
 
 use crate::inputs::Sender;
+use crate::membership::paces;
 use crate::messages::Heartbeat;
 use crate::outputs::Output;
-use crate::paces;
 use crate::tables::Tables;
 
 /// Instances of one failure domain that watch the platform.
@@ -250,7 +250,7 @@
 ///
 /// ```
 /// use bergamotpitch_control::Tables;
-/// use bergamotpitch_control::sheet_duties::is_sheet_watcher;
+/// use bergamotpitch_control::configuration::sheet_duties::is_sheet_watcher;
 /// // An instance that knows of no other watches.
 /// assert!(is_sheet_watcher(&Tables::default()));
 /// ```
--- a/crates/bergamotpitch-control/src/sheets.rs
+++ b/crates/bergamotpitch-control/src/configuration/sheets.rs
@@ -6,8 +6,8 @@
 use bergamotpitch_core::ids::{SheetVersion, id_of_name};
 use bergamotpitch_core::sheets::AcceptedSheet;
 
+use crate::configuration::sheet_duties;
 use crate::outputs::{Event, Output};
-use crate::sheet_duties;
 use crate::tables::{Tables, Team, Upstream};
 
 /// `apply_sheet` puts a sheet in force when its version is newer than the one in force.
--- a/crates/bergamotpitch-control/src/order_leases.rs
+++ b/crates/bergamotpitch-control/src/engine_orders/order_leases.rs
@@ -2,7 +2,7 @@
 
 use bergamotpitch_core::units::Timestamp;
 
-use crate::orders::OrderDuty;
+use crate::engine_orders::orders::OrderDuty;
 
 /// `OrderGuards` are the rules that a proof switches off one by one; all are on by default.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/bergamotpitch-control/src/orders.rs
+++ b/crates/bergamotpitch-control/src/engine_orders/orders.rs
@@ -11,7 +11,7 @@
 use bergamotpitch_core::ids::UpstreamId;
 use bergamotpitch_core::units::Timestamp;
 
-use crate::order_leases::{Held, Lease, LeaseEffect, OrderGuards};
+use crate::engine_orders::order_leases::{Held, Lease, LeaseEffect, OrderGuards};
 
 /// `OrderOptions` are the constants of the orders of one domain.
 #[derive(Debug, Clone)]
@@ -175,7 +175,7 @@
 /// `run` keeps the lease and puts out the orders that are due.
 pub fn run(duty: &mut OrderDuty, now: Timestamp) -> Vec<OrderEffect> {
     let mut effects = Vec::new();
-    if let Some(effect) = crate::order_leases::run_lease(duty, now) {
+    if let Some(effect) = crate::engine_orders::order_leases::run_lease(duty, now) {
         effects.push(OrderEffect::Lease(effect));
     }
     if let Lease::Held(held) = &duty.lease {
@@ -208,8 +208,8 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use bergamotpitch_control::order_leases::OrderGuards;
-/// use bergamotpitch_control::orders::{Order, may_send};
+/// use bergamotpitch_control::engine_orders::order_leases::OrderGuards;
+/// use bergamotpitch_control::engine_orders::orders::{Order, may_send};
 /// let send_by = Duration::from_secs(8);
 /// let order = Order { upstream: 1, fencing: 1, model: "roses".to_owned(), send_by };
 /// assert!(may_send(&order, Duration::from_secs(7), OrderGuards::default()));
@@ -226,7 +226,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use bergamotpitch_control::orders::{OrderOptions, load_interval};
+/// use bergamotpitch_control::engine_orders::orders::{OrderOptions, load_interval};
 /// let options =
 ///     OrderOptions { store_loads_per_minute: 60.0, domain_count: 3, ..OrderOptions::default() };
 /// assert_eq!(load_interval(&options), Duration::from_secs(3));
--- a/crates/bergamotpitch-control/src/detours.rs
+++ b/crates/bergamotpitch-control/src/fairness/detours.rs
@@ -5,13 +5,14 @@
 
 use bergamotpitch_core::ids::{InstanceId, ServiceId};
 
+use crate::fairness::leases::Leases;
+use crate::fairness::share_messages::{PassedGrant, PassedReport, ShareReport};
+use crate::fairness::{home_reports, homes};
 use crate::inputs::Sender;
-use crate::leases::Leases;
+use crate::membership::paces;
 use crate::messages::Message;
 use crate::outputs::Output;
-use crate::share_messages::{PassedGrant, PassedReport, ShareReport};
 use crate::tables::Tables;
-use crate::{home_reports, homes, paces};
 
 /// Time without an answer from the home after which reports go over another instance.
 const DETOUR_TIME: Duration = Duration::from_millis(700);
--- a/crates/bergamotpitch-control/src/domain_reports.rs
+++ b/crates/bergamotpitch-control/src/fairness/domain_reports.rs
@@ -6,17 +6,17 @@
 use bergamotpitch_core::ids::{DomainId, InstanceId, ServiceId, TeamId};
 use bergamotpitch_core::units::Timestamp;
 
-use crate::accounts;
-use crate::homes::{self, Home, HomeTeam, add_level, lift, reindex, weight};
+use crate::fairness::accounts;
+use crate::fairness::homes::{self, Home, HomeTeam, add_level, lift, reindex, weight};
+use crate::fairness::leases::{SlotLease, held};
+use crate::fairness::levels::{LEVEL_SCALE, Level, level_of_cost, share_of};
+use crate::fairness::share_messages::{
+    DomainReport, DomainTeamLine, GrantLine, PassedDomainReport, SERVED_QUANTUM, SlotLine,
+};
+use crate::fairness::spills::{self, CUT_OFF_TIME, PreviousLife, Remote, RemoteTeam};
 use crate::inputs::Sender;
-use crate::leases::{SlotLease, held};
-use crate::levels::{LEVEL_SCALE, Level, level_of_cost, share_of};
 use crate::messages::Message;
 use crate::outputs::Output;
-use crate::share_messages::{
-    DomainReport, DomainTeamLine, GrantLine, PassedDomainReport, SERVED_QUANTUM, SlotLine,
-};
-use crate::spills::{self, CUT_OFF_TIME, PreviousLife, Remote, RemoteTeam};
 use crate::tables::Tables;
 
 /// Bytes that a report takes before any line, with headers and seal.
--- a/crates/bergamotpitch-control/src/grants.rs
+++ b/crates/bergamotpitch-control/src/fairness/grants.rs
@@ -4,16 +4,17 @@
 
 use bergamotpitch_core::ids::{DomainId, InstanceId, ServiceId, TeamId, UpstreamId};
 
-use crate::home_reports;
-use crate::homes::{Home, HomeRouter, effective_level, reindex};
-use crate::leases::slack;
-use crate::levels::{LEVEL_SCALE, Level, level_of_cost, share_of};
+use crate::capacity::windows::window;
+use crate::fairness::home_reports;
+use crate::fairness::homes::{Home, HomeRouter, effective_level, reindex};
+use crate::fairness::leases::slack;
+use crate::fairness::levels::{LEVEL_SCALE, Level, level_of_cost, share_of};
+use crate::fairness::share_messages::{GrantLine, LevelLine, PassedGrant, ShareGrant};
+use crate::fairness::{accounts, spills};
+use crate::membership::paces;
 use crate::messages::Message;
 use crate::outputs::Output;
-use crate::share_messages::{GrantLine, LevelLine, PassedGrant, ShareGrant};
 use crate::tables::Tables;
-use crate::windows::window;
-use crate::{accounts, paces, spills};
 
 /// Time after which a grant that was not confirmed is sent again, and levels are told anew.
 const REFRESH_TIME: Duration = Duration::from_millis(500);
--- a/crates/bergamotpitch-control/src/home_reports.rs
+++ b/crates/bergamotpitch-control/src/fairness/home_reports.rs
@@ -2,12 +2,12 @@
 
 use bergamotpitch_core::ids::{InstanceId, TeamId};
 
-use crate::homes::{Home, HomeTeam, RouterTeam, add_level, lift, reindex};
+use crate::fairness::homes::{Home, HomeTeam, RouterTeam, add_level, lift, reindex};
+use crate::fairness::leases::held;
+use crate::fairness::levels::{level_of_cost, share_of};
+use crate::fairness::share_messages::{ShareReport, TeamLine};
+use crate::fairness::spills;
 use crate::inputs::Sender;
-use crate::leases::held;
-use crate::levels::{level_of_cost, share_of};
-use crate::share_messages::{ShareReport, TeamLine};
-use crate::spills;
 use crate::tables::Tables;
 
 /// `apply_report` takes over what an instance of the domain reports.
@@ -34,7 +34,7 @@
     report: ShareReport,
     over: Option<InstanceId>,
 ) {
-    let estimate = crate::accounts::service_estimate(tables, report.service);
+    let estimate = crate::fairness::accounts::service_estimate(tables, report.service);
     let known = home.routers.get(&sender.instance);
     let is_older = known.is_some_and(|router| {
         let life = (router.incarnation, router.adoption);
--- a/crates/bergamotpitch-control/src/homes.rs
+++ b/crates/bergamotpitch-control/src/fairness/homes.rs
@@ -11,10 +11,10 @@
 use bergamotpitch_core::ids::{DomainId, Incarnation, InstanceId, ServiceId, TeamId, UpstreamId};
 use bergamotpitch_core::units::Timestamp;
 
-use crate::grants::requests_level;
-use crate::leases::SlotLease;
-use crate::levels::{Level, level_of_cost, share_of};
-use crate::spills::{self, Remote};
+use crate::fairness::grants::requests_level;
+use crate::fairness::leases::SlotLease;
+use crate::fairness::levels::{Level, level_of_cost, share_of};
+use crate::fairness::spills::{self, Remote};
 use crate::tables::{Tables, Team};
 
 /// Instances for each service from which on no instance holds two services.
@@ -263,7 +263,7 @@
     );
     leading.sort_unstable_by_key(|(_, team)| *team);
     leading.dedup_by_key(|(_, team)| *team);
-    let estimate = crate::accounts::service_estimate(tables, service);
+    let estimate = crate::fairness::accounts::service_estimate(tables, service);
     for (_, team) in leading {
         if let Some(entry) = home.teams.get_mut(&team) {
             // The key also holds what is granted and not yet charged; that is no service.
--- a/crates/bergamotpitch-control/src/leases.rs
+++ b/crates/bergamotpitch-control/src/fairness/leases.rs
@@ -10,10 +10,11 @@
 use bergamotpitch_core::ids::{DomainId, Incarnation, InstanceId, ServiceId, TeamId, UpstreamId};
 use bergamotpitch_core::units::{CostUnits, Timestamp};
 
-use crate::levels::{Level, level_of_cost, share_of};
-use crate::share_messages::{ShareGrant, ShareReport, SlotLine, TeamLine};
+use crate::fairness::accounts;
+use crate::fairness::levels::{Level, level_of_cost, share_of};
+use crate::fairness::share_messages::{ShareGrant, ShareReport, SlotLine, TeamLine};
+use crate::membership::paces;
 use crate::tables::{QueueKey, Tables};
-use crate::{accounts, paces};
 
 /// Silence of the home after which its frontier no longer binds.
 const FRONTIER_LIFETIME: Duration = Duration::from_millis(700);
@@ -236,7 +237,7 @@
 /// `slack` is how far ahead of the frontier a team may be and still use a free slot.
 pub fn slack(tables: &Tables, service: ServiceId) -> Level {
     let estimate = accounts::service_estimate(tables, service) as f64;
-    (estimate * tables.options.slack_requests) as Level * crate::levels::LEVEL_SCALE
+    (estimate * tables.options.slack_requests) as Level * crate::fairness::levels::LEVEL_SCALE
 }
 
 /// `give_back` returns idle slots to the home.
--- a/crates/bergamotpitch-control/src/levels.rs
+++ b/crates/bergamotpitch-control/src/fairness/levels.rs
@@ -14,7 +14,7 @@
 /// `level_of_cost` is the level that a cost adds to a team of a share.
 ///
 /// ```
-/// use bergamotpitch_control::levels::level_of_cost;
+/// use bergamotpitch_control::fairness::levels::level_of_cost;
 /// assert_eq!(level_of_cost(100, 4), 400);
 /// ```
 pub fn level_of_cost(cost: i64, share: u32) -> Level {
--- a/crates/bergamotpitch-control/src/share_messages.rs
+++ b/crates/bergamotpitch-control/src/fairness/share_messages.rs
@@ -9,7 +9,7 @@
 use bergamotpitch_core::units::CostUnits;
 use serde::{Deserialize, Serialize};
 
-use crate::levels::Level;
+use crate::fairness::levels::Level;
 
 /// `ShareReport` tells the home of a service what waits and was served at one instance.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
--- a/crates/bergamotpitch-control/src/shares.rs
+++ b/crates/bergamotpitch-control/src/fairness/shares.rs
@@ -4,14 +4,16 @@
 
 use bergamotpitch_core::ids::{InstanceId, ServiceId, TeamId};
 
-use crate::homes::{self, Home};
+use crate::admission::dispatches;
+use crate::fairness::homes::{self, Home};
+use crate::fairness::leases::{self, Leases, held};
+use crate::fairness::share_messages::ShareReport;
+use crate::fairness::{accounts, detours, domain_reports, grants, home_reports, spills};
 use crate::inputs::Sender;
-use crate::leases::{self, Leases, held};
+use crate::membership::paces;
 use crate::messages::Message;
 use crate::outputs::Output;
-use crate::share_messages::ShareReport;
 use crate::tables::{QueueKey, Tables};
-use crate::{accounts, detours, dispatches, domain_reports, grants, home_reports, paces, spills};
 
 /// `ShareGuards` are the rules that a proof switches off one by one; all are on by default.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/bergamotpitch-control/src/spills.rs
+++ b/crates/bergamotpitch-control/src/fairness/spills.rs
@@ -12,12 +12,12 @@
 use bergamotpitch_core::ids::{DomainId, InstanceId, ServiceId, TeamId, UpstreamId};
 use bergamotpitch_core::units::Timestamp;
 
-use crate::accounts;
-use crate::grants::requests_level;
-use crate::homes::{Home, HomeSlot, cap_leads, reindex};
-use crate::leases::{SlotLease, held, slack};
-use crate::levels::{LEVEL_SCALE, Level, level_of_cost, share_of};
-use crate::share_messages::SlotLine;
+use crate::fairness::accounts;
+use crate::fairness::grants::requests_level;
+use crate::fairness::homes::{Home, HomeSlot, cap_leads, reindex};
+use crate::fairness::leases::{SlotLease, held, slack};
+use crate::fairness::levels::{LEVEL_SCALE, Level, level_of_cost, share_of};
+use crate::fairness::share_messages::SlotLine;
 use crate::tables::Tables;
 
 /// Silence after which another domain is taken to be cut off.
--- /dev/null
+++ b/crates/bergamotpitch-control/src/idempotency.rs
@@ -0,0 +1,9 @@
+//! Idempotency: claims on keys of calls that may run at most once.
+
+mod claim_calls;
+pub mod claim_options;
+mod claim_paces;
+pub mod claim_queues;
+mod claim_rounds;
+pub mod claim_segments;
+pub mod claims;
--- a/crates/bergamotpitch-control/src/claim_calls.rs
+++ b/crates/bergamotpitch-control/src/idempotency/claim_calls.rs
@@ -6,14 +6,14 @@
 use bergamotpitch_core::units::Timestamp;
 use rand_core::Rng;
 
-use crate::claim_queues::{
+use crate::idempotency::claim_queues::{
     ClaimEffect, ClaimQueues, ReadResult, SegmentReadResult, ShardQueue, WriteResult,
 };
-use crate::claim_rounds::{Seen, Standing, judge_record};
-use crate::claim_segments::{
+use crate::idempotency::claim_rounds::{Seen, Standing, judge_record};
+use crate::idempotency::claim_segments::{
     Segment, SegmentName, SegmentRound, key_set, next_segment, note_segment, split_record,
 };
-use crate::claims::{ClaimKey, ShardId, ShardRecord, UnixSeconds, find_claim};
+use crate::idempotency::claims::{ClaimKey, ShardId, ShardRecord, UnixSeconds, find_claim};
 
 /// `Call` is the call under way for a shard.
 #[derive(Debug, Default)]
--- a/crates/bergamotpitch-control/src/claim_queues.rs
+++ b/crates/bergamotpitch-control/src/idempotency/claim_queues.rs
@@ -11,13 +11,15 @@
 use rand_core::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
 
-use crate::claim_calls::{Call, Orphan};
-pub use crate::claim_calls::{apply_read, apply_segment_read, apply_segment_write, apply_write};
-pub use crate::claim_options::{ClaimGuards, ClaimOptions};
-use crate::claim_paces::Pace;
-use crate::claim_rounds::Pending;
-use crate::claim_segments::{KeySet, Segment, SegmentName};
-use crate::claims::{
+use crate::idempotency::claim_calls::{Call, Orphan};
+pub use crate::idempotency::claim_calls::{
+    apply_read, apply_segment_read, apply_segment_write, apply_write,
+};
+pub use crate::idempotency::claim_options::{ClaimGuards, ClaimOptions};
+use crate::idempotency::claim_paces::Pace;
+use crate::idempotency::claim_rounds::Pending;
+use crate::idempotency::claim_segments::{KeySet, Segment, SegmentName};
+use crate::idempotency::claims::{
     ClaimKey, Fingerprint, Nonce, Outcome, ShardId, ShardRecord, UnixSeconds, Verdict,
     outcome_size_bytes, shard_of_key,
 };
@@ -197,10 +199,10 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use bergamotpitch_control::claim_queues::{
+/// use bergamotpitch_control::idempotency::claim_queues::{
 ///     ClaimEffect, ClaimOptions, ClaimQueues, ClaimWish, run, wish_claim,
 /// };
-/// use bergamotpitch_control::claims::claim_key;
+/// use bergamotpitch_control::idempotency::claims::claim_key;
 /// let mut queues = ClaimQueues::new(ClaimOptions { shard_count: 1, ..ClaimOptions::default() });
 /// let key = claim_key("roses", "crm", "a");
 /// let wish = ClaimWish { ticket: 1, key, fingerprint: [0; 16], nonce: 7 };
--- a/crates/bergamotpitch-control/src/claim_rounds.rs
+++ b/crates/bergamotpitch-control/src/idempotency/claim_rounds.rs
@@ -2,9 +2,9 @@
 
 use bergamotpitch_core::units::Timestamp;
 
-use crate::claim_options::ClaimOptions;
-use crate::claim_queues::{ClaimEffect, ClaimWish, Ticket};
-use crate::claims::{
+use crate::idempotency::claim_options::ClaimOptions;
+use crate::idempotency::claim_queues::{ClaimEffect, ClaimWish, Ticket};
+use crate::idempotency::claims::{
     Claim, ClaimKey, Nonce, Outcome, ShardRecord, UnixSeconds, Verdict, claim_size_bytes,
     drop_expired, find_claim, find_own_claim, outcome_size_bytes, record_size_bytes, remove_claim,
 };
--- a/crates/bergamotpitch-control/src/claim_segments.rs
+++ b/crates/bergamotpitch-control/src/idempotency/claim_segments.rs
@@ -7,8 +7,10 @@
 use bergamotpitch_core::HashMap;
 use serde::{Deserialize, Serialize};
 
-use crate::claim_options::ClaimOptions;
-use crate::claims::{Claim, ClaimKey, Nonce, ShardRecord, UnixSeconds, claim_size_bytes};
+use crate::idempotency::claim_options::ClaimOptions;
+use crate::idempotency::claims::{
+    Claim, ClaimKey, Nonce, ShardRecord, UnixSeconds, claim_size_bytes,
+};
 
 /// `SegmentName` names a segment; no two have the same.
 pub type SegmentName = u128;
@@ -55,8 +57,8 @@
 /// `may_hold` tells whether a segment may hold a key; false is certain.
 ///
 /// ```
-/// use bergamotpitch_control::claim_segments::{Segment, key_set, may_hold};
-/// use bergamotpitch_control::claims::claim_key;
+/// use bergamotpitch_control::idempotency::claim_segments::{Segment, key_set, may_hold};
+/// use bergamotpitch_control::idempotency::claims::claim_key;
 /// let keys = key_set(&Segment::default());
 /// assert!(!may_hold(&keys, &claim_key("roses", "crm", "a")));
 /// ```
--- a/crates/bergamotpitch-control/src/claims.rs
+++ b/crates/bergamotpitch-control/src/idempotency/claims.rs
@@ -6,7 +6,7 @@
 use bergamotpitch_core::units::Timestamp;
 use serde::{Deserialize, Serialize};
 
-use crate::claim_segments::{REFERENCE_SIZE_BYTES, SegmentReference};
+use crate::idempotency::claim_segments::{REFERENCE_SIZE_BYTES, SegmentReference};
 
 /// `ClaimKey` names what is claimed: a hash of team, service and idempotency key.
 pub type ClaimKey = [u8; 16];
@@ -100,7 +100,7 @@
 /// `claim_key` hashes what a caller names.
 ///
 /// ```
-/// use bergamotpitch_control::claims::claim_key;
+/// use bergamotpitch_control::idempotency::claims::claim_key;
 /// assert_ne!(claim_key("roses", "crm", "a"), claim_key("roses", "crm", "b"));
 /// assert_ne!(claim_key("ab", "c", "d"), claim_key("a", "bc", "d"));
 /// ```
@@ -111,7 +111,7 @@
 /// `request_fingerprint` hashes a request, so that a key used with another one is noticed.
 ///
 /// ```
-/// use bergamotpitch_control::claims::request_fingerprint;
+/// use bergamotpitch_control::idempotency::claims::request_fingerprint;
 /// let first = request_fingerprint("POST", "/orders", b"12 roses");
 /// assert_ne!(first, request_fingerprint("POST", "/orders", b"12 tulips"));
 /// ```
@@ -122,7 +122,7 @@
 /// `shard_of_key` tells which of `shard_count` shards holds a key.
 ///
 /// ```
-/// use bergamotpitch_control::claims::{claim_key, shard_of_key};
+/// use bergamotpitch_control::idempotency::claims::{claim_key, shard_of_key};
 /// assert!(shard_of_key(&claim_key("roses", "crm", "a"), 64) < 64);
 /// ```
 pub fn shard_of_key(key: &ClaimKey, shard_count: u32) -> ShardId {
@@ -137,7 +137,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use bergamotpitch_control::claims::may_hand_over;
+/// use bergamotpitch_control::idempotency::claims::may_hand_over;
 /// assert!(may_hand_over(Duration::from_secs(9), Duration::from_secs(8)));
 /// assert!(!may_hand_over(Duration::from_secs(9), Duration::from_secs(9)));
 /// ```
@@ -148,7 +148,7 @@
 /// `find_claim` finds the claim on a key.
 ///
 /// ```
-/// use bergamotpitch_control::claims::{ShardRecord, claim_key, find_claim};
+/// use bergamotpitch_control::idempotency::claims::{ShardRecord, claim_key, find_claim};
 /// let key = claim_key("roses", "crm", "a");
 /// assert_eq!(find_claim(&ShardRecord::default(), &key), None);
 /// ```
@@ -180,7 +180,7 @@
 /// free a key that its owner may still hand over, and the request could run twice.
 ///
 /// ```
-/// use bergamotpitch_control::claims::{Claim, ShardRecord, claim_key, drop_expired};
+/// use bergamotpitch_control::idempotency::claims::{Claim, ShardRecord, claim_key, drop_expired};
 /// let key = claim_key("roses", "crm", "a");
 /// let claim = Claim { key, fingerprint: [0; 16], nonce: 1, expires_s: 100, outcome: None };
 /// let mut record = ShardRecord { claims: vec![claim], ..ShardRecord::default() };
--- a/crates/bergamotpitch-control/src/gossips.rs
+++ b/crates/bergamotpitch-control/src/membership/gossips.rs
@@ -12,11 +12,11 @@
 use bergamotpitch_core::ids::{DomainId, InstanceId, UpstreamId};
 use bergamotpitch_core::units::Timestamp;
 
-use crate::homes::weight;
+use crate::capacity::upstreams;
+use crate::fairness::homes::weight;
 use crate::messages::{Heartbeat, LeavingLine, MemberLine, Message};
 use crate::outputs::Output;
 use crate::tables::{Member, Tables};
-use crate::upstreams;
 
 /// Time that each further receiver adds to the time between two heartbeats, so that the bytes sent a
 /// second stay the same.
--- a/crates/bergamotpitch-control/src/members.rs
+++ b/crates/bergamotpitch-control/src/membership/members.rs
@@ -11,11 +11,13 @@
 use bergamotpitch_core::ids::{DomainId, InstanceId};
 use bergamotpitch_core::units::Timestamp;
 
+use crate::capacity::upstreams;
+use crate::configuration::sheet_duties;
 use crate::inputs::{ListedInstance, Sender};
+use crate::membership::gossips;
 use crate::messages::{Heartbeat, MemberLine, Message};
 use crate::outputs::{Event, Output};
 use crate::tables::{Member, Tables};
-use crate::{gossips, sheet_duties, upstreams};
 
 /// Time for which an instance that is gone is still asked for.
 const GONE_MEMORY: Duration = Duration::from_secs(900);
--- a/crates/bergamotpitch-control/src/paces.rs
+++ b/crates/bergamotpitch-control/src/membership/paces.rs
@@ -29,7 +29,7 @@
 /// ```
 /// use std::time::Duration;
 /// use bergamotpitch_control::Tables;
-/// use bergamotpitch_control::paces::slowed;
+/// use bergamotpitch_control::membership::paces::slowed;
 /// let tables = Tables { domain_instances: 47, ..Tables::default() };
 /// assert_eq!(slowed(&tables, Duration::from_millis(200)), Duration::from_secs(1));
 /// ```
--- a/crates/bergamotpitch-control/src/messages.rs
+++ b/crates/bergamotpitch-control/src/messages.rs
@@ -8,7 +8,7 @@
 use bergamotpitch_core::ids::{DomainId, Incarnation, InstanceId, SheetVersion, UpstreamId};
 use serde::{Deserialize, Serialize};
 
-use crate::share_messages::{
+use crate::fairness::share_messages::{
     DomainReport, PassedDomainReport, PassedGrant, PassedReport, ShareGrant, ShareReport,
 };
 
--- a/crates/bergamotpitch-control/src/steps.rs
+++ b/crates/bergamotpitch-control/src/steps.rs
@@ -3,14 +3,15 @@
 use bergamotpitch_core::settings::Policy;
 use bergamotpitch_core::units::Timestamp;
 
+use crate::admission::{dispatches, requests};
+use crate::capacity::{upstreams, windows};
+use crate::configuration::{platforms, sheet_duties, sheet_indexes, sheets};
+use crate::fairness::{detours, domain_reports, leases, shares};
 use crate::inputs::Input;
+use crate::membership::members;
 use crate::messages::Message;
 use crate::outputs::Output;
 use crate::tables::Tables;
-use crate::{
-    detours, dispatches, domain_reports, leases, members, platforms, requests, shares,
-    sheet_duties, sheet_indexes, sheets, upstreams, windows,
-};
 
 /// `step` applies inputs at a time and runs every system over the tables.
 ///
--- a/crates/bergamotpitch-control/src/tables.rs
+++ b/crates/bergamotpitch-control/src/tables.rs
@@ -14,18 +14,18 @@
 use bergamotpitch_core::sheets::AcceptedSheet;
 use bergamotpitch_core::units::{CostUnits, Timestamp};
 
-use crate::accounts::Estimate;
-use crate::gossips::Gossip;
-use crate::homes::Home;
+use crate::admission::limits::Limits;
+use crate::capacity::upstreams::HealthTable;
+use crate::capacity::windows::Window;
+use crate::configuration::sheet_duties::{SheetDuty, SheetGuards};
+use crate::configuration::sheet_indexes::SheetIndex;
+use crate::fairness::accounts::Estimate;
+use crate::fairness::homes::Home;
+use crate::fairness::leases::Leases;
+use crate::fairness::shares::ShareGuards;
 use crate::inputs::Arrival;
-use crate::leases::Leases;
-use crate::limits::Limits;
-use crate::members::MemberGuards;
-use crate::shares::ShareGuards;
-use crate::sheet_duties::{SheetDuty, SheetGuards};
-use crate::sheet_indexes::SheetIndex;
-use crate::upstreams::HealthTable;
-use crate::windows::Window;
+use crate::membership::gossips::Gossip;
+use crate::membership::members::MemberGuards;
 
 /// `Options` are the constants of one control state.
 #[derive(Debug, Clone)]
--- a/crates/bergamotpitch-control/tests/home_spread.rs
+++ b/crates/bergamotpitch-control/tests/home_spread.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use bergamotpitch_control::homes::home_of;
+use bergamotpitch_control::fairness::homes::home_of;
 use bergamotpitch_control::tables::Member;
 use bergamotpitch_control::{Options, Tables};
 use bergamotpitch_core::ids::{InstanceId, ServiceId, id_of_name};
--- a/crates/bergamotpitch-control/tests/share_windows.rs
+++ b/crates/bergamotpitch-control/tests/share_windows.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bergamotpitch_control::capacity::windows::window;
 use bergamotpitch_control::inputs::LoadReport;
-use bergamotpitch_control::windows::window;
 use bergamotpitch_control::{Input, Tables, step};
 use bergamotpitch_core::ids::{UpstreamId, id_of_name};
 use bergamotpitch_core::sheets::{AcceptedSheet, parse_sheet};
--- a/crates/bergamotpitch-control/tests/takeover_reports.rs
+++ b/crates/bergamotpitch-control/tests/takeover_reports.rs
@@ -1,10 +1,10 @@
 //! A new home hears of every team that matters, however many teams an instance has served.
 
-use bergamotpitch_control::home_reports;
-use bergamotpitch_control::homes::Home;
+use bergamotpitch_control::fairness::home_reports;
+use bergamotpitch_control::fairness::homes::Home;
+use bergamotpitch_control::fairness::leases::{self, Leases};
+use bergamotpitch_control::fairness::share_messages::{ShareReport, TeamLine};
 use bergamotpitch_control::inputs::Sender;
-use bergamotpitch_control::leases::{self, Leases};
-use bergamotpitch_control::share_messages::{ShareReport, TeamLine};
 use bergamotpitch_control::{Message, Tables};
 
 const SERVICE: u32 = 3;
--- a/crates/bergamotpitch-platform/src/claim_calls.rs
+++ b/crates/bergamotpitch-platform/src/claim_calls.rs
@@ -1,8 +1,10 @@
 //! Claim calls: the records of shards and their segments, read and written.
 
-use bergamotpitch_control::claim_queues::{ReadResult, SegmentReadResult, WriteResult};
-use bergamotpitch_control::claim_segments::{Segment, SegmentName};
-use bergamotpitch_control::claims::{ShardId, ShardRecord};
+use bergamotpitch_control::idempotency::claim_queues::{
+    ReadResult, SegmentReadResult, WriteResult,
+};
+use bergamotpitch_control::idempotency::claim_segments::{Segment, SegmentName};
+use bergamotpitch_control::idempotency::claims::{ShardId, ShardRecord};
 use bytes::Bytes;
 use serde::Serialize;
 
--- a/crates/bergamotpitch-platform/src/claims.rs
+++ b/crates/bergamotpitch-platform/src/claims.rs
@@ -7,13 +7,13 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use bergamotpitch_control::claim_queues::{
+use bergamotpitch_control::idempotency::claim_queues::{
     ClaimEffect, ClaimOptions, ClaimQueues, ClaimWish, ReadResult, SegmentReadResult, Ticket,
     WriteResult, abandon_wish, apply_read, apply_segment_read, apply_segment_write, apply_write,
     record_outcome, release_claim, run, wish_claim,
 };
-use bergamotpitch_control::claim_segments::SegmentName;
-use bergamotpitch_control::claims::{
+use bergamotpitch_control::idempotency::claim_segments::SegmentName;
+use bergamotpitch_control::idempotency::claims::{
     ClaimKey, Fingerprint, Nonce, Outcome, ShardId, Verdict, may_hand_over,
 };
 use bergamotpitch_core::HashMap;
@@ -73,8 +73,8 @@
     ///
     /// ```
     /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
-    /// use bergamotpitch_control::claim_queues::ClaimOptions;
-    /// use bergamotpitch_control::claims::{claim_key, request_fingerprint};
+    /// use bergamotpitch_control::idempotency::claim_queues::ClaimOptions;
+    /// use bergamotpitch_control::idempotency::claims::{claim_key, request_fingerprint};
     /// use bergamotpitch_platform::{ClaimResult, ClaimWriter, Options, Platform};
     /// use bergamotpitch_standin::platforms::{PlatformOptions, start_platform};
     /// # let addresses = vec!["127.0.0.1:0".parse().unwrap()];
--- a/crates/bergamotpitch-platform/src/orders.rs
+++ b/crates/bergamotpitch-platform/src/orders.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bergamotpitch_control::order_leases::{
+use bergamotpitch_control::engine_orders::order_leases::{
     LeaseEffect, LeaseEvent, OrderGuards, apply_lease_event, lock_effect,
 };
-use bergamotpitch_control::orders::{
+use bergamotpitch_control::engine_orders::orders::{
     Order, OrderDuty, OrderEffect, OrderEnd, OrderOptions, WantedModel, apply_order_end, may_send,
     run, set_candidate, set_domain_count, set_wanted,
 };
--- a/crates/bergamotpitch-platform/tests/claim_writer.rs
+++ b/crates/bergamotpitch-platform/tests/claim_writer.rs
@@ -4,8 +4,10 @@
 
 use std::time::Duration;
 
-use bergamotpitch_control::claim_queues::ClaimOptions;
-use bergamotpitch_control::claims::{ClaimKey, Outcome, claim_key, request_fingerprint};
+use bergamotpitch_control::idempotency::claim_queues::ClaimOptions;
+use bergamotpitch_control::idempotency::claims::{
+    ClaimKey, Outcome, claim_key, request_fingerprint,
+};
 use bergamotpitch_platform::{ClaimResult, ClaimToken, ClaimWriter};
 
 /// Many requests claim one key at two routers at once. Only one may run, or a wreath would be
--- a/crates/bergamotpitch-platform/tests/order_driver.rs
+++ b/crates/bergamotpitch-platform/tests/order_driver.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use bergamotpitch_control::orders::{OrderEnd, OrderOptions, WantedModel};
+use bergamotpitch_control::engine_orders::orders::{OrderEnd, OrderOptions, WantedModel};
 use bergamotpitch_platform::{OrderDriver, OrderNotice, OrderTarget, OrderWish};
 use bergamotpitch_standin::engines::{EngineOptions, start_engine};
 use bergamotpitch_standin::upstreams::Upstream;
--- a/crates/bergamotpitch-proof/examples/claim_rates.rs
+++ b/crates/bergamotpitch-proof/examples/claim_rates.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use bergamotpitch_control::claim_queues::ClaimOptions;
+use bergamotpitch_control::idempotency::claim_queues::ClaimOptions;
 use bergamotpitch_proof::claim_runs::{RunOptions, RunResult, run_claims};
 
 /// Time over which claims arrive.
--- a/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/claims.rs
+++ b/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/claims.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use bergamotpitch_control::claim_queues::{
+use bergamotpitch_control::idempotency::claim_queues::{
     self, ClaimEffect, ClaimOptions, ClaimQueues, ClaimWish, ReadResult, SegmentReadResult,
     WriteResult,
 };
-use bergamotpitch_control::claim_segments::{Segment, SegmentName};
-use bergamotpitch_control::claims::{
+use bergamotpitch_control::idempotency::claim_segments::{Segment, SegmentName};
+use bergamotpitch_control::idempotency::claims::{
     Claim, ClaimKey, Outcome, ShardId, ShardRecord, Verdict, claim_key, claim_size_bytes,
 };
 use bergamotpitch_core::HashMap;
--- a/crates/bergamotpitch-proof/src/claim_callers.rs
+++ b/crates/bergamotpitch-proof/src/claim_callers.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
-use bergamotpitch_control::claim_queues::{ClaimWish, record_outcome, release_claim, wish_claim};
-use bergamotpitch_control::claims::{Outcome, Verdict, may_hand_over};
+use bergamotpitch_control::idempotency::claim_queues::{
+    ClaimWish, record_outcome, release_claim, wish_claim,
+};
+use bergamotpitch_control::idempotency::claims::{Outcome, Verdict, may_hand_over};
 
 use crate::claim_histories::{AttemptId, ClaimStep, KeyId};
 use crate::claim_runs::{
--- a/crates/bergamotpitch-proof/src/claim_ends.rs
+++ b/crates/bergamotpitch-proof/src/claim_ends.rs
@@ -1,7 +1,7 @@
 //! What the shards of a claim run hold at its end.
 
-use bergamotpitch_control::claim_segments::SegmentName;
-use bergamotpitch_control::claims::{Claim, ShardId, ShardRecord};
+use bergamotpitch_control::idempotency::claim_segments::SegmentName;
+use bergamotpitch_control::idempotency::claims::{Claim, ShardId, ShardRecord};
 
 use crate::claim_histories::{AttemptId, KeyId};
 use crate::claim_runs::{EARLIER_NONCE, Run, decode_record, shard_key};
--- a/crates/bergamotpitch-proof/src/claim_fills.rs
+++ b/crates/bergamotpitch-proof/src/claim_fills.rs
@@ -1,7 +1,7 @@
 //! Claims of earlier requests that the shards of a run hold at the beginning.
 
-use bergamotpitch_control::claim_segments::{Segment, SegmentReference};
-use bergamotpitch_control::claims::{
+use bergamotpitch_control::idempotency::claim_segments::{Segment, SegmentReference};
+use bergamotpitch_control::idempotency::claims::{
     Claim, Nonce, Outcome, ShardId, ShardRecord, claim_key, claim_size_bytes, shard_of_key,
 };
 
--- a/crates/bergamotpitch-proof/src/claim_kv_calls.rs
+++ b/crates/bergamotpitch-proof/src/claim_kv_calls.rs
@@ -1,11 +1,11 @@
 //! Calls of claim runs to the fake key-value service: when they land and what comes back.
 
-use bergamotpitch_control::claim_queues::{
+use bergamotpitch_control::idempotency::claim_queues::{
     ClaimEffect, ReadResult, SegmentReadResult, WriteResult, apply_read, apply_segment_read,
     apply_segment_write, apply_write,
 };
-use bergamotpitch_control::claim_segments::{Segment, SegmentName};
-use bergamotpitch_control::claims::ShardId;
+use bergamotpitch_control::idempotency::claim_segments::{Segment, SegmentName};
+use bergamotpitch_control::idempotency::claims::ShardId;
 
 use crate::claim_runs::{Event, Run, decode_record, post, shard_key, tick, unix_s};
 use crate::fake_kvs::{self, CallPlan, FakeEntry};
--- a/crates/bergamotpitch-proof/src/claim_runs.rs
+++ b/crates/bergamotpitch-proof/src/claim_runs.rs
@@ -7,8 +7,10 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use bergamotpitch_control::claim_queues::{ClaimEffect, ClaimOptions, ClaimQueues};
-use bergamotpitch_control::claims::{ClaimKey, Nonce, Outcome, ShardId, ShardRecord, claim_key};
+use bergamotpitch_control::idempotency::claim_queues::{ClaimEffect, ClaimOptions, ClaimQueues};
+use bergamotpitch_control::idempotency::claims::{
+    ClaimKey, Nonce, Outcome, ShardId, ShardRecord, claim_key,
+};
 use bergamotpitch_core::units::Timestamp;
 
 use crate::claim_histories::{AttemptId, ClaimRecord, ClaimStep, KeyId};
@@ -290,7 +292,7 @@
 
 /// `tick` is a router's turn: it begins what is due, and its next turn is planned.
 pub(crate) fn tick(run: &mut Run, router: usize, mut effects: Vec<ClaimEffect>) {
-    bergamotpitch_control::claim_queues::run(
+    bergamotpitch_control::idempotency::claim_queues::run(
         &mut run.routers[router].queues,
         run.now,
         &mut effects,
--- a/crates/bergamotpitch-proof/src/order_runs.rs
+++ b/crates/bergamotpitch-proof/src/order_runs.rs
@@ -3,9 +3,11 @@
 
 use std::time::Duration;
 
-use bergamotpitch_control::order_leases::apply_lease_event;
-use bergamotpitch_control::order_leases::{LeaseEffect, LeaseEvent, OrderGuards, lock_effect};
-use bergamotpitch_control::orders::{
+use bergamotpitch_control::engine_orders::order_leases::apply_lease_event;
+use bergamotpitch_control::engine_orders::order_leases::{
+    LeaseEffect, LeaseEvent, OrderGuards, lock_effect,
+};
+use bergamotpitch_control::engine_orders::orders::{
     Order, OrderDuty, OrderEffect, OrderEnd, OrderOptions, WantedModel, apply_order_end, may_send,
     run, set_candidate, set_wanted,
 };
--- a/crates/bergamotpitch-proof/src/soaks.rs
+++ b/crates/bergamotpitch-proof/src/soaks.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use bergamotpitch_control::claim_queues::{ClaimGuards, ClaimOptions};
-use bergamotpitch_control::order_leases::OrderGuards;
-use bergamotpitch_control::sheet_duties::SheetGuards;
+use bergamotpitch_control::configuration::sheet_duties::SheetGuards;
+use bergamotpitch_control::engine_orders::order_leases::OrderGuards;
+use bergamotpitch_control::idempotency::claim_queues::{ClaimGuards, ClaimOptions};
 use strum::{Display, EnumIter, EnumString};
 
 use crate::claim_histories::check_claims;
--- a/crates/bergamotpitch-proof/tests/claim_expiry.rs
+++ b/crates/bergamotpitch-proof/tests/claim_expiry.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bergamotpitch_control::claim_queues::ClaimOptions;
+use bergamotpitch_control::idempotency::claim_queues::ClaimOptions;
 use bergamotpitch_proof::claim_histories::{ClaimRecord, ClaimStep, check_expiry};
 use bergamotpitch_proof::claim_runs::{RunOptions, run_claims};
 
--- a/crates/bergamotpitch-proof/tests/claim_faults.rs
+++ b/crates/bergamotpitch-proof/tests/claim_faults.rs
@@ -1,6 +1,6 @@
 //! Keyed requests under faults of the key-value service, crashes and pauses.
 
-use bergamotpitch_control::claim_queues::ClaimGuards;
+use bergamotpitch_control::idempotency::claim_queues::ClaimGuards;
 use bergamotpitch_proof::claim_histories::{ClaimFault, ClaimStep, check_claims};
 use bergamotpitch_proof::claim_runs::{RunResult, run_claims};
 use bergamotpitch_proof::soaks::claim_schedule;
--- a/crates/bergamotpitch-proof/tests/order_fences.rs
+++ b/crates/bergamotpitch-proof/tests/order_fences.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use bergamotpitch_control::order_leases::OrderGuards;
+use bergamotpitch_control::engine_orders::order_leases::OrderGuards;
 use bergamotpitch_proof::order_histories::{OrderTaken, check_orders, check_pace};
 use bergamotpitch_proof::order_runs::{new_fleet, run_for};
 use bergamotpitch_proof::soaks::order_schedule;
--- a/crates/bergamotpitch-proof/tests/share_guards.rs
+++ b/crates/bergamotpitch-proof/tests/share_guards.rs
@@ -1,6 +1,6 @@
 //! Each rule of the fair shares is needed: switched off, a fixed scenario breaks a promise.
 
-use bergamotpitch_control::shares::ShareGuards;
+use bergamotpitch_control::fairness::shares::ShareGuards;
 use bergamotpitch_proof::deployments::{Deployment, blomakerfi, verkeersbesluit};
 use bergamotpitch_proof::loops::FleetOptions;
 use bergamotpitch_proof::scenarios::{self, Figures};
--- a/crates/bergamotpitch-proof/tests/sheet_restarts.rs
+++ b/crates/bergamotpitch-proof/tests/sheet_restarts.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bergamotpitch_control::sheet_duties::SheetGuards;
+use bergamotpitch_control::configuration::sheet_duties::SheetGuards;
 use bergamotpitch_proof::sheet_histories::{SheetFault, check_times, check_versions};
 use bergamotpitch_proof::sheet_runs::{
     SheetFleet, accept, cut_platform, new_fleet, pause, restart, run_for, version_of,
--- a/crates/bergamotpitch-router/src/claims.rs
+++ b/crates/bergamotpitch-router/src/claims.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bergamotpitch_control::claims::{
+use bergamotpitch_control::idempotency::claims::{
     ClaimKey, Fingerprint, HeaderLine, Outcome, claim_key, request_fingerprint,
 };
 use bergamotpitch_control::outputs::{Event, Refusal};
--- a/crates/bergamotpitch-router/src/contexts.rs
+++ b/crates/bergamotpitch-router/src/contexts.rs
@@ -6,7 +6,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bergamotpitch_control::Input;
-use bergamotpitch_control::claim_queues::ClaimOptions;
+use bergamotpitch_control::idempotency::claim_queues::ClaimOptions;
 use bergamotpitch_control::inputs::Arrival;
 use bergamotpitch_control::outputs::{Event, Refusal};
 use bergamotpitch_core::HashMap;
--- a/crates/bergamotpitch-router/src/orders.rs
+++ b/crates/bergamotpitch-router/src/orders.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bergamotpitch_control::orders::{OrderOptions, WantedModel};
+use bergamotpitch_control::engine_orders::orders::{OrderOptions, WantedModel};
 use bergamotpitch_control::outputs::Event;
 use bergamotpitch_core::events::EventKind;
 use bergamotpitch_core::ids::id_of_name;
