--- a/crates/bergamotpitch-control/src/traffic/registries.rs
+++ b/crates/bergamotpitch-control/src/traffic/registries.rs
@@ -122,6 +122,12 @@
         self.of_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// `in_use` returns how many upstreams of a service take work.
+    pub fn in_use(&self, service: &str) -> usize {
+        let upstreams = self.of_service(service).iter().filter_map(|key| self.get(*key));
+        upstreams.filter(|upstream| upstream.takes_work()).count()
+    }
+
     /// `all` returns every upstream, in no order.
     pub fn all(&self) -> impl Iterator<Item = &Upstream> {
         self.upstreams.values()
