--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -419,12 +419,16 @@
         };
         let figures = state.load.figures(now, options);
         let own_tokens = needs.own_tokens.min(work.unread_tokens);
+        let own_ms = match needs.is_generation {
+            true => work.unread_tokens / options.prefill_tokens_per_ms,
+            false => state.load.plain_ms(options),
+        };
         Look {
             key: upstream.key,
             rank,
             work,
             predicted_ms: state.load.predict_ms(work, &figures, slots, now, options) + way_ms,
-            own_ms: work.unread_tokens / options.prefill_tokens_per_ms,
+            own_ms,
             read_again_ms: (work.unread_tokens - own_tokens) / options.prefill_tokens_per_ms,
             figures,
             slots,
--- a/crates/bergamotpitch-control/src/traffic/engine_loads.rs
+++ b/crates/bergamotpitch-control/src/traffic/engine_loads.rs
@@ -266,7 +266,7 @@
 
     fn unpaced_ms(&self, work: Work, figures: &Figures, slots: u32, options: &Options) -> f64 {
         if work.unread_tokens == 0.0 {
-            let work_ms = self.plain_ms.unwrap_or(options.plain_work_ms);
+            let work_ms = self.plain_ms(options);
             let ahead = f64::from(figures.requests) / f64::from(slots.max(1));
             return work_ms * (1.0 + (ahead - 0.75).max(0.0));
         }
@@ -277,6 +277,11 @@
         tokens / options.prefill_tokens_per_ms + steps * step_ms + FIRST_EVENT_MS
     }
 
+    /// `plain_ms` returns the time in which a plain call was answered lately, without any queue.
+    pub fn plain_ms(&self, options: &Options) -> f64 {
+        self.plain_ms.unwrap_or(options.plain_work_ms)
+    }
+
     fn ratio(&self, now: Timestamp) -> f64 {
         let Some(pace) = self.pace else { return 1.0 };
         let elapsed = now.saturating_sub(pace.seen);
--- a/crates/bergamotpitch-control/src/traffic/fits.rs
+++ b/crates/bergamotpitch-control/src/traffic/fits.rs
@@ -11,8 +11,9 @@
 pub struct Fill {
     /// Part of the target latency within which the first event is predicted.
     pub target_part: f64,
-    /// Part of the target latency that others' prompts may take when the request's own prompt
-    /// takes longer than its target; without it, the longest prompts were never sent.
+    /// Part of the target latency that other requests may take when the request's own work takes
+    /// longer than its target; without it, the longest prompts were never sent, and no call to a
+    /// service that once seemed slow.
     pub others_part: f64,
     /// Part of the slots that may be taken.
     pub slots_part: f64,
@@ -59,7 +60,8 @@
     pub work: Work,
     /// Predicted time until the first event or the answer, with the way there and back.
     pub predicted_ms: f64,
-    /// Time to read what the engine does not keep of the prompt.
+    /// Time that the request itself takes: to read what the engine does not keep of the prompt, or
+    /// for the work of a plain call. It is late because of this wherever it is sent.
     pub own_ms: f64,
     /// Part of that time in which a shared start is read again.
     pub read_again_ms: f64,
@@ -124,8 +126,8 @@
         }
         let target_ms = millis(ask.target);
         let in_time_ms = target_ms * fill.target_part * shrink - millis(ask.elapsed);
-        let long_prompt_ms = self.own_ms + target_ms * fill.others_part * shrink;
-        let excess_ms = self.predicted_ms - in_time_ms.max(long_prompt_ms);
+        let beside_own_ms = self.own_ms + target_ms * fill.others_part * shrink;
+        let excess_ms = self.predicted_ms - in_time_ms.max(beside_own_ms);
         if excess_ms <= 0.0 {
             return Fit::Fits;
         }
