--- a/crates/bergamotpitch-control/tests/worst_load.rs
+++ b/crates/bergamotpitch-control/tests/worst_load.rs
@@ -236,6 +236,21 @@
     }
 }
 
+/// Replays a load; returns the tokens of the pool that each team's begun and asked requests took.
+fn begun_and_wanted(asked: &[Asked]) -> (HashMap<u32, u64>, HashMap<u32, u64>) {
+    let mut begun: HashMap<u32, u64> = HashMap::new();
+    let mut wanted: HashMap<u32, u64> = HashMap::new();
+    for request in asked {
+        *wanted.entry(request.team).or_default() += request.facts.pool_tokens();
+    }
+    replay(asked, |traffic, ask, number, now| {
+        let placement = chosen(traffic, ask, number, now)?;
+        *begun.entry(ask.team?).or_default() += ask.facts.pool_tokens();
+        Some(placement)
+    });
+    (begun, wanted)
+}
+
 /// Two teams ask for more than their share, one of them four times as much as the other. What the
 /// engines give beyond the shares must not go to whoever asks most: the lesser of the two would
 /// wait all the while and get a fraction of what the other gets.
@@ -248,16 +263,7 @@
                 request.team = 8;
             }
         }
-        let mut begun: HashMap<u32, u64> = HashMap::new();
-        let mut wanted: HashMap<u32, u64> = HashMap::new();
-        for request in &asked {
-            *wanted.entry(request.team).or_default() += request.facts.pool_tokens();
-        }
-        replay(&asked, |traffic, ask, number, now| {
-            let placement = chosen(traffic, ask, number, now)?;
-            *begun.entry(ask.team?).or_default() += ask.facts.pool_tokens();
-            Some(placement)
-        });
+        let (begun, wanted) = begun_and_wanted(&asked);
         let due = wanted[&8].min(begun[&9]);
         println!("seed {seed}: begun {begun:?} wanted {wanted:?}");
         assert!(due * 7 / 10 <= begun[&8], "{seed}: {} of {due}", begun[&8]);
@@ -290,16 +296,7 @@
                 request.facts.prefix[0].id = 77;
             }
         }
-        let mut begun: HashMap<u32, u64> = HashMap::new();
-        let mut wanted: HashMap<u32, u64> = HashMap::new();
-        for request in &asked {
-            *wanted.entry(request.team).or_default() += request.facts.pool_tokens();
-        }
-        replay(&asked, |traffic, ask, number, now| {
-            let placement = chosen(traffic, ask, number, now)?;
-            *begun.entry(ask.team?).or_default() += ask.facts.pool_tokens();
-            Some(placement)
-        });
+        let (begun, wanted) = begun_and_wanted(&asked);
         let due = wanted[&8].min(begun[&9]);
         println!("seed {seed}: begun {begun:?} wanted {wanted:?}");
         assert!(due * 6 / 10 <= begun[&8], "{seed}: {} of {due}", begun[&8]);
