Let engines fetch the starts of prompts from each other

Change: instances tell each other in beats which engine was sent which start (module starts). An engine gets the address of one that holds the start, of its own domain where there is one. The time of a fetch counts three times, six times between domains: engines send one start after another. What a decision asks of engines moved from admissions to needs.

--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -9,16 +9,19 @@
 use std::time::Duration;
 
 use bergamotpitch_core::HashMap;
-use bergamotpitch_core::ids::{DomainId, TeamId, UpstreamId, id_of_name};
+use bergamotpitch_core::ids::{DomainId, TeamId, id_of_name};
 use bergamotpitch_core::units::Timestamp;
 
+use crate::traffic::catalogs::CacheLink;
 use crate::traffic::engine_loads::{self, RequestNumber, UpstreamLoad, Work};
 use crate::traffic::evidences::Evidence;
-use crate::traffic::facts::{PartId, RequestFacts};
-use crate::traffic::fits::{Distance, FAR_WEIGHT_MS, Fill, Fit, Look, READ_AGAIN_WEIGHT, millis};
+use crate::traffic::facts::RequestFacts;
+use crate::traffic::fits::{Distance, Fill, Fit, Look, millis};
+use crate::traffic::needs::{Needs, Reading};
 use crate::traffic::prefixes::KeptParts;
 use crate::traffic::registries::{Registry, Upstream, UpstreamKey};
 use crate::traffic::retry_budgets::{self, RetryBudget};
+use crate::traffic::starts::{StartNote, Starts};
 use crate::traffic::team_windows::{self, Standing, TeamWindows};
 
 /// `Options` of the decision.
@@ -79,11 +82,6 @@
     }
 }
 
-/// `KEPT_PARTS` are the parts of a prompt's shared start that the first engines by rendezvous are
-/// expected to keep although this instance did not send it there: peers agree on the order without
-/// any talk, and use the next when those before it are full.
-const KEPT_PARTS: [f64; 2] = [0.9, 0.7];
-
 /// `SHORTEST_RETURN` and `LONGEST_RETURN` bound the time after which a caller should come back.
 const SHORTEST_RETURN: Duration = Duration::from_millis(40);
 
@@ -113,6 +111,8 @@
     pub memory_tokens: u64,
     /// Rate of the pool.
     pub pool_tokens_per_s: Option<u64>,
+    /// Over what engines of the service fetch parts of prompts from each other.
+    pub cache_link: Option<CacheLink>,
 }
 
 /// `Choice` is the decision.
@@ -149,6 +149,8 @@
     /// Place of the upstream in the rendezvous order for the prompt's shared start, of the first
     /// two.
     pub rank: Option<usize>,
+    /// Engine from which the upstream should fetch what it does not keep of the prompt's start.
+    pub fetch_from: Option<UpstreamKey>,
 }
 
 /// `Traffic` is the state on which requests are decided.
@@ -160,6 +162,8 @@
     pub registry: Registry,
     /// Teams' windows.
     pub windows: TeamWindows,
+    /// Engines at which starts of prompts were read lately.
+    pub starts: Starts,
     domain_number: DomainId,
     near_numbers: Vec<DomainId>,
     states: HashMap<UpstreamKey, UpstreamState>,
@@ -175,18 +179,6 @@
     evidence: Evidence,
 }
 
-/// `Needs` are the sizes of a request and the engines that likely keep its start, found once for all
-/// upstreams.
-#[derive(Debug, Clone, Copy)]
-struct Needs {
-    is_generation: bool,
-    prompt_tokens: f64,
-    shared_tokens: f64,
-    own_tokens: f64,
-    memory_tokens: u64,
-    ranked: Ranked,
-}
-
 impl Traffic {
     /// `new` returns a state without any upstream.
     pub fn new(options: Options) -> Self {
@@ -197,6 +189,7 @@
             options,
             registry: Registry::default(),
             windows,
+            starts: Starts::default(),
             states: HashMap::default(),
             budgets: HashMap::default(),
         }
@@ -221,10 +214,11 @@
         self.states.iter().map(|(key, state)| (*key, &state.load))
     }
 
-    /// `step` forgets what peers said that were not heard for too long.
+    /// `step` forgets what is too old: sums of silent peers, and starts that are kept no more.
     pub fn step(&mut self, now: Timestamp) {
         let options = self.options.loads;
         self.states.values_mut().for_each(|state| state.load.drop_silent_peers(now, &options));
+        self.starts.step(now);
     }
 
     /// `evidence` returns what is known of an upstream from its outcomes.
@@ -252,8 +246,7 @@
         if candidates.is_empty() {
             return Choice::NoUpstream(NO_UPSTREAM_RETURN);
         }
-        let mut needs = Needs::of_request(ask);
-        needs.ranked = self.ranked(ask, &needs, &candidates);
+        let needs = self.needs(ask, &candidates, now);
         let unknown = UpstreamState::default();
         let mut best: Option<(f64, Placement)> = None;
         let mut least_excess = LONGEST_RETURN;
@@ -300,11 +293,21 @@
         let running = state.load.figures(now, &options).memory_tokens;
         let room_tokens = ask.memory_tokens.saturating_sub(running);
         state.kept.note(&ask.facts.prefix, room_tokens);
+        self.note_start(key, ask.facts, now);
         if let Some(team) = ask.team {
             self.windows.note_begun(team, ask.facts.pool_tokens(), now);
         }
     }
 
+    fn note_start(&mut self, key: UpstreamKey, facts: &RequestFacts, now: Timestamp) {
+        let (Some(start), Some(upstream)) = (facts.shared_start(), self.registry.get(key)) else {
+            return;
+        };
+        let tokens = u32::try_from(facts.shared_tokens()).unwrap_or(u32::MAX);
+        let upstream = upstream.life_number;
+        self.starts.sent(StartNote { start, tokens, upstream, used: now });
+    }
+
     fn standing(&mut self, ask: &Ask<'_>, now: Timestamp) -> Standing {
         let Some(team) = ask.team else { return Standing::WithinShare };
         if !ask.facts.is_generation() {
@@ -364,30 +367,18 @@
         !evidence.is_failing(usual_rate) || evidence.is_trial_due(now)
     }
 
-    /// The first engines by rendezvous for the shared start of a prompt.
-    ///
-    /// A long start is kept by few engines of the whole fleet: each domain reads it too seldom to
-    /// keep it warm, and the way to another domain takes less time than reading it again. A short
-    /// one is kept in each domain.
-    fn ranked(&self, ask: &Ask<'_>, needs: &Needs, candidates: &[&Upstream]) -> Ranked {
-        let mut ranked = [None; KEPT_PARTS.len()];
-        let Some(shared) = ask.facts.prefix.iter().rev().nth(1) else { return ranked };
-        let read_ms = needs.shared_tokens / self.options.loads.prefill_tokens_per_ms;
-        let way_ms = millis(self.options.remote_round_trip) + FAR_WEIGHT_MS;
-        let is_global = way_ms < READ_AGAIN_WEIGHT * read_ms;
-        let mut weights = [0; KEPT_PARTS.len()];
-        for engine in candidates {
-            if !is_global && engine.domain_number != self.domain_number {
-                continue;
-            }
-            let weight = rendezvous_weight(shared.id, engine.id_number);
-            let Some(place) = weights.iter().position(|other| *other < weight) else { continue };
-            weights[place..].rotate_right(1);
-            ranked[place..].rotate_right(1);
-            weights[place] = weight;
-            ranked[place] = Some(engine.key);
-        }
-        ranked
+    fn needs(&self, ask: &Ask<'_>, candidates: &[&Upstream], now: Timestamp) -> Needs {
+        let mut needs = Needs::of_request(ask);
+        let Some(start) = ask.facts.shared_start() else { return needs };
+        needs.rank_engines(
+            start,
+            candidates,
+            self.domain_number,
+            self.options.remote_round_trip,
+            self.options.loads.prefill_tokens_per_ms,
+        );
+        needs.find_holders(start, candidates, &self.starts, now);
+        needs
     }
 
     fn distance(&self, upstream: &Upstream) -> Distance {
@@ -409,8 +400,8 @@
         now: Timestamp,
     ) -> Look {
         let options = &self.options.loads;
-        let rank = needs.ranked.iter().position(|ranked| *ranked == Some(upstream.key));
-        let work = work_at(state, ask, needs, rank);
+        let kept_tokens = state.kept.kept_tokens(&ask.facts.prefix);
+        let Reading { work, fetch_from, fetch_ms } = needs.reading_at(upstream, kept_tokens);
         let slots = upstream.registration.slots;
         let distance = self.distance(upstream);
         let way_ms = match distance {
@@ -423,11 +414,13 @@
             true => work.unread_tokens / options.prefill_tokens_per_ms,
             false => state.load.plain_ms(options),
         };
+        let begin_ms = state.load.predict_ms(work, &figures, slots, now, options);
         Look {
             key: upstream.key,
-            rank,
+            rank: needs.rank(upstream.key),
             work,
-            predicted_ms: state.load.predict_ms(work, &figures, slots, now, options) + way_ms,
+            fetch_from,
+            predicted_ms: begin_ms + way_ms + fetch_ms,
             own_ms,
             read_again_ms: (work.unread_tokens - own_tokens) / options.prefill_tokens_per_ms,
             figures,
@@ -437,35 +430,6 @@
     }
 }
 
-/// The first engines in the rendezvous order for the shared start of a prompt.
-type Ranked = [Option<UpstreamKey>; KEPT_PARTS.len()];
-
-impl Needs {
-    fn of_request(ask: &Ask<'_>) -> Self {
-        let facts = ask.facts;
-        Self {
-            is_generation: facts.is_generation(),
-            prompt_tokens: facts.prompt_tokens as f64,
-            shared_tokens: facts.shared_tokens() as f64,
-            own_tokens: facts.own_tokens() as f64,
-            memory_tokens: facts.prompt_tokens + facts.output_tokens(),
-            ranked: Ranked::default(),
-        }
-    }
-}
-
-fn work_at(state: &UpstreamState, ask: &Ask<'_>, needs: &Needs, rank: Option<usize>) -> Work {
-    if !needs.is_generation {
-        return Work::default();
-    }
-    let kept = state.kept.kept_tokens(&ask.facts.prefix) as f64;
-    let expected = rank.map_or(0.0, |rank| KEPT_PARTS[rank]) * needs.shared_tokens;
-    Work {
-        unread_tokens: (needs.prompt_tokens - kept.max(expected)).max(1.0),
-        memory_tokens: needs.memory_tokens,
-    }
-}
-
 fn placement_of_look(seen: &Look, standing: Standing) -> Placement {
     Placement {
         upstream: seen.key,
@@ -474,15 +438,6 @@
         requests: seen.figures.requests,
         standing,
         rank: seen.rank,
+        fetch_from: seen.fetch_from,
     }
 }
-
-fn rendezvous_weight(part: PartId, upstream: UpstreamId) -> u64 {
-    let mut hash = part ^ (u64::from(upstream) << 32) ^ u64::from(upstream);
-    // Two rounds of a multiplicative mix; with one, neighbouring parts go to the same engine.
-    for _ in 0..2 {
-        hash ^= hash >> 33;
-        hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
-    }
-    hash ^ (hash >> 33)
-}
--- a/crates/bergamotpitch-control/src/traffic/catalogs.rs
+++ b/crates/bergamotpitch-control/src/traffic/catalogs.rs
@@ -106,6 +106,34 @@
     pub slots: u32,
     /// Tokens that one engine's memory holds, of running requests and of kept parts.
     pub memory_tokens: u64,
+    /// Over what engines fetch parts of prompts from each other; `None` when they do not.
+    pub cache_link: Option<CacheLink>,
+}
+
+/// `CacheLink` is over what the engines of a service fetch parts of prompts from each other.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct CacheLink {
+    /// Size of one token in an engine's memory, in bytes.
+    pub token_bytes: u64,
+    /// Rate of an engine's link, in megabits a second.
+    pub megabits_per_s: f64,
+}
+
+impl CacheLink {
+    /// `transfer_time` returns the time in which so many tokens go over an idle link.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bergamotpitch_control::traffic::catalogs::CacheLink;
+    ///
+    /// let link = CacheLink { token_bytes: 250_000, megabits_per_s: 400_000.0 };
+    /// assert_eq!(link.transfer_time(4_000.0), Duration::from_millis(20));
+    /// ```
+    pub fn transfer_time(&self, tokens: f64) -> Duration {
+        let megabits = tokens * self.token_bytes as f64 * 8.0 / 1e6;
+        Duration::try_from_secs_f64(megabits / self.megabits_per_s).unwrap_or(Duration::MAX)
+    }
 }
 
 /// `Team` is a team as its keys and requests see it.
--- a/crates/bergamotpitch-control/src/traffic/facts.rs
+++ b/crates/bergamotpitch-control/src/traffic/facts.rs
@@ -80,6 +80,20 @@
         self.prefix.iter().rev().skip(1).map(|part| u64::from(part.tokens)).sum()
     }
 
+    /// `shared_start` names the start of the prompt that other requests share, by its last part.
+    ///
+    /// ```
+    /// use bergamotpitch_control::traffic::facts::{PromptPart, RequestFacts};
+    ///
+    /// let prefix = vec![PromptPart { id: 1, tokens: 500 }, PromptPart { id: 2, tokens: 70 }];
+    /// let facts = RequestFacts { prompt_tokens: 570, prefix, ..Default::default() };
+    /// assert_eq!(facts.shared_start(), Some(1));
+    /// assert_eq!(RequestFacts::default().shared_start(), None);
+    /// ```
+    pub fn shared_start(&self) -> Option<PartId> {
+        self.prefix.iter().rev().nth(1).map(|part| part.id)
+    }
+
     /// `own_tokens` returns the length of what no other request shares.
     pub fn own_tokens(&self) -> u64 {
         self.prompt_tokens.saturating_sub(self.shared_tokens())
--- a/crates/bergamotpitch-control/src/traffic/fits.rs
+++ b/crates/bergamotpitch-control/src/traffic/fits.rs
@@ -58,7 +58,10 @@
     pub rank: Option<usize>,
     /// What the request means for it.
     pub work: Work,
-    /// Predicted time until the first event or the answer, with the way there and back.
+    /// Engine from which it should fetch what it does not keep of the prompt's start.
+    pub fetch_from: Option<UpstreamKey>,
+    /// Predicted time until the first event or the answer, with the way there and back and the
+    /// fetch.
     pub predicted_ms: f64,
     /// Time that the request itself takes: to read what the engine does not keep of the prompt, or
     /// for the work of a plain call. It is late because of this wherever it is sent.
--- /dev/null
+++ b/crates/bergamotpitch-control/src/traffic/needs.rs
@@ -0,0 +1,198 @@
+//! Needs: what one request needs of an engine, and which engines likely keep the start of its
+//! prompt. Both are found once for all upstreams that a decision looks at.
+
+use std::time::Duration;
+
+use bergamotpitch_core::ids::{DomainId, UpstreamId};
+use bergamotpitch_core::units::Timestamp;
+
+use crate::traffic::admissions::Ask;
+use crate::traffic::catalogs::CacheLink;
+use crate::traffic::engine_loads::Work;
+use crate::traffic::facts::PartId;
+use crate::traffic::fits::{FAR_WEIGHT_MS, READ_AGAIN_WEIGHT, millis};
+use crate::traffic::registries::{Upstream, UpstreamKey};
+use crate::traffic::starts::Starts;
+
+/// `KEPT_PARTS` are the parts of a prompt's shared start that the first engines by rendezvous are
+/// expected to keep while nobody told where the start was read: peers agree on the order without any
+/// talk, and use the next when those before it are full.
+const KEPT_PARTS: [f64; 2] = [0.9, 0.7];
+
+/// `HOLDER_PART` is the part of a start that an engine is expected to keep at which it was read
+/// lately.
+const HOLDER_PART: f64 = 0.97;
+
+/// `HOLDERS` is how many engines that keep a start are looked at.
+const HOLDERS: usize = 3;
+
+/// `FETCH_SETUP_MS` is the time until the first part of a start arrives from another engine, as
+/// operators state it for the engines that they run.
+const FETCH_SETUP_MS: f64 = 3.0;
+
+/// `FETCH_LEAST_TOKENS` is the least that is worth fetching: less is read sooner than a fetch is set
+/// up.
+const FETCH_LEAST_TOKENS: f64 = 128.0;
+
+/// `FETCH_FACTOR` is how much longer a fetch takes than over an idle link: engines send one start
+/// after another, and while many instances place requests by the same news, three starts on average
+/// want the link of one engine.
+const FETCH_FACTOR: f64 = 3.0;
+
+/// `REMOTE_FETCH_FACTOR` is by how much a fetch from another failure domain takes longer still.
+const REMOTE_FETCH_FACTOR: f64 = 2.0;
+
+/// `Needs` are the sizes of a request, and the engines that likely keep its start.
+#[derive(Debug, Clone, Copy)]
+pub struct Needs {
+    /// Whether an engine reads a prompt for it.
+    pub is_generation: bool,
+    /// Length of the part of the prompt that no other request shares.
+    pub own_tokens: f64,
+    prompt_tokens: f64,
+    shared_tokens: f64,
+    memory_tokens: u64,
+    cache_link: Option<CacheLink>,
+    ranked: [Option<UpstreamKey>; KEPT_PARTS.len()],
+    holders: [Option<Holder>; HOLDERS],
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Holder {
+    key: UpstreamKey,
+    domain_number: DomainId,
+}
+
+/// `Reading` is how one engine would come by the prompt.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Reading {
+    /// What the request means for the engine.
+    pub work: Work,
+    /// Engine from which it fetches what it does not keep of the shared start.
+    pub fetch_from: Option<UpstreamKey>,
+    /// Time that the fetch is expected to take.
+    pub fetch_ms: f64,
+}
+
+impl Needs {
+    /// `of_request` returns the sizes of a request.
+    pub fn of_request(ask: &Ask<'_>) -> Self {
+        let facts = ask.facts;
+        Self {
+            is_generation: facts.is_generation(),
+            own_tokens: facts.own_tokens() as f64,
+            prompt_tokens: facts.prompt_tokens as f64,
+            shared_tokens: facts.shared_tokens() as f64,
+            memory_tokens: facts.prompt_tokens + facts.output_tokens(),
+            cache_link: ask.cache_link,
+            ranked: Default::default(),
+            holders: Default::default(),
+        }
+    }
+
+    /// `rank_engines` finds the first engines by rendezvous for the shared start of the prompt.
+    ///
+    /// A long start is kept by few engines of the whole fleet: each domain reads it too seldom to
+    /// keep it warm, and the way to another domain takes less time than reading it again. A short
+    /// one is kept in each domain.
+    pub fn rank_engines(
+        &mut self,
+        start: PartId,
+        candidates: &[&Upstream],
+        own_domain: DomainId,
+        remote_round_trip: Duration,
+        prefill_tokens_per_ms: f64,
+    ) {
+        let read_ms = self.shared_tokens / prefill_tokens_per_ms;
+        let way_ms = millis(remote_round_trip) + FAR_WEIGHT_MS;
+        let is_global = way_ms < READ_AGAIN_WEIGHT * read_ms;
+        let mut weights = [0; KEPT_PARTS.len()];
+        for engine in candidates {
+            if !is_global && engine.domain_number != own_domain {
+                continue;
+            }
+            let weight = rendezvous_weight(start, engine.id_number);
+            let Some(place) = weights.iter().position(|other| *other < weight) else { continue };
+            weights[place..].rotate_right(1);
+            self.ranked[place..].rotate_right(1);
+            weights[place] = weight;
+            self.ranked[place] = Some(engine.key);
+        }
+    }
+
+    /// `find_holders` finds the engines at which the shared start was read lately.
+    pub fn find_holders(
+        &mut self,
+        start: PartId,
+        candidates: &[&Upstream],
+        starts: &Starts,
+        now: Timestamp,
+    ) {
+        let lives = starts.holders(start, now);
+        let found = lives
+            .filter_map(|life| candidates.iter().find(|upstream| upstream.life_number == life));
+        for (holder, found) in self.holders.iter_mut().zip(found) {
+            *holder = Some(Holder { key: found.key, domain_number: found.domain_number });
+        }
+    }
+
+    /// `rank` returns the place of an engine in the rendezvous order for the shared start.
+    pub fn rank(&self, key: UpstreamKey) -> Option<usize> {
+        self.ranked.iter().position(|ranked| *ranked == Some(key))
+    }
+
+    /// `reading_at` tells how an upstream would come by the prompt, of which it keeps `kept_tokens`
+    /// by this instance's own books.
+    ///
+    /// A start that another engine holds is always fetched: an engine that keeps it after all fetches
+    /// nothing, and one that dropped it unseen need not read it again.
+    pub fn reading_at(&self, upstream: &Upstream, kept_tokens: u64) -> Reading {
+        if !self.is_generation {
+            return Reading { work: Work::default(), fetch_from: None, fetch_ms: 0.0 };
+        }
+        let expected = self.kept_part(upstream.key) * self.shared_tokens;
+        let unread_tokens = (self.prompt_tokens - expected.max(kept_tokens as f64)).max(1.0);
+        let work = Work { unread_tokens, memory_tokens: self.memory_tokens };
+        let (Some(link), Some(holder)) = (self.cache_link, self.source_for(upstream)) else {
+            return Reading { work, fetch_from: None, fetch_ms: 0.0 };
+        };
+        let fetch_from = Some(holder.key);
+        let missing_tokens = unread_tokens - self.own_tokens;
+        if missing_tokens < FETCH_LEAST_TOKENS {
+            return Reading { work, fetch_from, fetch_ms: 0.0 };
+        }
+        let fetched_tokens = HOLDER_PART * missing_tokens;
+        let work = Work { unread_tokens: unread_tokens - fetched_tokens, ..work };
+        let is_near = holder.domain_number == upstream.domain_number;
+        let factor = FETCH_FACTOR * if is_near { 1.0 } else { REMOTE_FETCH_FACTOR };
+        let fetch_ms = FETCH_SETUP_MS + factor * millis(link.transfer_time(fetched_tokens));
+        Reading { work, fetch_from, fetch_ms }
+    }
+
+    /// The holder of the start from which an engine has it soonest: one of its own domain, else the
+    /// one that used it last.
+    fn source_for(&self, upstream: &Upstream) -> Option<Holder> {
+        let others = || self.holders.iter().flatten().filter(|holder| holder.key != upstream.key);
+        let near = others().find(|holder| holder.domain_number == upstream.domain_number);
+        near.or_else(|| others().next()).copied()
+    }
+
+    fn kept_part(&self, key: UpstreamKey) -> f64 {
+        if self.holders.iter().flatten().any(|holder| holder.key == key) {
+            return HOLDER_PART;
+        }
+        // Once it is known where a start was read, the order tells no more.
+        let is_unknown = self.holders.iter().all(Option::is_none);
+        self.rank(key).filter(|_| is_unknown).map_or(0.0, |rank| KEPT_PARTS[rank])
+    }
+}
+
+fn rendezvous_weight(part: PartId, upstream: UpstreamId) -> u64 {
+    let mut hash = part ^ (u64::from(upstream) << 32) ^ u64::from(upstream);
+    // Two rounds of a multiplicative mix; with one, neighbouring parts go to the same engine.
+    for _ in 0..2 {
+        hash ^= hash >> 33;
+        hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
+    }
+    hash ^ (hash >> 33)
+}
--- a/crates/bergamotpitch-control/tests/engines/mod.rs
+++ b/crates/bergamotpitch-control/tests/engines/mod.rs
@@ -57,6 +57,14 @@
         self.waiting.push_back(Work { number, prefix, unread_tokens: 0.0, left_tokens });
     }
 
+    /// `fetch` takes what `holder` keeps of the shared start of a prompt.
+    pub fn fetch(&mut self, prefix: &[PromptPart], holder: &Engine) {
+        let shared = &prefix[..prefix.len().saturating_sub(1)];
+        let is_kept = |part: &&PromptPart| holder.kept.iter().any(|kept| kept.id == part.id);
+        let fetched: Vec<PromptPart> = shared.iter().take_while(is_kept).copied().collect();
+        self.keep(&fetched);
+    }
+
     /// `run` goes on until `until` and returns what happened.
     pub fn run(&mut self, until: Duration) -> Vec<Happening> {
         let until_ms = until.as_secs_f64() * 1_000.0;
--- a/crates/bergamotpitch-control/tests/near_domains.rs
+++ b/crates/bergamotpitch-control/tests/near_domains.rs
@@ -43,6 +43,7 @@
         tried: &[],
         memory_tokens: 500_000,
         pool_tokens_per_s: None,
+        cache_link: None,
     };
     let mut order = Vec::new();
     for number in 0..40 {
--- a/crates/bergamotpitch-control/tests/slow_services.rs
+++ b/crates/bergamotpitch-control/tests/slow_services.rs
@@ -35,6 +35,7 @@
         tried: &[],
         memory_tokens: u64::MAX,
         pool_tokens_per_s: None,
+        cache_link: None,
     }
 }
 
--- a/crates/bergamotpitch-control/tests/worst_load.rs
+++ b/crates/bergamotpitch-control/tests/worst_load.rs
@@ -112,6 +112,7 @@
         tried: &[],
         memory_tokens: MEMORY_TOKENS,
         pool_tokens_per_s: POOL_TOKENS_PER_S,
+        cache_link: None,
     }
 }
 
@@ -159,6 +160,11 @@
             };
             let engine = keys.iter().position(|key| *key == placement.upstream).unwrap();
             let prefix = request.facts.prefix.clone();
+            if let Some(holder) = placement.fetch_from {
+                let holder = keys.iter().position(|key| *key == holder).unwrap();
+                let [engine, holder] = engines.get_disjoint_mut([engine, holder]).unwrap();
+                engine.fetch(&prefix, holder);
+            }
             engines[engine].send(*number as u64, prefix, request.facts.output_tokens());
             false
         });
@@ -193,6 +199,7 @@
         requests,
         standing: Standing::WithinShare,
         rank: None,
+        fetch_from: None,
     };
     traffic.send(number, &placement, ask, now);
     Some(placement)
--- a/crates/bergamotpitch-gateway/examples/gateway_overhead.rs
+++ b/crates/bergamotpitch-gateway/examples/gateway_overhead.rs
@@ -127,7 +127,7 @@
     let service = Service {
         name: "all".to_owned(),
         connections_max: 1_000,
-        engine: Some(EngineService { slots: 64, memory_tokens: 1_000_000 }),
+        engine: Some(EngineService { slots: 64, memory_tokens: 1_000_000, cache_link: None }),
     };
     let teams = (0..30).map(|number| Team {
         name: format!("team-{number}"),
--- a/crates/bergamotpitch-gateway/src/beats.rs
+++ b/crates/bergamotpitch-gateway/src/beats.rs
@@ -8,7 +8,9 @@
 
 use bergamotpitch_control::traffic::catalogs::CatalogVersion;
 use bergamotpitch_control::traffic::engine_loads::Figures;
+use bergamotpitch_control::traffic::facts::PartId;
 use bergamotpitch_control::traffic::registries::LeavingSource;
+use bergamotpitch_control::traffic::starts::StartNote;
 use bergamotpitch_control::traffic::team_windows::TeamSums;
 use bergamotpitch_core::HashMap;
 use bergamotpitch_core::ids::{Incarnation, InstanceId, TeamId, UpstreamId};
@@ -83,6 +85,8 @@
     pub teams: Vec<TeamLine>,
     /// Upstreams, by the numbers of their lives, of which it knows that they leave.
     pub leaving: Vec<UpstreamId>,
+    /// Where it sent starts of prompts lately.
+    pub starts: Vec<StartLine>,
 }
 
 /// `LoadLine` is what one instance has in hand at one upstream.
@@ -103,6 +107,16 @@
     begun_tokens: u64,
 }
 
+/// `StartLine` tells that an engine was sent a prompt with a start.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct StartLine {
+    start: PartId,
+    tokens: u32,
+    /// Number of the engine's life.
+    upstream: UpstreamId,
+    age_ms: u32,
+}
+
 /// `replace_peers` takes in where all peers are.
 pub fn replace_peers(peers: &mut Peers, addresses: Vec<PeerAddress>) {
     peers.retain(|instance, _| addresses.iter().any(|address| address.instance == *instance));
@@ -187,6 +201,14 @@
             memory_tokens: figures.memory_tokens,
         })
     });
+    let loads: Vec<LoadLine> = loads.collect();
+    let starts = traffic.starts.own_notes(now).into_iter().map(|note| StartLine {
+        start: note.start,
+        tokens: note.tokens,
+        upstream: note.upstream,
+        age_ms: u32::try_from(now.saturating_sub(note.used).as_millis()).unwrap_or(u32::MAX),
+    });
+    let starts = starts.collect();
     let leaving = traffic
         .registry
         .all()
@@ -198,7 +220,8 @@
         sequence,
         version: gateway.version(),
         list_change: gateway.list_change(),
-        loads: loads.collect(),
+        loads,
+        starts,
         leaving: leaving.collect(),
         teams: teams
             .into_iter()
@@ -215,6 +238,11 @@
     loop {
         match postcard::to_stdvec(&beat) {
             Ok(bytes) if bytes.len() <= BEAT_BYTES => return Some(bytes),
+            // The shortest starts are read again soonest.
+            Ok(_) if 1 < beat.starts.len() => {
+                beat.starts.sort_by_key(|line| std::cmp::Reverse(line.tokens));
+                beat.starts.truncate(3 * beat.starts.len() / 4);
+            }
             // The smallest lines say least.
             Ok(_) if 1 < beat.teams.len() => {
                 beat.teams.sort_by_key(|line| std::cmp::Reverse(line.asked_tokens));
@@ -254,6 +282,7 @@
     drop(peers);
     gateway.take_in_loads(beat.instance, &figures_of_beat(&beat), now);
     gateway.take_in_leaving(&beat.leaving);
+    gateway.take_in_starts(&beat.starts, now);
     let teams = beat.teams.iter().map(|line| {
         let sums = TeamSums { asked_tokens: line.asked_tokens, begun_tokens: line.begun_tokens };
         (line.team, sums)
@@ -261,6 +290,17 @@
     gateway.traffic.borrow_mut().windows.peer_heard(beat.instance, teams, now);
 }
 
+impl Gateway {
+    fn take_in_starts(&self, lines: &[StartLine], now: Timestamp) {
+        let mut traffic = self.traffic.borrow_mut();
+        for line in lines {
+            let used = now.saturating_sub(Duration::from_millis(line.age_ms.into()));
+            let StartLine { start, tokens, upstream, .. } = *line;
+            traffic.starts.heard(StartNote { start, tokens, upstream, used });
+        }
+    }
+}
+
 fn figures_of_beat(beat: &Beat) -> HashMap<UpstreamId, Figures> {
     let figures = beat.loads.iter().map(|line| {
         let figures = Figures {
--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bergamotpitch_control::traffic::admissions::Placement;
-use bergamotpitch_control::traffic::catalogs::{Catalog, Route, RouteKind, Team};
+use bergamotpitch_control::traffic::catalogs::{CacheLink, Catalog, Route, RouteKind, Team};
 use bergamotpitch_control::traffic::facts::RequestFacts;
 use bergamotpitch_control::traffic::registries::UpstreamKey;
 use bergamotpitch_core::events::EventKind;
@@ -80,6 +80,8 @@
     pub deadline: Timestamp,
     /// Memory of one engine of its service, in tokens.
     pub memory_tokens: u64,
+    /// Over what engines of its service fetch parts of prompts from each other.
+    pub cache_link: Option<CacheLink>,
 }
 
 /// `answer` serves one request.
@@ -177,6 +179,7 @@
     let call = Call {
         number: gateway.fresh_number(),
         memory_tokens: engine.map_or(u64::MAX, |engine| engine.memory_tokens),
+        cache_link: engine.and_then(|engine| engine.cache_link),
         headers: passed_headers(gateway, &parts.headers),
         route,
         service,
@@ -218,7 +221,7 @@
         let run = Run::open(gateway, &call, &placement);
         note_dispatch(&call, &placement, gateway, attempts);
         let until = patience(gateway, &call, &placement, attempts);
-        match exchanges::send(gateway, &call, placement.upstream, None, until).await {
+        match exchanges::send(gateway, &call, &placement, None, until).await {
             Ok(answer) => match pass_on(gateway, &call, run, answer, attempts).await {
                 Ok(response) => return Ok(response),
                 Err(detail) => {
@@ -358,7 +361,7 @@
         EventKind::RequestDispatched,
         format_args!(
             "request={} route={} team={} upstream={} attempt={} predicted_ms={} requests_there={} \
-             unread_tokens={:.0} rank={:?} standing={} waited_ms={} version={}",
+             unread_tokens={:.0} rank={:?} fetch_from={} standing={} waited_ms={} version={}",
             call.facts.attempt_id,
             call.route.name,
             call.team.as_deref().map_or("-", |team| &team.name),
@@ -368,6 +371,7 @@
             placement.requests,
             placement.work.unread_tokens,
             placement.rank,
+            placement.fetch_from.and_then(|key| gateway.id_of(key)).as_deref().unwrap_or("-"),
             placement.standing,
             waited.as_millis(),
             call.catalog.version,
--- a/crates/bergamotpitch-gateway/src/dialects.rs
+++ b/crates/bergamotpitch-gateway/src/dialects.rs
@@ -1,5 +1,6 @@
 //! Dialects: how requests and answers spell what the gateway needs to know.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bergamotpitch_control::traffic::engine_loads::Report;
@@ -36,6 +37,8 @@
     pub team: Option<&'a str>,
     /// Id of the last event that was passed on, when a stream goes on.
     pub resume_after: Option<&'a str>,
+    /// Engine from which it should fetch what it does not keep of the prompt.
+    pub fetch_from: Option<SocketAddr>,
 }
 
 /// `AnswerFacts` are what the head of an upstream's answer says.
--- a/crates/bergamotpitch-gateway/src/exchanges.rs
+++ b/crates/bergamotpitch-gateway/src/exchanges.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bergamotpitch_control::traffic::admissions::Placement;
 use bergamotpitch_control::traffic::registries::UpstreamKey;
 use bergamotpitch_core::units::Timestamp;
 use bytes::Bytes;
@@ -64,12 +65,12 @@
 pub async fn send(
     gateway: &Rc<Gateway>,
     call: &Call,
-    key: UpstreamKey,
+    placement: &Placement,
     resume_after: Option<&str>,
     until: Timestamp,
 ) -> Result<Answer, Failure> {
     let time = until.saturating_sub(gateway.now());
-    match tokio::time::timeout(time, exchange(gateway, call, key, resume_after)).await {
+    match tokio::time::timeout(time, exchange(gateway, call, placement, resume_after)).await {
         Ok(result) => result,
         Err(_) => Err(Failure::TimedOut),
     }
@@ -78,9 +79,10 @@
 async fn exchange(
     gateway: &Rc<Gateway>,
     call: &Call,
-    key: UpstreamKey,
+    placement: &Placement,
     resume_after: Option<&str>,
 ) -> Result<Answer, Failure> {
+    let key = placement.upstream;
     let mut warm = gateway.pools.take(key, gateway.now());
     loop {
         let is_warm = warm.is_some();
@@ -88,7 +90,7 @@
             Some(sender) => sender,
             None => open(gateway, key).await?,
         };
-        let request = request_of_call(gateway, call, key, resume_after)?;
+        let request = request_of_call(gateway, call, placement, resume_after)?;
         match sender.try_send_request(request).await {
             Ok(response) => return read_head(gateway, call, key, response, sender),
             // The connection closed before anything was written: a fresh one may carry it.
@@ -115,16 +117,17 @@
 fn request_of_call(
     gateway: &Gateway,
     call: &Call,
-    key: UpstreamKey,
+    placement: &Placement,
     resume_after: Option<&str>,
 ) -> Result<Request<Full<Bytes>>, Failure> {
-    let upstream_id = gateway.id_of(key).ok_or(Failure::Unreachable)?;
+    let upstream_id = gateway.id_of(placement.upstream).ok_or(Failure::Unreachable)?;
     let mut headers = call.headers.clone();
     let written = UpstreamHeaders {
         time_left: call.deadline.saturating_sub(gateway.now()),
         upstream_id: &upstream_id,
         team: call.team.as_deref().map(|team| team.name.as_str()),
         resume_after,
+        fetch_from: placement.fetch_from.and_then(|holder| gateway.address_of(holder)),
     };
     (gateway.dialect.write_upstream_headers)(&mut headers, &written);
     headers.insert(HOST, call.host.clone());
--- a/crates/bergamotpitch-gateway/src/placements.rs
+++ b/crates/bergamotpitch-gateway/src/placements.rs
@@ -100,6 +100,7 @@
         elapsed: now.saturating_sub(call.arrived),
         tried,
         memory_tokens: call.memory_tokens,
+        cache_link: call.cache_link,
         pool_tokens_per_s: call.catalog.pool_tokens_per_s,
     }
 }
--- a/crates/bergamotpitch-gateway/tests/common/mod.rs
+++ b/crates/bergamotpitch-gateway/tests/common/mod.rs
@@ -275,7 +275,7 @@
     let service = Service {
         name: "all".to_owned(),
         connections_max: 10,
-        engine: Some(EngineService { slots: 4, memory_tokens: 1_000 }),
+        engine: Some(EngineService { slots: 4, memory_tokens: 1_000, cache_link: None }),
     };
     let team =
         Team { name: "florists".to_owned(), priority: None, keys: vec!["secret".to_owned()] };
--- a/crates/bergamotpitch-gateway/tests/peer_news.rs
+++ b/crates/bergamotpitch-gateway/tests/peer_news.rs
@@ -2,13 +2,17 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
-use bergamotpitch_control::traffic::engine_loads::Figures;
+use bergamotpitch_control::traffic::engine_loads::{Figures, Work};
+use bergamotpitch_control::traffic::starts::StartNote;
 use bergamotpitch_core::HashMap;
 use bergamotpitch_core::ids::UpstreamId;
 use bergamotpitch_gateway::Gateway;
+use bergamotpitch_gateway::beats::{self, Beat, PeerAddress};
 use common::{FakeUpstream, registration, run, start, whole};
+use tokio::net::UdpSocket;
 
 fn life_number(gateway: &Rc<Gateway>) -> UpstreamId {
     let traffic = gateway.traffic.borrow();
@@ -50,3 +54,48 @@
         assert!(!takes_work(&gateway));
     });
 }
+
+/// A peer that listens at `address`.
+fn peer(instance: u32, address: SocketAddr) -> PeerAddress {
+    let domain = "a".to_owned();
+    PeerAddress { instance, domain, beat_address: address, relay_address: address }
+}
+
+/// The next beat that arrives.
+async fn beat_from(socket: &UdpSocket) -> Beat {
+    let mut buffer = [0; 4_000];
+    let length = socket.recv(&mut buffer).await.unwrap();
+    assert!(length <= 1_400, "{length} bytes are cut on the way");
+    postcard::from_bytes(&buffer[..length]).unwrap()
+}
+
+/// Callers of a flooding team reach one instance, which sends more starts of prompts than one
+/// datagram tells. If the beat were left out or cut anywhere, peers would not learn what runs where,
+/// and fill the same engines.
+#[test]
+fn crowded_beat() {
+    run(async {
+        let upstream = FakeUpstream::start(Box::new(|_| vec![whole("200 OK", "done")])).await;
+        let (gateway, _) = start(&[&upstream]).await;
+        let listener = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        gateway.replace_peers(vec![peer(7, listener.local_addr().unwrap())]);
+        let life = life_number(&gateway);
+        let now = gateway.now();
+        {
+            let mut traffic = gateway.traffic.borrow_mut();
+            let key = traffic.registry.key_of("u0").unwrap();
+            let options = traffic.options.loads;
+            traffic.load(key).send(1, Work::default(), 4, now, &options);
+            for start in 1..=500 {
+                let tokens = start as u32;
+                traffic.starts.sent(StartNote { start, tokens, upstream: life, used: now });
+            }
+        }
+        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        beats::send_beat(&gateway, &socket, 1).await;
+        let beat = beat_from(&listener).await;
+        assert_eq!(beat.loads.len(), 1);
+        let starts = beat.starts.len();
+        assert!((40..500).contains(&starts), "{starts}");
+    });
+}
