Let instances of a domain fetch news of the store from two that watch it

All 90 instances watched the list, so that each change of one engine ended 90 waiting calls, and each was answered and parsed by an instance with an eighth of a core.

Ruled out: a longer pause of the instances that are no watchers (engines that join would be unknown to most of the fleet for seconds), reads that may be stale (they are seconds old, and the whole list each time).

Change: two instances a domain watch. The others rest, hear by beats that a watcher knows more, and fetch what has changed since their last fetch (relays: Relay, Cursor, News). A watcher tells that an entry is gone only once it has forgotten it itself, so that what lapsed in an outage stays.

--- a/crates/bergamotpitch-control/src/traffic/registries.rs
+++ b/crates/bergamotpitch-control/src/traffic/registries.rs
@@ -235,6 +235,15 @@
         changes
     }
 
+    /// `gone` takes in from a peer, which has waited for what lapsed, that an id is gone.
+    pub fn gone(&mut self, id: &str) -> Vec<Change> {
+        let mut changes = Vec::new();
+        if let Some(key) = self.key_of(id) {
+            self.forget(key, &mut changes);
+        }
+        changes
+    }
+
     /// `left` takes in from another source than the list that an upstream leaves.
     pub fn left(&mut self, key: UpstreamKey, source: LeavingSource) -> Option<Change> {
         let upstream = self.upstreams.get_mut(&key)?;
--- a/crates/bergamotpitch-gateway/src/beats.rs
+++ b/crates/bergamotpitch-gateway/src/beats.rs
@@ -61,6 +61,30 @@
     pub version: CatalogVersion,
     /// Revision of the latest change of the list of upstreams that it has seen.
     pub list_change: u64,
+    /// Whether it watches the store for its domain.
+    pub watches: bool,
+    /// Number of the latest change of its documents.
+    pub relay_number: u64,
+}
+
+impl Peer {
+    /// `new` is a peer that was not heard yet.
+    pub fn new(address: PeerAddress) -> Self {
+        Self {
+            address,
+            latest: (0, 0),
+            heard: None,
+            version: 0,
+            list_change: 0,
+            watches: false,
+            relay_number: 0,
+        }
+    }
+
+    /// `incarnation` returns the life of it that was heard last.
+    pub fn incarnation(&self) -> Incarnation {
+        self.latest.0
+    }
 }
 
 /// `Peers` is the table of all peers.
@@ -79,6 +103,10 @@
     pub version: CatalogVersion,
     /// Revision of the latest change of the list of upstreams that it has seen.
     pub list_change: u64,
+    /// Whether it watches the store for its domain.
+    pub watches: bool,
+    /// Number of the latest change of its documents.
+    pub relay_number: u64,
     /// What it has in hand at each upstream.
     pub loads: Vec<LoadLine>,
     /// What its teams asked and began.
@@ -126,10 +154,7 @@
         if known.is_some_and(|peer| peer.address == address) {
             continue;
         }
-        peers.insert(
-            instance,
-            Peer { address, latest: (0, 0), heard: None, version: 0, list_change: 0 },
-        );
+        peers.insert(instance, Peer::new(address));
     }
 }
 
@@ -160,9 +185,19 @@
     receivers
 }
 
+/// `turn_interval` is the time between two beats to one of `count` peers of the own domain.
+pub fn turn_interval(count: usize) -> Duration {
+    let turns = u32::try_from(turns_of(count)).unwrap_or(u32::MAX);
+    BEAT_INTERVAL.saturating_mul(turns)
+}
+
+fn turns_of(count: usize) -> usize {
+    count.div_ceil(PEERS_A_BEAT).max(1)
+}
+
 fn turn(mut addresses: Vec<&PeerAddress>, round: u64) -> Vec<SocketAddr> {
     addresses.sort_by_key(|address| address.instance);
-    let turns = addresses.len().div_ceil(PEERS_A_BEAT).max(1);
+    let turns = turns_of(addresses.len());
     let current = (round % turns as u64) as usize;
     let due = addresses.iter().enumerate().filter(|(index, _)| index % turns == current);
     due.map(|(_, address)| address.beat_address).collect()
@@ -220,6 +255,8 @@
         sequence,
         version: gateway.version(),
         list_change: gateway.list_change(),
+        watches: !gateway.relies_on_peers(),
+        relay_number: gateway.relay.borrow().last_number(),
         loads,
         starts,
         leaving: leaving.collect(),
@@ -279,6 +316,8 @@
     peer.heard = Some(now);
     peer.version = beat.version;
     peer.list_change = beat.list_change;
+    peer.watches = beat.watches;
+    peer.relay_number = beat.relay_number;
     drop(peers);
     gateway.take_in_loads(beat.instance, &figures_of_beat(&beat), now);
     gateway.take_in_leaving(&beat.leaving);
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -8,6 +8,7 @@
 
 use bergamotpitch_control::traffic::admissions::Traffic;
 use bergamotpitch_control::traffic::catalogs::{CallerLimits, Catalog, CatalogVersion};
+use bergamotpitch_core::HashMap;
 use bergamotpitch_core::events::EventKind;
 use bergamotpitch_core::ids::id_of_name;
 use bergamotpitch_core::units::Timestamp;
@@ -26,7 +27,7 @@
 use crate::metrics::Metrics;
 use crate::options::Options;
 use crate::probes::{self, Port};
-use crate::relays::{Document, Documents};
+use crate::relays::{Cursor, News, Relay};
 
 /// `SWEEP_BEATS` is how many beats go by between two sweeps over connections.
 const SWEEP_BEATS: u64 = 4;
@@ -41,8 +42,8 @@
 /// seconds late.
 const LOOKS_AT_ONCE: usize = 4;
 
-/// `TakeDocuments` hands documents that a peer sent to whoever understands them.
-pub type TakeDocuments = Box<dyn Fn(Vec<Document>)>;
+/// `TakeNews` hands what a peer sent to whoever understands it.
+pub type TakeNews = Box<dyn Fn(News)>;
 
 /// `Gateway` is the state of one process; it lives on one thread.
 pub struct Gateway {
@@ -63,16 +64,23 @@
     /// Peers.
     pub peers: RefCell<Peers>,
     /// Documents for peers.
-    pub documents: RefCell<Documents>,
+    pub relay: RefCell<Relay>,
     /// Told some milliseconds after a place may have become free.
     pub changed: Notify,
     change_is_due: Cell<bool>,
     /// How many requests wait for a place.
     pub waiting: Cell<usize>,
+    /// Told when this instance begins or ceases to rely on what peers read of the store.
+    pub role_changed: Notify,
+    pub(crate) is_relying: Cell<bool>,
+    /// Until when no peer is relied on, as one did not hand over what it knows.
+    pub(crate) relies_not_until: Cell<Timestamp>,
     /// Told when peers know more of the platform's list than this instance, whose watch must have
     /// gone silent.
     pub list_behind: Notify,
-    pub(crate) take_documents: RefCell<Option<TakeDocuments>>,
+    pub(crate) take_news: RefCell<Option<TakeNews>>,
+    /// Up to where the changes of each peer, by its address, were taken in.
+    pub(crate) cursors: RefCell<HashMap<SocketAddr, Cursor>>,
     catalog: RefCell<Option<Arc<Catalog>>>,
     connections: RefCell<Vec<Rc<CallerConnection>>>,
     started: Instant,
@@ -82,6 +90,9 @@
     was_ready: Cell<bool>,
     is_draining: Cell<bool>,
     refuses_new: Cell<bool>,
+    /// Up to where the own watch has read the list.
+    pub(crate) list_watched: Cell<u64>,
+    /// Up to where it is known, by the own watch or by peers.
     pub(crate) list_known: Cell<u64>,
     pub(crate) list_change: Cell<u64>,
     pub(crate) list_behind_since: Cell<Option<Timestamp>>,
@@ -135,18 +146,22 @@
         Self {
             traffic: RefCell::new(Traffic::new(options.admission.clone())),
             held_bytes: HeldBytes::new(options.body_bytes_max),
+            relay: RefCell::new(Relay::new(options.incarnation)),
             options,
             dialect,
             pools: Pools::default(),
             lateness: Lateness::default(),
             metrics,
             peers: RefCell::default(),
-            documents: RefCell::default(),
             changed: Notify::new(),
             change_is_due: Cell::new(false),
             waiting: Cell::new(0),
+            role_changed: Notify::new(),
+            is_relying: Cell::new(false),
+            relies_not_until: Cell::new(Timestamp::ZERO),
             list_behind: Notify::new(),
-            take_documents: RefCell::default(),
+            take_news: RefCell::default(),
+            cursors: RefCell::default(),
             catalog: RefCell::default(),
             connections: RefCell::default(),
             started: Instant::now(),
@@ -156,6 +171,7 @@
             was_ready: Cell::new(false),
             is_draining: Cell::new(false),
             refuses_new: Cell::new(false),
+            list_watched: Cell::new(0),
             list_known: Cell::new(0),
             list_change: Cell::new(0),
             list_behind_since: Cell::new(None),
@@ -347,9 +363,9 @@
         self.refuses_new.set(true);
     }
 
-    /// `on_documents` sets who takes in documents that peers hand over.
-    pub fn on_documents(&self, take: TakeDocuments) {
-        *self.take_documents.borrow_mut() = Some(take);
+    /// `on_news` sets who takes in what peers send.
+    pub fn on_news(&self, take: TakeNews) {
+        *self.take_news.borrow_mut() = Some(take);
     }
 }
 
@@ -385,10 +401,11 @@
             gateway.pools.sweep(gateway.now());
             callers::drop_slow_heads(&gateway);
         }
+        gateway.note_role();
         gateway.compare_lists();
         if let Some(peer) = gateway.ahead_peer() {
             let gateway = Rc::clone(&gateway);
-            tokio::task::spawn_local(async move { gateway.fetch_documents(peer).await });
+            tokio::task::spawn_local(async move { gateway.fetch_news(peer).await });
         }
     }
 }
--- a/crates/bergamotpitch-gateway/src/peers.rs
+++ b/crates/bergamotpitch-gateway/src/peers.rs
@@ -3,9 +3,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::beats::{self, PeerAddress};
+use bergamotpitch_core::ids::InstanceId;
+use bergamotpitch_core::units::Timestamp;
+
+use crate::beats::{self, Peer, PeerAddress, Peers, turn_interval};
 use crate::gateways::Gateway;
-use crate::relays;
+use crate::relays::{self, Cursor, News};
 
 /// `LIST_TOLERANCE` is how long peers may know a newer list of upstreams before the own watch is
 /// given up: the store tells all watches within some milliseconds.
@@ -15,11 +18,29 @@
 /// turns in a large fleet.
 const PEER_SILENCE: Duration = Duration::from_secs(5);
 
-/// `LAG_TOLERANCE` is how long a peer may have a newer configuration before it is asked for it: the
-/// platform's own notice mostly comes first.
+/// `WATCHERS` is how many instances of a failure domain watch the store, so that one may fail; the
+/// others fetch from them what has changed. Were all 90 instances of a fleet to watch, each change
+/// of one upstream would cost 90 calls.
+const WATCHERS: usize = 2;
+
+/// `WATCHER_TURNS` is for how many of its turns a watcher may be silent before the next instance
+/// takes over: single datagrams are lost.
+const WATCHER_TURNS: u32 = 5;
+
+/// `WATCHER_SILENCE_LEAST` is the shortest silence that counts: a drain must be known everywhere
+/// within 2.5 s, and a process that is late by some hundred milliseconds still watches.
+const WATCHER_SILENCE_LEAST: Duration = Duration::from_millis(900);
+
+/// `DISTRUST` is for how long an instance reads the store itself after a peer did not hand over
+/// what it knows.
+const DISTRUST: Duration = Duration::from_secs(5);
+
+/// `LAG_TOLERANCE` is how long a peer may know more before it is asked: the platform's own notice
+/// mostly comes first, or that of a peer of the own domain.
 const LAG_TOLERANCE: Duration = Duration::from_millis(400);
 
-/// `FETCH_INTERVAL` is the least time between two questions to peers.
+/// `FETCH_INTERVAL` is the least time between two questions to peers: a quarter of the shortest time
+/// within which a change must be in force.
 const FETCH_INTERVAL: Duration = Duration::from_millis(600);
 
 impl Gateway {
@@ -29,26 +50,47 @@
         self.list_change.get()
     }
 
-    /// `list_read` notes that the list is known up to a revision of the store, and the latest change
-    /// that was seen in it.
+    /// `list_read` notes that the own watch has read the list up to a revision of the store, and the
+    /// latest change that was seen in it.
     pub fn list_read(&self, known: u64, change: u64) {
+        self.list_watched.set(self.list_watched.get().max(known));
+        self.list_told(known, change);
+    }
+
+    /// `list_told` notes the same of what a peer has told.
+    pub fn list_told(&self, known: u64, change: u64) {
         self.list_known.set(self.list_known.get().max(known));
         self.list_change.set(self.list_change.get().max(change));
     }
 
-    /// `domain_rank` returns how many instances of the own domain that were heard lately come before
-    /// this one. The first few look after the domain, and the others hear from them.
-    pub fn domain_rank(&self) -> usize {
+    /// `relies_on_peers` tells whether this instance leaves watching the store to others of its
+    /// domain, and fetches from them what has changed.
+    pub fn relies_on_peers(&self) -> bool {
+        self.is_relying.get()
+    }
+
+    /// Decides anew whether others watch the store; the beats of a watcher that ended cease.
+    pub(crate) fn note_role(&self) {
+        let rank = self.domain_rank();
+        let is_trusted = self.relies_not_until.get() <= self.now();
+        let relies = self.knows_all() && is_trusted && WATCHERS <= rank;
+        if self.is_relying.replace(relies) == relies {
+            return;
+        }
+        log::info!("event=watch_role relies_on_peers={relies} rank={rank} trusted={is_trusted}");
+        self.role_changed.notify_waiters();
+    }
+
+    /// How many instances of the own domain that were heard lately come before this one.
+    fn domain_rank(&self) -> usize {
         let now = self.now();
         let own = &self.options;
         let peers = self.peers.borrow();
-        let before = peers.values().filter(|peer| {
-            let is_heard = peer.heard.is_some_and(|heard| now < heard + PEER_SILENCE);
-            is_heard
-                && peer.address.domain == own.admission.domain
-                && peer.address.instance < own.instance
-        });
-        before.count()
+        let domain = &own.admission.domain;
+        let of_domain = || peers.values().filter(|peer| peer.address.domain == *domain);
+        let silence = WATCHER_SILENCE_LEAST.max(WATCHER_TURNS * turn_interval(of_domain().count()));
+        let is_heard = |peer: &&Peer| peer.heard.is_some_and(|heard| now < heard + silence);
+        of_domain().filter(is_heard).filter(|peer| peer.address.instance < own.instance).count()
     }
 
     /// `replace_peers` takes in where all peers are.
@@ -58,23 +100,44 @@
         beats::replace_peers(&mut self.peers.borrow_mut(), others);
     }
 
-    /// `fetch_documents` asks another instance for what it knows.
-    pub async fn fetch_documents(&self, from: SocketAddr) {
-        match relays::fetch(from).await {
-            Ok(documents) => {
-                log::info!("event=documents_fetched peer={from} count={}", documents.len());
-                if let Some(take) = self.take_documents.borrow().as_ref() {
-                    take(documents);
+    /// `news_since` returns what this instance knows, or what has changed since a cursor.
+    pub fn news_since(&self, cursor: Cursor) -> News {
+        News {
+            list_known: self.list_known.get(),
+            list_change: self.list_change.get(),
+            ..self.relay.borrow().news_since(cursor)
+        }
+    }
+
+    /// `fetch_news` asks another instance for what it knows and this one does not.
+    pub async fn fetch_news(&self, from: SocketAddr) {
+        let cursor = self.cursors.borrow().get(&from).copied().unwrap_or_default();
+        match relays::fetch(from, cursor).await {
+            Ok(news) => {
+                log::info!(
+                    "event=news_fetched peer={from} whole={} documents={} removals={} known={}",
+                    news.is_whole,
+                    news.documents.len(),
+                    news.removals.len(),
+                    news.list_known,
+                );
+                self.cursors.borrow_mut().insert(from, news.cursor);
+                if let Some(take) = self.take_news.borrow().as_ref() {
+                    take(news);
                 }
             }
-            Err(error) => log::info!("event=documents_not_fetched peer={from} error={error}"),
+            Err(error) => {
+                log::info!("event=news_not_fetched peer={from} error={error}");
+                self.relies_not_until.set(self.now() + DISTRUST);
+            }
         }
     }
 
-    /// Gives the own watch up once a peer has known more of the list for some time.
+    /// Gives the own watch up once a peer has known more of the list for some time, also when that
+    /// peer has told of it: a watch that misses one change will miss the next.
     pub(crate) fn compare_lists(&self) {
         let now = self.now();
-        let known = self.list_known.get();
+        let known = self.list_watched.get();
         if self.peers.borrow().values().all(|peer| peer.list_change <= known) {
             self.list_behind_since.set(None);
             return;
@@ -88,22 +151,62 @@
         }
     }
 
-    /// The peer with a newer configuration, once that has lasted.
+    /// The peer that should be asked for news: one that has known more for some time, or at once
+    /// while this instance relies on peers.
     pub(crate) fn ahead_peer(&self) -> Option<SocketAddr> {
         let now = self.now();
-        let version = self.version();
         let peers = self.peers.borrow();
-        let ahead = peers.values().filter(|peer| version < peer.version);
-        let Some(ahead) = ahead.max_by_key(|peer| (peer.version, peer.heard)) else {
+        let first_watcher = self.first_watcher(&peers, now);
+        let is_ahead = |peer: &&Peer| {
+            self.knows_less_than(peer)
+                || first_watcher.is_some_and(|first| self.missed(first, peer))
+        };
+        let is_heard = |peer: &&Peer| peer.heard.is_some_and(|heard| now < heard + PEER_SILENCE);
+        let ahead = peers.values().filter(is_heard).filter(is_ahead).max_by_key(|peer| {
+            (self.is_of_domain(peer), peer.version, peer.list_change, peer.heard)
+        });
+        let Some(ahead) = ahead else {
             self.lagging_since.set(None);
             return None;
         };
         let since = self.lagging_since.get().unwrap_or(now);
         self.lagging_since.set(Some(since));
-        if now < since + LAG_TOLERANCE || now < self.next_fetch.get() {
+        let tolerance = match self.relies_on_peers() && self.is_of_domain(ahead) {
+            true => Duration::ZERO,
+            false => LAG_TOLERANCE,
+        };
+        if now < since + tolerance || now < self.next_fetch.get() {
             return None;
         }
         self.next_fetch.set(now + FETCH_INTERVAL);
         Some(ahead.address.relay_address)
     }
+
+    fn is_of_domain(&self, peer: &Peer) -> bool {
+        peer.address.domain == self.options.admission.domain
+    }
+
+    fn knows_less_than(&self, peer: &Peer) -> bool {
+        self.version() < peer.version || self.list_known.get() < peer.list_change
+    }
+
+    /// The watcher whose every change this instance follows while it relies on peers.
+    fn first_watcher(&self, peers: &Peers, now: Timestamp) -> Option<InstanceId> {
+        if !self.relies_on_peers() {
+            return None;
+        }
+        let is_heard = |peer: &&Peer| peer.heard.is_some_and(|heard| now < heard + PEER_SILENCE);
+        let watchers = peers.values().filter(is_heard).filter(|peer| peer.watches);
+        let of_domain = watchers.filter(|peer| self.is_of_domain(peer));
+        of_domain.map(|peer| peer.address.instance).min()
+    }
+
+    /// Whether a peer is the watcher that is followed and has changes that were not taken in. What
+    /// it forgets after an outage changes no revision of the store.
+    fn missed(&self, first_watcher: InstanceId, peer: &Peer) -> bool {
+        let cursors = self.cursors.borrow();
+        let cursor = cursors.get(&peer.address.relay_address).copied().unwrap_or_default();
+        peer.address.instance == first_watcher
+            && (cursor.incarnation != peer.incarnation() || cursor.number < peer.relay_number)
+    }
 }
--- a/crates/bergamotpitch-gateway/src/probes.rs
+++ b/crates/bergamotpitch-gateway/src/probes.rs
@@ -63,7 +63,8 @@
             respond_with(StatusCode::OK, Bytes::from(gateway.metrics.text()))
         }
         (Port::Inner, DOCUMENTS_PATH) => {
-            respond_with(StatusCode::OK, relays::encode(&gateway.documents.borrow()))
+            let cursor = relays::cursor_of_query(request.uri().query());
+            respond_with(StatusCode::OK, relays::encode(&gateway.news_since(cursor)))
         }
         (Port::Inner, _) => respond_with(StatusCode::NOT_FOUND, Bytes::new()),
     }
