--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -45,6 +45,8 @@
     pub even_surplus: Fill,
     /// How full they may be for requests of a team that had more than others that wait.
     pub beyond_even: Fill,
+    /// How full they may be for requests of a team that had far more than one that waits.
+    pub far_ahead: Fill,
 }
 
 impl Default for Options {
@@ -78,6 +80,13 @@
                 memory_part: 0.6,
                 read_again_part: 0.95,
             },
+            far_ahead: Fill {
+                target_part: 0.15,
+                others_part: 0.08,
+                slots_part: 0.35,
+                memory_part: 0.6,
+                read_again_part: 0.95,
+            },
         }
     }
 }
@@ -241,6 +250,7 @@
             Standing::WithinShare => self.options.within_share,
             Standing::EvenSurplus => self.options.even_surplus,
             Standing::BeyondEven => self.options.beyond_even,
+            Standing::FarAhead => self.options.far_ahead,
         };
         let candidates = self.candidates(ask, now);
         if candidates.is_empty() {
