Treat a needy team as within its share, and let nobody stand back for it

Standing back is a switch with a window's delay.

Change: a team that had under 0.65 of what it asked, or of what the best served team had, may fill engines as one within its share. Others keep their bounds.

--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -39,14 +39,13 @@
     pub near_domains: Vec<String>,
     /// Way to a failure domain of another region and back.
     pub remote_round_trip: Duration,
-    /// How full upstreams may be for requests within their team's share.
+    /// How full upstreams may be for requests within their team's share, and for those of a needy
+    /// team.
     pub within_share: Fill,
     /// How full they may be for requests within an even part of what the engines give besides.
     pub even_surplus: Fill,
     /// How full they may be for requests of a team that had more than others that wait.
     pub beyond_even: Fill,
-    /// How full they may be for requests of a team that had far more than one that waits.
-    pub far_ahead: Fill,
 }
 
 impl Default for Options {
@@ -80,13 +79,6 @@
                 memory_part: 0.6,
                 read_again_part: 0.95,
             },
-            far_ahead: Fill {
-                target_part: 0.15,
-                others_part: 0.08,
-                slots_part: 0.35,
-                memory_part: 0.6,
-                read_again_part: 0.95,
-            },
         }
     }
 }
@@ -247,10 +239,9 @@
     pub fn choose(&mut self, ask: &Ask<'_>, now: Timestamp) -> Choice {
         let standing = self.standing(ask, now);
         let fill = match standing {
-            Standing::WithinShare => self.options.within_share,
+            Standing::WithinShare | Standing::Needy => self.options.within_share,
             Standing::EvenSurplus => self.options.even_surplus,
             Standing::BeyondEven => self.options.beyond_even,
-            Standing::FarAhead => self.options.far_ahead,
         };
         let candidates = self.candidates(ask, now);
         if candidates.is_empty() {
--- a/crates/bergamotpitch-control/src/traffic/team_windows.rs
+++ b/crates/bergamotpitch-control/src/traffic/team_windows.rs
@@ -56,6 +56,8 @@
     own: HashMap<TeamId, Ring>,
     peers: HashMap<InstanceId, PeerSums>,
     levels: Option<Levels>,
+    /// Teams that wait and had much less than others, as of the latest levels.
+    needy: Vec<TeamId>,
 }
 
 #[derive(Debug, Default)]
@@ -78,8 +80,6 @@
     share_tokens: f64,
     /// Level at which what the engines gave lately is spent.
     surplus_tokens: f64,
-    /// Tokens that the neediest team had; infinite while none had much less than others.
-    neediest_tokens: f64,
 }
 
 /// `Standing` tells how a request stands against its team's even share.
@@ -88,26 +88,22 @@
 pub enum Standing {
     /// It is within the share that the stated rate of the pool gives the team.
     WithinShare,
+    /// It is beyond the share, of a team that waits and had much less than others.
+    Needy,
     /// It is beyond the share, and within an even part of what the engines give besides.
     EvenSurplus,
     /// Other teams that wait had less.
     BeyondEven,
-    /// A team that waits had much less.
-    FarAhead,
 }
 
 /// `MUCH_LESS` is the part of what a team asked, or of what the best served team had, below which it
 /// had much less than others: nobody who waits is to fall to half.
-const MUCH_LESS: f64 = 0.6;
+const MUCH_LESS: f64 = 0.65;
 
 /// `WAITING_PART` is the part of what the engines give that a team must have asked in vain to count
-/// as one that waits; single requests that found no place do not make others stand back.
+/// as one that waits; single requests that found no place do not make it needy.
 const WAITING_PART: f64 = 0.025;
 
-/// `FAR_AHEAD` is the factor from which on a team is far ahead of the neediest one; without a
-/// distance the two would change places at each computation of the levels.
-const FAR_AHEAD: f64 = 1.3;
-
 /// `SURPLUS_GROWTH` is by how much the engines are taken to be able to give more than they gave in
 /// the last window, so that the even part grows where they can.
 const SURPLUS_GROWTH: f64 = 1.1;
@@ -115,7 +111,13 @@
 impl TeamWindows {
     /// `new` returns an empty table.
     pub fn new(options: Options) -> Self {
-        Self { options, own: HashMap::default(), peers: HashMap::default(), levels: None }
+        Self {
+            options,
+            own: HashMap::default(),
+            peers: HashMap::default(),
+            levels: None,
+            needy: Vec::new(),
+        }
     }
 
     /// `note_asked` counts a request of a caller.
@@ -165,11 +167,10 @@
         let levels = self.levels(pool_tokens_per_s, now);
         let begun = self.fleet_begun(team, now) as f64;
         let with_request = begun + tokens as f64 / 2.0;
-        let is_far_ahead = FAR_AHEAD * levels.neediest_tokens < with_request;
         if begun == 0.0 || with_request <= levels.share_tokens {
             Standing::WithinShare
-        } else if is_far_ahead {
-            Standing::FarAhead
+        } else if self.needy.contains(&team) {
+            Standing::Needy
         } else if with_request <= levels.surplus_tokens {
             Standing::EvenSurplus
         } else {
@@ -195,8 +196,8 @@
             pool_tokens_per_s,
             share_tokens: pool.map_or(f64::INFINITY, |pool| max_min_level(asked.clone(), pool)),
             surplus_tokens: max_min_level(asked, given),
-            neediest_tokens: neediest(&fleet, WAITING_PART * given),
         };
+        self.needy = needy(&fleet, WAITING_PART * given);
         self.levels = Some(levels);
         levels
     }
@@ -232,19 +233,17 @@
     }
 }
 
-/// The tokens that the neediest team had, of those that wait for `waiting_tokens` and more and had
-/// much less than they asked and than the best served team had. Requests of one team may find a
-/// place less often than those of another: its prompts are longer, or its callers reach an instance
-/// that learns later what is free.
-fn neediest(fleet: &HashMap<TeamId, TeamSums>, waiting_tokens: f64) -> f64 {
+/// The teams that wait for `waiting_tokens` and more, and had much less than they asked and than the
+/// best served team had. Requests of one team may find a place less often than those of another: its
+/// prompts are longer, or its callers reach few instances.
+fn needy(fleet: &HashMap<TeamId, TeamSums>, waiting_tokens: f64) -> Vec<TeamId> {
     let most = fleet.values().map(|sums| sums.begun_tokens).max().unwrap_or_default();
-    let is_needy = |sums: &&TeamSums| {
+    let is_needy = |sums: &TeamSums| {
         let due = MUCH_LESS * sums.asked_tokens.min(most) as f64;
         let waits = sums.asked_tokens.saturating_sub(sums.begun_tokens) as f64;
         waiting_tokens < waits && (sums.begun_tokens as f64) < due
     };
-    let needy = fleet.values().filter(is_needy).map(|sums| sums.begun_tokens as f64);
-    needy.fold(f64::INFINITY, f64::min)
+    fleet.iter().filter(|(_, sums)| is_needy(sums)).map(|(team, _)| *team).collect()
 }
 
 impl Ring {
--- a/crates/bergamotpitch-gateway/src/placements.rs
+++ b/crates/bergamotpitch-gateway/src/placements.rs
@@ -19,7 +19,8 @@
 /// target; a longer wait only puts off the answer that it does not fit.
 const HOLD_PART: f64 = 0.1;
 
-/// `HOLD_PART_WITHIN_SHARE` is the same for a request within its team's share, for which the next
+/// `HOLD_PART_WITHIN_SHARE` is the same for a request within its team's share or of a needy team, for
+/// which the next
 /// place that comes free is meant; what is left of the target suffices for most first events.
 const HOLD_PART_WITHIN_SHARE: f64 = 0.4;
 
@@ -43,7 +44,7 @@
         let choice = try_place(gateway, call, tried, now);
         let (reason, after, hold_part) = match choice {
             Choice::Send(placement) => return Ok(placement),
-            Choice::Full { after, standing: Standing::WithinShare, .. } => {
+            Choice::Full { after, standing: Standing::WithinShare | Standing::Needy, .. } => {
                 (RefusalReason::Overloaded, after, HOLD_PART_WITHIN_SHARE)
             }
             Choice::Full { after, .. } => (RefusalReason::QueueFull, after, HOLD_PART),
