--- a/crates/bergamotpitch-gateway/src/peers.rs
+++ b/crates/bergamotpitch-gateway/src/peers.rs
@@ -138,7 +138,10 @@
     pub(crate) fn compare_lists(&self) {
         let now = self.now();
         let known = self.list_watched.get();
-        if self.peers.borrow().values().all(|peer| peer.list_change <= known) {
+        // The watch of an instance that relies on peers rests, and reads nothing meanwhile.
+        if self.relies_on_peers()
+            || self.peers.borrow().values().all(|peer| peer.list_change <= known)
+        {
             self.list_behind_since.set(None);
             return;
         }
