Keep what is known of the store, and the table of peers, in modules of their own

gateways.rs had grown by a dozen fields that only the news of the store uses, and beats.rs held the table of peers beside the message. Both move out: module store_news (who watches, who is asked for news) and module peers. A change of the watching role is event 502 of the catalogue.

--- a/crates/bergamotpitch-core/src/events.rs
+++ b/crates/bergamotpitch-core/src/events.rs
@@ -78,6 +78,8 @@
     PlatformLost = 500,
     /// The key-value service answers again.
     PlatformBack = 501,
+    /// The instance begins or ceases to leave watching the key-value service to others of its domain.
+    WatchRoleChanged = 502,
     /// A claim on an idempotency key was made.
     ClaimMade = 510,
     /// A claim on an idempotency key was found taken.
--- a/crates/bergamotpitch-gateway/src/beats.rs
+++ b/crates/bergamotpitch-gateway/src/beats.rs
@@ -19,6 +19,7 @@
 use tokio::net::UdpSocket;
 
 use crate::gateways::Gateway;
+use crate::peers::PeerAddress;
 
 /// `BEAT_INTERVAL` is the time between two beats to peers of the own domain. Two instances see the
 /// same free place at an engine for about as long as this.
@@ -35,61 +36,6 @@
 /// `BEAT_BYTES` bounds a beat: one datagram that is not cut on the way.
 const BEAT_BYTES: usize = 1_400;
 
-/// `PeerAddress` is where a peer is found.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PeerAddress {
-    /// Its number.
-    pub instance: InstanceId,
-    /// Failure domain that it stands in.
-    pub domain: String,
-    /// Where its beats come from and go to.
-    pub beat_address: SocketAddr,
-    /// Where its documents are fetched.
-    pub relay_address: SocketAddr,
-}
-
-/// `Peer` is a peer as it was last heard.
-#[derive(Debug, Clone)]
-pub struct Peer {
-    /// Where it is.
-    pub address: PeerAddress,
-    /// Its life and the number of its latest beat.
-    latest: (Incarnation, u64),
-    /// When it was heard.
-    pub heard: Option<Timestamp>,
-    /// Version of its configuration.
-    pub version: CatalogVersion,
-    /// Revision of the latest change of the list of upstreams that it has seen.
-    pub list_change: u64,
-    /// Whether it watches the store for its domain.
-    pub watches: bool,
-    /// Number of the latest change of its documents.
-    pub relay_number: u64,
-}
-
-impl Peer {
-    /// `new` is a peer that was not heard yet.
-    pub fn new(address: PeerAddress) -> Self {
-        Self {
-            address,
-            latest: (0, 0),
-            heard: None,
-            version: 0,
-            list_change: 0,
-            watches: false,
-            relay_number: 0,
-        }
-    }
-
-    /// `incarnation` returns the life of it that was heard last.
-    pub fn incarnation(&self) -> Incarnation {
-        self.latest.0
-    }
-}
-
-/// `Peers` is the table of all peers.
-pub type Peers = HashMap<InstanceId, Peer>;
-
 /// `Beat` is what one instance tells.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Beat {
@@ -145,19 +91,6 @@
     age_ms: u32,
 }
 
-/// `replace_peers` takes in where all peers are.
-pub fn replace_peers(peers: &mut Peers, addresses: Vec<PeerAddress>) {
-    peers.retain(|instance, _| addresses.iter().any(|address| address.instance == *instance));
-    for address in addresses {
-        let instance = address.instance;
-        let known = peers.get(&instance);
-        if known.is_some_and(|peer| peer.address == address) {
-            continue;
-        }
-        peers.insert(instance, Peer::new(address));
-    }
-}
-
 /// `send_beat` sends one beat to the peers that are due.
 pub async fn send_beat(gateway: &Rc<Gateway>, socket: &UdpSocket, sequence: u64) {
     let receivers = receivers(gateway, sequence);
@@ -256,7 +189,7 @@
         version: gateway.version(),
         list_change: gateway.list_change(),
         watches: !gateway.relies_on_peers(),
-        relay_number: gateway.relay.borrow().last_number(),
+        relay_number: gateway.store_news.relay.borrow().last_number(),
         loads,
         starts,
         leaving: leaving.collect(),
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -8,14 +8,13 @@
 
 use bergamotpitch_control::traffic::admissions::Traffic;
 use bergamotpitch_control::traffic::catalogs::{CallerLimits, Catalog, CatalogVersion};
-use bergamotpitch_core::HashMap;
 use bergamotpitch_core::events::EventKind;
 use bergamotpitch_core::ids::id_of_name;
 use bergamotpitch_core::units::Timestamp;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::Notify;
 
-use crate::beats::{self, BEAT_INTERVAL, Peers};
+use crate::beats::{self, BEAT_INTERVAL};
 use crate::callers::{self, CallerConnection};
 use crate::calls::Call;
 use crate::connections::Pools;
@@ -26,8 +25,9 @@
 use crate::logs::decision;
 use crate::metrics::Metrics;
 use crate::options::Options;
+use crate::peers::Peers;
 use crate::probes::{self, Port};
-use crate::relays::{Cursor, News, Relay};
+use crate::store_news::StoreNews;
 
 /// `SWEEP_BEATS` is how many beats go by between two sweeps over connections.
 const SWEEP_BEATS: u64 = 4;
@@ -42,9 +42,6 @@
 /// seconds late.
 const LOOKS_AT_ONCE: usize = 4;
 
-/// `TakeNews` hands what a peer sent to whoever understands it.
-pub type TakeNews = Box<dyn Fn(News)>;
-
 /// `Gateway` is the state of one process; it lives on one thread.
 pub struct Gateway {
     /// What it was started with; a port of 0 is replaced by the one that the system chose.
@@ -63,24 +60,13 @@
     pub metrics: Metrics,
     /// Peers.
     pub peers: RefCell<Peers>,
-    /// Documents for peers.
-    pub relay: RefCell<Relay>,
+    /// What it knows of the platform's store, and by whom.
+    pub store_news: StoreNews,
     /// Told some milliseconds after a place may have become free.
     pub changed: Notify,
     change_is_due: Cell<bool>,
     /// How many requests wait for a place.
     pub waiting: Cell<usize>,
-    /// Told when this instance begins or ceases to rely on what peers read of the store.
-    pub role_changed: Notify,
-    pub(crate) is_relying: Cell<bool>,
-    /// Until when no peer is relied on, as one did not hand over what it knows.
-    pub(crate) relies_not_until: Cell<Timestamp>,
-    /// Told when peers know more of the platform's list than this instance, whose watch must have
-    /// gone silent.
-    pub list_behind: Notify,
-    pub(crate) take_news: RefCell<Option<TakeNews>>,
-    /// Up to where the changes of each peer, by its address, were taken in.
-    pub(crate) cursors: RefCell<HashMap<SocketAddr, Cursor>>,
     catalog: RefCell<Option<Arc<Catalog>>>,
     connections: RefCell<Vec<Rc<CallerConnection>>>,
     started: Instant,
@@ -90,14 +76,6 @@
     was_ready: Cell<bool>,
     is_draining: Cell<bool>,
     refuses_new: Cell<bool>,
-    /// Up to where the own watch has read the list.
-    pub(crate) list_watched: Cell<u64>,
-    /// Up to where it is known, by the own watch or by peers.
-    pub(crate) list_known: Cell<u64>,
-    pub(crate) list_change: Cell<u64>,
-    pub(crate) list_behind_since: Cell<Option<Timestamp>>,
-    pub(crate) lagging_since: Cell<Option<Timestamp>>,
-    pub(crate) next_fetch: Cell<Timestamp>,
 }
 
 impl std::fmt::Debug for Gateway {
@@ -146,7 +124,7 @@
         Self {
             traffic: RefCell::new(Traffic::new(options.admission.clone())),
             held_bytes: HeldBytes::new(options.body_bytes_max),
-            relay: RefCell::new(Relay::new(options.incarnation)),
+            store_news: StoreNews::new(options.incarnation),
             options,
             dialect,
             pools: Pools::default(),
@@ -156,12 +134,6 @@
             changed: Notify::new(),
             change_is_due: Cell::new(false),
             waiting: Cell::new(0),
-            role_changed: Notify::new(),
-            is_relying: Cell::new(false),
-            relies_not_until: Cell::new(Timestamp::ZERO),
-            list_behind: Notify::new(),
-            take_news: RefCell::default(),
-            cursors: RefCell::default(),
             catalog: RefCell::default(),
             connections: RefCell::default(),
             started: Instant::now(),
@@ -171,12 +143,6 @@
             was_ready: Cell::new(false),
             is_draining: Cell::new(false),
             refuses_new: Cell::new(false),
-            list_watched: Cell::new(0),
-            list_known: Cell::new(0),
-            list_change: Cell::new(0),
-            list_behind_since: Cell::new(None),
-            lagging_since: Cell::new(None),
-            next_fetch: Cell::new(Timestamp::ZERO),
         }
     }
 
@@ -222,7 +188,7 @@
             ),
         );
         *self.catalog.borrow_mut() = Some(Arc::new(catalog));
-        self.lagging_since.set(None);
+        self.store_news.caught_up();
         true
     }
 
@@ -362,11 +328,6 @@
     pub fn refuse_new(&self) {
         self.refuses_new.set(true);
     }
-
-    /// `on_news` sets who takes in what peers send.
-    pub fn on_news(&self, take: TakeNews) {
-        *self.take_news.borrow_mut() = Some(take);
-    }
 }
 
 /// Listens, and puts the port that the system chose into the address.
--- a/crates/bergamotpitch-gateway/src/lib.rs
+++ b/crates/bergamotpitch-gateway/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod refusals;
 pub mod relays;
 pub mod sse;
+pub mod store_news;
 pub mod upstreams;
 
 pub use crate::errors::{Error, Result};
--- a/crates/bergamotpitch-gateway/src/peers.rs
+++ b/crates/bergamotpitch-gateway/src/peers.rs
@@ -1,215 +1,87 @@
-//! Peers: who they are, and what they know that this instance does not.
+//! Peers: the table of the other instances of the fleet.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
-use bergamotpitch_core::ids::InstanceId;
+use bergamotpitch_control::traffic::catalogs::CatalogVersion;
+use bergamotpitch_core::HashMap;
+use bergamotpitch_core::ids::{Incarnation, InstanceId};
 use bergamotpitch_core::units::Timestamp;
 
-use crate::beats::{self, Peer, PeerAddress, Peers, turn_interval};
 use crate::gateways::Gateway;
-use crate::relays::{self, Cursor, News};
 
-/// `LIST_TOLERANCE` is how long peers may know a newer list of upstreams before the own watch is
-/// given up: the store tells all watches within some milliseconds.
-const LIST_TOLERANCE: Duration = Duration::from_millis(800);
-
-/// `PEER_SILENCE` is the time after which a peer that was not heard is not counted on: some of its
-/// turns in a large fleet.
-const PEER_SILENCE: Duration = Duration::from_secs(5);
-
-/// `WATCHERS` is how many instances of a failure domain watch the store, so that one may fail; the
-/// others fetch from them what has changed. Were all 90 instances of a fleet to watch, each change
-/// of one upstream would cost 90 calls.
-const WATCHERS: usize = 2;
-
-/// `WATCHER_TURNS` is for how many of its turns a watcher may be silent before the next instance
-/// takes over: single datagrams are lost.
-const WATCHER_TURNS: u32 = 5;
-
-/// `WATCHER_SILENCE_LEAST` is the shortest silence that counts: a drain must be known everywhere
-/// within 2.5 s, and a process that is late by some hundred milliseconds still watches.
-const WATCHER_SILENCE_LEAST: Duration = Duration::from_millis(900);
-
-/// `DISTRUST` is for how long an instance reads the store itself after a peer did not hand over
-/// what it knows.
-const DISTRUST: Duration = Duration::from_secs(5);
-
-/// `LAG_TOLERANCE` is how long a peer may know more before it is asked: the platform's own notice
-/// mostly comes first, or that of a peer of the own domain.
-const LAG_TOLERANCE: Duration = Duration::from_millis(400);
-
-/// `FETCH_INTERVAL` is the least time between two questions to peers: a quarter of the shortest time
-/// within which a change must be in force.
-const FETCH_INTERVAL: Duration = Duration::from_millis(600);
-
-impl Gateway {
-    /// `list_change` returns the revision of the latest change of the list of upstreams that this
-    /// instance has seen.
-    pub fn list_change(&self) -> u64 {
-        self.list_change.get()
-    }
-
-    /// `list_read` notes that the own watch has read the list up to a revision of the store, and the
-    /// latest change that was seen in it.
-    pub fn list_read(&self, known: u64, change: u64) {
-        self.list_watched.set(self.list_watched.get().max(known));
-        self.list_told(known, change);
-    }
-
-    /// `list_told` notes the same of what a peer has told.
-    pub fn list_told(&self, known: u64, change: u64) {
-        self.list_known.set(self.list_known.get().max(known));
-        self.list_change.set(self.list_change.get().max(change));
-    }
+/// `PeerAddress` is where a peer is found.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerAddress {
+    /// Its number.
+    pub instance: InstanceId,
+    /// Failure domain that it stands in.
+    pub domain: String,
+    /// Where its beats come from and go to.
+    pub beat_address: SocketAddr,
+    /// Where its documents are fetched.
+    pub relay_address: SocketAddr,
+}
 
-    /// `relies_on_peers` tells whether this instance leaves watching the store to others of its
-    /// domain, and fetches from them what has changed.
-    pub fn relies_on_peers(&self) -> bool {
-        self.is_relying.get()
-    }
+/// `Peer` is a peer as it was last heard.
+#[derive(Debug, Clone)]
+pub struct Peer {
+    /// Where it is.
+    pub address: PeerAddress,
+    /// Its life and the number of its latest beat.
+    pub(crate) latest: (Incarnation, u64),
+    /// When it was heard.
+    pub heard: Option<Timestamp>,
+    /// Version of its configuration.
+    pub version: CatalogVersion,
+    /// Revision of the latest change of the list of upstreams that it has seen.
+    pub list_change: u64,
+    /// Whether it watches the store for its domain.
+    pub watches: bool,
+    /// Number of the latest change of its documents.
+    pub relay_number: u64,
+}
 
-    /// Decides anew whether others watch the store; the beats of a watcher that ended cease.
-    pub(crate) fn note_role(&self) {
-        let rank = self.domain_rank();
-        let is_trusted = self.relies_not_until.get() <= self.now();
-        let relies = self.knows_all() && is_trusted && WATCHERS <= rank;
-        if self.is_relying.replace(relies) == relies {
-            return;
+impl Peer {
+    /// `new` is a peer that was not heard yet.
+    pub fn new(address: PeerAddress) -> Self {
+        Self {
+            address,
+            latest: (0, 0),
+            heard: None,
+            version: 0,
+            list_change: 0,
+            watches: false,
+            relay_number: 0,
         }
-        log::info!("event=watch_role relies_on_peers={relies} rank={rank} trusted={is_trusted}");
-        self.role_changed.notify_waiters();
     }
 
-    /// How many instances of the own domain that were heard lately come before this one.
-    fn domain_rank(&self) -> usize {
-        let now = self.now();
-        let own = &self.options;
-        let peers = self.peers.borrow();
-        let domain = &own.admission.domain;
-        let of_domain = || peers.values().filter(|peer| peer.address.domain == *domain);
-        let silence = WATCHER_SILENCE_LEAST.max(WATCHER_TURNS * turn_interval(of_domain().count()));
-        let is_heard = |peer: &&Peer| peer.heard.is_some_and(|heard| now < heard + silence);
-        of_domain().filter(is_heard).filter(|peer| peer.address.instance < own.instance).count()
+    /// `incarnation` returns the life of it that was heard last.
+    pub fn incarnation(&self) -> Incarnation {
+        self.latest.0
     }
+}
 
+/// `Peers` is the table of all peers.
+pub type Peers = HashMap<InstanceId, Peer>;
+
+impl Gateway {
     /// `replace_peers` takes in where all peers are.
     pub fn replace_peers(&self, addresses: Vec<PeerAddress>) {
         let own = self.options.instance;
         let others = addresses.into_iter().filter(|address| address.instance != own).collect();
-        beats::replace_peers(&mut self.peers.borrow_mut(), others);
-    }
-
-    /// `news_since` returns what this instance knows, or what has changed since a cursor.
-    pub fn news_since(&self, cursor: Cursor) -> News {
-        News {
-            list_known: self.list_known.get(),
-            list_change: self.list_change.get(),
-            ..self.relay.borrow().news_since(cursor)
-        }
-    }
-
-    /// `fetch_news` asks another instance for what it knows and this one does not.
-    pub async fn fetch_news(&self, from: SocketAddr) {
-        let cursor = self.cursors.borrow().get(&from).copied().unwrap_or_default();
-        match relays::fetch(from, cursor).await {
-            Ok(news) => {
-                log::info!(
-                    "event=news_fetched peer={from} whole={} documents={} removals={} known={}",
-                    news.is_whole,
-                    news.documents.len(),
-                    news.removals.len(),
-                    news.list_known,
-                );
-                self.cursors.borrow_mut().insert(from, news.cursor);
-                if let Some(take) = self.take_news.borrow().as_ref() {
-                    take(news);
-                }
-            }
-            Err(error) => {
-                log::info!("event=news_not_fetched peer={from} error={error}");
-                self.relies_not_until.set(self.now() + DISTRUST);
-            }
-        }
-    }
-
-    /// Gives the own watch up once a peer has known more of the list for some time, also when that
-    /// peer has told of it: a watch that misses one change will miss the next.
-    pub(crate) fn compare_lists(&self) {
-        let now = self.now();
-        let known = self.list_watched.get();
-        // The watch of an instance that relies on peers rests, and reads nothing meanwhile.
-        if self.relies_on_peers()
-            || self.peers.borrow().values().all(|peer| peer.list_change <= known)
-        {
-            self.list_behind_since.set(None);
-            return;
-        }
-        let since = self.list_behind_since.get().unwrap_or(now);
-        self.list_behind_since.set(Some(since));
-        if since + LIST_TOLERANCE <= now {
-            self.list_behind_since.set(Some(now));
-            log::info!("event=list_behind revision={known}");
-            self.list_behind.notify_waiters();
-        }
-    }
-
-    /// The peer that should be asked for news: one that has known more for some time, or at once
-    /// while this instance relies on peers.
-    pub(crate) fn ahead_peer(&self) -> Option<SocketAddr> {
-        let now = self.now();
-        let peers = self.peers.borrow();
-        let first_watcher = self.first_watcher(&peers, now);
-        let is_ahead = |peer: &&Peer| {
-            self.knows_less_than(peer)
-                || first_watcher.is_some_and(|first| self.missed(first, peer))
-        };
-        let is_heard = |peer: &&Peer| peer.heard.is_some_and(|heard| now < heard + PEER_SILENCE);
-        let ahead = peers.values().filter(is_heard).filter(is_ahead).max_by_key(|peer| {
-            (self.is_of_domain(peer), peer.version, peer.list_change, peer.heard)
-        });
-        let Some(ahead) = ahead else {
-            self.lagging_since.set(None);
-            return None;
-        };
-        let since = self.lagging_since.get().unwrap_or(now);
-        self.lagging_since.set(Some(since));
-        let tolerance = match self.relies_on_peers() && self.is_of_domain(ahead) {
-            true => Duration::ZERO,
-            false => LAG_TOLERANCE,
-        };
-        if now < since + tolerance || now < self.next_fetch.get() {
-            return None;
-        }
-        self.next_fetch.set(now + FETCH_INTERVAL);
-        Some(ahead.address.relay_address)
-    }
-
-    fn is_of_domain(&self, peer: &Peer) -> bool {
-        peer.address.domain == self.options.admission.domain
-    }
-
-    fn knows_less_than(&self, peer: &Peer) -> bool {
-        self.version() < peer.version || self.list_known.get() < peer.list_change
+        replace_peers(&mut self.peers.borrow_mut(), others);
     }
+}
 
-    /// The watcher whose every change this instance follows while it relies on peers.
-    fn first_watcher(&self, peers: &Peers, now: Timestamp) -> Option<InstanceId> {
-        if !self.relies_on_peers() {
-            return None;
+/// `replace_peers` takes in where all peers are.
+fn replace_peers(peers: &mut Peers, addresses: Vec<PeerAddress>) {
+    peers.retain(|instance, _| addresses.iter().any(|address| address.instance == *instance));
+    for address in addresses {
+        let instance = address.instance;
+        let known = peers.get(&instance);
+        if known.is_some_and(|peer| peer.address == address) {
+            continue;
         }
-        let is_heard = |peer: &&Peer| peer.heard.is_some_and(|heard| now < heard + PEER_SILENCE);
-        let watchers = peers.values().filter(is_heard).filter(|peer| peer.watches);
-        let of_domain = watchers.filter(|peer| self.is_of_domain(peer));
-        of_domain.map(|peer| peer.address.instance).min()
-    }
-
-    /// Whether a peer is the watcher that is followed and has changes that were not taken in. What
-    /// it forgets after an outage changes no revision of the store.
-    fn missed(&self, first_watcher: InstanceId, peer: &Peer) -> bool {
-        let cursors = self.cursors.borrow();
-        let cursor = cursors.get(&peer.address.relay_address).copied().unwrap_or_default();
-        peer.address.instance == first_watcher
-            && (cursor.incarnation != peer.incarnation() || cursor.number < peer.relay_number)
+        peers.insert(instance, Peer::new(address));
     }
 }
--- /dev/null
+++ b/crates/bergamotpitch-gateway/src/store_news.rs
@@ -0,0 +1,264 @@
+//! Store news: which instances watch the platform's store for their failure domain, and what the
+//! others fetch from them.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bergamotpitch_core::HashMap;
+use bergamotpitch_core::events::EventKind;
+use bergamotpitch_core::ids::{Incarnation, InstanceId};
+use bergamotpitch_core::units::Timestamp;
+use tokio::sync::Notify;
+
+use crate::beats::turn_interval;
+use crate::gateways::Gateway;
+use crate::logs::decision;
+use crate::peers::{Peer, Peers};
+use crate::relays::{self, Cursor, News, Relay};
+
+/// `LIST_TOLERANCE` is how long peers may know a newer list of upstreams before the own watch is
+/// given up: the store tells all watches within some milliseconds.
+const LIST_TOLERANCE: Duration = Duration::from_millis(800);
+
+/// `PEER_SILENCE` is the time after which a peer that was not heard is not counted on: some of its
+/// turns in a large fleet.
+const PEER_SILENCE: Duration = Duration::from_secs(5);
+
+/// `WATCHERS` is how many instances of a failure domain watch the store, so that one may fail; the
+/// others fetch from them what has changed. Were all 90 instances of a fleet to watch, each change
+/// of one upstream would cost 90 calls.
+const WATCHERS: usize = 2;
+
+/// `WATCHER_TURNS` is for how many of its turns a watcher may be silent before the next instance
+/// takes over: single datagrams are lost.
+const WATCHER_TURNS: u32 = 5;
+
+/// `WATCHER_SILENCE_LEAST` is the shortest silence that counts: a drain must be known everywhere
+/// within 2.5 s, and a process that is late by some hundred milliseconds still watches.
+const WATCHER_SILENCE_LEAST: Duration = Duration::from_millis(900);
+
+/// `DISTRUST` is for how long an instance reads the store itself after a peer did not hand over
+/// what it knows.
+const DISTRUST: Duration = Duration::from_secs(5);
+
+/// `LAG_TOLERANCE` is how long a peer may know more before it is asked: the platform's own notice
+/// mostly comes first, or that of a peer of the own domain.
+const LAG_TOLERANCE: Duration = Duration::from_millis(400);
+
+/// `FETCH_INTERVAL` is the least time between two questions to peers: a quarter of the shortest time
+/// within which a change must be in force.
+const FETCH_INTERVAL: Duration = Duration::from_millis(600);
+
+/// `TakeNews` hands what a peer sent to whoever understands it.
+pub type TakeNews = Box<dyn Fn(News)>;
+
+/// `StoreNews` is what this instance knows of the store, and by whom.
+#[derive(Default)]
+pub struct StoreNews {
+    /// Documents for peers.
+    pub relay: RefCell<Relay>,
+    /// Told when this instance begins or ceases to rely on what peers read of the store.
+    pub role_changed: Notify,
+    /// Told when peers know more of the platform's list than this instance, whose watch must have
+    /// gone silent.
+    pub list_behind: Notify,
+    take_news: RefCell<Option<TakeNews>>,
+    /// Up to where the changes of each peer, by its address, were taken in.
+    cursors: RefCell<HashMap<SocketAddr, Cursor>>,
+    is_relying: Cell<bool>,
+    /// Until when no peer is relied on, as one did not hand over what it knows.
+    relies_not_until: Cell<Timestamp>,
+    /// Up to where the own watch has read the list.
+    list_watched: Cell<u64>,
+    /// Up to where it is known, by the own watch or by peers.
+    list_known: Cell<u64>,
+    list_change: Cell<u64>,
+    list_behind_since: Cell<Option<Timestamp>>,
+    lagging_since: Cell<Option<Timestamp>>,
+    next_fetch: Cell<Timestamp>,
+}
+
+impl StoreNews {
+    /// `new` knows nothing, in one life of an instance.
+    pub fn new(incarnation: Incarnation) -> Self {
+        Self { relay: RefCell::new(Relay::new(incarnation)), ..Self::default() }
+    }
+
+    /// `caught_up` takes in a newer configuration: a peer that is still ahead has been for no time.
+    pub(crate) fn caught_up(&self) {
+        self.lagging_since.set(None);
+    }
+}
+
+impl Gateway {
+    /// `on_news` sets who takes in what peers send.
+    pub fn on_news(&self, take: TakeNews) {
+        *self.store_news.take_news.borrow_mut() = Some(take);
+    }
+
+    /// `list_change` returns the revision of the latest change of the list of upstreams that this
+    /// instance has seen.
+    pub fn list_change(&self) -> u64 {
+        self.store_news.list_change.get()
+    }
+
+    /// `list_read` notes that the own watch has read the list up to a revision of the store, and the
+    /// latest change that was seen in it.
+    pub fn list_read(&self, known: u64, change: u64) {
+        self.store_news.list_watched.set(self.store_news.list_watched.get().max(known));
+        self.list_told(known, change);
+    }
+
+    /// `list_told` notes the same of what a peer has told.
+    pub fn list_told(&self, known: u64, change: u64) {
+        self.store_news.list_known.set(self.store_news.list_known.get().max(known));
+        self.store_news.list_change.set(self.store_news.list_change.get().max(change));
+    }
+
+    /// `relies_on_peers` tells whether this instance leaves watching the store to others of its
+    /// domain, and fetches from them what has changed.
+    pub fn relies_on_peers(&self) -> bool {
+        self.store_news.is_relying.get()
+    }
+
+    /// Decides anew whether others watch the store; the beats of a watcher that ended cease.
+    pub(crate) fn note_role(&self) {
+        let rank = self.domain_rank();
+        let is_trusted = self.store_news.relies_not_until.get() <= self.now();
+        let relies = self.knows_all() && is_trusted && WATCHERS <= rank;
+        if self.store_news.is_relying.replace(relies) == relies {
+            return;
+        }
+        decision(
+            EventKind::WatchRoleChanged,
+            format_args!("relies_on_peers={relies} rank={rank} trusted={is_trusted}"),
+        );
+        self.store_news.role_changed.notify_waiters();
+    }
+
+    /// How many instances of the own domain that were heard lately come before this one.
+    fn domain_rank(&self) -> usize {
+        let now = self.now();
+        let own = &self.options;
+        let peers = self.peers.borrow();
+        let domain = &own.admission.domain;
+        let of_domain = || peers.values().filter(|peer| peer.address.domain == *domain);
+        let silence = WATCHER_SILENCE_LEAST.max(WATCHER_TURNS * turn_interval(of_domain().count()));
+        let is_heard = |peer: &&Peer| peer.heard.is_some_and(|heard| now < heard + silence);
+        of_domain().filter(is_heard).filter(|peer| peer.address.instance < own.instance).count()
+    }
+
+    /// `news_since` returns what this instance knows, or what has changed since a cursor.
+    pub fn news_since(&self, cursor: Cursor) -> News {
+        News {
+            list_known: self.store_news.list_known.get(),
+            list_change: self.store_news.list_change.get(),
+            ..self.store_news.relay.borrow().news_since(cursor)
+        }
+    }
+
+    /// `fetch_news` asks another instance for what it knows and this one does not.
+    pub async fn fetch_news(&self, from: SocketAddr) {
+        let cursor = self.store_news.cursors.borrow().get(&from).copied().unwrap_or_default();
+        match relays::fetch(from, cursor).await {
+            Ok(news) => {
+                log::info!(
+                    "event=news_fetched peer={from} whole={} documents={} removals={} known={}",
+                    news.is_whole,
+                    news.documents.len(),
+                    news.removals.len(),
+                    news.list_known,
+                );
+                self.store_news.cursors.borrow_mut().insert(from, news.cursor);
+                if let Some(take) = self.store_news.take_news.borrow().as_ref() {
+                    take(news);
+                }
+            }
+            Err(error) => {
+                log::info!("event=news_not_fetched peer={from} error={error}");
+                self.store_news.relies_not_until.set(self.now() + DISTRUST);
+            }
+        }
+    }
+
+    /// Gives the own watch up once a peer has known more of the list for some time, also when that
+    /// peer has told of it: a watch that misses one change will miss the next.
+    pub(crate) fn compare_lists(&self) {
+        let now = self.now();
+        let known = self.store_news.list_watched.get();
+        // The watch of an instance that relies on peers rests, and reads nothing meanwhile.
+        if self.relies_on_peers()
+            || self.peers.borrow().values().all(|peer| peer.list_change <= known)
+        {
+            self.store_news.list_behind_since.set(None);
+            return;
+        }
+        let since = self.store_news.list_behind_since.get().unwrap_or(now);
+        self.store_news.list_behind_since.set(Some(since));
+        if since + LIST_TOLERANCE <= now {
+            self.store_news.list_behind_since.set(Some(now));
+            log::info!("event=list_behind revision={known}");
+            self.store_news.list_behind.notify_waiters();
+        }
+    }
+
+    /// The peer that should be asked for news: one that has known more for some time, or at once
+    /// while this instance relies on peers.
+    pub(crate) fn ahead_peer(&self) -> Option<SocketAddr> {
+        let now = self.now();
+        let peers = self.peers.borrow();
+        let first_watcher = self.first_watcher(&peers, now);
+        let is_ahead = |peer: &&Peer| {
+            self.knows_less_than(peer)
+                || first_watcher.is_some_and(|first| self.missed(first, peer))
+        };
+        let is_heard = |peer: &&Peer| peer.heard.is_some_and(|heard| now < heard + PEER_SILENCE);
+        let ahead = peers.values().filter(is_heard).filter(is_ahead).max_by_key(|peer| {
+            (self.is_of_domain(peer), peer.version, peer.list_change, peer.heard)
+        });
+        let Some(ahead) = ahead else {
+            self.store_news.lagging_since.set(None);
+            return None;
+        };
+        let since = self.store_news.lagging_since.get().unwrap_or(now);
+        self.store_news.lagging_since.set(Some(since));
+        let tolerance = match self.relies_on_peers() && self.is_of_domain(ahead) {
+            true => Duration::ZERO,
+            false => LAG_TOLERANCE,
+        };
+        if now < since + tolerance || now < self.store_news.next_fetch.get() {
+            return None;
+        }
+        self.store_news.next_fetch.set(now + FETCH_INTERVAL);
+        Some(ahead.address.relay_address)
+    }
+
+    fn is_of_domain(&self, peer: &Peer) -> bool {
+        peer.address.domain == self.options.admission.domain
+    }
+
+    fn knows_less_than(&self, peer: &Peer) -> bool {
+        self.version() < peer.version || self.store_news.list_known.get() < peer.list_change
+    }
+
+    /// The watcher whose every change this instance follows while it relies on peers.
+    fn first_watcher(&self, peers: &Peers, now: Timestamp) -> Option<InstanceId> {
+        if !self.relies_on_peers() {
+            return None;
+        }
+        let is_heard = |peer: &&Peer| peer.heard.is_some_and(|heard| now < heard + PEER_SILENCE);
+        let watchers = peers.values().filter(is_heard).filter(|peer| peer.watches);
+        let of_domain = watchers.filter(|peer| self.is_of_domain(peer));
+        of_domain.map(|peer| peer.address.instance).min()
+    }
+
+    /// Whether a peer is the watcher that is followed and has changes that were not taken in. What
+    /// it forgets after an outage changes no revision of the store.
+    fn missed(&self, first_watcher: InstanceId, peer: &Peer) -> bool {
+        let cursors = self.store_news.cursors.borrow();
+        let cursor = cursors.get(&peer.address.relay_address).copied().unwrap_or_default();
+        peer.address.instance == first_watcher
+            && (cursor.incarnation != peer.incarnation() || cursor.number < peer.relay_number)
+    }
+}
--- a/crates/bergamotpitch-gateway/src/upstreams.rs
+++ b/crates/bergamotpitch-gateway/src/upstreams.rs
@@ -61,7 +61,7 @@
             ),
             Change::Gone(key, id) => {
                 self.pools.close_all_of(*key);
-                self.relay.borrow_mut().upstream_gone(id);
+                self.store_news.relay.borrow_mut().upstream_gone(id);
                 decision(EventKind::UpstreamGone, format_args!("upstream={id}"));
             }
         }
--- a/crates/bergamotpitch-gateway/tests/peer_news.rs
+++ b/crates/bergamotpitch-gateway/tests/peer_news.rs
@@ -10,7 +10,8 @@
 use bergamotpitch_core::HashMap;
 use bergamotpitch_core::ids::UpstreamId;
 use bergamotpitch_gateway::Gateway;
-use bergamotpitch_gateway::beats::{self, Beat, PeerAddress};
+use bergamotpitch_gateway::beats::{self, Beat};
+use bergamotpitch_gateway::peers::PeerAddress;
 use common::{FakeUpstream, registration, run, start, whole};
 use tokio::net::UdpSocket;
 
