Remember up to which revision an entry is known to be gone

Watchers may fetch news from another instance that knows a later change, and that one may still hold the entry: it waits for 2.2 s whether removals that came together were a lapse. The entry was then taken for a new one, and the removal was already read.

Ruled out: late watches and beats (the log: nine in ten instances know of a removal within 0.3 s; the long lags in it are lines that were left out).

Change: a removal that was read, from the store, from a full read or from a peer, is remembered with its revision; an entry counts as news only beyond it.

Test: lagging_peer, which failed before (the engine was back).

--- a/crates/bergamotpitch-gateway/src/relays.rs
+++ b/crates/bergamotpitch-gateway/src/relays.rs
@@ -74,6 +74,9 @@
     /// Keys that are in `documents` no more.
     removals: VecDeque<Numbered<String>>,
     key_of_upstream: HashMap<String, String>,
+    /// Revision up to which an entry is known to have been removed, also while this instance waits
+    /// whether it has only lapsed.
+    removed_at: HashMap<String, u64>,
     last_number: u64,
     /// Number of the latest removal that is no longer remembered.
     forgotten: u64,
@@ -120,21 +123,46 @@
         }
     }
 
+    /// `note_removed` takes in that the store held an entry no more at a revision. A peer may lag, or
+    /// wait whether the entry has only lapsed, and still tell of it; taken for news, an upstream that
+    /// left would get requests again.
+    pub fn note_removed(&mut self, key: &str, revision: u64) {
+        let known = self.removed_at.entry(key.to_owned()).or_default();
+        *known = revision.max(*known);
+        if REMOVALS_KEPT < self.removed_at.len() {
+            let oldest = self.removed_at.values().min().copied();
+            self.removed_at.retain(|_, removed_at| Some(*removed_at) != oldest);
+        }
+    }
+
     /// `last_number` returns the number of the latest change.
     pub fn last_number(&self) -> u64 {
         self.last_number
     }
 
-    /// `revision_of` returns the revision of the newest known value of an entry.
+    /// `revision_of` returns the revision of the newest known change of an entry, its removal among
+    /// them.
+    ///
+    /// ```
+    /// use bergamotpitch_gateway::relays::{Document, Relay};
+    ///
+    /// let mut relay = Relay::new(5);
+    /// relay.keep(Document { key: "list/a".to_owned(), revision: 7, value: vec![] });
+    /// relay.note_removed("list/a", 9);
+    /// assert_eq!(relay.revision_of("list/a"), Some(9));
+    /// assert_eq!(relay.revision_of("list/b"), None);
+    /// ```
     pub fn revision_of(&self, key: &str) -> Option<u64> {
-        self.documents.get(key).map(|kept| kept.entry.revision)
+        let kept = self.documents.get(key).map(|kept| kept.entry.revision);
+        kept.max(self.removed_at.get(key).copied())
     }
 
     /// `upstreams` returns all entries of upstreams, by id, with the revisions of their values.
     pub fn upstreams(&self) -> impl Iterator<Item = (&str, &str, u64)> {
-        self.key_of_upstream
-            .iter()
-            .filter_map(|(id, key)| Some((id.as_str(), key.as_str(), self.revision_of(key)?)))
+        self.key_of_upstream.iter().filter_map(|(id, key)| {
+            let kept = self.documents.get(key)?;
+            Some((id.as_str(), key.as_str(), kept.entry.revision))
+        })
     }
 
     /// `news_since` returns what has changed since a cursor of a peer; the caller states up to where
