Count the grace of doubted removals from when the list was last heard

Removals that come together are taken for a lapse and wait 2.2 s; the watch had rested for 0.6 s before it was told of them, so that a request reached one 2,548 ms after it had gone, against 2,500.

Ruled out: the new watchers (all eight instances held the entry until 25.85 s, six of them by their own watch); this fault is older than they are.

Change: the grace of such removals is 2.0 s and runs from the last answer before, at most 0.6 s ago. Three instances a domain watch, so that in small domains nobody waits for a peer, and those that rely on them ask again after 0.25 s.

Test: doubted_removals, which failed before.

An engine that lives and is listed again later than 1.4 s after an unseen outage may get no work until then.

--- a/crates/bergamotpitch-control/src/traffic/registries.rs
+++ b/crates/bergamotpitch-control/src/traffic/registries.rs
@@ -88,6 +88,11 @@
 /// upstreams are listed again within about two seconds.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
 
+/// `DOUBT_GRACE` is the same for entries that vanished together although no outage was seen, from the
+/// last moment on at which the list was heard. Where they have left after all, they must get nothing
+/// new 2.5 s after they vanished, and others hear of it from those that watch.
+const DOUBT_GRACE: Duration = Duration::from_millis(2_000);
+
 /// `Registry` is the table of upstreams.
 #[derive(Debug, Default)]
 pub struct Registry {
@@ -103,7 +108,8 @@
     #[default]
     None,
     Lasting,
-    EndedAt(Timestamp),
+    /// What vanished may only have lapsed until then.
+    GraceUntil(Timestamp),
 }
 
 impl Registry {
@@ -141,17 +147,17 @@
     /// `list_back` notes that the list is read again.
     pub fn list_back(&mut self, now: Timestamp) {
         if self.outage == Outage::Lasting {
-            self.outage = Outage::EndedAt(now);
+            self.outage = Outage::GraceUntil(now + LAPSE_GRACE);
         }
     }
 
     /// `removals_doubted` takes in that several entries of upstreams that announced nothing vanished
     /// together. A short outage can end before any call has failed; what it let lapse is told all
     /// at once, and dropping it would leave a service without upstreams until they are listed
-    /// again.
-    pub fn removals_doubted(&mut self, now: Timestamp) {
+    /// again. `heard` is when the list was heard last: they may have vanished right after it.
+    pub fn removals_doubted(&mut self, heard: Timestamp) {
         if self.outage == Outage::None {
-            self.outage = Outage::EndedAt(now);
+            self.outage = Outage::GraceUntil(heard + DOUBT_GRACE);
         }
     }
 
@@ -197,7 +203,7 @@
         let may_have_lapsed = match self.outage {
             Outage::None => false,
             Outage::Lasting => true,
-            Outage::EndedAt(end) => now < end + LAPSE_GRACE,
+            Outage::GraceUntil(end) => now < end,
         };
         let Some(upstream) = self.upstreams.get_mut(&key) else { return changes };
         if may_have_lapsed && upstream.leaving.is_none() {
@@ -218,8 +224,8 @@
     /// `step` forgets entries that are still missing when the grace after an outage is over.
     pub fn step(&mut self, now: Timestamp) -> Vec<Change> {
         let mut changes = Vec::new();
-        let Outage::EndedAt(end) = self.outage else { return changes };
-        if now < end + LAPSE_GRACE {
+        let Outage::GraceUntil(end) = self.outage else { return changes };
+        if now < end {
             return changes;
         }
         self.outage = Outage::None;
--- a/crates/bergamotpitch-control/tests/listed_upstreams.rs
+++ b/crates/bergamotpitch-control/tests/listed_upstreams.rs
@@ -90,3 +90,21 @@
     registry.list_lost();
     assert_eq!(registry.unlisted("e", Duration::from_secs(1)).len(), 1);
 }
+
+/// Two of three upstreams are taken away at once, without a word. That looks like a lapse, and the list
+/// was last heard 0.6 s before it told of it: kept for the whole grace from then on, they got
+/// requests 2.5 s after they had gone.
+#[test]
+fn doubted_removals() {
+    let mut registry = Registry::default();
+    let ids = ["a", "b", "c"];
+    ids.iter().for_each(|id| drop(registry.listed(registration(id, 1))));
+    let (heard, told) = (Duration::from_millis(10_000), Duration::from_millis(10_600));
+    registry.removals_doubted(heard);
+    assert!(registry.unlisted("a", told).is_empty(), "it may have lapsed");
+    assert!(registry.unlisted("b", told).is_empty());
+    assert!(registry.step(told + Duration::from_millis(1_000)).is_empty());
+    // The bound, less what a beat and a fetch take.
+    let gone = registry.step(heard + Duration::from_millis(2_100));
+    assert_eq!(gone.len(), 2, "{gone:?}");
+}
--- a/crates/bergamotpitch-gateway/src/store_news.rs
+++ b/crates/bergamotpitch-gateway/src/store_news.rs
@@ -25,10 +25,11 @@
 /// turns in a large fleet.
 const PEER_SILENCE: Duration = Duration::from_secs(5);
 
-/// `WATCHERS` is how many instances of a failure domain watch the store, so that one may fail; the
-/// others fetch from them what has changed. Were all 90 instances of a fleet to watch, each change
-/// of one upstream would cost 90 calls.
-const WATCHERS: usize = 2;
+/// `WATCHERS` is how many instances of a failure domain watch the store, so that some may fail; the
+/// others fetch from them what has changed, and know of it up to half a second later. Were all 90
+/// instances of a fleet to watch, each change of one upstream would cost 90 calls; in a domain of
+/// three nothing is saved by it.
+const WATCHERS: usize = 3;
 
 /// `WATCHER_TURNS` is for how many of its turns a watcher may be silent before the next instance
 /// takes over: single datagrams are lost.
@@ -50,6 +51,10 @@
 /// within which a change must be in force.
 const FETCH_INTERVAL: Duration = Duration::from_millis(600);
 
+/// `WATCHER_FETCH_INTERVAL` is the same for questions to the watchers of the own domain, over a link
+/// that is short and not paid.
+const WATCHER_FETCH_INTERVAL: Duration = Duration::from_millis(250);
+
 /// `TakeNews` hands what a peer sent to whoever understands it.
 pub type TakeNews = Box<dyn Fn(News)>;
 
@@ -223,14 +228,14 @@
         };
         let since = self.store_news.lagging_since.get().unwrap_or(now);
         self.store_news.lagging_since.set(Some(since));
-        let tolerance = match self.relies_on_peers() && self.is_of_domain(ahead) {
-            true => Duration::ZERO,
-            false => LAG_TOLERANCE,
+        let (tolerance, interval) = match self.relies_on_peers() && self.is_of_domain(ahead) {
+            true => (Duration::ZERO, WATCHER_FETCH_INTERVAL),
+            false => (LAG_TOLERANCE, FETCH_INTERVAL),
         };
         if now < since + tolerance || now < self.store_news.next_fetch.get() {
             return None;
         }
-        self.store_news.next_fetch.set(now + FETCH_INTERVAL);
+        self.store_news.next_fetch.set(now + interval);
         Some(ahead.address.relay_address)
     }
 
