Learn how fast engines read, and send long prompts beyond the share only in time

Cause: the model of engines had the speeds of one model and one kind of accelerator built in. The new customer's engines read a third as fast, and the ratio that should have corrected it fell back to 1 within four seconds. Change: a line for each service through times of first events over tokens read, by least squares with decay; the way and the fetch are taken off first. Beyond its share, a prompt is sent only where it begins in time with its own reading counted, or where an engine has next to nothing to do.

--- a/crates/bergamotpitch-control/src/traffic.rs
+++ b/crates/bergamotpitch-control/src/traffic.rs
@@ -7,6 +7,7 @@
 pub mod admissions;
 pub mod catalogs;
 pub mod engine_loads;
+pub mod engine_speeds;
 pub mod evidences;
 pub mod facts;
 pub mod fits;
--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -13,7 +13,8 @@
 use bergamotpitch_core::units::Timestamp;
 
 use crate::traffic::catalogs::CacheLink;
-use crate::traffic::engine_loads::{self, RequestNumber, UpstreamLoad, Work};
+use crate::traffic::engine_loads::{self, Capacity, RequestNumber, UpstreamLoad, Work};
+use crate::traffic::engine_speeds::EngineSpeed;
 use crate::traffic::evidences::Evidence;
 use crate::traffic::facts::RequestFacts;
 use crate::traffic::fits::{Distance, Fill, Fit, Look, millis};
@@ -67,14 +68,14 @@
             },
             even_surplus: Fill {
                 target_part: 0.35,
-                others_part: 0.25,
+                others_part: 0.0,
                 slots_part: 0.7,
                 memory_part: 0.75,
                 read_again_part: 0.95,
             },
             beyond_even: Fill {
                 target_part: 0.2,
-                others_part: 0.1,
+                others_part: 0.0,
                 slots_part: 0.5,
                 memory_part: 0.6,
                 read_again_part: 0.95,
@@ -168,6 +169,7 @@
     domain_number: DomainId,
     near_numbers: Vec<DomainId>,
     states: HashMap<UpstreamKey, UpstreamState>,
+    speeds: HashMap<String, EngineSpeed>,
     budgets: HashMap<String, RetryBudget>,
 }
 
@@ -192,6 +194,7 @@
             windows,
             starts: Starts::default(),
             states: HashMap::default(),
+            speeds: HashMap::default(),
             budgets: HashMap::default(),
         }
     }
@@ -210,6 +213,11 @@
         &mut self.states.entry(key).or_default().load
     }
 
+    /// `speed` returns how fast the engines of a service read prompts.
+    pub fn speed(&self, service: &str) -> EngineSpeed {
+        self.speeds.get(service).copied().unwrap_or_default()
+    }
+
     /// `loads` returns the models of all upstreams, in no order.
     pub fn loads(&self) -> impl Iterator<Item = (UpstreamKey, &UpstreamLoad)> {
         self.states.iter().map(|(key, state)| (*key, &state.load))
@@ -285,8 +293,9 @@
         let key = placement.upstream;
         let slots = self.registry.get(key).map_or(1, |upstream| upstream.registration.slots);
         let options = self.options.loads;
+        let capacity = Capacity { slots, speed: self.speed(ask.service) };
         let state = self.states.entry(key).or_default();
-        state.load.send(request, placement.work, slots, now, &options);
+        state.load.send(request, placement.work, &capacity, now, &options);
         state.evidence.note_trial(now);
         if !ask.facts.is_generation() {
             return;
@@ -300,6 +309,18 @@
         }
     }
 
+    /// `begun` takes in the first event of a request, or the answer of a plain call.
+    pub fn begun(&mut self, key: UpstreamKey, request: RequestNumber, now: Timestamp) {
+        let Some(event) = self.load(key).begun(request, now) else { return };
+        let Some(upstream) = self.registry.get(key) else { return };
+        if event.tells_speed() {
+            let service = &upstream.registration.service;
+            let mut speed = self.speed(service);
+            speed.note(event.tokens_ahead + event.own_tokens, event.engine_ms);
+            self.speeds.insert(service.clone(), speed);
+        }
+    }
+
     fn note_start(&mut self, key: UpstreamKey, facts: &RequestFacts, now: Timestamp) {
         let (Some(start), Some(upstream)) = (facts.shared_start(), self.registry.get(key)) else {
             return;
@@ -369,15 +390,9 @@
     }
 
     fn needs(&self, ask: &Ask<'_>, candidates: &[&Upstream], now: Timestamp) -> Needs {
-        let mut needs = Needs::of_request(ask);
+        let mut needs = Needs::of_request(ask, self.speed(ask.service));
         let Some(start) = ask.facts.shared_start() else { return needs };
-        needs.rank_engines(
-            start,
-            candidates,
-            self.domain_number,
-            self.options.remote_round_trip,
-            self.options.loads.prefill_tokens_per_ms,
-        );
+        needs.rank_engines(start, candidates, self.domain_number, self.options.remote_round_trip);
         needs.find_holders(start, candidates, &self.starts, now);
         needs
     }
@@ -402,30 +417,29 @@
     ) -> Look {
         let options = &self.options.loads;
         let kept_tokens = state.kept.kept_tokens(&ask.facts.prefix);
-        let Reading { work, fetch_from, fetch_ms } = needs.reading_at(upstream, kept_tokens);
-        let slots = upstream.registration.slots;
+        let Reading { mut work, fetch_from } = needs.reading_at(upstream, kept_tokens);
+        let capacity = Capacity { slots: upstream.registration.slots, speed: needs.speed };
         let distance = self.distance(upstream);
-        let way_ms = match distance {
+        work.delay_ms += match distance {
             Distance::Own | Distance::Near => 0.0,
             Distance::Far => millis(self.options.remote_round_trip),
         };
         let figures = state.load.figures(now, options);
         let own_tokens = needs.own_tokens.min(work.unread_tokens);
         let own_ms = match needs.is_generation {
-            true => work.unread_tokens / options.prefill_tokens_per_ms,
+            true => needs.speed.reading_ms(work.unread_tokens),
             false => state.load.plain_ms(options),
         };
-        let begin_ms = state.load.predict_ms(work, &figures, slots, now, options);
         Look {
             key: upstream.key,
             rank: needs.rank(upstream.key),
             work,
             fetch_from,
-            predicted_ms: begin_ms + way_ms + fetch_ms,
+            predicted_ms: state.load.predict_ms(work, &figures, &capacity, now, options),
             own_ms,
-            read_again_ms: (work.unread_tokens - own_tokens) / options.prefill_tokens_per_ms,
+            read_again_ms: needs.speed.reading_ms(work.unread_tokens - own_tokens),
             figures,
-            slots,
+            slots: capacity.slots,
             distance,
         }
     }
--- a/crates/bergamotpitch-control/src/traffic/engine_loads.rs
+++ b/crates/bergamotpitch-control/src/traffic/engine_loads.rs
@@ -3,8 +3,8 @@
 //! Load pattern: prompts decide when a first event comes, and reports of load are some hundred
 //! milliseconds old and read by all instances at once. The model adds up what this instance sent
 //! itself, which it knows exactly, what its peers say they sent, and what the upstream's latest
-//! answer says beyond these. An upstream that is slower than the model is told by the ratio of
-//! seen to predicted times.
+//! answer says beyond these. How fast the engines of the service read is learned over all of them;
+//! one that is slower than the others is told by the ratio of seen to predicted times.
 
 use std::time::Duration;
 
@@ -12,20 +12,14 @@
 use bergamotpitch_core::ids::InstanceId;
 use bergamotpitch_core::units::Timestamp;
 
+use crate::traffic::engine_speeds::EngineSpeed;
+
 /// `RequestNumber` numbers the requests of one process.
 pub type RequestNumber = u64;
 
 /// `Options` of the model.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Options {
-    /// Prompt tokens that an engine reads in a millisecond, before any calibration.
-    pub prefill_tokens_per_ms: f64,
-    /// Time of one decoding step with one request, in milliseconds.
-    pub step_ms: f64,
-    /// Extra time of a step for each running request, in milliseconds.
-    pub step_ms_per_request: f64,
-    /// Prompt tokens that are read between two decoding steps.
-    pub chunk_tokens: f64,
     /// Time until a call is answered by an idle plain service, before any calibration.
     pub plain_work_ms: f64,
     /// Age at which a peer's figures no longer count.
@@ -36,13 +30,7 @@
 
 impl Default for Options {
     fn default() -> Self {
-        // A model of 70 billion parameters on eight accelerators, as operators run it today; an
-        // engine that differs is met by calibration.
         Self {
-            prefill_tokens_per_ms: 100.0,
-            step_ms: 3.0,
-            step_ms_per_request: 0.025,
-            chunk_tokens: 4_096.0,
             plain_work_ms: 40.0,
             // In a fleet of a hundred instances a peer's turn comes every 3 s.
             peer_timeout: Duration::from_millis(3_500),
@@ -51,10 +39,6 @@
     }
 }
 
-/// `FIRST_EVENT_MS` is the time of a first event on an idle engine besides reading the prompt:
-/// set-up, one step and the way there and back.
-const FIRST_EVENT_MS: f64 = 12.0;
-
 /// `PACE_GAIN` is the weight of one seen time against those before.
 const PACE_GAIN: f64 = 0.1;
 
@@ -69,6 +53,15 @@
 /// are mostly network.
 const LEAST_SEEN_MS: f64 = 40.0;
 
+/// `Capacity` is what an upstream can do.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Capacity {
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// How fast the engines of its service read prompts.
+    pub speed: EngineSpeed,
+}
+
 /// `Work` is what a request means for an upstream.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Work {
@@ -76,6 +69,9 @@
     pub unread_tokens: f64,
     /// Memory that it takes, in tokens.
     pub memory_tokens: u64,
+    /// Time that passes beside the engine's work: the way there and back, and fetching the start of
+    /// the prompt from another engine.
+    pub delay_ms: f64,
 }
 
 /// `Figures` are sums over some requests at one upstream.
@@ -124,9 +120,29 @@
     plain_ms: Option<f64>,
 }
 
+/// `FirstEvent` is what the first event of a request tells of its engine.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct FirstEvent {
+    /// Prompt tokens of the request itself that were to be read; 0 for a plain call.
+    pub own_tokens: f64,
+    /// Prompt tokens of requests before it, as far as they were known.
+    pub tokens_ahead: f64,
+    /// Time that the engine took for all of them.
+    pub engine_ms: f64,
+}
+
+impl FirstEvent {
+    /// `tells_speed` tells whether the time is mostly that of reading the request's own prompt. What
+    /// is ahead of it is known late and in part, and hides how fast the engine is.
+    pub fn tells_speed(&self) -> bool {
+        0.0 < self.own_tokens && 2.0 * self.tokens_ahead <= self.own_tokens
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Sent {
     work: Work,
+    tokens_ahead: f64,
     sent: Timestamp,
     predicted_ms: f64,
     has_begun: bool,
@@ -144,25 +160,22 @@
         &mut self,
         request: RequestNumber,
         work: Work,
-        slots: u32,
+        capacity: &Capacity,
         now: Timestamp,
         options: &Options,
     ) {
         let figures = self.figures(now, options);
-        let predicted_ms = self.unpaced_ms(work, &figures, slots, options);
+        let predicted_ms = self.unpaced_ms(work, &figures, capacity, options);
+        let tokens_ahead = figures.unread_tokens.max(0.0);
         self.own_figures.requests += 1;
         self.own_figures.unread_tokens += work.unread_tokens;
         self.own_figures.memory_tokens += work.memory_tokens;
-        self.own.insert(request, Sent { work, sent: now, predicted_ms, has_begun: false });
+        let sent = Sent { work, tokens_ahead, sent: now, predicted_ms, has_begun: false };
+        self.own.insert(request, sent);
     }
 
-    /// `begun` takes in the first event, or the answer of a plain call; it returns the predicted
-    /// and the seen time.
-    pub fn begun(
-        &mut self,
-        request: RequestNumber,
-        now: Timestamp,
-    ) -> Option<(Duration, Duration)> {
+    /// `begun` takes in the first event, or the answer of a plain call.
+    pub fn begun(&mut self, request: RequestNumber, now: Timestamp) -> Option<FirstEvent> {
         let sent = self.own.get_mut(&request)?;
         if sent.has_begun {
             return None;
@@ -170,10 +183,11 @@
         sent.has_begun = true;
         let sent = *sent;
         self.own_figures.unread_tokens -= sent.work.unread_tokens;
-        let seen = now.saturating_sub(sent.sent);
-        let predicted = Duration::from_secs_f64(sent.predicted_ms * self.ratio(now) / 1_000.0);
-        self.calibrate(&sent, seen, now);
-        Some((predicted, seen))
+        let seen_ms = now.saturating_sub(sent.sent).as_secs_f64() * 1_000.0;
+        let engine_ms = (seen_ms - sent.work.delay_ms).max(0.0);
+        self.calibrate(&sent, engine_ms, now);
+        let Sent { work, tokens_ahead, .. } = sent;
+        Some(FirstEvent { own_tokens: work.unread_tokens, tokens_ahead, engine_ms })
     }
 
     /// `ended` takes in that a request no longer runs there.
@@ -257,24 +271,27 @@
         &self,
         work: Work,
         figures: &Figures,
-        slots: u32,
+        capacity: &Capacity,
         now: Timestamp,
         options: &Options,
     ) -> f64 {
-        self.unpaced_ms(work, figures, slots, options) * self.ratio(now)
+        let engine_ms = self.unpaced_ms(work, figures, capacity, options) * self.ratio(now);
+        engine_ms + work.delay_ms
     }
 
-    fn unpaced_ms(&self, work: Work, figures: &Figures, slots: u32, options: &Options) -> f64 {
+    fn unpaced_ms(
+        &self,
+        work: Work,
+        figures: &Figures,
+        capacity: &Capacity,
+        options: &Options,
+    ) -> f64 {
         if work.unread_tokens == 0.0 {
             let work_ms = self.plain_ms(options);
-            let ahead = f64::from(figures.requests) / f64::from(slots.max(1));
+            let ahead = f64::from(figures.requests) / f64::from(capacity.slots.max(1));
             return work_ms * (1.0 + (ahead - 0.75).max(0.0));
         }
-        let tokens = figures.unread_tokens.max(0.0) + work.unread_tokens;
-        let running = f64::from(figures.requests.min(slots));
-        let step_ms = options.step_ms + options.step_ms_per_request * running;
-        let steps = tokens / options.chunk_tokens + 1.0;
-        tokens / options.prefill_tokens_per_ms + steps * step_ms + FIRST_EVENT_MS
+        capacity.speed.time_ms(figures.unread_tokens.max(0.0) + work.unread_tokens)
     }
 
     /// `plain_ms` returns the time in which a plain call was answered lately, without any queue.
@@ -289,8 +306,7 @@
         1.0 + (pace.ratio - 1.0) * factor
     }
 
-    fn calibrate(&mut self, sent: &Sent, seen: Duration, now: Timestamp) {
-        let seen_ms = seen.as_secs_f64() * 1_000.0;
+    fn calibrate(&mut self, sent: &Sent, seen_ms: f64, now: Timestamp) {
         if sent.work.unread_tokens == 0.0 {
             let plain_ms = self.plain_ms.unwrap_or(seen_ms);
             self.plain_ms = Some(plain_ms + PACE_GAIN * (seen_ms - plain_ms));
--- a/crates/bergamotpitch-control/src/traffic/fits.rs
+++ b/crates/bergamotpitch-control/src/traffic/fits.rs
@@ -11,9 +11,10 @@
 pub struct Fill {
     /// Part of the target latency within which the first event is predicted.
     pub target_part: f64,
-    /// Part of the target latency that other requests may take when the request's own work takes
-    /// longer than its target; without it, the longest prompts were never sent, and no call to a
-    /// service that once seemed slow.
+    /// Part of the target latency that other requests may take beside the request's own work;
+    /// without it, the longest prompts were never sent, and no call to a service that once seemed
+    /// slow. At 0 the request's own work counts like that of others: beyond a team's share, a prompt
+    /// that takes most of its target to read would make several others late.
     pub others_part: f64,
     /// Part of the slots that may be taken.
     pub slots_part: f64,
@@ -49,6 +50,10 @@
 /// for one that reads again what another engine holds: its capacity would stand idle.
 const IDLE_SLOTS_PART: f64 = 0.3;
 
+/// `EMPTY_SLOTS_PART` is the part of its slots below which an engine that reads nothing takes any
+/// request, also one that takes most of its target to read: few would wait behind it.
+const EMPTY_SLOTS_PART: f64 = 0.1;
+
 /// `Look` is one upstream as seen for one request.
 #[derive(Debug)]
 pub struct Look {
@@ -127,10 +132,19 @@
         if !has_slot || !has_memory {
             return Fit::Excess(ask.target);
         }
+        if is_generation
+            && self.taken_part() < EMPTY_SLOTS_PART
+            && self.figures.unread_tokens <= 0.0
+        {
+            return Fit::Fits;
+        }
         let target_ms = millis(ask.target);
         let in_time_ms = target_ms * fill.target_part * shrink - millis(ask.elapsed);
-        let beside_own_ms = self.own_ms + target_ms * fill.others_part * shrink;
-        let excess_ms = self.predicted_ms - in_time_ms.max(beside_own_ms);
+        let own_ms = if is_generation { self.own_ms.min(target_ms) } else { self.own_ms };
+        let beside_own_ms = own_ms + target_ms * fill.others_part * shrink;
+        let bound_ms =
+            if fill.others_part == 0.0 { in_time_ms } else { in_time_ms.max(beside_own_ms) };
+        let excess_ms = self.predicted_ms - bound_ms;
         if excess_ms <= 0.0 {
             return Fit::Fits;
         }
--- a/crates/bergamotpitch-control/src/traffic/needs.rs
+++ b/crates/bergamotpitch-control/src/traffic/needs.rs
@@ -9,6 +9,7 @@
 use crate::traffic::admissions::Ask;
 use crate::traffic::catalogs::CacheLink;
 use crate::traffic::engine_loads::Work;
+use crate::traffic::engine_speeds::EngineSpeed;
 use crate::traffic::facts::PartId;
 use crate::traffic::fits::{FAR_WEIGHT_MS, READ_AGAIN_WEIGHT, millis};
 use crate::traffic::registries::{Upstream, UpstreamKey};
@@ -51,6 +52,8 @@
     pub is_generation: bool,
     /// Length of the part of the prompt that no other request shares.
     pub own_tokens: f64,
+    /// How fast the engines of its service read.
+    pub speed: EngineSpeed,
     prompt_tokens: f64,
     shared_tokens: f64,
     memory_tokens: u64,
@@ -72,17 +75,16 @@
     pub work: Work,
     /// Engine from which it fetches what it does not keep of the shared start.
     pub fetch_from: Option<UpstreamKey>,
-    /// Time that the fetch is expected to take.
-    pub fetch_ms: f64,
 }
 
 impl Needs {
     /// `of_request` returns the sizes of a request.
-    pub fn of_request(ask: &Ask<'_>) -> Self {
+    pub fn of_request(ask: &Ask<'_>, speed: EngineSpeed) -> Self {
         let facts = ask.facts;
         Self {
             is_generation: facts.is_generation(),
             own_tokens: facts.own_tokens() as f64,
+            speed,
             prompt_tokens: facts.prompt_tokens as f64,
             shared_tokens: facts.shared_tokens() as f64,
             memory_tokens: facts.prompt_tokens + facts.output_tokens(),
@@ -103,9 +105,8 @@
         candidates: &[&Upstream],
         own_domain: DomainId,
         remote_round_trip: Duration,
-        prefill_tokens_per_ms: f64,
     ) {
-        let read_ms = self.shared_tokens / prefill_tokens_per_ms;
+        let read_ms = self.speed.reading_ms(self.shared_tokens);
         let way_ms = millis(remote_round_trip) + FAR_WEIGHT_MS;
         let is_global = way_ms < READ_AGAIN_WEIGHT * read_ms;
         let mut weights = [0; KEPT_PARTS.len()];
@@ -150,25 +151,25 @@
     /// nothing, and one that dropped it unseen need not read it again.
     pub fn reading_at(&self, upstream: &Upstream, kept_tokens: u64) -> Reading {
         if !self.is_generation {
-            return Reading { work: Work::default(), fetch_from: None, fetch_ms: 0.0 };
+            return Reading { work: Work::default(), fetch_from: None };
         }
         let expected = self.kept_part(upstream.key) * self.shared_tokens;
         let unread_tokens = (self.prompt_tokens - expected.max(kept_tokens as f64)).max(1.0);
-        let work = Work { unread_tokens, memory_tokens: self.memory_tokens };
+        let work = Work { unread_tokens, memory_tokens: self.memory_tokens, delay_ms: 0.0 };
         let (Some(link), Some(holder)) = (self.cache_link, self.source_for(upstream)) else {
-            return Reading { work, fetch_from: None, fetch_ms: 0.0 };
+            return Reading { work, fetch_from: None };
         };
         let fetch_from = Some(holder.key);
         let missing_tokens = unread_tokens - self.own_tokens;
         if missing_tokens < FETCH_LEAST_TOKENS {
-            return Reading { work, fetch_from, fetch_ms: 0.0 };
+            return Reading { work, fetch_from };
         }
         let fetched_tokens = HOLDER_PART * missing_tokens;
-        let work = Work { unread_tokens: unread_tokens - fetched_tokens, ..work };
         let is_near = holder.domain_number == upstream.domain_number;
         let factor = FETCH_FACTOR * if is_near { 1.0 } else { REMOTE_FETCH_FACTOR };
-        let fetch_ms = FETCH_SETUP_MS + factor * millis(link.transfer_time(fetched_tokens));
-        Reading { work, fetch_from, fetch_ms }
+        let delay_ms = FETCH_SETUP_MS + factor * millis(link.transfer_time(fetched_tokens));
+        let unread_tokens = unread_tokens - fetched_tokens;
+        Reading { work: Work { unread_tokens, delay_ms, ..work }, fetch_from }
     }
 
     /// The holder of the start from which an engine has it soonest: one of its own domain, else the
--- a/crates/bergamotpitch-control/tests/engines/mod.rs
+++ b/crates/bergamotpitch-control/tests/engines/mod.rs
@@ -6,16 +6,32 @@
 
 use bergamotpitch_control::traffic::facts::{PartId, PromptPart};
 
-const PREFILL_TOKENS_PER_MS: f64 = 100.0;
-const CHUNK_TOKENS: f64 = 4_096.0;
-const STEP_MS: f64 = 3.0;
-const STEP_MS_PER_REQUEST: f64 = 0.025;
+/// `Speed` is how fast an engine works.
+#[derive(Debug, Clone, Copy)]
+pub struct Speed {
+    pub prefill_tokens_per_ms: f64,
+    pub chunk_tokens: f64,
+    pub step_ms: f64,
+    pub step_ms_per_request: f64,
+}
+
+impl Default for Speed {
+    fn default() -> Self {
+        Self {
+            prefill_tokens_per_ms: 100.0,
+            chunk_tokens: 4_096.0,
+            step_ms: 3.0,
+            step_ms_per_request: 0.025,
+        }
+    }
+}
 
 /// `Engine` is one engine.
 pub struct Engine {
     pub slots: usize,
     pub room_tokens: u64,
     pub read_again_tokens: f64,
+    speed: Speed,
     waiting: VecDeque<Work>,
     reading: VecDeque<Work>,
     running: Vec<Work>,
@@ -39,10 +55,11 @@
 }
 
 impl Engine {
-    pub fn new(slots: usize, room_tokens: u64) -> Self {
+    pub fn new(slots: usize, room_tokens: u64, speed: Speed) -> Self {
         Self {
             slots,
             room_tokens,
+            speed,
             read_again_tokens: 0.0,
             waiting: VecDeque::new(),
             reading: VecDeque::new(),
@@ -112,7 +129,8 @@
     }
 
     fn step(&mut self, happenings: &mut Vec<Happening>) {
-        let mut chunk = CHUNK_TOKENS;
+        let speed = self.speed;
+        let mut chunk = speed.chunk_tokens;
         let mut begun = Vec::new();
         while let Some(work) = self.reading.front_mut() {
             let read = work.unread_tokens.min(chunk);
@@ -124,9 +142,9 @@
             begun.extend(self.reading.pop_front());
         }
         let decoding = self.running.len() as f64;
-        self.time_ms += (CHUNK_TOKENS - chunk) / PREFILL_TOKENS_PER_MS
-            + STEP_MS
-            + STEP_MS_PER_REQUEST * decoding;
+        self.time_ms += (speed.chunk_tokens - chunk) / speed.prefill_tokens_per_ms
+            + speed.step_ms
+            + speed.step_ms_per_request * decoding;
         for work in &mut self.running {
             work.left_tokens -= 1.0;
         }
--- a/crates/bergamotpitch-control/tests/fetched_starts.rs
+++ b/crates/bergamotpitch-control/tests/fetched_starts.rs
@@ -8,7 +8,7 @@
 use bergamotpitch_control::traffic::catalogs::CacheLink;
 use bergamotpitch_control::traffic::facts::RequestFacts;
 use bergamotpitch_control::traffic::registries::{Registration, UpstreamKey};
-use engines::{Engine, Happening, part};
+use engines::{Engine, Happening, Speed, part};
 use rand_core::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 
@@ -166,8 +166,10 @@
     let mut uniform = move || (random.next_u64() >> 11) as f64 / (1_u64 << 53) as f64;
     let domains = ["a"; 12];
     let mut instances: Vec<Traffic> = (0..4).map(|_| instance("a", &domains)).collect();
-    let mut engines: Vec<Engine> =
-        domains.iter().map(|_| Engine::new(SLOTS as usize, MEMORY_TOKENS / 2)).collect();
+    let mut engines: Vec<Engine> = domains
+        .iter()
+        .map(|_| Engine::new(SLOTS as usize, MEMORY_TOKENS / 2, Speed::default()))
+        .collect();
     let mut running: Vec<(usize, usize)> = Vec::new();
     for tick in 0..8_000_u64 {
         let now = Duration::from_millis(5 * tick);
@@ -176,10 +178,9 @@
                 let (Happening::Began(number, _) | Happening::Ended(number)) = &happening;
                 let (instance, _) = running[*number as usize];
                 let key = key_of(&instances[instance], index);
-                let load = instances[instance].load(key);
                 match happening {
-                    Happening::Began(number, time) => drop(load.begun(number, time)),
-                    Happening::Ended(number) => load.ended(number),
+                    Happening::Began(number, time) => instances[instance].begun(key, number, time),
+                    Happening::Ended(number) => instances[instance].load(key).ended(number),
                 }
             }
         }
--- a/crates/bergamotpitch-control/tests/needy_teams.rs
+++ b/crates/bergamotpitch-control/tests/needy_teams.rs
@@ -29,7 +29,7 @@
     let upstream = traffic.registry.key_of("engine").unwrap();
     let short = RequestFacts { prompt_tokens: 50, ..RequestFacts::default() };
     for number in 0..12 {
-        let work = Work { unread_tokens: 50.0, memory_tokens: 50 };
+        let work = Work { unread_tokens: 50.0, memory_tokens: 50, delay_ms: 0.0 };
         let placement = Placement {
             upstream,
             work,
@@ -40,7 +40,7 @@
             fetch_from: None,
         };
         traffic.send(number, &placement, &ask(&short, None), NOW);
-        traffic.load(upstream).begun(number, NOW);
+        traffic.begun(upstream, number, NOW);
     }
     let flooding = TeamSums { asked_tokens: 30_000_000, begun_tokens: 2_200_000 };
     let small = TeamSums { asked_tokens: 500_000, begun_tokens: 500_000 };
--- /dev/null
+++ b/crates/bergamotpitch-control/tests/replays/mod.rs
@@ -0,0 +1,189 @@
+//! A replay of a load in virtual time: one instance decides, stand-in engines read and generate.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use bergamotpitch_control::traffic::admissions::{Ask, Choice, Options, Placement, Traffic};
+use bergamotpitch_control::traffic::facts::RequestFacts;
+use bergamotpitch_control::traffic::registries::{Registration, UpstreamKey};
+use rand_core::{Rng, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+
+use crate::engines::{Engine, Happening, Speed, part};
+
+pub const SLOTS: u32 = 64;
+pub const LENGTH: Duration = Duration::from_secs(20);
+const ENGINES: usize = 3;
+const MEMORY_TOKENS: u64 = 700_000;
+const STEP: Duration = Duration::from_millis(5);
+/// Tokens of the pool in a second: what three engines give, as operators would state it.
+const POOL_TOKENS_PER_S: Option<u64> = Some(120_000);
+
+/// `Asked` is one request of a load.
+pub struct Asked {
+    pub facts: RequestFacts,
+    pub team: u32,
+    pub target: Duration,
+    pub arrived: Duration,
+}
+
+/// Long drafts and short notes of one large and three small teams, in bunches; the large one sends
+/// `flood_part` of them.
+pub fn arrivals(seed: u64, per_s: f64, flood_part: f64) -> Vec<Asked> {
+    let mut random = Xoshiro256PlusPlus::seed_from_u64(seed);
+    let mut uniform = move || (random.next_u64() >> 11) as f64 / (1_u64 << 53) as f64;
+    let mut asked = Vec::new();
+    let mut now = 0.0;
+    let mut number = 1_000_000_u64;
+    while now < LENGTH.as_secs_f64() {
+        now += -uniform().ln() * 3.0 / per_s;
+        for _ in 0..3 {
+            number += 1;
+            let team = if uniform() < flood_part { 9 } else { 1 + (uniform() * 3.0) as u32 };
+            let is_long = uniform() < 0.35;
+            let things = if is_long { 25.0 } else { 200.0 };
+            let thing = (uniform() * things) as u64 + if is_long { 1_000 } else { 2_000 };
+            let (shared, own, output) = if is_long { (5_000, 6_000, 384) } else { (200, 600, 250) };
+            let own = (f64::from(own) * (0.3 - uniform().ln())) as u32;
+            let prefix = vec![part(thing, shared), part(number, own)];
+            let facts = RequestFacts {
+                prompt_tokens: u64::from(shared + own),
+                output_tokens_max: output,
+                output_tokens_hint: Some(output),
+                prefix,
+                ..RequestFacts::default()
+            };
+            let target = Duration::from_millis(if is_long { 600 } else { 400 });
+            asked.push(Asked { facts, team, target, arrived: Duration::from_secs_f64(now) });
+        }
+    }
+    asked
+}
+
+/// `Outcome` is what became of a load.
+#[derive(Default, Debug)]
+pub struct Outcome {
+    pub asked: HashMap<u32, usize>,
+    pub in_time: HashMap<u32, usize>,
+    pub served: usize,
+    pub read_again_tokens: f64,
+}
+
+impl Outcome {
+    pub fn all_in_time(&self) -> usize {
+        self.in_time.values().sum()
+    }
+
+    pub fn small_part_in_time(&self) -> f64 {
+        let sum = |counts: &HashMap<u32, usize>| (1..=3).filter_map(|team| counts.get(&team)).sum();
+        let (in_time, asked): (usize, usize) = (sum(&self.in_time), sum(&self.asked));
+        in_time as f64 / asked as f64
+    }
+}
+
+/// `traffic_of_engines` is an instance that knows the engines, and their numbers.
+pub fn traffic_of_engines() -> (Traffic, Vec<UpstreamKey>) {
+    let options = Options { domain: "a".to_owned(), ..Options::default() };
+    let mut traffic = Traffic::new(options);
+    let mut keys = Vec::new();
+    for index in 0..ENGINES {
+        let id = format!("engine-{index}");
+        traffic.registry.listed(Registration {
+            id: id.clone(),
+            born_ms: None,
+            service: "engines".to_owned(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            domain: "a".to_owned(),
+            slots: SLOTS,
+            is_leaving: false,
+            cold_left: Duration::ZERO,
+        });
+        keys.push(traffic.registry.key_of(&id).unwrap());
+    }
+    (traffic, keys)
+}
+
+/// `ask_of_request` states what a request asks of the tables.
+pub fn ask_of_request(request: &Asked, now: Duration) -> Ask<'_> {
+    Ask {
+        service: "engines",
+        facts: &request.facts,
+        team: Some(request.team),
+        target: request.target,
+        elapsed: now.saturating_sub(request.arrived),
+        tried: &[],
+        memory_tokens: MEMORY_TOKENS,
+        pool_tokens_per_s: POOL_TOKENS_PER_S,
+        cache_link: None,
+    }
+}
+
+/// Replays a load; `place` decides, and what it does not place within a tenth of its target is
+/// refused.
+pub fn replay(
+    asked: &[Asked],
+    speed: Speed,
+    mut place: impl FnMut(&mut Traffic, &Ask<'_>, u64, Duration) -> Option<Placement>,
+) -> Outcome {
+    let (mut traffic, keys) = traffic_of_engines();
+    let mut engines: Vec<Engine> =
+        keys.iter().map(|_| Engine::new(SLOTS as usize, MEMORY_TOKENS / 2, speed)).collect();
+    let mut outcome = Outcome::default();
+    let mut next = 0;
+    let mut held: Vec<usize> = Vec::new();
+    let mut now = Duration::ZERO;
+    while now < LENGTH + Duration::from_secs(10) {
+        now += STEP;
+        for (engine, key) in engines.iter_mut().zip(&keys) {
+            for happening in engine.run(now) {
+                match happening {
+                    Happening::Began(number, time) => {
+                        let asked = &asked[number as usize];
+                        traffic.begun(*key, number, time);
+                        outcome.served += 1;
+                        if time <= asked.arrived + asked.target {
+                            *outcome.in_time.entry(asked.team).or_default() += 1;
+                        }
+                    }
+                    Happening::Ended(number) => traffic.load(*key).ended(number),
+                }
+            }
+        }
+        while let Some(request) = asked.get(next).filter(|request| request.arrived <= now) {
+            *outcome.asked.entry(request.team).or_default() += 1;
+            traffic.windows.note_asked(request.team, request.facts.pool_tokens(), now);
+            held.push(next);
+            next += 1;
+        }
+        held.retain(|number| {
+            let request = &asked[*number];
+            let ask = ask_of_request(request, now);
+            let Some(placement) = place(&mut traffic, &ask, *number as u64, now) else {
+                return now < request.arrived + request.target / 10;
+            };
+            let engine = keys.iter().position(|key| *key == placement.upstream).unwrap();
+            let prefix = request.facts.prefix.clone();
+            if let Some(holder) = placement.fetch_from {
+                let holder = keys.iter().position(|key| *key == holder).unwrap();
+                let [engine, holder] = engines.get_disjoint_mut([engine, holder]).unwrap();
+                engine.fetch(&prefix, holder);
+            }
+            engines[engine].send(*number as u64, prefix, request.facts.output_tokens());
+            false
+        });
+    }
+    outcome.read_again_tokens = engines.iter().map(|engine| engine.read_again_tokens).sum();
+    outcome
+}
+
+/// `chosen` sends a request where the tables place it.
+pub fn chosen(
+    traffic: &mut Traffic,
+    ask: &Ask<'_>,
+    number: u64,
+    now: Duration,
+) -> Option<Placement> {
+    let Choice::Send(placement) = traffic.choose(ask, now) else { return None };
+    traffic.send(number, &placement, ask, now);
+    Some(placement)
+}
--- a/crates/bergamotpitch-control/tests/slow_services.rs
+++ b/crates/bergamotpitch-control/tests/slow_services.rs
@@ -49,7 +49,7 @@
         sent.push((call, placement.upstream));
     }
     for (call, upstream) in sent {
-        traffic.load(upstream).begun(call, answered);
+        traffic.begun(upstream, call, answered);
         traffic.load(upstream).ended(call);
     }
 }
--- a/crates/bergamotpitch-gateway/src/placements.rs
+++ b/crates/bergamotpitch-gateway/src/placements.rs
@@ -151,7 +151,7 @@
         if !self.has_begun {
             self.has_begun = true;
             let mut traffic = self.gateway.traffic.borrow_mut();
-            traffic.load(self.key).begun(self.number, now);
+            traffic.begun(self.key, self.number, now);
             drop(traffic);
             self.gateway.note_change_of_load();
         }
--- a/crates/bergamotpitch-gateway/tests/peer_news.rs
+++ b/crates/bergamotpitch-gateway/tests/peer_news.rs
@@ -5,7 +5,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use bergamotpitch_control::traffic::engine_loads::{Figures, Work};
+use bergamotpitch_control::traffic::engine_loads::{Capacity, Figures, Work};
+use bergamotpitch_control::traffic::engine_speeds::EngineSpeed;
 use bergamotpitch_control::traffic::starts::StartNote;
 use bergamotpitch_core::HashMap;
 use bergamotpitch_core::ids::UpstreamId;
@@ -86,7 +87,8 @@
             let mut traffic = gateway.traffic.borrow_mut();
             let key = traffic.registry.key_of("u0").unwrap();
             let options = traffic.options.loads;
-            traffic.load(key).send(1, Work::default(), 4, now, &options);
+            let capacity = Capacity { slots: 4, speed: EngineSpeed::default() };
+            traffic.load(key).send(1, Work::default(), &capacity, now, &options);
             for start in 1..=500 {
                 let tokens = start as u32;
                 traffic.starts.sent(StartNote { start, tokens, upstream: life, used: now });
