Cut a call off only where another upstream has room for it

Cause: a repeatable call that waited for four times its predicted time was cut off and sent again, or, where no other engine had room, answered 502. Ruled out: a longer patience, as an engine that hangs must be left at the same time as before. Change: when the patience is over, the call goes elsewhere only if another upstream has room at that moment and the service's retry budget has, too; otherwise it goes on waiting and looks again each 100 ms.

--- a/crates/bergamotpitch-control/src/traffic/retry_budgets.rs
+++ b/crates/bergamotpitch-control/src/traffic/retry_budgets.rs
@@ -60,15 +60,20 @@
     /// assert!(!budget.take(Duration::ZERO, 1, &options));
     /// ```
     pub fn take(&mut self, now: Timestamp, instances: usize, options: &Options) -> bool {
+        let has_room = self.has_room(now, instances, options);
+        if has_room {
+            self.repeats.push_back(now);
+        }
+        has_room
+    }
+
+    /// `has_room` tells whether one more repeat fits.
+    pub fn has_room(&mut self, now: Timestamp, instances: usize, options: &Options) -> bool {
         drop_before(&mut self.requests, now, options.window);
         drop_before(&mut self.repeats, now, options.window);
         let requests = self.requests.len() as f64;
         let allowed = options.ratio * requests + options.fixed / instances.max(1) as f64;
-        if SAFETY * allowed < self.repeats.len() as f64 + 1.0 {
-            return false;
-        }
-        self.repeats.push_back(now);
-        true
+        self.repeats.len() as f64 + 1.0 <= SAFETY * allowed
     }
 }
 
--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -1,10 +1,11 @@
 //! Calls: the way of one request from its arrival to its answer.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::admissions::Placement;
+use bergamotpitch_control::traffic::admissions::{Choice, Placement};
 use bergamotpitch_control::traffic::catalogs::{CacheLink, Catalog, Route, RouteKind, Team};
 use bergamotpitch_control::traffic::facts::RequestFacts;
 use bergamotpitch_control::traffic::registries::UpstreamKey;
@@ -25,7 +26,7 @@
 use crate::gateways::Gateway;
 use crate::headers::remove_hop_headers;
 use crate::logs::decision;
-use crate::placements::{Run, place};
+use crate::placements::{Run, ask_of_call, place};
 use crate::refusals::{Refusal, response_of_refusal};
 
 /// `UNSTATED_BUDGET` is how long a caller is taken to wait that does not say so.
@@ -46,6 +47,9 @@
 /// that can be repeated is sent to another one.
 const PATIENCE_FACTOR: f64 = 4.0;
 
+/// `OTHER_PLACE_INTERVAL` is the time between two looks for another upstream.
+const OTHER_PLACE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// `LEAST_PATIENCE` is the least such time, as a part of the target latency.
 const LEAST_PATIENCE: f64 = 1.2;
 
@@ -220,8 +224,7 @@
         };
         let run = Run::open(gateway, &call, &placement);
         note_dispatch(&call, &placement, gateway, attempts);
-        let until = patience(gateway, &call, &placement, attempts);
-        match exchanges::send(gateway, &call, &placement, None, until).await {
+        match attempt(gateway, &call, &placement, &tried, attempts).await {
             Ok(answer) => match pass_on(gateway, &call, run, answer, attempts).await {
                 Ok(response) => return Ok(response),
                 Err(detail) => {
@@ -343,6 +346,43 @@
     refusal
 }
 
+/// Sends a call to an upstream and waits for the head of its answer. A repeatable call that waits for
+/// much longer than predicted goes to another upstream, but only where one has room for it. In the
+/// seconds after an outage all engines have long queues: cut off there, a request lost its place, was
+/// sent nowhere else and failed, where it would have been answered late.
+async fn attempt(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    placement: &Placement,
+    tried: &[UpstreamKey],
+    attempts: u32,
+) -> Result<Answer, Failure> {
+    let mut answer = pin!(exchanges::send(gateway, call, placement, None, call.deadline));
+    let mut until = patience(gateway, call, placement, attempts);
+    loop {
+        let time = until.saturating_sub(gateway.now());
+        if let Ok(result) = tokio::time::timeout(time, &mut answer).await {
+            return result;
+        }
+        if has_other_place(gateway, call, placement, tried) {
+            return Err(Failure::TimedOut);
+        }
+        until = gateway.now() + OTHER_PLACE_INTERVAL;
+    }
+}
+
+fn has_other_place(
+    gateway: &Gateway,
+    call: &Call,
+    placement: &Placement,
+    tried: &[UpstreamKey],
+) -> bool {
+    let tried = [tried, &[placement.upstream]].concat();
+    let now = gateway.now();
+    let choice = gateway.traffic.borrow_mut().choose(&ask_of_call(call, &tried, now), now);
+    matches!(choice, Choice::Send(_)) && gateway.has_repeat(&call.service)
+}
+
 /// Until when an attempt may take: a repeatable call does not spend all its time on one upstream.
 fn patience(gateway: &Gateway, call: &Call, placement: &Placement, attempts: u32) -> Timestamp {
     if !call.route.is_repeatable() || call.route.attempts_max <= attempts + 1 {
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -234,6 +234,15 @@
         traffic.budget(service).take(now, instances, &options)
     }
 
+    /// `has_repeat` tells whether the service's budget has room for one more repeat.
+    pub fn has_repeat(&self, service: &str) -> bool {
+        let now = self.now();
+        let instances = self.peers.borrow().len() + 1;
+        let mut traffic = self.traffic.borrow_mut();
+        let options = traffic.options.retries;
+        traffic.budget(service).has_room(now, instances, &options)
+    }
+
     /// `fresh_number` numbers a request.
     pub fn fresh_number(&self) -> u64 {
         self.last_number.set(self.last_number.get() + 1);
