Let the shares grow with the time for which somebody has counted

Cause: after a restart of all instances the windows of all teams are empty, and the shares were those of a whole window of four seconds. Change: the pool is counted over the time for which this instance or a peer that it hears has counted, an eighth of the window at least; beats tell it.

--- a/crates/bergamotpitch-control/src/traffic/team_windows.rs
+++ b/crates/bergamotpitch-control/src/traffic/team_windows.rs
@@ -7,6 +7,11 @@
 //! counts what it saw itself and adds the peers' sums, a fraction of a second old. A peer that
 //! falls silent is left out after [`Options::peer_timeout`], so that what is left of the fleet
 //! divides the whole pool.
+//!
+//! After an outage of all instances nobody has any sums, and whatever waited comes back at once.
+//! Measured by a whole window all of it would be within the shares, and the engines would be sent
+//! several times what they read in time. The shares therefore grow with the time for which at least
+//! one instance has counted.
 
 use std::time::Duration;
 
@@ -69,6 +74,8 @@
 #[derive(Debug)]
 struct PeerSums {
     heard: Timestamp,
+    /// For how long it had counted when it was heard.
+    counted: Duration,
     teams: HashMap<TeamId, TeamSums>,
 }
 
@@ -139,14 +146,17 @@
         sums.filter(|(_, sums)| *sums != TeamSums::default()).collect()
     }
 
-    /// `peer_heard` takes in a peer's sums.
+    /// `peer_heard` takes in the sums of a peer that has counted for some time.
     pub fn peer_heard(
         &mut self,
         peer: InstanceId,
         teams: impl IntoIterator<Item = (TeamId, TeamSums)>,
+        counted: Duration,
         now: Timestamp,
     ) {
-        self.peers.insert(peer, PeerSums { heard: now, teams: teams.into_iter().collect() });
+        let teams = teams.into_iter().collect();
+        let counted = counted.min(self.options.window);
+        self.peers.insert(peer, PeerSums { heard: now, counted, teams });
     }
 
     /// `level` returns the tokens of one window up to which every team is served; infinite when
@@ -188,7 +198,7 @@
         let fleet = self.fleet_sums(now);
         let asked: Vec<f64> = fleet.values().map(|sums| sums.asked_tokens as f64).collect();
         let begun: u64 = fleet.values().map(|sums| sums.begun_tokens).sum();
-        let window_s = self.options.window.as_secs_f64();
+        let window_s = self.counted_window(now).as_secs_f64();
         let pool = pool_tokens_per_s.map(|rate| rate as f64 * window_s);
         let given = (SURPLUS_GROWTH * begun as f64).max(pool.unwrap_or(0.0));
         let levels = Levels {
@@ -202,6 +212,14 @@
         levels
     }
 
+    /// The part of the window for which at least one instance has counted.
+    fn counted_window(&self, now: Timestamp) -> Duration {
+        let window = self.options.window;
+        let peers = self.peers.values().map(|peer| peer.counted + now.saturating_sub(peer.heard));
+        let longest = peers.max().unwrap_or_default().max(now);
+        longest.clamp(window / BUCKETS as u32, window)
+    }
+
     fn fleet_begun(&mut self, team: TeamId, now: Timestamp) -> u64 {
         let bucket = self.bucket(now);
         let own = self.own.get_mut(&team).map_or(0, |ring| ring.sum(bucket).begun_tokens);
--- a/crates/bergamotpitch-control/tests/even_shares.rs
+++ b/crates/bergamotpitch-control/tests/even_shares.rs
@@ -38,7 +38,7 @@
     windows.note_asked(SMALL, 9_000, at(0));
     windows.note_asked(LARGE, 9_000, at(0));
     let begun = TeamSums { asked_tokens: 9_000, begun_tokens: 3_000 };
-    windows.peer_heard(7, [(LARGE, begun)], at(10));
+    windows.peer_heard(7, [(LARGE, begun)], at(10), at(10));
     assert_ne!(windows.standing(LARGE, 100, RATE, at(100)), Standing::WithinShare);
     assert_eq!(windows.standing(SMALL, 100, RATE, at(100)), Standing::WithinShare);
     // A peer that fell silent no longer counts: the rest of the fleet has the whole pool.
--- a/crates/bergamotpitch-control/tests/long_prompts.rs
+++ b/crates/bergamotpitch-control/tests/long_prompts.rs
@@ -9,8 +9,7 @@
 use bergamotpitch_control::traffic::engine_loads::{Capacity, Work};
 use bergamotpitch_control::traffic::engine_speeds::EngineSpeed;
 use bergamotpitch_control::traffic::team_windows::Standing;
-use engines::Speed;
-use replays::{Asked, SLOTS, arrivals, ask_of_request, chosen, replay, traffic_of_engines};
+use replays::{Asked, Fleet, SLOTS, arrivals, ask_of_request, chosen, replay, traffic_of_engines};
 
 /// Half of a flooding team's requests have prompts that take nearly half a second to read; each makes
 /// those that wait behind it late.
@@ -33,7 +32,7 @@
 fn beyond_share() {
     for seed in 1..=3 {
         let asked = load(seed);
-        let ours = replay(&asked, Speed::default(), chosen);
+        let ours = replay(&asked, Fleet::default(), chosen);
         println!(
             "seed {seed}: asked {}, served {}, in time {}, small teams {:.3}",
             asked.len(),
--- a/crates/bergamotpitch-control/tests/needy_teams.rs
+++ b/crates/bergamotpitch-control/tests/needy_teams.rs
@@ -45,7 +45,8 @@
     let flooding = TeamSums { asked_tokens: 30_000_000, begun_tokens: 2_200_000 };
     let small = TeamSums { asked_tokens: 500_000, begun_tokens: 500_000 };
     let others = (100..120).map(|team| (team, small));
-    traffic.windows.peer_heard(1, others.chain([(FLOODING, flooding), (NEEDY, needy)]), NOW);
+    let teams = others.chain([(FLOODING, flooding), (NEEDY, needy)]);
+    traffic.windows.peer_heard(1, teams, NOW, NOW);
     traffic
 }
 
--- a/crates/bergamotpitch-control/tests/replays/mod.rs
+++ b/crates/bergamotpitch-control/tests/replays/mod.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bergamotpitch_control::traffic::admissions::{Ask, Choice, Options, Placement, Traffic};
+use bergamotpitch_control::traffic::engine_loads::Figures;
 use bergamotpitch_control::traffic::facts::RequestFacts;
 use bergamotpitch_control::traffic::registries::{Registration, UpstreamKey};
 use rand_core::{Rng, SeedableRng};
@@ -15,6 +16,8 @@
 pub const LENGTH: Duration = Duration::from_secs(20);
 const ENGINES: usize = 3;
 const MEMORY_TOKENS: u64 = 700_000;
+/// Time between two beats of an instance to its peers.
+const BEAT_INTERVAL: Duration = Duration::from_millis(120);
 const STEP: Duration = Duration::from_millis(5);
 /// Tokens of the pool in a second: what three engines give, as operators would state it.
 const POOL_TOKENS_PER_S: Option<u64> = Some(120_000);
@@ -74,6 +77,13 @@
         self.in_time.values().sum()
     }
 
+    fn note_begun(&mut self, asked: &Asked, time: Duration) {
+        self.served += 1;
+        if time <= asked.arrived + asked.target {
+            *self.in_time.entry(asked.team).or_default() += 1;
+        }
+    }
+
     pub fn small_part_in_time(&self) -> f64 {
         let sum = |counts: &HashMap<u32, usize>| (1..=3).filter_map(|team| counts.get(&team)).sum();
         let (in_time, asked): (usize, usize) = (sum(&self.in_time), sum(&self.asked));
@@ -118,47 +128,70 @@
     }
 }
 
-/// Replays a load; `place` decides, and what it does not place within a tenth of its target is
-/// refused.
+/// `Fleet` is who decides in a replay, and how fast the engines are.
+#[derive(Debug, Clone, Copy)]
+pub struct Fleet {
+    /// Instances, which take requests in turn and tell each other what they have in hand.
+    pub instances: usize,
+    pub speed: Speed,
+}
+
+impl Default for Fleet {
+    fn default() -> Self {
+        Self { instances: 1, speed: Speed::default() }
+    }
+}
+
+/// `replay` replays a load; `place` decides, and what it does not place within a tenth of its target
+/// is refused.
 pub fn replay(
     asked: &[Asked],
-    speed: Speed,
+    fleet: Fleet,
     mut place: impl FnMut(&mut Traffic, &Ask<'_>, u64, Duration) -> Option<Placement>,
 ) -> Outcome {
-    let (mut traffic, keys) = traffic_of_engines();
+    let (mut instances, keys): (Vec<Traffic>, Vec<_>) =
+        (0..fleet.instances).map(|_| traffic_of_engines()).unzip();
+    // All instances number the engines alike.
+    let keys = &keys[0];
+    let instance_of = |number: usize| number % fleet.instances;
     let mut engines: Vec<Engine> =
-        keys.iter().map(|_| Engine::new(SLOTS as usize, MEMORY_TOKENS / 2, speed)).collect();
+        keys.iter().map(|_| Engine::new(SLOTS as usize, MEMORY_TOKENS / 2, fleet.speed)).collect();
     let mut outcome = Outcome::default();
     let mut next = 0;
     let mut held: Vec<usize> = Vec::new();
     let mut now = Duration::ZERO;
+    let mut next_beat = BEAT_INTERVAL;
     while now < LENGTH + Duration::from_secs(10) {
         now += STEP;
-        for (engine, key) in engines.iter_mut().zip(&keys) {
+        for (engine, key) in engines.iter_mut().zip(keys) {
             for happening in engine.run(now) {
+                let (Happening::Began(number, _) | Happening::Ended(number)) = &happening;
+                let traffic = &mut instances[instance_of(*number as usize)];
                 match happening {
                     Happening::Began(number, time) => {
-                        let asked = &asked[number as usize];
                         traffic.begun(*key, number, time);
-                        outcome.served += 1;
-                        if time <= asked.arrived + asked.target {
-                            *outcome.in_time.entry(asked.team).or_default() += 1;
-                        }
+                        outcome.note_begun(&asked[number as usize], time);
                     }
                     Happening::Ended(number) => traffic.load(*key).ended(number),
                 }
             }
         }
+        if next_beat <= now {
+            next_beat += BEAT_INTERVAL;
+            exchange(&mut instances, keys, now);
+        }
         while let Some(request) = asked.get(next).filter(|request| request.arrived <= now) {
             *outcome.asked.entry(request.team).or_default() += 1;
-            traffic.windows.note_asked(request.team, request.facts.pool_tokens(), now);
+            let windows = &mut instances[instance_of(next)].windows;
+            windows.note_asked(request.team, request.facts.pool_tokens(), now);
             held.push(next);
             next += 1;
         }
         held.retain(|number| {
             let request = &asked[*number];
             let ask = ask_of_request(request, now);
-            let Some(placement) = place(&mut traffic, &ask, *number as u64, now) else {
+            let traffic = &mut instances[instance_of(*number)];
+            let Some(placement) = place(traffic, &ask, *number as u64, now) else {
                 return now < request.arrived + request.target / 10;
             };
             let engine = keys.iter().position(|key| *key == placement.upstream).unwrap();
@@ -176,6 +209,24 @@
     outcome
 }
 
+/// Each instance tells all others what it has in hand and what its teams asked and began.
+fn exchange(instances: &mut [Traffic], keys: &[UpstreamKey], now: Duration) {
+    for from in 0..instances.len() {
+        let figures: Vec<Figures> =
+            keys.iter().map(|key| instances[from].load(*key).own_figures()).collect();
+        let sums = instances[from].windows.own_sums(now);
+        let notes = instances[from].starts.own_notes(now);
+        let peer = from as u32;
+        for (_, to) in instances.iter_mut().enumerate().filter(|(to, _)| *to != from) {
+            for (key, figures) in keys.iter().zip(&figures) {
+                to.load(*key).peer_heard(peer, *figures, now);
+            }
+            to.windows.peer_heard(peer, sums.iter().copied(), now, now);
+            notes.iter().for_each(|note| to.starts.heard(*note));
+        }
+    }
+}
+
 /// `chosen` sends a request where the tables place it.
 pub fn chosen(
     traffic: &mut Traffic,
--- a/crates/bergamotpitch-control/tests/slower_engines.rs
+++ b/crates/bergamotpitch-control/tests/slower_engines.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use engines::Speed;
-use replays::{Asked, arrivals, chosen, replay};
+use replays::{Asked, Fleet, arrivals, chosen, replay};
 
 const SLOWER: Speed = Speed {
     prefill_tokens_per_ms: 30.0,
@@ -31,7 +31,7 @@
 fn third_speed() {
     for seed in 1..=3 {
         let asked = load(seed);
-        let outcome = replay(&asked, SLOWER, chosen);
+        let outcome = replay(&asked, Fleet { speed: SLOWER, ..Fleet::default() }, chosen);
         println!(
             "seed {seed}: asked {}, served {}, in time {}, small teams {:.2}",
             asked.len(),
--- a/crates/bergamotpitch-control/tests/worst_load.rs
+++ b/crates/bergamotpitch-control/tests/worst_load.rs
@@ -8,8 +8,7 @@
 
 use bergamotpitch_control::traffic::admissions::{Ask, Placement, Traffic};
 use bergamotpitch_control::traffic::team_windows::Standing;
-use engines::Speed;
-use replays::{Asked, SLOTS, arrivals, chosen, replay};
+use replays::{Asked, Fleet, SLOTS, arrivals, chosen, replay};
 
 /// First come, first served at the engine with the fewest requests, whatever its prompts are.
 fn first_come(
@@ -43,8 +42,8 @@
 fn twice_the_load() {
     for seed in 1..=3 {
         let asked = arrivals(seed, 95.0, 0.7);
-        let ours = replay(&asked, Speed::default(), chosen);
-        let plain = replay(&asked, Speed::default(), first_come);
+        let ours = replay(&asked, Fleet::default(), chosen);
+        let plain = replay(&asked, Fleet::default(), first_come);
         println!(
             "seed {seed}: asked {}, in time {} against {}, served {} against {}, small teams {:.2} \
              against {:.2}, read again {:.0} against {:.0} tokens",
@@ -70,7 +69,7 @@
 #[test]
 fn flooding_team() {
     for seed in 1..=3 {
-        let ours = replay(&arrivals(seed, 95.0, 0.93), Speed::default(), chosen);
+        let ours = replay(&arrivals(seed, 95.0, 0.93), Fleet::default(), chosen);
         assert!(0.95 <= ours.small_part_in_time(), "{seed}: {:.3}", ours.small_part_in_time());
     }
 }
@@ -82,7 +81,7 @@
     for request in asked {
         *wanted.entry(request.team).or_default() += request.facts.pool_tokens();
     }
-    replay(asked, Speed::default(), |traffic, ask, number, now| {
+    replay(asked, Fleet::default(), |traffic, ask, number, now| {
         let placement = chosen(traffic, ask, number, now)?;
         *begun.entry(ask.team?).or_default() += ask.facts.pool_tokens();
         Some(placement)
@@ -115,7 +114,7 @@
 fn light_load() {
     for seed in 1..=3 {
         let asked = arrivals(seed, 15.0, 0.7);
-        let ours = replay(&asked, Speed::default(), chosen);
+        let ours = replay(&asked, Fleet::default(), chosen);
         let refused = asked.len() - ours.served;
         assert!(refused * 50 <= asked.len(), "{seed}: {refused} of {} refused", asked.len());
     }
--- a/crates/bergamotpitch-gateway/src/beats.rs
+++ b/crates/bergamotpitch-gateway/src/beats.rs
@@ -53,6 +53,8 @@
     pub watches: bool,
     /// Number of the latest change of its documents.
     pub relay_number: u64,
+    /// For how long it has counted what its teams asked.
+    pub counted_ms: u64,
     /// What it has in hand at each upstream.
     pub loads: Vec<LoadLine>,
     /// What its teams asked and began.
@@ -190,6 +192,7 @@
         list_change: gateway.list_change(),
         watches: !gateway.relies_on_peers(),
         relay_number: gateway.store_news.relay.borrow().last_number(),
+        counted_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
         loads,
         starts,
         leaving: leaving.collect(),
@@ -259,7 +262,8 @@
         let sums = TeamSums { asked_tokens: line.asked_tokens, begun_tokens: line.begun_tokens };
         (line.team, sums)
     });
-    gateway.traffic.borrow_mut().windows.peer_heard(beat.instance, teams, now);
+    let counted = Duration::from_millis(beat.counted_ms);
+    gateway.traffic.borrow_mut().windows.peer_heard(beat.instance, teams, counted, now);
 }
 
 impl Gateway {
