Order engines for unknown starts within the own domain, and drop what shrank bounds for parts read again

Prices on the new customer's deployment are led by bytes between regions and shared parts read again. 67 to 87 of 100 requests of a start come from one domain (recorded arrivals), yet a long start that nobody had told of was placed by rendezvous over all engines, in half of the cases in another region. And bounds shrank for prompts of which another engine had read the start: with starts fetched and notes of starts told, that refused work and saved none.

The rendezvous order takes engines of the own domain only; another region weighs 100 ms; Fill.read_again_part and the exception for idle slots that it needed are gone.

--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -64,21 +64,18 @@
                 others_part: 0.4,
                 slots_part: 0.95,
                 memory_part: 0.9,
-                read_again_part: 0.1,
             },
             even_surplus: Fill {
                 target_part: 0.35,
                 others_part: 0.0,
                 slots_part: 0.7,
                 memory_part: 0.75,
-                read_again_part: 0.95,
             },
             beyond_even: Fill {
                 target_part: 0.2,
                 others_part: 0.0,
                 slots_part: 0.5,
                 memory_part: 0.6,
-                read_again_part: 0.95,
             },
         }
     }
@@ -392,7 +389,7 @@
     fn needs(&self, ask: &Ask<'_>, candidates: &[&Upstream], now: Timestamp) -> Needs {
         let mut needs = Needs::of_request(ask, self.speed(ask.service));
         let Some(start) = ask.facts.shared_start() else { return needs };
-        needs.rank_engines(start, candidates, self.domain_number, self.options.remote_round_trip);
+        needs.rank_engines(start, candidates, self.domain_number);
         needs.find_holders(start, candidates, &self.starts, now);
         needs
     }
--- a/crates/bergamotpitch-control/src/traffic/fits.rs
+++ b/crates/bergamotpitch-control/src/traffic/fits.rs
@@ -20,9 +20,6 @@
     pub slots_part: f64,
     /// Part of the memory that may be taken by running requests.
     pub memory_part: f64,
-    /// By which part the bounds shrink for a prompt of which all that is to be read was read by
-    /// another engine before: reading it again takes room from requests that need not.
-    pub read_again_part: f64,
 }
 
 /// `PLAIN_SLOTS_FACTOR` is how many calls a plain service may have in hand for each slot: a short
@@ -32,11 +29,12 @@
 /// `READ_AGAIN_WEIGHT` is how much a millisecond of reading a shared start again weighs against a
 /// millisecond of waiting: it is taken from all that run on the engine, and the start takes memory
 /// in which other starts are kept.
-pub const READ_AGAIN_WEIGHT: f64 = 4.0;
+const READ_AGAIN_WEIGHT: f64 = 4.0;
 
 /// `FAR_WEIGHT_MS` is what the bytes of a request and its answer weigh when they go to another region,
-/// in milliseconds of waiting.
-pub const FAR_WEIGHT_MS: f64 = 20.0;
+/// in milliseconds of waiting. The bytes of a long prompt cost about what a tenth of a second of an
+/// engine does.
+const FAR_WEIGHT_MS: f64 = 100.0;
 
 /// `NEAR_WEIGHT_MS` is the same for another failure domain of the own region, where links are cheaper
 /// by an order of magnitude and half a millisecond long.
@@ -46,10 +44,6 @@
 /// short, in milliseconds for a full engine.
 const SLOTS_WEIGHT_MS: f64 = 150.0;
 
-/// `IDLE_SLOTS_PART` is the part of its slots below which an engine has room for any request, also
-/// for one that reads again what another engine holds: its capacity would stand idle.
-const IDLE_SLOTS_PART: f64 = 0.3;
-
 /// `EMPTY_SLOTS_PART` is the part of its slots below which an engine that reads nothing takes any
 /// request, also one that takes most of its target to read: few would wait behind it.
 const EMPTY_SLOTS_PART: f64 = 0.1;
@@ -119,10 +113,7 @@
     /// `fit` tells whether the request fits within a fill.
     pub fn fit(&self, ask: &Ask<'_>, fill: &Fill) -> Fit {
         let is_generation = ask.facts.is_generation();
-        let read_again_part = self.read_again_ms / self.own_ms.max(1.0);
-        let is_idle = self.taken_part() < IDLE_SLOTS_PART;
-        let shrink = if is_idle { 1.0 } else { 1.0 - fill.read_again_part * read_again_part };
-        let slots_part = if is_generation { fill.slots_part * shrink } else { PLAIN_SLOTS_FACTOR };
+        let slots_part = if is_generation { fill.slots_part } else { PLAIN_SLOTS_FACTOR };
         let requests = f64::from(self.figures.requests);
         let has_slot = requests + 1.0 <= (f64::from(self.slots) * slots_part).max(1.0);
         let memory = ask.memory_tokens as f64 * fill.memory_part;
@@ -139,9 +130,9 @@
             return Fit::Fits;
         }
         let target_ms = millis(ask.target);
-        let in_time_ms = target_ms * fill.target_part * shrink - millis(ask.elapsed);
+        let in_time_ms = target_ms * fill.target_part - millis(ask.elapsed);
         let own_ms = if is_generation { self.own_ms.min(target_ms) } else { self.own_ms };
-        let beside_own_ms = own_ms + target_ms * fill.others_part * shrink;
+        let beside_own_ms = own_ms + target_ms * fill.others_part;
         let bound_ms =
             if fill.others_part == 0.0 { in_time_ms } else { in_time_ms.max(beside_own_ms) };
         let excess_ms = self.predicted_ms - bound_ms;
--- a/crates/bergamotpitch-control/src/traffic/needs.rs
+++ b/crates/bergamotpitch-control/src/traffic/needs.rs
@@ -1,8 +1,6 @@
 //! Needs: what one request needs of an engine, and which engines likely keep the start of its
 //! prompt. Both are found once for all upstreams that a decision looks at.
 
-use std::time::Duration;
-
 use bergamotpitch_core::ids::{DomainId, UpstreamId};
 use bergamotpitch_core::units::Timestamp;
 
@@ -11,7 +9,7 @@
 use crate::traffic::engine_loads::Work;
 use crate::traffic::engine_speeds::EngineSpeed;
 use crate::traffic::facts::PartId;
-use crate::traffic::fits::{FAR_WEIGHT_MS, READ_AGAIN_WEIGHT, millis};
+use crate::traffic::fits::millis;
 use crate::traffic::registries::{Upstream, UpstreamKey};
 use crate::traffic::starts::Starts;
 
@@ -94,26 +92,13 @@
         }
     }
 
-    /// `rank_engines` finds the first engines by rendezvous for the shared start of the prompt.
-    ///
-    /// A long start is kept by few engines of the whole fleet: each domain reads it too seldom to
-    /// keep it warm, and the way to another domain takes less time than reading it again. A short
-    /// one is kept in each domain.
-    pub fn rank_engines(
-        &mut self,
-        start: PartId,
-        candidates: &[&Upstream],
-        own_domain: DomainId,
-        remote_round_trip: Duration,
-    ) {
-        let read_ms = self.speed.reading_ms(self.shared_tokens);
-        let way_ms = millis(remote_round_trip) + FAR_WEIGHT_MS;
-        let is_global = way_ms < READ_AGAIN_WEIGHT * read_ms;
+    /// `rank_engines` finds the first engines of the own domain by rendezvous for the shared start of
+    /// the prompt. Callers of one subject mostly reach one domain, and each prompt that leaves its
+    /// region to save a reading is paid for by its bytes, there and back.
+    pub fn rank_engines(&mut self, start: PartId, candidates: &[&Upstream], own_domain: DomainId) {
         let mut weights = [0; KEPT_PARTS.len()];
-        for engine in candidates {
-            if !is_global && engine.domain_number != own_domain {
-                continue;
-            }
+        let own = candidates.iter().filter(|engine| engine.domain_number == own_domain);
+        for engine in own {
             let weight = rendezvous_weight(start, engine.id_number);
             let Some(place) = weights.iter().position(|other| *other < weight) else { continue };
             weights[place..].rotate_right(1);
--- a/crates/bergamotpitch-control/tests/near_domains.rs
+++ b/crates/bergamotpitch-control/tests/near_domains.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bergamotpitch_control::traffic::admissions::{Ask, Choice, Options, Traffic};
-use bergamotpitch_control::traffic::facts::RequestFacts;
+use bergamotpitch_control::traffic::facts::{PromptPart, RequestFacts};
 use bergamotpitch_control::traffic::registries::Registration;
 
 fn traffic() -> Traffic {
@@ -28,15 +28,10 @@
     traffic
 }
 
-/// A domain's engines are full, and its region has another domain over a cheap, short link. Sent to
-/// another region instead, the answer comes 24 ms later at each turn and its bytes are paid for.
-#[test]
-fn own_region() {
-    let mut traffic = traffic();
-    let facts = RequestFacts { prompt_tokens: 900, ..RequestFacts::default() };
-    let ask = Ask {
+fn ask(facts: &RequestFacts) -> Ask<'_> {
+    Ask {
         service: "engines",
-        facts: &facts,
+        facts,
         team: None,
         target: Duration::from_millis(400),
         elapsed: Duration::ZERO,
@@ -44,7 +39,16 @@
         memory_tokens: 500_000,
         pool_tokens_per_s: None,
         cache_link: None,
-    };
+    }
+}
+
+/// A domain's engines are full, and its region has another domain over a cheap, short link. Sent to
+/// another region instead, the answer comes 24 ms later at each turn and its bytes are paid for.
+#[test]
+fn own_region() {
+    let mut traffic = traffic();
+    let facts = RequestFacts { prompt_tokens: 900, ..RequestFacts::default() };
+    let ask = ask(&facts);
     let mut order = Vec::new();
     for number in 0..40 {
         let Choice::Send(placement) = traffic.choose(&ask, Duration::ZERO) else { break };
@@ -57,3 +61,22 @@
     }
     assert_eq!(order, ["north-a", "north-b", "south-a"]);
 }
+
+/// Prompts on many subjects begin with long starts that nobody has told of yet. Most callers of a
+/// subject reach one domain, so that a start that is kept in another region costs bytes there and back
+/// for each of its prompts, and callers wait for the longer way.
+#[test]
+fn unknown_starts() {
+    let mut traffic = traffic();
+    for subject in 0..40 {
+        let start = PromptPart { id: subject, tokens: 6_000 };
+        let own = PromptPart { id: 1_000 + subject, tokens: 1_000 };
+        let prefix = vec![start, own];
+        let facts = RequestFacts { prompt_tokens: 7_000, prefix, ..Default::default() };
+        let Choice::Send(placement) = traffic.choose(&ask(&facts), Duration::ZERO) else {
+            panic!("no place for {subject}");
+        };
+        let upstream = traffic.registry.get(placement.upstream).unwrap();
+        assert_eq!(upstream.registration.domain, "north-a", "{subject}");
+    }
+}
