Give each mechanism of the decision a switch

Operators could not turn a mechanism off that does harm under their load, nor see what one is worth. The settings of the adapter have an object policy now with a named field for each mechanism of traffic and of the gateway's handling of overload; all are on. Fits are split into their steps on the way.

--- a/crates/bergamotpitch-control/src/traffic.rs
+++ b/crates/bergamotpitch-control/src/traffic.rs
@@ -12,6 +12,7 @@
 pub mod facts;
 pub mod fits;
 pub mod needs;
+pub mod policies;
 pub mod prefixes;
 pub mod registries;
 pub mod retry_budgets;
--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -19,6 +19,7 @@
 use crate::traffic::facts::RequestFacts;
 use crate::traffic::fits::{Distance, Fill, Fit, Look, millis};
 use crate::traffic::needs::{Needs, Reading};
+use crate::traffic::policies::Policy;
 use crate::traffic::prefixes::KeptParts;
 use crate::traffic::registries::{Registry, Upstream, UpstreamKey};
 use crate::traffic::retry_budgets::{self, RetryBudget};
@@ -28,6 +29,8 @@
 /// `Options` of the decision.
 #[derive(Debug, Clone)]
 pub struct Options {
+    /// Which mechanisms are in force.
+    pub policy: Policy,
     /// Failure domain of this instance.
     pub domain: String,
     /// The model of upstreams.
@@ -52,6 +55,7 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
+            policy: Policy::default(),
             domain: String::new(),
             near_domains: Vec::new(),
             loads: engine_loads::Options::default(),
@@ -181,7 +185,9 @@
 
 impl Traffic {
     /// `new` returns a state without any upstream.
-    pub fn new(options: Options) -> Self {
+    pub fn new(mut options: Options) -> Self {
+        options.windows.policy = options.policy;
+        options.loads.policy = options.policy;
         let windows = TeamWindows::new(options.windows);
         Self {
             domain_number: id_of_name(&options.domain),
@@ -261,9 +267,9 @@
             let state = self.states.get(&upstream.key).unwrap_or(&unknown);
             let seen = self.look(upstream, state, ask, &needs, now);
             least_requests = least_requests.min(seen.figures.requests);
-            match seen.fit(ask, &fill) {
+            match seen.fit(ask, &fill, &self.options.policy) {
                 Fit::Fits => {
-                    let score = seen.score();
+                    let score = seen.score(&self.options.policy);
                     if best.as_ref().is_none_or(|(least, _)| score < *least) {
                         best = Some((score, placement_of_look(&seen, standing)));
                     }
@@ -310,7 +316,7 @@
     pub fn begun(&mut self, key: UpstreamKey, request: RequestNumber, now: Timestamp) {
         let Some(event) = self.load(key).begun(request, now) else { return };
         let Some(upstream) = self.registry.get(key) else { return };
-        if event.tells_speed() {
+        if event.tells_speed() && self.options.policy.learned_speeds {
             let service = &upstream.registration.service;
             let mut speed = self.speed(service);
             speed.note(event.tokens_ahead + event.own_tokens, event.engine_ms);
@@ -329,7 +335,7 @@
 
     fn standing(&mut self, ask: &Ask<'_>, now: Timestamp) -> Standing {
         let Some(team) = ask.team else { return Standing::WithinShare };
-        if !ask.facts.is_generation() {
+        if !ask.facts.is_generation() || !self.options.policy.team_shares {
             return Standing::WithinShare;
         }
         self.windows.standing(team, ask.facts.pool_tokens(), ask.pool_tokens_per_s, now)
@@ -346,6 +352,9 @@
             .filter_map(|key| self.registry.get(*key))
             .filter(|upstream| upstream.takes_work())
             .collect();
+        if !self.options.policy.evidence {
+            return open;
+        }
         let usual_rate = self.usual_failure_rate(&open);
         let sound: Vec<&Upstream> = open
             .iter()
@@ -387,9 +396,12 @@
     }
 
     fn needs(&self, ask: &Ask<'_>, candidates: &[&Upstream], now: Timestamp) -> Needs {
-        let mut needs = Needs::of_request(ask, self.speed(ask.service));
+        let policy = &self.options.policy;
+        let mut needs = Needs::of_request(ask, self.speed(ask.service), policy);
         let Some(start) = ask.facts.shared_start() else { return needs };
-        needs.rank_engines(start, candidates, self.domain_number);
+        if policy.start_order {
+            needs.rank_engines(start, candidates, self.domain_number);
+        }
         needs.find_holders(start, candidates, &self.starts, now);
         needs
     }
--- a/crates/bergamotpitch-control/src/traffic/engine_loads.rs
+++ b/crates/bergamotpitch-control/src/traffic/engine_loads.rs
@@ -13,6 +13,7 @@
 use bergamotpitch_core::units::Timestamp;
 
 use crate::traffic::engine_speeds::EngineSpeed;
+use crate::traffic::policies::Policy;
 
 /// `RequestNumber` numbers the requests of one process.
 pub type RequestNumber = u64;
@@ -26,6 +27,8 @@
     pub peer_timeout: Duration,
     /// Age up to which an upstream's own report counts.
     pub report_timeout: Duration,
+    /// Which mechanisms are in force.
+    pub policy: Policy,
 }
 
 impl Default for Options {
@@ -35,6 +38,7 @@
             // In a fleet of a hundred instances a peer's turn comes every 3 s.
             peer_timeout: Duration::from_millis(3_500),
             report_timeout: Duration::from_millis(250),
+            policy: Policy::default(),
         }
     }
 }
@@ -275,8 +279,8 @@
         now: Timestamp,
         options: &Options,
     ) -> f64 {
-        let engine_ms = self.unpaced_ms(work, figures, capacity, options) * self.ratio(now);
-        engine_ms + work.delay_ms
+        let ratio = if options.policy.learned_paces { self.ratio(now) } else { 1.0 };
+        self.unpaced_ms(work, figures, capacity, options) * ratio + work.delay_ms
     }
 
     fn unpaced_ms(
--- a/crates/bergamotpitch-control/src/traffic/fits.rs
+++ b/crates/bergamotpitch-control/src/traffic/fits.rs
@@ -4,6 +4,7 @@
 
 use crate::traffic::admissions::Ask;
 use crate::traffic::engine_loads::{Figures, Work};
+use crate::traffic::policies::Policy;
 use crate::traffic::registries::UpstreamKey;
 
 /// `Fill` bounds how full an upstream may be when a request is sent there.
@@ -97,7 +98,8 @@
 
 impl Look {
     /// `score` compares upstreams that a request fits: the least is best.
-    pub fn score(&self) -> f64 {
+    pub fn score(&self, policy: &Policy) -> f64 {
+        let when = |is_on: bool, weight_ms: f64| if is_on { weight_ms } else { 0.0 };
         let taken_part = self.taken_part();
         let distance_ms = match self.distance {
             Distance::Own => 0.0,
@@ -105,36 +107,26 @@
             Distance::Far => FAR_WEIGHT_MS,
         };
         self.predicted_ms
-            + READ_AGAIN_WEIGHT * self.read_again_ms
-            + SLOTS_WEIGHT_MS * taken_part * taken_part
-            + distance_ms
+            + when(policy.read_again_weight, READ_AGAIN_WEIGHT * self.read_again_ms)
+            + when(policy.slots_weight, SLOTS_WEIGHT_MS * taken_part * taken_part)
+            + when(policy.distance_weights, distance_ms)
     }
 
     /// `fit` tells whether the request fits within a fill.
-    pub fn fit(&self, ask: &Ask<'_>, fill: &Fill) -> Fit {
+    pub fn fit(&self, ask: &Ask<'_>, fill: &Fill, policy: &Policy) -> Fit {
         let is_generation = ask.facts.is_generation();
-        let slots_part = if is_generation { fill.slots_part } else { PLAIN_SLOTS_FACTOR };
-        let requests = f64::from(self.figures.requests);
-        let has_slot = requests + 1.0 <= (f64::from(self.slots) * slots_part).max(1.0);
-        let memory = ask.memory_tokens as f64 * fill.memory_part;
-        let memory_taken = (self.figures.memory_tokens + self.work.memory_tokens) as f64;
-        // An idle engine takes any request: one that is larger than its memory is refused there.
-        let has_memory = !is_generation || self.figures.requests == 0 || memory_taken <= memory;
-        if !has_slot || !has_memory {
+        if !self.has_slot(is_generation, fill) || !self.has_memory(ask, fill) {
             return Fit::Excess(ask.target);
         }
-        if is_generation
-            && self.taken_part() < EMPTY_SLOTS_PART
-            && self.figures.unread_tokens <= 0.0
-        {
+        if is_generation && policy.empty_engines && self.is_empty() {
             return Fit::Fits;
         }
         let target_ms = millis(ask.target);
-        let in_time_ms = target_ms * fill.target_part - millis(ask.elapsed);
         let own_ms = if is_generation { self.own_ms.min(target_ms) } else { self.own_ms };
+        let in_time_ms = target_ms * fill.target_part - millis(ask.elapsed);
         let beside_own_ms = own_ms + target_ms * fill.others_part;
-        let bound_ms =
-            if fill.others_part == 0.0 { in_time_ms } else { in_time_ms.max(beside_own_ms) };
+        let has_room_beside = 0.0 < fill.others_part && (policy.long_prompts || !is_generation);
+        let bound_ms = if has_room_beside { in_time_ms.max(beside_own_ms) } else { in_time_ms };
         let excess_ms = self.predicted_ms - bound_ms;
         if excess_ms <= 0.0 {
             return Fit::Fits;
@@ -142,6 +134,23 @@
         Fit::Excess(Duration::from_secs_f64(excess_ms / 1_000.0))
     }
 
+    fn has_slot(&self, is_generation: bool, fill: &Fill) -> bool {
+        let part = if is_generation { fill.slots_part } else { PLAIN_SLOTS_FACTOR };
+        let bound = (f64::from(self.slots) * part).max(1.0);
+        f64::from(self.figures.requests) + 1.0 <= bound
+    }
+
+    /// An idle engine takes any request: one that is larger than its memory is refused there.
+    fn has_memory(&self, ask: &Ask<'_>, fill: &Fill) -> bool {
+        let bound = ask.memory_tokens as f64 * fill.memory_part;
+        let taken = (self.figures.memory_tokens + self.work.memory_tokens) as f64;
+        !ask.facts.is_generation() || self.figures.requests == 0 || taken <= bound
+    }
+
+    fn is_empty(&self) -> bool {
+        self.taken_part() < EMPTY_SLOTS_PART && self.figures.unread_tokens <= 0.0
+    }
+
     fn taken_part(&self) -> f64 {
         f64::from(self.figures.requests) / f64::from(self.slots.max(1))
     }
--- a/crates/bergamotpitch-control/src/traffic/needs.rs
+++ b/crates/bergamotpitch-control/src/traffic/needs.rs
@@ -10,6 +10,7 @@
 use crate::traffic::engine_speeds::EngineSpeed;
 use crate::traffic::facts::PartId;
 use crate::traffic::fits::millis;
+use crate::traffic::policies::Policy;
 use crate::traffic::registries::{Upstream, UpstreamKey};
 use crate::traffic::starts::Starts;
 
@@ -77,7 +78,7 @@
 
 impl Needs {
     /// `of_request` returns the sizes of a request.
-    pub fn of_request(ask: &Ask<'_>, speed: EngineSpeed) -> Self {
+    pub fn of_request(ask: &Ask<'_>, speed: EngineSpeed, policy: &Policy) -> Self {
         let facts = ask.facts;
         Self {
             is_generation: facts.is_generation(),
@@ -86,7 +87,7 @@
             prompt_tokens: facts.prompt_tokens as f64,
             shared_tokens: facts.shared_tokens() as f64,
             memory_tokens: facts.prompt_tokens + facts.output_tokens(),
-            cache_link: ask.cache_link,
+            cache_link: ask.cache_link.filter(|_| policy.start_fetches),
             ranked: Default::default(),
             holders: Default::default(),
         }
--- a/crates/bergamotpitch-control/src/traffic/team_windows.rs
+++ b/crates/bergamotpitch-control/src/traffic/team_windows.rs
@@ -19,6 +19,8 @@
 use bergamotpitch_core::ids::{InstanceId, TeamId};
 use bergamotpitch_core::units::Timestamp;
 
+use crate::traffic::policies::Policy;
+
 /// `Options` of the windows.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Options {
@@ -26,6 +28,8 @@
     pub window: Duration,
     /// Age at which a peer's sums no longer count.
     pub peer_timeout: Duration,
+    /// Which mechanisms are in force.
+    pub policy: Policy,
 }
 
 impl Default for Options {
@@ -33,7 +37,11 @@
         // Four seconds are short for a person who waits and long against a request of the largest
         // kind. In a fleet of a hundred instances a peer's turn comes every 3 s, and what it told
         // leaves the window after four.
-        Self { window: Duration::from_secs(4), peer_timeout: Duration::from_millis(4_000) }
+        Self {
+            window: Duration::from_secs(4),
+            peer_timeout: Duration::from_millis(4_000),
+            policy: Policy::default(),
+        }
     }
 }
 
@@ -154,6 +162,9 @@
         counted: Duration,
         now: Timestamp,
     ) {
+        if !self.options.policy.peer_sums {
+            return;
+        }
         let teams = teams.into_iter().collect();
         let counted = counted.min(self.options.window);
         self.peers.insert(peer, PeerSums { heard: now, counted, teams });
@@ -179,9 +190,9 @@
         let with_request = begun + tokens as f64 / 2.0;
         if begun == 0.0 || with_request <= levels.share_tokens {
             Standing::WithinShare
-        } else if self.needy.contains(&team) {
+        } else if self.options.policy.needy_teams && self.needy.contains(&team) {
             Standing::Needy
-        } else if with_request <= levels.surplus_tokens {
+        } else if with_request <= levels.surplus_tokens || !self.options.policy.even_surplus {
             Standing::EvenSurplus
         } else {
             Standing::BeyondEven
@@ -215,6 +226,9 @@
     /// The part of the window for which at least one instance has counted.
     fn counted_window(&self, now: Timestamp) -> Duration {
         let window = self.options.window;
+        if !self.options.policy.growing_shares {
+            return window;
+        }
         let peers = self.peers.values().map(|peer| peer.counted + now.saturating_sub(peer.heard));
         let longest = peers.max().unwrap_or_default().max(now);
         longest.clamp(window / BUCKETS as u32, window)
--- /dev/null
+++ b/crates/bergamotpitch-control/tests/policy_switches.rs
@@ -0,0 +1,174 @@
+//! Operators turn mechanisms of the decision off one by one.
+
+use std::time::Duration;
+
+use bergamotpitch_control::traffic::admissions::{self, Ask, Choice, Traffic};
+use bergamotpitch_control::traffic::engine_loads::Figures;
+use bergamotpitch_control::traffic::facts::RequestFacts;
+use bergamotpitch_control::traffic::policies::Policy;
+use bergamotpitch_control::traffic::registries::{Registration, UpstreamKey};
+use bergamotpitch_control::traffic::team_windows::{Options, Standing, TeamSums, TeamWindows};
+
+const NOW: Duration = Duration::from_secs(5);
+const LARGE: u32 = 9;
+const SMALL: u32 = 1;
+const RATE: Option<u64> = Some(1_000);
+
+fn traffic_under(policy: Policy) -> (Traffic, Vec<UpstreamKey>) {
+    let options = admissions::Options { domain: "a".to_owned(), policy, ..Default::default() };
+    let mut traffic = Traffic::new(options);
+    let keys = (0..3).map(|index| {
+        let id = format!("engine-{index}");
+        traffic.registry.listed(Registration {
+            id: id.clone(),
+            born_ms: None,
+            service: "engines".to_owned(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            domain: "a".to_owned(),
+            slots: 64,
+            is_leaving: false,
+            cold_left: Duration::ZERO,
+        });
+        traffic.registry.key_of(&id).unwrap()
+    });
+    let keys = keys.collect();
+    (traffic, keys)
+}
+
+fn prompt(prompt_tokens: u64) -> RequestFacts {
+    RequestFacts { prompt_tokens, ..RequestFacts::default() }
+}
+
+fn choose(traffic: &mut Traffic, facts: &RequestFacts) -> Choice {
+    let ask = Ask {
+        service: "engines",
+        facts,
+        team: Some(LARGE),
+        target: Duration::from_millis(600),
+        elapsed: Duration::ZERO,
+        tried: &[],
+        memory_tokens: 700_000,
+        pool_tokens_per_s: Some(120_000),
+        cache_link: None,
+    };
+    traffic.choose(&ask, NOW)
+}
+
+fn is_sent(traffic: &mut Traffic, facts: &RequestFacts) -> bool {
+    matches!(choose(traffic, facts), Choice::Send(_))
+}
+
+/// A peer has this in hand at each of the engines.
+fn load(traffic: &mut Traffic, keys: &[UpstreamKey], requests: u32, unread_tokens: f64) {
+    let figures = Figures { requests, unread_tokens, memory_tokens: 500 };
+    keys.iter().for_each(|key| traffic.load(*key).peer_heard(7, figures, NOW));
+}
+
+fn windows_under(policy: Policy) -> TeamWindows {
+    let mut windows = TeamWindows::new(Options { policy, ..Options::default() });
+    windows.note_asked(SMALL, 9_000, NOW);
+    windows.note_asked(LARGE, 90_000, NOW);
+    windows
+}
+
+fn standing(windows: &mut TeamWindows, team: u32) -> Standing {
+    windows.standing(team, 100, RATE, NOW)
+}
+
+/// Without shares a team that had nearly all is sent on like any other, while engines have room.
+#[test]
+fn team_shares() {
+    let decide = |policy| {
+        let (mut traffic, keys) = traffic_under(policy);
+        traffic.windows.note_asked(SMALL, 900_000, NOW);
+        traffic.windows.note_asked(LARGE, 9_000_000, NOW);
+        traffic.windows.note_begun(LARGE, 900_000, NOW);
+        load(&mut traffic, &keys, 10, 8_000.0);
+        is_sent(&mut traffic, &prompt(2_000))
+    };
+    assert!(!decide(Policy::default()));
+    assert!(decide(Policy { team_shares: false, ..Policy::default() }));
+}
+
+/// A prompt that takes longer than its target to read is late wherever it goes; without room for it
+/// beside its own work it is never sent to an engine that has anything to do.
+#[test]
+fn long_prompts() {
+    let decide = |policy| {
+        let (mut traffic, keys) = traffic_under(policy);
+        load(&mut traffic, &keys, 2, 500.0);
+        is_sent(&mut traffic, &prompt(40_000))
+    };
+    assert!(decide(Policy::default()));
+    assert!(!decide(Policy { long_prompts: false, ..Policy::default() }));
+}
+
+/// Without peers' sums each instance gives a flooding team a whole share.
+#[test]
+fn peer_sums() {
+    let decide = |policy| {
+        let mut windows = windows_under(policy);
+        let begun = TeamSums { asked_tokens: 9_000, begun_tokens: 8_000 };
+        windows.peer_heard(7, [(LARGE, begun)], NOW, NOW);
+        windows.note_begun(LARGE, 100, NOW);
+        standing(&mut windows, LARGE)
+    };
+    assert_ne!(decide(Policy::default()), Standing::WithinShare);
+    assert_eq!(decide(Policy { peer_sums: false, ..Policy::default() }), Standing::WithinShare);
+}
+
+/// A team that waits and had next to nothing counts as needy only while that is on; what lies beyond
+/// the even part is told apart only while the surplus is divided.
+#[test]
+fn standings() {
+    let decide = |policy| {
+        let mut windows = windows_under(policy);
+        windows.note_begun(SMALL, 2_100, NOW);
+        windows.note_begun(LARGE, 8_000, NOW);
+        (standing(&mut windows, SMALL), standing(&mut windows, LARGE))
+    };
+    let chosen = Policy::default();
+    assert_eq!(decide(chosen), (Standing::Needy, Standing::BeyondEven));
+    let without = decide(Policy { needy_teams: false, ..chosen });
+    assert_eq!(without, (Standing::EvenSurplus, Standing::BeyondEven));
+    let without = decide(Policy { even_surplus: false, ..chosen });
+    assert_eq!(without, (Standing::Needy, Standing::EvenSurplus));
+}
+
+/// Without growing shares an instance that has just started gives a whole window's share at once.
+#[test]
+fn growing_shares() {
+    let decide = |policy| {
+        let mut windows = TeamWindows::new(Options { policy, ..Options::default() });
+        let soon = Duration::from_millis(500);
+        windows.note_asked(LARGE, 50_000, soon);
+        windows.level(RATE, soon)
+    };
+    assert_eq!(decide(Policy::default()), 500.0);
+    assert_eq!(decide(Policy { growing_shares: false, ..Policy::default() }), 4_000.0);
+}
+
+/// An engine that fails most requests is passed over only while outcomes count.
+#[test]
+fn evidence() {
+    let decide = |policy| {
+        let (mut traffic, keys) = traffic_under(policy);
+        let failing = keys[0];
+        (0..12).for_each(|_| traffic.evidence(failing).note_outcome(true, NOW));
+        traffic.evidence(failing).note_trial(NOW);
+        load(&mut traffic, &keys[1..], 20, 2_000.0);
+        let Choice::Send(placement) = choose(&mut traffic, &prompt(2_000)) else {
+            panic!("no place");
+        };
+        placement.upstream == failing
+    };
+    assert!(!decide(Policy::default()));
+    assert!(decide(Policy { evidence: false, ..Policy::default() }));
+}
+
+/// An instance whose policy is not stated has all mechanisms in force.
+#[test]
+fn all_on() {
+    let traffic = Traffic::new(admissions::Options::default());
+    assert_eq!(traffic.options.policy, Policy::default());
+}
--- a/crates/bergamotpitch-ctl/tests/settings_page.rs
+++ b/crates/bergamotpitch-ctl/tests/settings_page.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use bergamotpitch_adapter::settings::Settings as AdapterSettings;
+use bergamotpitch_control::traffic::policies::Policy;
 use bergamotpitch_core::settings::{RouterSettings, parse_router_settings};
 use bergamotpitch_core::sheets::{
     DomainEntry, ServiceEntry, Sheet, TeamEntry, UpstreamEntry, parse_sheet,
@@ -172,6 +173,8 @@
     check_section(&page, "AdapterSettings", fields, &least, |document| {
         filled(AdapterSettings::parse("file", &document.to_string()))
     });
+    let fields = fields_of::<Policy>();
+    check_section(&page, "Policy", fields, &json!({}), part::<Policy>);
 }
 
 /// Every struct that a section names is compared by a test above, so that no section is forgotten.
--- a/crates/bergamotpitch-gateway/src/beats.rs
+++ b/crates/bergamotpitch-gateway/src/beats.rs
@@ -172,7 +172,11 @@
         })
     });
     let loads: Vec<LoadLine> = loads.collect();
-    let starts = traffic.starts.own_notes(now).into_iter().map(|note| StartLine {
+    let mut notes = traffic.starts.own_notes(now);
+    if !traffic.options.policy.start_notes {
+        notes.clear();
+    }
+    let starts = notes.into_iter().map(|note| StartLine {
         start: note.start,
         tokens: note.tokens,
         upstream: note.upstream,
--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -130,7 +130,7 @@
                     gateway.version(),
                 ),
             );
-            let closes = gateway.is_draining() || gateway.lateness.is_overloaded();
+            let closes = gateway.is_draining() || gateway.is_overloaded();
             response_of_refusal(&gateway.dialect, &attempt_id, &refusal, closes)
         }
     }
@@ -154,7 +154,7 @@
     if gateway.refuses_new() {
         return Err(Refusal::not_run(RefusalReason::Draining, BUSY_RETURN));
     }
-    if gateway.lateness.is_overloaded() {
+    if gateway.is_overloaded() {
         return Err(Refusal::not_run(RefusalReason::Overloaded, BUSY_RETURN));
     }
     let catalog =
@@ -385,7 +385,8 @@
 
 /// Until when an attempt may take: a repeatable call does not spend all its time on one upstream.
 fn patience(gateway: &Gateway, call: &Call, placement: &Placement, attempts: u32) -> Timestamp {
-    if !call.route.is_repeatable() || call.route.attempts_max <= attempts + 1 {
+    let has_more = call.route.is_repeatable() && attempts + 1 < call.route.attempts_max;
+    if !has_more || !gateway.options.admission.policy.cut_offs {
         return call.deadline;
     }
     let least = call.route.target_latency.mul_f64(LEAST_PATIENCE);
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -231,7 +231,7 @@
         let instances = self.peers.borrow().len() + 1;
         let mut traffic = self.traffic.borrow_mut();
         let options = traffic.options.retries;
-        traffic.budget(service).take(now, instances, &options)
+        traffic.options.policy.retries && traffic.budget(service).take(now, instances, &options)
     }
 
     /// `has_repeat` tells whether the service's budget has room for one more repeat.
@@ -240,7 +240,7 @@
         let instances = self.peers.borrow().len() + 1;
         let mut traffic = self.traffic.borrow_mut();
         let options = traffic.options.retries;
-        traffic.budget(service).has_room(now, instances, &options)
+        traffic.options.policy.retries && traffic.budget(service).has_room(now, instances, &options)
     }
 
     /// `fresh_number` numbers a request.
@@ -295,9 +295,16 @@
         self.catalog.borrow().is_some() && self.is_listed.get()
     }
 
+    /// `is_overloaded` tells whether new requests are refused at once, as this process is late.
+    pub fn is_overloaded(&self) -> bool {
+        self.options.admission.policy.lateness_refusals && self.lateness.is_overloaded()
+    }
+
     /// `is_ready` tells whether new callers should come here.
     pub fn is_ready(&self) -> bool {
-        self.knows_all() && self.lateness.keeps_up() && !self.is_draining.get()
+        let policy = &self.options.admission.policy;
+        let keeps_up = !policy.lateness_readiness || self.lateness.keeps_up();
+        self.knows_all() && keeps_up && !self.is_draining.get()
     }
 
     fn note_readiness(&self) {
--- a/crates/bergamotpitch-gateway/src/upstreams.rs
+++ b/crates/bergamotpitch-gateway/src/upstreams.rs
@@ -117,6 +117,9 @@
         now: Timestamp,
     ) {
         let mut traffic = self.traffic.borrow_mut();
+        if !traffic.options.policy.peer_loads {
+            return;
+        }
         let known: Vec<(UpstreamKey, UpstreamId)> =
             traffic.registry.all().map(|upstream| (upstream.key, upstream.life_number)).collect();
         for (key, id) in known {
