Bound what connections take of the memory, and turn callers away beyond it

Its resident memory, traced each 0.24 s: 6.8 MB idle, 58 MB at 834 requests in flight, 82 MB at 1,050, 91 MB at 1,352. The bound of 1,126 callers' connections only ended idle ones; when all carried requests it let in any number, and connections to upstreams counted nowhere.

Bodies (2.8 MB at most), futures (2.9 KB a request, 0.8 and 0.7 KB a connection), lines of the log (256 KB at most). What is left are two buffers of 8 KB a connection, the body's hold on a third, and the allocator.

One bound over callers' connections and those to upstreams, by memory and by descriptors; half of it for callers. When all of these carry requests, further callers get a refusal with a time to come back and the connection ends; beyond an eighth more they stay in the system's queue. Idle connections to upstreams are not kept when the bound is reached. A body is copied out of its connection's buffer, which is then used again.

--- a/crates/bergamotpitch-gateway/src/arrivals.rs
+++ b/crates/bergamotpitch-gateway/src/arrivals.rs
@@ -93,27 +93,20 @@
         return Err(no_memory);
     }
     let read = async {
-        let mut first = Bytes::new();
-        let mut rest = BytesMut::new();
+        // Copied out of the connection's buffer, which would otherwise be held with the body and
+        // replaced by another one of 8 KB.
+        let mut bytes = BytesMut::with_capacity(declared.unwrap_or_default());
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.map_err(|_| bad_request())?.into_data() else { continue };
-            if limit_bytes < first.len() + rest.len() + data.len() {
+            if limit_bytes < bytes.len() + data.len() {
                 return Err(too_large);
             }
-            if !hold.reach(first.len() + rest.len() + data.len()) {
+            if !hold.reach(bytes.len() + data.len()) {
                 return Err(no_memory);
             }
-            // Most bodies come in one piece, which is not copied.
-            if first.is_empty() && rest.is_empty() {
-                first = data;
-                continue;
-            }
-            if rest.is_empty() {
-                rest.extend_from_slice(&std::mem::take(&mut first));
-            }
-            rest.extend_from_slice(&data);
+            bytes.extend_from_slice(&data);
         }
-        Ok(if rest.is_empty() { first } else { rest.freeze() })
+        Ok(bytes.freeze())
     };
     match tokio::time::timeout(time, read).await {
         Ok(result) => result.map(|bytes| HeldBody { bytes, _hold: hold }),
--- a/crates/bergamotpitch-gateway/src/bodies.rs
+++ b/crates/bergamotpitch-gateway/src/bodies.rs
@@ -200,7 +200,7 @@
         let key = run.key();
         run.settle(false);
         if let (Source::Reading(_, sender), Reuse::Idle(idle)) = (source, self.reuse) {
-            self.gateway.pools.put(key, sender, idle, self.gateway.now());
+            self.gateway.keep_connection(key, sender, idle);
         }
         let first_event = self.first_event.unwrap_or_default();
         self.gateway.metrics.count_answer(first_event);
--- a/crates/bergamotpitch-gateway/src/callers.rs
+++ b/crates/bergamotpitch-gateway/src/callers.rs
@@ -12,6 +12,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bergamotpitch_core::units::Timestamp;
 use http::header::CONNECTION;
@@ -35,6 +36,14 @@
 /// `ENDED_AT_ONCE` is how many idle connections are ended when there are too many.
 const ENDED_AT_ONCE: usize = 32;
 
+/// `SURPLUS_PART` is the part of the usual connections that may be open besides while their callers
+/// are told to come back.
+const SURPLUS_PART: f64 = 0.125;
+
+/// `ACCEPT_PAUSE` is the time between two looks for room while not even callers to be turned away
+/// are taken in.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
 /// `CallerConnection` is one open connection of a caller.
 #[derive(Debug)]
 pub struct CallerConnection {
@@ -42,14 +51,17 @@
     head_began: Cell<Option<Timestamp>>,
     is_in_request: Cell<bool>,
     is_ending: Cell<bool>,
+    is_surplus: bool,
     wake: Notify,
 }
 
 impl CallerConnection {
-    /// `new` follows a connection that was just accepted.
-    pub fn new(stream: Rc<TcpStream>) -> Self {
+    /// `new` follows a connection that was just accepted. One that is surplus is only told to come
+    /// back: all others carry requests, and there is no memory for more.
+    pub fn new(stream: Rc<TcpStream>, is_surplus: bool) -> Self {
         Self {
             stream,
+            is_surplus,
             head_began: Cell::new(None),
             is_in_request: Cell::new(false),
             is_ending: Cell::new(false),
@@ -62,6 +74,11 @@
         !self.is_in_request.get() && self.head_began.get().is_none() && !self.is_ending.get()
     }
 
+    /// `is_surplus` tells whether its requests are turned away.
+    pub fn is_surplus(&self) -> bool {
+        self.is_surplus
+    }
+
     /// `is_left` tells whether the caller has closed it.
     pub fn is_left(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
@@ -84,38 +101,53 @@
 }
 
 /// `serve` accepts callers until it is dropped.
+///
+/// When a flood reaches one instance, all of its connections carry requests, and it would grow with
+/// each further one until the system ends it with all that it serves. Beyond the usual connections
+/// callers are therefore told at once to come back, and beyond some more they are left in the
+/// system's queue.
 pub async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
+    let usual_max = gateway.options.caller_connections_max;
+    let surplus_max = usual_max + (SURPLUS_PART * usual_max as f64).ceil() as usize;
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                if gateway.options.caller_connections_max <= gateway.connection_count() {
-                    gateway.end_idle_connections(ENDED_AT_ONCE);
+                let is_full = usual_max <= gateway.connection_count();
+                let is_surplus = is_full && gateway.end_idle_connections(ENDED_AT_ONCE) == 0;
+                let connection = gateway.open_connection(Rc::new(stream), is_surplus);
+                tokio::task::spawn_local(serve_connection(Rc::clone(&gateway), connection));
+                while surplus_max <= gateway.connection_count() {
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
-                tokio::task::spawn_local(serve_connection(Rc::clone(&gateway), stream));
             }
             Err(error) => {
                 // No descriptor is left, and callers wait in the system's queue until they give up.
                 log::warn!("event=accept_failed error={error}");
                 gateway.end_idle_connections(ENDED_AT_ONCE);
-                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+                tokio::time::sleep(Duration::from_millis(50)).await;
             }
         }
     }
 }
 
-async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream) {
-    if let Err(error) = tune(&stream) {
-        log::info!("event=caller_lost error={error}");
-        return;
+async fn serve_connection(gateway: Rc<Gateway>, connection: Rc<CallerConnection>) {
+    match tune(&connection.stream) {
+        Ok(()) => serve_requests(&gateway, &connection).await,
+        Err(error) => log::info!("event=caller_lost error={error}"),
     }
-    let stream = Rc::new(stream);
-    let connection = gateway.open_connection(Rc::clone(&stream));
+    gateway.close_connection(&connection);
+}
+
+async fn serve_requests(gateway: &Rc<Gateway>, connection: &Rc<CallerConnection>) {
     let limits = gateway.limits();
-    let watched =
-        WatchedStream { stream, connection: Rc::clone(&connection), gateway: Rc::clone(&gateway) };
+    let watched = WatchedStream {
+        stream: Rc::clone(&connection.stream),
+        connection: Rc::clone(connection),
+        gateway: Rc::clone(gateway),
+    };
     let service = service_fn(|request: Request<Incoming>| {
         connection.is_in_request.set(true);
-        serve_request(Rc::clone(&gateway), Rc::clone(&connection), request)
+        serve_request(Rc::clone(gateway), Rc::clone(connection), request)
     });
     let serving = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -141,7 +173,6 @@
             None => break,
         }
     }
-    gateway.close_connection(&connection);
 }
 
 async fn serve_request(
--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -101,6 +101,9 @@
     gateway.metrics.requests.inc();
     let mut known = Known::default();
     let result = match facts {
+        Ok(_) if connection.is_surplus() => {
+            Err(Refusal::not_run(RefusalReason::Overloaded, BUSY_RETURN))
+        }
         Ok(facts) => match read_call(&gateway, request, facts, arrived, &mut known).await {
             Ok(call) if connection.is_left() => Err(left_before_sent(&call)),
             Ok(call) => follow(&gateway, Rc::new(call)).await,
@@ -130,7 +133,8 @@
                     gateway.version(),
                 ),
             );
-            let closes = gateway.is_draining() || gateway.is_overloaded();
+            let closes =
+                gateway.is_draining() || gateway.is_overloaded() || connection.is_surplus();
             response_of_refusal(&gateway.dialect, &attempt_id, &refusal, closes)
         }
     }
@@ -296,7 +300,7 @@
         }
     };
     if let Reuse::Idle(idle) = reuse {
-        gateway.pools.put(key, sender, idle, gateway.now());
+        gateway.keep_connection(key, sender, idle);
     }
     let is_failure = parts.status.is_server_error();
     run.settle(is_failure);
--- a/crates/bergamotpitch-gateway/src/connections.rs
+++ b/crates/bergamotpitch-gateway/src/connections.rs
@@ -83,6 +83,11 @@
         self.idle.borrow_mut().entry(key).or_default().push(Idle { sender, usable_until });
     }
 
+    /// `count` returns how many idle connections are kept.
+    pub fn count(&self) -> usize {
+        self.idle.borrow().values().map(Vec::len).sum()
+    }
+
     /// `doubt` takes in that a connection to an upstream carried bytes that belong to no request.
     pub fn doubt(&self, key: UpstreamKey, now: Timestamp) {
         self.doubted_until.borrow_mut().insert(key, now + DOUBT);
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -8,6 +8,7 @@
 
 use bergamotpitch_control::traffic::admissions::Traffic;
 use bergamotpitch_control::traffic::catalogs::{CallerLimits, Catalog, CatalogVersion};
+use bergamotpitch_control::traffic::registries::UpstreamKey;
 use bergamotpitch_core::events::EventKind;
 use bergamotpitch_core::ids::id_of_name;
 use bergamotpitch_core::units::Timestamp;
@@ -17,7 +18,7 @@
 use crate::beats::{self, BEAT_INTERVAL};
 use crate::callers::{self, CallerConnection};
 use crate::calls::Call;
-use crate::connections::Pools;
+use crate::connections::{Pools, Sender};
 use crate::dialects::Dialect;
 use crate::errors::{Error, Result};
 use crate::held_bytes::HeldBytes;
@@ -261,18 +262,27 @@
     }
 
     /// `open_connection` counts a caller's connection.
-    pub fn open_connection(&self, stream: Rc<TcpStream>) -> Rc<CallerConnection> {
-        let connection = Rc::new(CallerConnection::new(stream));
+    pub fn open_connection(&self, stream: Rc<TcpStream>, is_surplus: bool) -> Rc<CallerConnection> {
+        let connection = Rc::new(CallerConnection::new(stream, is_surplus));
         self.connections.borrow_mut().push(Rc::clone(&connection));
         connection
     }
 
-    /// `end_idle_connections` ends the oldest connections that carry no request, at most `count`.
-    /// Callers open others when they have something to ask.
-    pub fn end_idle_connections(&self, count: usize) {
+    /// `end_idle_connections` ends the oldest connections that carry no request, at most `count`, and
+    /// returns how many. Callers open others when they have something to ask.
+    pub fn end_idle_connections(&self, count: usize) -> usize {
         let connections = self.connections.borrow();
         let idle = connections.iter().filter(|connection| connection.is_idle());
-        idle.take(count).for_each(|connection| connection.end());
+        idle.take(count).map(|connection| connection.end()).count()
+    }
+
+    /// `keep_connection` keeps a connection to an upstream for further requests, unless the memory
+    /// for connections is spent: idle ones give way to those that carry requests.
+    pub fn keep_connection(&self, key: UpstreamKey, sender: Sender, idle: Option<Duration>) {
+        let open = self.connection_count() + self.in_flight() + self.pools.count();
+        if open < self.options.connections_max {
+            self.pools.put(key, sender, idle, self.now());
+        }
     }
 
     /// `close_connection` forgets a caller's connection.
--- a/crates/bergamotpitch-gateway/src/options.rs
+++ b/crates/bergamotpitch-gateway/src/options.rs
@@ -23,8 +23,11 @@
     pub beat_address: SocketAddr,
     /// Where peers and fresh instances fetch the documents that this instance knows.
     pub relay_addresses: Vec<SocketAddr>,
-    /// Connections of callers from which on idle ones are ended.
+    /// Connections of callers from which on idle ones are ended, and others turned away when none is
+    /// idle.
     pub caller_connections_max: usize,
+    /// Connections of callers and to upstreams from which on no idle one to an upstream is kept.
+    pub connections_max: usize,
     /// Bytes that the bodies of all requests in flight may take.
     pub body_bytes_max: usize,
     /// Decisions.
@@ -45,6 +48,7 @@
             beat_address: any_port,
             relay_addresses: vec![any_port],
             caller_connections_max: 2_000,
+            connections_max: 5_000,
             body_bytes_max: 64 << 20,
             admission: admissions::Options::default(),
             grace: Duration::from_secs(8),
--- a/crates/bergamotpitch-gateway/tests/caller_limits.rs
+++ b/crates/bergamotpitch-gateway/tests/caller_limits.rs
@@ -174,3 +174,33 @@
         assert!(gateway.connection_count() <= 72, "{}", gateway.connection_count());
     });
 }
+
+/// A flood reaches one instance, and every connection that it may have carries a request. Each further
+/// one made the process larger until the system ended it, with all answers that were under way.
+#[test]
+fn flooded_instance() {
+    run(async {
+        let script = |_| vec![Act::Pause(Duration::from_millis(400)), whole("200 OK", "late")];
+        let upstream = FakeUpstream::start(Box::new(script)).await;
+        let (gateway, address) = common::start_bounded(&[&upstream], 8).await;
+        let ask_slowly = |number| {
+            let asked = request("GET", "/safe/", &format!("n{number}"));
+            tokio::task::spawn_local(ask(address, asked))
+        };
+        let taken: Vec<_> = (0..8).map(ask_slowly).collect();
+        while upstream.count() < 8 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let turned_away = ask(address, request("GET", "/safe/", "more")).await.unwrap();
+        assert_eq!(turned_away.status, 503);
+        assert!(turned_away.headers.contains_key("retry-after"));
+        assert_eq!(turned_away.headers["connection"], "close");
+        assert_eq!(gateway.in_flight(), 8, "it is told at once, and nobody is cut off for it");
+        for answer in taken {
+            assert_eq!(answer.await.unwrap().unwrap().status, 200);
+        }
+        assert_eq!(upstream.count(), 8);
+        let served = ask(address, request("GET", "/safe/", "again")).await.unwrap();
+        assert_eq!(served.status, 200, "with the flood over, callers are served as before");
+    });
+}
--- a/crates/bergamotpitch-gateway/tests/leaving_callers.rs
+++ b/crates/bergamotpitch-gateway/tests/leaving_callers.rs
@@ -76,14 +76,14 @@
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
         let mut caller = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
         let (stream, _) = listener.accept().await.unwrap();
-        let connection = CallerConnection::new(Rc::new(stream));
+        let connection = CallerConnection::new(Rc::new(stream), false);
         assert!(!connection.is_left(), "an idle caller is taken for gone");
         std::io::Write::write_all(&mut caller, b"GET").unwrap();
         tokio::time::sleep(Duration::from_millis(20)).await;
         assert!(!connection.is_left(), "a caller that sends more is taken for gone");
         let left = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
         let (stream, _) = listener.accept().await.unwrap();
-        let connection = CallerConnection::new(Rc::new(stream));
+        let connection = CallerConnection::new(Rc::new(stream), false);
         drop(left);
         tokio::time::sleep(Duration::from_millis(20)).await;
         assert!(connection.is_left());
