Tell callers beyond the bound to come back at once, and count streams as busy

A connection carries a request until the answer's last byte. Those that may carry requests are counted apart from those that are only told to come back and from idle ones that are closing.

--- a/crates/bergamotpitch-gateway/src/bodies.rs
+++ b/crates/bergamotpitch-gateway/src/bodies.rs
@@ -15,6 +15,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::Sleep;
 
+use crate::callers::InRequest;
 use crate::calls::Call;
 use crate::connections::Sender;
 use crate::errors::Cut;
@@ -104,6 +105,7 @@
     first_event: Option<Duration>,
     deadline: Pin<Box<Sleep>>,
     _in_flight: InFlight,
+    _in_request: Option<InRequest>,
 }
 
 enum Source {
@@ -134,9 +136,16 @@
             first_event: None,
             deadline: Box::pin(tokio::time::sleep(left)),
             _in_flight: gateway.enter(),
+            _in_request: None,
         }
     }
 
+    /// `hold` keeps the caller's connection marked as one that carries a request until the stream has
+    /// ended.
+    pub fn hold(&mut self, in_request: InRequest) {
+        self._in_request = Some(in_request);
+    }
+
     fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         if self.deadline.as_mut().poll(context).is_ready() {
             return Poll::Ready(self.cut(Cut::TimedOut));
--- a/crates/bergamotpitch-gateway/src/callers.rs
+++ b/crates/bergamotpitch-gateway/src/callers.rs
@@ -16,7 +16,7 @@
 
 use bergamotpitch_core::units::Timestamp;
 use http::header::CONNECTION;
-use http::{HeaderValue, Request};
+use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -26,6 +26,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
+use crate::bodies::AnswerBody;
 use crate::calls;
 use crate::connections::tune;
 use crate::gateways::Gateway;
@@ -74,6 +75,13 @@
         !self.is_in_request.get() && self.head_began.get().is_none() && !self.is_ending.get()
     }
 
+    /// `is_usual` tells whether it carries or may carry requests; one that was ended while idle does
+    /// not, and is about to close.
+    pub fn is_usual(&self) -> bool {
+        let is_closing = self.is_ending.get() && !self.is_in_request.get();
+        !self.is_surplus && !is_closing
+    }
+
     /// `is_surplus` tells whether its requests are turned away.
     pub fn is_surplus(&self) -> bool {
         self.is_surplus
@@ -100,6 +108,25 @@
     }
 }
 
+/// `InRequest` marks a connection as one that carries a request, until the answer was written. Between
+/// the head of a stream and its end it would otherwise count as idle, and be ended for another one.
+#[derive(Debug)]
+pub struct InRequest(Rc<CallerConnection>);
+
+impl InRequest {
+    fn begin(connection: &Rc<CallerConnection>) -> Self {
+        connection.is_in_request.set(true);
+        Self(Rc::clone(connection))
+    }
+}
+
+impl Drop for InRequest {
+    fn drop(&mut self) {
+        self.0.is_in_request.set(false);
+        self.0.head_began.set(None);
+    }
+}
+
 /// `serve` accepts callers until it is dropped.
 ///
 /// When a flood reaches one instance, all of its connections carry requests, and it would grow with
@@ -108,15 +135,14 @@
 /// system's queue.
 pub async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
     let usual_max = gateway.options.caller_connections_max;
-    let surplus_max = usual_max + (SURPLUS_PART * usual_max as f64).ceil() as usize;
+    let surplus_max = (SURPLUS_PART * usual_max as f64).ceil() as usize;
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let is_full = usual_max <= gateway.connection_count();
-                let is_surplus = is_full && gateway.end_idle_connections(ENDED_AT_ONCE) == 0;
+                let is_surplus = !has_room(&gateway, usual_max);
                 let connection = gateway.open_connection(Rc::new(stream), is_surplus);
                 tokio::task::spawn_local(serve_connection(Rc::clone(&gateway), connection));
-                while surplus_max <= gateway.connection_count() {
+                while is_surplus && surplus_max <= gateway.surplus_count() {
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             }
@@ -130,6 +156,17 @@
     }
 }
 
+/// Tells whether one more connection may carry requests; when there are too many, idle ones are ended.
+fn has_room(gateway: &Gateway, usual_max: usize) -> bool {
+    if gateway.connection_count() < usual_max {
+        return true;
+    }
+    if usual_max <= gateway.usual_count() {
+        gateway.end_idle_connections(ENDED_AT_ONCE);
+    }
+    gateway.usual_count() < usual_max
+}
+
 async fn serve_connection(gateway: Rc<Gateway>, connection: Rc<CallerConnection>) {
     match tune(&connection.stream) {
         Ok(()) => serve_requests(&gateway, &connection).await,
@@ -146,8 +183,7 @@
         gateway: Rc::clone(gateway),
     };
     let service = service_fn(|request: Request<Incoming>| {
-        connection.is_in_request.set(true);
-        serve_request(Rc::clone(gateway), Rc::clone(connection), request)
+        serve_request(Rc::clone(gateway), InRequest::begin(connection), request)
     });
     let serving = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -177,12 +213,13 @@
 
 async fn serve_request(
     gateway: Rc<Gateway>,
-    connection: Rc<CallerConnection>,
+    in_request: InRequest,
     request: Request<Incoming>,
-) -> Result<http::Response<crate::bodies::AnswerBody>, Infallible> {
-    let mut response = calls::answer(Rc::clone(&gateway), &connection, request).await;
-    connection.is_in_request.set(false);
-    connection.head_began.set(None);
+) -> Result<Response<AnswerBody>, Infallible> {
+    let mut response = calls::answer(Rc::clone(&gateway), &in_request.0, request).await;
+    if let AnswerBody::Stream(stream) = response.body_mut() {
+        stream.hold(in_request);
+    }
     if gateway.is_draining() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -268,12 +268,22 @@
         connection
     }
 
-    /// `end_idle_connections` ends the oldest connections that carry no request, at most `count`, and
-    /// returns how many. Callers open others when they have something to ask.
-    pub fn end_idle_connections(&self, count: usize) -> usize {
+    /// `end_idle_connections` ends the oldest connections that carry no request, at most `count`.
+    /// Callers open others when they have something to ask.
+    pub fn end_idle_connections(&self, count: usize) {
         let connections = self.connections.borrow();
         let idle = connections.iter().filter(|connection| connection.is_idle());
-        idle.take(count).map(|connection| connection.end()).count()
+        idle.take(count).for_each(|connection| connection.end());
+    }
+
+    /// `usual_count` returns how many connections of callers may carry requests.
+    pub fn usual_count(&self) -> usize {
+        self.connections.borrow().iter().filter(|connection| connection.is_usual()).count()
+    }
+
+    /// `surplus_count` returns how many connections are open whose callers are turned away.
+    pub fn surplus_count(&self) -> usize {
+        self.connections.borrow().iter().filter(|connection| connection.is_surplus()).count()
     }
 
     /// `keep_connection` keeps a connection to an upstream for further requests, unless the memory
--- a/crates/bergamotpitch-gateway/tests/caller_limits.rs
+++ b/crates/bergamotpitch-gateway/tests/caller_limits.rs
@@ -5,7 +5,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use common::{Act, FakeUpstream, ask, catalog, request, run, start, start_with, whole};
+use common::{
+    Act, FakeUpstream, ask, catalog, event, request, run, start, start_with, stream_end,
+    stream_head, whole,
+};
 use http_body_util::Full;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -204,3 +207,33 @@
         assert_eq!(served.status, 200, "with the flood over, callers are served as before");
     });
 }
+
+/// All connections that an instance may have carry streams of events, which go on for seconds. Taken
+/// for idle between their first event and the last, they made room for others that there was none for.
+#[test]
+fn open_streams() {
+    run(async {
+        let script = |_| {
+            let pause = Act::Pause(Duration::from_millis(400));
+            vec![stream_head(), event(1), pause, event(2), stream_end()]
+        };
+        let upstream = FakeUpstream::start(Box::new(script)).await;
+        let (gateway, address) = common::start_bounded(&[&upstream], 4).await;
+        let ask_slowly = |number| {
+            let asked = request("GET", "/stream/", &format!("n{number}"));
+            tokio::task::spawn_local(ask(address, asked))
+        };
+        let taken: Vec<_> = (0..4).map(ask_slowly).collect();
+        while upstream.count() < 4 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(gateway.usual_count(), 4);
+        let turned_away = ask(address, request("GET", "/safe/", "more")).await.unwrap();
+        assert_eq!(turned_away.status, 503);
+        for answer in taken {
+            let answer = answer.await.unwrap().unwrap();
+            assert!(answer.body.contains("piece 2"), "{}", answer.body);
+        }
+    });
+}
