Find new peers by their beats, and read the list of members less often

An instance that hears a beat of one that it does not know reads the list a quarter of a second later; one that no reading finds is looked for again only after the next regular one.

--- a/crates/bergamotpitch-control/src/traffic/needs.rs
+++ b/crates/bergamotpitch-control/src/traffic/needs.rs
@@ -36,9 +36,7 @@
 
 /// `FETCH_FACTOR` is what a fetch weighs against its time over an idle link. Engines send and receive
 /// one start after another, so that each fetch delays all others of two engines, and the request had
-/// better wait for a place where its start is. In a replayed day of worst load over 90 engines, the
-/// worth of the answers in time grew from 0.91 to 0.94 of what was due when the factor went from 3 to
-/// 8, and no further with 12.
+/// better wait for a place where its start is.
 const FETCH_FACTOR: f64 = 8.0;
 
 /// `REMOTE_FETCH_FACTOR` is by how much a fetch from another failure domain takes longer still.
--- a/crates/bergamotpitch-control/src/traffic/starts.rs
+++ b/crates/bergamotpitch-control/src/traffic/starts.rs
@@ -1,11 +1,10 @@
 //! Starts: at which engines the shared starts of prompts were read lately, over the whole fleet.
 //!
 //! Load pattern: requests on one subject reach many instances, and the engine that read its start is
-//! full half of the time. An instance that knew only its own requests sent the next one to an engine
-//! that had to read the start again: of 123 million prompt tokens that 90 engines read in 48 s of a
-//! replayed worst load, 16 million were such repeats. Instances therefore tell each other which
-//! engine read which start, and an engine that lacks it fetches it from one that has it; 2 million
-//! repeats are left.
+//! full half of the time. An instance that knew only its own requests would send the next one to an
+//! engine that has to read the start again, and a good part of what engines read under the worst load
+//! would be such repeats. Instances therefore tell each other which engine read which start, and an
+//! engine that lacks it fetches it from one that has it.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -16,8 +15,8 @@
 
 use crate::traffic::facts::PartId;
 
-/// `KEEP_TIME` is how long a start that is not used again is taken to be kept: a fully loaded engine
-/// reads some 25,000 tokens a second that no other request shares, into memory for 400,000 and less.
+/// `KEEP_TIME` is how long a start that is not used again is taken to be kept by a fully loaded engine,
+/// whose memory fills with what it reads.
 const KEEP_TIME: Duration = Duration::from_secs(12);
 
 /// `TELL_TIME` is for how long peers are told of a start: in a fleet of a hundred instances a peer's
@@ -27,7 +26,7 @@
 /// `HOLDERS_MAX` is how many engines are remembered for one start, the latest used first.
 const HOLDERS_MAX: usize = 4;
 
-/// `STARTS_MAX` bounds the table; the largest deployment of today has some 3,500 subjects.
+/// `STARTS_MAX` bounds the table to some megabytes.
 const STARTS_MAX: usize = 16_384;
 
 /// `SWEEP_INTERVAL` is the time between two looks for starts that are kept no more.
--- a/crates/bergamotpitch-gateway/src/beats.rs
+++ b/crates/bergamotpitch-gateway/src/beats.rs
@@ -241,8 +241,12 @@
 fn take_in(gateway: &Gateway, beat: Beat, sender: SocketAddr) {
     let now = gateway.now();
     let mut peers = gateway.peers.borrow_mut();
-    let Some(peer) = peers.get_mut(&beat.instance) else { return };
-    if peer.address.beat_address != sender || (beat.incarnation, beat.sequence) <= peer.latest {
+    let known = peers.get_mut(&beat.instance);
+    let Some(peer) = known.filter(|peer| peer.address.beat_address == sender) else {
+        gateway.strangers.heard(beat.instance);
+        return;
+    };
+    if (beat.incarnation, beat.sequence) <= peer.latest {
         return;
     }
     if peer.latest.0 != beat.incarnation {
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -26,7 +26,7 @@
 use crate::logs::decision;
 use crate::metrics::Metrics;
 use crate::options::Options;
-use crate::peers::Peers;
+use crate::peers::{Peers, Strangers};
 use crate::probes::{self, Port};
 use crate::store_news::StoreNews;
 
@@ -61,6 +61,8 @@
     pub metrics: Metrics,
     /// Peers.
     pub peers: RefCell<Peers>,
+    /// Instances that tell this one something and are not among its peers.
+    pub strangers: Strangers,
     /// What it knows of the platform's store, and by whom.
     pub store_news: StoreNews,
     /// Told some milliseconds after a place may have become free.
@@ -132,6 +134,7 @@
             lateness: Lateness::default(),
             metrics,
             peers: RefCell::default(),
+            strangers: Strangers::default(),
             changed: Notify::new(),
             change_is_due: Cell::new(false),
             waiting: Cell::new(0),
--- a/crates/bergamotpitch-gateway/src/lateness.rs
+++ b/crates/bergamotpitch-gateway/src/lateness.rs
@@ -14,8 +14,8 @@
 const OVERLOAD_LATENESS: Duration = Duration::from_millis(100);
 
 /// `UNREADY_LATENESS` is how late timers may be over seconds before new callers are sent elsewhere.
-/// All callers of a flooding team may reach one instance with an eighth of a core. At 100 ms it kept
-/// them, and its team got less than half of what a team with callers at many instances got.
+/// All callers of a flooding team may reach one instance with little processor time. Until it is left
+/// by some of them, the team gets less than one with callers at many instances.
 const UNREADY_LATENESS: Duration = Duration::from_millis(30);
 
 /// `LATENESS_GAIN` is the weight of one timer's lateness against those before.
--- a/crates/bergamotpitch-gateway/src/peers.rs
+++ b/crates/bergamotpitch-gateway/src/peers.rs
@@ -1,11 +1,13 @@
 //! Peers: the table of the other instances of the fleet.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 
 use bergamotpitch_control::traffic::catalogs::CatalogVersion;
-use bergamotpitch_core::HashMap;
 use bergamotpitch_core::ids::{Incarnation, InstanceId};
 use bergamotpitch_core::units::Timestamp;
+use bergamotpitch_core::{HashMap, HashSet};
+use tokio::sync::Notify;
 
 use crate::gateways::Gateway;
 
@@ -61,6 +63,39 @@
     }
 }
 
+/// `STRANGERS_MAX` bounds how many strangers are remembered; more than the largest fleet has.
+const STRANGERS_MAX: usize = 1_024;
+
+/// `Strangers` are instances that tell this one something and are not among its peers: they started
+/// after the list was read last. Found only at the next regular reading, they would fill the engines
+/// for that long as if they were alone.
+#[derive(Debug, Default)]
+pub struct Strangers {
+    heard: RefCell<HashSet<InstanceId>>,
+    first_heard: Notify,
+}
+
+impl Strangers {
+    /// `heard` takes in a beat of an instance that is not among the peers.
+    pub fn heard(&self, instance: InstanceId) {
+        let mut heard = self.heard.borrow_mut();
+        if heard.len() < STRANGERS_MAX && heard.insert(instance) {
+            self.first_heard.notify_one();
+        }
+    }
+
+    /// `wait` returns when one was heard for the first time; one that no reading of the list finds is
+    /// waited for again only after [`Strangers::forget`].
+    pub async fn wait(&self) {
+        self.first_heard.notified().await;
+    }
+
+    /// `forget` lets each of them count as heard for the first time again.
+    pub fn forget(&self) {
+        self.heard.borrow_mut().clear();
+    }
+}
+
 /// `Peers` is the table of all peers.
 pub type Peers = HashMap<InstanceId, Peer>;
 
