--- a/crates/bergamotpitch-gateway/src/beats.rs
+++ b/crates/bergamotpitch-gateway/src/beats.rs
@@ -243,7 +243,7 @@
     let mut peers = gateway.peers.borrow_mut();
     let known = peers.get_mut(&beat.instance);
     let Some(peer) = known.filter(|peer| peer.address.beat_address == sender) else {
-        gateway.strangers.heard(beat.instance);
+        gateway.unknown_peers.heard(beat.instance);
         return;
     };
     if (beat.incarnation, beat.sequence) <= peer.latest {
--- a/crates/bergamotpitch-gateway/src/callers.rs
+++ b/crates/bergamotpitch-gateway/src/callers.rs
@@ -75,9 +75,9 @@
         !self.is_in_request.get() && self.head_began.get().is_none() && !self.is_ending.get()
     }
 
-    /// `is_usual` tells whether it carries or may carry requests; one that was ended while idle does
+    /// `is_serving` tells whether it carries or may carry requests; one that was ended while idle does
     /// not, and is about to close.
-    pub fn is_usual(&self) -> bool {
+    pub fn is_serving(&self) -> bool {
         let is_closing = self.is_ending.get() && !self.is_in_request.get();
         !self.is_surplus && !is_closing
     }
@@ -134,12 +134,12 @@
 /// callers are therefore told at once to come back, and beyond some more they are left in the
 /// system's queue.
 pub async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
-    let usual_max = gateway.options.caller_connections_max;
-    let surplus_max = (SURPLUS_PART * usual_max as f64).ceil() as usize;
+    let serving_max = gateway.options.caller_connections_max;
+    let surplus_max = (SURPLUS_PART * serving_max as f64).ceil() as usize;
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let is_surplus = !has_room(&gateway, usual_max);
+                let is_surplus = !has_room(&gateway, serving_max);
                 let connection = gateway.open_connection(Rc::new(stream), is_surplus);
                 tokio::task::spawn_local(serve_connection(Rc::clone(&gateway), connection));
                 while is_surplus && surplus_max <= gateway.surplus_count() {
@@ -157,14 +157,14 @@
 }
 
 /// Tells whether one more connection may carry requests; when there are too many, idle ones are ended.
-fn has_room(gateway: &Gateway, usual_max: usize) -> bool {
-    if gateway.connection_count() < usual_max {
+fn has_room(gateway: &Gateway, serving_max: usize) -> bool {
+    if gateway.connection_count() < serving_max {
         return true;
     }
-    if usual_max <= gateway.usual_count() {
+    if serving_max <= gateway.serving_count() {
         gateway.end_idle_connections(ENDED_AT_ONCE);
     }
-    gateway.usual_count() < usual_max
+    gateway.serving_count() < serving_max
 }
 
 async fn serve_connection(gateway: Rc<Gateway>, connection: Rc<CallerConnection>) {
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -26,7 +26,7 @@
 use crate::logs::decision;
 use crate::metrics::Metrics;
 use crate::options::Options;
-use crate::peers::{Peers, Strangers};
+use crate::peers::{Peers, UnknownPeers};
 use crate::probes::{self, Port};
 use crate::store_news::StoreNews;
 
@@ -62,7 +62,7 @@
     /// Peers.
     pub peers: RefCell<Peers>,
     /// Instances that tell this one something and are not among its peers.
-    pub strangers: Strangers,
+    pub unknown_peers: UnknownPeers,
     /// What it knows of the platform's store, and by whom.
     pub store_news: StoreNews,
     /// Told some milliseconds after a place may have become free.
@@ -134,7 +134,7 @@
             lateness: Lateness::default(),
             metrics,
             peers: RefCell::default(),
-            strangers: Strangers::default(),
+            unknown_peers: UnknownPeers::default(),
             changed: Notify::new(),
             change_is_due: Cell::new(false),
             waiting: Cell::new(0),
@@ -279,9 +279,9 @@
         idle.take(count).for_each(|connection| connection.end());
     }
 
-    /// `usual_count` returns how many connections of callers may carry requests.
-    pub fn usual_count(&self) -> usize {
-        self.connections.borrow().iter().filter(|connection| connection.is_usual()).count()
+    /// `serving_count` returns how many connections of callers may carry requests.
+    pub fn serving_count(&self) -> usize {
+        self.connections.borrow().iter().filter(|connection| connection.is_serving()).count()
     }
 
     /// `surplus_count` returns how many connections are open whose callers are turned away.
--- a/crates/bergamotpitch-gateway/src/peers.rs
+++ b/crates/bergamotpitch-gateway/src/peers.rs
@@ -63,29 +63,29 @@
     }
 }
 
-/// `STRANGERS_MAX` bounds how many strangers are remembered; more than the largest fleet has.
-const STRANGERS_MAX: usize = 1_024;
+/// `UNKNOWN_PEERS_MAX` bounds how many unknown peers are remembered; more than the largest fleet has.
+const UNKNOWN_PEERS_MAX: usize = 1_024;
 
-/// `Strangers` are instances that tell this one something and are not among its peers: they started
+/// `UnknownPeers` are instances that tell this one something and are not among its peers: they started
 /// after the list was read last. Found only at the next regular reading, they would fill the engines
 /// for that long as if they were alone.
 #[derive(Debug, Default)]
-pub struct Strangers {
+pub struct UnknownPeers {
     heard: RefCell<HashSet<InstanceId>>,
     first_heard: Notify,
 }
 
-impl Strangers {
+impl UnknownPeers {
     /// `heard` takes in a beat of an instance that is not among the peers.
     pub fn heard(&self, instance: InstanceId) {
         let mut heard = self.heard.borrow_mut();
-        if heard.len() < STRANGERS_MAX && heard.insert(instance) {
+        if heard.len() < UNKNOWN_PEERS_MAX && heard.insert(instance) {
             self.first_heard.notify_one();
         }
     }
 
     /// `wait` returns when one was heard for the first time; one that no reading of the list finds is
-    /// waited for again only after [`Strangers::forget`].
+    /// waited for again only after [`UnknownPeers::forget`].
     pub async fn wait(&self) {
         self.first_heard.notified().await;
     }
--- a/crates/bergamotpitch-gateway/tests/caller_limits.rs
+++ b/crates/bergamotpitch-gateway/tests/caller_limits.rs
@@ -228,7 +228,7 @@
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
         tokio::time::sleep(Duration::from_millis(100)).await;
-        assert_eq!(gateway.usual_count(), 4);
+        assert_eq!(gateway.serving_count(), 4);
         let turned_away = ask(address, request("GET", "/safe/", "more")).await.unwrap();
         assert_eq!(turned_away.status, 503);
         for answer in taken {
