--- a/crates/bergamotpitch-gateway/src/callers.rs
+++ b/crates/bergamotpitch-gateway/src/callers.rs
@@ -140,6 +140,9 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let is_surplus = !has_room(&gateway, serving_max);
+                if is_surplus {
+                    gateway.metrics.callers_turned_away.inc();
+                }
                 let connection = gateway.open_connection(Rc::new(stream), is_surplus);
                 tokio::task::spawn_local(serve_connection(Rc::clone(&gateway), connection));
                 while is_surplus && surplus_max <= gateway.surplus_count() {
--- a/crates/bergamotpitch-gateway/src/metrics.rs
+++ b/crates/bergamotpitch-gateway/src/metrics.rs
@@ -41,6 +41,8 @@
     pub cut_answers: Count,
     /// Connections opened to upstreams.
     pub connections_opened: Count,
+    /// Connections of callers that were only told to come back.
+    pub callers_turned_away: Count,
     registry: Registry,
     _provider: SdkMeterProvider,
     refusals: Counter<u64>,
@@ -78,6 +80,10 @@
             failed_attempts: count("bergamotpitch_failed_attempts", "Attempts that failed"),
             repeats: count("bergamotpitch_repeats", "Requests sent to a second upstream"),
             cut_answers: count("bergamotpitch_cut_answers", "Streams closed without their end"),
+            callers_turned_away: count(
+                "bergamotpitch_callers_turned_away",
+                "Connections of callers that were only told to come back",
+            ),
             connections_opened: count(
                 "bergamotpitch_connections_opened",
                 "Connections opened to upstreams",
--- a/crates/bergamotpitch-gateway/tests/caller_limits.rs
+++ b/crates/bergamotpitch-gateway/tests/caller_limits.rs
@@ -198,6 +198,9 @@
         assert_eq!(turned_away.status, 503);
         assert!(turned_away.headers.contains_key("retry-after"));
         assert_eq!(turned_away.headers["connection"], "close");
+        let metrics = gateway.metrics.text();
+        let counted = metrics.lines().find(|line| line.starts_with("bergamotpitch_callers_turned"));
+        assert!(counted.is_some_and(|line| line.ends_with(" 1")), "{counted:?}");
         assert_eq!(gateway.in_flight(), 8, "it is told at once, and nobody is cut off for it");
         for answer in taken {
             assert_eq!(answer.await.unwrap().unwrap().status, 200);
