End callers that say nothing while an instance is full

While all connections of an instance carried requests, an eighth more callers that connected and sent nothing kept everybody else out until the limit on idle connections. They are ended now to make room; caller_limits silent_callers fails before.

The stream that notes when a head begins moves to a file of its own.

--- a/crates/bergamotpitch-gateway/src/callers.rs
+++ b/crates/bergamotpitch-gateway/src/callers.rs
@@ -8,10 +8,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::mem::MaybeUninit;
-use std::net::Shutdown;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bergamotpitch_core::units::Timestamp;
@@ -22,7 +19,6 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
@@ -30,6 +26,7 @@
 use crate::calls;
 use crate::connections::tune;
 use crate::gateways::Gateway;
+use crate::watched_streams::WatchedStream;
 
 /// `LEAST_BUFFER_BYTES` is the smallest buffer that the library takes.
 const LEAST_BUFFER_BYTES: usize = 8 << 10;
@@ -37,8 +34,8 @@
 /// `ENDED_AT_ONCE` is how many idle connections are ended when there are too many.
 const ENDED_AT_ONCE: usize = 32;
 
-/// `SURPLUS_PART` is the part of the usual connections that may be open besides while their callers
-/// are told to come back.
+/// `SURPLUS_PART` is how many connections may be open besides, as a part of those that serve, while
+/// their callers are told to come back.
 const SURPLUS_PART: f64 = 0.125;
 
 /// `ACCEPT_PAUSE` is the time between two looks for room while not even callers to be turned away
@@ -70,6 +67,18 @@
         }
     }
 
+    /// `stream` returns its socket.
+    pub fn stream(&self) -> &Rc<TcpStream> {
+        &self.stream
+    }
+
+    /// `note_bytes` takes in that bytes came in; between two requests they begin a head.
+    pub fn note_bytes(&self, now: Timestamp) {
+        if !self.is_in_request.get() && self.head_began.get().is_none() {
+            self.head_began.set(Some(now));
+        }
+    }
+
     /// `is_idle` tells whether it carries no request.
     pub fn is_idle(&self) -> bool {
         !self.is_in_request.get() && self.head_began.get().is_none() && !self.is_ending.get()
@@ -130,9 +139,9 @@
 /// `serve` accepts callers until it is dropped.
 ///
 /// When a flood reaches one instance, all of its connections carry requests, and it would grow with
-/// each further one until the system ends it with all that it serves. Beyond the usual connections
-/// callers are therefore told at once to come back, and beyond some more they are left in the
-/// system's queue.
+/// each further one until the system ends it with all that it serves. Further callers are therefore
+/// told at once to come back. Beyond some of these, callers are left in the system's queue until
+/// others have been told, or were ended as they asked nothing.
 pub async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
     let serving_max = gateway.options.caller_connections_max;
     let surplus_max = (SURPLUS_PART * serving_max as f64).ceil() as usize;
@@ -147,6 +156,7 @@
                 tokio::task::spawn_local(serve_connection(Rc::clone(&gateway), connection));
                 while is_surplus && surplus_max <= gateway.surplus_count() {
                     tokio::time::sleep(ACCEPT_PAUSE).await;
+                    gateway.end_idle_connections(ENDED_AT_ONCE);
                 }
             }
             Err(error) => {
@@ -180,11 +190,7 @@
 
 async fn serve_requests(gateway: &Rc<Gateway>, connection: &Rc<CallerConnection>) {
     let limits = gateway.limits();
-    let watched = WatchedStream {
-        stream: Rc::clone(&connection.stream),
-        connection: Rc::clone(connection),
-        gateway: Rc::clone(gateway),
-    };
+    let watched = WatchedStream::new(gateway, connection);
     let service = service_fn(|request: Request<Incoming>| {
         serve_request(Rc::clone(gateway), InRequest::begin(connection), request)
     });
@@ -240,79 +246,3 @@
         }
     });
 }
-
-/// `WatchedStream` notes when the first byte of a head comes in.
-struct WatchedStream {
-    stream: Rc<TcpStream>,
-    connection: Rc<CallerConnection>,
-    gateway: Rc<Gateway>,
-}
-
-impl AsyncRead for WatchedStream {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let result = loop {
-            if let Err(error) = ready!(self.stream.poll_read_ready(context)) {
-                return Poll::Ready(Err(error));
-            }
-            match self.stream.try_read_buf(buffer) {
-                Ok(_) => break Poll::Ready(Ok(())),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
-            }
-        };
-        let is_head = !self.connection.is_in_request.get();
-        if is_head && before < buffer.filled().len() && self.connection.head_began.get().is_none() {
-            self.connection.head_began.set(Some(self.gateway.now()));
-        }
-        result
-    }
-}
-
-impl AsyncWrite for WatchedStream {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        data: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        write_with(&self.stream, context, || self.stream.try_write(data))
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        data: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        write_with(&self.stream, context, || self.stream.try_write_vectored(data))
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        true
-    }
-}
-
-fn write_with(
-    stream: &TcpStream,
-    context: &mut Context<'_>,
-    write: impl Fn() -> io::Result<usize>,
-) -> Poll<io::Result<usize>> {
-    loop {
-        ready!(stream.poll_write_ready(context))?;
-        match write() {
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-            written => return Poll::Ready(written),
-        }
-    }
-}
--- a/crates/bergamotpitch-gateway/src/lib.rs
+++ b/crates/bergamotpitch-gateway/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod sse;
 pub mod store_news;
 pub mod upstreams;
+pub mod watched_streams;
 
 pub use crate::errors::{Error, Result};
 pub use crate::gateways::Gateway;
--- a/crates/bergamotpitch-gateway/src/store_news.rs
+++ b/crates/bergamotpitch-gateway/src/store_news.rs
@@ -142,6 +142,11 @@
         self.store_news.role_changed.notify_waiters();
     }
 
+    /// `is_first_of_domain` tells whether this instance is the first of its domain that is heard.
+    pub fn is_first_of_domain(&self) -> bool {
+        self.domain_rank() == 0
+    }
+
     /// How many instances of the own domain that were heard lately come before this one.
     fn domain_rank(&self) -> usize {
         let now = self.now();
--- a/crates/bergamotpitch-gateway/tests/caller_limits.rs
+++ b/crates/bergamotpitch-gateway/tests/caller_limits.rs
@@ -240,3 +240,30 @@
         }
     });
 }
+
+/// While all connections of an instance carry requests, callers open others and say nothing. They would
+/// keep those that come after them out of the instance until a time limit of a minute ends them.
+#[test]
+fn silent_callers() {
+    run(async {
+        let upstream = FakeUpstream::start(Box::new(|_| vec![Act::Hang])).await;
+        let (_gateway, address) = common::start_bounded(&[&upstream], 8).await;
+        let taken: Vec<_> = (0..8)
+            .map(|number| {
+                let asked = request("GET", "/safe/", &format!("n{number}"));
+                tokio::task::spawn_local(ask(address, asked))
+            })
+            .collect();
+        while upstream.count() < 8 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let mut silent = Vec::new();
+        for _ in 0..6 {
+            silent.push(TcpStream::connect(address).await.unwrap());
+        }
+        let asked = ask(address, request("GET", "/safe/", "more"));
+        let told = tokio::time::timeout(Duration::from_secs(2), asked).await;
+        assert_eq!(told.expect("it is told at once").unwrap().status, 503);
+        taken.iter().for_each(tokio::task::JoinHandle::abort);
+    });
+}
