Choose among engines that fit by predicted time and distance alone

Besides the predicted time, a start that would be read again weighed four times its reading, and a full engine 150 ms.

Both weights and their switches are gone.

--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -434,7 +434,6 @@
             Distance::Far => millis(self.options.remote_round_trip),
         };
         let figures = state.load.figures(now, options);
-        let own_tokens = needs.own_tokens.min(work.unread_tokens);
         let own_ms = match needs.is_generation {
             true => needs.speed.reading_ms(work.unread_tokens),
             false => state.load.plain_ms(options),
@@ -446,7 +445,6 @@
             fetch_from,
             predicted_ms: state.load.predict_ms(work, &figures, &capacity, now, options),
             own_ms,
-            read_again_ms: needs.speed.reading_ms(work.unread_tokens - own_tokens),
             figures,
             slots: capacity.slots,
             distance,
--- a/crates/bergamotpitch-control/src/traffic/fits.rs
+++ b/crates/bergamotpitch-control/src/traffic/fits.rs
@@ -27,11 +27,6 @@
 /// queue keeps its slots busy.
 const PLAIN_SLOTS_FACTOR: f64 = 3.0;
 
-/// `READ_AGAIN_WEIGHT` is how much a millisecond of reading a shared start again weighs against a
-/// millisecond of waiting: it is taken from all that run on the engine, and the start takes memory
-/// in which other starts are kept.
-const READ_AGAIN_WEIGHT: f64 = 4.0;
-
 /// `FAR_WEIGHT_MS` is what the bytes of a request and its answer weigh when they go to another region,
 /// in milliseconds of waiting. The bytes of a long prompt cost about what a tenth of a second of an
 /// engine does.
@@ -41,10 +36,6 @@
 /// by an order of magnitude and half a millisecond long.
 const NEAR_WEIGHT_MS: f64 = 8.0;
 
-/// `SLOTS_WEIGHT_MS` spreads requests over engines by their running requests where prompts are
-/// short, in milliseconds for a full engine.
-const SLOTS_WEIGHT_MS: f64 = 150.0;
-
 /// `EMPTY_SLOTS_PART` is the part of its slots below which an engine that reads nothing takes any
 /// request, also one that takes most of its target to read: few would wait behind it.
 const EMPTY_SLOTS_PART: f64 = 0.1;
@@ -66,8 +57,6 @@
     /// Time that the request itself takes: to read what the engine does not keep of the prompt, or
     /// for the work of a plain call. It is late because of this wherever it is sent.
     pub own_ms: f64,
-    /// Part of that time in which a shared start is read again.
-    pub read_again_ms: f64,
     /// What all instances have in hand there.
     pub figures: Figures,
     /// Its slots.
@@ -99,17 +88,13 @@
 impl Look {
     /// `score` compares upstreams that a request fits: the least is best.
     pub fn score(&self, policy: &Policy) -> f64 {
-        let when = |is_on: bool, weight_ms: f64| if is_on { weight_ms } else { 0.0 };
-        let taken_part = self.taken_part();
         let distance_ms = match self.distance {
+            _ if !policy.distance_weights => 0.0,
             Distance::Own => 0.0,
             Distance::Near => NEAR_WEIGHT_MS,
             Distance::Far => FAR_WEIGHT_MS,
         };
-        self.predicted_ms
-            + when(policy.read_again_weight, READ_AGAIN_WEIGHT * self.read_again_ms)
-            + when(policy.slots_weight, SLOTS_WEIGHT_MS * taken_part * taken_part)
-            + when(policy.distance_weights, distance_ms)
+        self.predicted_ms + distance_ms
     }
 
     /// `fit` tells whether the request fits within a fill.
--- a/crates/bergamotpitch-control/src/traffic/policies.rs
+++ b/crates/bergamotpitch-control/src/traffic/policies.rs
@@ -32,12 +32,8 @@
     /// Engines of the own domain are preferred in the same order by all instances for a start that
     /// nobody told of.
     pub start_order: bool,
-    /// Reading a start again weighs more than waiting.
-    pub read_again_weight: bool,
     /// The own domain and region are preferred.
     pub distance_weights: bool,
-    /// Requests spread over engines by their running requests.
-    pub slots_weight: bool,
     /// Prompts that take most of their target to read are sent all the same within the shares.
     pub long_prompts: bool,
     /// An engine that reads nothing takes any request.
@@ -71,9 +67,7 @@
             start_notes: true,
             start_fetches: true,
             start_order: true,
-            read_again_weight: true,
             distance_weights: true,
-            slots_weight: true,
             long_prompts: true,
             empty_engines: true,
             learned_speeds: true,
