Give each port of a test to one router only

Its files: frozen-0 and frozen-2 had the same caller port, 41649, and frozen-2 wrote no event. Ports are chosen before the processes bind them; between its choice and frozen-0's start the system gave it out again, and whoever binds it second is started again and again in vain.

Ruled out: the routers (0 and 1 were ready and joined within 4 ms), load (the run was alone; the one before, beside load, passed).

A test process remembers the addresses that it gave out. Other programs may still take a port in between; for these the process is started again as before.

--- a/crates/bergamotpitch-router/tests/fleets/processes.rs
+++ b/crates/bergamotpitch-router/tests/fleets/processes.rs
@@ -2,6 +2,7 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::time::Duration;
 
 use serde_json::json;
@@ -95,8 +96,24 @@
         .unwrap()
 }
 
-fn free_addresses() -> [SocketAddr; 3] {
+/// Addresses that were given to a process. One that is given back before its process has bound it may
+/// be free for the next as well, and whoever binds it second never becomes ready.
+static GIVEN: Mutex<Vec<SocketAddr>> = Mutex::new(Vec::new());
+
+/// `free_addresses` returns addresses that were not given to any process of this test before.
+pub fn free_addresses() -> [SocketAddr; 3] {
+    let mut given = GIVEN.lock().unwrap();
     // All are held before any is given back, so that they differ.
-    let held = [(); 3].map(|()| TcpListener::bind(LOOPBACK).unwrap());
-    held.map(|listener| listener.local_addr().unwrap())
+    let mut held = Vec::new();
+    let mut fresh = Vec::new();
+    while fresh.len() < 3 {
+        let listener = TcpListener::bind(LOOPBACK).unwrap();
+        let address = listener.local_addr().unwrap();
+        held.push(listener);
+        if !given.contains(&address) {
+            fresh.push(address);
+        }
+    }
+    given.extend(&fresh);
+    fresh.try_into().unwrap()
 }
--- a/crates/bergamotpitch-router/tests/lost_processes.rs
+++ b/crates/bergamotpitch-router/tests/lost_processes.rs
@@ -10,7 +10,9 @@
 use bergamotpitch_timeline::files::{merge_events, read_file};
 use bergamotpitch_timeline::versions::reverts;
 use fleets::LOOPBACK;
-use fleets::processes::{Process, kill, restart, signal, start_process, wait_ready};
+use fleets::processes::{
+    Process, free_addresses, kill, restart, signal, start_process, wait_ready,
+};
 use fleets::stages::{
     KEYED_CALLS, LOAD_TIME, Place, apply_sheet, experiment_of, measure_while, start_upstreams,
 };
@@ -103,3 +105,13 @@
     assert_eq!((measures.cut_seen_answers, measures.lost_requests), (0, 0));
     close_stage(stage).await;
 }
+
+/// Processes of a test get their ports before they bind them. A port that is free again until then was
+/// given to two routers, of which one never became ready, and the test failed for no fault of theirs.
+#[test]
+fn ports_given_once() {
+    let mut given: Vec<_> = (0..300).flat_map(|_| free_addresses()).collect();
+    given.sort();
+    given.dedup();
+    assert_eq!(given.len(), 900);
+}
