--- a/crates/bergamotpitch-control/src/traffic.rs
+++ b/crates/bergamotpitch-control/src/traffic.rs
@@ -2,15 +2,17 @@
 //!
 //! Every module here is a table or a decision without I/O and without a clock: the caller hands
 //! over the time as a [`Timestamp`](bergamotpitch_core::units::Timestamp). The arrows point one
-//! way: [`admissions`] reads all the other tables, none of which knows another.
+//! way: [`admissions`] reads the tables, none of which knows another, and [`waiting_asks`] asks it.
 
 pub mod admissions;
 pub mod catalogs;
+pub mod dispatchers;
 pub mod engine_loads;
 pub mod engine_speeds;
 pub mod evidences;
 pub mod facts;
 pub mod fits;
+pub mod grants;
 pub mod needs;
 pub mod policies;
 pub mod prefixes;
@@ -18,3 +20,4 @@
 pub mod retry_budgets;
 pub mod starts;
 pub mod team_windows;
+pub mod waiting_asks;
--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -9,8 +9,9 @@
 use std::time::Duration;
 
 use bergamotpitch_core::HashMap;
-use bergamotpitch_core::ids::{DomainId, TeamId, id_of_name};
+use bergamotpitch_core::ids::{DomainId, InstanceId, TeamId, id_of_name};
 use bergamotpitch_core::units::Timestamp;
+use serde::{Deserialize, Serialize};
 
 use crate::traffic::catalogs::CacheLink;
 use crate::traffic::engine_loads::{self, Capacity, RequestNumber, UpstreamLoad, Work};
@@ -95,6 +96,16 @@
 /// change within about a second.
 const NO_UPSTREAM_RETURN: Duration = Duration::from_millis(1_000);
 
+/// `Scope` tells among which upstreams of its service a request is placed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Scope {
+    /// All of them.
+    #[default]
+    Fleet,
+    /// Those of the own failure domain, which its dispatcher has to itself.
+    Domain,
+}
+
 /// `Ask` is one request that wants an upstream.
 #[derive(Debug, Clone, Copy)]
 pub struct Ask<'a> {
@@ -116,6 +127,8 @@
     pub pool_tokens_per_s: Option<u64>,
     /// Over what engines of the service fetch parts of prompts from each other.
     pub cache_link: Option<CacheLink>,
+    /// Among which upstreams it is placed.
+    pub scope: Scope,
 }
 
 /// `Choice` is the decision.
@@ -136,6 +149,15 @@
     NoUpstream(Duration),
 }
 
+/// `Room` is for how many more requests there is a place.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Room {
+    /// Requests within their team's share.
+    pub within_share: u32,
+    /// Requests beyond it.
+    pub beyond_share: u32,
+}
+
 /// `Placement` is where a request goes, with the inputs of the decision.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Placement {
@@ -233,11 +255,48 @@
         self.starts.step(now);
     }
 
+    /// `forget_peer` drops what a peer told of its requests in hand and of its teams.
+    pub fn forget_peer(&mut self, peer: InstanceId) {
+        self.states.values_mut().for_each(|state| state.load.forget_peer(peer));
+        self.windows.forget_peer(peer);
+    }
+
     /// `evidence` returns what is known of an upstream from its outcomes.
     pub fn evidence(&mut self, key: UpstreamKey) -> &mut Evidence {
         &mut self.states.entry(key).or_default().evidence
     }
 
+    /// `silence` returns the time since the last byte of an upstream.
+    pub fn silence(&self, key: UpstreamKey, now: Timestamp) -> Duration {
+        self.states.get(&key).map_or(Duration::MAX, |state| state.evidence.silence(now))
+    }
+
+    /// `room` returns how many more requests within their team's share, and beyond it, the own
+    /// domain's upstreams of a service take whose first events come within `wait`.
+    pub fn room(&self, service: &str, wait: Duration, now: Timestamp) -> Room {
+        let options = &self.options.loads;
+        let speed = self.speed(service);
+        let keys = self.registry.of_service(service).iter();
+        let upstreams = keys.filter_map(|key| self.registry.get(*key));
+        let open = upstreams
+            .filter(|upstream| upstream.takes_work() && self.is_in_scope(upstream, Scope::Domain));
+        let unknown = UpstreamState::default();
+        let mut room = Room::default();
+        for upstream in open {
+            let state = self.states.get(&upstream.key).unwrap_or(&unknown);
+            let figures = state.load.figures(now, options);
+            let free = |fill: &Fill| {
+                let is_late =
+                    fill.target_part * millis(wait) < speed.time_ms(figures.unread_tokens.max(0.0));
+                let slots = (f64::from(upstream.registration.slots) * fill.slots_part) as u32;
+                if is_late { 0 } else { slots.saturating_sub(figures.requests) }
+            };
+            room.within_share += free(&self.options.within_share);
+            room.beyond_share += free(&self.options.even_surplus);
+        }
+        room
+    }
+
     /// `budget` returns the retry budget of a service.
     pub fn budget(&mut self, service: &str) -> &mut RetryBudget {
         if !self.budgets.contains_key(service) {
@@ -350,7 +409,7 @@
             .iter()
             .filter(|key| !ask.tried.contains(key))
             .filter_map(|key| self.registry.get(*key))
-            .filter(|upstream| upstream.takes_work())
+            .filter(|upstream| upstream.takes_work() && self.is_in_scope(upstream, ask.scope))
             .collect();
         if !self.options.policy.evidence {
             return open;
@@ -364,6 +423,10 @@
         if sound.is_empty() { open } else { sound }
     }
 
+    fn is_in_scope(&self, upstream: &Upstream, scope: Scope) -> bool {
+        scope == Scope::Fleet || upstream.domain_number == self.domain_number
+    }
+
     /// The failure rate of the upstream in the middle; the lower one of two. A mean would rise with
     /// the failures of a few, and hide them.
     fn usual_failure_rate(&self, upstreams: &[&Upstream]) -> f64 {
@@ -399,10 +462,11 @@
         let policy = &self.options.policy;
         let mut needs = Needs::of_request(ask, self.speed(ask.service), policy);
         let Some(start) = ask.facts.shared_start() else { return needs };
-        if policy.start_order {
+        // A dispatcher knows which engines of its domain read a start, and that none has.
+        if policy.start_order && ask.scope == Scope::Fleet {
             needs.rank_engines(start, candidates, self.domain_number);
         }
-        needs.find_holders(start, candidates, &self.starts, now);
+        needs.find_holders(start, &self.registry, &self.starts, now);
         needs
     }
 
--- a/crates/bergamotpitch-control/src/traffic/catalogs.rs
+++ b/crates/bergamotpitch-control/src/traffic/catalogs.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bergamotpitch_core::HashMap;
+use bergamotpitch_core::ids::{ServiceId, id_of_name};
 use strum::{Display, EnumString, IntoStaticStr};
 
 /// `CatalogVersion` is the number that operators give to a configuration.
@@ -186,6 +187,7 @@
     pub limits: CallerLimits,
     /// Tokens that all engines together read and generate in a second; `None` when not stated.
     pub pool_tokens_per_s: Option<u64>,
+    service_of_id: HashMap<ServiceId, String>,
     teams: Vec<Arc<Team>>,
     team_of_key: HashMap<String, TeamIndex>,
     routes_of_host: HashMap<String, Vec<Arc<Route>>>,
@@ -215,10 +217,14 @@
                 team_of_key.insert(key.clone(), index);
             }
         }
+        let service_of_id =
+            services.iter().map(|service| (id_of_name(&service.name), service.name.clone()));
+        let service_of_id = service_of_id.collect();
         let services = services.into_iter().map(|service| (service.name.clone(), service));
         Self {
             version,
             services: services.collect(),
+            service_of_id,
             limits: CallerLimits::default(),
             pool_tokens_per_s: None,
             teams: teams.into_iter().map(Arc::new).collect(),
@@ -242,6 +248,11 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// `service_of_id` finds a service by the number that its name has among instances.
+    pub fn service_of_id(&self, id: ServiceId) -> Option<&Service> {
+        self.services.get(self.service_of_id.get(&id)?)
+    }
+
     /// `has_teams` tells whether callers need a key at all.
     pub fn has_teams(&self) -> bool {
         !self.teams.is_empty()
--- a/crates/bergamotpitch-control/src/traffic/engine_loads.rs
+++ b/crates/bergamotpitch-control/src/traffic/engine_loads.rs
@@ -90,7 +90,8 @@
 }
 
 impl Figures {
-    fn add(&mut self, other: &Figures) {
+    /// `add` adds the sums over other requests.
+    pub fn add(&mut self, other: &Figures) {
         self.requests += other.requests;
         self.unread_tokens += other.unread_tokens;
         self.memory_tokens += other.memory_tokens;
@@ -230,6 +231,11 @@
         }
     }
 
+    /// `forget_peer` drops a peer's sums.
+    pub fn forget_peer(&mut self, peer: InstanceId) {
+        self.peer_heard(peer, Figures::default(), Timestamp::ZERO);
+    }
+
     /// `drop_silent_peers` forgets the sums of peers that were not heard for too long. The sum over
     /// all peers is kept, as a request that is placed looks at it for each upstream.
     pub fn drop_silent_peers(&mut self, now: Timestamp, options: &Options) {
--- a/crates/bergamotpitch-control/src/traffic/evidences.rs
+++ b/crates/bergamotpitch-control/src/traffic/evidences.rs
@@ -49,7 +49,7 @@
 impl Evidence {
     /// `note_life` takes in that any byte came from the upstream.
     pub fn note_life(&mut self, now: Timestamp) {
-        self.last_life = Some(now);
+        self.last_life = self.last_life.max(Some(now));
         self.connect_failures = 0;
         self.paused_until = Timestamp::ZERO;
     }
@@ -90,6 +90,11 @@
         self.last_life.is_none_or(|life| life + SILENCE <= now)
     }
 
+    /// `silence` returns the time since the last byte came from the upstream.
+    pub fn silence(&self, now: Timestamp) -> Duration {
+        self.last_life.map_or(Duration::MAX, |life| now.saturating_sub(life))
+    }
+
     /// `is_hung` tells whether the upstream is silent although a request waits there since
     /// `oldest_unanswered`.
     pub fn is_hung(&self, oldest_unanswered: Option<Timestamp>, now: Timestamp) -> bool {
--- a/crates/bergamotpitch-control/src/traffic/needs.rs
+++ b/crates/bergamotpitch-control/src/traffic/needs.rs
@@ -11,7 +11,7 @@
 use crate::traffic::facts::PartId;
 use crate::traffic::fits::millis;
 use crate::traffic::policies::Policy;
-use crate::traffic::registries::{Upstream, UpstreamKey};
+use crate::traffic::registries::{Registry, Upstream, UpstreamKey};
 use crate::traffic::starts::Starts;
 
 /// `KEPT_PARTS` are the parts of a prompt's shared start that the first engines by rendezvous are
@@ -107,17 +107,19 @@
         }
     }
 
-    /// `find_holders` finds the engines at which the shared start was read lately.
+    /// `find_holders` finds the engines at which the shared start was read lately. They need not be
+    /// among those that may get the request.
     pub fn find_holders(
         &mut self,
         start: PartId,
-        candidates: &[&Upstream],
+        registry: &Registry,
         starts: &Starts,
         now: Timestamp,
     ) {
-        let lives = starts.holders(start, now);
-        let found = lives
-            .filter_map(|life| candidates.iter().find(|upstream| upstream.life_number == life));
+        let found = starts
+            .holders(start, now)
+            .filter_map(|life| registry.get(registry.key_of_life(life)?))
+            .filter(|upstream| upstream.takes_work());
         for (holder, found) in self.holders.iter_mut().zip(found) {
             *holder = Some(Holder { key: found.key, domain_number: found.domain_number });
         }
--- a/crates/bergamotpitch-control/src/traffic/registries.rs
+++ b/crates/bergamotpitch-control/src/traffic/registries.rs
@@ -98,6 +98,7 @@
 pub struct Registry {
     upstreams: HashMap<UpstreamKey, Upstream>,
     key_of_id: HashMap<String, UpstreamKey>,
+    key_of_life: HashMap<UpstreamId, UpstreamKey>,
     of_service: HashMap<String, Vec<UpstreamKey>>,
     last_key: UpstreamKey,
     outage: Outage,
@@ -123,6 +124,12 @@
         self.key_of_id.get(id).copied()
     }
 
+    /// `key_of_life` returns the number in this process of one life of an upstream, by its number
+    /// among instances.
+    pub fn key_of_life(&self, life: UpstreamId) -> Option<UpstreamKey> {
+        self.key_of_life.get(&life).copied()
+    }
+
     /// `of_service` returns the upstreams of a service, also those that leave.
     pub fn of_service(&self, service: &str) -> &[UpstreamKey] {
         self.of_service.get(service).map_or(&[], Vec::as_slice)
@@ -269,6 +276,7 @@
         let id_number = id_of_name(&registration.id);
         let domain_number = id_of_name(&registration.domain);
         let life_number = life_number(&registration);
+        self.key_of_life.insert(life_number, key);
         let upstream = Upstream {
             key,
             id_number,
@@ -285,6 +293,7 @@
     fn forget(&mut self, key: UpstreamKey, changes: &mut Vec<Change>) {
         let Some(upstream) = self.upstreams.remove(&key) else { return };
         self.key_of_id.remove(&upstream.registration.id);
+        self.key_of_life.remove(&upstream.life_number);
         if let Some(keys) = self.of_service.get_mut(&upstream.registration.service) {
             keys.retain(|other| *other != key);
         }
--- a/crates/bergamotpitch-control/src/traffic/starts.rs
+++ b/crates/bergamotpitch-control/src/traffic/starts.rs
@@ -23,6 +23,14 @@
 /// turn comes every 3 s.
 const TELL_TIME: Duration = Duration::from_secs(3);
 
+/// `TELL_AGAIN_TIME` is the time after which dispatchers tell each other again of a start that is still
+/// used. Until then a start that was told is known, unless the message was lost.
+const TELL_AGAIN_TIME: Duration = Duration::from_secs(3);
+
+/// `TOLD_TOKENS_MIN` is the length of the shortest starts that are worth telling another domain:
+/// shorter ones are read sooner than they are fetched.
+const TOLD_TOKENS_MIN: u32 = 128;
+
 /// `HOLDERS_MAX` is how many engines are remembered for one start, the latest used first.
 const HOLDERS_MAX: usize = 4;
 
@@ -50,6 +58,8 @@
 pub struct Starts {
     holders: HashMap<PartId, Vec<(UpstreamId, Timestamp)>>,
     own: VecDeque<StartNote>,
+    told: HashMap<PartId, Timestamp>,
+    untold: HashMap<PartId, StartNote>,
     next_sweep: Timestamp,
 }
 
@@ -58,6 +68,11 @@
     pub fn sent(&mut self, note: StartNote) {
         self.heard(note);
         self.own.push_back(note);
+        let is_told =
+            self.told.get(&note.start).is_some_and(|told| note.used < *told + TELL_AGAIN_TIME);
+        if !is_told && TOLD_TOKENS_MIN <= note.tokens {
+            self.untold.insert(note.start, note);
+        }
     }
 
     /// `heard` takes in that a start was used at an engine.
@@ -107,6 +122,28 @@
         latest.into_values().collect()
     }
 
+    /// `take_untold` returns what other dispatchers are to be told now: starts of which they were not
+    /// told lately.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bergamotpitch_control::traffic::starts::{StartNote, Starts};
+    ///
+    /// let mut starts = Starts::default();
+    /// let now = Duration::from_secs(1);
+    /// let note = StartNote { start: 7, tokens: 500, upstream: 1, used: now };
+    /// starts.sent(note);
+    /// assert_eq!(starts.take_untold(now), [note]);
+    /// starts.sent(note);
+    /// assert_eq!(starts.take_untold(now), []);
+    /// ```
+    pub fn take_untold(&mut self, now: Timestamp) -> Vec<StartNote> {
+        let untold: Vec<StartNote> = std::mem::take(&mut self.untold).into_values().collect();
+        self.told.extend(untold.iter().map(|note| (note.start, now)));
+        untold
+    }
+
     /// `step` forgets starts that are kept no more.
     pub fn step(&mut self, now: Timestamp) {
         if now < self.next_sweep {
@@ -117,5 +154,6 @@
             holders.retain(|(_, used)| now < *used + KEEP_TIME);
             !holders.is_empty()
         });
+        self.told.retain(|_, told| now < *told + TELL_AGAIN_TIME);
     }
 }
--- a/crates/bergamotpitch-control/src/traffic/team_windows.rs
+++ b/crates/bergamotpitch-control/src/traffic/team_windows.rs
@@ -18,6 +18,7 @@
 use bergamotpitch_core::HashMap;
 use bergamotpitch_core::ids::{InstanceId, TeamId};
 use bergamotpitch_core::units::Timestamp;
+use serde::{Deserialize, Serialize};
 
 use crate::traffic::policies::Policy;
 
@@ -68,6 +69,8 @@
     options: Options,
     own: HashMap<TeamId, Ring>,
     peers: HashMap<InstanceId, PeerSums>,
+    /// What the dispatcher of the own domain told of all other domains together.
+    elsewhere: Option<PeerSums>,
     levels: Option<Levels>,
     /// Teams that wait and had much less than others, as of the latest levels.
     needy: Vec<TeamId>,
@@ -87,6 +90,16 @@
     teams: HashMap<TeamId, TeamSums>,
 }
 
+impl PeerSums {
+    fn add_to(&self, total: &mut HashMap<TeamId, TeamSums>) {
+        for (team, sums) in &self.teams {
+            let total = total.entry(*team).or_default();
+            total.asked_tokens += sums.asked_tokens;
+            total.begun_tokens += sums.begun_tokens;
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Levels {
     computed: Timestamp,
@@ -98,7 +111,7 @@
 }
 
 /// `Standing` tells how a request stands against its team's even share.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, Serialize, Deserialize)]
 #[strum(serialize_all = "snake_case")]
 pub enum Standing {
     /// It is within the share that the stated rate of the pool gives the team.
@@ -130,6 +143,7 @@
             options,
             own: HashMap::default(),
             peers: HashMap::default(),
+            elsewhere: None,
             levels: None,
             needy: Vec::new(),
         }
@@ -170,6 +184,59 @@
         self.peers.insert(peer, PeerSums { heard: now, counted, teams });
     }
 
+    /// `elsewhere_heard` takes in what the dispatcher of the own domain tells of all other domains.
+    pub fn elsewhere_heard(
+        &mut self,
+        teams: impl IntoIterator<Item = (TeamId, TeamSums)>,
+        counted: Duration,
+        now: Timestamp,
+    ) {
+        let teams = teams.into_iter().collect();
+        let counted = counted.min(self.options.window);
+        self.elsewhere = Some(PeerSums { heard: now, counted, teams });
+    }
+
+    /// `forget_elsewhere` drops it: this instance hears the other domains itself.
+    pub fn forget_elsewhere(&mut self) {
+        self.elsewhere = None;
+    }
+
+    /// `forget_peer` drops a peer's sums.
+    pub fn forget_peer(&mut self, peer: InstanceId) {
+        self.peers.remove(&peer);
+    }
+
+    /// `sums_with` returns the sums of some peers together, with or without the own ones.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bergamotpitch_control::traffic::team_windows::{Options, TeamSums, TeamWindows};
+    ///
+    /// let mut windows = TeamWindows::new(Options::default());
+    /// let now = Duration::from_secs(1);
+    /// windows.note_asked(5, 100, now);
+    /// let sums = TeamSums { asked_tokens: 30, begun_tokens: 30 };
+    /// windows.peer_heard(1, [(5, sums)], now, now);
+    /// windows.peer_heard(2, [(5, sums)], now, now);
+    /// let both = windows.sums_with(true, |peer| peer == 1, now);
+    /// assert_eq!(both[&5], TeamSums { asked_tokens: 130, begun_tokens: 30 });
+    /// ```
+    pub fn sums_with(
+        &mut self,
+        with_own: bool,
+        is_included: impl Fn(InstanceId) -> bool,
+        now: Timestamp,
+    ) -> HashMap<TeamId, TeamSums> {
+        let own = if with_own { self.own_sums(now) } else { Vec::new() };
+        let mut total: HashMap<TeamId, TeamSums> = own.into_iter().collect();
+        let timeout = self.options.peer_timeout;
+        let included = self.peers.iter().filter(|(peer, _)| is_included(**peer));
+        let heard = included.filter(|(_, sums)| now < sums.heard + timeout);
+        heard.for_each(|(_, sums)| sums.add_to(&mut total));
+        total
+    }
+
     /// `level` returns the tokens of one window up to which every team is served; infinite when
     /// operators state no rate of the pool.
     pub fn level(&mut self, pool_tokens_per_s: Option<u64>, now: Timestamp) -> f64 {
@@ -229,7 +296,7 @@
         if !self.options.policy.growing_shares {
             return window;
         }
-        let peers = self.peers.values().map(|peer| peer.counted + now.saturating_sub(peer.heard));
+        let peers = self.told().map(|peer| peer.counted + now.saturating_sub(peer.heard));
         let longest = peers.max().unwrap_or_default().max(now);
         longest.clamp(window / BUCKETS as u32, window)
     }
@@ -238,7 +305,7 @@
         let bucket = self.bucket(now);
         let own = self.own.get_mut(&team).map_or(0, |ring| ring.sum(bucket).begun_tokens);
         let timeout = self.options.peer_timeout;
-        let peers = self.peers.values().filter(|peer| now < peer.heard + timeout);
+        let peers = self.told().filter(|peer| now < peer.heard + timeout);
         own + peers
             .filter_map(|peer| peer.teams.get(&team))
             .map(|sums| sums.begun_tokens)
@@ -248,17 +315,16 @@
     fn fleet_sums(&mut self, now: Timestamp) -> HashMap<TeamId, TeamSums> {
         let timeout = self.options.peer_timeout;
         self.peers.retain(|_, peer| now < peer.heard + timeout);
+        self.elsewhere = self.elsewhere.take().filter(|sums| now < sums.heard + timeout);
         let mut fleet: HashMap<TeamId, TeamSums> = self.own_sums(now).into_iter().collect();
-        for peer in self.peers.values() {
-            for (team, sums) in &peer.teams {
-                let total = fleet.entry(*team).or_default();
-                total.asked_tokens += sums.asked_tokens;
-                total.begun_tokens += sums.begun_tokens;
-            }
-        }
+        self.told().for_each(|sums| sums.add_to(&mut fleet));
         fleet
     }
 
+    fn told(&self) -> impl Iterator<Item = &PeerSums> {
+        self.peers.values().chain(&self.elsewhere)
+    }
+
     fn bucket(&self, now: Timestamp) -> u64 {
         let bucket_ms = (self.options.window.as_millis() / BUCKETS as u128).max(1);
         u64::try_from(now.as_millis() / bucket_ms).unwrap_or(u64::MAX)
--- a/crates/bergamotpitch-control/tests/fetched_starts.rs
+++ b/crates/bergamotpitch-control/tests/fetched_starts.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::admissions::{Ask, Choice, Options, Placement, Traffic};
+use bergamotpitch_control::traffic::admissions::{Ask, Choice, Options, Placement, Scope, Traffic};
 use bergamotpitch_control::traffic::catalogs::CacheLink;
 use bergamotpitch_control::traffic::facts::RequestFacts;
 use bergamotpitch_control::traffic::registries::{Registration, UpstreamKey};
@@ -60,6 +60,7 @@
         memory_tokens: MEMORY_TOKENS,
         pool_tokens_per_s: None,
         cache_link,
+        scope: Scope::Fleet,
     }
 }
 
--- a/crates/bergamotpitch-control/tests/near_domains.rs
+++ b/crates/bergamotpitch-control/tests/near_domains.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::admissions::{Ask, Choice, Options, Traffic};
+use bergamotpitch_control::traffic::admissions::{Ask, Choice, Options, Scope, Traffic};
 use bergamotpitch_control::traffic::facts::{PromptPart, RequestFacts};
 use bergamotpitch_control::traffic::registries::Registration;
 
@@ -39,6 +39,7 @@
         memory_tokens: 500_000,
         pool_tokens_per_s: None,
         cache_link: None,
+        scope: Scope::Fleet,
     }
 }
 
--- a/crates/bergamotpitch-control/tests/needy_teams.rs
+++ b/crates/bergamotpitch-control/tests/needy_teams.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::admissions::{Ask, Choice, Options, Placement, Traffic};
+use bergamotpitch_control::traffic::admissions::{Ask, Choice, Options, Placement, Scope, Traffic};
 use bergamotpitch_control::traffic::engine_loads::Work;
 use bergamotpitch_control::traffic::facts::RequestFacts;
 use bergamotpitch_control::traffic::registries::Registration;
@@ -61,6 +61,7 @@
         memory_tokens: 500_000,
         pool_tokens_per_s: Some(1_000_000),
         cache_link: None,
+        scope: Scope::Fleet,
     }
 }
 
--- a/crates/bergamotpitch-control/tests/policy_switches.rs
+++ b/crates/bergamotpitch-control/tests/policy_switches.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::admissions::{self, Ask, Choice, Traffic};
+use bergamotpitch_control::traffic::admissions::{self, Ask, Choice, Scope, Traffic};
 use bergamotpitch_control::traffic::engine_loads::Figures;
 use bergamotpitch_control::traffic::facts::RequestFacts;
 use bergamotpitch_control::traffic::policies::Policy;
@@ -50,6 +50,7 @@
         memory_tokens: 700_000,
         pool_tokens_per_s: Some(120_000),
         cache_link: None,
+        scope: Scope::Fleet,
     };
     traffic.choose(&ask, NOW)
 }
--- a/crates/bergamotpitch-control/tests/replays/mod.rs
+++ b/crates/bergamotpitch-control/tests/replays/mod.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::admissions::{Ask, Choice, Options, Placement, Traffic};
+use bergamotpitch_control::traffic::admissions::{Ask, Choice, Options, Placement, Scope, Traffic};
 use bergamotpitch_control::traffic::engine_loads::Figures;
 use bergamotpitch_control::traffic::facts::RequestFacts;
 use bergamotpitch_control::traffic::registries::{Registration, UpstreamKey};
@@ -125,6 +125,7 @@
         memory_tokens: MEMORY_TOKENS,
         pool_tokens_per_s: POOL_TOKENS_PER_S,
         cache_link: None,
+        scope: Scope::Fleet,
     }
 }
 
--- a/crates/bergamotpitch-core/src/events.rs
+++ b/crates/bergamotpitch-core/src/events.rs
@@ -64,6 +64,8 @@
     PeerSuspected = 301,
     /// A message was dropped.
     MessageDropped = 302,
+    /// Another instance decides on requests for the upstreams of the domain, or none does.
+    DispatcherChanged = 303,
     /// An upstream is leaving and gets no new work.
     UpstreamLeaving = 400,
     /// An upstream is taken out because it fails.
--- a/crates/bergamotpitch-gateway/src/beats.rs
+++ b/crates/bergamotpitch-gateway/src/beats.rs
@@ -1,125 +1,176 @@
-//! Beats: what instances tell each other, in one datagram each some times a second.
+//! Beats: what instances tell each other of themselves, some times a second.
 //!
-//! A beat may be lost; each holds whole sums, so that the next one makes up for it.
+//! Load pattern: under load the sums of teams and engines change within a tenth of a second, and
+//! what an instance tells costs processor time at both ends and bytes between regions. In a domain
+//! with a dispatcher the others tell only those that stand by for that role, and the domains'
+//! dispatchers tell each other, so that what an instance sends and receives does not grow with the
+//! fleet. In a small domain, where each instance decides by itself, all tell all.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::catalogs::CatalogVersion;
 use bergamotpitch_control::traffic::engine_loads::Figures;
-use bergamotpitch_control::traffic::facts::PartId;
 use bergamotpitch_control::traffic::registries::LeavingSource;
 use bergamotpitch_control::traffic::starts::StartNote;
-use bergamotpitch_control::traffic::team_windows::TeamSums;
 use bergamotpitch_core::HashMap;
-use bergamotpitch_core::ids::{Incarnation, InstanceId, TeamId, UpstreamId};
+use bergamotpitch_core::ids::{Incarnation, InstanceId, UpstreamId};
 use bergamotpitch_core::units::Timestamp;
-use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
+use crate::asks::Granter;
 use crate::gateways::Gateway;
-use crate::peers::PeerAddress;
+use crate::messages::{
+    Beat, Body, LoadLine, MESSAGE_BYTES, Message, StartLine, TeamLine, decode, encode, millis,
+};
+use crate::peers::{Peer, PeerAddress};
 
-/// `BEAT_INTERVAL` is the time between two beats to peers of the own domain. Two instances see the
-/// same free place at an engine for about as long as this.
+/// `BEAT_INTERVAL` is the time between two beats to peers of the own domain. Two instances that decide
+/// by themselves see the same free place at an engine for about as long as this.
 pub const BEAT_INTERVAL: Duration = Duration::from_millis(120);
 
-/// `REMOTE_BEATS` is how many beats of the own domain go by for one to other domains, over links
-/// that are paid.
+/// `DOMAIN_BEATS` is how many beats go by between two to an instance of the own domain that has a
+/// dispatcher.
+const DOMAIN_BEATS: u64 = 2;
+
+/// `REMOTE_BEATS` is how many beats go by between two to other domains, over links that are paid.
 const REMOTE_BEATS: u64 = 3;
 
-/// `PEERS_A_BEAT` bounds how many peers get one beat: a datagram takes some 20 microseconds of a
-/// core at each end, of which a small router has an eighth. Larger fleets are told in turns.
+/// `STANDBY_BEATS` is the same for an instance that only stands by: it has nothing to tell there but
+/// that it lives, and which configuration it knows.
+const STANDBY_BEATS: u64 = 9;
+
+/// `PEERS_A_BEAT` bounds how many peers get one beat where all tell all: a datagram takes some 20
+/// microseconds of a core at each end, of which a small router has an eighth. Larger fleets are told
+/// in turns.
 const PEERS_A_BEAT: usize = 12;
 
-/// `BEAT_BYTES` bounds a beat: one datagram that is not cut on the way.
-const BEAT_BYTES: usize = 1_400;
-
-/// `Beat` is what one instance tells.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Beat {
-    /// Who tells.
-    pub instance: InstanceId,
-    /// Its life.
-    pub incarnation: Incarnation,
-    /// Number of the beat within this life.
-    pub sequence: u64,
-    /// Version of its configuration.
-    pub version: CatalogVersion,
-    /// Revision of the latest change of the list of upstreams that it has seen.
-    pub list_change: u64,
-    /// Whether it watches the store for its domain.
-    pub watches: bool,
-    /// Number of the latest change of its documents.
-    pub relay_number: u64,
-    /// For how long it has counted what its teams asked.
-    pub counted_ms: u64,
-    /// What it has in hand at each upstream.
-    pub loads: Vec<LoadLine>,
-    /// What its teams asked and began.
-    pub teams: Vec<TeamLine>,
-    /// Upstreams, by the numbers of their lives, of which it knows that they leave.
-    pub leaving: Vec<UpstreamId>,
-    /// Where it sent starts of prompts lately.
-    pub starts: Vec<StartLine>,
-}
-
-/// `LoadLine` is what one instance has in hand at one upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct LoadLine {
-    /// Number of the upstream's life.
-    upstream: UpstreamId,
-    requests: u32,
-    unread_tokens: u32,
-    memory_tokens: u64,
-}
-
-/// `TeamLine` is one team's sums at one instance.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct TeamLine {
-    team: TeamId,
-    asked_tokens: u64,
-    begun_tokens: u64,
-}
-
-/// `StartLine` tells that an engine was sent a prompt with a start.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct StartLine {
-    start: PartId,
-    tokens: u32,
-    /// Number of the engine's life.
-    upstream: UpstreamId,
-    age_ms: u32,
-}
+/// `LINES_A_PART` bounds the lines in one part of a beat, of up to 23 bytes each.
+const LINES_A_PART: usize = 56;
 
 /// `send_beat` sends one beat to the peers that are due.
-pub async fn send_beat(gateway: &Rc<Gateway>, socket: &UdpSocket, sequence: u64) {
-    let receivers = receivers(gateway, sequence);
+pub fn send_beat(gateway: &Gateway, sequence: u64) {
+    gateway.confirm_grants(gateway.now());
+    gateway.drop_lapsed_grants();
+    if gateway.role().dispatcher.is_none() {
+        let receivers = all_in_turn(gateway, sequence);
+        send_to(gateway, &receivers, || beat_to_all(gateway), sequence);
+    } else if gateway.role().is_standby {
+        send_as_standby(gateway, sequence);
+    } else if sequence.is_multiple_of(DOMAIN_BEATS) {
+        for standby in own_standbys(gateway) {
+            let beat = || beat_to_standby(gateway, standby.instance);
+            send_to(gateway, &[standby.beat_address], beat, sequence);
+        }
+    }
+}
+
+fn send_as_standby(gateway: &Gateway, sequence: u64) {
+    let interval = if gateway.is_dispatcher() { REMOTE_BEATS } else { STANDBY_BEATS };
+    let is_remote_due = sequence.is_multiple_of(interval);
+    let starts = match gateway.is_dispatcher() && is_remote_due {
+        true => untold_starts(gateway),
+        false => Vec::new(),
+    };
+    let standbys = own_standbys(gateway);
+    for standby in &standbys {
+        let starts = starts.clone();
+        let beat = || Beat { starts, ..beat_to_standby(gateway, standby.instance) };
+        send_to(gateway, &[standby.beat_address], beat, sequence);
+    }
+    let others = own_domain(gateway).into_iter();
+    let mut others: Vec<PeerAddress> = others.filter(|peer| !standbys.contains(peer)).collect();
+    others.sort_by_key(|address| address.instance);
+    let due = others
+        .iter()
+        .enumerate()
+        .filter(|(index, _)| (*index as u64 + sequence).is_multiple_of(DOMAIN_BEATS));
+    let due: Vec<SocketAddr> = due.map(|(_, peer)| peer.beat_address).collect();
+    send_to(gateway, &due, || beat_to_domain(gateway), sequence);
+    if is_remote_due {
+        let remote = remote_deciders(gateway);
+        let beat = || Beat { starts, ..beat_to_dispatchers(gateway) };
+        send_to(gateway, &remote, beat, sequence);
+    }
+}
+
+fn send_to(
+    gateway: &Gateway,
+    receivers: &[SocketAddr],
+    beat: impl FnOnce() -> Beat,
+    sequence: u64,
+) {
     if receivers.is_empty() {
         return;
     }
-    let Some(bytes) = encode(make_beat(gateway, sequence)) else { return };
+    let parts = encode_parts(gateway, Beat { sequence, ..beat() });
     for receiver in receivers {
-        // A beat that is not sent is made up for by the next one.
-        let _ = socket.try_send_to(&bytes, receiver);
+        parts.iter().for_each(|bytes| gateway.send_datagram(bytes, *receiver));
     }
 }
 
-/// The peers whose turn it is: those of the own domain with each beat, the others with every third,
-/// and of both no more than [`PEERS_A_BEAT`] at a time.
-fn receivers(gateway: &Gateway, sequence: u64) -> Vec<SocketAddr> {
-    let own_domain = &gateway.options.admission.domain;
-    let peers = gateway.peers.borrow();
-    let (own, remote): (Vec<&PeerAddress>, Vec<&PeerAddress>) =
-        peers.values().map(|peer| &peer.address).partition(|address| address.domain == *own_domain);
-    let mut receivers = turn(own, sequence);
+/// The peers whose turn it is where all tell all: those of the own domain with each beat, the others
+/// with every third, and of both no more than [`PEERS_A_BEAT`] at a time.
+fn all_in_turn(gateway: &Gateway, sequence: u64) -> Vec<SocketAddr> {
+    let mut receivers = turn(own_domain(gateway), sequence);
     if sequence.is_multiple_of(REMOTE_BEATS) {
+        let peers = gateway.peers.borrow();
+        let remote = remote_peers(gateway, &peers.values().collect::<Vec<_>>());
         receivers.extend(turn(remote, sequence / REMOTE_BEATS));
     }
     receivers
 }
 
+fn remote_deciders(gateway: &Gateway) -> Vec<SocketAddr> {
+    let peers = gateway.peers.borrow();
+    let remote = remote_peers(gateway, &peers.values().collect::<Vec<_>>());
+    remote.into_iter().map(|peer| peer.beat_address).collect()
+}
+
+/// The instances of other domains that decide there: all of a small domain, and those of a large one
+/// that stand by for its dispatcher, as far as is known here.
+fn remote_peers(gateway: &Gateway, peers: &[&Peer]) -> Vec<PeerAddress> {
+    let own_domain = &gateway.options.admission.domain;
+    let now = gateway.now();
+    let options = &gateway.options.dispatchers;
+    let mut domains: HashMap<&str, Vec<&Peer>> = HashMap::default();
+    for peer in peers.iter().filter(|peer| peer.address.domain != *own_domain) {
+        domains.entry(&peer.address.domain).or_default().push(peer);
+    }
+    let mut deciders = Vec::new();
+    for mut domain in domains.into_values() {
+        if options.instances_min <= domain.len() {
+            domain.sort_by_key(|peer| (!peer.is_heard(now), peer.candidate().order()));
+            domain.truncate(options.standbys);
+        }
+        deciders.extend(domain.into_iter().map(|peer| peer.address.clone()));
+    }
+    deciders
+}
+
+fn own_domain(gateway: &Gateway) -> Vec<PeerAddress> {
+    let domain = &gateway.options.admission.domain;
+    let peers = gateway.peers.borrow();
+    let own = peers.values().filter(|peer| peer.address.domain == *domain);
+    own.map(|peer| peer.address.clone()).collect()
+}
+
+/// The peers of the own domain that stand by for its dispatcher, as far as is known here.
+fn own_standbys(gateway: &Gateway) -> Vec<PeerAddress> {
+    let domain = &gateway.options.admission.domain;
+    let now = gateway.now();
+    let peers = gateway.peers.borrow();
+    let mut own: Vec<&Peer> =
+        peers.values().filter(|peer| peer.address.domain == *domain).collect();
+    let silence = gateway.options.dispatchers.silence;
+    own.sort_by_key(|peer| {
+        let candidate = peer.candidate();
+        (candidate.heard + silence <= now, candidate.order())
+    });
+    let standbys = own.into_iter().take(gateway.options.dispatchers.standbys);
+    standbys.map(|peer| peer.address.clone()).collect()
+}
+
 /// `turn_interval` is the time between two beats to one of `count` peers of the own domain.
 pub fn turn_interval(count: usize) -> Duration {
     let turns = u32::try_from(turns_of(count)).unwrap_or(u32::MAX);
@@ -130,7 +181,7 @@
     count.div_ceil(PEERS_A_BEAT).max(1)
 }
 
-fn turn(mut addresses: Vec<&PeerAddress>, round: u64) -> Vec<SocketAddr> {
+fn turn(mut addresses: Vec<PeerAddress>, round: u64) -> Vec<SocketAddr> {
     addresses.sort_by_key(|address| address.instance);
     let turns = turns_of(addresses.len());
     let current = (round % turns as u64) as usize;
@@ -138,143 +189,277 @@
     due.map(|(_, address)| address.beat_address).collect()
 }
 
-/// `receive` takes in peers' beats until it is dropped.
-pub async fn receive(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
-    let mut buffer = vec![0; 2 * BEAT_BYTES];
-    loop {
-        let (length, sender) = match socket.recv_from(&mut buffer).await {
-            Ok(received) => received,
-            Err(error) => {
-                // A port that is closed at a peer comes back as an error here.
-                log::debug!("event=beat_not_received error={error}");
-                continue;
-            }
-        };
-        match postcard::from_bytes::<Beat>(&buffer[..length]) {
-            Ok(beat) => take_in(&gateway, beat, sender),
-            Err(error) => log::info!("event=302 name=message_dropped peer={sender} error={error}"),
+fn plain_beat(gateway: &Gateway) -> Beat {
+    let traffic = gateway.traffic.borrow();
+    let leaving = traffic.registry.all();
+    let leaving = leaving.filter(|upstream| upstream.leaving == Some(LeavingSource::List));
+    Beat {
+        version: gateway.version(),
+        list_change: gateway.list_change(),
+        watches: !gateway.relies_on_peers(),
+        relay_number: gateway.store_news.relay.borrow().last_number(),
+        is_able: gateway.is_able(),
+        is_dispatcher: gateway.is_dispatcher(),
+        counted_ms: u64::try_from(gateway.now().as_millis()).unwrap_or(u64::MAX),
+        leaving: leaving.map(|upstream| upstream.life_number).collect(),
+        ..Beat::default()
+    }
+}
+
+/// Of the starts it tells as many as its last part has room for, the longest first: the shortest are
+/// read again soonest.
+fn beat_to_all(gateway: &Gateway) -> Beat {
+    let mut beat = Beat {
+        loads: load_lines(gateway, &HashMap::default()),
+        teams: own_teams(gateway),
+        ..plain_beat(gateway)
+    };
+    let left = LINES_A_PART - beat.line_count() % LINES_A_PART;
+    beat.starts = start_lines(gateway);
+    beat.starts.sort_by_key(|line| std::cmp::Reverse(line.tokens));
+    beat.starts.truncate(left);
+    beat
+}
+
+/// Requests that the receiver granted are in its own books, and those that the dispatcher granted are
+/// told by it.
+fn beat_to_standby(gateway: &Gateway, receiver: InstanceId) -> Beat {
+    let dispatcher = gateway.role().dispatcher;
+    let is_known = |granter: Granter| {
+        let is_told = [Some(receiver), dispatcher].contains(&Some(granter.instance));
+        is_told && gateway.life_of(granter.instance) == Some(granter.incarnation)
+    };
+    let is_dispatcher = gateway.is_dispatcher();
+    Beat {
+        loads: load_lines(gateway, &gateway.held_figures(is_known)),
+        teams: if is_dispatcher { domain_teams(gateway) } else { own_teams(gateway) },
+        elsewhere: if is_dispatcher { elsewhere_teams(gateway) } else { Vec::new() },
+        ..plain_beat(gateway)
+    }
+}
+
+fn beat_to_domain(gateway: &Gateway) -> Beat {
+    if !gateway.is_dispatcher() {
+        return plain_beat(gateway);
+    }
+    Beat {
+        loads: load_lines(gateway, &HashMap::default()),
+        teams: domain_teams(gateway),
+        elsewhere: elsewhere_teams(gateway),
+        ..plain_beat(gateway)
+    }
+}
+
+fn beat_to_dispatchers(gateway: &Gateway) -> Beat {
+    if !gateway.is_dispatcher() {
+        return plain_beat(gateway);
+    }
+    Beat { teams: domain_teams(gateway), rooms: gateway.own_rooms(), ..plain_beat(gateway) }
+}
+
+fn load_lines(gateway: &Gateway, others: &HashMap<UpstreamId, Figures>) -> Vec<LoadLine> {
+    let traffic = gateway.traffic.borrow();
+    let mut all = others.clone();
+    for (key, load) in traffic.loads() {
+        if let Some(upstream) = traffic.registry.get(key) {
+            all.entry(upstream.life_number).or_default().add(&load.own_figures());
         }
     }
+    let lines = all.iter().filter(|(_, figures)| **figures != Figures::default());
+    lines.map(|(upstream, figures)| LoadLine::new(*upstream, figures)).collect()
+}
+
+fn own_teams(gateway: &Gateway) -> Vec<TeamLine> {
+    let now = gateway.now();
+    let sums = gateway.traffic.borrow_mut().windows.own_sums(now);
+    sums.iter().map(|(team, sums)| TeamLine::new(*team, sums)).collect()
+}
+
+fn domain_teams(gateway: &Gateway) -> Vec<TeamLine> {
+    teams_with(gateway, true, |peer| gateway.is_of_own_domain(peer))
+}
+
+fn elsewhere_teams(gateway: &Gateway) -> Vec<TeamLine> {
+    teams_with(gateway, false, |peer| !gateway.is_of_own_domain(peer))
+}
+
+fn teams_with(
+    gateway: &Gateway,
+    with_own: bool,
+    is_included: impl Fn(InstanceId) -> bool,
+) -> Vec<TeamLine> {
+    let now = gateway.now();
+    let sums = gateway.traffic.borrow_mut().windows.sums_with(with_own, is_included, now);
+    sums.iter().map(|(team, sums)| TeamLine::new(*team, sums)).collect()
+}
+
+fn start_lines(gateway: &Gateway) -> Vec<StartLine> {
+    let now = gateway.now();
+    let mut traffic = gateway.traffic.borrow_mut();
+    let notes = traffic.starts.own_notes(now);
+    if !traffic.options.policy.start_notes {
+        return Vec::new();
+    }
+    lines_of_starts(&notes, now)
 }
 
-fn make_beat(gateway: &Gateway, sequence: u64) -> Beat {
+fn untold_starts(gateway: &Gateway) -> Vec<StartLine> {
     let now = gateway.now();
     let mut traffic = gateway.traffic.borrow_mut();
-    let teams = traffic.windows.own_sums(now);
-    let loads = traffic.loads().filter_map(|(key, load)| {
-        let figures = load.own_figures();
-        let upstream = traffic.registry.get(key)?;
-        (figures != Figures::default()).then(|| LoadLine {
-            upstream: upstream.life_number,
-            requests: figures.requests,
-            unread_tokens: figures.unread_tokens.max(0.0) as u32,
-            memory_tokens: figures.memory_tokens,
-        })
-    });
-    let loads: Vec<LoadLine> = loads.collect();
-    let mut notes = traffic.starts.own_notes(now);
+    let notes = traffic.starts.take_untold(now);
     if !traffic.options.policy.start_notes {
-        notes.clear();
+        return Vec::new();
     }
-    let starts = notes.into_iter().map(|note| StartLine {
+    lines_of_starts(&notes, now)
+}
+
+fn lines_of_starts(notes: &[StartNote], now: Timestamp) -> Vec<StartLine> {
+    let lines = notes.iter().map(|note| StartLine {
         start: note.start,
         tokens: note.tokens,
         upstream: note.upstream,
-        age_ms: u32::try_from(now.saturating_sub(note.used).as_millis()).unwrap_or(u32::MAX),
+        age_ms: millis(now.saturating_sub(note.used)),
     });
-    let starts = starts.collect();
-    let leaving = traffic
-        .registry
-        .all()
-        .filter(|upstream| upstream.leaving == Some(LeavingSource::List))
-        .map(|upstream| upstream.life_number);
-    Beat {
-        instance: gateway.options.instance,
-        incarnation: gateway.options.incarnation,
-        sequence,
-        version: gateway.version(),
-        list_change: gateway.list_change(),
-        watches: !gateway.relies_on_peers(),
-        relay_number: gateway.store_news.relay.borrow().last_number(),
-        counted_ms: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
-        loads,
-        starts,
-        leaving: leaving.collect(),
-        teams: teams
-            .into_iter()
-            .map(|(team, sums)| TeamLine {
-                team,
-                asked_tokens: sums.asked_tokens,
-                begun_tokens: sums.begun_tokens,
-            })
-            .collect(),
+    lines.collect()
+}
+
+/// Writes a beat as one datagram or several.
+fn encode_parts(gateway: &Gateway, beat: Beat) -> Vec<Vec<u8>> {
+    let (instance, incarnation) = (gateway.options.instance, gateway.options.incarnation);
+    let messages = split(beat).into_iter().map(|part| Message {
+        instance,
+        incarnation,
+        body: Body::Beat(part),
+    });
+    messages.filter_map(|message| encode(&message)).collect()
+}
+
+fn split(mut beat: Beat) -> Vec<Beat> {
+    let mut parts = Vec::new();
+    loop {
+        let mut left = LINES_A_PART;
+        let part = Beat {
+            loads: take_lines(&mut beat.loads, &mut left),
+            teams: take_lines(&mut beat.teams, &mut left),
+            elsewhere: take_lines(&mut beat.elsewhere, &mut left),
+            leaving: take_lines(&mut beat.leaving, &mut left),
+            rooms: take_lines(&mut beat.rooms, &mut left),
+            starts: take_lines(&mut beat.starts, &mut left),
+            ..beat.clone()
+        };
+        parts.push(part);
+        if beat.line_count() == 0 {
+            break;
+        }
     }
+    let count = u8::try_from(parts.len()).unwrap_or(u8::MAX);
+    for (index, part) in parts.iter_mut().enumerate() {
+        part.part = u8::try_from(index).unwrap_or(u8::MAX);
+        part.parts = count;
+    }
+    parts
+}
+
+fn take_lines<T>(lines: &mut Vec<T>, left: &mut usize) -> Vec<T> {
+    let taken = lines.len().min(*left);
+    *left -= taken;
+    lines.drain(..taken).collect()
 }
 
-fn encode(mut beat: Beat) -> Option<Vec<u8>> {
+/// `receive` takes in messages of other instances until it is dropped.
+pub async fn receive(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; 2 * MESSAGE_BYTES];
     loop {
-        match postcard::to_stdvec(&beat) {
-            Ok(bytes) if bytes.len() <= BEAT_BYTES => return Some(bytes),
-            // The shortest starts are read again soonest.
-            Ok(_) if 1 < beat.starts.len() => {
-                beat.starts.sort_by_key(|line| std::cmp::Reverse(line.tokens));
-                beat.starts.truncate(3 * beat.starts.len() / 4);
-            }
-            // The smallest lines say least.
-            Ok(_) if 1 < beat.teams.len() => {
-                beat.teams.sort_by_key(|line| std::cmp::Reverse(line.asked_tokens));
-                beat.teams.truncate(beat.teams.len() / 2);
-            }
-            Ok(_) if 1 < beat.loads.len() => {
-                beat.loads.sort_by_key(|line| std::cmp::Reverse(line.requests));
-                beat.loads.truncate(beat.loads.len() / 2);
+        let (length, sender) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                // A port that is closed at a peer comes back as an error here.
+                log::debug!("event=beat_not_received error={error}");
+                continue;
             }
-            Ok(_) => return None,
+        };
+        match decode(&buffer[..length]) {
+            Ok(message) => take_in(&gateway, message, sender),
             Err(error) => {
-                log::warn!("event=beat_not_encoded error={error}");
-                return None;
+                log::info!("event=302 name=message_dropped peer={sender} error={error:?}");
             }
         }
     }
 }
 
-fn take_in(gateway: &Gateway, beat: Beat, sender: SocketAddr) {
-    let now = gateway.now();
-    let mut peers = gateway.peers.borrow_mut();
-    let known = peers.get_mut(&beat.instance);
-    let Some(peer) = known.filter(|peer| peer.address.beat_address == sender) else {
-        gateway.unknown_peers.heard(beat.instance);
+fn take_in(gateway: &Rc<Gateway>, message: Message, sender: SocketAddr) {
+    let Message { instance, incarnation, body } = message;
+    let known = gateway.peers.borrow().get(&instance).map(|peer| peer.address.beat_address);
+    if known != Some(sender) {
+        gateway.unknown_peers.heard(instance);
         return;
-    };
-    if (beat.incarnation, beat.sequence) <= peer.latest {
+    }
+    match body {
+        Body::Beat(beat) => take_in_part(gateway, instance, incarnation, beat),
+        Body::Ask(body) => gateway.take_ask(instance, incarnation, body),
+        Body::Reply(reply) => gateway.take_reply(Granter { instance, incarnation }, &reply),
+        Body::Progress(notes) => gateway.take_progress(instance, &notes),
+        Body::Held(held) => gateway.take_held(instance, &held),
+    }
+}
+
+/// Takes in one part of a beat; a beat of which a part is lost counts as lost.
+fn take_in_part(gateway: &Gateway, instance: InstanceId, incarnation: Incarnation, beat: Beat) {
+    let mut peers = gateway.peers.borrow_mut();
+    let Some(peer) = peers.get_mut(&instance) else { return };
+    if (incarnation, beat.sequence) <= peer.latest {
         return;
     }
-    if peer.latest.0 != beat.incarnation {
-        log::info!(
-            "event=300 name=peer_joined peer={} incarnation={}",
-            beat.instance,
-            beat.incarnation
-        );
+    let Some(beat) = peer.parts.add(incarnation, beat) else { return };
+    if peer.latest.0 != incarnation {
+        log::info!("event=300 name=peer_joined peer={instance} incarnation={incarnation}");
     }
-    peer.latest = (beat.incarnation, beat.sequence);
-    peer.heard = Some(now);
-    peer.version = beat.version;
-    peer.list_change = beat.list_change;
-    peer.watches = beat.watches;
-    peer.relay_number = beat.relay_number;
+    let now = gateway.now();
+    peer.take_in(incarnation, &beat, now);
     drop(peers);
-    gateway.take_in_loads(beat.instance, &figures_of_beat(&beat), now);
+    take_in_tables(gateway, instance, &beat, now);
+}
+
+fn take_in_tables(gateway: &Gateway, instance: InstanceId, beat: &Beat, now: Timestamp) {
+    let figures = beat.loads.iter().map(|line| (line.upstream, line.figures())).collect();
+    gateway.take_in_loads(instance, &figures, now);
     gateway.take_in_leaving(&beat.leaving);
     gateway.take_in_starts(&beat.starts, now);
-    let teams = beat.teams.iter().map(|line| {
-        let sums = TeamSums { asked_tokens: line.asked_tokens, begun_tokens: line.begun_tokens };
-        (line.team, sums)
-    });
     let counted = Duration::from_millis(beat.counted_ms);
-    gateway.traffic.borrow_mut().windows.peer_heard(beat.instance, teams, counted, now);
+    let mut traffic = gateway.traffic.borrow_mut();
+    let teams = beat.teams.iter().map(|line| line.sums());
+    traffic.windows.peer_heard(instance, teams, counted, now);
+    if beat.is_dispatcher && gateway.is_of_own_domain(instance) {
+        let elsewhere = beat.elsewhere.iter().map(|line| line.sums());
+        traffic.windows.elsewhere_heard(elsewhere, counted, now);
+    }
+    drop(traffic);
+    if beat.is_dispatcher && !gateway.is_of_own_domain(instance) {
+        gateway.remote_dispatcher_heard(instance, beat);
+    }
 }
 
 impl Gateway {
+    /// Takes in what the dispatcher of another domain tells. Of one domain only the latest dispatcher
+    /// counts: the one before told of the same requests.
+    fn remote_dispatcher_heard(&self, dispatcher: InstanceId, beat: &Beat) {
+        self.rooms_heard(dispatcher, &beat.rooms);
+        let mut traffic = self.traffic.borrow_mut();
+        traffic.windows.forget_elsewhere();
+        let peers = self.peers.borrow();
+        let Some(domain) = peers.get(&dispatcher).map(|peer| &peer.address.domain) else { return };
+        let others = peers.values().filter(|peer| peer.address.domain == *domain);
+        for other in others.map(|peer| peer.address.instance).filter(|id| *id != dispatcher) {
+            traffic.windows.forget_peer(other);
+        }
+    }
+
+    /// `is_of_own_domain` tells whether a peer stands in the failure domain of this instance.
+    pub(crate) fn is_of_own_domain(&self, peer: InstanceId) -> bool {
+        let peers = self.peers.borrow();
+        peers.get(&peer).is_some_and(|peer| peer.address.domain == self.options.admission.domain)
+    }
+
     fn take_in_starts(&self, lines: &[StartLine], now: Timestamp) {
         let mut traffic = self.traffic.borrow_mut();
         for line in lines {
@@ -284,15 +469,3 @@
         }
     }
 }
-
-fn figures_of_beat(beat: &Beat) -> HashMap<UpstreamId, Figures> {
-    let figures = beat.loads.iter().map(|line| {
-        let figures = Figures {
-            requests: line.requests,
-            unread_tokens: f64::from(line.unread_tokens),
-            memory_tokens: line.memory_tokens,
-        };
-        (line.upstream, figures)
-    });
-    figures.collect()
-}
--- a/crates/bergamotpitch-gateway/src/bodies.rs
+++ b/crates/bergamotpitch-gateway/src/bodies.rs
@@ -316,9 +316,10 @@
     last: Option<String>,
 ) -> Option<(Run, Answer)> {
     let tried: Vec<_> = broken.into_iter().collect();
-    let placement = place(&gateway, &call, &tried).await.ok()?;
-    let run = Run::open(&gateway, &call, &placement);
-    let sent = exchanges::send(&gateway, &call, &placement, last.as_deref(), call.deadline).await;
+    let placed = place(&gateway, &call, &tried).await.ok()?;
+    let run = Run::open(&gateway, &placed);
+    let sent =
+        exchanges::send(&gateway, &call, &placed.placement, last.as_deref(), call.deadline).await;
     let answer = sent.ok()?;
     let head = &answer.response;
     (head.status().is_success() && is_event_stream(head.headers())).then_some((run, answer))
--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::admissions::{Choice, Placement};
+use bergamotpitch_control::traffic::admissions::Placement;
 use bergamotpitch_control::traffic::catalogs::{CacheLink, Catalog, Route, RouteKind, Team};
 use bergamotpitch_control::traffic::facts::RequestFacts;
 use bergamotpitch_control::traffic::registries::UpstreamKey;
@@ -26,7 +26,7 @@
 use crate::gateways::Gateway;
 use crate::headers::remove_hop_headers;
 use crate::logs::decision;
-use crate::placements::{Run, ask_of_call, place};
+use crate::placements::{Placed, Run, has_place, place};
 use crate::refusals::{Refusal, response_of_refusal};
 
 /// `UNSTATED_BUDGET` is how long a caller is taken to wait that does not say so.
@@ -222,12 +222,13 @@
     let mut unreachable = 0;
     let mut may_have_run = false;
     loop {
-        let placement = match place(gateway, &call, &tried).await {
-            Ok(placement) => placement,
+        let placed = match place(gateway, &call, &tried).await {
+            Ok(placed) => placed,
             Err(refusal) => return Err(after_attempts(refusal, may_have_run)),
         };
-        let run = Run::open(gateway, &call, &placement);
-        note_dispatch(&call, &placement, gateway, attempts);
+        let run = Run::open(gateway, &placed);
+        let placement = placed.placement;
+        note_dispatch(&call, &placed, gateway, attempts);
         match attempt(gateway, &call, &placement, &tried, attempts).await {
             Ok(answer) => match pass_on(gateway, &call, run, answer, attempts).await {
                 Ok(response) => return Ok(response),
@@ -239,8 +240,7 @@
             Err(failure) => {
                 note_failure(&call, &placement, gateway, &failure);
                 if failure == Failure::Unreachable {
-                    gateway.note_unreachable(placement.upstream);
-                    drop(run);
+                    run.unreachable();
                     tried.push(placement.upstream);
                     unreachable += 1;
                     if unreachable < UNREACHABLE_LIMIT {
@@ -382,9 +382,7 @@
     tried: &[UpstreamKey],
 ) -> bool {
     let tried = [tried, &[placement.upstream]].concat();
-    let now = gateway.now();
-    let choice = gateway.traffic.borrow_mut().choose(&ask_of_call(call, &tried, now), now);
-    matches!(choice, Choice::Send(_)) && gateway.has_repeat(&call.service)
+    has_place(gateway, call, &tried) && gateway.has_repeat(&call.service)
 }
 
 /// Until when an attempt may take: a repeatable call does not spend all its time on one upstream.
@@ -398,7 +396,8 @@
     (gateway.now() + patience).min(call.deadline)
 }
 
-fn note_dispatch(call: &Call, placement: &Placement, gateway: &Gateway, attempts: u32) {
+fn note_dispatch(call: &Call, placed: &Placed, gateway: &Gateway, attempts: u32) {
+    let placement = &placed.placement;
     let waited = gateway.now().saturating_sub(call.arrived);
     gateway.metrics.dispatches.inc();
     gateway.metrics.count_wait(waited);
@@ -406,7 +405,8 @@
         EventKind::RequestDispatched,
         format_args!(
             "request={} route={} team={} upstream={} attempt={} predicted_ms={} requests_there={} \
-             unread_tokens={:.0} rank={:?} fetch_from={} standing={} waited_ms={} version={}",
+             unread_tokens={:.0} rank={:?} fetch_from={} standing={} granter={} waited_ms={} \
+             version={}",
             call.facts.attempt_id,
             call.route.name,
             call.team.as_deref().map_or("-", |team| &team.name),
@@ -418,6 +418,7 @@
             placement.rank,
             placement.fetch_from.and_then(|key| gateway.id_of(key)).as_deref().unwrap_or("-"),
             placement.standing,
+            placed.granter.map_or(0, |granter| granter.instance),
             waited.as_millis(),
             call.catalog.version,
         ),
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -9,17 +9,19 @@
 use bergamotpitch_control::traffic::admissions::Traffic;
 use bergamotpitch_control::traffic::catalogs::{CallerLimits, Catalog, CatalogVersion};
 use bergamotpitch_control::traffic::registries::UpstreamKey;
+use bergamotpitch_core::HashMap;
 use bergamotpitch_core::events::EventKind;
-use bergamotpitch_core::ids::id_of_name;
+use bergamotpitch_core::ids::InstanceId;
 use bergamotpitch_core::units::Timestamp;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
-use tokio::sync::Notify;
 
+use crate::asks::Asks;
 use crate::beats::{self, BEAT_INTERVAL};
 use crate::callers::{self, CallerConnection};
 use crate::calls::Call;
 use crate::connections::{Pools, Sender};
 use crate::dialects::Dialect;
+use crate::dispatchers::Dispatches;
 use crate::errors::{Error, Result};
 use crate::held_bytes::HeldBytes;
 use crate::lateness::Lateness;
@@ -33,16 +35,6 @@
 /// `SWEEP_BEATS` is how many beats go by between two sweeps over connections.
 const SWEEP_BEATS: u64 = 4;
 
-/// `LOOK_AGAIN_INTERVAL` is the least time between two looks of requests that wait for a place: a
-/// fiftieth of the shortest target.
-const LOOK_AGAIN_INTERVAL: Duration = Duration::from_millis(8);
-
-/// `LOOKS_AT_ONCE` is how many waiting requests look again then, the longest waiting first and all
-/// in turn. While one team floods an instance with an eighth of a core, dozens wait there; when all
-/// of them looked each time, looking took the whole core, and news of upstreams that leave was read
-/// seconds late.
-const LOOKS_AT_ONCE: usize = 4;
-
 /// `Gateway` is the state of one process; it lives on one thread.
 pub struct Gateway {
     /// What it was started with; a port of 0 is replaced by the one that the system chose.
@@ -61,15 +53,18 @@
     pub metrics: Metrics,
     /// Peers.
     pub peers: RefCell<Peers>,
+    /// At which upstreams each peer told of requests in hand.
+    pub told_upstreams: RefCell<HashMap<InstanceId, Vec<UpstreamKey>>>,
     /// Instances that tell this one something and are not among its peers.
     pub unknown_peers: UnknownPeers,
     /// What it knows of the platform's store, and by whom.
     pub store_news: StoreNews,
-    /// Told some milliseconds after a place may have become free.
-    pub changed: Notify,
-    change_is_due: Cell<bool>,
-    /// How many requests wait for a place.
-    pub waiting: Cell<usize>,
+    /// Requests on which this instance decides, its own and others'.
+    pub dispatches: Dispatches,
+    /// Requests of this instance on which others decide.
+    pub asks: Asks,
+    /// Where messages of other instances come in and go out.
+    pub datagrams: Rc<UdpSocket>,
     catalog: RefCell<Option<Arc<Catalog>>>,
     connections: RefCell<Vec<Rc<CallerConnection>>>,
     started: Instant,
@@ -110,20 +105,20 @@
         for address in &mut options.relay_addresses {
             inner.push(listen("relay_address", address).await?);
         }
-        let socket = bind_datagrams("beat_address", &mut options.beat_address).await?;
-        let gateway = Rc::new(Self::new(options, dialect, Metrics::register()?));
+        let socket = Rc::new(bind_datagrams("beat_address", &mut options.beat_address).await?);
+        let datagrams = Rc::clone(&socket);
+        let gateway = Rc::new(Self::new(options, dialect, Metrics::register()?, datagrams));
         tokio::task::spawn_local(callers::serve(Rc::clone(&gateway), callers));
         tokio::task::spawn_local(probes::serve(Rc::clone(&gateway), ready, Port::Ready));
         for listener in inner {
             tokio::task::spawn_local(probes::serve(Rc::clone(&gateway), listener, Port::Inner));
         }
-        let socket = Rc::new(socket);
-        tokio::task::spawn_local(beats::receive(Rc::clone(&gateway), Rc::clone(&socket)));
-        tokio::task::spawn_local(beat(Rc::clone(&gateway), socket));
+        tokio::task::spawn_local(beats::receive(Rc::clone(&gateway), socket));
+        tokio::task::spawn_local(beat(Rc::clone(&gateway)));
         Ok(gateway)
     }
 
-    fn new(options: Options, dialect: Dialect, metrics: Metrics) -> Self {
+    fn new(options: Options, dialect: Dialect, metrics: Metrics, datagrams: Rc<UdpSocket>) -> Self {
         Self {
             traffic: RefCell::new(Traffic::new(options.admission.clone())),
             held_bytes: HeldBytes::new(options.body_bytes_max),
@@ -134,10 +129,11 @@
             lateness: Lateness::default(),
             metrics,
             peers: RefCell::default(),
+            told_upstreams: RefCell::default(),
             unknown_peers: UnknownPeers::default(),
-            changed: Notify::new(),
-            change_is_due: Cell::new(false),
-            waiting: Cell::new(0),
+            dispatches: Dispatches::default(),
+            asks: Asks::default(),
+            datagrams,
             catalog: RefCell::default(),
             connections: RefCell::default(),
             started: Instant::now(),
@@ -201,32 +197,12 @@
         self.is_listed.set(true);
     }
 
-    /// `note_change_of_load` lets requests that wait for a place look again soon. Under high load
-    /// something changes every few milliseconds and dozens wait; looking at each change took more
-    /// time than all else.
-    pub fn note_change_of_load(self: &Rc<Self>) {
-        if self.waiting.get() == 0 || self.change_is_due.replace(true) {
-            return;
-        }
-        let gateway = Rc::clone(self);
-        tokio::task::spawn_local(async move {
-            tokio::time::sleep(LOOK_AGAIN_INTERVAL).await;
-            gateway.change_is_due.set(false);
-            (0..LOOKS_AT_ONCE).for_each(|_| gateway.changed.notify_one());
-        });
-    }
-
     /// `note_request` counts a caller's request.
     pub fn note_request(&self, call: &Call) {
         let now = self.now();
         let mut traffic = self.traffic.borrow_mut();
         let options = traffic.options.retries;
         traffic.budget(&call.service).note_request(now, &options);
-        if let Some(team) = &call.team
-            && call.facts.is_generation()
-        {
-            traffic.windows.note_asked(id_of_name(&team.name), call.facts.pool_tokens(), now);
-        }
     }
 
     /// `take_repeat` takes one request to a second upstream out of the service's budget.
@@ -343,7 +319,7 @@
                 self.lateness,
                 self.connection_count(),
                 self.in_flight(),
-                self.waiting.get(),
+                self.waiting_count(),
             ),
         );
     }
@@ -384,7 +360,7 @@
     Ok(socket)
 }
 
-async fn beat(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+async fn beat(gateway: Rc<Gateway>) {
     let mut sequence = 0;
     loop {
         let due = tokio::time::Instant::now() + BEAT_INTERVAL;
@@ -392,7 +368,8 @@
         gateway.lateness.note(due.elapsed());
         gateway.note_readiness();
         sequence += 1;
-        beats::send_beat(&gateway, &socket, sequence).await;
+        gateway.note_dispatcher();
+        beats::send_beat(&gateway, sequence);
         gateway.change_upstreams(|traffic, now| {
             traffic.step(now);
             traffic.registry.step(now)
--- a/crates/bergamotpitch-gateway/src/lib.rs
+++ b/crates/bergamotpitch-gateway/src/lib.rs
@@ -9,12 +9,14 @@
 //! reads and writes headers, and whoever starts the gateway hands it catalogs, upstreams and peers.
 
 pub mod arrivals;
+pub mod asks;
 pub mod beats;
 pub mod bodies;
 pub mod callers;
 pub mod calls;
 pub mod connections;
 pub mod dialects;
+pub mod dispatchers;
 pub mod drains;
 pub mod errors;
 pub mod exchanges;
@@ -23,6 +25,7 @@
 pub mod held_bytes;
 pub mod lateness;
 pub mod logs;
+pub mod messages;
 pub mod metrics;
 pub mod options;
 pub mod peers;
--- /dev/null
+++ b/crates/bergamotpitch-gateway/src/messages.rs
@@ -0,0 +1,428 @@
+//! Messages: the datagrams between instances.
+//!
+//! Each begins with the number of its format. Instances of two releases run side by side while a
+//! fleet is being replaced; a message of another format is dropped, as if it were lost, and never
+//! read as something else.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bergamotpitch_control::traffic::admissions::{Choice, Placement, Room};
+use bergamotpitch_control::traffic::catalogs::CatalogVersion;
+use bergamotpitch_control::traffic::engine_loads::{Figures, RequestNumber, Work};
+use bergamotpitch_control::traffic::facts::{PartId, PromptPart, RequestFacts};
+use bergamotpitch_control::traffic::registries::Registry;
+use bergamotpitch_control::traffic::team_windows::{Standing, TeamSums};
+use bergamotpitch_core::ids::{Incarnation, InstanceId, ServiceId, TeamId, UpstreamId};
+use displaydoc::Display;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::gateways::Gateway;
+use crate::options::Options;
+
+/// `FORMAT` begins each message of this release.
+const FORMAT: [u8; 4] = [0xb9, b'p', 0, 2];
+
+/// `MESSAGE_BYTES` bounds a message: one datagram that is not cut on the way.
+pub const MESSAGE_BYTES: usize = 1_400;
+
+/// `Message` is one datagram.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Message {
+    /// Who sends it.
+    pub instance: InstanceId,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// What it says.
+    pub body: Body,
+}
+
+/// `Body` is what a message says.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Body {
+    /// Sums, a few times a second.
+    Beat(Beat),
+    /// A request wants a place.
+    Ask(AskBody),
+    /// Its place, or that there is none.
+    Reply(Reply),
+    /// What became of granted requests.
+    Progress(Vec<Note>),
+    /// Which granted requests are in hand.
+    Held(Held),
+}
+
+/// `Beat` is what one instance tells of itself.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Beat {
+    /// Number of the beat within this life.
+    pub sequence: u64,
+    /// Number of this part of the beat.
+    pub part: u8,
+    /// Number of parts of the beat.
+    pub parts: u8,
+    /// Version of its configuration.
+    pub version: CatalogVersion,
+    /// Revision of the latest change of the list of upstreams that it has seen.
+    pub list_change: u64,
+    /// Whether it watches the store for its domain.
+    pub watches: bool,
+    /// Number of the latest change of its documents.
+    pub relay_number: u64,
+    /// Whether it can be the dispatcher of its domain.
+    pub is_able: bool,
+    /// Whether it is.
+    pub is_dispatcher: bool,
+    /// For how long it has counted what its teams asked.
+    pub counted_ms: u64,
+    /// What it has in hand at each upstream.
+    pub loads: Vec<LoadLine>,
+    /// What its teams asked and began; those of its whole domain when it is the dispatcher.
+    pub teams: Vec<TeamLine>,
+    /// What teams asked and began in all other domains, as a dispatcher tells its own domain.
+    pub elsewhere: Vec<TeamLine>,
+    /// Upstreams, by the numbers of their lives, of which it knows that they leave.
+    pub leaving: Vec<UpstreamId>,
+    /// Where starts of prompts were sent lately.
+    pub starts: Vec<StartLine>,
+    /// Room at the upstreams of a dispatcher.
+    pub rooms: Vec<RoomLine>,
+}
+
+impl Beat {
+    /// `append` adds the tables of another part of the same beat.
+    pub(crate) fn append(&mut self, part: Self) {
+        self.loads.extend(part.loads);
+        self.teams.extend(part.teams);
+        self.elsewhere.extend(part.elsewhere);
+        self.leaving.extend(part.leaving);
+        self.starts.extend(part.starts);
+        self.rooms.extend(part.rooms);
+    }
+
+    /// `line_count` returns how many lines its tables have.
+    pub(crate) fn line_count(&self) -> usize {
+        let tables = [
+            self.loads.len(),
+            self.teams.len(),
+            self.elsewhere.len(),
+            self.leaving.len(),
+            self.starts.len(),
+            self.rooms.len(),
+        ];
+        tables.iter().sum()
+    }
+}
+
+/// `LoadLine` is what one instance has in hand at one upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct LoadLine {
+    /// Number of the upstream's life.
+    pub upstream: UpstreamId,
+    requests: u32,
+    unread_tokens: u32,
+    memory_tokens: u64,
+}
+
+/// `TeamLine` is one team's sums.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct TeamLine {
+    team: TeamId,
+    asked_tokens: u64,
+    begun_tokens: u64,
+}
+
+/// `StartLine` tells that an engine was sent a prompt with a start.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct StartLine {
+    /// The start, by its last part.
+    pub start: PartId,
+    /// Its length.
+    pub tokens: u32,
+    /// Number of the engine's life.
+    pub upstream: UpstreamId,
+    /// Time since it was sent.
+    pub age_ms: u32,
+}
+
+/// `RoomLine` is the room at a domain's upstreams of one service.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct RoomLine {
+    /// The service.
+    pub service: ServiceId,
+    /// For how many more requests there is a place.
+    pub room: Room,
+}
+
+/// `AskBody` is a request that wants a place.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct AskBody {
+    /// The asker's number of the request.
+    pub number: RequestNumber,
+    /// Whether it is the first ask for this request; later ones are not counted again.
+    pub is_first: bool,
+    /// Who wants it, with its life, when another instance hands the ask on.
+    pub asker: Option<(InstanceId, Incarnation)>,
+    /// Whether it may be handed on to the dispatcher of another domain.
+    pub may_go_on: bool,
+    /// Service that it is for.
+    pub service: ServiceId,
+    /// Its team.
+    pub team: Option<TeamId>,
+    /// Length of the prompt.
+    pub prompt_tokens: u64,
+    /// Expected length of the answer.
+    pub output_tokens: u64,
+    /// Parts of the prompt.
+    pub parts: Vec<(PartId, u32)>,
+    /// Its target latency.
+    pub target_ms: u32,
+    /// Time since it arrived.
+    pub elapsed_ms: u32,
+    /// Lives of upstreams that must not get it.
+    pub tried: Vec<UpstreamId>,
+}
+
+impl AskBody {
+    /// `facts` returns what a decision needs to know of the request.
+    pub fn facts(&self) -> RequestFacts {
+        let parts = self.parts.iter().map(|(id, tokens)| PromptPart { id: *id, tokens: *tokens });
+        RequestFacts {
+            prompt_tokens: self.prompt_tokens,
+            output_tokens_max: self.output_tokens,
+            output_tokens_hint: Some(self.output_tokens),
+            prefix: parts.collect(),
+            ..RequestFacts::default()
+        }
+    }
+}
+
+/// `Reply` tells an asker what became of its ask.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Reply {
+    /// The asker's number of the request.
+    pub number: RequestNumber,
+    /// The decision.
+    pub outcome: ReplyOutcome,
+}
+
+/// `ReplyOutcome` is the decision on an ask.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub enum ReplyOutcome {
+    /// It waits for a place, or was handed on; another reply follows.
+    Waits,
+    /// It has a place.
+    Granted(GrantLine),
+    /// It fits nowhere.
+    Full {
+        /// When it is worth asking again.
+        after_ms: u32,
+        /// How it stands against its team's share.
+        standing: Standing,
+        /// Requests at the upstream that has fewest.
+        least_requests: u32,
+    },
+    /// No upstream of the domain takes work.
+    NoUpstream {
+        /// When it is worth asking again.
+        after_ms: u32,
+    },
+    /// This instance cannot decide on it.
+    Declined,
+}
+
+/// `GrantLine` is a [`Placement`] as it is told.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct GrantLine {
+    upstream: UpstreamId,
+    unread_tokens: u32,
+    memory_tokens: u64,
+    delay_ms: u32,
+    predicted_ms: u32,
+    requests: u32,
+    standing: Standing,
+    fetch_from: Option<UpstreamId>,
+}
+
+/// `Note` is what became of one granted request.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Note {
+    /// The asker's number of the request.
+    pub number: RequestNumber,
+    /// What became of it.
+    pub event: NoteEvent,
+}
+
+/// `NoteEvent` is what became of a granted request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum NoteEvent {
+    /// Its first event or its answer came.
+    Begun,
+    /// It ended well.
+    Answered,
+    /// The upstream failed it.
+    Failed,
+    /// The upstream took no connection.
+    Unreachable,
+    /// It ended without a word on the upstream, or was never sent.
+    Dropped,
+}
+
+/// `Held` tells which granted requests are in hand, and how long their upstreams have been silent.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Held {
+    /// The asker's numbers of the requests.
+    pub numbers: Vec<RequestNumber>,
+    /// Upstreams that run some of them, with the time since the last byte of each.
+    pub silences: Vec<(UpstreamId, u32)>,
+}
+
+/// `MessageError` tells why a datagram is no message.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum MessageError {
+    /// it has another format
+    Format,
+    /// it cannot be read: {0}
+    Malformed(String),
+}
+
+/// `encode` writes a message.
+pub fn encode(message: &Message) -> Option<Vec<u8>> {
+    match postcard::to_extend(message, FORMAT.to_vec()) {
+        Ok(bytes) => Some(bytes),
+        Err(error) => {
+            log::warn!("event=message_not_encoded error={error}");
+            None
+        }
+    }
+}
+
+/// `decode` reads a message.
+///
+/// # Errors
+///
+/// Fails on a datagram of another format, and on one that is cut or garbled.
+///
+/// ```
+/// use bergamotpitch_gateway::messages::{Body, Message, MessageError, decode, encode};
+///
+/// let message = Message { instance: 7, incarnation: 1, body: Body::Progress(Vec::new()) };
+/// assert_eq!(decode(&encode(&message).unwrap()), Ok(message));
+/// assert_eq!(decode(&[1, 2, 3, 4, 5]), Err(MessageError::Format));
+/// ```
+pub fn decode(bytes: &[u8]) -> Result<Message, MessageError> {
+    let body = bytes.strip_prefix(&FORMAT).ok_or(MessageError::Format)?;
+    postcard::from_bytes(body).map_err(|error| MessageError::Malformed(error.to_string()))
+}
+
+impl Gateway {
+    /// `send_message` sends a message to an instance. What is lost on the way is made up for by
+    /// later messages or by timeouts.
+    pub fn send_message(&self, body: Body, receiver: SocketAddr) {
+        let Options { instance, incarnation, .. } = self.options;
+        if let Some(bytes) = encode(&Message { instance, incarnation, body }) {
+            self.send_datagram(&bytes, receiver);
+        }
+    }
+
+    /// `send_datagram` sends an encoded message.
+    pub fn send_datagram(&self, bytes: &[u8], receiver: SocketAddr) {
+        if let Err(error) = self.datagrams.try_send_to(bytes, receiver) {
+            log::debug!("event=datagram_not_sent receiver={receiver} error={error}");
+        }
+    }
+}
+
+impl LoadLine {
+    /// `new` tells of an upstream's life.
+    pub fn new(upstream: UpstreamId, figures: &Figures) -> Self {
+        Self {
+            upstream,
+            requests: figures.requests,
+            unread_tokens: figures.unread_tokens.max(0.0) as u32,
+            memory_tokens: figures.memory_tokens,
+        }
+    }
+
+    /// `figures` returns the sums.
+    pub fn figures(&self) -> Figures {
+        Figures {
+            requests: self.requests,
+            unread_tokens: f64::from(self.unread_tokens),
+            memory_tokens: self.memory_tokens,
+        }
+    }
+}
+
+impl TeamLine {
+    /// `new` tells of a team.
+    pub fn new(team: TeamId, sums: &TeamSums) -> Self {
+        Self { team, asked_tokens: sums.asked_tokens, begun_tokens: sums.begun_tokens }
+    }
+
+    /// `sums` returns the team and its sums.
+    pub fn sums(&self) -> (TeamId, TeamSums) {
+        let Self { team, asked_tokens, begun_tokens } = *self;
+        (team, TeamSums { asked_tokens, begun_tokens })
+    }
+}
+
+impl GrantLine {
+    /// `new` tells of a placement; `None` when its upstream was forgotten meanwhile.
+    pub fn new(placement: &Placement, registry: &Registry) -> Option<Self> {
+        let life_of = |key| registry.get(key).map(|upstream| upstream.life_number);
+        Some(Self {
+            upstream: life_of(placement.upstream)?,
+            unread_tokens: placement.work.unread_tokens as u32,
+            memory_tokens: placement.work.memory_tokens,
+            delay_ms: placement.work.delay_ms as u32,
+            predicted_ms: millis(placement.predicted),
+            requests: placement.requests,
+            standing: placement.standing,
+            fetch_from: placement.fetch_from.and_then(life_of),
+        })
+    }
+
+    /// `placement` returns the placement; `None` when this instance does not know its upstream, or
+    /// knows that it leaves.
+    pub fn placement(&self, registry: &Registry) -> Option<Placement> {
+        let upstream = registry.key_of_life(self.upstream)?;
+        if !registry.get(upstream).is_some_and(|upstream| upstream.takes_work()) {
+            return None;
+        }
+        Some(Placement {
+            upstream,
+            work: Work {
+                unread_tokens: f64::from(self.unread_tokens),
+                memory_tokens: self.memory_tokens,
+                delay_ms: f64::from(self.delay_ms),
+            },
+            predicted: Duration::from_millis(self.predicted_ms.into()),
+            requests: self.requests,
+            standing: self.standing,
+            rank: None,
+            fetch_from: self.fetch_from.and_then(|life| registry.key_of_life(life)),
+        })
+    }
+}
+
+impl ReplyOutcome {
+    /// `new` tells of a choice; `None` when its upstream was forgotten meanwhile.
+    pub fn new(choice: &Choice, registry: &Registry) -> Option<Self> {
+        Some(match choice {
+            Choice::Send(placement) => Self::Granted(GrantLine::new(placement, registry)?),
+            Choice::Full { after, standing, least_requests } => Self::Full {
+                after_ms: millis(*after),
+                standing: *standing,
+                least_requests: *least_requests,
+            },
+            Choice::NoUpstream(after) => Self::NoUpstream { after_ms: millis(*after) },
+        })
+    }
+}
+
+/// `millis` returns a duration in whole milliseconds, as messages tell it.
+pub fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/bergamotpitch-gateway/src/metrics.rs
+++ b/crates/bergamotpitch-gateway/src/metrics.rs
@@ -41,6 +41,10 @@
     pub cut_answers: Count,
     /// Connections opened to upstreams.
     pub connections_opened: Count,
+    /// Asks sent to a dispatcher.
+    pub asks: Count,
+    /// Asks that no dispatcher decided on.
+    pub unanswered_asks: Count,
     /// Connections of callers that were only told to come back.
     pub callers_turned_away: Count,
     registry: Registry,
@@ -80,6 +84,11 @@
             failed_attempts: count("bergamotpitch_failed_attempts", "Attempts that failed"),
             repeats: count("bergamotpitch_repeats", "Requests sent to a second upstream"),
             cut_answers: count("bergamotpitch_cut_answers", "Streams closed without their end"),
+            asks: count("bergamotpitch_asks", "Asks sent to a dispatcher"),
+            unanswered_asks: count(
+                "bergamotpitch_unanswered_asks",
+                "Asks that no dispatcher decided on",
+            ),
             callers_turned_away: count(
                 "bergamotpitch_callers_turned_away",
                 "Connections of callers that were only told to come back",
--- a/crates/bergamotpitch-gateway/src/options.rs
+++ b/crates/bergamotpitch-gateway/src/options.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::admissions;
+use bergamotpitch_control::traffic::{admissions, dispatchers};
 use bergamotpitch_core::ids::{Incarnation, InstanceId};
 
 /// `Options` of a gateway.
@@ -30,8 +30,12 @@
     pub connections_max: usize,
     /// Bytes that the bodies of all requests in flight may take.
     pub body_bytes_max: usize,
+    /// Thousandths of a core that this process may use.
+    pub processor_millis: u32,
     /// Decisions.
     pub admission: admissions::Options,
+    /// Who decides for a failure domain.
+    pub dispatchers: dispatchers::Options,
     /// Time between SIGTERM and the end of the process.
     pub grace: Duration,
 }
@@ -50,7 +54,9 @@
             caller_connections_max: 2_000,
             connections_max: 5_000,
             body_bytes_max: 64 << 20,
+            processor_millis: 1_000,
             admission: admissions::Options::default(),
+            dispatchers: dispatchers::Options::default(),
             grace: Duration::from_secs(8),
         }
     }
--- a/crates/bergamotpitch-gateway/src/peers.rs
+++ b/crates/bergamotpitch-gateway/src/peers.rs
@@ -2,14 +2,17 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bergamotpitch_control::traffic::catalogs::CatalogVersion;
+use bergamotpitch_control::traffic::dispatchers::Candidate;
 use bergamotpitch_core::ids::{Incarnation, InstanceId};
 use bergamotpitch_core::units::Timestamp;
 use bergamotpitch_core::{HashMap, HashSet};
 use tokio::sync::Notify;
 
 use crate::gateways::Gateway;
+use crate::messages::Beat;
 
 /// `PeerAddress` is where a peer is found.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -22,8 +25,22 @@
     pub beat_address: SocketAddr,
     /// Where its documents are fetched.
     pub relay_address: SocketAddr,
+    /// Thousandths of a core that it may use; 0 when it does not say.
+    pub processor_millis: u32,
 }
 
+/// `PEER_SILENCE` is the time after which a peer that was not heard is not counted on: some of its
+/// turns in a large fleet.
+pub(crate) const PEER_SILENCE: Duration = Duration::from_secs(5);
+
+/// `DISPATCHER_SILENCE` is the same for the dispatcher of another domain, which tells of itself each
+/// third of a second.
+const DISPATCHER_SILENCE: Duration = Duration::from_millis(1_500);
+
+/// `SETTLED_TIME` is for how long an instance must have run before it goes before others that have:
+/// it learns in this time what its upstreams keep and how fast they are.
+pub(crate) const SETTLED_TIME: Duration = Duration::from_secs(5);
+
 /// `Peer` is a peer as it was last heard.
 #[derive(Debug, Clone)]
 pub struct Peer {
@@ -31,6 +48,8 @@
     pub address: PeerAddress,
     /// Its life and the number of its latest beat.
     pub(crate) latest: (Incarnation, u64),
+    pub(crate) parts: BeatParts,
+    listed: Timestamp,
     /// When it was heard.
     pub heard: Option<Timestamp>,
     /// Version of its configuration.
@@ -41,19 +60,27 @@
     pub watches: bool,
     /// Number of the latest change of its documents.
     pub relay_number: u64,
+    is_able: bool,
+    is_dispatcher: bool,
+    counted: Duration,
 }
 
 impl Peer {
-    /// `new` is a peer that was not heard yet.
-    pub fn new(address: PeerAddress) -> Self {
+    /// `new` is a peer that was listed and not heard yet.
+    pub fn new(address: PeerAddress, now: Timestamp) -> Self {
         Self {
             address,
             latest: (0, 0),
+            parts: BeatParts::default(),
+            listed: now,
             heard: None,
             version: 0,
             list_change: 0,
             watches: false,
             relay_number: 0,
+            is_able: true,
+            is_dispatcher: false,
+            counted: Duration::ZERO,
         }
     }
 
@@ -61,6 +88,73 @@
     pub fn incarnation(&self) -> Incarnation {
         self.latest.0
     }
+
+    /// `take_in` takes in a beat.
+    pub(crate) fn take_in(&mut self, incarnation: Incarnation, beat: &Beat, now: Timestamp) {
+        self.latest = (incarnation, beat.sequence);
+        self.heard = Some(now);
+        self.version = beat.version;
+        self.list_change = beat.list_change;
+        self.watches = beat.watches;
+        self.relay_number = beat.relay_number;
+        self.is_able = beat.is_able;
+        self.is_dispatcher = beat.is_dispatcher;
+        self.counted = Duration::from_millis(beat.counted_ms);
+    }
+
+    /// `is_heard` tells whether it was heard lately.
+    pub(crate) fn is_heard(&self, now: Timestamp) -> bool {
+        self.heard.is_some_and(|heard| now < heard + PEER_SILENCE)
+    }
+
+    /// `is_dispatching` tells whether it decides for its domain.
+    pub(crate) fn is_dispatching(&self, now: Timestamp) -> bool {
+        self.is_dispatcher && self.heard.is_some_and(|heard| now < heard + DISPATCHER_SILENCE)
+    }
+
+    /// `candidate` returns what counts for its role in its domain.
+    pub(crate) fn candidate(&self) -> Candidate {
+        Candidate {
+            instance: self.address.instance,
+            processor_millis: self.address.processor_millis,
+            heard: self.heard.unwrap_or(self.listed),
+            is_able: self.is_able,
+            is_settled: SETTLED_TIME <= self.counted,
+        }
+    }
+}
+
+/// `BeatParts` gathers the parts of one beat.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct BeatParts {
+    of: (Incarnation, u64),
+    parts: Vec<Beat>,
+}
+
+impl BeatParts {
+    /// `add` takes in one part, and returns the beat once all of them are here.
+    pub(crate) fn add(&mut self, incarnation: Incarnation, part: Beat) -> Option<Beat> {
+        let of = (incarnation, part.sequence);
+        if of < self.of {
+            return None;
+        }
+        if self.of < of {
+            self.of = of;
+            self.parts.clear();
+        }
+        if self.parts.iter().any(|other| other.part == part.part) {
+            return None;
+        }
+        let count = usize::from(part.parts);
+        self.parts.push(part);
+        if self.parts.len() < count {
+            return None;
+        }
+        let mut parts = std::mem::take(&mut self.parts).into_iter();
+        let mut whole = parts.next()?;
+        parts.for_each(|part| whole.append(part));
+        Some(whole)
+    }
 }
 
 /// `UNKNOWN_PEERS_MAX` bounds how many unknown peers are remembered; more than the largest fleet has.
@@ -103,20 +197,33 @@
     /// `replace_peers` takes in where all peers are.
     pub fn replace_peers(&self, addresses: Vec<PeerAddress>) {
         let own = self.options.instance;
-        let others = addresses.into_iter().filter(|address| address.instance != own).collect();
-        replace_peers(&mut self.peers.borrow_mut(), others);
+        let others: Vec<_> =
+            addresses.into_iter().filter(|address| address.instance != own).collect();
+        replace_peers(&mut self.peers.borrow_mut(), others, self.now());
+        self.note_dispatcher();
+    }
+
+    /// `beat_address_of` returns where a peer's messages go.
+    pub(crate) fn beat_address_of(&self, peer: InstanceId) -> Option<SocketAddr> {
+        self.peers.borrow().get(&peer).map(|peer| peer.address.beat_address)
+    }
+
+    /// `life_of` returns the life of a peer that was heard last.
+    pub(crate) fn life_of(&self, peer: InstanceId) -> Option<Incarnation> {
+        self.peers.borrow().get(&peer).map(Peer::incarnation)
     }
 }
 
 /// `replace_peers` takes in where all peers are.
-fn replace_peers(peers: &mut Peers, addresses: Vec<PeerAddress>) {
-    peers.retain(|instance, _| addresses.iter().any(|address| address.instance == *instance));
+fn replace_peers(peers: &mut Peers, addresses: Vec<PeerAddress>, now: Timestamp) {
+    let listed: HashSet<InstanceId> = addresses.iter().map(|address| address.instance).collect();
+    peers.retain(|instance, _| listed.contains(instance));
     for address in addresses {
         let instance = address.instance;
         let known = peers.get(&instance);
         if known.is_some_and(|peer| peer.address == address) {
             continue;
         }
-        peers.insert(instance, Peer::new(address));
+        peers.insert(instance, Peer::new(address, now));
     }
 }
--- a/crates/bergamotpitch-gateway/src/placements.rs
+++ b/crates/bergamotpitch-gateway/src/placements.rs
@@ -3,31 +3,36 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::admissions::{Ask, Choice, Placement};
+use bergamotpitch_control::traffic::admissions::{Choice, Placement, Scope};
+use bergamotpitch_control::traffic::engine_loads::RequestNumber;
 use bergamotpitch_control::traffic::registries::UpstreamKey;
 use bergamotpitch_control::traffic::team_windows::Standing;
+use bergamotpitch_control::traffic::waiting_asks::OwnedAsk;
 use bergamotpitch_core::ids::id_of_name;
 use bergamotpitch_core::refusals::RefusalReason;
 use bergamotpitch_core::units::Timestamp;
 
+use crate::asks::{self, Decided, Granter};
 use crate::calls::Call;
 use crate::gateways::Gateway;
+use crate::messages::NoteEvent;
 use crate::refusals::Refusal;
 
-/// `HOLD_PART` is the part of a request's target latency for which it may wait for a place.
-/// Arrivals come in bunches of a few, and a place that comes within this time still makes the
-/// target; a longer wait only puts off the answer that it does not fit.
-const HOLD_PART: f64 = 0.1;
-
-/// `HOLD_PART_WITHIN_SHARE` is the same for a request within its team's share or of a needy team, for
-/// which the next
-/// place that comes free is meant; what is left of the target suffices for most first events.
-const HOLD_PART_WITHIN_SHARE: f64 = 0.4;
-
 /// `RETURN_SPREAD` is the part by which the times to come back differ, so that what was refused
 /// together does not come back together.
 const RETURN_SPREAD: f64 = 0.5;
 
+/// `Placed` is a request that has a place at an upstream.
+#[derive(Debug, Clone, Copy)]
+pub struct Placed {
+    /// Its number in the books of whoever placed it.
+    pub number: RequestNumber,
+    /// The place.
+    pub placement: Placement,
+    /// Who placed it, when it was not this instance.
+    pub granter: Option<Granter>,
+}
+
 /// `place` finds an upstream for a call and takes the place there.
 ///
 /// # Errors
@@ -37,75 +42,101 @@
     gateway: &Rc<Gateway>,
     call: &Call,
     tried: &[UpstreamKey],
-) -> Result<Placement, Refusal> {
-    loop {
-        let changed = gateway.changed.notified();
-        let now = gateway.now();
-        let choice = try_place(gateway, call, tried, now);
-        let (reason, after, hold_part) = match choice {
-            Choice::Send(placement) => return Ok(placement),
-            Choice::Full { after, standing: Standing::WithinShare | Standing::Needy, .. } => {
-                (RefusalReason::Overloaded, after, HOLD_PART_WITHIN_SHARE)
-            }
-            Choice::Full { after, .. } => (RefusalReason::QueueFull, after, HOLD_PART),
-            Choice::NoUpstream(after) => (RefusalReason::NoUpstream, after, HOLD_PART),
-        };
-        let hold_until = call.arrived + call.route.target_latency.mul_f64(hold_part);
-        if hold_until <= now {
-            log::info!(
-                "event=no_place request={} service={} choice={choice:?}",
-                call.facts.attempt_id,
-                call.service
-            );
-            return Err(Refusal::not_run(reason, spread(after, call.number)));
+) -> Result<Placed, Refusal> {
+    let (number, granter, choice) = decide(gateway, call, tried).await;
+    let (reason, after) = match choice {
+        Choice::Send(placement) => return Ok(Placed { number, placement, granter }),
+        Choice::Full { after, standing: Standing::WithinShare | Standing::Needy, .. } => {
+            (RefusalReason::Overloaded, after)
         }
-        let _waiting = Waiting::enter(gateway);
-        // Running out of time is no failure here: the next round decides.
-        let _ = tokio::time::timeout(hold_until - now, changed).await;
-    }
+        Choice::Full { after, .. } => (RefusalReason::QueueFull, after),
+        Choice::NoUpstream(after) => (RefusalReason::NoUpstream, after),
+    };
+    log::info!(
+        "event=no_place request={} service={} granter={} choice={choice:?}",
+        call.facts.attempt_id,
+        call.service,
+        granter.map_or(0, |granter| granter.instance),
+    );
+    Err(Refusal::not_run(reason, spread(after, call.number)))
 }
 
-/// `Waiting` counts a request as waiting for a place for as long as it lives.
-struct Waiting<'a>(&'a Gateway);
-
-impl<'a> Waiting<'a> {
-    fn enter(gateway: &'a Gateway) -> Self {
-        gateway.waiting.set(gateway.waiting.get() + 1);
-        Self(gateway)
+async fn decide(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    tried: &[UpstreamKey],
+) -> (RequestNumber, Option<Granter>, Choice) {
+    if let Some(dispatcher) = gateway.other_dispatcher() {
+        for may_go_on in [true, false] {
+            let number = gateway.fresh_number();
+            let decided = asks::ask(gateway, dispatcher, call, tried, number, may_go_on).await;
+            let Some(Decided { granter, choice }) = decided else { break };
+            // The dispatcher of another domain had less room than it told.
+            let is_final = matches!(choice, Choice::Send(_)) || granter.instance == dispatcher;
+            if is_final {
+                return (number, Some(granter), choice);
+            }
+        }
     }
+    decide_here(gateway, call, tried).await
 }
 
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        self.0.waiting.set(self.0.waiting.get() - 1);
+/// Decides on a call by the own books. What fits nowhere in the own domain goes to one that has room.
+async fn decide_here(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    tried: &[UpstreamKey],
+) -> (RequestNumber, Option<Granter>, Choice) {
+    let now = gateway.now();
+    let ask = owned_ask(call, tried, gateway.scope());
+    if tried.is_empty() {
+        gateway.note_asked(&ask, now);
     }
-}
-
-fn try_place(gateway: &Gateway, call: &Call, tried: &[UpstreamKey], now: Timestamp) -> Choice {
-    let ask = ask_of_call(call, tried, now);
-    let mut traffic = gateway.traffic.borrow_mut();
-    let choice = traffic.choose(&ask, now);
-    if let Choice::Send(placement) = &choice {
-        traffic.send(call.number, placement, &ask, now);
+    let number = gateway.fresh_number();
+    let choice = gateway.place_here(number, &ask);
+    if matches!(choice, Choice::Send(_)) {
+        return (number, None, choice);
+    }
+    if gateway.is_dispatcher()
+        && let Some(next) = gateway.take_room(id_of_name(&call.service), &choice)
+    {
+        let number = gateway.fresh_number();
+        let decided = asks::ask(gateway, next, call, tried, number, false).await;
+        if let Some(Decided { granter, choice: choice @ Choice::Send(_) }) = decided {
+            return (number, Some(granter), choice);
+        }
     }
-    choice
+    let ask = match choice {
+        Choice::NoUpstream(_) => OwnedAsk { scope: Scope::Fleet, ..ask },
+        _ => ask,
+    };
+    let choice = gateway.decide(number, ask).await;
+    (number, None, choice)
 }
 
-/// `ask_of_call` states what a call asks of the tables.
-pub fn ask_of_call<'a>(call: &'a Call, tried: &'a [UpstreamKey], now: Timestamp) -> Ask<'a> {
-    Ask {
-        service: &call.service,
-        facts: &call.facts,
+fn owned_ask(call: &Call, tried: &[UpstreamKey], scope: Scope) -> OwnedAsk {
+    OwnedAsk {
+        service: call.service.clone(),
+        facts: call.facts.clone(),
         team: call.team.as_ref().map(|team| id_of_name(&team.name)),
         target: call.route.target_latency,
-        elapsed: now.saturating_sub(call.arrived),
-        tried,
+        arrived: call.arrived,
+        tried: tried.to_vec(),
         memory_tokens: call.memory_tokens,
-        cache_link: call.cache_link,
         pool_tokens_per_s: call.catalog.pool_tokens_per_s,
+        cache_link: call.cache_link,
+        scope,
     }
 }
 
+/// `has_place` tells whether an upstream other than those that were tried has room for a call, as far
+/// as this instance knows.
+pub fn has_place(gateway: &Gateway, call: &Call, tried: &[UpstreamKey]) -> bool {
+    let now = gateway.now();
+    let ask = owned_ask(call, tried, gateway.scope());
+    matches!(gateway.traffic.borrow_mut().choose(&ask.at(now), now), Choice::Send(_))
+}
+
 fn spread(after: Duration, number: u64) -> Duration {
     // The golden ratio's multiples are spread evenly whatever the numbers are.
     let fraction = (number as f64 * 0.618_033_988_75).fract();
@@ -116,7 +147,7 @@
 #[derive(Debug)]
 pub struct Run {
     gateway: Rc<Gateway>,
-    number: u64,
+    number: RequestNumber,
     key: UpstreamKey,
     sent: Timestamp,
     has_begun: bool,
@@ -129,10 +160,14 @@
 
 impl Run {
     /// `open` follows a request that was placed.
-    pub fn open(gateway: &Rc<Gateway>, call: &Call, placement: &Placement) -> Self {
+    pub fn open(gateway: &Rc<Gateway>, placed: &Placed) -> Self {
+        let Placed { number, placement, granter } = *placed;
+        if let Some(granter) = granter {
+            gateway.hold_grant(number, granter, placement);
+        }
         Self {
             gateway: Rc::clone(gateway),
-            number: call.number,
+            number,
             key: placement.upstream,
             sent: gateway.now(),
             has_begun: false,
@@ -150,32 +185,41 @@
         let now = self.gateway.now();
         if !self.has_begun {
             self.has_begun = true;
-            let mut traffic = self.gateway.traffic.borrow_mut();
-            traffic.begun(self.key, self.number, now);
-            drop(traffic);
-            self.gateway.note_change_of_load();
+            if !self.gateway.grant_begun(self.number) {
+                self.gateway.traffic.borrow_mut().begun(self.key, self.number, now);
+                self.gateway.note_change_of_load();
+            }
         }
         now.saturating_sub(self.sent)
     }
 
     /// `settle` ends the run with its outcome.
     pub fn settle(mut self, failed: bool) {
-        self.end(Some(failed));
+        self.end(if failed { NoteEvent::Failed } else { NoteEvent::Answered });
     }
 
-    fn end(&mut self, failed: Option<bool>) {
+    /// `unreachable` ends the run at an upstream that took no connection.
+    pub fn unreachable(mut self) {
+        self.gateway.note_unreachable(self.key);
+        self.end(NoteEvent::Unreachable);
+    }
+
+    fn end(&mut self, event: NoteEvent) {
         if self.is_settled {
             return;
         }
         self.is_settled = true;
         let now = self.gateway.now();
         let mut traffic = self.gateway.traffic.borrow_mut();
-        traffic.load(self.key).ended(self.number);
-        if let Some(failed) = failed {
-            traffic.evidence(self.key).note_outcome(failed, now);
+        match event {
+            NoteEvent::Answered => traffic.evidence(self.key).note_outcome(false, now),
+            NoteEvent::Failed => traffic.evidence(self.key).note_outcome(true, now),
+            NoteEvent::Begun | NoteEvent::Unreachable | NoteEvent::Dropped => {}
+        }
+        if !self.gateway.grant_ended(self.number, event) {
+            traffic.load(self.key).ended(self.number);
+            self.gateway.note_change_of_load();
         }
-        drop(traffic);
-        self.gateway.note_change_of_load();
     }
 }
 
@@ -183,6 +227,6 @@
     fn drop(&mut self) {
         let waited = self.gateway.now().saturating_sub(self.sent);
         let is_unanswered = !self.has_begun && LEFT_UNANSWERED <= waited;
-        self.end(is_unanswered.then_some(true));
+        self.end(if is_unanswered { NoteEvent::Failed } else { NoteEvent::Dropped });
     }
 }
--- a/crates/bergamotpitch-gateway/src/store_news.rs
+++ b/crates/bergamotpitch-gateway/src/store_news.rs
@@ -11,7 +11,6 @@
 use bergamotpitch_core::units::Timestamp;
 use tokio::sync::Notify;
 
-use crate::beats::turn_interval;
 use crate::gateways::Gateway;
 use crate::logs::decision;
 use crate::peers::{Peer, Peers};
@@ -21,24 +20,13 @@
 /// given up: the store tells all watches within some milliseconds.
 const LIST_TOLERANCE: Duration = Duration::from_millis(800);
 
-/// `PEER_SILENCE` is the time after which a peer that was not heard is not counted on: some of its
-/// turns in a large fleet.
-const PEER_SILENCE: Duration = Duration::from_secs(5);
-
 /// `WATCHERS` is how many instances of a failure domain watch the store, so that some may fail; the
 /// others fetch from them what has changed, and know of it up to half a second later. Were all 90
 /// instances of a fleet to watch, each change of one upstream would cost 90 calls; in a domain of
-/// three nothing is saved by it.
+/// three nothing is saved by it. They are those that stand by to be the domain's dispatcher, which
+/// the others hear.
 const WATCHERS: usize = 3;
 
-/// `WATCHER_TURNS` is for how many of its turns a watcher may be silent before the next instance
-/// takes over: single datagrams are lost.
-const WATCHER_TURNS: u32 = 5;
-
-/// `WATCHER_SILENCE_LEAST` is the shortest silence that counts: a drain must be known everywhere
-/// within 2.5 s, and a process that is late by some hundred milliseconds still watches.
-const WATCHER_SILENCE_LEAST: Duration = Duration::from_millis(900);
-
 /// `DISTRUST` is for how long an instance reads the store itself after a peer did not hand over
 /// what it knows.
 const DISTRUST: Duration = Duration::from_secs(5);
@@ -129,7 +117,7 @@
 
     /// Decides anew whether others watch the store; the beats of a watcher that ended cease.
     pub(crate) fn note_role(&self) {
-        let rank = self.domain_rank();
+        let rank = self.role().rank;
         let is_trusted = self.store_news.relies_not_until.get() <= self.now();
         let relies = self.knows_all() && is_trusted && WATCHERS <= rank;
         if self.store_news.is_relying.replace(relies) == relies {
@@ -144,19 +132,7 @@
 
     /// `is_first_of_domain` tells whether this instance is the first of its domain that is heard.
     pub fn is_first_of_domain(&self) -> bool {
-        self.domain_rank() == 0
-    }
-
-    /// How many instances of the own domain that were heard lately come before this one.
-    fn domain_rank(&self) -> usize {
-        let now = self.now();
-        let own = &self.options;
-        let peers = self.peers.borrow();
-        let domain = &own.admission.domain;
-        let of_domain = || peers.values().filter(|peer| peer.address.domain == *domain);
-        let silence = WATCHER_SILENCE_LEAST.max(WATCHER_TURNS * turn_interval(of_domain().count()));
-        let is_heard = |peer: &&Peer| peer.heard.is_some_and(|heard| now < heard + silence);
-        of_domain().filter(is_heard).filter(|peer| peer.address.instance < own.instance).count()
+        self.role().rank == 0
     }
 
     /// `news_since` returns what this instance knows, or what has changed since a cursor.
@@ -223,10 +199,10 @@
             self.knows_less_than(peer)
                 || first_watcher.is_some_and(|first| self.missed(first, peer))
         };
-        let is_heard = |peer: &&Peer| peer.heard.is_some_and(|heard| now < heard + PEER_SILENCE);
-        let ahead = peers.values().filter(is_heard).filter(is_ahead).max_by_key(|peer| {
-            (self.is_of_domain(peer), peer.version, peer.list_change, peer.heard)
-        });
+        let ahead =
+            peers.values().filter(|peer| peer.is_heard(now)).filter(is_ahead).max_by_key(|peer| {
+                (self.is_of_domain(peer), peer.version, peer.list_change, peer.heard)
+            });
         let Some(ahead) = ahead else {
             self.store_news.lagging_since.set(None);
             return None;
@@ -257,8 +233,7 @@
         if !self.relies_on_peers() {
             return None;
         }
-        let is_heard = |peer: &&Peer| peer.heard.is_some_and(|heard| now < heard + PEER_SILENCE);
-        let watchers = peers.values().filter(is_heard).filter(|peer| peer.watches);
+        let watchers = peers.values().filter(|peer| peer.is_heard(now) && peer.watches);
         let of_domain = watchers.filter(|peer| self.is_of_domain(peer));
         of_domain.map(|peer| peer.address.instance).min()
     }
--- a/crates/bergamotpitch-gateway/src/upstreams.rs
+++ b/crates/bergamotpitch-gateway/src/upstreams.rs
@@ -30,7 +30,7 @@
         }
         traffic.forget_gone();
         drop(traffic);
-        self.changed.notify_waiters();
+        self.note_change_of_load();
     }
 
     /// `upstream_listed` takes in an entry of the list.
@@ -109,7 +109,7 @@
         self.pools.close_all_of(key);
     }
 
-    /// `take_in_loads` takes in what a peer has in hand.
+    /// `take_in_loads` takes in what a peer has in hand; where it tells of nothing it has nothing.
     pub fn take_in_loads(
         &self,
         peer: InstanceId,
@@ -120,11 +120,19 @@
         if !traffic.options.policy.peer_loads {
             return;
         }
-        let known: Vec<(UpstreamKey, UpstreamId)> =
-            traffic.registry.all().map(|upstream| (upstream.key, upstream.life_number)).collect();
-        for (key, id) in known {
-            let figures = figures.get(&id).copied().unwrap_or_default();
-            traffic.load(key).peer_heard(peer, figures, now);
+        let known = |(life, figures): (&UpstreamId, &Figures)| {
+            Some((traffic.registry.key_of_life(*life)?, *figures))
+        };
+        let told: HashMap<UpstreamKey, Figures> = figures.iter().filter_map(known).collect();
+        let before = self.told_upstreams.borrow_mut().remove(&peer).unwrap_or_default();
+        for key in before.iter().filter(|key| !told.contains_key(*key)) {
+            traffic.load(*key).peer_heard(peer, Figures::default(), now);
+        }
+        for (key, figures) in &told {
+            traffic.load(*key).peer_heard(peer, *figures, now);
+        }
+        if !told.is_empty() {
+            self.told_upstreams.borrow_mut().insert(peer, told.into_keys().collect());
         }
     }
 
--- a/crates/bergamotpitch-gateway/tests/peer_news.rs
+++ b/crates/bergamotpitch-gateway/tests/peer_news.rs
@@ -11,7 +11,8 @@
 use bergamotpitch_core::HashMap;
 use bergamotpitch_core::ids::UpstreamId;
 use bergamotpitch_gateway::Gateway;
-use bergamotpitch_gateway::beats::{self, Beat};
+use bergamotpitch_gateway::beats;
+use bergamotpitch_gateway::messages::{Beat, Body, decode};
 use bergamotpitch_gateway::peers::PeerAddress;
 use common::{FakeUpstream, registration, run, start, whole};
 use tokio::net::UdpSocket;
@@ -60,7 +61,13 @@
 /// A peer that listens at `address`.
 fn peer(instance: u32, address: SocketAddr) -> PeerAddress {
     let domain = "a".to_owned();
-    PeerAddress { instance, domain, beat_address: address, relay_address: address }
+    PeerAddress {
+        instance,
+        domain,
+        beat_address: address,
+        relay_address: address,
+        processor_millis: 1_000,
+    }
 }
 
 /// The next beat that arrives.
@@ -68,7 +75,8 @@
     let mut buffer = [0; 4_000];
     let length = socket.recv(&mut buffer).await.unwrap();
     assert!(length <= 1_400, "{length} bytes are cut on the way");
-    postcard::from_bytes(&buffer[..length]).unwrap()
+    let Body::Beat(beat) = decode(&buffer[..length]).unwrap().body else { panic!("no beat") };
+    beat
 }
 
 /// Callers of a flooding team reach one instance, which sends more starts of prompts than one
@@ -94,8 +102,7 @@
                 traffic.starts.sent(StartNote { start, tokens, upstream: life, used: now });
             }
         }
-        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
-        beats::send_beat(&gateway, &socket, 1).await;
+        beats::send_beat(&gateway, 1);
         let beat = beat_from(&listener).await;
         assert_eq!(beat.loads.len(), 1);
         let starts = beat.starts.len();
