Refuse from the head where an instance is crowded, and bound pauses of streams

With processor time one instance of an eighth of a core gets all callers of a flooding team, 1,500 to 2,500 requests a second, mostly on fresh connections. It read each request in full, asked for a place and was late by 100 ms and more, so it left the rotation and another one got the flood. Change: some requests measure how long a task waits for its turn; from 12 ms on requests beyond their team's share are refused from the head, with 40 ms to come back, as callers that come back reach other instances.

The longest prompts alone take more than the pause, which is left.

Lines on refusals and dispatches tell the prompt's length, those on answers the longest pause.

--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -67,18 +67,21 @@
             within_share: Fill {
                 target_part: 0.8,
                 others_part: 0.4,
+                may_pause: true,
                 slots_part: 0.95,
                 memory_part: 0.9,
             },
             even_surplus: Fill {
                 target_part: 0.35,
                 others_part: 0.0,
+                may_pause: false,
                 slots_part: 0.7,
                 memory_part: 0.75,
             },
             beyond_even: Fill {
                 target_part: 0.2,
                 others_part: 0.0,
+                may_pause: false,
                 slots_part: 0.5,
                 memory_part: 0.6,
             },
@@ -117,6 +120,8 @@
     pub team: Option<TeamId>,
     /// Its target latency.
     pub target: Duration,
+    /// Longest pause between two events that callers aim at.
+    pub target_gap: Option<Duration>,
     /// Time since the request arrived.
     pub elapsed: Duration,
     /// Upstreams that must not get it.
@@ -328,7 +333,7 @@
             least_requests = least_requests.min(seen.figures.requests);
             match seen.fit(ask, &fill, &self.options.policy) {
                 Fit::Fits => {
-                    let score = seen.score(&self.options.policy);
+                    let score = seen.score(ask, &self.options.policy);
                     if best.as_ref().is_none_or(|(least, _)| score < *least) {
                         best = Some((score, placement_of_look(&seen, standing)));
                     }
@@ -509,6 +514,7 @@
             fetch_from,
             predicted_ms: state.load.predict_ms(work, &figures, &capacity, now, options),
             own_ms,
+            reading_ms: needs.speed.reading_ms(figures.unread_tokens.max(0.0) + work.unread_tokens),
             figures,
             slots: capacity.slots,
             distance,
--- a/crates/bergamotpitch-control/src/traffic/fits.rs
+++ b/crates/bergamotpitch-control/src/traffic/fits.rs
@@ -17,6 +17,9 @@
     /// slow. At 0 the request's own work counts like that of others: beyond a team's share, a prompt
     /// that takes most of its target to read would make several others late.
     pub others_part: f64,
+    /// Whether streams that run there may pause for longer than callers aim at, while the engine reads
+    /// what is ahead of it.
+    pub may_pause: bool,
     /// Part of the slots that may be taken.
     pub slots_part: f64,
     /// Part of the memory that may be taken by running requests.
@@ -36,6 +39,14 @@
 /// by an order of magnitude and half a millisecond long.
 const NEAR_WEIGHT_MS: f64 = 8.0;
 
+/// `PAUSE_PART` is the part of the longest pause that callers aim at which an engine may spend on reading
+/// prompts; the rest is left for the steps that make the event itself.
+const PAUSE_PART: f64 = 0.75;
+
+/// `PAUSE_WEIGHT_MS` is what a pause beyond the target weighs for each request at the engine, in
+/// milliseconds of waiting.
+const PAUSE_WEIGHT_MS: f64 = 20.0;
+
 /// `EMPTY_SLOTS_PART` is the part of its slots below which an engine that reads nothing takes any
 /// request, also one that takes most of its target to read: few would wait behind it.
 const EMPTY_SLOTS_PART: f64 = 0.1;
@@ -57,6 +68,8 @@
     /// Time that the request itself takes: to read what the engine does not keep of the prompt, or
     /// for the work of a plain call. It is late because of this wherever it is sent.
     pub own_ms: f64,
+    /// Time in which the engine reads all that is ahead of it, this request among it.
+    pub reading_ms: f64,
     /// What all instances have in hand there.
     pub figures: Figures,
     /// Its slots.
@@ -87,14 +100,18 @@
 
 impl Look {
     /// `score` compares upstreams that a request fits: the least is best.
-    pub fn score(&self, policy: &Policy) -> f64 {
+    pub fn score(&self, ask: &Ask<'_>, policy: &Policy) -> f64 {
         let distance_ms = match self.distance {
             _ if !policy.distance_weights => 0.0,
             Distance::Own => 0.0,
             Distance::Near => NEAR_WEIGHT_MS,
             Distance::Far => FAR_WEIGHT_MS,
         };
-        self.predicted_ms + distance_ms
+        let pause_ms = match self.pauses(ask) && policy.stream_pauses {
+            true => PAUSE_WEIGHT_MS * f64::from(self.figures.requests),
+            false => 0.0,
+        };
+        self.predicted_ms + distance_ms + pause_ms
     }
 
     /// `fit` tells whether the request fits within a fill.
@@ -106,6 +123,9 @@
         if is_generation && policy.empty_engines && self.is_empty() {
             return Fit::Fits;
         }
+        if policy.stream_pauses && !fill.may_pause && self.pauses(ask) {
+            return Fit::Excess(Duration::from_secs_f64(self.reading_ms / 1_000.0));
+        }
         let target_ms = millis(ask.target);
         let own_ms = if is_generation { self.own_ms.min(target_ms) } else { self.own_ms };
         let in_time_ms = target_ms * fill.target_part - millis(ask.elapsed);
@@ -119,6 +139,12 @@
         Fit::Excess(Duration::from_secs_f64(excess_ms / 1_000.0))
     }
 
+    /// `pauses` tells whether streams that run there would pause for longer than callers aim at.
+    fn pauses(&self, ask: &Ask<'_>) -> bool {
+        let Some(gap) = ask.target_gap else { return false };
+        self.figures.requests != 0 && PAUSE_PART * millis(gap) < self.reading_ms
+    }
+
     fn has_slot(&self, is_generation: bool, fill: &Fill) -> bool {
         let part = if is_generation { fill.slots_part } else { PLAIN_SLOTS_FACTOR };
         let bound = (f64::from(self.slots) * part).max(1.0);
--- a/crates/bergamotpitch-control/src/traffic/policies.rs
+++ b/crates/bergamotpitch-control/src/traffic/policies.rs
@@ -10,6 +10,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Policy {
+    /// One instance of a large failure domain decides for its upstreams. Without it each instance does,
+    /// by what the others told it.
+    pub dispatchers: bool,
     /// Requests beyond their team's even share leave room for those within one. Without it, a team
     /// that floods takes what the others are due.
     pub team_shares: bool,
@@ -36,6 +39,8 @@
     pub distance_weights: bool,
     /// Prompts that take most of their target to read are sent all the same within the shares.
     pub long_prompts: bool,
+    /// Engines are not given more to read at once than streams that run there can wait for.
+    pub stream_pauses: bool,
     /// An engine that reads nothing takes any request.
     pub empty_engines: bool,
     /// How fast the engines of a service read is learned from their answers.
@@ -58,6 +63,7 @@
 impl Default for Policy {
     fn default() -> Self {
         Self {
+            dispatchers: true,
             team_shares: true,
             even_surplus: true,
             needy_teams: true,
@@ -69,6 +75,7 @@
             start_order: true,
             distance_weights: true,
             long_prompts: true,
+            stream_pauses: true,
             empty_engines: true,
             learned_speeds: true,
             learned_paces: true,
--- a/crates/bergamotpitch-control/src/traffic/waiting_asks.rs
+++ b/crates/bergamotpitch-control/src/traffic/waiting_asks.rs
@@ -41,6 +41,8 @@
     pub team: Option<TeamId>,
     /// Its target latency.
     pub target: Duration,
+    /// Longest pause between two events that callers aim at.
+    pub target_gap: Option<Duration>,
     /// When it arrived.
     pub arrived: Timestamp,
     /// Upstreams that must not get it.
@@ -63,6 +65,7 @@
             facts: &self.facts,
             team: self.team,
             target: self.target,
+            target_gap: self.target_gap,
             elapsed: now.saturating_sub(self.arrived),
             tried: &self.tried,
             memory_tokens: self.memory_tokens,
--- a/crates/bergamotpitch-control/tests/fetched_starts.rs
+++ b/crates/bergamotpitch-control/tests/fetched_starts.rs
@@ -60,6 +60,7 @@
         memory_tokens: MEMORY_TOKENS,
         pool_tokens_per_s: None,
         cache_link,
+        target_gap: None,
         scope: Scope::Fleet,
     }
 }
--- a/crates/bergamotpitch-control/tests/near_domains.rs
+++ b/crates/bergamotpitch-control/tests/near_domains.rs
@@ -39,6 +39,7 @@
         memory_tokens: 500_000,
         pool_tokens_per_s: None,
         cache_link: None,
+        target_gap: None,
         scope: Scope::Fleet,
     }
 }
--- a/crates/bergamotpitch-control/tests/needy_teams.rs
+++ b/crates/bergamotpitch-control/tests/needy_teams.rs
@@ -61,6 +61,7 @@
         memory_tokens: 500_000,
         pool_tokens_per_s: Some(1_000_000),
         cache_link: None,
+        target_gap: None,
         scope: Scope::Fleet,
     }
 }
--- a/crates/bergamotpitch-control/tests/policy_switches.rs
+++ b/crates/bergamotpitch-control/tests/policy_switches.rs
@@ -50,6 +50,7 @@
         memory_tokens: 700_000,
         pool_tokens_per_s: Some(120_000),
         cache_link: None,
+        target_gap: None,
         scope: Scope::Fleet,
     };
     traffic.choose(&ask, NOW)
--- a/crates/bergamotpitch-control/tests/replays/mod.rs
+++ b/crates/bergamotpitch-control/tests/replays/mod.rs
@@ -125,6 +125,7 @@
         memory_tokens: MEMORY_TOKENS,
         pool_tokens_per_s: POOL_TOKENS_PER_S,
         cache_link: None,
+        target_gap: None,
         scope: Scope::Fleet,
     }
 }
--- a/crates/bergamotpitch-control/tests/slow_services.rs
+++ b/crates/bergamotpitch-control/tests/slow_services.rs
@@ -36,6 +36,7 @@
         memory_tokens: u64::MAX,
         pool_tokens_per_s: None,
         cache_link: None,
+        target_gap: None,
         scope: Scope::Fleet,
     }
 }
--- a/crates/bergamotpitch-gateway/examples/gateway_overhead.rs
+++ b/crates/bergamotpitch-gateway/examples/gateway_overhead.rs
@@ -23,6 +23,7 @@
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
@@ -82,6 +83,53 @@
         }
         report(name, &mut measured);
     }
+    for (name, reuse) in [("on a kept connection", Reuse::Kept), ("on a fresh one", Reuse::Fresh)] {
+        let before = cpu_time(&thread);
+        let count = load.block_on(refused_turn(address, reuse));
+        let each_us = (cpu_time(&thread) - before).as_secs_f64() * 1e6 / count as f64;
+        println!("refusal {name}, processor time of the gateway {each_us:.0} us, {count} refused");
+    }
+}
+
+/// Whether callers that are refused ask again on the same connection.
+#[derive(Clone, Copy, PartialEq)]
+enum Reuse {
+    Kept,
+    Fresh,
+}
+
+/// Body of a request that is refused: as long as that of a long prompt.
+const REFUSED_BODY: &[u8] = &[b'x'; 12_000];
+
+/// `refused_turn` has all callers ask for a service without upstreams, and returns how often.
+async fn refused_turn(address: SocketAddr, reuse: Reuse) -> usize {
+    let end = Instant::now() + TURN;
+    let callers: Vec<_> =
+        (0..CALLERS).map(|caller| tokio::spawn(be_refused(address, reuse, caller, end))).collect();
+    let mut count = 0;
+    for caller in callers {
+        count += caller.await.expect("a caller asks to the end");
+    }
+    count
+}
+
+async fn be_refused(address: SocketAddr, reuse: Reuse, caller: usize, end: Instant) -> usize {
+    let mut count = 0;
+    let mut kept = None;
+    while Instant::now() < end {
+        let mut sender = match kept.take() {
+            Some(sender) => sender,
+            None => connect(address).await,
+        };
+        let request = request_to("/refused/", caller, caller + CALLERS * count, REFUSED_BODY);
+        sender.ready().await.expect("a connection");
+        let response = sender.send_request(request).await.expect("an answer");
+        assert_eq!(response.status(), http::StatusCode::SERVICE_UNAVAILABLE);
+        response.into_body().collect().await.expect("a whole answer");
+        count += 1;
+        kept = (reuse == Reuse::Kept).then_some(sender);
+    }
+    count
 }
 
 fn count_of_arguments() -> usize {
@@ -134,8 +182,14 @@
         priority: None,
         keys: vec![format!("key-{number}")],
     });
-    let routes = vec![route("/call/", RouteKind::Safe), route("/stream/", RouteKind::Streaming)];
-    gateway.put_catalog(Catalog::new(1, routes, vec![service], teams.collect()), "measure");
+    let mut refused = route("/refused/", RouteKind::Streaming);
+    refused.targets = vec![Target { service: "none".to_owned(), weight: 1 }];
+    // What is not placed at once is refused.
+    refused.target_latency = Duration::ZERO;
+    let routes =
+        vec![route("/call/", RouteKind::Safe), route("/stream/", RouteKind::Streaming), refused];
+    let none = Service { name: "none".to_owned(), ..service.clone() };
+    gateway.put_catalog(Catalog::new(1, routes, vec![service, none], teams.collect()), "measure");
     for number in 0..upstreams {
         gateway.upstream_listed(Registration {
             id: format!("u{number}"),
@@ -242,21 +296,10 @@
     caller: usize,
     end: Instant,
 ) -> Vec<Duration> {
-    let stream = TcpStream::connect(address).await.expect("a connection");
-    stream.set_nodelay(true).expect("a socket option");
-    let (mut sender, connection) =
-        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.expect("a connection");
-    // How it ends is seen in the answers.
-    tokio::spawn(connection);
+    let mut sender = connect(address).await;
     let mut times = Vec::new();
     while Instant::now() < end {
-        let request = Request::post(path)
-            .header("host", "measured.example")
-            .header("x-id", (caller + CALLERS * times.len()).to_string())
-            .header("x-key", format!("key-{caller}"))
-            .header("x-prompt", "1")
-            .body(Full::new(Bytes::from_static(&[b'x'; 1_000])))
-            .expect("a request");
+        let request = request_to(path, caller, caller + CALLERS * times.len(), &[b'x'; 1_000]);
         let begun = Instant::now();
         sender.ready().await.expect("a kept connection");
         let response = sender.send_request(request).await.expect("an answer");
@@ -267,6 +310,31 @@
     times
 }
 
+async fn connect(address: SocketAddr) -> SendRequest<Full<Bytes>> {
+    let stream = TcpStream::connect(address).await.expect("a connection");
+    stream.set_nodelay(true).expect("a socket option");
+    let (sender, connection) =
+        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.expect("a connection");
+    // How it ends is seen in the answers.
+    tokio::spawn(connection);
+    sender
+}
+
+fn request_to(
+    path: &str,
+    caller: usize,
+    number: usize,
+    body: &'static [u8],
+) -> Request<Full<Bytes>> {
+    Request::post(path)
+        .header("host", "measured.example")
+        .header("x-id", number.to_string())
+        .header("x-key", format!("key-{caller}"))
+        .header("x-prompt", "1")
+        .body(Full::new(Bytes::from_static(body)))
+        .expect("a request")
+}
+
 fn cpu_time(thread: &str) -> Duration {
     let text = std::fs::read_to_string(thread).unwrap_or_default();
     let Some((_, rest)) = text.rsplit_once(')') else { return Duration::ZERO };
--- a/crates/bergamotpitch-gateway/src/arrivals.rs
+++ b/crates/bergamotpitch-gateway/src/arrivals.rs
@@ -114,6 +114,17 @@
     }
 }
 
+/// `DISCARD_TIME` is the time for the rest of a body that nobody needs to come in.
+const DISCARD_TIME: Duration = Duration::from_millis(500);
+
+/// `discard` reads a body without keeping it. A connection that closes with unread bytes is reset, and
+/// the caller may lose the answer with it.
+pub async fn discard(mut body: Incoming) {
+    let read = async { while let Some(Ok(_)) = body.frame().await {} };
+    // What comes later is left to the end of the connection.
+    let _ = tokio::time::timeout(DISCARD_TIME, read).await;
+}
+
 /// `passed_headers` are the headers that an upstream sees of a caller's.
 pub fn passed_headers(gateway: &Gateway, headers: &HeaderMap) -> HeaderMap {
     let mut passed = headers.clone();
--- a/crates/bergamotpitch-gateway/src/asks.rs
+++ b/crates/bergamotpitch-gateway/src/asks.rs
@@ -197,6 +197,7 @@
             output_tokens: facts.output_tokens(),
             parts: facts.prefix.iter().map(|part| (part.id, part.tokens)).collect(),
             target_ms: millis(call.route.target_latency),
+            target_gap_ms: call.route.target_gap.map(millis),
             elapsed_ms: millis(self.now().saturating_sub(call.arrived)),
             tried: tried_lives.collect(),
         }
--- a/crates/bergamotpitch-gateway/src/beats.rs
+++ b/crates/bergamotpitch-gateway/src/beats.rs
@@ -139,7 +139,7 @@
     }
     let mut deciders = Vec::new();
     for mut domain in domains.into_values() {
-        if options.instances_min <= domain.len() {
+        if gateway.options.admission.policy.dispatchers && options.instances_min <= domain.len() {
             domain.sort_by_key(|peer| (!peer.is_heard(now), peer.candidate().order()));
             domain.truncate(options.standbys);
         }
--- a/crates/bergamotpitch-gateway/src/bodies.rs
+++ b/crates/bergamotpitch-gateway/src/bodies.rs
@@ -8,6 +8,7 @@
 
 use bergamotpitch_control::traffic::registries::UpstreamKey;
 use bergamotpitch_core::events::EventKind;
+use bergamotpitch_core::units::Timestamp;
 use bytes::Bytes;
 use http::HeaderMap;
 use http::header::CONTENT_TYPE;
@@ -103,6 +104,8 @@
     cutter: EventCutter,
     resumes: u32,
     first_event: Option<Duration>,
+    last_event: Timestamp,
+    longest_pause: Duration,
     deadline: Pin<Box<Sleep>>,
     _in_flight: InFlight,
     _in_request: Option<InRequest>,
@@ -134,6 +137,8 @@
             cutter: EventCutter::default(),
             resumes: 0,
             first_event: None,
+            last_event: Timestamp::ZERO,
+            longest_pause: Duration::ZERO,
             deadline: Box::pin(tokio::time::sleep(left)),
             _in_flight: gateway.enter(),
             _in_request: None,
@@ -198,7 +203,15 @@
         if let Some(run) = &mut self.run {
             let seen = run.begun();
             self.gateway.note_life(run.key());
-            self.first_event.get_or_insert(seen);
+            let now = self.gateway.now();
+            match self.first_event {
+                None => self.first_event = Some(seen),
+                Some(_) => {
+                    let pause = now.saturating_sub(self.last_event);
+                    self.longest_pause = self.longest_pause.max(pause);
+                }
+            }
+            self.last_event = now;
         }
         Some(events)
     }
@@ -216,10 +229,12 @@
         decision(
             EventKind::RequestAnswered,
             format_args!(
-                "request={} upstream={} first_event_ms={} total_ms={} resumes={} last_event={}",
+                "request={} upstream={} first_event_ms={} longest_pause_ms={} total_ms={} resumes={} \
+                 last_event={}",
                 self.call.facts.attempt_id,
                 self.gateway.id_of(key).unwrap_or_default(),
                 first_event.as_millis(),
+                self.longest_pause.as_millis(),
                 self.gateway.now().saturating_sub(self.call.arrived).as_millis(),
                 self.resumes,
                 self.cutter.last_id().unwrap_or("-"),
--- a/crates/bergamotpitch-gateway/src/callers.rs
+++ b/crates/bergamotpitch-gateway/src/callers.rs
@@ -38,6 +38,9 @@
 /// their callers are told to come back.
 const SURPLUS_PART: f64 = 0.125;
 
+/// `ACCEPTED_AT_ONCE` is how many callers are taken in before streams that run get their turn.
+const ACCEPTED_AT_ONCE: usize = 8;
+
 /// `ACCEPT_PAUSE` is the time between two looks for room while not even callers to be turned away
 /// are taken in.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -145,6 +148,7 @@
 pub async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
     let serving_max = gateway.options.caller_connections_max;
     let surplus_max = (SURPLUS_PART * serving_max as f64).ceil() as usize;
+    let mut accepted = 0;
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -154,6 +158,10 @@
                 }
                 let connection = gateway.open_connection(Rc::new(stream), is_surplus);
                 tokio::task::spawn_local(serve_connection(Rc::clone(&gateway), connection));
+                accepted = (accepted + 1) % ACCEPTED_AT_ONCE;
+                if accepted == 0 {
+                    tokio::task::yield_now().await;
+                }
                 while is_surplus && surplus_max <= gateway.surplus_count() {
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                     gateway.end_idle_connections(ENDED_AT_ONCE);
@@ -181,10 +189,7 @@
 }
 
 async fn serve_connection(gateway: Rc<Gateway>, connection: Rc<CallerConnection>) {
-    match tune(&connection.stream) {
-        Ok(()) => serve_requests(&gateway, &connection).await,
-        Err(error) => log::info!("event=caller_lost error={error}"),
-    }
+    serve_requests(&gateway, &connection).await;
     gateway.close_connection(&connection);
 }
 
@@ -227,6 +232,10 @@
 ) -> Result<Response<AnswerBody>, Infallible> {
     let mut response = calls::answer(Rc::clone(&gateway), &in_request.0, request).await;
     if let AnswerBody::Stream(stream) = response.body_mut() {
+        // Other answers go out at once and whole, and a caller that is refused need not be tuned to.
+        if let Err(error) = tune(in_request.0.stream()) {
+            log::info!("event=caller_not_tuned error={error}");
+        }
         stream.hold(in_request);
     }
     if gateway.is_draining() {
--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -18,7 +18,7 @@
 use hyper::body::Incoming;
 
 use crate::arrivals::{
-    HeldBody, bad_request, host_of, passed_headers, read_body, target_of, team_of,
+    HeldBody, bad_request, discard, host_of, passed_headers, read_body, target_of, team_of,
 };
 use crate::bodies::{AnswerBody, StreamAnswer, is_event_stream, read_whole};
 use crate::callers::CallerConnection;
@@ -43,6 +43,10 @@
 /// may not be sent to another.
 const BUSY_RETURN: Duration = Duration::from_millis(150);
 
+/// `CROWDED_RETURN` is when to come back after an instance was crowded: at once, as callers that come
+/// back reach others.
+const CROWDED_RETURN: Duration = Duration::from_millis(40);
+
 /// `PATIENCE_FACTOR` is how many times the predicted time an upstream may take before a request
 /// that can be repeated is sent to another one.
 const PATIENCE_FACTOR: f64 = 4.0;
@@ -99,9 +103,12 @@
     let attempt_id = facts.as_ref().map(|facts| facts.attempt_id.clone()).unwrap_or_default();
     let _in_flight = gateway.enter();
     gateway.metrics.requests.inc();
-    let mut known = Known::default();
+    gateway.measure_turn().await;
+    let prompt_tokens = facts.as_ref().map_or(0, |facts| facts.prompt_tokens);
+    let mut known = Known { prompt_tokens, ..Known::default() };
     let result = match facts {
         Ok(_) if connection.is_surplus() => {
+            discard(request.into_body()).await;
             Err(Refusal::not_run(RefusalReason::Overloaded, BUSY_RETURN))
         }
         Ok(facts) => match read_call(&gateway, request, facts, arrived, &mut known).await {
@@ -121,10 +128,11 @@
             decision(
                 EventKind::RequestRefused,
                 format_args!(
-                    "request={attempt_id} route={} team={} status={} reason={} ran={} \
-                     retry_after_ms={} held_ms={} version={}",
+                    "request={attempt_id} route={} team={} prompt_tokens={} status={} reason={} \
+                     ran={} retry_after_ms={} held_ms={} version={}",
                     known.route.as_deref().map_or("-", |route| &route.name),
                     known.team.as_deref().map_or("-", |team| &team.name),
+                    known.prompt_tokens,
                     refusal.status.as_u16(),
                     refusal.reason,
                     refusal.ran,
@@ -145,6 +153,7 @@
 struct Known {
     route: Option<Arc<Route>>,
     team: Option<Arc<Team>>,
+    prompt_tokens: u64,
 }
 
 /// Reads a request in full and finds out what it wants.
@@ -173,6 +182,10 @@
     known.route = Some(Arc::clone(&route));
     let team = team_of(gateway, &catalog, &route, &parts.headers)?;
     known.team.clone_from(&team);
+    if gateway.is_crowded() && gateway.is_beyond_share(&catalog, team.as_deref(), &facts) {
+        discard(body).await;
+        return Err(Refusal::not_run(RefusalReason::Overloaded, CROWDED_RETURN));
+    }
     let budget = facts.time_budget.unwrap_or(UNSTATED_BUDGET);
     let deadline = arrived + budget.min(route.timeout);
     let time = deadline.saturating_sub(arrived);
@@ -404,12 +417,14 @@
     decision(
         EventKind::RequestDispatched,
         format_args!(
-            "request={} route={} team={} upstream={} attempt={} predicted_ms={} requests_there={} \
+            "request={} route={} team={} prompt_tokens={} upstream={} attempt={} predicted_ms={} \
+             requests_there={} \
              unread_tokens={:.0} rank={:?} fetch_from={} standing={} granter={} waited_ms={} \
              version={}",
             call.facts.attempt_id,
             call.route.name,
             call.team.as_deref().map_or("-", |team| &team.name),
+            call.facts.prompt_tokens,
             gateway.id_of(placement.upstream).unwrap_or_default(),
             attempts + 1,
             placement.predicted.as_millis(),
--- a/crates/bergamotpitch-gateway/src/dispatchers.rs
+++ b/crates/bergamotpitch-gateway/src/dispatchers.rs
@@ -106,7 +106,10 @@
         let others: Vec<Candidate> = of_domain.map(Peer::candidate).collect();
         drop(peers);
         let before = self.role();
-        let role = role_of(&own, &others, now, &self.options.dispatchers);
+        let mut role = role_of(&own, &others, now, &self.options.dispatchers);
+        if !self.options.admission.policy.dispatchers {
+            role.dispatcher = None;
+        }
         self.dispatches.role.set(role);
         if role.dispatcher == before.dispatcher {
             return;
@@ -303,6 +306,7 @@
             facts: body.facts(),
             team: body.team,
             target: Duration::from_millis(body.target_ms.into()),
+            target_gap: body.target_gap_ms.map(|gap_ms| Duration::from_millis(gap_ms.into())),
             arrived: self.now().saturating_sub(elapsed),
             tried: tried.collect(),
             memory_tokens: engine.map_or(u64::MAX, |engine| engine.memory_tokens),
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -7,11 +7,13 @@
 use std::time::{Duration, Instant};
 
 use bergamotpitch_control::traffic::admissions::Traffic;
-use bergamotpitch_control::traffic::catalogs::{CallerLimits, Catalog, CatalogVersion};
+use bergamotpitch_control::traffic::catalogs::{CallerLimits, Catalog, CatalogVersion, Team};
+use bergamotpitch_control::traffic::facts::RequestFacts;
 use bergamotpitch_control::traffic::registries::UpstreamKey;
+use bergamotpitch_control::traffic::team_windows::Standing;
 use bergamotpitch_core::HashMap;
 use bergamotpitch_core::events::EventKind;
-use bergamotpitch_core::ids::InstanceId;
+use bergamotpitch_core::ids::{InstanceId, id_of_name};
 use bergamotpitch_core::units::Timestamp;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
@@ -35,6 +37,9 @@
 /// `SWEEP_BEATS` is how many beats go by between two sweeps over connections.
 const SWEEP_BEATS: u64 = 4;
 
+/// `ARRIVALS_A_TURN` is how many requests come in between two that measure a turn.
+const ARRIVALS_A_TURN: u32 = 8;
+
 /// `Gateway` is the state of one process; it lives on one thread.
 pub struct Gateway {
     /// What it was started with; a port of 0 is replaced by the one that the system chose.
@@ -70,6 +75,7 @@
     started: Instant,
     last_number: Cell<u64>,
     in_flight: Rc<Cell<usize>>,
+    arrivals: Cell<u32>,
     is_listed: Cell<bool>,
     was_ready: Cell<bool>,
     is_draining: Cell<bool>,
@@ -139,6 +145,7 @@
             started: Instant::now(),
             last_number: Cell::new(0),
             in_flight: Rc::default(),
+            arrivals: Cell::new(0),
             is_listed: Cell::new(false),
             was_ready: Cell::new(false),
             is_draining: Cell::new(false),
@@ -299,6 +306,38 @@
         self.options.admission.policy.lateness_refusals && self.lateness.is_overloaded()
     }
 
+    /// `is_crowded` tells whether requests beyond their teams' shares are refused at once.
+    pub fn is_crowded(&self) -> bool {
+        self.options.admission.policy.lateness_refusals && self.lateness.is_crowded(self.now())
+    }
+
+    /// `measure_turn` measures with some requests for how long a task waits for its turn.
+    pub async fn measure_turn(&self) {
+        self.arrivals.set(self.arrivals.get().wrapping_add(1));
+        if !self.arrivals.get().is_multiple_of(ARRIVALS_A_TURN) {
+            return;
+        }
+        let began = self.now();
+        tokio::task::yield_now().await;
+        let now = self.now();
+        self.lateness.note_turn(now.saturating_sub(began), now);
+    }
+
+    /// `is_beyond_share` tells whether a team has had its even share, as far as this instance knows.
+    pub fn is_beyond_share(
+        &self,
+        catalog: &Catalog,
+        team: Option<&Team>,
+        facts: &RequestFacts,
+    ) -> bool {
+        let Some(team) = team.filter(|_| facts.is_generation()) else { return false };
+        let now = self.now();
+        let windows = &mut self.traffic.borrow_mut().windows;
+        let (team, tokens) = (id_of_name(&team.name), facts.pool_tokens());
+        let standing = windows.standing(team, tokens, catalog.pool_tokens_per_s, now);
+        matches!(standing, Standing::EvenSurplus | Standing::BeyondEven)
+    }
+
     /// `is_ready` tells whether new callers should come here.
     pub fn is_ready(&self) -> bool {
         let policy = &self.options.admission.policy;
--- a/crates/bergamotpitch-gateway/src/messages.rs
+++ b/crates/bergamotpitch-gateway/src/messages.rs
@@ -178,6 +178,8 @@
     pub parts: Vec<(PartId, u32)>,
     /// Its target latency.
     pub target_ms: u32,
+    /// Longest pause between two events that callers aim at.
+    pub target_gap_ms: Option<u32>,
     /// Time since it arrived.
     pub elapsed_ms: u32,
     /// Lives of upstreams that must not get it.
--- a/crates/bergamotpitch-gateway/src/placements.rs
+++ b/crates/bergamotpitch-gateway/src/placements.rs
@@ -120,6 +120,7 @@
         facts: call.facts.clone(),
         team: call.team.as_ref().map(|team| id_of_name(&team.name)),
         target: call.route.target_latency,
+        target_gap: call.route.target_gap,
         arrived: call.arrived,
         tried: tried.to_vec(),
         memory_tokens: call.memory_tokens,
--- a/crates/bergamotpitch-gateway/tests/common/mod.rs
+++ b/crates/bergamotpitch-gateway/tests/common/mod.rs
@@ -55,6 +55,7 @@
     Ok(RequestFacts {
         attempt_id: text(headers, "x-id").ok_or(BadHeader { name: "id" })?,
         time_budget: number("x-budget-ms").map(Duration::from_millis),
+        prompt_tokens: number("x-prompt-tokens").unwrap_or_default(),
         ..RequestFacts::default()
     })
 }
--- a/crates/bergamotpitch-gateway/tests/late_instances.rs
+++ b/crates/bergamotpitch-gateway/tests/late_instances.rs
@@ -4,7 +4,12 @@
 
 use std::time::Duration;
 
-use common::{FakeUpstream, ask, request, run, start, whole};
+use bergamotpitch_core::ids::id_of_name;
+use common::{FakeUpstream, ask, catalog, request, run, start, start_with, whole};
+use http::HeaderValue;
+
+/// Teams' shares are computed anew after this time.
+const LEVELS_AGE: Duration = Duration::from_millis(60);
 
 /// The callers of one flooding team all come to one small instance. Each request that it takes in
 /// makes all others later, until answers come after their callers have left.
@@ -43,3 +48,36 @@
         assert!(gateway.is_ready());
     });
 }
+
+/// Guards against a flood that reaches one small instance and makes everybody's streams late there.
+#[test]
+fn crowded_instance() {
+    run(async {
+        let upstream = FakeUpstream::start(Box::new(|_| vec![whole("200 OK", "done")])).await;
+        let mut limited = catalog(1);
+        limited.pool_tokens_per_s = Some(1_000);
+        let (gateway, address) = start_with(&[&upstream], limited).await;
+        let prompt = |id: &str| {
+            let mut request = request("POST", "/closed/", id);
+            request.headers_mut().insert("x-key", HeaderValue::from_static("secret"));
+            request.headers_mut().insert("x-prompt-tokens", HeaderValue::from_static("10"));
+            request
+        };
+        gateway.lateness.note_turn(Duration::from_millis(40), gateway.now());
+        assert_eq!(ask(address, prompt("a")).await.unwrap().status, 200, "within its share");
+        {
+            let windows = &mut gateway.traffic.borrow_mut().windows;
+            windows.note_asked(id_of_name("florists"), 90_000, gateway.now());
+            windows.note_begun(id_of_name("florists"), 90_000, gateway.now());
+        }
+        tokio::time::sleep(LEVELS_AGE).await;
+        gateway.lateness.note_turn(Duration::from_millis(40), gateway.now());
+        let refused = ask(address, prompt("b")).await.unwrap();
+        assert_eq!((refused.status, upstream.count()), (503, 1));
+        let after_s: f64 = refused.headers["retry-after"].to_str().unwrap().parse().unwrap();
+        assert!(after_s < 0.1, "callers that come back reach other instances");
+        gateway.lateness.note_turn(Duration::ZERO, gateway.now());
+        gateway.lateness.note_turn(Duration::ZERO, gateway.now());
+        assert_eq!(ask(address, prompt("c")).await.unwrap().status, 200, "the flood is over");
+    });
+}
