Let instances that start learn from their domain's watchers what they need

Change: an instance first reads the list of members; where others of its domain watch the store it asks them for configuration, engines and members, and reads the store only when they do not answer for 2 s. Watchers keep the list of members among their documents. The looks of those that rely on peers take turns, one each 5 s and domain. Two of the three that stand by watch the store.

--- a/crates/bergamotpitch-gateway/src/beats.rs
+++ b/crates/bergamotpitch-gateway/src/beats.rs
@@ -148,15 +148,17 @@
     deciders
 }
 
-fn own_domain(gateway: &Gateway) -> Vec<PeerAddress> {
+/// `own_domain` returns the peers of the own domain.
+pub(crate) fn own_domain(gateway: &Gateway) -> Vec<PeerAddress> {
     let domain = &gateway.options.admission.domain;
     let peers = gateway.peers.borrow();
     let own = peers.values().filter(|peer| peer.address.domain == *domain);
     own.map(|peer| peer.address.clone()).collect()
 }
 
-/// The peers of the own domain that stand by for its dispatcher, as far as is known here.
-fn own_standbys(gateway: &Gateway) -> Vec<PeerAddress> {
+/// `own_standbys` returns the peers of the own domain that stand by for its dispatcher, as far as is
+/// known here.
+pub(crate) fn own_standbys(gateway: &Gateway) -> Vec<PeerAddress> {
     let domain = &gateway.options.admission.domain;
     let now = gateway.now();
     let peers = gateway.peers.borrow();
--- a/crates/bergamotpitch-gateway/src/peers.rs
+++ b/crates/bergamotpitch-gateway/src/peers.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bergamotpitch_control::traffic::catalogs::CatalogVersion;
@@ -195,12 +196,13 @@
 
 impl Gateway {
     /// `replace_peers` takes in where all peers are.
-    pub fn replace_peers(&self, addresses: Vec<PeerAddress>) {
+    pub fn replace_peers(self: &Rc<Self>, addresses: Vec<PeerAddress>) {
         let own = self.options.instance;
         let others: Vec<_> =
             addresses.into_iter().filter(|address| address.instance != own).collect();
         replace_peers(&mut self.peers.borrow_mut(), others, self.now());
         self.note_dispatcher();
+        self.note_listed();
     }
 
     /// `beat_address_of` returns where a peer's messages go.
--- a/crates/bergamotpitch-gateway/src/relays.rs
+++ b/crates/bergamotpitch-gateway/src/relays.rs
@@ -110,12 +110,18 @@
     /// `upstream_gone` takes in that this instance has forgotten an upstream. Until then peers are
     /// told that it is listed, also when its entry lapsed in an outage of the store.
     pub fn upstream_gone(&mut self, id: &str) {
-        let Some(key) = self.key_of_upstream.remove(id) else { return };
-        if self.documents.remove(&key).is_none() {
+        if let Some(key) = self.key_of_upstream.remove(id) {
+            self.drop_entry(&key);
+        }
+    }
+
+    /// `drop_entry` takes in that an entry is gone; peers are told so.
+    pub fn drop_entry(&mut self, key: &str) {
+        if self.documents.remove(key).is_none() {
             return;
         }
         let number = self.fresh_number();
-        self.removals.push_back(Numbered { number, entry: key });
+        self.removals.push_back(Numbered { number, entry: key.to_owned() });
         if REMOVALS_KEPT < self.removals.len()
             && let Some(forgotten) = self.removals.pop_front()
         {
@@ -157,6 +163,11 @@
         kept.max(self.removed_at.get(key).copied())
     }
 
+    /// `documents` returns all entries.
+    pub fn documents(&self) -> impl Iterator<Item = &Document> {
+        self.documents.values().map(|kept| &kept.entry)
+    }
+
     /// `upstreams` returns all entries of upstreams, by id, with the revisions of their values.
     pub fn upstreams(&self) -> impl Iterator<Item = (&str, &str, u64)> {
         self.key_of_upstream.iter().filter_map(|(id, key)| {
--- a/crates/bergamotpitch-gateway/src/store_news.rs
+++ b/crates/bergamotpitch-gateway/src/store_news.rs
@@ -3,6 +3,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bergamotpitch_core::HashMap;
@@ -11,6 +12,7 @@
 use bergamotpitch_core::units::Timestamp;
 use tokio::sync::Notify;
 
+use crate::beats::{own_domain, own_standbys};
 use crate::gateways::Gateway;
 use crate::logs::decision;
 use crate::peers::{Peer, Peers};
@@ -25,12 +27,28 @@
 /// instances of a fleet to watch, each change of one upstream would cost 90 calls; in a domain of
 /// three nothing is saved by it. They are those that stand by to be the domain's dispatcher, which
 /// the others hear.
-const WATCHERS: usize = 3;
+const WATCHERS: usize = 2;
 
 /// `DISTRUST` is for how long an instance reads the store itself after a peer did not hand over
 /// what it knows.
 const DISTRUST: Duration = Duration::from_secs(5);
 
+/// `FIRST_WAIT` is for how long an instance that starts counts on watchers of its domain that do not
+/// answer. A fleet that starts as a whole has its watchers start with it.
+const FIRST_WAIT: Duration = Duration::from_millis(2_000);
+
+/// `FIRST_FETCH_PAUSE` is the time between two questions to watchers until then.
+const FIRST_FETCH_PAUSE: Duration = Duration::from_millis(120);
+
+/// `LIST_WAIT` is for how long an instance that starts waits to know its peers before it reads the store
+/// for all that it needs.
+const LIST_WAIT: Duration = Duration::from_millis(1_000);
+
+/// `CHECK_INTERVAL` is the time after which one of the instances of a domain that rely on peers looks at
+/// the list by itself: should all watchers of a fleet have lost the store at once, nobody else would
+/// notice.
+const CHECK_INTERVAL: Duration = Duration::from_secs(5);
+
 /// `LAG_TOLERANCE` is how long a peer may know more before it is asked: the platform's own notice
 /// mostly comes first, or that of a peer of the own domain.
 const LAG_TOLERANCE: Duration = Duration::from_millis(400);
@@ -56,6 +74,11 @@
     /// Told when peers know more of the platform's list than this instance, whose watch must have
     /// gone silent.
     pub list_behind: Notify,
+    /// Told when peers were listed for the first time.
+    peers_listed: Notify,
+    is_listed: Cell<bool>,
+    /// Until when this instance counts on the watchers for what it needs at its start.
+    counts_on_watchers_until: Cell<Timestamp>,
     take_news: RefCell<Option<TakeNews>>,
     /// Up to where the changes of each peer, by its address, were taken in.
     cursors: RefCell<HashMap<SocketAddr, Cursor>>,
@@ -118,8 +141,10 @@
     /// Decides anew whether others watch the store; the beats of a watcher that ended cease.
     pub(crate) fn note_role(&self) {
         let rank = self.role().rank;
-        let is_trusted = self.store_news.relies_not_until.get() <= self.now();
-        let relies = self.knows_all() && is_trusted && WATCHERS <= rank;
+        let now = self.now();
+        let is_trusted = self.store_news.relies_not_until.get() <= now;
+        let may_wait = now < self.store_news.counts_on_watchers_until.get();
+        let relies = (self.knows_all() || may_wait) && is_trusted && WATCHERS <= rank;
         if self.store_news.is_relying.replace(relies) == relies {
             return;
         }
@@ -130,6 +155,37 @@
         self.store_news.role_changed.notify_waiters();
     }
 
+    /// Takes in that peers were listed. Where others of the domain watch the store, this instance asks
+    /// them for all that it needs to know.
+    pub(crate) fn note_listed(self: &Rc<Self>) {
+        if self.store_news.is_listed.replace(true) {
+            return;
+        }
+        self.store_news.counts_on_watchers_until.set(self.now() + FIRST_WAIT);
+        self.note_role();
+        self.store_news.peers_listed.notify_waiters();
+        if self.relies_on_peers() {
+            tokio::task::spawn_local(ask_watchers(Rc::clone(self)));
+        }
+    }
+
+    /// `check_interval` returns the time after which this instance looks at the list by itself while it
+    /// relies on peers. Instances take different times, so that a domain's do not look together.
+    pub fn check_interval(&self) -> Duration {
+        let relying = own_domain(self).len().saturating_sub(WATCHERS - 1).max(1);
+        let spread = 0.5 + f64::from(self.options.instance % 1_000) / 1_000.0;
+        CHECK_INTERVAL.mul_f64(relying as f64 * spread)
+    }
+
+    /// `first_list` waits for a moment until this instance knows whether others watch the store for it.
+    pub async fn first_list(&self) {
+        let listed = self.store_news.peers_listed.notified();
+        if !self.store_news.is_listed.get() {
+            // The store may be out of reach; the watches will tell.
+            let _ = tokio::time::timeout(LIST_WAIT, listed).await;
+        }
+    }
+
     /// `is_first_of_domain` tells whether this instance is the first of its domain that is heard.
     pub fn is_first_of_domain(&self) -> bool {
         self.role().rank == 0
@@ -157,13 +213,16 @@
                     news.list_known,
                 );
                 self.store_news.cursors.borrow_mut().insert(from, news.cursor);
+                self.store_news.counts_on_watchers_until.set(self.now() + FIRST_WAIT);
                 if let Some(take) = self.store_news.take_news.borrow().as_ref() {
                     take(news);
                 }
             }
             Err(error) => {
                 log::info!("event=news_not_fetched peer={from} error={error}");
-                self.store_news.relies_not_until.set(self.now() + DISTRUST);
+                if self.knows_all() {
+                    self.store_news.relies_not_until.set(self.now() + DISTRUST);
+                }
             }
         }
     }
@@ -247,3 +306,15 @@
             && (cursor.incarnation != peer.incarnation() || cursor.number < peer.relay_number)
     }
 }
+
+/// Asks the watchers of the own domain in turn until one of them has told all that is needed.
+async fn ask_watchers(gateway: Rc<Gateway>) {
+    let mut round = 0;
+    while gateway.relies_on_peers() && !gateway.knows_all() {
+        let watchers = own_standbys(&gateway);
+        let Some(watcher) = watchers.get(round % watchers.len().max(1)) else { return };
+        gateway.fetch_news(watcher.relay_address).await;
+        round += 1;
+        tokio::time::sleep(FIRST_FETCH_PAUSE).await;
+    }
+}
