Divide the surplus over a second, and count for how long an engine reads

A stream pauses for as long as its engine reads without a break, not for what is left to read: the bound on pauses now counts from when the engine began.

Dispatchers' sums show why: over windows of 4 s a team that had much in a second counts as beyond the even part for the next three, in which it gets next to nothing, and engines that came back from a crash are filled in half a second by whoever is below the level then. Change: the even part of what the engines give beyond the shares is taken over one second.

--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -514,7 +514,8 @@
             fetch_from,
             predicted_ms: state.load.predict_ms(work, &figures, &capacity, now, options),
             own_ms,
-            reading_ms: needs.speed.reading_ms(figures.unread_tokens.max(0.0) + work.unread_tokens),
+            reading_ms: millis(state.load.reading_time(&figures, now))
+                + needs.speed.reading_ms(figures.unread_tokens.max(0.0) + work.unread_tokens),
             figures,
             slots: capacity.slots,
             distance,
--- a/crates/bergamotpitch-control/src/traffic/engine_loads.rs
+++ b/crates/bergamotpitch-control/src/traffic/engine_loads.rs
@@ -121,6 +121,8 @@
     peers: HashMap<InstanceId, (Timestamp, Figures)>,
     peer_figures: Figures,
     strangers: Option<(Timestamp, u32)>,
+    /// Since when the upstream has had prompts to read without a break.
+    reading_since: Timestamp,
     pace: Option<Pace>,
     plain_ms: Option<f64>,
 }
@@ -172,6 +174,9 @@
         let figures = self.figures(now, options);
         let predicted_ms = self.unpaced_ms(work, &figures, capacity, options);
         let tokens_ahead = figures.unread_tokens.max(0.0);
+        if tokens_ahead == 0.0 {
+            self.reading_since = now;
+        }
         self.own_figures.requests += 1;
         self.own_figures.unread_tokens += work.unread_tokens;
         self.own_figures.memory_tokens += work.memory_tokens;
@@ -275,6 +280,15 @@
         all
     }
 
+    /// `reading_time` returns for how long the upstream has read prompts without a break, with its sums
+    /// as [`UpstreamLoad::figures`] returns them.
+    pub fn reading_time(&self, figures: &Figures, now: Timestamp) -> Duration {
+        if figures.unread_tokens <= 0.0 {
+            return Duration::ZERO;
+        }
+        now.saturating_sub(self.reading_since)
+    }
+
     /// `predict_ms` returns the time until a request's first event, or a plain call's answer, with
     /// the upstream's sums as [`UpstreamLoad::figures`] returns them.
     pub fn predict_ms(
--- a/crates/bergamotpitch-control/src/traffic/fits.rs
+++ b/crates/bergamotpitch-control/src/traffic/fits.rs
@@ -68,7 +68,7 @@
     /// Time that the request itself takes: to read what the engine does not keep of the prompt, or
     /// for the work of a plain call. It is late because of this wherever it is sent.
     pub own_ms: f64,
-    /// Time in which the engine reads all that is ahead of it, this request among it.
+    /// Time for which the engine reads without a break, from when it began up to this request's end.
     pub reading_ms: f64,
     /// What all instances have in hand there.
     pub figures: Figures,
--- a/crates/bergamotpitch-control/src/traffic/team_windows.rs
+++ b/crates/bergamotpitch-control/src/traffic/team_windows.rs
@@ -54,8 +54,29 @@
 /// microseconds for each team and peers' sums are older than this anyway.
 const LEVEL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// `RECENT` is the short window over which what the engines give beyond the shares is divided. Over the
+/// whole window a team that had much in a second would get next to nothing in the three after it.
+const RECENT: Duration = Duration::from_secs(1);
+
+/// `TeamCounts` are sums for a team over both windows.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TeamCounts {
+    /// Over the window of the shares.
+    pub window: TeamSums,
+    /// Over the short one.
+    pub recent: TeamSums,
+}
+
+impl TeamCounts {
+    /// `add` adds other sums for the same team.
+    pub fn add(&mut self, other: &Self) {
+        self.window.add(&other.window);
+        self.recent.add(&other.recent);
+    }
+}
+
 /// `TeamSums` are one instance's sums for a team over the window, in tokens of the pool.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TeamSums {
     /// What its callers asked for.
     pub asked_tokens: u64,
@@ -63,11 +84,25 @@
     pub begun_tokens: u64,
 }
 
+impl TeamSums {
+    fn add(&mut self, other: &Self) {
+        self.asked_tokens += other.asked_tokens;
+        self.begun_tokens += other.begun_tokens;
+    }
+
+    fn scaled(&self, factor: f64) -> Self {
+        Self {
+            asked_tokens: (self.asked_tokens as f64 * factor) as u64,
+            begun_tokens: (self.begun_tokens as f64 * factor) as u64,
+        }
+    }
+}
+
 /// `TeamWindows` is the table of all teams.
 #[derive(Debug)]
 pub struct TeamWindows {
     options: Options,
-    own: HashMap<TeamId, Ring>,
+    own: HashMap<TeamId, Rings>,
     peers: HashMap<InstanceId, PeerSums>,
     /// What the dispatcher of the own domain told of all other domains together.
     elsewhere: Option<PeerSums>,
@@ -76,6 +111,12 @@
     needy: Vec<TeamId>,
 }
 
+#[derive(Debug, Default)]
+struct Rings {
+    window: Ring,
+    recent: Ring,
+}
+
 #[derive(Debug, Default)]
 struct Ring {
     buckets: [TeamSums; BUCKETS],
@@ -87,15 +128,13 @@
     heard: Timestamp,
     /// For how long it had counted when it was heard.
     counted: Duration,
-    teams: HashMap<TeamId, TeamSums>,
+    teams: HashMap<TeamId, TeamCounts>,
 }
 
 impl PeerSums {
-    fn add_to(&self, total: &mut HashMap<TeamId, TeamSums>) {
-        for (team, sums) in &self.teams {
-            let total = total.entry(*team).or_default();
-            total.asked_tokens += sums.asked_tokens;
-            total.begun_tokens += sums.begun_tokens;
+    fn add_to(&self, total: &mut HashMap<TeamId, TeamCounts>) {
+        for (team, counts) in &self.teams {
+            total.entry(*team).or_default().add(counts);
         }
     }
 }
@@ -106,7 +145,7 @@
     pool_tokens_per_s: Option<u64>,
     /// Level at which the stated rate of the pool is spent.
     share_tokens: f64,
-    /// Level at which what the engines gave lately is spent.
+    /// Level, over the short window, at which what the engines gave lately is spent.
     surplus_tokens: f64,
 }
 
@@ -151,30 +190,53 @@
 
     /// `note_asked` counts a request of a caller.
     pub fn note_asked(&mut self, team: TeamId, tokens: u64, now: Timestamp) {
-        let bucket = self.bucket(now);
-        self.own.entry(team).or_default().at(bucket).asked_tokens += tokens;
+        self.note(team, TeamSums { asked_tokens: tokens, begun_tokens: 0 }, now);
     }
 
     /// `note_begun` counts a request that is sent to an engine.
     pub fn note_begun(&mut self, team: TeamId, tokens: u64, now: Timestamp) {
-        let bucket = self.bucket(now);
-        self.own.entry(team).or_default().at(bucket).begun_tokens += tokens;
+        self.note(team, TeamSums { asked_tokens: 0, begun_tokens: tokens }, now);
+    }
+
+    fn note(&mut self, team: TeamId, sums: TeamSums, now: Timestamp) {
+        let (window, recent) = self.buckets(now);
+        let rings = self.own.entry(team).or_default();
+        rings.window.at(window).add(&sums);
+        rings.recent.at(recent).add(&sums);
     }
 
     /// `own_sums` returns this instance's sums, as peers are told.
-    pub fn own_sums(&mut self, now: Timestamp) -> Vec<(TeamId, TeamSums)> {
-        let bucket = self.bucket(now);
-        let sums = self.own.iter_mut().map(|(team, ring)| (*team, ring.sum(bucket)));
-        sums.filter(|(_, sums)| *sums != TeamSums::default()).collect()
+    pub fn own_sums(&mut self, now: Timestamp) -> Vec<(TeamId, TeamCounts)> {
+        let (window, recent) = self.buckets(now);
+        let counts = self.own.iter_mut().map(|(team, rings)| {
+            let (window, recent) = (rings.window.sum(window), rings.recent.sum(recent));
+            (*team, TeamCounts { window, recent })
+        });
+        counts.filter(|(_, counts)| *counts != TeamCounts::default()).collect()
     }
 
-    /// `peer_heard` takes in the sums of a peer that has counted for some time.
+    /// `peer_heard` takes in the sums of a peer that has counted for some time, and tells nothing of the
+    /// short window: what it tells is taken for even.
     pub fn peer_heard(
         &mut self,
         peer: InstanceId,
         teams: impl IntoIterator<Item = (TeamId, TeamSums)>,
         counted: Duration,
         now: Timestamp,
+    ) {
+        let part = RECENT.as_secs_f64() / self.options.window.as_secs_f64();
+        let counts_of = |sums: TeamSums| TeamCounts { window: sums, recent: sums.scaled(part) };
+        let teams = teams.into_iter().map(|(team, sums)| (team, counts_of(sums)));
+        self.peer_told(peer, teams, counted, now);
+    }
+
+    /// `peer_told` takes in the sums of a peer over both windows.
+    pub fn peer_told(
+        &mut self,
+        peer: InstanceId,
+        teams: impl IntoIterator<Item = (TeamId, TeamCounts)>,
+        counted: Duration,
+        now: Timestamp,
     ) {
         if !self.options.policy.peer_sums {
             return;
@@ -187,7 +249,7 @@
     /// `elsewhere_heard` takes in what the dispatcher of the own domain tells of all other domains.
     pub fn elsewhere_heard(
         &mut self,
-        teams: impl IntoIterator<Item = (TeamId, TeamSums)>,
+        teams: impl IntoIterator<Item = (TeamId, TeamCounts)>,
         counted: Duration,
         now: Timestamp,
     ) {
@@ -220,16 +282,16 @@
     /// windows.peer_heard(1, [(5, sums)], now, now);
     /// windows.peer_heard(2, [(5, sums)], now, now);
     /// let both = windows.sums_with(true, |peer| peer == 1, now);
-    /// assert_eq!(both[&5], TeamSums { asked_tokens: 130, begun_tokens: 30 });
+    /// assert_eq!(both[&5].window, TeamSums { asked_tokens: 130, begun_tokens: 30 });
     /// ```
     pub fn sums_with(
         &mut self,
         with_own: bool,
         is_included: impl Fn(InstanceId) -> bool,
         now: Timestamp,
-    ) -> HashMap<TeamId, TeamSums> {
+    ) -> HashMap<TeamId, TeamCounts> {
         let own = if with_own { self.own_sums(now) } else { Vec::new() };
-        let mut total: HashMap<TeamId, TeamSums> = own.into_iter().collect();
+        let mut total: HashMap<TeamId, TeamCounts> = own.into_iter().collect();
         let timeout = self.options.peer_timeout;
         let included = self.peers.iter().filter(|(peer, _)| is_included(**peer));
         let heard = included.filter(|(_, sums)| now < sums.heard + timeout);
@@ -253,13 +315,14 @@
         now: Timestamp,
     ) -> Standing {
         let levels = self.levels(pool_tokens_per_s, now);
-        let begun = self.fleet_begun(team, now) as f64;
-        let with_request = begun + tokens as f64 / 2.0;
-        if begun == 0.0 || with_request <= levels.share_tokens {
+        let counts = self.fleet_counts(team, now);
+        let begun = counts.window.begun_tokens as f64;
+        let recent = counts.recent.begun_tokens as f64 + tokens as f64 / 2.0;
+        if begun == 0.0 || begun + tokens as f64 / 2.0 <= levels.share_tokens {
             Standing::WithinShare
         } else if self.options.policy.needy_teams && self.needy.contains(&team) {
             Standing::Needy
-        } else if with_request <= levels.surplus_tokens || !self.options.policy.even_surplus {
+        } else if recent <= levels.surplus_tokens || !self.options.policy.even_surplus {
             Standing::EvenSurplus
         } else {
             Standing::BeyondEven
@@ -274,18 +337,20 @@
             return levels;
         }
         let fleet = self.fleet_sums(now);
-        let asked: Vec<f64> = fleet.values().map(|sums| sums.asked_tokens as f64).collect();
-        let begun: u64 = fleet.values().map(|sums| sums.begun_tokens).sum();
-        let window_s = self.counted_window(now).as_secs_f64();
-        let pool = pool_tokens_per_s.map(|rate| rate as f64 * window_s);
-        let given = (SURPLUS_GROWTH * begun as f64).max(pool.unwrap_or(0.0));
-        let levels = Levels {
-            computed: now,
-            pool_tokens_per_s,
-            share_tokens: pool.map_or(f64::INFINITY, |pool| max_min_level(asked.clone(), pool)),
-            surplus_tokens: max_min_level(asked, given),
+        let window = self.counted_window(now);
+        let pool_in =
+            |time: Duration| pool_tokens_per_s.map(|rate| rate as f64 * time.as_secs_f64());
+        let given_in = |begun: u64, time| {
+            (SURPLUS_GROWTH * begun as f64).max(pool_in(time).unwrap_or_default())
         };
-        self.needy = needy(&fleet, WAITING_PART * given);
+        let asked = fleet.values().map(|counts| counts.window.asked_tokens as f64).collect();
+        let share_tokens = pool_in(window).map_or(f64::INFINITY, |pool| max_min_level(asked, pool));
+        let asked = fleet.values().map(|counts| counts.recent.asked_tokens as f64).collect();
+        let begun = fleet.values().map(|counts| counts.recent.begun_tokens).sum();
+        let surplus_tokens = max_min_level(asked, given_in(begun, window.min(RECENT)));
+        let begun = fleet.values().map(|counts| counts.window.begun_tokens).sum();
+        self.needy = needy(&fleet, WAITING_PART * given_in(begun, window));
+        let levels = Levels { computed: now, pool_tokens_per_s, share_tokens, surplus_tokens };
         self.levels = Some(levels);
         levels
     }
@@ -301,22 +366,22 @@
         longest.clamp(window / BUCKETS as u32, window)
     }
 
-    fn fleet_begun(&mut self, team: TeamId, now: Timestamp) -> u64 {
-        let bucket = self.bucket(now);
-        let own = self.own.get_mut(&team).map_or(0, |ring| ring.sum(bucket).begun_tokens);
+    fn fleet_counts(&mut self, team: TeamId, now: Timestamp) -> TeamCounts {
+        let (window, recent) = self.buckets(now);
+        let mut counts = self.own.get_mut(&team).map_or_else(TeamCounts::default, |rings| {
+            TeamCounts { window: rings.window.sum(window), recent: rings.recent.sum(recent) }
+        });
         let timeout = self.options.peer_timeout;
         let peers = self.told().filter(|peer| now < peer.heard + timeout);
-        own + peers
-            .filter_map(|peer| peer.teams.get(&team))
-            .map(|sums| sums.begun_tokens)
-            .sum::<u64>()
+        peers.filter_map(|peer| peer.teams.get(&team)).for_each(|told| counts.add(told));
+        counts
     }
 
-    fn fleet_sums(&mut self, now: Timestamp) -> HashMap<TeamId, TeamSums> {
+    fn fleet_sums(&mut self, now: Timestamp) -> HashMap<TeamId, TeamCounts> {
         let timeout = self.options.peer_timeout;
         self.peers.retain(|_, peer| now < peer.heard + timeout);
         self.elsewhere = self.elsewhere.take().filter(|sums| now < sums.heard + timeout);
-        let mut fleet: HashMap<TeamId, TeamSums> = self.own_sums(now).into_iter().collect();
+        let mut fleet: HashMap<TeamId, TeamCounts> = self.own_sums(now).into_iter().collect();
         self.told().for_each(|sums| sums.add_to(&mut fleet));
         fleet
     }
@@ -325,23 +390,29 @@
         self.peers.values().chain(&self.elsewhere)
     }
 
-    fn bucket(&self, now: Timestamp) -> u64 {
-        let bucket_ms = (self.options.window.as_millis() / BUCKETS as u128).max(1);
-        u64::try_from(now.as_millis() / bucket_ms).unwrap_or(u64::MAX)
+    /// The present buckets of both windows.
+    fn buckets(&self, now: Timestamp) -> (u64, u64) {
+        let of_window = |window: Duration| {
+            let bucket_ms = (window.as_millis() / BUCKETS as u128).max(1);
+            u64::try_from(now.as_millis() / bucket_ms).unwrap_or(u64::MAX)
+        };
+        (of_window(self.options.window), of_window(RECENT))
     }
 }
 
 /// The teams that wait for `waiting_tokens` and more, and had much less than they asked and than the
 /// best served team had. Requests of one team may find a place less often than those of another: its
 /// prompts are longer, or its callers reach few instances.
-fn needy(fleet: &HashMap<TeamId, TeamSums>, waiting_tokens: f64) -> Vec<TeamId> {
-    let most = fleet.values().map(|sums| sums.begun_tokens).max().unwrap_or_default();
+fn needy(fleet: &HashMap<TeamId, TeamCounts>, waiting_tokens: f64) -> Vec<TeamId> {
+    let begun = fleet.values().map(|counts| counts.window.begun_tokens);
+    let most = begun.max().unwrap_or_default();
     let is_needy = |sums: &TeamSums| {
         let due = MUCH_LESS * sums.asked_tokens.min(most) as f64;
         let waits = sums.asked_tokens.saturating_sub(sums.begun_tokens) as f64;
         waiting_tokens < waits && (sums.begun_tokens as f64) < due
     };
-    fleet.iter().filter(|(_, sums)| is_needy(sums)).map(|(team, _)| *team).collect()
+    let teams = fleet.iter().filter(|(_, counts)| is_needy(&counts.window));
+    teams.map(|(team, _)| *team).collect()
 }
 
 impl Ring {
@@ -352,10 +423,9 @@
 
     fn sum(&mut self, bucket: u64) -> TeamSums {
         self.advance(bucket);
-        self.buckets.iter().fold(TeamSums::default(), |total, sums| TeamSums {
-            asked_tokens: total.asked_tokens + sums.asked_tokens,
-            begun_tokens: total.begun_tokens + sums.begun_tokens,
-        })
+        let mut total = TeamSums::default();
+        self.buckets.iter().for_each(|sums| total.add(sums));
+        total
     }
 
     fn advance(&mut self, bucket: u64) {
--- a/crates/bergamotpitch-control/tests/replays/mod.rs
+++ b/crates/bergamotpitch-control/tests/replays/mod.rs
@@ -223,7 +223,7 @@
             for (key, figures) in keys.iter().zip(&figures) {
                 to.load(*key).peer_heard(peer, *figures, now);
             }
-            to.windows.peer_heard(peer, sums.iter().copied(), now, now);
+            to.windows.peer_told(peer, sums.iter().copied(), now, now);
             notes.iter().for_each(|note| to.starts.heard(*note));
         }
     }
--- a/crates/bergamotpitch-gateway/src/beats.rs
+++ b/crates/bergamotpitch-gateway/src/beats.rs
@@ -273,8 +273,7 @@
 
 fn own_teams(gateway: &Gateway) -> Vec<TeamLine> {
     let now = gateway.now();
-    let sums = gateway.traffic.borrow_mut().windows.own_sums(now);
-    sums.iter().map(|(team, sums)| TeamLine::new(*team, sums)).collect()
+    gateway.traffic.borrow_mut().windows.own_sums(now)
 }
 
 fn domain_teams(gateway: &Gateway) -> Vec<TeamLine> {
@@ -292,7 +291,7 @@
 ) -> Vec<TeamLine> {
     let now = gateway.now();
     let sums = gateway.traffic.borrow_mut().windows.sums_with(with_own, is_included, now);
-    sums.iter().map(|(team, sums)| TeamLine::new(*team, sums)).collect()
+    sums.into_iter().collect()
 }
 
 fn start_lines(gateway: &Gateway) -> Vec<StartLine> {
@@ -429,11 +428,9 @@
     gateway.take_in_starts(&beat.starts, now);
     let counted = Duration::from_millis(beat.counted_ms);
     let mut traffic = gateway.traffic.borrow_mut();
-    let teams = beat.teams.iter().map(|line| line.sums());
-    traffic.windows.peer_heard(instance, teams, counted, now);
+    traffic.windows.peer_told(instance, beat.teams.iter().copied(), counted, now);
     if beat.is_dispatcher && gateway.is_of_own_domain(instance) {
-        let elsewhere = beat.elsewhere.iter().map(|line| line.sums());
-        traffic.windows.elsewhere_heard(elsewhere, counted, now);
+        traffic.windows.elsewhere_heard(beat.elsewhere.iter().copied(), counted, now);
     }
     drop(traffic);
     if beat.is_dispatcher && !gateway.is_of_own_domain(instance) {
--- a/crates/bergamotpitch-gateway/src/messages.rs
+++ b/crates/bergamotpitch-gateway/src/messages.rs
@@ -12,7 +12,7 @@
 use bergamotpitch_control::traffic::engine_loads::{Figures, RequestNumber, Work};
 use bergamotpitch_control::traffic::facts::{PartId, PromptPart, RequestFacts};
 use bergamotpitch_control::traffic::registries::Registry;
-use bergamotpitch_control::traffic::team_windows::{Standing, TeamSums};
+use bergamotpitch_control::traffic::team_windows::{Standing, TeamCounts};
 use bergamotpitch_core::ids::{Incarnation, InstanceId, ServiceId, TeamId, UpstreamId};
 use displaydoc::Display;
 use serde::{Deserialize, Serialize};
@@ -126,12 +126,7 @@
 }
 
 /// `TeamLine` is one team's sums.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct TeamLine {
-    team: TeamId,
-    asked_tokens: u64,
-    begun_tokens: u64,
-}
+pub type TeamLine = (TeamId, TeamCounts);
 
 /// `StartLine` tells that an engine was sent a prompt with a start.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
@@ -357,19 +352,6 @@
     }
 }
 
-impl TeamLine {
-    /// `new` tells of a team.
-    pub fn new(team: TeamId, sums: &TeamSums) -> Self {
-        Self { team, asked_tokens: sums.asked_tokens, begun_tokens: sums.begun_tokens }
-    }
-
-    /// `sums` returns the team and its sums.
-    pub fn sums(&self) -> (TeamId, TeamSums) {
-        let Self { team, asked_tokens, begun_tokens } = *self;
-        (team, TeamSums { asked_tokens, begun_tokens })
-    }
-}
-
 impl GrantLine {
     /// `new` tells of a placement; `None` when its upstream was forgotten meanwhile.
     pub fn new(placement: &Placement, registry: &Registry) -> Option<Self> {
