Write what each team was refused, and what deciders believe of the shares

- instance_busy and instance_full stand beside overloaded; event 103 carries the standing, who decided and how late the process was, in place of a second line.
- Event 700: a line a second for each team that was refused something, by reason.
Event 701: where an instance decides, which teams wait, with levels, number and age of the sums behind them; the age is a metric as well.

--- a/crates/bergamotpitch-control/src/traffic/catalogs.rs
+++ b/crates/bergamotpitch-control/src/traffic/catalogs.rs
@@ -263,6 +263,11 @@
         self.team_of_key.get(key).map(|index| &self.teams[*index])
     }
 
+    /// `teams` visits all teams.
+    pub fn teams(&self) -> impl Iterator<Item = &Arc<Team>> {
+        self.teams.iter()
+    }
+
     /// `route_count` returns how many routes there are.
     pub fn route_count(&self) -> usize {
         self.route_count
--- a/crates/bergamotpitch-control/src/traffic/team_windows.rs
+++ b/crates/bergamotpitch-control/src/traffic/team_windows.rs
@@ -90,6 +90,14 @@
         self.begun_tokens += other.begun_tokens;
     }
 
+    fn missing_tokens(&self) -> f64 {
+        self.asked_tokens.saturating_sub(self.begun_tokens) as f64
+    }
+
+    fn begun_part(&self) -> f64 {
+        self.begun_tokens as f64 / self.asked_tokens.max(1) as f64
+    }
+
     fn scaled(&self, factor: f64) -> Self {
         Self {
             asked_tokens: (self.asked_tokens as f64 * factor) as u64,
@@ -163,6 +171,32 @@
     BeyondEven,
 }
 
+/// `SharesView` is what this instance believes of the shares, and from whom.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SharesView {
+    /// Tokens of the window up to which each team is served.
+    pub share_tokens: f64,
+    /// The same of the short window, with what the engines give besides.
+    pub surplus_tokens: f64,
+    /// Other instances whose sums count.
+    pub sources: usize,
+    /// Age of the oldest sums that count.
+    pub oldest: Duration,
+    /// Teams that wait, those that had least of what they asked first.
+    pub waiting: Vec<WaitingTeam>,
+}
+
+/// `WaitingTeam` is a team that has had less than it asked.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct WaitingTeam {
+    /// The team.
+    pub team: TeamId,
+    /// What it asked and what was begun.
+    pub counts: TeamCounts,
+    /// Whether it counts as within its share, as it had much less than others.
+    pub is_needy: bool,
+}
+
 /// `MUCH_LESS` is the part of what a team asked, or of what the best served team had, below which it
 /// had much less than others: nobody who waits is to fall to half.
 const MUCH_LESS: f64 = 0.65;
@@ -329,6 +363,54 @@
         }
     }
 
+    /// `view` returns what this instance believes of the shares, with the teams that wait.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bergamotpitch_control::traffic::team_windows::{Options, TeamWindows};
+    ///
+    /// let mut windows = TeamWindows::new(Options::default());
+    /// let now = Duration::from_secs(9);
+    /// windows.note_asked(1, 90_000, now);
+    /// windows.note_asked(2, 500, now);
+    /// windows.note_begun(2, 500, now);
+    /// let view = windows.view(Some(10_000), now);
+    /// assert_eq!(view.waiting.iter().map(|team| team.team).collect::<Vec<_>>(), [1]);
+    /// assert_eq!(view.sources, 0);
+    /// ```
+    pub fn view(&mut self, pool_tokens_per_s: Option<u64>, now: Timestamp) -> SharesView {
+        let Levels { share_tokens, surplus_tokens, .. } = self.levels(pool_tokens_per_s, now);
+        let fleet = self.fleet_sums(now);
+        let begun = fleet.values().map(|counts| counts.window.begun_tokens).sum();
+        let least = WAITING_PART * self.given_tokens(begun, pool_tokens_per_s, now);
+        let waiting = fleet.iter().filter(|(_, counts)| least < counts.window.missing_tokens());
+        let waiting = waiting.map(|(team, counts)| WaitingTeam {
+            team: *team,
+            counts: *counts,
+            is_needy: self.needy.contains(team),
+        });
+        let mut waiting: Vec<WaitingTeam> = waiting.collect();
+        waiting.sort_by(|team, other| {
+            let parts = [team, other].map(|team| team.counts.window.begun_part());
+            parts[0].total_cmp(&parts[1]).then(team.team.cmp(&other.team))
+        });
+        let ages = self.told().map(|sums| now.saturating_sub(sums.heard));
+        SharesView {
+            share_tokens,
+            surplus_tokens,
+            sources: self.told().count(),
+            oldest: ages.max().unwrap_or_default(),
+            waiting,
+        }
+    }
+
+    fn given_tokens(&self, begun: u64, pool_tokens_per_s: Option<u64>, now: Timestamp) -> f64 {
+        let window_s = self.counted_window(now).as_secs_f64();
+        let stated = pool_tokens_per_s.map_or(0.0, |rate| rate as f64 * window_s);
+        (SURPLUS_GROWTH * begun as f64).max(stated)
+    }
+
     fn levels(&mut self, pool_tokens_per_s: Option<u64>, now: Timestamp) -> Levels {
         if let Some(levels) = self.levels
             && levels.pool_tokens_per_s == pool_tokens_per_s
@@ -349,7 +431,8 @@
         let begun = fleet.values().map(|counts| counts.recent.begun_tokens).sum();
         let surplus_tokens = max_min_level(asked, given_in(begun, window.min(RECENT)));
         let begun = fleet.values().map(|counts| counts.window.begun_tokens).sum();
-        self.needy = needy(&fleet, WAITING_PART * given_in(begun, window));
+        let given = self.given_tokens(begun, pool_tokens_per_s, now);
+        self.needy = needy(&fleet, WAITING_PART * given);
         let levels = Levels { computed: now, pool_tokens_per_s, share_tokens, surplus_tokens };
         self.levels = Some(levels);
         levels
@@ -408,8 +491,7 @@
     let most = begun.max().unwrap_or_default();
     let is_needy = |sums: &TeamSums| {
         let due = MUCH_LESS * sums.asked_tokens.min(most) as f64;
-        let waits = sums.asked_tokens.saturating_sub(sums.begun_tokens) as f64;
-        waiting_tokens < waits && (sums.begun_tokens as f64) < due
+        waiting_tokens < sums.missing_tokens() && (sums.begun_tokens as f64) < due
     };
     let teams = fleet.iter().filter(|(_, counts)| is_needy(&counts.window));
     teams.map(|(team, _)| *team).collect()
--- a/crates/bergamotpitch-core/src/events.rs
+++ b/crates/bergamotpitch-core/src/events.rs
@@ -92,6 +92,10 @@
     OrderLeaseWon = 601,
     /// The lease for orders was lost or given up.
     OrderLeaseLost = 602,
+    /// Requests of a team were refused at this instance in the last second.
+    TeamRefused = 700,
+    /// A team that waits has had less than it asked, by the sums of the whole fleet.
+    TeamWaits = 701,
 }
 
 impl EventKind {
--- a/crates/bergamotpitch-core/src/refusals.rs
+++ b/crates/bergamotpitch-core/src/refusals.rs
@@ -77,6 +77,10 @@
     UpstreamGarbage,
     /// The retry budget is spent.
     RetryBudgetSpent,
+    /// The instance has no processor time for the request.
+    InstanceBusy,
+    /// The instance has no memory for the request.
+    InstanceFull,
     /// The instance is overloaded.
     Overloaded,
 }
--- a/crates/bergamotpitch-gateway/src/arrivals.rs
+++ b/crates/bergamotpitch-gateway/src/arrivals.rs
@@ -88,7 +88,7 @@
     if declared.is_some_and(|bytes| limit_bytes < bytes) {
         return Err(too_large);
     }
-    let no_memory = Refusal::not_run(RefusalReason::Overloaded, MEMORY_RETURN);
+    let no_memory = Refusal::not_run(RefusalReason::InstanceFull, MEMORY_RETURN);
     if !hold.reach(declared.unwrap_or_default()) {
         return Err(no_memory);
     }
--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -9,11 +9,13 @@
 use bergamotpitch_control::traffic::catalogs::{CacheLink, Catalog, Route, RouteKind, Team};
 use bergamotpitch_control::traffic::facts::RequestFacts;
 use bergamotpitch_control::traffic::registries::UpstreamKey;
+use bergamotpitch_control::traffic::team_windows::Standing;
 use bergamotpitch_core::events::EventKind;
 use bergamotpitch_core::ids::id_of_name;
 use bergamotpitch_core::refusals::RefusalReason;
 use bergamotpitch_core::units::Timestamp;
 use http::header::CONTENT_LENGTH;
+use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use hyper::body::Incoming;
 
@@ -27,7 +29,7 @@
 use crate::headers::remove_hop_headers;
 use crate::logs::decision;
 use crate::placements::{Placed, Run, has_place, place};
-use crate::refusals::{Refusal, response_of_refusal};
+use crate::refusals::{Inputs, Refusal, response_of_refusal};
 
 /// `UNSTATED_BUDGET` is how long a caller is taken to wait that does not say so.
 const UNSTATED_BUDGET: Duration = Duration::from_secs(60);
@@ -105,13 +107,9 @@
     gateway.metrics.requests.inc();
     gateway.measure_turn().await;
     let prompt_tokens = facts.as_ref().map_or(0, |facts| facts.prompt_tokens);
-    let mut known = Known { prompt_tokens, ..Known::default() };
+    let mut known = Known { arrived, prompt_tokens, ..Known::default() };
     let result = match facts {
-        Ok(_) if connection.is_surplus() => {
-            discard(request.into_body()).await;
-            Err(Refusal::not_run(RefusalReason::Overloaded, BUSY_RETURN))
-        }
-        Ok(facts) => match read_call(&gateway, request, facts, arrived, &mut known).await {
+        Ok(facts) => match read_call(&gateway, connection, request, facts, &mut known).await {
             Ok(call) if connection.is_left() => Err(left_before_sent(&call)),
             Ok(call) => follow(&gateway, Rc::new(call)).await,
             Err(refusal) => Err(refusal),
@@ -125,19 +123,24 @@
         Ok(response) => response,
         Err(refusal) => {
             gateway.metrics.count_refusal(&refusal);
+            if let Some(team) = &known.team {
+                gateway.tallies.note_refused(team, known.pool_tokens, refusal.reason);
+            }
             decision(
                 EventKind::RequestRefused,
                 format_args!(
                     "request={attempt_id} route={} team={} prompt_tokens={} status={} reason={} \
-                     ran={} retry_after_ms={} held_ms={} version={}",
+                     {} ran={} retry_after_ms={} held_ms={} {} version={}",
                     known.route.as_deref().map_or("-", |route| &route.name),
                     known.team.as_deref().map_or("-", |team| &team.name),
                     known.prompt_tokens,
                     refusal.status.as_u16(),
                     refusal.reason,
+                    refusal.inputs,
                     refusal.ran,
                     refusal.retry_after.unwrap_or_default().as_millis(),
                     gateway.now().saturating_sub(arrived).as_millis(),
+                    gateway.lateness,
                     gateway.version(),
                 ),
             );
@@ -151,40 +154,35 @@
 /// `Known` is what was found out on a request before it was refused, for the log.
 #[derive(Debug, Default)]
 struct Known {
+    arrived: Timestamp,
     route: Option<Arc<Route>>,
     team: Option<Arc<Team>>,
     prompt_tokens: u64,
+    pool_tokens: u64,
 }
 
 /// Reads a request in full and finds out what it wants.
 async fn read_call(
     gateway: &Rc<Gateway>,
+    connection: &CallerConnection,
     request: Request<Incoming>,
     facts: RequestFacts,
-    arrived: Timestamp,
     known: &mut Known,
 ) -> Result<Call, Refusal> {
-    if gateway.refuses_new() {
-        return Err(Refusal::not_run(RefusalReason::Draining, BUSY_RETURN));
-    }
-    if gateway.is_overloaded() {
-        return Err(Refusal::not_run(RefusalReason::Overloaded, BUSY_RETURN));
-    }
-    let catalog =
-        gateway.catalog().ok_or(Refusal::not_run(RefusalReason::NotReady, NOT_READY_RETURN))?;
+    let arrived = known.arrived;
     let (parts, body) = request.into_parts();
-    let host = host_of(&parts).ok_or_else(bad_request)?;
-    let host_text = host.to_str().map_err(|_| bad_request())?;
-    let route = catalog
-        .route_of(host_text, parts.uri.path())
-        .cloned()
-        .ok_or(Refusal::denied(StatusCode::NOT_FOUND, RefusalReason::ServiceNotAllowed))?;
-    known.route = Some(Arc::clone(&route));
-    let team = team_of(gateway, &catalog, &route, &parts.headers)?;
-    known.team.clone_from(&team);
-    if gateway.is_crowded() && gateway.is_beyond_share(&catalog, team.as_deref(), &facts) {
+    let Head { catalog, route, team, host } = read_head(gateway, &parts, known)?;
+    known.pool_tokens = facts.pool_tokens();
+    if let Some(team) = &team {
+        gateway.tallies.note_asked(team, known.pool_tokens);
+    }
+    let refusal = match refusal_of_instance(gateway, connection) {
+        Some(refusal) => Some(refusal),
+        None => refusal_of_crowd(gateway, &catalog, team.as_deref(), &facts),
+    };
+    if let Some(refusal) = refusal {
         discard(body).await;
-        return Err(Refusal::not_run(RefusalReason::Overloaded, CROWDED_RETURN));
+        return Err(refusal);
     }
     let budget = facts.time_budget.unwrap_or(UNSTATED_BUDGET);
     let deadline = arrived + budget.min(route.timeout);
@@ -218,6 +216,57 @@
     Ok(call)
 }
 
+/// `Head` is what the head of a request says.
+struct Head {
+    catalog: Arc<Catalog>,
+    route: Arc<Route>,
+    team: Option<Arc<Team>>,
+    host: HeaderValue,
+}
+
+fn read_head(gateway: &Gateway, parts: &Parts, known: &mut Known) -> Result<Head, Refusal> {
+    if gateway.refuses_new() {
+        return Err(Refusal::not_run(RefusalReason::Draining, BUSY_RETURN));
+    }
+    let catalog =
+        gateway.catalog().ok_or(Refusal::not_run(RefusalReason::NotReady, NOT_READY_RETURN))?;
+    let host = host_of(parts).ok_or_else(bad_request)?;
+    let host_text = host.to_str().map_err(|_| bad_request())?;
+    let route = catalog
+        .route_of(host_text, parts.uri.path())
+        .cloned()
+        .ok_or(Refusal::denied(StatusCode::NOT_FOUND, RefusalReason::ServiceNotAllowed))?;
+    known.route = Some(Arc::clone(&route));
+    let team = team_of(gateway, &catalog, &route, &parts.headers)?;
+    known.team.clone_from(&team);
+    Ok(Head { catalog, route, team, host })
+}
+
+/// Why this instance takes no request at all at present.
+fn refusal_of_instance(gateway: &Gateway, connection: &CallerConnection) -> Option<Refusal> {
+    if connection.is_surplus() {
+        return Some(Refusal::not_run(RefusalReason::InstanceFull, BUSY_RETURN));
+    }
+    gateway.is_overloaded().then(|| Refusal::not_run(RefusalReason::InstanceBusy, BUSY_RETURN))
+}
+
+/// Why it takes none beyond its team's share.
+fn refusal_of_crowd(
+    gateway: &Gateway,
+    catalog: &Catalog,
+    team: Option<&Team>,
+    facts: &RequestFacts,
+) -> Option<Refusal> {
+    if !gateway.is_crowded() {
+        return None;
+    }
+    let standing = gateway.standing(catalog, team, facts);
+    let is_beyond = matches!(standing, Standing::EvenSurplus | Standing::BeyondEven);
+    let inputs = Inputs { standing: Some(standing), ..Inputs::default() };
+    is_beyond
+        .then(|| Refusal::not_run(RefusalReason::InstanceBusy, CROWDED_RETURN).decided_on(inputs))
+}
+
 /// A request that was read late may have lost its caller long ago. Sent on, it would keep an
 /// upstream busy for nobody; the refusal reaches nobody either.
 fn left_before_sent(call: &Call) -> Refusal {
@@ -241,6 +290,9 @@
         };
         let run = Run::open(gateway, &placed);
         let placement = placed.placement;
+        if let Some(team) = call.team.as_deref().filter(|_| tried.is_empty()) {
+            gateway.tallies.note_sent(team, call.facts.pool_tokens());
+        }
         note_dispatch(&call, &placed, gateway, attempts);
         match attempt(gateway, &call, &placement, &tried, attempts).await {
             Ok(answer) => match pass_on(gateway, &call, run, answer, attempts).await {
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -33,6 +33,7 @@
 use crate::peers::{Peers, UnknownPeers};
 use crate::probes::{self, Port};
 use crate::store_news::StoreNews;
+use crate::tallies::Tallies;
 
 /// `SWEEP_BEATS` is how many beats go by between two sweeps over connections.
 const SWEEP_BEATS: u64 = 4;
@@ -54,6 +55,8 @@
     pub lateness: Lateness,
     /// Memory that the bodies of requests take.
     pub held_bytes: HeldBytes,
+    /// What teams asked for and were given here lately.
+    pub tallies: Tallies,
     /// Counters.
     pub metrics: Metrics,
     /// Peers.
@@ -133,6 +136,7 @@
             dialect,
             pools: Pools::default(),
             lateness: Lateness::default(),
+            tallies: Tallies::default(),
             metrics,
             peers: RefCell::default(),
             told_upstreams: RefCell::default(),
@@ -323,19 +327,20 @@
         self.lateness.note_turn(now.saturating_sub(began), now);
     }
 
-    /// `is_beyond_share` tells whether a team has had its even share, as far as this instance knows.
-    pub fn is_beyond_share(
+    /// `standing` tells how a request stands against its team's share, as far as this instance knows.
+    pub fn standing(
         &self,
         catalog: &Catalog,
         team: Option<&Team>,
         facts: &RequestFacts,
-    ) -> bool {
-        let Some(team) = team.filter(|_| facts.is_generation()) else { return false };
+    ) -> Standing {
+        let Some(team) = team.filter(|_| facts.is_generation()) else {
+            return Standing::WithinShare;
+        };
         let now = self.now();
         let windows = &mut self.traffic.borrow_mut().windows;
         let (team, tokens) = (id_of_name(&team.name), facts.pool_tokens());
-        let standing = windows.standing(team, tokens, catalog.pool_tokens_per_s, now);
-        matches!(standing, Standing::EvenSurplus | Standing::BeyondEven)
+        windows.standing(team, tokens, catalog.pool_tokens_per_s, now)
     }
 
     /// `is_ready` tells whether new callers should come here.
@@ -406,6 +411,7 @@
         tokio::time::sleep_until(due).await;
         gateway.lateness.note(due.elapsed());
         gateway.note_readiness();
+        gateway.write_tallies();
         sequence += 1;
         gateway.note_dispatcher();
         beats::send_beat(&gateway, sequence);
--- a/crates/bergamotpitch-gateway/src/lib.rs
+++ b/crates/bergamotpitch-gateway/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod relays;
 pub mod sse;
 pub mod store_news;
+pub mod tallies;
 pub mod upstreams;
 pub mod watched_streams;
 
--- a/crates/bergamotpitch-gateway/src/logs.rs
+++ b/crates/bergamotpitch-gateway/src/logs.rs
@@ -24,6 +24,9 @@
 /// each.
 const WRITE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// `ATOMIC_WRITE_BYTES` is the most that a pipe takes in one piece.
+const ATOMIC_WRITE_BYTES: usize = 4_096;
+
 /// `REQUEST_EVENTS` are the numbers of events that touch one request.
 const REQUEST_EVENTS: Range<u16> = 100..200;
 
@@ -154,14 +157,44 @@
             let mut buffer = lock(buffer);
             (buffer.take(), buffer.is_closing)
         };
-        // Nobody is left to be told when standard output is closed.
-        let _ = std::io::stdout().write_all(lines.as_bytes());
+        let mut output = std::io::stdout();
+        for part in parts_of_lines(&lines) {
+            // Nobody is left to be told when standard output is closed.
+            let _ = output.write_all(part.as_bytes());
+        }
         if is_closing {
             return;
         }
     }
 }
 
+/// `parts_of_lines` cuts text into parts of whole lines that a pipe takes at once, or of one line that
+/// is longer. Larger writes mix with those of other processes on the same pipe.
+///
+/// ```
+/// use bergamotpitch_gateway::logs::parts_of_lines;
+///
+/// let text = format!("{}\n{}\n", "a".repeat(3_000), "b".repeat(3_000));
+/// let lengths: Vec<usize> = parts_of_lines(&text).map(str::len).collect();
+/// assert_eq!(lengths, [3_001, 3_001]);
+/// ```
+pub fn parts_of_lines(text: &str) -> impl Iterator<Item = &str> {
+    let mut rest = text;
+    std::iter::from_fn(move || {
+        let end = end_of_part(rest)?;
+        let (part, after) = rest.split_at(end);
+        rest = after;
+        Some(part)
+    })
+}
+
+fn end_of_part(text: &str) -> Option<usize> {
+    let line_ends = text.match_indices('\n').map(|(index, _)| index + 1);
+    let fitting = line_ends.clone().take_while(|end| *end <= ATOMIC_WRITE_BYTES).last();
+    let first = || line_ends.clone().next().unwrap_or(text.len());
+    (!text.is_empty()).then(|| fitting.unwrap_or_else(first))
+}
+
 fn lock(buffer: &Mutex<Buffer>) -> std::sync::MutexGuard<'_, Buffer> {
     buffer.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/bergamotpitch-gateway/src/metrics.rs
+++ b/crates/bergamotpitch-gateway/src/metrics.rs
@@ -4,7 +4,7 @@
 
 use bergamotpitch_core::refusals::RefusalReason;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
@@ -47,6 +47,7 @@
     pub unanswered_asks: Count,
     /// Connections of callers that were only told to come back.
     pub callers_turned_away: Count,
+    sums_age_s: Gauge<f64>,
     registry: Registry,
     _provider: SdkMeterProvider,
     refusals: Counter<u64>,
@@ -101,6 +102,10 @@
                 .u64_counter("bergamotpitch_refusals")
                 .with_description("Refusals by reason")
                 .build(),
+            sums_age_s: meter
+                .f64_gauge("bergamotpitch_team_sums_age_seconds")
+                .with_description("Age of the oldest sums of other instances on teams that count")
+                .build(),
             answer_s: latency(
                 &meter,
                 "bergamotpitch_answer_seconds",
@@ -132,6 +137,11 @@
         self.wait_s.record(time.as_secs_f64(), &[]);
     }
 
+    /// `note_sums_age` takes in the age of the oldest sums on teams that count.
+    pub fn note_sums_age(&self, age: Duration) {
+        self.sums_age_s.record(age.as_secs_f64(), &[]);
+    }
+
     /// `text` shows everything in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut text = Vec::new();
--- a/crates/bergamotpitch-gateway/src/placements.rs
+++ b/crates/bergamotpitch-gateway/src/placements.rs
@@ -16,7 +16,7 @@
 use crate::calls::Call;
 use crate::gateways::Gateway;
 use crate::messages::NoteEvent;
-use crate::refusals::Refusal;
+use crate::refusals::{Inputs, Refusal};
 
 /// `RETURN_SPREAD` is the part by which the times to come back differ, so that what was refused
 /// together does not come back together.
@@ -44,21 +44,30 @@
     tried: &[UpstreamKey],
 ) -> Result<Placed, Refusal> {
     let (number, granter, choice) = decide(gateway, call, tried).await;
-    let (reason, after) = match choice {
+    let granter_id = granter.map(|granter| granter.instance);
+    let (reason, after, inputs) = match choice {
         Choice::Send(placement) => return Ok(Placed { number, placement, granter }),
-        Choice::Full { after, standing: Standing::WithinShare | Standing::Needy, .. } => {
-            (RefusalReason::Overloaded, after)
+        Choice::Full { after, standing, least_requests } => {
+            let inputs = Inputs {
+                standing: Some(standing),
+                least_requests: Some(least_requests),
+                granter: granter_id,
+            };
+            (reason_of_standing(standing), after, inputs)
+        }
+        Choice::NoUpstream(after) => {
+            let inputs = Inputs { granter: granter_id, ..Inputs::default() };
+            (RefusalReason::NoUpstream, after, inputs)
         }
-        Choice::Full { after, .. } => (RefusalReason::QueueFull, after),
-        Choice::NoUpstream(after) => (RefusalReason::NoUpstream, after),
     };
-    log::info!(
-        "event=no_place request={} service={} granter={} choice={choice:?}",
-        call.facts.attempt_id,
-        call.service,
-        granter.map_or(0, |granter| granter.instance),
-    );
-    Err(Refusal::not_run(reason, spread(after, call.number)))
+    Err(Refusal::not_run(reason, spread(after, call.number)).decided_on(inputs))
+}
+
+fn reason_of_standing(standing: Standing) -> RefusalReason {
+    match standing {
+        Standing::WithinShare | Standing::Needy => RefusalReason::Overloaded,
+        Standing::EvenSurplus | Standing::BeyondEven => RefusalReason::QueueFull,
+    }
 }
 
 async fn decide(
--- a/crates/bergamotpitch-gateway/src/refusals.rs
+++ b/crates/bergamotpitch-gateway/src/refusals.rs
@@ -1,7 +1,10 @@
 //! Refusals: answers that the gateway makes itself.
 
+use std::fmt;
 use std::time::Duration;
 
+use bergamotpitch_control::traffic::team_windows::Standing;
+use bergamotpitch_core::ids::InstanceId;
 use bergamotpitch_core::refusals::{Ran, RefusalReason};
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
@@ -22,23 +25,57 @@
     pub ran: Ran,
     /// When it is worth coming back.
     pub retry_after: Option<Duration>,
+    /// On what it was decided, for the log.
+    pub inputs: Inputs,
+}
+
+/// `Inputs` are what a refusal was decided on, as far as it came to that.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Inputs {
+    /// How the request stood against its team's share.
+    pub standing: Option<Standing>,
+    /// Requests at the upstream that had fewest.
+    pub least_requests: Option<u32>,
+    /// Instance that decided, when it was another one.
+    pub granter: Option<InstanceId>,
+}
+
+impl fmt::Display for Inputs {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.standing {
+            Some(standing) => write!(formatter, "standing={standing}")?,
+            None => formatter.write_str("standing=-")?,
+        }
+        if let Some(requests) = self.least_requests {
+            write!(formatter, " least_requests={requests}")?;
+        }
+        write!(formatter, " granter={}", self.granter.unwrap_or_default())
+    }
 }
 
 impl Refusal {
     /// `not_run` refuses a request that did not run and never will, with when to come back.
     pub fn not_run(reason: RefusalReason, retry_after: Duration) -> Self {
         let status = StatusCode::SERVICE_UNAVAILABLE;
-        Self { status, reason, ran: Ran::NotRun, retry_after: Some(retry_after) }
+        let (retry_after, inputs) = (Some(retry_after), Inputs::default());
+        Self { status, reason, ran: Ran::NotRun, retry_after, inputs }
+    }
+
+    /// `decided_on` adds on what it was decided.
+    pub fn decided_on(self, inputs: Inputs) -> Self {
+        Self { inputs, ..self }
     }
 
     /// `denied` refuses a request that will not be served however often it comes.
     pub fn denied(status: StatusCode, reason: RefusalReason) -> Self {
-        Self { status, reason, ran: Ran::NotRun, retry_after: None }
+        let inputs = Inputs::default();
+        Self { status, reason, ran: Ran::NotRun, retry_after: None, inputs }
     }
 
     /// `unknown` tells that a request was sent and that its outcome is not known.
     pub fn unknown(status: StatusCode, reason: RefusalReason) -> Self {
-        Self { status, reason, ran: Ran::Unknown, retry_after: None }
+        let inputs = Inputs::default();
+        Self { status, reason, ran: Ran::Unknown, retry_after: None, inputs }
     }
 }
 
--- /dev/null
+++ b/crates/bergamotpitch-gateway/src/tallies.rs
@@ -0,0 +1,168 @@
+//! Tallies: what each team asked for and was given at this instance, and what each decider believes of
+//! the shares, written once a second.
+//!
+//! Under a flood lines on single requests are left out of the log, just when teams are turned away.
+//! Tallies are few and whole, so that what a team got can be summed over the instances and compared
+//! with what the deciders believed.
+
+use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use bergamotpitch_control::traffic::catalogs::{Catalog, Team};
+use bergamotpitch_control::traffic::team_windows::{SharesView, WaitingTeam};
+use bergamotpitch_core::HashMap;
+use bergamotpitch_core::events::EventKind;
+use bergamotpitch_core::ids::{TeamId, id_of_name};
+use bergamotpitch_core::refusals::RefusalReason;
+use bergamotpitch_core::units::Timestamp;
+
+use crate::gateways::Gateway;
+use crate::logs::decision;
+
+/// `TALLY_INTERVAL` is the time between two writings.
+const TALLY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// `TEAMS_A_TALLY` bounds how many teams are written, those first of which most was refused or that had
+/// least.
+const TEAMS_A_TALLY: usize = 8;
+
+/// `Tallies` is the table of all teams since it was last written.
+#[derive(Debug, Default)]
+pub struct Tallies {
+    teams: RefCell<HashMap<TeamId, Tally>>,
+    written: Cell<Timestamp>,
+}
+
+/// `Tally` is what a team asked for and was given.
+#[derive(Debug, Default)]
+struct Tally {
+    team: String,
+    asked_tokens: u64,
+    sent_tokens: u64,
+    refused_tokens: BTreeMap<&'static str, u64>,
+}
+
+impl Tallies {
+    /// `note_asked` counts a request that has come in.
+    pub fn note_asked(&self, team: &Team, tokens: u64) {
+        self.change(team, |tally| tally.asked_tokens += tokens);
+    }
+
+    /// `note_sent` counts a request that goes to an upstream for the first time.
+    pub fn note_sent(&self, team: &Team, tokens: u64) {
+        self.change(team, |tally| tally.sent_tokens += tokens);
+    }
+
+    /// `note_refused` counts a request that was refused.
+    pub fn note_refused(&self, team: &Team, tokens: u64, reason: RefusalReason) {
+        self.change(team, |tally| {
+            *tally.refused_tokens.entry(reason.into()).or_default() += tokens;
+        });
+    }
+
+    /// `take` begins anew and returns a line for each team of which something was refused.
+    ///
+    /// ```
+    /// use bergamotpitch_control::traffic::catalogs::{Catalog, Team};
+    /// use bergamotpitch_core::refusals::RefusalReason;
+    /// use bergamotpitch_gateway::tallies::Tallies;
+    ///
+    /// let team = Team { name: "north".to_owned(), priority: None, keys: Vec::new() };
+    /// let tallies = Tallies::default();
+    /// tallies.note_asked(&team, 700);
+    /// tallies.note_refused(&team, 700, RefusalReason::QueueFull);
+    /// let line = "team=north asked_tokens=700 sent_tokens=0 refused_tokens=700 queue_full=700";
+    /// assert_eq!(tallies.take(), [line]);
+    /// assert!(tallies.take().is_empty());
+    /// ```
+    pub fn take(&self) -> Vec<String> {
+        let tallies = std::mem::take(&mut *self.teams.borrow_mut()).into_values();
+        let mut refused: Vec<Tally> = tallies.filter(|tally| tally.all_refused() != 0).collect();
+        refused.sort_by_key(|tally| Reverse(tally.all_refused()));
+        refused.truncate(TEAMS_A_TALLY);
+        refused.iter().map(Tally::to_string).collect()
+    }
+
+    fn is_due(&self, now: Timestamp) -> bool {
+        let is_due = self.written.get() + TALLY_INTERVAL <= now;
+        if is_due {
+            self.written.set(now);
+        }
+        is_due
+    }
+
+    fn change(&self, team: &Team, change: impl FnOnce(&mut Tally)) {
+        let mut teams = self.teams.borrow_mut();
+        let tally = teams.entry(id_of_name(&team.name)).or_default();
+        if tally.team.is_empty() {
+            tally.team.clone_from(&team.name);
+        }
+        change(tally);
+    }
+}
+
+impl Tally {
+    fn all_refused(&self) -> u64 {
+        self.refused_tokens.values().sum()
+    }
+}
+
+impl fmt::Display for Tally {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { team, asked_tokens, sent_tokens, refused_tokens } = self;
+        let refused = self.all_refused();
+        write!(
+            formatter,
+            "team={team} asked_tokens={asked_tokens} sent_tokens={sent_tokens} refused_tokens={refused}"
+        )?;
+        refused_tokens
+            .iter()
+            .try_for_each(|(reason, tokens)| write!(formatter, " {reason}={tokens}"))
+    }
+}
+
+impl Gateway {
+    /// `write_tallies` writes what is due: what teams were refused here, and, where this instance
+    /// decides, which teams wait.
+    pub(crate) fn write_tallies(&self) {
+        let now = self.now();
+        if !self.tallies.is_due(now) {
+            return;
+        }
+        for line in self.tallies.take() {
+            decision(EventKind::TeamRefused, format_args!("{line}"));
+        }
+        let decides = self.is_dispatcher() || self.role().dispatcher.is_none();
+        if let Some(catalog) = self.catalog().filter(|_| decides) {
+            let view = self.traffic.borrow_mut().windows.view(catalog.pool_tokens_per_s, now);
+            self.metrics.note_sums_age(view.oldest);
+            write_waiting_teams(&catalog, &view);
+        }
+    }
+}
+
+fn write_waiting_teams(catalog: &Catalog, view: &SharesView) {
+    for WaitingTeam { team, counts, is_needy } in view.waiting.iter().take(TEAMS_A_TALLY) {
+        let known = catalog.teams().find(|known| id_of_name(&known.name) == *team);
+        decision(
+            EventKind::TeamWaits,
+            format_args!(
+                "team={} asked_tokens={} begun_tokens={} recent_asked_tokens={} \
+                 recent_begun_tokens={} is_needy={is_needy} share_tokens={:.0} surplus_tokens={:.0} \
+                 sources={} oldest_ms={}",
+                known.map_or("-", |known| &known.name),
+                counts.window.asked_tokens,
+                counts.window.begun_tokens,
+                counts.recent.asked_tokens,
+                counts.recent.begun_tokens,
+                view.share_tokens,
+                view.surplus_tokens,
+                view.sources,
+                view.oldest.as_millis(),
+            ),
+        );
+    }
+}
--- a/crates/bergamotpitch-router/src/refusals.rs
+++ b/crates/bergamotpitch-router/src/refusals.rs
@@ -81,6 +81,8 @@
         | RefusalReason::Draining
         | RefusalReason::NotReady
         | RefusalReason::ClaimUnavailable
+        | RefusalReason::InstanceBusy
+        | RefusalReason::InstanceFull
         | RefusalReason::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
@@ -103,6 +105,8 @@
         RefusalReason::UpstreamFailed => "The upstream failed.",
         RefusalReason::UpstreamGarbage => "The upstream did not answer in HTTP.",
         RefusalReason::RetryBudgetSpent => "The team's retry budget is spent.",
+        RefusalReason::InstanceBusy => "This instance has no processor time left.",
+        RefusalReason::InstanceFull => "This instance has no memory left.",
         RefusalReason::Overloaded => "This instance is overloaded.",
     }
 }
