--- a/crates/bergamotpitch-core/src/events.rs
+++ b/crates/bergamotpitch-core/src/events.rs
@@ -92,8 +92,8 @@
     OrderLeaseWon = 601,
     /// The lease for orders was lost or given up.
     OrderLeaseLost = 602,
-    /// Requests of a team were refused at this instance in the last second.
-    TeamRefused = 700,
+    /// What a team asked for and was given at this instance in the last second.
+    TeamTallied = 700,
     /// A team that waits has had less than it asked, by the sums of the whole fleet.
     TeamWaits = 701,
 }
--- a/crates/bergamotpitch-gateway/src/tallies.rs
+++ b/crates/bergamotpitch-gateway/src/tallies.rs
@@ -25,9 +25,11 @@
 /// `TALLY_INTERVAL` is the time between two writings.
 const TALLY_INTERVAL: Duration = Duration::from_secs(1);
 
-/// `TEAMS_A_TALLY` bounds how many teams are written, those first of which most was refused or that had
-/// least.
-const TEAMS_A_TALLY: usize = 8;
+/// `TEAMS_A_TALLY` bounds how many teams are written, those first that asked most.
+const TEAMS_A_TALLY: usize = 12;
+
+/// `WAITING_TEAMS` bounds how many teams that wait are written, those first that had least.
+const WAITING_TEAMS: usize = 8;
 
 /// `Tallies` is the table of all teams since it was last written.
 #[derive(Debug, Default)]
@@ -63,7 +65,7 @@
         });
     }
 
-    /// `take` begins anew and returns a line for each team of which something was refused.
+    /// `take` begins anew and returns a line for each team.
     ///
     /// ```
     /// use bergamotpitch_control::traffic::catalogs::{Catalog, Team};
@@ -79,11 +81,11 @@
     /// assert!(tallies.take().is_empty());
     /// ```
     pub fn take(&self) -> Vec<String> {
-        let tallies = std::mem::take(&mut *self.teams.borrow_mut()).into_values();
-        let mut refused: Vec<Tally> = tallies.filter(|tally| tally.all_refused() != 0).collect();
-        refused.sort_by_key(|tally| Reverse(tally.all_refused()));
-        refused.truncate(TEAMS_A_TALLY);
-        refused.iter().map(Tally::to_string).collect()
+        let tallies = std::mem::take(&mut *self.teams.borrow_mut());
+        let mut tallies: Vec<Tally> = tallies.into_values().collect();
+        tallies.sort_by_key(|tally| Reverse(tally.asked_tokens));
+        tallies.truncate(TEAMS_A_TALLY);
+        tallies.iter().map(Tally::to_string).collect()
     }
 
     fn is_due(&self, now: Timestamp) -> bool {
@@ -125,15 +127,15 @@
 }
 
 impl Gateway {
-    /// `write_tallies` writes what is due: what teams were refused here, and, where this instance
-    /// decides, which teams wait.
+    /// `write_tallies` writes what is due: what teams got here, and, where this instance decides, which
+    /// teams wait.
     pub(crate) fn write_tallies(&self) {
         let now = self.now();
         if !self.tallies.is_due(now) {
             return;
         }
         for line in self.tallies.take() {
-            decision(EventKind::TeamRefused, format_args!("{line}"));
+            decision(EventKind::TeamTallied, format_args!("{line}"));
         }
         let decides = self.is_dispatcher() || self.role().dispatcher.is_none();
         if let Some(catalog) = self.catalog().filter(|_| decides) {
@@ -145,7 +147,7 @@
 }
 
 fn write_waiting_teams(catalog: &Catalog, view: &SharesView) {
-    for WaitingTeam { team, counts, is_needy } in view.waiting.iter().take(TEAMS_A_TALLY) {
+    for WaitingTeam { team, counts, is_needy } in view.waiting.iter().take(WAITING_TEAMS) {
         let known = catalog.teams().find(|known| id_of_name(&known.name) == *team);
         decision(
             EventKind::TeamWaits,
