Replay a sudden team beside a flood, with one decider and with many

Cause: each instance places requests by copies of the others' figures that are up to seconds old, so requests beyond the shares are sent to places that are taken already, the ones left for teams within their share among them; the instance that the small team's callers reach sees the engines full.

--- a/crates/bergamotpitch-control/tests/replays/mod.rs
+++ b/crates/bergamotpitch-control/tests/replays/mod.rs
@@ -70,6 +70,8 @@
     pub in_time: HashMap<u32, usize>,
     pub served: usize,
     pub read_again_tokens: f64,
+    /// Tokens of the pool that each team's requests took, by the second in which they began.
+    pub begun_tokens: HashMap<(u32, u64), u64>,
 }
 
 impl Outcome {
@@ -79,6 +81,8 @@
 
     fn note_begun(&mut self, asked: &Asked, time: Duration) {
         self.served += 1;
+        let second = (asked.team, time.as_secs());
+        *self.begun_tokens.entry(second).or_default() += asked.facts.pool_tokens();
         if time <= asked.arrived + asked.target {
             *self.in_time.entry(asked.team).or_default() += 1;
         }
@@ -136,11 +140,26 @@
     /// Instances, which take requests in turn and tell each other what they have in hand.
     pub instances: usize,
     pub speed: Speed,
+    /// Time between two beats of an instance to each of its peers.
+    pub beat_interval: Duration,
+    /// Team whose callers all reach the first instance, while those of the others reach the rest.
+    pub lone_team: Option<u32>,
 }
 
 impl Default for Fleet {
     fn default() -> Self {
-        Self { instances: 1, speed: Speed::default() }
+        let (instances, lone_team) = (1, None);
+        Self { instances, speed: Speed::default(), beat_interval: BEAT_INTERVAL, lone_team }
+    }
+}
+
+impl Fleet {
+    fn instance_of(&self, number: usize, team: u32) -> usize {
+        match self.lone_team {
+            Some(lone) if self.instances == 1 || team == lone => 0,
+            Some(_) => 1 + number % (self.instances - 1),
+            None => number % self.instances,
+        }
     }
 }
 
@@ -155,14 +174,14 @@
         (0..fleet.instances).map(|_| traffic_of_engines()).unzip();
     // All instances number the engines alike.
     let keys = &keys[0];
-    let instance_of = |number: usize| number % fleet.instances;
+    let instance_of = |number: usize| fleet.instance_of(number, asked[number].team);
     let mut engines: Vec<Engine> =
         keys.iter().map(|_| Engine::new(SLOTS as usize, MEMORY_TOKENS / 2, fleet.speed)).collect();
     let mut outcome = Outcome::default();
     let mut next = 0;
     let mut held: Vec<usize> = Vec::new();
     let mut now = Duration::ZERO;
-    let mut next_beat = BEAT_INTERVAL;
+    let mut next_beat = fleet.beat_interval;
     while now < LENGTH + Duration::from_secs(10) {
         now += STEP;
         for (engine, key) in engines.iter_mut().zip(keys) {
@@ -179,7 +198,7 @@
             }
         }
         if next_beat <= now {
-            next_beat += BEAT_INTERVAL;
+            next_beat += fleet.beat_interval;
             exchange(&mut instances, keys, now);
         }
         while let Some(request) = asked.get(next).filter(|request| request.arrived <= now) {
