Take on no more streams than an instance has processor time for

What callers saw: all callers of a team reach one instance of an eighth of a core, and the team floods. It gets little more than half of what the best served team gets, sometimes less, and others at that instance are late with it. Comes and goes with processor time, and is gone without it.

Beyond 12 ms of wait for a turn, requests beyond their team's share were refused from the head; those within it, or of a needy team, were all taken on. But a team that is held back by its instance is below its share: whatever it sent was let in, a thousand streams a second where two hundred can be served, until timers were 100 ms late and everything was refused.

Change: a limit on the streams that are served at once, which follows the wait for a turn (falls while it is over 40 ms and the last fall has taken effect, rises while it is used), for all standings, whoever has had most refused first; each team may use half of an even part of it. Callers are taken in two by two, not eight by eight.

The new tests fail without the limit.

The test crowded_instance asserted the rule that this replaces. In its place: streams_beyond_processor (which also refuses within the share, asserts the reason and serves plain calls) and streams_counted.

--- a/crates/bergamotpitch-control/src/traffic.rs
+++ b/crates/bergamotpitch-control/src/traffic.rs
@@ -6,6 +6,7 @@
 
 pub mod admissions;
 pub mod catalogs;
+pub mod concurrency_limits;
 pub mod dispatchers;
 pub mod engine_loads;
 pub mod engine_speeds;
--- a/crates/bergamotpitch-control/src/traffic/policies.rs
+++ b/crates/bergamotpitch-control/src/traffic/policies.rs
@@ -51,6 +51,9 @@
     pub evidence: bool,
     /// Requests are refused at once while this process is late.
     pub lateness_refusals: bool,
+    /// No more streams are taken on than this process has time for. Without it, an instance that a flood
+    /// reaches serves nobody in time.
+    pub stream_limits: bool,
     /// New callers are sent elsewhere while this process is late.
     pub lateness_readiness: bool,
     /// A request that takes much longer than predicted is cut off where another upstream has room.
@@ -81,6 +84,7 @@
             learned_paces: true,
             evidence: true,
             lateness_refusals: true,
+            stream_limits: true,
             lateness_readiness: true,
             cut_offs: true,
             retries: true,
--- a/crates/bergamotpitch-gateway/examples/gateway_overhead.rs
+++ b/crates/bergamotpitch-gateway/examples/gateway_overhead.rs
@@ -71,7 +71,7 @@
         .build()
         .expect("a runtime");
     let upstream = load.block_on(serve());
-    let (address, thread) = start_gateway(upstream, upstreams);
+    let (address, thread) = start_gateway(upstream, upstreams, Processor::Free);
     println!("upstreams listed      {upstreams:9}");
     for (name, path) in [("call", "/call/"), ("stream", "/stream/")] {
         let mut measured = Measured::default();
@@ -83,14 +83,36 @@
         }
         report(name, &mut measured);
     }
-    for (name, reuse) in [("on a kept connection", Reuse::Kept), ("on a fresh one", Reuse::Fresh)] {
-        let before = cpu_time(&thread);
+    let (late_address, late_thread) = start_gateway(upstream, upstreams, Processor::Late);
+    for (name, address, thread, reuse) in [
+        ("on a kept connection", address, &thread, Reuse::Kept),
+        ("on a fresh one", address, &thread, Reuse::Fresh),
+        ("on a fresh one, from the head", late_address, &late_thread, Reuse::Fresh),
+    ] {
+        let before = cpu_time(thread);
         let count = load.block_on(refused_turn(address, reuse));
-        let each_us = (cpu_time(&thread) - before).as_secs_f64() * 1e6 / count as f64;
+        let each_us = (cpu_time(thread) - before).as_secs_f64() * 1e6 / count as f64;
         println!("refusal {name}, processor time of the gateway {each_us:.0} us, {count} refused");
     }
 }
 
+/// Whether the gateway has processor time, as far as it is told.
+#[derive(Clone, Copy, PartialEq)]
+enum Processor {
+    Free,
+    Late,
+}
+
+/// Time between two times at which a gateway is told that it is late.
+const LATE_INTERVAL: Duration = Duration::from_millis(20);
+
+async fn stay_late(gateway: Rc<Gateway>) {
+    loop {
+        gateway.lateness.note(Duration::from_secs(1));
+        tokio::time::sleep(LATE_INTERVAL).await;
+    }
+}
+
 /// Whether callers that are refused ask again on the same connection.
 #[derive(Clone, Copy, PartialEq)]
 enum Reuse {
@@ -140,7 +162,11 @@
     }
 }
 
-fn start_gateway(upstream: SocketAddr, upstreams: usize) -> (SocketAddr, String) {
+fn start_gateway(
+    upstream: SocketAddr,
+    upstreams: usize,
+    processor: Processor,
+) -> (SocketAddr, String) {
     let (send, receive) = std::sync::mpsc::channel();
     std::thread::spawn(move || {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -148,6 +174,9 @@
         tokio::task::LocalSet::new().block_on(&runtime, async {
             let gateway = Gateway::start(Options::default(), DIALECT).await.expect("it starts");
             list(&gateway, upstream, upstreams);
+            if processor == Processor::Late {
+                tokio::task::spawn_local(stay_late(Rc::clone(&gateway)));
+            }
             let task = std::fs::read_link("/proc/thread-self").expect("a thread");
             let thread = format!("/proc/{}/stat", task.display());
             send.send((gateway.options.caller_address, thread)).expect("somebody waits");
--- a/crates/bergamotpitch-gateway/src/callers.rs
+++ b/crates/bergamotpitch-gateway/src/callers.rs
@@ -39,7 +39,7 @@
 const SURPLUS_PART: f64 = 0.125;
 
 /// `ACCEPTED_AT_ONCE` is how many callers are taken in before streams that run get their turn.
-const ACCEPTED_AT_ONCE: usize = 8;
+const ACCEPTED_AT_ONCE: usize = 2;
 
 /// `ACCEPT_PAUSE` is the time between two looks for room while not even callers to be turned away
 /// are taken in.
--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -9,9 +9,8 @@
 use bergamotpitch_control::traffic::catalogs::{CacheLink, Catalog, Route, RouteKind, Team};
 use bergamotpitch_control::traffic::facts::RequestFacts;
 use bergamotpitch_control::traffic::registries::UpstreamKey;
-use bergamotpitch_control::traffic::team_windows::Standing;
 use bergamotpitch_core::events::EventKind;
-use bergamotpitch_core::ids::id_of_name;
+use bergamotpitch_core::ids::{TeamId, id_of_name};
 use bergamotpitch_core::refusals::RefusalReason;
 use bergamotpitch_core::units::Timestamp;
 use http::header::CONTENT_LENGTH;
@@ -30,6 +29,7 @@
 use crate::logs::decision;
 use crate::placements::{Placed, Run, has_place, place};
 use crate::refusals::{Inputs, Refusal, response_of_refusal};
+use crate::served_streams::ServedStream;
 
 /// `UNSTATED_BUDGET` is how long a caller is taken to wait that does not say so.
 const UNSTATED_BUDGET: Duration = Duration::from_secs(60);
@@ -45,9 +45,12 @@
 /// may not be sent to another.
 const BUSY_RETURN: Duration = Duration::from_millis(150);
 
-/// `CROWDED_RETURN` is when to come back after an instance was crowded: at once, as callers that come
-/// back reach others.
-const CROWDED_RETURN: Duration = Duration::from_millis(40);
+/// `BUSY_INSTANCE_RETURN` is when to come back after an instance had no processor time: callers that come
+/// back may reach others, and streams end here every few milliseconds.
+const BUSY_INSTANCE_RETURN: Duration = Duration::from_millis(40);
+
+/// `NO_TEAM` stands for requests without a team.
+const NO_TEAM: TeamId = 0;
 
 /// `PATIENCE_FACTOR` is how many times the predicted time an upstream may take before a request
 /// that can be repeated is sent to another one.
@@ -92,6 +95,8 @@
     pub memory_tokens: u64,
     /// Over what engines of its service fetch parts of prompts from each other.
     pub cache_link: Option<CacheLink>,
+    /// Counts it among the streams that this instance serves.
+    pub served: Option<ServedStream>,
 }
 
 /// `answer` serves one request.
@@ -130,7 +135,7 @@
                 EventKind::RequestRefused,
                 format_args!(
                     "request={attempt_id} route={} team={} prompt_tokens={} status={} reason={} \
-                     {} ran={} retry_after_ms={} held_ms={} {} version={}",
+                     {} ran={} retry_after_ms={} held_ms={} {} {} version={}",
                     known.route.as_deref().map_or("-", |route| &route.name),
                     known.team.as_deref().map_or("-", |team| &team.name),
                     known.prompt_tokens,
@@ -141,6 +146,7 @@
                     refusal.retry_after.unwrap_or_default().as_millis(),
                     gateway.now().saturating_sub(arrived).as_millis(),
                     gateway.lateness,
+                    gateway.streams,
                     gateway.version(),
                 ),
             );
@@ -178,12 +184,14 @@
     }
     let refusal = match refusal_of_instance(gateway, connection) {
         Some(refusal) => Some(refusal),
-        None => refusal_of_crowd(gateway, &catalog, team.as_deref(), &facts),
+        None => refusal_of_stream(gateway, &catalog, team.as_deref(), &facts),
     };
     if let Some(refusal) = refusal {
         discard(body).await;
         return Err(refusal);
     }
+    let team_id = team.as_ref().map_or(NO_TEAM, |team| id_of_name(&team.name));
+    let served = facts.is_generation().then(|| gateway.streams.open(team_id));
     let budget = facts.time_budget.unwrap_or(UNSTATED_BUDGET);
     let deadline = arrived + budget.min(route.timeout);
     let time = deadline.saturating_sub(arrived);
@@ -199,6 +207,7 @@
         number: gateway.fresh_number(),
         memory_tokens: engine.map_or(u64::MAX, |engine| engine.memory_tokens),
         cache_link: engine.and_then(|engine| engine.cache_link),
+        served,
         headers: passed_headers(gateway, &parts.headers),
         route,
         service,
@@ -250,21 +259,25 @@
     gateway.is_overloaded().then(|| Refusal::not_run(RefusalReason::InstanceBusy, BUSY_RETURN))
 }
 
-/// Why it takes none beyond its team's share.
-fn refusal_of_crowd(
+/// Why it takes this stream on no more.
+fn refusal_of_stream(
     gateway: &Gateway,
     catalog: &Catalog,
     team: Option<&Team>,
     facts: &RequestFacts,
 ) -> Option<Refusal> {
-    if !gateway.is_crowded() {
+    let is_limited = gateway.options.admission.policy.stream_limits && facts.is_generation();
+    if !is_limited || gateway.streams.admits_all() {
         return None;
     }
     let standing = gateway.standing(catalog, team, facts);
-    let is_beyond = matches!(standing, Standing::EvenSurplus | Standing::BeyondEven);
+    let team = team.map_or(NO_TEAM, |team| id_of_name(&team.name));
+    if gateway.streams.admits(team, standing) {
+        return None;
+    }
     let inputs = Inputs { standing: Some(standing), ..Inputs::default() };
-    is_beyond
-        .then(|| Refusal::not_run(RefusalReason::InstanceBusy, CROWDED_RETURN).decided_on(inputs))
+    let refusal = Refusal::not_run(RefusalReason::InstanceBusy, BUSY_INSTANCE_RETURN);
+    Some(refusal.decided_on(inputs))
 }
 
 /// A request that was read late may have lost its caller long ago. Sent on, it would keep an
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -8,6 +8,7 @@
 
 use bergamotpitch_control::traffic::admissions::Traffic;
 use bergamotpitch_control::traffic::catalogs::{CallerLimits, Catalog, CatalogVersion, Team};
+use bergamotpitch_control::traffic::concurrency_limits;
 use bergamotpitch_control::traffic::facts::RequestFacts;
 use bergamotpitch_control::traffic::registries::UpstreamKey;
 use bergamotpitch_control::traffic::team_windows::Standing;
@@ -32,6 +33,7 @@
 use crate::options::Options;
 use crate::peers::{Peers, UnknownPeers};
 use crate::probes::{self, Port};
+use crate::served_streams::ServedStreams;
 use crate::store_news::StoreNews;
 use crate::tallies::Tallies;
 
@@ -55,6 +57,8 @@
     pub lateness: Lateness,
     /// Memory that the bodies of requests take.
     pub held_bytes: HeldBytes,
+    /// Requests for streams that it has taken on.
+    pub streams: ServedStreams,
     /// What teams asked for and were given here lately.
     pub tallies: Tallies,
     /// Counters.
@@ -136,6 +140,7 @@
             dialect,
             pools: Pools::default(),
             lateness: Lateness::default(),
+            streams: ServedStreams::new(concurrency_limits::Options::default()),
             tallies: Tallies::default(),
             metrics,
             peers: RefCell::default(),
@@ -310,11 +315,6 @@
         self.options.admission.policy.lateness_refusals && self.lateness.is_overloaded()
     }
 
-    /// `is_crowded` tells whether requests beyond their teams' shares are refused at once.
-    pub fn is_crowded(&self) -> bool {
-        self.options.admission.policy.lateness_refusals && self.lateness.is_crowded(self.now())
-    }
-
     /// `measure_turn` measures with some requests for how long a task waits for its turn.
     pub async fn measure_turn(&self) {
         self.arrivals.set(self.arrivals.get().wrapping_add(1));
@@ -324,7 +324,7 @@
         let began = self.now();
         tokio::task::yield_now().await;
         let now = self.now();
-        self.lateness.note_turn(now.saturating_sub(began), now);
+        self.streams.note_wait(now.saturating_sub(began), now);
     }
 
     /// `standing` tells how a request stands against its team's share, as far as this instance knows.
--- a/crates/bergamotpitch-gateway/src/lateness.rs
+++ b/crates/bergamotpitch-gateway/src/lateness.rs
@@ -8,8 +8,6 @@
 use std::fmt;
 use std::time::Duration;
 
-use bergamotpitch_core::units::Timestamp;
-
 /// `OVERLOAD_LATENESS` is how late a timer may be before new requests are refused: the processor is
 /// behind, each further request makes all others later, and another instance may have time. A request
 /// meets it some four times before its first event, and the shortest targets are 150 to 400 ms.
@@ -27,23 +25,11 @@
 /// about the last two seconds.
 const SLOW_LATENESS_GAIN: f64 = 0.06;
 
-/// `CROWDED_TURN` is the time for which a task may wait for its turn before requests beyond their teams'
-/// shares are refused from their heads. The events of all streams meet it, some of them several times.
-const CROWDED_TURN: Duration = Duration::from_millis(12);
-
-/// `TURN_GAIN` is the weight of one turn against those before.
-const TURN_GAIN: f64 = 0.5;
-
-/// `TURN_AGE_MAX` is the age from which on a turn says nothing on the present.
-const TURN_AGE_MAX: Duration = Duration::from_millis(250);
-
-/// `Lateness` follows how late timers fire, and for how long tasks wait for their turn.
+/// `Lateness` follows how late timers fire.
 #[derive(Debug, Default)]
 pub struct Lateness {
     quick: Cell<Duration>,
     slow: Cell<Duration>,
-    turn: Cell<Duration>,
-    turn_noted: Cell<Timestamp>,
 }
 
 impl Lateness {
@@ -65,34 +51,6 @@
         self.slow.set(mean(self.slow.get(), late, SLOW_LATENESS_GAIN));
     }
 
-    /// `note_turn` takes in for how long a task waited while all others that were ready ran.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    ///
-    /// use bergamotpitch_gateway::lateness::Lateness;
-    ///
-    /// let lateness = Lateness::default();
-    /// let now = Duration::from_secs(3);
-    /// lateness.note_turn(Duration::from_millis(40), now);
-    /// assert!(lateness.is_crowded(now));
-    /// assert!(!lateness.is_crowded(2 * now));
-    /// ```
-    pub fn note_turn(&self, wait: Duration, now: Timestamp) {
-        let before = if self.is_turn_known(now) { self.turn.get() } else { Duration::ZERO };
-        self.turn.set(mean(before, wait, TURN_GAIN));
-        self.turn_noted.set(now);
-    }
-
-    /// `is_crowded` tells whether requests beyond their teams' shares should be refused at once.
-    pub fn is_crowded(&self, now: Timestamp) -> bool {
-        self.is_turn_known(now) && CROWDED_TURN < self.turn.get()
-    }
-
-    fn is_turn_known(&self, now: Timestamp) -> bool {
-        now < self.turn_noted.get() + TURN_AGE_MAX
-    }
-
     /// `is_overloaded` tells whether new requests should be refused at once.
     pub fn is_overloaded(&self) -> bool {
         OVERLOAD_LATENESS < self.quick.get()
@@ -107,8 +65,7 @@
 impl fmt::Display for Lateness {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let (quick, slow) = (self.quick.get().as_millis(), self.slow.get().as_millis());
-        let turn = self.turn.get().as_millis();
-        write!(formatter, "late_quick_ms={quick} late_slow_ms={slow} turn_ms={turn}")
+        write!(formatter, "late_quick_ms={quick} late_slow_ms={slow}")
     }
 }
 
--- a/crates/bergamotpitch-gateway/src/lib.rs
+++ b/crates/bergamotpitch-gateway/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod probes;
 pub mod refusals;
 pub mod relays;
+pub mod served_streams;
 pub mod sse;
 pub mod store_news;
 pub mod tallies;
--- a/crates/bergamotpitch-gateway/tests/late_instances.rs
+++ b/crates/bergamotpitch-gateway/tests/late_instances.rs
@@ -5,11 +5,10 @@
 use std::time::Duration;
 
 use bergamotpitch_core::ids::id_of_name;
-use common::{FakeUpstream, ask, catalog, request, run, start, start_with, whole};
-use http::HeaderValue;
-
-/// Teams' shares are computed anew after this time.
-const LEVELS_AGE: Duration = Duration::from_millis(60);
+use bytes::Bytes;
+use common::{Act, FakeUpstream, ask, event, request, run, start, stream_end, stream_head, whole};
+use http::{HeaderValue, Request};
+use http_body_util::Full;
 
 /// The callers of one flooding team all come to one small instance. Each request that it takes in
 /// makes all others later, until answers come after their callers have left.
@@ -49,35 +48,56 @@
     });
 }
 
-/// Guards against a flood that reaches one small instance and makes everybody's streams late there.
+/// The limit of streams changes no more often than this.
+const LIMIT_INTERVAL: Duration = Duration::from_millis(120);
+
+fn prompt(id: &str) -> Request<Full<Bytes>> {
+    let mut request = request("POST", "/closed/", id);
+    request.headers_mut().insert("x-key", HeaderValue::from_static("secret"));
+    request.headers_mut().insert("x-prompt-tokens", HeaderValue::from_static("10"));
+    request
+}
+
+/// Guards against an instance that takes on more streams of a flooding team than it has processor time
+/// for, until all of them are late.
 #[test]
-fn crowded_instance() {
+fn streams_beyond_processor() {
     run(async {
         let upstream = FakeUpstream::start(Box::new(|_| vec![whole("200 OK", "done")])).await;
-        let mut limited = catalog(1);
-        limited.pool_tokens_per_s = Some(1_000);
-        let (gateway, address) = start_with(&[&upstream], limited).await;
-        let prompt = |id: &str| {
-            let mut request = request("POST", "/closed/", id);
-            request.headers_mut().insert("x-key", HeaderValue::from_static("secret"));
-            request.headers_mut().insert("x-prompt-tokens", HeaderValue::from_static("10"));
-            request
-        };
-        gateway.lateness.note_turn(Duration::from_millis(40), gateway.now());
-        assert_eq!(ask(address, prompt("a")).await.unwrap().status, 200, "within its share");
-        {
-            let windows = &mut gateway.traffic.borrow_mut().windows;
-            windows.note_asked(id_of_name("florists"), 90_000, gateway.now());
-            windows.note_begun(id_of_name("florists"), 90_000, gateway.now());
-        }
-        tokio::time::sleep(LEVELS_AGE).await;
-        gateway.lateness.note_turn(Duration::from_millis(40), gateway.now());
+        let (gateway, address) = start(&[&upstream]).await;
+        let flood: Vec<_> =
+            (0..100).map(|_| gateway.streams.open(id_of_name("florists"))).collect();
+        assert_eq!(ask(address, prompt("a")).await.unwrap().status, 200, "it keeps up");
+        tokio::time::sleep(LIMIT_INTERVAL).await;
+        gateway.streams.note_wait(Duration::from_millis(300), gateway.now());
         let refused = ask(address, prompt("b")).await.unwrap();
         assert_eq!((refused.status, upstream.count()), (503, 1));
+        assert!(refused.body.contains("instance_busy"), "{}", refused.body);
         let after_s: f64 = refused.headers["retry-after"].to_str().unwrap().parse().unwrap();
-        assert!(after_s < 0.1, "callers that come back reach other instances");
-        gateway.lateness.note_turn(Duration::ZERO, gateway.now());
-        gateway.lateness.note_turn(Duration::ZERO, gateway.now());
-        assert_eq!(ask(address, prompt("c")).await.unwrap().status, 200, "the flood is over");
+        assert!(after_s < 0.1, "streams end all the time");
+        let call = ask(address, request("GET", "/safe/", "c")).await.unwrap();
+        assert_eq!(call.status, 200, "a plain call costs next to nothing");
+        drop(flood);
+        assert_eq!(ask(address, prompt("d")).await.unwrap().status, 200, "the flood is over");
+    });
+}
+
+/// Guards against streams that are counted for ever, or no longer than to their first event.
+#[test]
+fn streams_counted() {
+    run(async {
+        let pause = Act::Pause(Duration::from_millis(200));
+        let script = move |_| vec![stream_head(), event(1), pause.clone(), event(2), stream_end()];
+        let upstream = FakeUpstream::start(Box::new(script)).await;
+        let (gateway, address) = start(&[&upstream]).await;
+        let asked = tokio::task::spawn_local(ask(address, prompt("a")));
+        while upstream.count() == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(60)).await;
+        assert!(gateway.streams.to_string().contains("streams=1"), "{}", gateway.streams);
+        assert_eq!(asked.await.unwrap().unwrap().status, 200);
+        tokio::time::sleep(Duration::from_millis(60)).await;
+        assert!(gateway.streams.to_string().contains("streams=0"), "{}", gateway.streams);
     });
 }
