Count a request once that is asked for at two dispatchers

What callers saw: nothing that could be told apart.

Cause: a request that another domain could not take after all is asked for a second time at the own dispatcher, and one of the dispatcher itself at the other domain's, each time marked as the first ask. Only the first ask that may still go on is one.

dispatched_requests::counted_once fails without it. With it come tests of a dispatcher that is silent, of a reply that comes late, and of a grant that is used.

--- a/crates/bergamotpitch-gateway/src/asks.rs
+++ b/crates/bergamotpitch-gateway/src/asks.rs
@@ -188,7 +188,8 @@
         let facts = &call.facts;
         AskBody {
             number,
-            is_first: tried.is_empty(),
+            // What may not go on was counted by whoever looked for a place before.
+            is_first: may_go_on && tried.is_empty(),
             asker: None,
             may_go_on,
             service: id_of_name(&call.service),
--- a/crates/bergamotpitch-gateway/tests/common/mod.rs
+++ b/crates/bergamotpitch-gateway/tests/common/mod.rs
@@ -314,6 +314,14 @@
     launch(upstreams, catalog(1), options).await
 }
 
+/// `start_small` starts a gateway with an eighth of a core, in a domain of which any two instances have
+/// a dispatcher.
+pub async fn start_small(upstreams: &[&FakeUpstream]) -> (Rc<Gateway>, SocketAddr) {
+    let mut options = Options { processor_millis: 125, ..Options::default() };
+    options.dispatchers.instances_min = 2;
+    launch(upstreams, catalog(1), options).await
+}
+
 async fn launch(
     upstreams: &[&FakeUpstream],
     catalog: Catalog,
--- /dev/null
+++ b/crates/bergamotpitch-gateway/tests/dispatched_requests.rs
@@ -0,0 +1,196 @@
+//! Requests on which the dispatcher of the domain decides.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bergamotpitch_control::traffic::admissions::{Choice, Placement};
+use bergamotpitch_control::traffic::engine_loads::{RequestNumber, Work};
+use bergamotpitch_control::traffic::team_windows::Standing;
+use bergamotpitch_core::ids::InstanceId;
+use bergamotpitch_gateway::Gateway;
+use bergamotpitch_gateway::messages::{
+    AskBody, Body, Message, NoteEvent, Reply, ReplyOutcome, decode, encode,
+};
+use bergamotpitch_gateway::peers::PeerAddress;
+use bytes::Bytes;
+use common::{FakeUpstream, ask, request, run, start_small, whole};
+use http::{HeaderValue, Request};
+use http_body_util::Full;
+use tokio::net::UdpSocket;
+
+const DISPATCHER: InstanceId = 7;
+const REMOTE: InstanceId = 8;
+
+/// `FakePeer` is another instance, of which a test writes the messages.
+struct FakePeer {
+    instance: InstanceId,
+    socket: UdpSocket,
+    gateway: SocketAddr,
+}
+
+impl FakePeer {
+    async fn start(instance: InstanceId, gateway: &Gateway) -> Self {
+        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        Self { instance, socket, gateway: gateway.options.beat_address }
+    }
+
+    fn address(&self, domain: &str) -> PeerAddress {
+        let address = self.socket.local_addr().unwrap();
+        PeerAddress {
+            instance: self.instance,
+            domain: domain.to_owned(),
+            beat_address: address,
+            relay_address: address,
+            processor_millis: 1_000,
+        }
+    }
+
+    /// The next message in which something is found; the others are passed over.
+    async fn next<T>(&self, find: impl Fn(Body) -> Option<T>) -> T {
+        let mut buffer = [0; 4_000];
+        loop {
+            let length = self.socket.recv(&mut buffer).await.unwrap();
+            if let Some(found) = find(decode(&buffer[..length]).unwrap().body) {
+                return found;
+            }
+        }
+    }
+
+    async fn next_ask(&self) -> AskBody {
+        self.next(|body| if let Body::Ask(ask) = body { Some(ask) } else { None }).await
+    }
+
+    /// What becomes next of a granted request.
+    async fn next_event(&self, number: RequestNumber) -> NoteEvent {
+        let event_of = |body| {
+            let Body::Progress(notes) = body else { return None };
+            notes.iter().find(|note| note.number == number).map(|note| note.event)
+        };
+        self.next(event_of).await
+    }
+
+    async fn reply(&self, number: RequestNumber, outcome: ReplyOutcome) {
+        let body = Body::Reply(Reply { number, outcome });
+        let bytes = encode(&Message { instance: self.instance, incarnation: 1, body }).unwrap();
+        self.socket.send_to(&bytes, self.gateway).await.unwrap();
+    }
+}
+
+async fn domain_of_two(upstream: &FakeUpstream) -> (Rc<Gateway>, SocketAddr, FakePeer, FakePeer) {
+    let (gateway, address) = start_small(&[upstream]).await;
+    let dispatcher = FakePeer::start(DISPATCHER, &gateway).await;
+    let remote = FakePeer::start(REMOTE, &gateway).await;
+    gateway.replace_peers(vec![dispatcher.address("a"), remote.address("b")]);
+    assert_eq!(gateway.role().dispatcher, Some(DISPATCHER));
+    (gateway, address, dispatcher, remote)
+}
+
+fn prompt(id: &str) -> Request<Full<Bytes>> {
+    let mut request = request("POST", "/closed/", id);
+    request.headers_mut().insert("x-key", HeaderValue::from_static("secret"));
+    request.headers_mut().insert("x-prompt-tokens", HeaderValue::from_static("10"));
+    request
+}
+
+/// A place at the only upstream.
+fn granted(gateway: &Gateway) -> ReplyOutcome {
+    let registry = &gateway.traffic.borrow().registry;
+    let placement = Placement {
+        upstream: registry.key_of("u0").unwrap(),
+        work: Work::default(),
+        predicted: Duration::from_millis(20),
+        requests: 0,
+        standing: Standing::WithinShare,
+        rank: None,
+        fetch_from: None,
+    };
+    ReplyOutcome::new(&Choice::Send(placement), registry).unwrap()
+}
+
+const FULL: ReplyOutcome =
+    ReplyOutcome::Full { after_ms: 70, standing: Standing::EvenSurplus, least_requests: 9 };
+
+/// Guards against deciders that take a team for one that asks twice as much, as its requests are asked
+/// for again after another domain had less room than it told.
+#[test]
+fn counted_once() {
+    run(async {
+        let upstream = FakeUpstream::start(Box::new(|_| vec![whole("200 OK", "done")])).await;
+        let (_gateway, address, dispatcher, remote) = domain_of_two(&upstream).await;
+        let caller = tokio::task::spawn_local(ask(address, prompt("a")));
+        let first = dispatcher.next_ask().await;
+        assert!(first.is_first && first.may_go_on);
+        dispatcher.reply(first.number, ReplyOutcome::Waits).await;
+        remote.reply(first.number, FULL).await;
+        let second = dispatcher.next_ask().await;
+        assert!(!second.may_go_on, "it was handed on already");
+        assert!(!second.is_first, "the same request counts a second time");
+        dispatcher.reply(second.number, FULL).await;
+        let refused = caller.await.unwrap().unwrap();
+        assert_eq!((refused.status, upstream.count()), (503, 0));
+        let after_s: f64 = refused.headers["retry-after"].to_str().unwrap().parse().unwrap();
+        assert!((0.07..0.11).contains(&after_s), "{after_s}");
+    });
+}
+
+/// Guards against requests that fail or wait with a dispatcher that was killed or cut off.
+#[test]
+fn silent_dispatcher() {
+    run(async {
+        let upstream = FakeUpstream::start(Box::new(|_| vec![whole("200 OK", "done")])).await;
+        let (gateway, address, dispatcher, _remote) = domain_of_two(&upstream).await;
+        let caller = tokio::task::spawn_local(ask(address, prompt("a")));
+        let first = dispatcher.next_ask().await;
+        let again = dispatcher.next_ask().await;
+        assert_eq!(first.number, again.number, "single datagrams are lost");
+        assert_eq!(caller.await.unwrap().unwrap().status, 200);
+        assert_eq!(ask(address, prompt("b")).await.unwrap().status, 200);
+        let metrics = gateway.metrics.text();
+        let count = |name: &str| {
+            let line = metrics.lines().find(|line| line.starts_with(name));
+            line.and_then(|line| line.rsplit(' ').next()).map(str::to_owned)
+        };
+        assert_eq!(count("bergamotpitch_unanswered_asks_total").as_deref(), Some("1"));
+        assert_eq!(
+            count("bergamotpitch_asks_total").as_deref(),
+            Some("2"),
+            "it is not asked again"
+        );
+    });
+}
+
+/// Guards against a place that stays taken at the dispatcher, as its reply came after the asker had
+/// decided by itself.
+#[test]
+fn late_reply() {
+    run(async {
+        let upstream = FakeUpstream::start(Box::new(|_| vec![whole("200 OK", "done")])).await;
+        let (gateway, address, dispatcher, _remote) = domain_of_two(&upstream).await;
+        let caller = tokio::task::spawn_local(ask(address, prompt("a")));
+        let first = dispatcher.next_ask().await;
+        assert_eq!(caller.await.unwrap().unwrap().status, 200);
+        dispatcher.reply(first.number, granted(&gateway)).await;
+        assert_eq!(dispatcher.next_event(first.number).await, NoteEvent::Dropped);
+        assert_eq!(upstream.count(), 1);
+    });
+}
+
+/// The request is sent where the dispatcher placed it, and the dispatcher is told how it goes.
+#[test]
+fn granted_request() {
+    run(async {
+        let upstream = FakeUpstream::start(Box::new(|_| vec![whole("200 OK", "done")])).await;
+        let (gateway, address, dispatcher, _remote) = domain_of_two(&upstream).await;
+        let caller = tokio::task::spawn_local(ask(address, prompt("a")));
+        let first = dispatcher.next_ask().await;
+        dispatcher.reply(first.number, granted(&gateway)).await;
+        assert_eq!(caller.await.unwrap().unwrap().status, 200);
+        let told = dispatcher
+            .next(|body| if let Body::Progress(notes) = body { Some(notes) } else { None });
+        let events: Vec<NoteEvent> = told.await.iter().map(|note| note.event).collect();
+        assert_eq!(events, [NoteEvent::Begun, NoteEvent::Answered]);
+    });
+}
