Count what an instance refuses itself among what its team asked

What callers saw: nothing by itself.

Change: the instance counts it itself, and tells it with its own sums.

--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -187,6 +187,7 @@
         None => refusal_of_stream(gateway, &catalog, team.as_deref(), &facts),
     };
     if let Some(refusal) = refusal {
+        gateway.note_asked_in_vain(team.as_deref(), &facts);
         discard(body).await;
         return Err(refusal);
     }
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -315,6 +315,14 @@
         self.options.admission.policy.lateness_refusals && self.lateness.is_overloaded()
     }
 
+    /// `note_asked_in_vain` counts a request that is refused before anybody decides on its place.
+    pub fn note_asked_in_vain(&self, team: Option<&Team>, facts: &RequestFacts) {
+        if let Some(team) = team.filter(|_| facts.is_generation()) {
+            let windows = &mut self.traffic.borrow_mut().windows;
+            windows.note_asked(id_of_name(&team.name), facts.pool_tokens(), self.now());
+        }
+    }
+
     /// `measure_turn` measures with some requests for how long a task waits for its turn.
     pub async fn measure_turn(&self) {
         self.arrivals.set(self.arrivals.get().wrapping_add(1));
--- a/crates/bergamotpitch-gateway/tests/late_instances.rs
+++ b/crates/bergamotpitch-gateway/tests/late_instances.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use bergamotpitch_control::traffic::team_windows::TeamSums;
 use bergamotpitch_core::ids::id_of_name;
 use bytes::Bytes;
 use common::{Act, FakeUpstream, ask, event, request, run, start, stream_end, stream_head, whole};
@@ -73,6 +74,8 @@
         let refused = ask(address, prompt("b")).await.unwrap();
         assert_eq!((refused.status, upstream.count()), (503, 1));
         assert!(refused.body.contains("instance_busy"), "{}", refused.body);
+        let sums = gateway.traffic.borrow_mut().windows.own_sums(gateway.now());
+        assert_eq!(sums[0].1.window, TeamSums { asked_tokens: 20, begun_tokens: 10 });
         let after_s: f64 = refused.headers["retry-after"].to_str().unwrap().parse().unwrap();
         assert!(after_s < 0.1, "streams end all the time");
         let call = ask(address, request("GET", "/safe/", "c")).await.unwrap();
