Let few callers wait to be accepted by an instance that falls behind

Cause: 128 callers may wait in the system's queue. A flooded instance accepts one or two a turn of its loop, so behind a full queue a caller waits for 64 turns or more, by when it has given up: the instance accepts callers that are gone, in order of their coming. 128 turns of 32 ms are the 4.1 s of the record.

Ruled out: the look for surplus callers, whose count was never reached (connections 1,300 of idle callers).

Change: 64 callers may wait.

The same elsewhere: the ports for readiness, metrics and peers accept without a pause between callers; nothing to change.

--- a/crates/bergamotpitch-gateway/src/callers.rs
+++ b/crates/bergamotpitch-gateway/src/callers.rs
@@ -8,6 +8,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::mem::MaybeUninit;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,7 +20,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
 
 use crate::bodies::AnswerBody;
@@ -41,6 +42,10 @@
 /// `ACCEPTED_AT_ONCE` is how many callers are taken in before streams that run get their turn.
 const ACCEPTED_AT_ONCE: usize = 2;
 
+/// `ACCEPT_QUEUE` is how many callers may wait to be taken in. Behind a longer queue an instance that
+/// falls behind takes in none but callers that have given up.
+const ACCEPT_QUEUE: u32 = 64;
+
 /// `ACCEPT_PAUSE` is the time between two looks for room while not even callers to be turned away
 /// are taken in.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -139,6 +144,18 @@
     }
 }
 
+/// `listen` opens the port on which callers come in.
+///
+/// # Errors
+///
+/// Fails when the address cannot be bound.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(ACCEPT_QUEUE)
+}
+
 /// `serve` accepts callers until it is dropped.
 ///
 /// When a flood reaches one instance, all of its connections carry requests, and it would grow with
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -112,7 +112,7 @@
     ///
     /// Fails when an address cannot be bound.
     pub async fn start(mut options: Options, dialect: Dialect) -> Result<Rc<Self>> {
-        let callers = listen("caller_address", &mut options.caller_address).await?;
+        let callers = listen_for_callers(&mut options.caller_address)?;
         let ready = listen("ready_address", &mut options.ready_address).await?;
         let mut inner = Vec::new();
         for address in &mut options.relay_addresses {
@@ -397,6 +397,13 @@
     }
 }
 
+fn listen_for_callers(address: &mut SocketAddr) -> Result<TcpListener> {
+    let failed = |source| Error::Bind { setting: "caller_address", address: *address, source };
+    let listener = callers::listen(*address).map_err(failed)?;
+    *address = listener.local_addr().map_err(failed)?;
+    Ok(listener)
+}
+
 /// Listens, and puts the port that the system chose into the address.
 async fn listen(setting: &'static str, address: &mut SocketAddr) -> Result<TcpListener> {
     let failed = |source| Error::Bind { setting, address: *address, source };
