Deny nothing by a configuration that is known to be outdated

Cause: all callers of a flooding team reach one instance, whose link is full: from 9 s on its new connections to engines, peers and the store time out, with 1,247 lines on it in 26 s. It fetches no configuration from 23.5 s to 30.3 s, while beats of its peers come in and tell of version 34 beside its 16. It goes on to deny what 16 does not know, for good.

Change: what would be denied (unknown route, unknown team, body too large) while a peer tells of a newer version is refused as not_ready, not run, with when to come back; what its version allows is served as before.

Evidence: outdated_instances::denied_by_old_version fails before (404, 401) and passes now.

Left: such an instance still serves routes and teams that a newer version has dropped, until it can fetch it, and connects as often as before.

--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -117,7 +117,7 @@
         Ok(facts) => match read_call(&gateway, connection, request, facts, &mut known).await {
             Ok(call) if connection.is_left() => Err(left_before_sent(&call)),
             Ok(call) => follow(&gateway, Rc::new(call)).await,
-            Err(refusal) => Err(refusal),
+            Err(refusal) => Err(unless_outdated(&gateway, refusal)),
         },
         Err(error) => {
             log::info!("event=bad_header request={attempt_id:?} error={error:?}");
@@ -252,6 +252,18 @@
     Ok(Head { catalog, route, team, host })
 }
 
+/// What the configuration in force denies, a newer one may allow.
+fn unless_outdated(gateway: &Gateway, refusal: Refusal) -> Refusal {
+    use RefusalReason::{BodyTooLarge, ServiceNotAllowed, UnknownTeam};
+
+    match refusal.reason {
+        ServiceNotAllowed | UnknownTeam | BodyTooLarge if gateway.is_outdated() => {
+            Refusal::not_run(RefusalReason::NotReady, NOT_READY_RETURN)
+        }
+        _ => refusal,
+    }
+}
+
 /// Why this instance takes no request at all at present.
 fn refusal_of_instance(gateway: &Gateway, connection: &CallerConnection) -> Option<Refusal> {
     if connection.is_surplus() {
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -208,6 +208,12 @@
         true
     }
 
+    /// `is_outdated` tells whether a peer has a newer configuration in force.
+    pub fn is_outdated(&self) -> bool {
+        let version = self.version();
+        self.peers.borrow().values().any(|peer| version < peer.version)
+    }
+
     /// `upstreams_known` notes that the list of upstreams was read once.
     pub fn upstreams_known(&self) {
         self.is_listed.set(true);
