--- a/crates/bergamotpitch-control/tests/stated_rates.rs
+++ b/crates/bergamotpitch-control/tests/stated_rates.rs
@@ -4,6 +4,7 @@
 mod replays;
 
 use std::ops::Range;
+use std::time::Duration;
 
 use bergamotpitch_control::traffic::admissions::Ask;
 use replays::{Asked, Fleet, Outcome, arrivals, chosen, replay};
@@ -27,16 +28,40 @@
     in_window.map(|request| request.facts.pool_tokens()).collect()
 }
 
+/// A replay in which all decide by a rate that the engines do not reach.
+fn stated(asked: &[Asked], fleet: Fleet) -> Outcome {
+    replay(asked, fleet, |traffic, ask, number, now| {
+        let ask = Ask { pool_tokens_per_s: Some(STATED_TOKENS_PER_S), ..*ask };
+        chosen(traffic, &ask, number, now)
+    })
+}
+
+/// The windows in which a small team got less than half of what it asked, or of what the flooding team
+/// got, less three of its largest requests.
+fn starved(asked: &[Asked], outcome: &Outcome) -> Vec<String> {
+    let mut starved = Vec::new();
+    for seconds in (4..14).map(|start| start..start + WINDOW_S) {
+        let best = begun(outcome, FLOODING, &seconds);
+        for team in SMALL {
+            let wanted = wanted(asked, team, &seconds);
+            let due = wanted.iter().sum::<u64>().min(best);
+            let slack = 3 * wanted.iter().max().copied().unwrap_or_default();
+            let got = begun(outcome, team, &seconds);
+            if got + slack < due / 2 {
+                starved.push(format!("from {} s, team {team}: {got} of {due}", seconds.start));
+            }
+        }
+    }
+    starved
+}
+
 /// Guards against a team that gets less than half of its due beside one that floods, as engines were
 /// lost or are slower than stated.
 #[test]
 fn flood_beside_small_teams() {
     for seed in 1..=3 {
         let asked = arrivals(seed, 220.0, 0.9);
-        let outcome = replay(&asked, Fleet::default(), |traffic, ask, number, now| {
-            let ask = Ask { pool_tokens_per_s: Some(STATED_TOKENS_PER_S), ..*ask };
-            chosen(traffic, &ask, number, now)
-        });
+        let outcome = stated(&asked, Fleet::default());
         let known = replay(&asked, Fleet::default(), chosen);
         println!(
             "seed {seed}: served {} and {} with the true rate, in time {} and {}, of the small teams \
@@ -50,19 +75,24 @@
         );
         let given = |outcome: &Outcome| outcome.begun_tokens.values().sum::<u64>();
         assert!(given(&known) <= given(&outcome), "seed {seed}: engines stand idle");
-        for start in 4..14 {
-            let seconds = start..start + WINDOW_S;
-            let best = begun(&outcome, FLOODING, &seconds);
-            for team in SMALL {
-                let wanted = wanted(&asked, team, &seconds);
-                let due = wanted.iter().sum::<u64>().min(best);
-                let slack = 3 * wanted.iter().max().copied().unwrap_or_default();
-                let got = begun(&outcome, team, &seconds);
-                println!(
-                    "seed {seed}, from {start} s, team {team}: {got} of {due}, {slack} may lack"
-                );
-                assert!(due / 2 <= got + slack, "seed {seed}, from {start} s, team {team}");
-            }
-        }
+        assert_eq!(starved(&asked, &outcome), Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+/// Guards against the same in a fleet of small domains, of which each instance decides by itself.
+#[test]
+fn flood_before_many_deciders() {
+    let fleet =
+        Fleet { instances: 23, beat_interval: Duration::from_millis(720), ..Fleet::default() };
+    for seed in 1..=3 {
+        let mut asked = arrivals(seed, 220.0, 0.9);
+        let mut sudden = 0;
+        asked.retain(|request| {
+            let is_sudden = request.team == SMALL[0] && request.arrived < Duration::from_secs(9);
+            sudden += u32::from(is_sudden);
+            !is_sudden || sudden.is_multiple_of(7)
+        });
+        let starved = starved(&asked, &stated(&asked, fleet));
+        assert_eq!(starved, Vec::<String>::new(), "seed {seed}");
     }
 }
