--- a/crates/bergamotpitch-control/src/traffic/team_windows.rs
+++ b/crates/bergamotpitch-control/src/traffic/team_windows.rs
@@ -8,6 +8,10 @@
 //! falls silent is left out after [`Options::peer_timeout`], so that what is left of the fleet
 //! divides the whole pool.
 //!
+//! Operators state the rate of the pool. Engines that were lost, are slow or read long prompts give less,
+//! and all that is asked may then lie within the shares. While a team has much less than others, the
+//! shares divide what is begun.
+//!
 //! After an outage of all instances nobody has any sums, and whatever waited comes back at once.
 //! Measured by a whole window all of it would be within the shares, and the engines would be sent
 //! several times what they read in time. The shares therefore grow with the time for which at least
@@ -428,8 +432,6 @@
         let waiting_tokens = WAITING_PART * given;
         self.needy = needy(&fleet, waiting_tokens);
         let stated = pool_in(window).unwrap_or(f64::INFINITY);
-        // Engines that are lost, slow or sent long prompts give less than operators state. All teams
-        // would then be within their shares, and whoever asks most would get most.
         let pool = if self.needy.is_empty() { stated } else { stated.min(given) };
         let asked = fleet.values().map(|counts| counts.window.asked_tokens as f64).collect();
         let share_tokens = max_min_level(asked, pool);
