--- a/crates/bergamotpitch-gateway/tests/common/mod.rs
+++ b/crates/bergamotpitch-gateway/tests/common/mod.rs
@@ -398,6 +398,14 @@
         .unwrap()
 }
 
+/// `prompt` is a team's request for a generation.
+pub fn prompt(id: &str) -> Request<Full<Bytes>> {
+    let mut request = request("POST", "/closed/", id);
+    request.headers_mut().insert("x-key", HeaderValue::from_static("secret"));
+    request.headers_mut().insert("x-prompt-tokens", HeaderValue::from_static("10"));
+    request
+}
+
 /// `ask` sends one request on a connection of its own; `None` when no answer came.
 pub async fn ask(address: SocketAddr, request: Request<Full<Bytes>>) -> Option<Got> {
     let mut sender = connect(address).await;
--- a/crates/bergamotpitch-gateway/tests/dispatched_requests.rs
+++ b/crates/bergamotpitch-gateway/tests/dispatched_requests.rs
@@ -15,10 +15,7 @@
     AskBody, Body, Message, NoteEvent, Reply, ReplyOutcome, decode, encode,
 };
 use bergamotpitch_gateway::peers::PeerAddress;
-use bytes::Bytes;
-use common::{FakeUpstream, ask, request, run, start_small, whole};
-use http::{HeaderValue, Request};
-use http_body_util::Full;
+use common::{FakeUpstream, ask, prompt, run, start_small, whole};
 use tokio::net::UdpSocket;
 
 const DISPATCHER: InstanceId = 7;
@@ -88,13 +85,6 @@
     (gateway, address, dispatcher, remote)
 }
 
-fn prompt(id: &str) -> Request<Full<Bytes>> {
-    let mut request = request("POST", "/closed/", id);
-    request.headers_mut().insert("x-key", HeaderValue::from_static("secret"));
-    request.headers_mut().insert("x-prompt-tokens", HeaderValue::from_static("10"));
-    request
-}
-
 /// A place at the only upstream.
 fn granted(gateway: &Gateway) -> ReplyOutcome {
     let registry = &gateway.traffic.borrow().registry;
--- a/crates/bergamotpitch-gateway/tests/late_instances.rs
+++ b/crates/bergamotpitch-gateway/tests/late_instances.rs
@@ -6,10 +6,9 @@
 
 use bergamotpitch_control::traffic::team_windows::TeamSums;
 use bergamotpitch_core::ids::id_of_name;
-use bytes::Bytes;
-use common::{Act, FakeUpstream, ask, event, request, run, start, stream_end, stream_head, whole};
-use http::{HeaderValue, Request};
-use http_body_util::Full;
+use common::{
+    Act, FakeUpstream, ask, event, prompt, request, run, start, stream_end, stream_head, whole,
+};
 
 /// The callers of one flooding team all come to one small instance. Each request that it takes in
 /// makes all others later, until answers come after their callers have left.
@@ -52,13 +51,6 @@
 /// The limit of streams changes no more often than this.
 const LIMIT_INTERVAL: Duration = Duration::from_millis(120);
 
-fn prompt(id: &str) -> Request<Full<Bytes>> {
-    let mut request = request("POST", "/closed/", id);
-    request.headers_mut().insert("x-key", HeaderValue::from_static("secret"));
-    request.headers_mut().insert("x-prompt-tokens", HeaderValue::from_static("10"));
-    request
-}
-
 /// Guards against an instance that takes on more streams of a flooding team than it has processor time
 /// for, until all of them are late.
 #[test]
--- a/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/scenes.rs
+++ b/crates/bergamotpitch-proof/src/bin/bergamotpitch-slopes/scenes.rs
@@ -146,7 +146,7 @@
     let routers = std::mem::take(&mut run.routers);
     let count = routers.len() as f64;
     let meters: Vec<Meter> = routers.into_iter().map(|router| router.meter).collect();
-    // What is left is that of the bench: engines, what is due, meters, and the sheet.
+    // What is left is that of the scene: engines, what is due, meters, and the sheet.
     let other_bytes = heap.current_usage() - empty_bytes;
     let seconds = (run.now - from).as_secs_f64();
     let tables_kb = all_bytes.saturating_sub(other_bytes) as f64 / 1e3 / count;
