Keep requests in the regions of their route and team

Change: AllowedRegions of the route and of the team, both of which bind, bound the candidates of every decision, the dispatchers to which a request is handed on, the engines from which starts of prompts are fetched, and are read from the configuration in force again right before a request is written to an upstream. An empty intersection is refused at once as not run (no_allowed_region). Placement requests carry the set (format 3).

--- a/crates/bergamotpitch-control/src/traffic.rs
+++ b/crates/bergamotpitch-control/src/traffic.rs
@@ -18,6 +18,7 @@
 pub mod prefixes;
 pub mod registries;
 pub mod request_demands;
+pub mod residencies;
 pub mod retry_budgets;
 pub mod starts;
 pub mod team_windows;
--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bergamotpitch_core::HashMap;
-use bergamotpitch_core::ids::{DomainId, InstanceId, TeamId, id_of_name};
+use bergamotpitch_core::ids::{DomainId, InstanceId, RegionId, TeamId, id_of_name};
 use bergamotpitch_core::units::Timestamp;
 use serde::{Deserialize, Serialize};
 
@@ -22,6 +22,7 @@
 use crate::traffic::prefixes::KeptParts;
 use crate::traffic::registries::{Registry, Upstream, UpstreamKey};
 use crate::traffic::request_demands::{PrefillPlan, RequestDemand};
+use crate::traffic::residencies::AllowedRegions;
 use crate::traffic::retry_budgets::{self, RetryBudget};
 use crate::traffic::starts::{StartNote, Starts};
 use crate::traffic::team_windows::{self, ShareClass, TeamWindows};
@@ -44,6 +45,8 @@
     pub retries: retry_budgets::Options,
     /// Other failure domains of the own region, over links that are short and cheap.
     pub near_domains: Vec<String>,
+    /// The region of each failure domain, by name.
+    pub regions: HashMap<String, String>,
     /// Way to a failure domain of another region and back.
     pub remote_round_trip: Duration,
     /// How full upstreams may be for requests within their team's share, and for those of a needy
@@ -61,6 +64,7 @@
             policy: Policy::default(),
             domain: String::new(),
             near_domains: Vec::new(),
+            regions: HashMap::default(),
             loads: engine_loads::Options::default(),
             windows: team_windows::Options::default(),
             retries: retry_budgets::Options::default(),
@@ -136,6 +140,8 @@
     pub cache_link: Option<CacheLink>,
     /// Among which upstreams it is placed.
     pub scope: Scope,
+    /// Regions that it may enter.
+    pub regions: &'a AllowedRegions,
 }
 
 /// `Decision` is the decision.
@@ -198,6 +204,7 @@
     pub starts: Starts,
     domain_number: DomainId,
     near_domain_numbers: Vec<DomainId>,
+    region_of_domain: HashMap<DomainId, RegionId>,
     states: HashMap<UpstreamKey, UpstreamState>,
     speeds: HashMap<String, EngineSpeed>,
     budgets: HashMap<String, RetryBudget>,
@@ -218,6 +225,8 @@
         options.windows.policy = options.policy;
         options.loads.policy = options.policy;
         let windows = TeamWindows::new(options.windows);
+        let region_of_domain =
+            options.regions.iter().map(|(domain, region)| (id_of_name(domain), id_of_name(region)));
         Self {
             domain_number: id_of_name(&options.domain),
             near_domain_numbers: options
@@ -225,6 +234,7 @@
                 .iter()
                 .map(|domain| id_of_name(domain))
                 .collect(),
+            region_of_domain: region_of_domain.collect(),
             options,
             registry: Registry::default(),
             windows,
@@ -423,6 +433,7 @@
             .filter(|key| !request.tried.contains(key))
             .filter_map(|key| self.registry.get(*key))
             .filter(|upstream| upstream.takes_work() && self.is_in_scope(upstream, request.scope))
+            .filter(|upstream| self.allows(request.regions, upstream.domain_number))
             .collect();
         if !self.options.policy.evidence {
             return open;
@@ -436,6 +447,11 @@
         if healthy.is_empty() { open } else { healthy }
     }
 
+    /// `allows` tells whether data that may enter some regions alone may enter a failure domain.
+    pub fn allows(&self, regions: &AllowedRegions, domain: DomainId) -> bool {
+        regions.allows(self.region_of_domain.get(&domain).copied())
+    }
+
     fn is_in_scope(&self, upstream: &Upstream, scope: Scope) -> bool {
         scope == Scope::Fleet || upstream.domain_number == self.domain_number
     }
@@ -484,7 +500,11 @@
         if policy.start_order && request.scope == Scope::Fleet {
             demand.rank_engines(prefix, candidates, self.domain_number);
         }
-        demand.find_holders(prefix, &self.registry, &self.starts, now);
+        // What an engine elsewhere keeps of the prompt may not be moved here, nor the other way.
+        let may_hold = |upstream: &Upstream| {
+            upstream.takes_work() && self.allows(request.regions, upstream.domain_number)
+        };
+        demand.find_holders(prefix, &self.registry, &self.starts, may_hold, now);
         demand
     }
 
--- a/crates/bergamotpitch-control/src/traffic/catalogs.rs
+++ b/crates/bergamotpitch-control/src/traffic/catalogs.rs
@@ -7,6 +7,8 @@
 use bergamotpitch_core::ids::{ServiceId, id_of_name};
 use strum::{Display, EnumString, IntoStaticStr};
 
+use crate::traffic::residencies::AllowedRegions;
+
 /// `CatalogVersion` is the number that operators give to a configuration.
 pub type CatalogVersion = u64;
 
@@ -49,6 +51,8 @@
     pub is_resumable: bool,
     /// Services that share its requests.
     pub targets: Vec<Target>,
+    /// Regions that its requests may enter.
+    pub allowed_regions: AllowedRegions,
 }
 
 impl Route {
@@ -146,6 +150,8 @@
     pub priority: Option<u32>,
     /// Keys that its callers show.
     pub keys: Vec<String>,
+    /// Regions that its requests may enter.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// `CallerLimits` bound what a caller may send.
@@ -263,6 +269,18 @@
         self.team_of_key.get(key).map(|index| &self.teams[*index])
     }
 
+    /// `allowed_regions` returns the regions that requests of a team on a route may enter by this
+    /// configuration. A route or team that it no longer holds keeps what it had.
+    pub fn allowed_regions(&self, route: &Route, team: Option<&Team>) -> AllowedRegions {
+        let routes = self.routes_of_host.get(&route.host.to_ascii_lowercase());
+        let mut routes = routes.into_iter().flatten().map(Arc::as_ref);
+        let route = routes.find(|known| known.name == route.name).unwrap_or(route);
+        let mut teams = self.teams.iter().map(Arc::as_ref);
+        let team = team.map(|team| teams.find(|known| known.name == team.name).unwrap_or(team));
+        let of_team = team.map_or(&AllowedRegions::Any, |team| &team.allowed_regions);
+        route.allowed_regions.intersection(of_team)
+    }
+
     /// `teams` visits all teams.
     pub fn teams(&self) -> impl Iterator<Item = &Arc<Team>> {
         self.teams.iter()
--- a/crates/bergamotpitch-control/src/traffic/placement_queues.rs
+++ b/crates/bergamotpitch-control/src/traffic/placement_queues.rs
@@ -15,6 +15,7 @@
 use crate::traffic::engine_loads::RequestNumber;
 use crate::traffic::facts::RequestFacts;
 use crate::traffic::registries::UpstreamKey;
+use crate::traffic::residencies::AllowedRegions;
 use crate::traffic::team_windows::ShareClass;
 
 /// `WAIT_FRACTION` is the part of a request's target latency for which it may wait for a place.
@@ -55,6 +56,8 @@
     pub cache_link: Option<CacheLink>,
     /// Among which upstreams it is placed.
     pub scope: Scope,
+    /// Regions that it may enter.
+    pub regions: AllowedRegions,
 }
 
 impl OwnedPlacementRequest {
@@ -72,6 +75,7 @@
             pool_tokens_per_s: self.pool_tokens_per_s,
             cache_link: self.cache_link,
             scope: self.scope,
+            regions: &self.regions,
         }
     }
 
--- a/crates/bergamotpitch-control/src/traffic/request_demands.rs
+++ b/crates/bergamotpitch-control/src/traffic/request_demands.rs
@@ -114,12 +114,13 @@
         prefix: PartId,
         registry: &Registry,
         starts: &Starts,
+        may_hold: impl Fn(&Upstream) -> bool,
         now: Timestamp,
     ) {
         let found = starts
             .holders(prefix, now)
             .filter_map(|life| registry.get(registry.key_of_life(life)?))
-            .filter(|upstream| upstream.takes_work());
+            .filter(|upstream| may_hold(upstream));
         for (holder, found) in self.holders.iter_mut().zip(found) {
             *holder = Some(Holder { key: found.key, domain_number: found.domain_number });
         }
--- a/crates/bergamotpitch-control/tests/fetched_starts.rs
+++ b/crates/bergamotpitch-control/tests/fetched_starts.rs
@@ -10,6 +10,7 @@
 use bergamotpitch_control::traffic::catalogs::CacheLink;
 use bergamotpitch_control::traffic::facts::RequestFacts;
 use bergamotpitch_control::traffic::registries::{Registration, UpstreamKey};
+use bergamotpitch_control::traffic::residencies::AllowedRegions;
 use engines::{Engine, EngineEvent, Speed, part};
 use rand_core::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
@@ -64,6 +65,7 @@
         cache_link,
         target_gap: None,
         scope: Scope::Fleet,
+        regions: &AllowedRegions::Any,
     }
 }
 
--- a/crates/bergamotpitch-control/tests/near_domains.rs
+++ b/crates/bergamotpitch-control/tests/near_domains.rs
@@ -7,6 +7,7 @@
 };
 use bergamotpitch_control::traffic::facts::{PromptPart, RequestFacts};
 use bergamotpitch_control::traffic::registries::Registration;
+use bergamotpitch_control::traffic::residencies::AllowedRegions;
 
 fn traffic() -> Traffic {
     let options = Options {
@@ -43,6 +44,7 @@
         cache_link: None,
         target_gap: None,
         scope: Scope::Fleet,
+        regions: &AllowedRegions::Any,
     }
 }
 
--- a/crates/bergamotpitch-control/tests/policy_switches.rs
+++ b/crates/bergamotpitch-control/tests/policy_switches.rs
@@ -9,6 +9,7 @@
 use bergamotpitch_control::traffic::facts::RequestFacts;
 use bergamotpitch_control::traffic::policies::Policy;
 use bergamotpitch_control::traffic::registries::{Registration, UpstreamKey};
+use bergamotpitch_control::traffic::residencies::AllowedRegions;
 use bergamotpitch_control::traffic::team_windows::{Options, ShareClass, TeamSums, TeamWindows};
 
 const NOW: Duration = Duration::from_secs(5);
@@ -54,6 +55,7 @@
         cache_link: None,
         target_gap: None,
         scope: Scope::Fleet,
+        regions: &AllowedRegions::Any,
     };
     traffic.choose_upstream(&placement_request, NOW)
 }
--- a/crates/bergamotpitch-control/tests/replays/mod.rs
+++ b/crates/bergamotpitch-control/tests/replays/mod.rs
@@ -9,6 +9,7 @@
 use bergamotpitch_control::traffic::engine_loads::Figures;
 use bergamotpitch_control::traffic::facts::RequestFacts;
 use bergamotpitch_control::traffic::registries::{Registration, UpstreamKey};
+use bergamotpitch_control::traffic::residencies::AllowedRegions;
 use rand_core::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 
@@ -138,6 +139,7 @@
         cache_link: None,
         target_gap: None,
         scope: Scope::Fleet,
+        regions: &AllowedRegions::Any,
     }
 }
 
--- a/crates/bergamotpitch-control/tests/route_choice.rs
+++ b/crates/bergamotpitch-control/tests/route_choice.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bergamotpitch_control::traffic::catalogs::{Catalog, Route, RouteKind, Target, Team};
+use bergamotpitch_control::traffic::residencies::AllowedRegions;
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
     Route {
@@ -18,12 +19,13 @@
         is_public: false,
         is_resumable: false,
         targets: vec![Target { service: "crm".to_owned(), weight: 1 }],
+        allowed_regions: AllowedRegions::Any,
     }
 }
 
 fn team(name: &str, keys: &[&str]) -> Team {
     let keys = keys.iter().map(|key| (*key).to_owned()).collect();
-    Team { name: name.to_owned(), priority: None, keys }
+    Team { name: name.to_owned(), priority: None, keys, allowed_regions: AllowedRegions::Any }
 }
 
 #[test]
--- a/crates/bergamotpitch-control/tests/slow_services.rs
+++ b/crates/bergamotpitch-control/tests/slow_services.rs
@@ -7,6 +7,7 @@
 };
 use bergamotpitch_control::traffic::facts::RequestFacts;
 use bergamotpitch_control::traffic::registries::Registration;
+use bergamotpitch_control::traffic::residencies::AllowedRegions;
 
 const TARGET: Duration = Duration::from_millis(400);
 
@@ -40,6 +41,7 @@
         cache_link: None,
         target_gap: None,
         scope: Scope::Fleet,
+        regions: &AllowedRegions::Any,
     }
 }
 
--- a/crates/bergamotpitch-control/tests/underserved_teams.rs
+++ b/crates/bergamotpitch-control/tests/underserved_teams.rs
@@ -8,6 +8,7 @@
 use bergamotpitch_control::traffic::engine_loads::Work;
 use bergamotpitch_control::traffic::facts::RequestFacts;
 use bergamotpitch_control::traffic::registries::Registration;
+use bergamotpitch_control::traffic::residencies::AllowedRegions;
 use bergamotpitch_control::traffic::team_windows::{ShareClass, TeamSums};
 
 const NOW: Duration = Duration::from_secs(10);
@@ -68,6 +69,7 @@
         cache_link: None,
         target_gap: None,
         scope: Scope::Fleet,
+        regions: &AllowedRegions::Any,
     }
 }
 
--- a/crates/bergamotpitch-core/src/refusals.rs
+++ b/crates/bergamotpitch-core/src/refusals.rs
@@ -61,6 +61,8 @@
     DeadlinePassed,
     /// No live upstream serves the service.
     NoUpstream,
+    /// The route and the team have no region in common that the request may enter.
+    NoAllowedRegion,
     /// The instance is draining.
     Draining,
     /// The instance has no configuration yet.
--- a/crates/bergamotpitch-gateway/examples/gateway_overhead.rs
+++ b/crates/bergamotpitch-gateway/examples/gateway_overhead.rs
@@ -15,6 +15,7 @@
 use bergamotpitch_control::traffic::engine_loads::Report;
 use bergamotpitch_control::traffic::facts::{PromptPart, RequestFacts};
 use bergamotpitch_control::traffic::registries::Registration;
+use bergamotpitch_control::traffic::residencies::AllowedRegions;
 use bergamotpitch_gateway::dialects::{AnswerFacts, BadHeader, Dialect, UpstreamHeaders};
 use bergamotpitch_gateway::{Gateway, Options};
 use bytes::Bytes;
@@ -200,6 +201,7 @@
         is_public: false,
         is_resumable: false,
         targets: vec![Target { service: "all".to_owned(), weight: 1 }],
+        allowed_regions: AllowedRegions::Any,
     };
     let service = Service {
         name: "all".to_owned(),
@@ -210,6 +212,7 @@
         name: format!("team-{number}"),
         priority: None,
         keys: vec![format!("key-{number}")],
+        allowed_regions: AllowedRegions::Any,
     });
     let mut refused = route("/refused/", RouteKind::Streaming);
     refused.targets = vec![Target { service: "none".to_owned(), weight: 1 }];
--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -38,6 +38,10 @@
 /// not count as an attempt, as nothing was sent.
 const UNREACHABLE_LIMIT: usize = 3;
 
+/// `WITHDRAWN_LIMIT` bounds how many places are given up that a request may not have any more when it is
+/// about to be sent; such a try does not count as an attempt either.
+const WITHDRAWN_LIMIT: usize = 3;
+
 /// `NOT_READY_RETURN` is when to come back to an instance that has no configuration yet.
 const NOT_READY_RETURN: Duration = Duration::from_millis(500);
 
@@ -45,6 +49,10 @@
 /// may not be sent to another.
 const BUSY_RETURN: Duration = Duration::from_millis(150);
 
+/// `NO_REGION_RETURN` is when to come back while route and team have no region in common: a change of
+/// the configuration takes seconds.
+const NO_REGION_RETURN: Duration = Duration::from_secs(2);
+
 /// `BUSY_INSTANCE_RETURN` is when to come back after an instance had no processor time: callers that come
 /// back may reach others, and streams end here every few milliseconds.
 const BUSY_INSTANCE_RETURN: Duration = Duration::from_millis(40);
@@ -184,7 +192,8 @@
     }
     let refusal = match refusal_of_instance(gateway, connection) {
         Some(refusal) => Some(refusal),
-        None => refusal_of_stream(gateway, &catalog, team.as_deref(), &facts),
+        None => refusal_of_regions(&catalog, &route, team.as_deref())
+            .or_else(|| refusal_of_stream(gateway, &catalog, team.as_deref(), &facts)),
     };
     if let Some(refusal) = refusal {
         gateway.note_asked_in_vain(team.as_deref(), &facts);
@@ -272,6 +281,12 @@
     gateway.is_overloaded().then(|| Refusal::not_run(RefusalReason::InstanceBusy, BUSY_RETURN))
 }
 
+/// Why no upstream may get the request, whichever there are.
+fn refusal_of_regions(catalog: &Catalog, route: &Route, team: Option<&Team>) -> Option<Refusal> {
+    let is_denied = catalog.allowed_regions(route, team).allows_none();
+    is_denied.then(|| Refusal::not_run(RefusalReason::NoAllowedRegion, NO_REGION_RETURN))
+}
+
 /// Why it takes this stream on no more.
 fn refusal_of_stream(
     gateway: &Gateway,
@@ -308,6 +323,7 @@
     let mut tried: Vec<UpstreamKey> = Vec::new();
     let mut attempts = 0;
     let mut unreachable = 0;
+    let mut withdrawn = 0;
     let mut may_have_run = false;
     loop {
         let placed = match place(gateway, &call, &tried).await {
@@ -330,6 +346,14 @@
             },
             Err(failure) => {
                 note_failure(&call, &placement, gateway, &failure);
+                if failure == Failure::Withdrawn {
+                    withdrawn += 1;
+                    if withdrawn < WITHDRAWN_LIMIT {
+                        continue;
+                    }
+                    let refusal = Refusal::not_run(RefusalReason::NoUpstream, BUSY_RETURN);
+                    return Err(after_attempts(refusal, may_have_run));
+                }
                 if failure == Failure::Unreachable {
                     run.unreachable();
                     tried.push(placement.upstream);
--- a/crates/bergamotpitch-gateway/src/dispatchers.rs
+++ b/crates/bergamotpitch-gateway/src/dispatchers.rs
@@ -12,6 +12,7 @@
 use bergamotpitch_control::traffic::placement_queues::{
     OwnedPlacementRequest, PlacementQueue, place,
 };
+use bergamotpitch_control::traffic::residencies::AllowedRegions;
 use bergamotpitch_control::traffic::team_windows::ShareClass;
 use bergamotpitch_core::HashMap;
 use bergamotpitch_core::events::EventKind;
@@ -274,7 +275,7 @@
             return;
         }
         if body.may_forward
-            && let Some(next) = self.reserve_remote_headroom(body.service, &decision)
+            && let Some(next) = self.reserve_remote_headroom(body.service, &decision, &body.regions)
         {
             let requester = Some((requester, incarnation));
             self.send_reply(sender, number, ReplyOutcome::Waits);
@@ -336,6 +337,7 @@
             pool_tokens_per_s: catalog.pool_tokens_per_s,
             cache_link: engine.and_then(|engine| engine.cache_link),
             scope: Scope::Domain,
+            regions: body.regions.clone(),
         })
     }
 
@@ -479,6 +481,7 @@
         &self,
         service: ServiceId,
         decision: &Decision,
+        regions: &AllowedRegions,
     ) -> Option<InstanceId> {
         let is_within_share = match decision {
             Decision::Full { share_class, .. } => {
@@ -490,9 +493,14 @@
         let now = self.now();
         let peers = self.peers.borrow();
         let near = &self.options.admission.near_domains;
+        let traffic = self.traffic.borrow();
         let mut headrooms = self.local_placements.headrooms.borrow_mut();
         let open = headrooms.iter_mut().filter_map(|(instance, headrooms)| {
             let peer = peers.get(instance).filter(|peer| peer.is_dispatching(now))?;
+            let domain = id_of_name(&peer.address.domain);
+            if !traffic.allows(regions, domain) {
+                return None;
+            }
             let headroom = headrooms.get_mut(&service)?;
             let count = if is_within_share {
                 &mut headroom.within_share
--- a/crates/bergamotpitch-gateway/src/exchanges.rs
+++ b/crates/bergamotpitch-gateway/src/exchanges.rs
@@ -43,6 +43,8 @@
 pub enum Failure {
     /// No connection could be made: nothing was sent.
     Unreachable,
+    /// The upstream may not get the request any more: nothing was sent.
+    Withdrawn,
     /// The upstream proves that it did not run the request.
     NotRun {
         /// What it answered.
@@ -90,6 +92,10 @@
             Some(sender) => sender,
             None => open(gateway, key).await?,
         };
+        // Connecting takes a while, in which operators may have changed what is allowed.
+        if !gateway.may_send(call, placement) {
+            return Err(Failure::Withdrawn);
+        }
         let request = request_of_call(gateway, call, placement, resume_after)?;
         match sender.try_send_request(request).await {
             Ok(response) => return read_head(gateway, call, key, response, sender),
--- a/crates/bergamotpitch-gateway/src/messages.rs
+++ b/crates/bergamotpitch-gateway/src/messages.rs
@@ -12,6 +12,7 @@
 use bergamotpitch_control::traffic::engine_loads::{Figures, RequestNumber, Work};
 use bergamotpitch_control::traffic::facts::{PartId, PromptPart, RequestFacts};
 use bergamotpitch_control::traffic::registries::Registry;
+use bergamotpitch_control::traffic::residencies::AllowedRegions;
 use bergamotpitch_control::traffic::team_windows::{ShareClass, TeamCounts};
 use bergamotpitch_core::ids::{Incarnation, InstanceId, ServiceId, TeamId, UpstreamId};
 use displaydoc::Display;
@@ -22,7 +23,7 @@
 use crate::options::Options;
 
 /// `FORMAT` begins each message of this release.
-const FORMAT: [u8; 4] = [0xb9, b'p', 0, 2];
+const FORMAT: [u8; 4] = [0xb9, b'p', 0, 3];
 
 /// `MESSAGE_BYTES` bounds a message: one datagram that is not cut on the way.
 pub const MESSAGE_BYTES: usize = 1_400;
@@ -179,6 +180,8 @@
     pub elapsed_ms: u32,
     /// Lives of upstreams that must not get it.
     pub tried: Vec<UpstreamId>,
+    /// Regions that it may enter.
+    pub regions: AllowedRegions,
 }
 
 impl PlacementRequestBody {
--- a/crates/bergamotpitch-gateway/src/placements.rs
+++ b/crates/bergamotpitch-gateway/src/placements.rs
@@ -7,6 +7,7 @@
 use bergamotpitch_control::traffic::engine_loads::RequestNumber;
 use bergamotpitch_control::traffic::placement_queues::OwnedPlacementRequest;
 use bergamotpitch_control::traffic::registries::UpstreamKey;
+use bergamotpitch_control::traffic::residencies::AllowedRegions;
 use bergamotpitch_control::traffic::team_windows::ShareClass;
 use bergamotpitch_core::ids::id_of_name;
 use bergamotpitch_core::refusals::RefusalReason;
@@ -105,7 +106,7 @@
     tried: &[UpstreamKey],
 ) -> (RequestNumber, Option<Grantor>, Decision) {
     let now = gateway.now();
-    let ask = owned_placement_request(call, tried, gateway.scope());
+    let ask = owned_placement_request(gateway, call, tried);
     if tried.is_empty() {
         gateway.note_asked(&ask, now);
     }
@@ -115,7 +116,8 @@
         return (number, None, decision);
     }
     if gateway.is_dispatcher()
-        && let Some(next) = gateway.reserve_remote_headroom(id_of_name(&call.service), &decision)
+        && let Some(next) =
+            gateway.reserve_remote_headroom(id_of_name(&call.service), &decision, &ask.regions)
     {
         let number = gateway.fresh_number();
         let decided =
@@ -133,9 +135,9 @@
 }
 
 fn owned_placement_request(
+    gateway: &Gateway,
     call: &Call,
     tried: &[UpstreamKey],
-    scope: Scope,
 ) -> OwnedPlacementRequest {
     OwnedPlacementRequest {
         service: call.service.clone(),
@@ -148,7 +150,29 @@
         memory_tokens: call.memory_tokens,
         pool_tokens_per_s: call.catalog.pool_tokens_per_s,
         cache_link: call.cache_link,
-        scope,
+        scope: gateway.scope(),
+        regions: gateway.allowed_regions(call),
+    }
+}
+
+impl Gateway {
+    /// `allowed_regions` returns the regions that a call may enter by the configuration in force, which
+    /// may be newer than the one under which it arrived.
+    pub(crate) fn allowed_regions(&self, call: &Call) -> AllowedRegions {
+        match self.catalog() {
+            Some(catalog) => catalog.allowed_regions(&call.route, call.team.as_deref()),
+            None => call.catalog.allowed_regions(&call.route, call.team.as_deref()),
+        }
+    }
+
+    /// `may_send` tells whether a call may still be sent where it was placed.
+    pub(crate) fn may_send(&self, call: &Call, placement: &Placement) -> bool {
+        let regions = self.allowed_regions(call);
+        let traffic = self.traffic.borrow();
+        let upstream = traffic.registry.get(placement.upstream);
+        upstream.is_some_and(|upstream| {
+            upstream.takes_work() && traffic.allows(&regions, upstream.domain_number)
+        })
     }
 }
 
@@ -156,7 +180,7 @@
 /// as this instance knows.
 pub fn has_place(gateway: &Gateway, call: &Call, tried: &[UpstreamKey]) -> bool {
     let now = gateway.now();
-    let ask = owned_placement_request(call, tried, gateway.scope());
+    let ask = owned_placement_request(gateway, call, tried);
     matches!(gateway.traffic.borrow_mut().choose_upstream(&ask.as_of(now), now), Decision::Send(_))
 }
 
--- a/crates/bergamotpitch-gateway/src/remote_placements.rs
+++ b/crates/bergamotpitch-gateway/src/remote_placements.rs
@@ -203,6 +203,7 @@
             target_gap_ms: call.route.target_gap.map(millis),
             elapsed_ms: millis(self.now().saturating_sub(call.arrived)),
             tried: tried_incarnations.collect(),
+            regions: self.allowed_regions(call),
         }
     }
 
--- a/crates/bergamotpitch-gateway/tests/common/mod.rs
+++ b/crates/bergamotpitch-gateway/tests/common/mod.rs
@@ -13,6 +13,7 @@
 };
 use bergamotpitch_control::traffic::facts::RequestFacts;
 use bergamotpitch_control::traffic::registries::Registration;
+use bergamotpitch_control::traffic::residencies::AllowedRegions;
 use bergamotpitch_gateway::dialects::{AnswerFacts, BadHeader, Dialect, UpstreamHeaders};
 use bergamotpitch_gateway::{Gateway, Options};
 use bytes::Bytes;
@@ -257,6 +258,7 @@
         is_public: true,
         is_resumable: false,
         targets: vec![Target { service: "all".to_owned(), weight: 1 }],
+        allowed_regions: AllowedRegions::Any,
     }
 }
 
@@ -278,8 +280,12 @@
         connections_max: 10,
         engine: Some(EngineService { slots: 4, memory_tokens: 1_000, cache_link: None }),
     };
-    let team =
-        Team { name: "florists".to_owned(), priority: None, keys: vec!["secret".to_owned()] };
+    let team = Team {
+        name: "florists".to_owned(),
+        priority: None,
+        keys: vec!["secret".to_owned()],
+        allowed_regions: AllowedRegions::Any,
+    };
     Catalog::new(version, routes, vec![service], vec![team])
 }
 
@@ -322,7 +328,8 @@
     launch(upstreams, catalog(1), options).await
 }
 
-async fn launch(
+/// `launch` starts a gateway with options.
+pub async fn launch(
     upstreams: &[&FakeUpstream],
     catalog: Catalog,
     mut options: Options,
--- a/crates/bergamotpitch-router/src/refusals.rs
+++ b/crates/bergamotpitch-router/src/refusals.rs
@@ -78,6 +78,7 @@
         RefusalReason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
         RefusalReason::DeadlineUnreachable
         | RefusalReason::NoUpstream
+        | RefusalReason::NoAllowedRegion
         | RefusalReason::Draining
         | RefusalReason::NotReady
         | RefusalReason::ClaimUnavailable
@@ -97,6 +98,7 @@
         RefusalReason::DeadlineUnreachable => "The request cannot be served by its deadline.",
         RefusalReason::DeadlinePassed => "The deadline passed.",
         RefusalReason::NoUpstream => "No live upstream serves the service.",
+        RefusalReason::NoAllowedRegion => "The route and the team have no region in common.",
         RefusalReason::Draining => "This instance is leaving.",
         RefusalReason::NotReady => "This instance has no configuration yet.",
         RefusalReason::ClaimUnavailable => "The idempotency key cannot be claimed now.",
