Send nothing to the upstreams of an evacuated failure domain

Change: the registry keeps the newest order for each domain by its version (the revision of the store), whatever the order in which orders come; upstreams of an evacuated domain take no work, start no fetch and are no fetch's source. Orders go from the store's watches to the other instances as documents, their end as a document without a value, so that the newest revision wins; heartbeats tell the newest version, so that an instance whose domain is cut from the store fetches from another domain. Whether several upstreams vanished at once is judged by those that stay, the evacuated among them.

--- a/crates/bergamotpitch-control/src/traffic.rs
+++ b/crates/bergamotpitch-control/src/traffic.rs
@@ -10,6 +10,7 @@
 pub mod dispatchers;
 pub mod engine_loads;
 pub mod engine_speeds;
+pub mod evacuations;
 pub mod evidences;
 pub mod facts;
 pub mod grants;
--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -16,6 +16,7 @@
 use crate::traffic::catalogs::CacheLink;
 use crate::traffic::engine_loads::{self, Capacity, RequestNumber, UpstreamLoad, Work};
 use crate::traffic::engine_speeds::EngineSpeed;
+use crate::traffic::evacuations::EvacuationOrder;
 use crate::traffic::evidences::Evidence;
 use crate::traffic::facts::RequestFacts;
 use crate::traffic::policies::Policy;
@@ -245,6 +246,12 @@
         }
     }
 
+    /// `evacuate` takes in that a failure domain is evacuated, or is so no more; it tells whether its
+    /// state has changed.
+    pub fn evacuate(&mut self, order: &EvacuationOrder, _now: Timestamp) -> bool {
+        self.registry.evacuate(order)
+    }
+
     /// `remove_gone_upstreams` drops what is kept on upstreams that are gone, but for those at which requests
     /// of this instance still run.
     pub fn remove_gone_upstreams(&mut self) {
--- a/crates/bergamotpitch-control/src/traffic/registries.rs
+++ b/crates/bergamotpitch-control/src/traffic/registries.rs
@@ -10,6 +10,8 @@
 use bergamotpitch_core::ids::{DomainId, UpstreamId, id_of_name};
 use bergamotpitch_core::units::Timestamp;
 
+use crate::traffic::evacuations::{EvacuationOrder, Evacuations};
+
 /// `UpstreamKey` is a number for one incarnation of an upstream within this process. It is never
 /// used again, so that late news of an earlier incarnation cannot touch the next.
 pub type UpstreamKey = u32;
@@ -48,8 +50,10 @@
     pub domain_number: DomainId,
     /// What the list says.
     pub registration: Registration,
-    /// Why it gets no new work; `None` while it takes some.
+    /// Who said that it leaves, for good; `None` while it stays.
     pub leaving: Option<LeavingSource>,
+    /// Whether its failure domain is evacuated.
+    pub is_evacuated: bool,
     /// Set while its entry is missing from a list that may have lapsed in an outage.
     lapsed: Option<Timestamp>,
 }
@@ -57,7 +61,7 @@
 impl Upstream {
     /// `takes_work` tells whether a request may be sent there.
     pub fn takes_work(&self) -> bool {
-        self.leaving.is_none()
+        self.leaving.is_none() && !self.is_evacuated
     }
 }
 
@@ -100,6 +104,7 @@
     key_of_id: HashMap<String, UpstreamKey>,
     key_of_life: HashMap<UpstreamId, UpstreamKey>,
     of_service: HashMap<String, Vec<UpstreamKey>>,
+    evacuations: Evacuations,
     last_key: UpstreamKey,
     outage: Outage,
 }
@@ -135,10 +140,10 @@
         self.of_service.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// `in_use` returns how many upstreams of a service take work.
-    pub fn in_use(&self, service: &str) -> usize {
+    /// `staying` returns how many upstreams of a service do not leave, evacuated ones among them.
+    pub fn staying(&self, service: &str) -> usize {
         let upstreams = self.of_service(service).iter().filter_map(|key| self.get(*key));
-        upstreams.filter(|upstream| upstream.takes_work()).count()
+        upstreams.filter(|upstream| upstream.leaving.is_none()).count()
     }
 
     /// `all` returns every upstream, in no order.
@@ -146,6 +151,23 @@
         self.upstreams.values()
     }
 
+    /// `evacuations` returns which failure domains get nothing new.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// `evacuate` takes in an order; it tells whether the failure domain's state has changed.
+    pub fn evacuate(&mut self, order: &EvacuationOrder) -> bool {
+        let has_changed = self.evacuations.apply(order);
+        let domain = id_of_name(&order.domain);
+        let of_domain =
+            self.upstreams.values_mut().filter(|upstream| upstream.domain_number == domain);
+        of_domain.for_each(|upstream| {
+            upstream.is_evacuated = self.evacuations.is_evacuated(domain);
+        });
+        has_changed
+    }
+
     /// `list_lost` notes that the platform's list is out of reach.
     pub fn list_lost(&mut self) {
         self.outage = Outage::Lasting;
@@ -180,6 +202,7 @@
             if is_same_life(&known.registration, &registration) {
                 known.lapsed = None;
                 known.domain_number = id_of_name(&registration.domain);
+                known.is_evacuated = self.evacuations.is_evacuated(known.domain_number);
                 known.registration = registration;
                 if known.registration.is_leaving && known.leaving.is_none() {
                     known.leaving = Some(LeavingSource::List);
@@ -284,6 +307,7 @@
             domain_number,
             registration,
             leaving,
+            is_evacuated: self.evacuations.is_evacuated(domain_number),
             lapsed: None,
         };
         self.upstreams.insert(key, upstream);
--- a/crates/bergamotpitch-core/src/events.rs
+++ b/crates/bergamotpitch-core/src/events.rs
@@ -76,6 +76,10 @@
     UpstreamJoined = 403,
     /// An upstream is no longer listed.
     UpstreamGone = 404,
+    /// The upstreams of a failure domain get nothing new until the evacuation ends.
+    DomainEvacuated = 405,
+    /// The evacuation of a failure domain has ended; its upstreams count as just started.
+    DomainReturned = 406,
     /// The key-value service is out of reach.
     PlatformLost = 500,
     /// The key-value service answers again.
--- a/crates/bergamotpitch-gateway/src/heartbeats.rs
+++ b/crates/bergamotpitch-gateway/src/heartbeats.rs
@@ -199,6 +199,7 @@
     Heartbeat {
         version: gateway.version(),
         list_change: gateway.list_change(),
+        evacuation_version: traffic.registry.evacuations().version(),
         watches: !gateway.relies_on_peers(),
         relay_number: gateway.store_updates.relay.borrow().last_number(),
         is_eligible: gateway.is_eligible(),
--- a/crates/bergamotpitch-gateway/src/messages.rs
+++ b/crates/bergamotpitch-gateway/src/messages.rs
@@ -10,6 +10,7 @@
 use bergamotpitch_control::traffic::admissions::{Decision, Headroom, Placement};
 use bergamotpitch_control::traffic::catalogs::CatalogVersion;
 use bergamotpitch_control::traffic::engine_loads::{Figures, RequestNumber, Work};
+use bergamotpitch_control::traffic::evacuations::EvacuationVersion;
 use bergamotpitch_control::traffic::facts::{PartId, PromptPart, RequestFacts};
 use bergamotpitch_control::traffic::registries::Registry;
 use bergamotpitch_control::traffic::residencies::AllowedRegions;
@@ -67,6 +68,8 @@
     pub version: CatalogVersion,
     /// Revision of the latest change of the list of upstreams that it has seen.
     pub list_change: u64,
+    /// Version of the newest evacuation order that it knows.
+    pub evacuation_version: EvacuationVersion,
     /// Whether it watches the store for its domain.
     pub watches: bool,
     /// Number of the latest change of its documents.
--- a/crates/bergamotpitch-gateway/src/peers.rs
+++ b/crates/bergamotpitch-gateway/src/peers.rs
@@ -7,6 +7,7 @@
 
 use bergamotpitch_control::traffic::catalogs::CatalogVersion;
 use bergamotpitch_control::traffic::dispatchers::Candidate;
+use bergamotpitch_control::traffic::evacuations::EvacuationVersion;
 use bergamotpitch_core::ids::{Incarnation, InstanceId};
 use bergamotpitch_core::units::Timestamp;
 use bergamotpitch_core::{HashMap, HashSet};
@@ -57,6 +58,8 @@
     pub version: CatalogVersion,
     /// Revision of the latest change of the list of upstreams that it has seen.
     pub list_change: u64,
+    /// Version of the newest evacuation order that it knows.
+    pub evacuation_version: EvacuationVersion,
     /// Whether it watches the store for its domain.
     pub watches: bool,
     /// Number of the latest change of its documents.
@@ -77,6 +80,7 @@
             last_seen: None,
             version: 0,
             list_change: 0,
+            evacuation_version: 0,
             watches: false,
             relay_number: 0,
             is_eligible: true,
@@ -101,6 +105,7 @@
         self.last_seen = Some(now);
         self.version = heartbeat.version;
         self.list_change = heartbeat.list_change;
+        self.evacuation_version = heartbeat.evacuation_version;
         self.watches = heartbeat.watches;
         self.relay_number = heartbeat.relay_number;
         self.is_eligible = heartbeat.is_eligible;
--- a/crates/bergamotpitch-gateway/src/store_updates.rs
+++ b/crates/bergamotpitch-gateway/src/store_updates.rs
@@ -284,7 +284,10 @@
     }
 
     fn is_behind(&self, peer: &Peer) -> bool {
-        self.version() < peer.version || self.store_updates.list_known.get() < peer.list_change
+        let evacuations = self.traffic.borrow().registry.evacuations().version();
+        self.version() < peer.version
+            || self.store_updates.list_known.get() < peer.list_change
+            || evacuations < peer.evacuation_version
     }
 
     /// The watcher whose every change this instance follows while it relies on peers.
--- a/crates/bergamotpitch-gateway/src/upstreams.rs
+++ b/crates/bergamotpitch-gateway/src/upstreams.rs
@@ -4,6 +4,7 @@
 
 use bergamotpitch_control::traffic::admissions::Traffic;
 use bergamotpitch_control::traffic::engine_loads::Figures;
+use bergamotpitch_control::traffic::evacuations::EvacuationOrder;
 use bergamotpitch_control::traffic::registries::{
     Change, LeavingSource, Registration, UpstreamKey,
 };
@@ -38,6 +39,28 @@
         self.change_upstreams(|traffic, _| traffic.registry.listed(registration));
     }
 
+    /// `evacuate` takes in that a failure domain is evacuated, or is so no more; it tells whether that
+    /// was news.
+    pub fn evacuate(&self, order: &EvacuationOrder, source: &str) -> bool {
+        let now = self.now();
+        let mut traffic = self.traffic.borrow_mut();
+        let is_news = traffic.registry.evacuations().is_older_than(order);
+        let has_changed = traffic.evacuate(order, now);
+        drop(traffic);
+        if has_changed {
+            let event = match order.is_evacuated {
+                true => EventKind::DomainEvacuated,
+                false => EventKind::DomainReturned,
+            };
+            decision(
+                event,
+                format_args!("domain={} version={} source={source}", order.domain, order.version),
+            );
+            self.mark_load_changed();
+        }
+        is_news
+    }
+
     fn log_change(&self, traffic: &Traffic, change: &Change) {
         let describe = |key: UpstreamKey| {
             traffic.registry.get(key).map_or_else(
@@ -145,7 +168,7 @@
             let keys: Vec<UpstreamKey> = traffic
                 .registry
                 .all()
-                .filter(|upstream| upstream.takes_work())
+                .filter(|upstream| upstream.leaving.is_none())
                 .filter(|upstream| leaving.contains(&upstream.life_number))
                 .map(|upstream| upstream.key)
                 .collect();
