Bound the requests that upstreams get which have just started

Cause: nothing read how many requests a cold upstream tolerates.

Change: an ArrivalLimiter for each upstream bounds what is placed there within a sliding second. While an upstream is cold, only the dispatcher of its domain places there, once it has heard most of its domain for 2.5 s unchallenged; whoever has no grant of it sends nothing. Such a grant lapses after 150 ms, so that grants which were held up do not arrive together. An upstream may become cold unannounced, so one that counts as warm is bounded too, and instances that decide by themselves divide that bound. What took no connection, came back from a silence or from an evacuation, or does not say, counts as cold for the time that operators state. The bounds come from the settings.

--- a/crates/bergamotpitch-control/src/traffic.rs
+++ b/crates/bergamotpitch-control/src/traffic.rs
@@ -24,3 +24,4 @@
 pub mod starts;
 pub mod team_windows;
 pub mod upstream_candidates;
+pub mod warm_ups;
--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -13,7 +13,7 @@
 use bergamotpitch_core::units::Timestamp;
 use serde::{Deserialize, Serialize};
 
-use crate::traffic::catalogs::CacheLink;
+use crate::traffic::catalogs::{CacheLink, Catalog};
 use crate::traffic::engine_loads::{self, Capacity, RequestNumber, UpstreamLoad, Work};
 use crate::traffic::engine_speeds::EngineSpeed;
 use crate::traffic::evacuations::EvacuationOrder;
@@ -21,7 +21,7 @@
 use crate::traffic::facts::RequestFacts;
 use crate::traffic::policies::Policy;
 use crate::traffic::prefixes::KeptParts;
-use crate::traffic::registries::{Registry, Upstream, UpstreamKey};
+use crate::traffic::registries::{Change, Registration, Registry, Upstream, UpstreamKey};
 use crate::traffic::request_demands::{PrefillPlan, RequestDemand};
 use crate::traffic::residencies::AllowedRegions;
 use crate::traffic::retry_budgets::{self, RetryBudget};
@@ -30,6 +30,7 @@
 use crate::traffic::upstream_candidates::{
     Distance, Fit, UpstreamCandidate, UtilizationLimits, millis,
 };
+use crate::traffic::warm_ups::{self, ArrivalLimiter, Authority, WarmUp};
 
 /// `Options` of the decision.
 #[derive(Debug, Clone)]
@@ -48,6 +49,8 @@
     pub near_domains: Vec<String>,
     /// The region of each failure domain, by name.
     pub regions: HashMap<String, String>,
+    /// The bound on requests to upstreams that have just started.
+    pub warm_ups: warm_ups::Options,
     /// Way to a failure domain of another region and back.
     pub remote_round_trip: Duration,
     /// How full upstreams may be for requests within their team's share, and for those of a needy
@@ -69,6 +72,7 @@
             loads: engine_loads::Options::default(),
             windows: team_windows::Options::default(),
             retries: retry_budgets::Options::default(),
+            warm_ups: warm_ups::Options::default(),
             // The slowest link between regions that operators name takes 12 ms one way.
             remote_round_trip: Duration::from_millis(26),
             within_share: UtilizationLimits {
@@ -190,6 +194,18 @@
     pub rank: Option<usize>,
     /// Engine from which the upstream should fetch what it does not keep of the prompt's start.
     pub fetch_from: Option<UpstreamKey>,
+    /// When it was decided on, at the latest.
+    pub decided: Timestamp,
+    /// Whether the upstream counted as cold.
+    pub is_cold: bool,
+}
+
+impl Placement {
+    /// `has_lapsed` tells whether it is too old to be followed. Requests that were held up would reach
+    /// a cold upstream together.
+    pub fn has_lapsed(&self, now: Timestamp) -> bool {
+        self.is_cold && self.decided + warm_ups::GRANT_VALIDITY < now
+    }
 }
 
 /// `Traffic` is the state on which requests are decided.
@@ -203,6 +219,11 @@
     pub windows: TeamWindows,
     /// Engines at which starts of prompts were read lately.
     pub starts: Starts,
+    /// Authority over the upstreams of the own failure domain.
+    pub authority: Authority,
+    /// Listed instances of the fleet, this one among them.
+    pub fleet_size: usize,
+    warm_ups: HashMap<String, WarmUp>,
     domain_number: DomainId,
     near_domain_numbers: Vec<DomainId>,
     region_of_domain: HashMap<DomainId, RegionId>,
@@ -218,6 +239,7 @@
     load: UpstreamLoad,
     kept: KeptParts,
     evidence: Evidence,
+    arrivals: ArrivalLimiter,
 }
 
 impl Traffic {
@@ -240,6 +262,9 @@
             registry: Registry::default(),
             windows,
             starts: Starts::default(),
+            authority: Authority::Shared(1),
+            fleet_size: 1,
+            warm_ups: HashMap::default(),
             states: HashMap::default(),
             speeds: HashMap::default(),
             budgets: HashMap::default(),
@@ -248,8 +273,107 @@
 
     /// `evacuate` takes in that a failure domain is evacuated, or is so no more; it tells whether its
     /// state has changed.
-    pub fn evacuate(&mut self, order: &EvacuationOrder, _now: Timestamp) -> bool {
-        self.registry.evacuate(order)
+    pub fn evacuate(&mut self, order: &EvacuationOrder, now: Timestamp) -> bool {
+        let has_changed = self.registry.evacuate(order);
+        if has_changed && !order.is_evacuated {
+            let domain = id_of_name(&order.domain);
+            let of_domain = self.registry.all().filter(|other| other.domain_number == domain);
+            let keys: Vec<UpstreamKey> = of_domain.map(|upstream| upstream.key).collect();
+            keys.into_iter().for_each(|key| self.note_cold(key, now));
+        }
+        has_changed
+    }
+
+    /// `cold_count` returns how many upstreams count as cold.
+    pub fn cold_count(&self, now: Timestamp) -> usize {
+        self.states.values().filter(|state| state.arrivals.is_cold(now)).count()
+    }
+
+    /// `evacuated_requests` returns how many requests are at upstreams of evacuated failure domains.
+    pub fn evacuated_requests(&self, now: Timestamp) -> u32 {
+        let evacuated = self.registry.all().filter(|upstream| upstream.is_evacuated);
+        let states = evacuated.filter_map(|upstream| self.states.get(&upstream.key));
+        states.map(|state| state.load.figures(now, &self.options.loads).requests).sum()
+    }
+
+    /// `set_services` takes in what operators say of services.
+    pub fn set_services(&mut self, catalog: &Catalog) {
+        let services = catalog.services.values();
+        let warm_ups =
+            services.filter_map(|service| Some((service.name.clone(), service.warm_up?)));
+        self.warm_ups = warm_ups.collect();
+    }
+
+    /// `listed` takes in one entry of the list.
+    pub fn listed(&mut self, registration: Registration, now: Timestamp) -> Vec<Change> {
+        let (id, cold_left) = (registration.id.clone(), registration.cold_left);
+        let changes = self.registry.listed(registration);
+        let Some(key) = self.registry.key_of(&id) else { return changes };
+        let is_new = changes.contains(&Change::Joined(key));
+        match cold_left {
+            Some(Duration::ZERO) => {}
+            Some(cold_left) => self.arrivals(key).note_cold(cold_left, now),
+            None if is_new => self.note_cold(key, now),
+            None => {}
+        }
+        changes
+    }
+
+    /// `note_cold_left` takes in from an upstream's own answer for how much longer it is cold.
+    pub fn note_cold_left(&mut self, key: UpstreamKey, cold_left: Duration, now: Timestamp) {
+        self.arrivals(key).note_cold(cold_left, now);
+    }
+
+    /// `note_unreachable` takes in that an upstream took no connection: it may come back cold.
+    pub fn note_unreachable(&mut self, key: UpstreamKey, now: Timestamp) {
+        self.evidence(key).note_unreachable(now);
+        self.note_cold(key, now);
+    }
+
+    /// `note_life` takes in that a byte came from an upstream at a time. After a silence it may have
+    /// started again meanwhile, and not be listed as cold yet.
+    pub fn note_life(&mut self, key: UpstreamKey, at: Timestamp, now: Timestamp) {
+        let state = self.states.entry(key).or_default();
+        let was_unreachable = state.evidence.has_failed_connections();
+        let was_hung = state.evidence.is_silent(now)
+            && state.evidence.is_hung(state.load.oldest_unanswered(), now);
+        state.evidence.note_life(at);
+        if was_unreachable || was_hung {
+            self.note_cold(key, now);
+        }
+    }
+
+    /// An upstream may be cold for the longest time that operators state.
+    fn note_cold(&mut self, key: UpstreamKey, now: Timestamp) {
+        let service = self.registry.get(key).map(|upstream| &upstream.registration.service);
+        let warm_up = service.and_then(|service| self.warm_ups.get(service)).copied();
+        if let Some(warm_up) = warm_up {
+            self.arrivals(key).note_cold(warm_up.time, now);
+        }
+    }
+
+    fn arrivals(&mut self, key: UpstreamKey) -> &mut ArrivalLimiter {
+        &mut self.states.entry(key).or_default().arrivals
+    }
+
+    /// The bound on what an upstream gets, and this instance's part of it; `None` without one.
+    fn arrival_bound(
+        &self,
+        upstream: &Upstream,
+        arrivals: &ArrivalLimiter,
+        now: Timestamp,
+    ) -> Option<(&WarmUp, Authority)> {
+        let policy = &self.options.policy;
+        let is_bound = policy.unannounced_warm_ups || arrivals.is_cold(now);
+        if !policy.warm_up_limits || !is_bound {
+            return None;
+        }
+        let warm_up = self.warm_ups.get(&upstream.registration.service)?;
+        let authority = match upstream.domain_number == self.domain_number {
+            true => self.authority,
+            false => Authority::Shared(self.fleet_size),
+        };
+        Some((warm_up, authority))
     }
 
     /// `remove_gone_upstreams` drops what is kept on upstreams that are gone, but for those at which requests
@@ -313,11 +437,15 @@
         for upstream in open {
             let state = self.states.get(&upstream.key).unwrap_or(&default_state);
             let figures = state.load.figures(now, options);
+            let bound = self.arrival_bound(upstream, &state.arrivals, now);
+            let arrivals = bound.map_or(u32::MAX, |(warm_up, authority)| {
+                state.arrivals.room(warm_up, authority, now, &self.options.warm_ups)
+            });
             let free = |limits: &UtilizationLimits| {
                 let is_late = limits.target_fraction * millis(wait)
                     < speed.time_ms(figures.unread_tokens.max(0.0));
                 let slots = (f64::from(upstream.registration.slots) * limits.slots_fraction) as u32;
-                if is_late { 0 } else { slots.saturating_sub(figures.requests) }
+                if is_late { 0 } else { slots.saturating_sub(figures.requests).min(arrivals) }
             };
             headroom.within_share += free(&self.options.within_share);
             headroom.beyond_share += free(&self.options.even_surplus);
@@ -358,7 +486,7 @@
                 Fit::Fits => {
                     let score = candidate.score(request, &self.options.policy);
                     if best.as_ref().is_none_or(|(least, _)| score < *least) {
-                        best = Some((score, placement_at(&candidate, share_class)));
+                        best = Some((score, placement_at(&candidate, share_class, now)));
                     }
                 }
                 Fit::Excess(excess) => least_excess = least_excess.min(excess),
@@ -389,6 +517,7 @@
         let state = self.states.entry(key).or_default();
         state.load.send(number, placement.work, &capacity, now, &options);
         state.evidence.note_trial(now);
+        state.arrivals.note_placed(now);
         if !request.facts.is_generation() {
             return;
         }
@@ -543,6 +672,10 @@
             Distance::Far => millis(self.options.remote_round_trip),
         };
         let figures = state.load.figures(now, options);
+        let bound = self.arrival_bound(upstream, &state.arrivals, now);
+        let arrival_wait = bound.map_or(Duration::ZERO, |(warm_up, authority)| {
+            state.arrivals.wait(warm_up, authority, now, &self.options.warm_ups)
+        });
         let service_ms = match demand.is_generation {
             true => demand.speed.reading_ms(work.unread_tokens),
             false => state.load.plain_ms(options),
@@ -559,11 +692,17 @@
             figures,
             slots: capacity.slots,
             distance,
+            arrival_wait,
+            is_cold: bound.is_some() && state.arrivals.is_cold(now),
         }
     }
 }
 
-fn placement_at(candidate: &UpstreamCandidate, share_class: ShareClass) -> Placement {
+fn placement_at(
+    candidate: &UpstreamCandidate,
+    share_class: ShareClass,
+    now: Timestamp,
+) -> Placement {
     Placement {
         upstream: candidate.key,
         work: candidate.work,
@@ -572,5 +711,7 @@
         share_class,
         rank: candidate.rank,
         fetch_from: candidate.fetch_from,
+        decided: now,
+        is_cold: candidate.is_cold,
     }
 }
--- a/crates/bergamotpitch-control/src/traffic/catalogs.rs
+++ b/crates/bergamotpitch-control/src/traffic/catalogs.rs
@@ -8,6 +8,7 @@
 use strum::{Display, EnumString, IntoStaticStr};
 
 use crate::traffic::residencies::AllowedRegions;
+use crate::traffic::warm_ups::WarmUp;
 
 /// `CatalogVersion` is the number that operators give to a configuration.
 pub type CatalogVersion = u64;
@@ -100,6 +101,8 @@
     pub name: String,
     /// Connections that one upstream takes from all callers together.
     pub connections_max: u32,
+    /// Set for services whose upstreams are slow for a time after their start.
+    pub warm_up: Option<WarmUp>,
     /// Set for services whose upstreams are model engines.
     pub engine: Option<EngineService>,
 }
--- a/crates/bergamotpitch-control/src/traffic/evidences.rs
+++ b/crates/bergamotpitch-control/src/traffic/evidences.rs
@@ -80,6 +80,11 @@
         if self.outcomes < LEAST_OUTCOMES { 0.0 } else { self.failures / self.outcomes }
     }
 
+    /// `has_failed_connections` tells whether connections have failed since the last byte.
+    pub fn has_failed_connections(&self) -> bool {
+        0 < self.connect_failures
+    }
+
     /// `is_paused` tells whether connections fail at present.
     pub fn is_paused(&self, now: Timestamp) -> bool {
         now < self.paused_until
--- a/crates/bergamotpitch-control/src/traffic/policies.rs
+++ b/crates/bergamotpitch-control/src/traffic/policies.rs
@@ -58,6 +58,11 @@
     pub lateness_readiness: bool,
     /// A request that takes much longer than predicted is cut off where another upstream has room.
     pub cut_offs: bool,
+    /// Upstreams that have just started get no more requests a second than operators allow. Without
+    /// it, all that waits is sent to those that come back, and they fall over.
+    pub warm_up_limits: bool,
+    /// Upstreams that count as warm are bounded as well, as they may become cold unannounced.
+    pub unannounced_warm_ups: bool,
     /// Requests to a second upstream stay within the budget of the whole fleet. Without it none is
     /// sent a second time.
     pub retries: bool,
@@ -87,6 +92,8 @@
             stream_limits: true,
             lateness_readiness: true,
             cut_offs: true,
+            warm_up_limits: true,
+            unannounced_warm_ups: true,
             retries: true,
         }
     }
--- a/crates/bergamotpitch-control/src/traffic/registries.rs
+++ b/crates/bergamotpitch-control/src/traffic/registries.rs
@@ -33,8 +33,8 @@
     pub slots: u32,
     /// Whether it announced that it leaves.
     pub is_leaving: bool,
-    /// How much longer it is slow after its start.
-    pub cold_left: Duration,
+    /// How much longer it is slow after its start; `None` when it does not say.
+    pub cold_left: Option<Duration>,
 }
 
 /// `Upstream` is one incarnation of a registered upstream.
--- a/crates/bergamotpitch-control/src/traffic/upstream_candidates.rs
+++ b/crates/bergamotpitch-control/src/traffic/upstream_candidates.rs
@@ -76,6 +76,10 @@
     pub slots: u32,
     /// Where it stands.
     pub distance: Distance,
+    /// Time until it may get one more request, by the bound on those that have just started.
+    pub arrival_wait: Duration,
+    /// Whether it counts as cold.
+    pub is_cold: bool,
 }
 
 /// `Distance` tells where an upstream stands as seen from this instance.
@@ -121,6 +125,9 @@
         limits: &UtilizationLimits,
         policy: &Policy,
     ) -> Fit {
+        if !self.arrival_wait.is_zero() {
+            return Fit::Excess(self.arrival_wait);
+        }
         let is_generation = request.facts.is_generation();
         if !self.has_slot(is_generation, limits) || !self.has_memory(request, limits) {
             return Fit::Excess(request.target);
--- a/crates/bergamotpitch-control/tests/data_residency.rs
+++ b/crates/bergamotpitch-control/tests/data_residency.rs
@@ -33,7 +33,7 @@
             domain: (*domain).to_owned(),
             slots: 4,
             is_leaving: false,
-            cold_left: Duration::ZERO,
+            cold_left: Some(Duration::ZERO),
         });
     }
     traffic
--- a/crates/bergamotpitch-control/tests/fetched_starts.rs
+++ b/crates/bergamotpitch-control/tests/fetched_starts.rs
@@ -31,7 +31,7 @@
             domain: (*domain).to_owned(),
             slots: SLOTS,
             is_leaving: false,
-            cold_left: Duration::ZERO,
+            cold_left: Some(Duration::ZERO),
         });
     }
     traffic
--- a/crates/bergamotpitch-control/tests/listed_upstreams.rs
+++ b/crates/bergamotpitch-control/tests/listed_upstreams.rs
@@ -15,7 +15,7 @@
         domain: "a".to_owned(),
         slots: 8,
         is_leaving: false,
-        cold_left: Duration::ZERO,
+        cold_left: Some(Duration::ZERO),
     }
 }
 
--- a/crates/bergamotpitch-control/tests/near_domains.rs
+++ b/crates/bergamotpitch-control/tests/near_domains.rs
@@ -25,7 +25,7 @@
             domain: domain.to_owned(),
             slots: 16,
             is_leaving: false,
-            cold_left: Duration::ZERO,
+            cold_left: Some(Duration::ZERO),
         });
     }
     traffic
--- a/crates/bergamotpitch-control/tests/policy_switches.rs
+++ b/crates/bergamotpitch-control/tests/policy_switches.rs
@@ -30,7 +30,7 @@
             domain: "a".to_owned(),
             slots: 64,
             is_leaving: false,
-            cold_left: Duration::ZERO,
+            cold_left: Some(Duration::ZERO),
         });
         traffic.registry.key_of(&id).unwrap()
     });
--- a/crates/bergamotpitch-control/tests/replays/mod.rs
+++ b/crates/bergamotpitch-control/tests/replays/mod.rs
@@ -118,7 +118,7 @@
             domain: "a".to_owned(),
             slots: SLOTS,
             is_leaving: false,
-            cold_left: Duration::ZERO,
+            cold_left: Some(Duration::ZERO),
         });
         keys.push(traffic.registry.key_of(&id).unwrap());
     }
--- a/crates/bergamotpitch-control/tests/slow_services.rs
+++ b/crates/bergamotpitch-control/tests/slow_services.rs
@@ -22,7 +22,7 @@
             domain: "a".to_owned(),
             slots: 6,
             is_leaving: false,
-            cold_left: Duration::ZERO,
+            cold_left: Some(Duration::ZERO),
         });
     }
     traffic
--- a/crates/bergamotpitch-control/tests/underserved_teams.rs
+++ b/crates/bergamotpitch-control/tests/underserved_teams.rs
@@ -27,7 +27,7 @@
         domain: "a".to_owned(),
         slots: 16,
         is_leaving: false,
-        cold_left: Duration::ZERO,
+        cold_left: Some(Duration::ZERO),
     });
     let upstream = traffic.registry.key_of("engine").unwrap();
     let short = RequestFacts { prompt_tokens: 50, ..RequestFacts::default() };
@@ -41,6 +41,8 @@
             share_class: ShareClass::WithinShare,
             rank: None,
             fetch_from: None,
+            decided: NOW,
+            is_cold: false,
         };
         traffic.send(number, &placement, &placement_request(&short, None), NOW);
         traffic.begun(upstream, number, NOW);
--- a/crates/bergamotpitch-control/tests/worst_load.rs
+++ b/crates/bergamotpitch-control/tests/worst_load.rs
@@ -31,6 +31,8 @@
         share_class: ShareClass::WithinShare,
         rank: None,
         fetch_from: None,
+        decided: Duration::ZERO,
+        is_cold: false,
     };
     traffic.send(number, &placement, placement_request, now);
     Some(placement)
--- a/crates/bergamotpitch-gateway/examples/gateway_overhead.rs
+++ b/crates/bergamotpitch-gateway/examples/gateway_overhead.rs
@@ -52,6 +52,7 @@
         attempt_id: text(headers, "x-id").map(str::to_owned),
         is_not_run: false,
         load: Some(Report { running: 1, waiting: 0 }),
+        cold_left: None,
     },
     write_own_headers: |_, _| {},
 };
@@ -205,6 +206,7 @@
     };
     let service = Service {
         name: "all".to_owned(),
+        warm_up: None,
         connections_max: 1_000,
         engine: Some(EngineService { slots: 64, memory_tokens: 1_000_000, cache_link: None }),
     };
@@ -231,7 +233,7 @@
             domain: String::new(),
             slots: 64,
             is_leaving: false,
-            cold_left: Duration::ZERO,
+            cold_left: Some(Duration::ZERO),
         });
     }
     gateway.upstreams_known();
--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -522,7 +522,7 @@
             "request={} route={} team={} prompt_tokens={} upstream={} attempt={} predicted_ms={} \
              requests_there={} \
              unread_tokens={:.0} rank={:?} fetch_from={} standing={} granter={} waited_ms={} \
-             version={}",
+             cold={} version={}",
             call.facts.attempt_id,
             call.route.name,
             call.team.as_deref().map_or("-", |team| &team.name),
@@ -537,6 +537,7 @@
             placement.share_class,
             placed.grantor.map_or(0, |grantor| grantor.instance),
             waited.as_millis(),
+            placement.is_cold,
             call.catalog.version,
         ),
     );
--- a/crates/bergamotpitch-gateway/src/dialects.rs
+++ b/crates/bergamotpitch-gateway/src/dialects.rs
@@ -50,6 +50,8 @@
     pub is_not_run: bool,
     /// Its load.
     pub load: Option<Report>,
+    /// For how much longer it is slow after its start.
+    pub cold_left: Option<Duration>,
 }
 
 /// `BadHeader` tells which header of a request cannot be understood.
--- a/crates/bergamotpitch-gateway/src/dispatchers.rs
+++ b/crates/bergamotpitch-gateway/src/dispatchers.rs
@@ -14,6 +14,7 @@
 };
 use bergamotpitch_control::traffic::residencies::AllowedRegions;
 use bergamotpitch_control::traffic::team_windows::ShareClass;
+use bergamotpitch_control::traffic::warm_ups::{Authorities, DomainView};
 use bergamotpitch_core::HashMap;
 use bergamotpitch_core::events::EventKind;
 use bergamotpitch_core::ids::{Incarnation, InstanceId, ServiceId, id_of_name};
@@ -47,12 +48,13 @@
     load_changed: Cell<bool>,
     is_retrying: Cell<bool>,
     role: Cell<Role>,
+    authorities: Cell<Authorities>,
 }
 
 #[derive(Debug)]
 enum ReplyTarget {
     Own(oneshot::Sender<Decision>),
-    Peer { requester: InstanceId, number: RequestNumber },
+    Peer { requester: InstanceId, number: RequestNumber, received: Timestamp },
 }
 
 /// `QueuedRequest` is a request of this instance that waits for its decision; dropping it frees the place
@@ -117,6 +119,7 @@
             role.dispatcher = None;
         }
         self.local_placements.role.set(role);
+        self.update_authority(role.dispatcher);
         if role.dispatcher == before.dispatcher {
             return;
         }
@@ -136,6 +139,31 @@
         }
     }
 
+    /// Decides anew whether this instance alone decides on requests for its domain's upstreams.
+    fn update_authority(&self, dispatcher: Option<InstanceId>) {
+        let now = self.now();
+        let timeout = self.options.dispatchers.heartbeat_timeout;
+        let domain = &self.options.admission.domain;
+        let peers = self.peers.borrow();
+        let of_domain = peers.values().filter(|peer| peer.address.domain == *domain);
+        let heard = of_domain.clone().filter(|peer| peer.is_heard_within(timeout, now));
+        let view = DomainView {
+            is_dispatcher: dispatcher == Some(self.options.instance),
+            is_contested: heard.clone().any(|peer| peer.is_dispatching(now)),
+            listed: of_domain.count() + 1,
+            heard: heard.count() + 1,
+        };
+        let mut traffic = self.traffic.borrow_mut();
+        traffic.fleet_size = peers.len() + 1;
+        let before = traffic.authority;
+        let mut authorities = self.local_placements.authorities.get();
+        traffic.authority = authorities.update(&view, now);
+        self.local_placements.authorities.set(authorities);
+        if traffic.authority != before && view.is_dispatcher {
+            log::info!("event=authority_changed authority={:?} {view:?}", traffic.authority);
+        }
+    }
+
     /// `is_eligible` tells whether this instance can be the dispatcher of its domain.
     pub(crate) fn is_eligible(&self) -> bool {
         self.knows_all() && !self.is_draining() && self.loop_lag.keeps_up()
@@ -215,8 +243,9 @@
                 // The receiver frees the place when it is dropped, and none is left without one.
                 let _ = sender.send(decision);
             }
-            Some(ReplyTarget::Peer { requester, number }) => {
-                self.reply_to_peer(requester, number, own_number, &decision);
+            Some(ReplyTarget::Peer { requester, number, received }) => {
+                let waited = self.now().saturating_sub(received);
+                self.reply_to_peer(requester, number, own_number, &decision, waited);
             }
             None => {}
         }
@@ -228,6 +257,7 @@
         number: RequestNumber,
         own_number: RequestNumber,
         decision: &Decision,
+        waited: Duration,
     ) {
         if let Decision::Send(placement) = decision {
             let now = self.now();
@@ -236,7 +266,7 @@
                 .borrow_mut()
                 .insert(requester, number, own_number, *placement, now);
         }
-        let outcome = ReplyOutcome::new(decision, &self.traffic.borrow().registry);
+        let outcome = ReplyOutcome::new(decision, waited, &self.traffic.borrow().registry);
         self.send_reply(requester, number, outcome.unwrap_or(ReplyOutcome::Declined));
     }
 
@@ -271,7 +301,7 @@
         let own_number = self.fresh_number();
         let decision = place(own_number, &ask, &mut self.traffic.borrow_mut(), now);
         if matches!(decision, Decision::Send(_)) {
-            self.reply_to_peer(requester, number, own_number, &decision);
+            self.reply_to_peer(requester, number, own_number, &decision, Duration::ZERO);
             return;
         }
         if body.may_forward
@@ -283,11 +313,16 @@
             return;
         }
         if ask.wait_deadline(&decision) <= now {
-            self.reply_to_peer(requester, number, own_number, &decision);
+            self.reply_to_peer(requester, number, own_number, &decision, Duration::ZERO);
             return;
         }
         self.send_reply(requester, number, ReplyOutcome::Waits);
-        self.enqueue(own_number, ask, decision, ReplyTarget::Peer { requester, number });
+        self.enqueue(
+            own_number,
+            ask,
+            decision,
+            ReplyTarget::Peer { requester, number, received: now },
+        );
     }
 
     fn forward(&self, next: InstanceId, body: PlacementRequestBody) {
@@ -305,10 +340,10 @@
         let grants = self.local_placements.grants.borrow();
         if let Some(grant) = grants.get(requester, number) {
             let decision = Decision::Send(grant.placement);
-            return ReplyOutcome::new(&decision, &self.traffic.borrow().registry);
+            return ReplyOutcome::new(&decision, Duration::ZERO, &self.traffic.borrow().registry);
         }
         let is_this = |reply: &ReplyTarget| {
-            matches!(reply, ReplyTarget::Peer { requester: other, number: at }
+            matches!(reply, ReplyTarget::Peer { requester: other, number: at, .. }
                 if (*other, *at) == (requester, number))
         };
         let replies = self.local_placements.replies.borrow();
@@ -407,11 +442,11 @@
         traffic.load(key).ended(grant.number);
         match event {
             ProgressEvent::Answered => {
-                traffic.evidence(key).note_life(now);
+                traffic.note_life(key, now, now);
                 traffic.evidence(key).note_outcome(false, now);
             }
             ProgressEvent::Failed => traffic.evidence(key).note_outcome(true, now),
-            ProgressEvent::Unreachable => traffic.evidence(key).note_unreachable(now),
+            ProgressEvent::Unreachable => traffic.note_unreachable(key, now),
             ProgressEvent::Begun | ProgressEvent::Dropped => {}
         }
     }
@@ -419,7 +454,7 @@
     fn drop_waiting(&self, requester: InstanceId, number: RequestNumber) {
         let mut replies = self.local_placements.replies.borrow_mut();
         let is_this = |reply: &ReplyTarget| {
-            matches!(reply, ReplyTarget::Peer { requester: other, number: at }
+            matches!(reply, ReplyTarget::Peer { requester: other, number: at, .. }
                 if (*other, *at) == (requester, number))
         };
         let own_number = replies.iter().find(|(_, reply)| is_this(reply)).map(|(own, _)| *own);
@@ -443,7 +478,7 @@
             let Some(key) = traffic.registry.key_of_life(*life) else { continue };
             let last_byte_age = Duration::from_millis((*last_byte_age_ms).into());
             if let Some(last_byte) = now.checked_sub(last_byte_age) {
-                traffic.evidence(key).note_life(last_byte);
+                traffic.note_life(key, last_byte, now);
             }
         }
     }
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -203,6 +203,7 @@
                 catalog.team_count()
             ),
         );
+        self.traffic.borrow_mut().set_services(&catalog);
         *self.catalog.borrow_mut() = Some(Arc::new(catalog));
         self.store_updates.reset_lag();
         true
@@ -382,6 +383,12 @@
         );
     }
 
+    fn measure_upstreams(&self) {
+        let now = self.now();
+        let traffic = self.traffic.borrow();
+        self.metrics.note_upstreams(traffic.cold_count(now), traffic.evacuated_requests(now));
+    }
+
     /// `is_draining` tells whether the process is about to end.
     pub fn is_draining(&self) -> bool {
         self.is_draining.get()
@@ -441,6 +448,7 @@
             traffic.registry.step(now)
         });
         if sequence.is_multiple_of(SWEEP_BEATS) {
+            gateway.measure_upstreams();
             gateway.pools.sweep(gateway.now());
             callers::drop_slow_heads(&gateway);
         }
--- a/crates/bergamotpitch-gateway/src/messages.rs
+++ b/crates/bergamotpitch-gateway/src/messages.rs
@@ -16,6 +16,7 @@
 use bergamotpitch_control::traffic::residencies::AllowedRegions;
 use bergamotpitch_control::traffic::team_windows::{ShareClass, TeamCounts};
 use bergamotpitch_core::ids::{Incarnation, InstanceId, ServiceId, TeamId, UpstreamId};
+use bergamotpitch_core::units::Timestamp;
 use displaydoc::Display;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -246,6 +247,9 @@
     requests: u32,
     share_class: ShareClass,
     fetch_from: Option<UpstreamId>,
+    is_cold: bool,
+    /// Time for which the request waited at whoever decided, at the least.
+    waited_ms: u32,
 }
 
 /// `ProgressReport` is what became of one granted request.
@@ -360,7 +364,7 @@
 
 impl GrantLine {
     /// `new` tells of a placement; `None` when its upstream was forgotten meanwhile.
-    pub fn new(placement: &Placement, registry: &Registry) -> Option<Self> {
+    pub fn new(placement: &Placement, waited: Duration, registry: &Registry) -> Option<Self> {
         let incarnation_of = |key| registry.get(key).map(|upstream| upstream.life_number);
         Some(Self {
             upstream: incarnation_of(placement.upstream)?,
@@ -371,12 +375,14 @@
             requests: placement.requests,
             share_class: placement.share_class,
             fetch_from: placement.fetch_from.and_then(incarnation_of),
+            is_cold: placement.is_cold,
+            waited_ms: millis(waited),
         })
     }
 
-    /// `placement` returns the placement; `None` when this instance does not know its upstream, or
-    /// knows that it leaves.
-    pub fn placement(&self, registry: &Registry) -> Option<Placement> {
+    /// `placement` returns the placement on a request that was asked for at `asked`; `None` when this
+    /// instance does not know its upstream, or knows that it leaves.
+    pub fn placement(&self, asked: Timestamp, registry: &Registry) -> Option<Placement> {
         let upstream = registry.key_of_life(self.upstream)?;
         if !registry.get(upstream).is_some_and(|upstream| upstream.takes_work()) {
             return None;
@@ -393,15 +399,20 @@
             share_class: self.share_class,
             rank: None,
             fetch_from: self.fetch_from.and_then(|life| registry.key_of_life(life)),
+            decided: asked + Duration::from_millis(self.waited_ms.into()),
+            is_cold: self.is_cold,
         })
     }
 }
 
 impl ReplyOutcome {
-    /// `new` tells of a choice; `None` when its upstream was forgotten meanwhile.
-    pub fn new(decision: &Decision, registry: &Registry) -> Option<Self> {
+    /// `new` tells of a choice, and for how long the request waited for it at the least; `None` when
+    /// its upstream was forgotten meanwhile.
+    pub fn new(decision: &Decision, waited: Duration, registry: &Registry) -> Option<Self> {
         Some(match decision {
-            Decision::Send(placement) => Self::Granted(GrantLine::new(placement, registry)?),
+            Decision::Send(placement) => {
+                Self::Granted(GrantLine::new(placement, waited, registry)?)
+            }
             Decision::Full { retry_after: after, share_class, least_requests } => Self::Full {
                 after_ms: millis(*after),
                 share_class: *share_class,
--- a/crates/bergamotpitch-gateway/src/metrics.rs
+++ b/crates/bergamotpitch-gateway/src/metrics.rs
@@ -48,6 +48,8 @@
     /// Connections of callers that were only told to come back.
     pub callers_turned_away: Count,
     sums_age_s: Gauge<f64>,
+    cold_upstreams: Gauge<u64>,
+    evacuated_requests: Gauge<u64>,
     registry: Registry,
     _provider: SdkMeterProvider,
     refusals: Counter<u64>,
@@ -106,6 +108,14 @@
                 .f64_gauge("bergamotpitch_team_sums_age_seconds")
                 .with_description("Age of the oldest sums of other instances on teams that count")
                 .build(),
+            cold_upstreams: meter
+                .u64_gauge("bergamotpitch_cold_upstreams")
+                .with_description("Upstreams that have just started, or may have")
+                .build(),
+            evacuated_requests: meter
+                .u64_gauge("bergamotpitch_evacuated_requests")
+                .with_description("Requests at upstreams of evacuated failure domains")
+                .build(),
             answer_s: latency(
                 &meter,
                 "bergamotpitch_answer_seconds",
@@ -142,6 +152,13 @@
         self.sums_age_s.record(age.as_secs_f64(), &[]);
     }
 
+    /// `note_upstreams` takes in how many upstreams are cold, and how many requests of this instance
+    /// and of others are at upstreams of evacuated failure domains, as far as it knows.
+    pub fn note_upstreams(&self, cold: usize, evacuated_requests: u32) {
+        self.cold_upstreams.record(cold as u64, &[]);
+        self.evacuated_requests.record(evacuated_requests.into(), &[]);
+    }
+
     /// `text` shows everything in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut text = Vec::new();
--- a/crates/bergamotpitch-gateway/src/peers.rs
+++ b/crates/bergamotpitch-gateway/src/peers.rs
@@ -118,6 +118,11 @@
         self.last_seen.is_some_and(|last_seen| now < last_seen + PEER_TIMEOUT)
     }
 
+    /// `is_heard_within` tells whether it was heard within some time.
+    pub(crate) fn is_heard_within(&self, time: Duration, now: Timestamp) -> bool {
+        self.last_seen.is_some_and(|last_seen| now < last_seen + time)
+    }
+
     /// `is_dispatching` tells whether it decides for its domain.
     pub(crate) fn is_dispatching(&self, now: Timestamp) -> bool {
         self.is_dispatcher
--- a/crates/bergamotpitch-gateway/src/placements.rs
+++ b/crates/bergamotpitch-gateway/src/placements.rs
@@ -167,6 +167,9 @@
 
     /// `may_send` tells whether a call may still be sent where it was placed.
     pub(crate) fn may_send(&self, call: &Call, placement: &Placement) -> bool {
+        if placement.has_lapsed(self.now()) {
+            return false;
+        }
         let regions = self.allowed_regions(call);
         let traffic = self.traffic.borrow();
         let upstream = traffic.registry.get(placement.upstream);
--- a/crates/bergamotpitch-gateway/src/remote_placements.rs
+++ b/crates/bergamotpitch-gateway/src/remote_placements.rs
@@ -111,6 +111,7 @@
     may_forward: bool,
 ) -> Option<RemoteDecision> {
     let address = gateway.beat_address_of(dispatcher)?;
+    let asked = gateway.now();
     let pending = Rc::new(PendingReply::default());
     gateway.remote_placements.pending.borrow_mut().insert(number, Rc::clone(&pending));
     let mut ask = PendingPlacement { gateway, dispatcher, number, is_resolved: false };
@@ -123,7 +124,7 @@
         gateway.remote_placements.unanswered.borrow_mut().insert(dispatcher, now);
         return None;
     };
-    match gateway.decision_of_reply(&outcome) {
+    match gateway.decision_of_reply(&outcome, asked) {
         Some(decision) => Some(RemoteDecision { grantor, decision }),
         None => {
             gateway.report_to_grantor(grantor.instance, number, ProgressEvent::Dropped);
@@ -208,11 +209,11 @@
     }
 
     /// The decision as this instance can follow it; `None` when it knows better.
-    fn decision_of_reply(&self, outcome: &ReplyOutcome) -> Option<Decision> {
+    fn decision_of_reply(&self, outcome: &ReplyOutcome, asked: Timestamp) -> Option<Decision> {
         let after = |after_ms: u32| Duration::from_millis(after_ms.into());
         match outcome {
             ReplyOutcome::Granted(line) => {
-                let placement = line.placement(&self.traffic.borrow().registry)?;
+                let placement = line.placement(asked, &self.traffic.borrow().registry)?;
                 Some(Decision::Send(placement))
             }
             ReplyOutcome::Full { after_ms, share_class, least_requests } => Some(Decision::Full {
--- a/crates/bergamotpitch-gateway/src/upstreams.rs
+++ b/crates/bergamotpitch-gateway/src/upstreams.rs
@@ -36,7 +36,7 @@
 
     /// `upstream_listed` takes in an entry of the list.
     pub fn upstream_listed(&self, registration: Registration) {
-        self.change_upstreams(|traffic, _| traffic.registry.listed(registration));
+        self.change_upstreams(|traffic, now| traffic.listed(registration, now));
     }
 
     /// `evacuate` takes in that a failure domain is evacuated, or is so no more; it tells whether that
@@ -106,7 +106,10 @@
     pub fn note_answer_head(&self, key: UpstreamKey, facts: &AnswerFacts) {
         let now = self.now();
         let mut traffic = self.traffic.borrow_mut();
-        traffic.evidence(key).note_life(now);
+        traffic.note_life(key, now, now);
+        if let Some(cold_left) = facts.cold_left {
+            traffic.note_cold_left(key, cold_left, now);
+        }
         if let Some(report) = facts.load {
             traffic.load(key).reported(report, now);
         }
@@ -115,13 +118,13 @@
     /// `note_life` takes in that bytes came from an upstream.
     pub fn note_life(&self, key: UpstreamKey) {
         let now = self.now();
-        self.traffic.borrow_mut().evidence(key).note_life(now);
+        self.traffic.borrow_mut().note_life(key, now, now);
     }
 
     /// `note_unreachable` takes in that an upstream took no connection.
     pub fn note_unreachable(&self, key: UpstreamKey) {
         let now = self.now();
-        self.traffic.borrow_mut().evidence(key).note_unreachable(now);
+        self.traffic.borrow_mut().note_unreachable(key, now);
     }
 
     /// `note_misdirected` takes in that another upstream answers at an address.
--- a/crates/bergamotpitch-gateway/tests/common/mod.rs
+++ b/crates/bergamotpitch-gateway/tests/common/mod.rs
@@ -45,6 +45,7 @@
         attempt_id: text(headers, "x-id"),
         is_not_run: headers.contains_key("x-not-run") || status == StatusCode::MISDIRECTED_REQUEST,
         load: None,
+        cold_left: None,
     },
     write_own_headers: |headers, id| {
         headers.insert("x-id", HeaderValue::from_str(id).unwrap());
@@ -278,6 +279,7 @@
     let service = Service {
         name: "all".to_owned(),
         connections_max: 10,
+        warm_up: None,
         engine: Some(EngineService { slots: 4, memory_tokens: 1_000, cache_link: None }),
     };
     let team = Team {
@@ -356,7 +358,7 @@
         domain: "a".to_owned(),
         slots: 4,
         is_leaving: false,
-        cold_left: Duration::ZERO,
+        cold_left: Some(Duration::ZERO),
     }
 }
 
--- a/crates/bergamotpitch-gateway/tests/dispatched_requests.rs
+++ b/crates/bergamotpitch-gateway/tests/dispatched_requests.rs
@@ -8,7 +8,9 @@
 
 use bergamotpitch_control::traffic::admissions::{Decision, Placement};
 use bergamotpitch_control::traffic::engine_loads::{RequestNumber, Work};
+use bergamotpitch_control::traffic::evacuations::EvacuationOrder;
 use bergamotpitch_control::traffic::team_windows::ShareClass;
+use bergamotpitch_control::traffic::warm_ups::GRANT_VALIDITY;
 use bergamotpitch_core::ids::InstanceId;
 use bergamotpitch_gateway::Gateway;
 use bergamotpitch_gateway::messages::{
@@ -88,6 +90,10 @@
 
 /// A place at the only upstream.
 fn granted(gateway: &Gateway) -> ReplyOutcome {
+    granted_with(gateway, false)
+}
+
+fn granted_with(gateway: &Gateway, is_cold: bool) -> ReplyOutcome {
     let registry = &gateway.traffic.borrow().registry;
     let placement = Placement {
         upstream: registry.key_of("u0").unwrap(),
@@ -97,8 +103,10 @@
         share_class: ShareClass::WithinShare,
         rank: None,
         fetch_from: None,
+        decided: Duration::ZERO,
+        is_cold,
     };
-    ReplyOutcome::new(&Decision::Send(placement), registry).unwrap()
+    ReplyOutcome::new(&Decision::Send(placement), Duration::ZERO, registry).unwrap()
 }
 
 const FULL: ReplyOutcome =
@@ -185,3 +193,42 @@
         assert_eq!(events, [ProgressEvent::Begun, ProgressEvent::Answered]);
     });
 }
+
+/// Guards against requests that reach a cold upstream together, as they were held up after they had
+/// been granted one by one.
+#[test]
+fn lapsed_grant() {
+    run(async {
+        let upstream = FakeUpstream::start(Box::new(|_| vec![whole("200 OK", "done")])).await;
+        let (gateway, address, dispatcher, _remote) = domain_of_two(&upstream).await;
+        let caller = tokio::task::spawn_local(ask(address, prompt("a")));
+        let first = dispatcher.next_placement_request().await;
+        dispatcher.reply(first.number, ReplyOutcome::Waits).await;
+        tokio::time::sleep(GRANT_VALIDITY + Duration::from_millis(20)).await;
+        dispatcher.reply(first.number, granted_with(&gateway, true)).await;
+        assert_eq!(dispatcher.next_event(first.number).await, ProgressEvent::Dropped);
+        assert_eq!(upstream.count(), 0);
+        let second = dispatcher.next_placement_request().await;
+        dispatcher.reply(second.number, granted_with(&gateway, true)).await;
+        assert_eq!(caller.await.unwrap().unwrap().status, 200);
+        assert_eq!(upstream.count(), 1);
+    });
+}
+
+/// Guards against requests that still go to a failure domain which was evacuated after they had been
+/// granted a place there.
+#[test]
+fn evacuated_grant() {
+    run(async {
+        let upstream = FakeUpstream::start(Box::new(|_| vec![whole("200 OK", "done")])).await;
+        let (gateway, address, dispatcher, _remote) = domain_of_two(&upstream).await;
+        let caller = tokio::task::spawn_local(ask(address, prompt("a")));
+        let first = dispatcher.next_placement_request().await;
+        let order = EvacuationOrder { domain: "a".to_owned(), version: 1, is_evacuated: true };
+        assert!(gateway.evacuate(&order, "test"));
+        dispatcher.reply(first.number, granted(&gateway)).await;
+        assert_eq!(dispatcher.next_event(first.number).await, ProgressEvent::Dropped);
+        let refused = caller.await.unwrap().unwrap();
+        assert_eq!((refused.status, upstream.count()), (503, 0));
+    });
+}
