Tell peers what is known in shared, packed steps

Change: what is told grows in steps of 250 ms, so that those who follow have few different cursors, and each answer is made once for all who ask with the same one. Answers over 2 KB are packed where the asker says that it reads that; the release before gets them plain. All that is known goes to eight peers at a time, the others ask another watcher; starters do not all begin with the same. A reading of the whole list is compared by a set, not by pairs.

--- a/crates/bergamotpitch-control/src/traffic/registries.rs
+++ b/crates/bergamotpitch-control/src/traffic/registries.rs
@@ -6,9 +6,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bergamotpitch_core::HashMap;
 use bergamotpitch_core::ids::{DomainId, UpstreamId, id_of_name};
 use bergamotpitch_core::units::Timestamp;
+use bergamotpitch_core::{HashMap, HashSet};
 
 use crate::traffic::evacuations::{EvacuationOrder, Evacuations};
 
@@ -246,8 +246,9 @@
 
     /// `list_replaced` takes in that the list was read in full and holds only `ids`.
     pub fn list_replaced(&mut self, ids: &[&str], now: Timestamp) -> Vec<Change> {
+        let listed: HashSet<&str> = ids.iter().copied().collect();
         let missing: Vec<String> =
-            self.key_of_id.keys().filter(|id| !ids.contains(&id.as_str())).cloned().collect();
+            self.key_of_id.keys().filter(|id| !listed.contains(id.as_str())).cloned().collect();
         missing.iter().flat_map(|id| self.unlisted(id, now)).collect()
     }
 
--- a/crates/bergamotpitch-core/src/packing.rs
+++ b/crates/bergamotpitch-core/src/packing.rs
@@ -14,6 +14,9 @@
 /// Effort of packing, as zlib counts it.
 const LEVEL: u8 = 6;
 
+/// Effort of packing what is packed while others wait for it.
+const FAST_LEVEL: u8 = 1;
+
 /// `pack` compresses a document.
 ///
 /// ```
@@ -27,6 +30,31 @@
     compress_to_vec_zlib(document, LEVEL)
 }
 
+/// `pack_fast` compresses bytes of any form at a fraction of the time and to somewhat more.
+///
+/// ```
+/// use bergamotpitch_core::packing::{pack_fast, unpack_bytes};
+/// let bytes = [1, 2, 3, 4].repeat(1_000);
+/// let packed = pack_fast(&bytes);
+/// assert!(packed.len() < bytes.len() / 10);
+/// assert_eq!(unpack_bytes("entries", &packed).unwrap(), bytes);
+/// ```
+pub fn pack_fast(bytes: &[u8]) -> Vec<u8> {
+    compress_to_vec_zlib(bytes, FAST_LEVEL)
+}
+
+/// `unpack_bytes` returns bytes that were packed.
+///
+/// # Errors
+///
+/// Fails when they are damaged, or more than [`UNPACKED_BYTES`] of them were packed.
+pub fn unpack_bytes(file: &str, packed: &[u8]) -> Result<Vec<u8>> {
+    // A few kilobytes can be made to unpack into gigabytes; without the limit they would end the
+    // process.
+    decompress_to_vec_zlib_with_limit(packed, UNPACKED_BYTES)
+        .map_err(|error| unreadable_error(file, format!("cannot be unpacked: {error}")))
+}
+
 /// `unpack` returns a document that was packed; one that was not packed is returned as it is.
 ///
 /// # Errors
@@ -40,8 +68,5 @@
     if is_plain {
         return Ok(packed.to_vec());
     }
-    // A few kilobytes can be made to unpack into gigabytes; without the limit they would end the
-    // process.
-    decompress_to_vec_zlib_with_limit(packed, UNPACKED_BYTES)
-        .map_err(|error| unreadable_error(file, format!("cannot be unpacked: {error}")))
+    unpack_bytes(file, packed)
 }
--- a/crates/bergamotpitch-gateway/src/probes.rs
+++ b/crates/bergamotpitch-gateway/src/probes.rs
@@ -13,7 +13,6 @@
 use tokio::net::TcpListener;
 
 use crate::gateways::Gateway;
-use crate::relays;
 
 /// `DOCUMENTS_PATH` is where peers fetch what this instance knows.
 pub const DOCUMENTS_PATH: &str = "/documents";
@@ -62,10 +61,7 @@
         (Port::Inner, METRICS_PATH) => {
             respond_with(StatusCode::OK, Bytes::from(gateway.metrics.text()))
         }
-        (Port::Inner, DOCUMENTS_PATH) => {
-            let cursor = relays::cursor_of_query(request.uri().query());
-            respond_with(StatusCode::OK, relays::encode(&gateway.updates_since(cursor)))
-        }
+        (Port::Inner, DOCUMENTS_PATH) => gateway.answer_of_query(request.uri().query()).response(),
         (Port::Inner, _) => respond_with(StatusCode::NOT_FOUND, Bytes::new()),
     }
 }
--- a/crates/bergamotpitch-gateway/src/relays.rs
+++ b/crates/bergamotpitch-gateway/src/relays.rs
@@ -8,14 +8,20 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bergamotpitch_core::HashMap;
 use bergamotpitch_core::ids::Incarnation;
+use bergamotpitch_core::packing::{pack_fast, unpack_bytes};
+use bergamotpitch_core::units::Timestamp;
 use bytes::Bytes;
-use http::Request;
+use displaydoc::Display;
+use http::header::CONTENT_ENCODING;
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 
 use crate::connections::connect;
 use crate::probes::DOCUMENTS_PATH;
@@ -195,13 +201,26 @@
     /// assert_eq!(next.removals, ["list/a"]);
     /// ```
     pub fn updates_since(&self, cursor: Cursor) -> RelayUpdate {
-        let is_whole = cursor.incarnation != self.incarnation || cursor.number < self.forgotten;
-        let since = if is_whole { 0 } else { cursor.number };
-        let documents = self.documents.values().filter(|kept| since < kept.number);
-        let removals = self.removals.iter().filter(|kept| !is_whole && since < kept.number);
+        if !self.needs_everything(cursor) {
+            return self.changes_between(cursor.number, self.last_number);
+        }
         RelayUpdate {
-            cursor: Cursor { incarnation: self.incarnation, number: self.last_number },
-            is_whole,
+            is_whole: true,
+            removals: Vec::new(),
+            ..self.changes_between(0, self.last_number)
+        }
+    }
+
+    /// `changes_between` returns what has changed after one number, up to another; what has changed
+    /// again since is left for later.
+    pub fn changes_between(&self, after: u64, until: u64) -> RelayUpdate {
+        let documents = self.documents.values();
+        let documents = documents.filter(|kept| after < kept.number && kept.number <= until);
+        let removals = self.removals.iter();
+        let removals = removals.filter(|kept| after < kept.number && kept.number <= until);
+        RelayUpdate {
+            cursor: Cursor { incarnation: self.incarnation, number: until },
+            is_whole: false,
             list_known: 0,
             list_change: 0,
             documents: documents.map(|kept| kept.entry.clone()).collect(),
@@ -209,6 +228,11 @@
         }
     }
 
+    /// `needs_everything` tells whether changes since a cursor cannot be told from all the rest.
+    pub fn needs_everything(&self, cursor: Cursor) -> bool {
+        cursor.incarnation != self.incarnation || cursor.number < self.forgotten
+    }
+
     fn fresh_number(&mut self) -> u64 {
         self.last_number += 1;
         self.last_number
@@ -226,13 +250,166 @@
     }
 }
 
+/// `WHOLE_ANSWERS_MAX` bounds how many peers are sent all that is known at a time. After an outage all
+/// instances of a domain ask at once; each connection holds part of the answer in its buffers, and a
+/// hundred of them take more memory than a small instance has.
+const WHOLE_ANSWERS_MAX: usize = 8;
+
+/// `STEP_INTERVAL` is the least time between two steps in which peers are told more.
+const STEP_INTERVAL: Duration = Duration::from_millis(250);
+
+/// `PACKED` is the content encoding of an answer that is packed.
+const PACKED: &str = "deflate";
+
+/// `MAY_PACK` in the query of a fetch tells that the peer understands packed answers; the release
+/// before does not.
+const MAY_PACK: &str = "&packed";
+
+/// `PACKED_BYTES_MIN` is the size from which an answer is packed.
+const PACKED_BYTES_MIN: usize = 2 << 10;
+
+/// `Extent` is up to where an instance tells what it knows.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Extent {
+    /// Number of the latest change.
+    pub number: u64,
+    /// Revision of the store up to which the list of upstreams is known.
+    pub list_known: u64,
+    /// Revision of the latest change of the list that was seen.
+    pub list_change: u64,
+}
+
+/// `SharedAnswers` are what peers are sent, made once for all that ask from the same cursor.
+///
+/// Load pattern: a hundred instances start together and a list of thousands of upstreams arrives entry
+/// by entry. Each asks four times a second for what is new; encoded for each of them, that took all the
+/// processor time of a small instance, and its connections more memory than it has. What is told
+/// therefore grows in steps, so that those who follow have few different cursors.
+#[derive(Debug, Default)]
+pub struct SharedAnswers {
+    extent: Extent,
+    made: Timestamp,
+    /// Answers up to `extent`, by the number of the change after which they begin; `None` for all that
+    /// is known.
+    answers: HashMap<Option<u64>, Answer>,
+    in_flight: Arc<()>,
+}
+
+/// `SentAnswer` counts an answer as in flight until its connection has sent it.
+struct SentAnswer {
+    bytes: Bytes,
+    _in_flight: Arc<()>,
+}
+
+impl AsRef<[u8]> for SentAnswer {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl SharedAnswers {
+    /// `is_busy` tells whether as many peers are sent all that is known as may be.
+    pub fn is_busy(&self) -> bool {
+        WHOLE_ANSWERS_MAX < Arc::strong_count(&self.in_flight)
+    }
+
+    /// `extent` returns up to where peers are told now, where `known` is up to where all is known.
+    pub fn extent(&mut self, known: Extent, now: Timestamp) -> Extent {
+        let is_first = self.extent == Extent::default();
+        if self.extent != known && (is_first || self.made + STEP_INTERVAL <= now) {
+            self.extent = known;
+            self.made = now;
+            self.answers.clear();
+        }
+        self.extent
+    }
+
+    /// `changes` returns the answer with the changes after a number, which `update` makes unless it was
+    /// made before.
+    pub fn changes(&mut self, after: u64, update: impl FnOnce() -> RelayUpdate) -> Answer {
+        self.answers.entry(Some(after)).or_insert_with(|| Answer::new(&update())).clone()
+    }
+
+    /// `whole` returns the answer with all that is known in the same way, and counts it as in flight.
+    pub fn whole(&mut self, update: impl FnOnce() -> RelayUpdate) -> Answer {
+        let known = self.answers.entry(None).or_insert_with(|| Answer::new(&update()));
+        let in_flight = Arc::clone(&self.in_flight);
+        let counted = |bytes: &Bytes| {
+            Bytes::from_owner(SentAnswer { bytes: bytes.clone(), _in_flight: in_flight })
+        };
+        match known {
+            Answer::Plain(bytes) => Answer::Plain(counted(bytes)),
+            Answer::Packed(bytes) => Answer::Packed(counted(bytes)),
+            Answer::Busy => Answer::Busy,
+        }
+    }
+}
+
+/// `Answer` is what a peer that asks is sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Answer {
+    /// An encoded update.
+    Plain(Bytes),
+    /// The same, packed.
+    Packed(Bytes),
+    /// Too many are sent all that is known; another instance knows it as well.
+    Busy,
+}
+
+impl Answer {
+    /// `new` encodes an update, and packs it unless it is short.
+    pub fn new(update: &RelayUpdate) -> Self {
+        let bytes = encode(update);
+        if bytes.len() < PACKED_BYTES_MIN {
+            return Self::Plain(bytes);
+        }
+        Self::Packed(Bytes::from(pack_fast(&bytes)))
+    }
+
+    /// `response` makes the response of an answer.
+    pub fn response(self) -> Response<Full<Bytes>> {
+        let (status, encoding, body) = match self {
+            Self::Plain(bytes) => (StatusCode::OK, None, bytes),
+            Self::Packed(bytes) => (StatusCode::OK, Some(PACKED), bytes),
+            Self::Busy => (StatusCode::SERVICE_UNAVAILABLE, None, Bytes::new()),
+        };
+        let mut response = Response::new(Full::new(body));
+        *response.status_mut() = status;
+        if let Some(encoding) = encoding {
+            response.headers_mut().insert(CONTENT_ENCODING, HeaderValue::from_static(encoding));
+        }
+        response
+    }
+}
+
+/// `FetchError` tells why a peer did not hand over what it knows.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum FetchError {
+    /// it hands over all that it knows to too many others
+    Busy,
+    /// {0}
+    Failed(String),
+}
+
+impl From<String> for FetchError {
+    fn from(reason: String) -> Self {
+        Self::Failed(reason)
+    }
+}
+
 /// `query_of_cursor` states a cursor in the query of a fetch.
 pub fn query_of_cursor(cursor: Cursor) -> String {
-    format!("after={},{}", cursor.incarnation, cursor.number)
+    format!("after={},{}{MAY_PACK}", cursor.incarnation, cursor.number)
+}
+
+/// `may_pack` tells whether whoever sent the query of a fetch understands packed answers.
+pub fn may_pack(query: Option<&str>) -> bool {
+    query.is_some_and(|query| query.ends_with(MAY_PACK))
 }
 
 /// `cursor_of_query` reads it; a query that cannot be read asks for everything.
 pub fn cursor_of_query(query: Option<&str>) -> Cursor {
+    let query = query.map(|query| query.strip_suffix(MAY_PACK).unwrap_or(query));
     let numbers = query.and_then(|query| query.strip_prefix("after="));
     let numbers = numbers.and_then(|numbers| numbers.split_once(','));
     let Some((incarnation, number)) = numbers else { return Cursor::default() };
@@ -247,23 +424,32 @@
 /// # Errors
 ///
 /// Fails, with a reason for the log, when the peer does not answer in time or not in this form.
-pub async fn fetch(peer: SocketAddr, cursor: Cursor) -> Result<RelayUpdate, String> {
+pub async fn fetch(peer: SocketAddr, cursor: Cursor) -> Result<RelayUpdate, FetchError> {
     match tokio::time::timeout(FETCH_TIMEOUT, fetch_updates(peer, cursor)).await {
         Ok(result) => result,
-        Err(_) => Err("no answer in time".to_owned()),
+        Err(_) => Err(FetchError::Failed("no answer in time".to_owned())),
     }
 }
 
-async fn fetch_updates(peer: SocketAddr, cursor: Cursor) -> Result<RelayUpdate, String> {
+async fn fetch_updates(peer: SocketAddr, cursor: Cursor) -> Result<RelayUpdate, FetchError> {
     let mut sender = connect(peer).await.map_err(|error| error.to_string())?;
     let request = Request::get(format!("{DOCUMENTS_PATH}?{}", query_of_cursor(cursor)))
         .header(http::header::HOST, peer.to_string())
         .body(Full::new(Bytes::new()))
         .map_err(|error| error.to_string())?;
     let response = sender.send_request(request).await.map_err(|error| error.to_string())?;
+    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        return Err(FetchError::Busy);
+    }
+    let is_packed = response.headers().contains_key(CONTENT_ENCODING);
     let body = Limited::new(response.into_body(), FETCH_LIMIT_BYTES)
         .collect()
         .await
         .map_err(|error| error.to_string())?;
-    postcard::from_bytes(&body.to_bytes()).map_err(|error| error.to_string())
+    let mut bytes = body.to_bytes();
+    if is_packed {
+        let unpacked = unpack_bytes("documents", &bytes).map_err(|error| error.to_string())?;
+        bytes = Bytes::from(unpacked);
+    }
+    Ok(postcard::from_bytes(&bytes).map_err(|error| error.to_string())?)
 }
--- a/crates/bergamotpitch-gateway/src/store_updates.rs
+++ b/crates/bergamotpitch-gateway/src/store_updates.rs
@@ -16,7 +16,7 @@
 use crate::heartbeats::{domain_peers, standby_peers};
 use crate::logs::decision;
 use crate::peers::{Peer, Peers};
-use crate::relays::{self, Cursor, Relay, RelayUpdate};
+use crate::relays::{self, Answer, Cursor, Extent, FetchError, Relay, RelayUpdate, SharedAnswers};
 
 /// `LIST_TOLERANCE` is how long peers may know a newer list of upstreams before the own watch is
 /// given up: the store tells all watches within some milliseconds.
@@ -80,6 +80,7 @@
     /// Until when this instance counts on the watchers for what it needs at its start.
     watchers_trusted_until: Cell<Timestamp>,
     update_handler: RefCell<Option<UpdateHandler>>,
+    shared_answers: RefCell<SharedAnswers>,
     /// Up to where the changes of each peer, by its address, were taken in.
     cursors: RefCell<HashMap<SocketAddr, Cursor>>,
     is_relying: Cell<bool>,
@@ -200,6 +201,33 @@
         }
     }
 
+    /// `answer_of_query` returns the answer to a peer that asks with a query.
+    pub(crate) fn answer_of_query(&self, query: Option<&str>) -> Answer {
+        let cursor = relays::cursor_of_query(query);
+        if !relays::may_pack(query) {
+            return Answer::Plain(relays::encode(&self.updates_since(cursor)));
+        }
+        let relay = self.store_updates.relay.borrow();
+        let mut answers = self.store_updates.shared_answers.borrow_mut();
+        let known = Extent {
+            number: relay.last_number(),
+            list_known: self.store_updates.list_known.get(),
+            list_change: self.store_updates.list_change.get(),
+        };
+        let Extent { number, list_known, list_change } = answers.extent(known, self.now());
+        if !relay.needs_everything(cursor) {
+            return answers.changes(cursor.number, || RelayUpdate {
+                list_known,
+                list_change,
+                ..relay.changes_between(cursor.number, number.max(cursor.number))
+            });
+        }
+        if answers.is_busy() {
+            return Answer::Busy;
+        }
+        answers.whole(|| self.updates_since(cursor))
+    }
+
     /// `fetch_updates` asks another instance for what it knows and this one does not.
     pub async fn fetch_updates(&self, from: SocketAddr) {
         let cursor = self.store_updates.cursors.borrow().get(&from).copied().unwrap_or_default();
@@ -220,7 +248,7 @@
             }
             Err(error) => {
                 log::info!("event=news_not_fetched peer={from} error={error}");
-                if self.knows_all() {
+                if self.knows_all() && error != FetchError::Busy {
                     self.store_updates.peers_distrusted_until.set(self.now() + DISTRUST_TIME);
                 }
             }
@@ -312,12 +340,13 @@
 
 /// Asks the watchers of the own domain in turn until one of them has told all that is needed.
 async fn fetch_from_watchers(gateway: Rc<Gateway>) {
-    let mut round = 0;
+    // Instances that start together do not all ask the same one.
+    let mut round = gateway.options.instance as usize;
     while gateway.relies_on_peers() && !gateway.knows_all() {
         let watchers = standby_peers(&gateway);
         let Some(watcher) = watchers.get(round % watchers.len().max(1)) else { return };
         gateway.fetch_updates(watcher.relay_address).await;
-        round += 1;
+        round = round.wrapping_add(1);
         tokio::time::sleep(STARTUP_FETCH_INTERVAL).await;
     }
 }
