Leave part of what an engine may get in a second to requests within a share

Cause: the bound on arrivals knew no shares.

Change: requests within a share may use all of an engine's arrivals, an even part of the surplus 0.85 of them and those beyond 0.7, as with slots and memory.

--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -81,6 +81,7 @@
                 may_pause_streams: true,
                 slots_fraction: 0.95,
                 memory_fraction: 0.9,
+                arrivals_fraction: 1.0,
             },
             even_surplus: UtilizationLimits {
                 target_fraction: 0.35,
@@ -88,6 +89,7 @@
                 may_pause_streams: false,
                 slots_fraction: 0.7,
                 memory_fraction: 0.75,
+                arrivals_fraction: 0.85,
             },
             beyond_even: UtilizationLimits {
                 target_fraction: 0.2,
@@ -95,6 +97,7 @@
                 may_pause_streams: false,
                 slots_fraction: 0.5,
                 memory_fraction: 0.6,
+                arrivals_fraction: 0.7,
             },
         }
     }
@@ -356,6 +359,29 @@
         &mut self.states.entry(key).or_default().arrivals
     }
 
+    /// Time until one more request may be placed at an upstream that may use a fraction of its bound.
+    fn arrival_wait(
+        &self,
+        upstream: &Upstream,
+        arrivals: &ArrivalLimiter,
+        fraction: f64,
+        now: Timestamp,
+    ) -> Duration {
+        let bound = self.arrival_bound(upstream, arrivals, now);
+        bound.map_or(Duration::ZERO, |(warm_up, authority)| {
+            arrivals.wait(warm_up, authority, fraction, now, &self.options.warm_ups)
+        })
+    }
+
+    fn is_bounded_as_cold(
+        &self,
+        upstream: &Upstream,
+        arrivals: &ArrivalLimiter,
+        now: Timestamp,
+    ) -> bool {
+        arrivals.is_cold(now) && self.arrival_bound(upstream, arrivals, now).is_some()
+    }
+
     /// The bound on what an upstream gets, and this instance's part of it; `None` without one.
     fn arrival_bound(
         &self,
@@ -482,7 +508,13 @@
             let state = self.states.get(&upstream.key).unwrap_or(&default_state);
             let candidate = self.evaluate_candidate(upstream, state, request, &demand, now);
             least_requests = least_requests.min(candidate.figures.requests);
-            match candidate.fit(request, &limits, &self.options.policy) {
+            let arrival_wait =
+                self.arrival_wait(upstream, &state.arrivals, limits.arrivals_fraction, now);
+            let fit = match arrival_wait.is_zero() {
+                true => candidate.fit(request, &limits, &self.options.policy),
+                false => Fit::Excess(arrival_wait),
+            };
+            match fit {
                 Fit::Fits => {
                     let score = candidate.score(request, &self.options.policy);
                     if best.as_ref().is_none_or(|(least, _)| score < *least) {
@@ -672,10 +704,6 @@
             Distance::Far => millis(self.options.remote_round_trip),
         };
         let figures = state.load.figures(now, options);
-        let bound = self.arrival_bound(upstream, &state.arrivals, now);
-        let arrival_wait = bound.map_or(Duration::ZERO, |(warm_up, authority)| {
-            state.arrivals.wait(warm_up, authority, now, &self.options.warm_ups)
-        });
         let service_ms = match demand.is_generation {
             true => demand.speed.reading_ms(work.unread_tokens),
             false => state.load.plain_ms(options),
@@ -692,8 +720,7 @@
             figures,
             slots: capacity.slots,
             distance,
-            arrival_wait,
-            is_cold: bound.is_some() && state.arrivals.is_cold(now),
+            is_cold: self.is_bounded_as_cold(upstream, &state.arrivals, now),
         }
     }
 }
--- a/crates/bergamotpitch-control/src/traffic/upstream_candidates.rs
+++ b/crates/bergamotpitch-control/src/traffic/upstream_candidates.rs
@@ -24,6 +24,9 @@
     pub slots_fraction: f64,
     /// Part of the memory that may be taken by running requests.
     pub memory_fraction: f64,
+    /// Part of what an upstream may get in a second by the bound on those that have just started. Without
+    /// it, a flood uses it up, and requests within their share are refused beside free slots.
+    pub arrivals_fraction: f64,
 }
 
 /// `PLAIN_SLOTS_FACTOR` is how many calls a plain service may have in hand for each slot: a short
@@ -76,8 +79,6 @@
     pub slots: u32,
     /// Where it stands.
     pub distance: Distance,
-    /// Time until it may get one more request, by the bound on those that have just started.
-    pub arrival_wait: Duration,
     /// Whether it counts as cold.
     pub is_cold: bool,
 }
@@ -125,9 +126,6 @@
         limits: &UtilizationLimits,
         policy: &Policy,
     ) -> Fit {
-        if !self.arrival_wait.is_zero() {
-            return Fit::Excess(self.arrival_wait);
-        }
         let is_generation = request.facts.is_generation();
         if !self.has_slot(is_generation, limits) || !self.has_memory(request, limits) {
             return Fit::Excess(request.target);
--- a/crates/bergamotpitch-control/src/traffic/warm_ups.rs
+++ b/crates/bergamotpitch-control/src/traffic/warm_ups.rs
@@ -125,7 +125,8 @@
         limit.requests.saturating_sub(u32::try_from(recent).unwrap_or(u32::MAX))
     }
 
-    /// `wait` returns the time until one more request may be placed there.
+    /// `wait` returns the time until one more request may be placed there that may use a fraction of
+    /// the bound.
     ///
     /// ```
     /// use std::time::Duration;
@@ -139,19 +140,20 @@
     /// let now = Duration::from_secs(7);
     /// let mut limiter = ArrivalLimiter::default();
     /// limiter.note_cold(warm_up.time, now);
-    /// assert_eq!(limiter.wait(&warm_up, Authority::Sole, now, &options), Duration::ZERO);
-    /// assert_eq!(limiter.wait(&warm_up, Authority::Shared(2), now, &options), warm_up.time);
+    /// assert_eq!(limiter.wait(&warm_up, Authority::Sole, 1.0, now, &options), Duration::ZERO);
+    /// assert_eq!(limiter.wait(&warm_up, Authority::Shared(2), 1.0, now, &options), warm_up.time);
     /// limiter.note_placed(now);
-    /// assert!(Duration::ZERO < limiter.wait(&warm_up, Authority::Sole, now, &options));
+    /// assert!(Duration::ZERO < limiter.wait(&warm_up, Authority::Sole, 1.0, now, &options));
     /// ```
     pub fn wait(
         &self,
         warm_up: &WarmUp,
         authority: Authority,
+        fraction: f64,
         now: Timestamp,
         options: &Options,
     ) -> Duration {
-        let limit = self.limit(warm_up, authority, now, options);
+        let limit = self.limit(warm_up, authority, now, options).part(fraction);
         let Some(index) = limit.requests.checked_sub(1) else {
             return self.cold_until.saturating_sub(now);
         };
@@ -192,6 +194,12 @@
 }
 
 impl Limit {
+    /// A fraction of it, of one request at the least where there is any.
+    fn part(self, fraction: f64) -> Self {
+        let requests = (f64::from(self.requests) * fraction).ceil() as u32;
+        Self { requests, ..self }
+    }
+
     /// The part of one of several instances: some requests a second, or one in several seconds.
     fn part_of(requests: f64, instances: usize) -> Self {
         let part = requests / instances.max(1) as f64;
--- a/crates/bergamotpitch-control/tests/cold_upstreams.rs
+++ b/crates/bergamotpitch-control/tests/cold_upstreams.rs
@@ -13,6 +13,7 @@
 use bergamotpitch_control::traffic::policies::Policy;
 use bergamotpitch_control::traffic::registries::Registration;
 use bergamotpitch_control::traffic::residencies::AllowedRegions;
+use bergamotpitch_control::traffic::team_windows::TeamSums;
 use bergamotpitch_control::traffic::warm_ups::{self, Authority, GRANT_VALIDITY, WarmUp};
 
 const WARM_UP: WarmUp = WarmUp { time: Duration::from_secs(3), requests_per_s: 15.0 };
@@ -52,13 +53,10 @@
     }
 }
 
-/// Sends short prompts for as long as one is taken at once, at each step, and returns when each went.
-/// They end after half a second.
-fn flood(traffic: &mut Traffic, from: Duration, length: Duration) -> Vec<Duration> {
-    let facts = RequestFacts { prompt_tokens: 60, ..RequestFacts::default() };
-    let request = PlacementRequest {
+fn short_request(facts: &RequestFacts) -> PlacementRequest<'_> {
+    PlacementRequest {
         service: "engines",
-        facts: &facts,
+        facts,
         team: None,
         target: Duration::from_millis(400),
         elapsed: Duration::ZERO,
@@ -69,7 +67,14 @@
         target_gap: None,
         scope: Scope::Domain,
         regions: &AllowedRegions::Any,
-    };
+    }
+}
+
+/// Sends short prompts for as long as one is taken at once, at each step, and returns when each went.
+/// They end after half a second.
+fn flood(traffic: &mut Traffic, from: Duration, length: Duration) -> Vec<Duration> {
+    let facts = RequestFacts { prompt_tokens: 60, ..RequestFacts::default() };
+    let request = short_request(&facts);
     let mut running: VecDeque<(Duration, u32, u64)> = VecDeque::new();
     let mut sent = Vec::new();
     let mut now = from;
@@ -221,3 +226,46 @@
     let most = granted.iter().map(|at| together(*at)).max().unwrap();
     assert!(most <= BOUND, "{most}");
 }
+
+/// Guards against small teams that are refused beside engines with free slots: a team that floods had
+/// used up what each engine may get in a second.
+#[test]
+fn flood_beside_small_team() {
+    const FLOODING: u32 = 7;
+    const SMALL: u32 = 8;
+    let mut traffic = traffic(Authority::Sole, Policy::default());
+    traffic.listed(registration("a", 1, Some(Duration::ZERO)), Duration::ZERO);
+    let small = TeamSums { requested_tokens: 500_000, dispatched_tokens: 500_000 };
+    let flooding = TeamSums { requested_tokens: 30_000_000, dispatched_tokens: 2_200_000 };
+    let others = (100..120).map(|team| (team, small));
+    let now = Duration::from_secs(20);
+    traffic.windows.set_peer_sums(1, others.chain([(FLOODING, flooding)]), now, now);
+    let facts = RequestFacts { prompt_tokens: 60, ..RequestFacts::default() };
+    let mut place = |team: u32, number: u64, at: Duration| {
+        let request = PlacementRequest {
+            team: Some(team),
+            pool_tokens_per_s: Some(2_000_000),
+            ..short_request(&facts)
+        };
+        traffic.windows.record_request(team, 60, at);
+        let Decision::Send(placement) = traffic.choose_upstream(&request, at) else { return false };
+        traffic.send(number, &placement, &request, at);
+        traffic.load(placement.upstream).begun(number, at);
+        traffic.load(placement.upstream).ended(number);
+        true
+    };
+    let mut number = 0;
+    let mut refused = 0;
+    for step in 0..400 {
+        let at = now + STEP * step;
+        for _ in 0..4 {
+            number += 1;
+            place(FLOODING, number, at);
+        }
+        if step % 100 == 50 {
+            number += 1;
+            refused += u32::from(!place(SMALL, number, at));
+        }
+    }
+    assert_eq!(refused, 0);
+}
