--- a/crates/bergamotpitch-gateway/src/team_counters.rs
+++ b/crates/bergamotpitch-gateway/src/team_counters.rs
@@ -72,7 +72,12 @@
     /// use bergamotpitch_core::refusals::RefusalReason;
     /// use bergamotpitch_gateway::team_counters::TeamCounters;
     ///
-    /// let team = Team { name: "north".to_owned(), priority: None, keys: Vec::new() };
+    /// let team = Team {
+    ///     name: "north".to_owned(),
+    ///     priority: None,
+    ///     keys: Vec::new(),
+    ///     allowed_regions: Default::default(),
+    /// };
     /// let counters = TeamCounters::default();
     /// counters.note_asked(&team, 700);
     /// counters.note_refused(&team, 700, RefusalReason::QueueFull);
