--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -198,7 +198,7 @@
     pub rank: Option<usize>,
     /// Engine from which the upstream should fetch what it does not keep of the prompt's start.
     pub fetch_from: Option<UpstreamKey>,
-    /// When it was decided on, at the latest.
+    /// When it was decided on, at the earliest; a grant may count as older than it is.
     pub decided: Timestamp,
     /// Whether the upstream counted as cold.
     pub is_cold: bool,
@@ -541,7 +541,7 @@
         if policy.start_order && request.scope == Scope::Fleet {
             demand.rank_engines(prefix, candidates, self.domain_number);
         }
-        // What an engine elsewhere keeps of the prompt may not be moved here, nor the other way.
+        // What an engine elsewhere keeps of the prompt may not be moved into the regions.
         let may_hold = |upstream: &Upstream| {
             upstream.takes_work() && self.allows(request.regions, upstream.domain_number)
         };
