--- a/crates/bergamotpitch-gateway/tests/shared_updates.rs
+++ b/crates/bergamotpitch-gateway/tests/shared_updates.rs
@@ -17,7 +17,7 @@
 
 fn document(index: usize) -> Document {
     let value = format!("{{\"service\":\"engines\",\"address\":\"10.1.2.3:80\",\"seq\":{index}}}");
-    Document { key: format!("servers/i-{index:08x}"), revision: 7, value: value.into_bytes() }
+    Document { key: format!("list/i-{index:08x}"), revision: 7, value: value.into_bytes() }
 }
 
 /// A cursor of another life of the peer.
@@ -124,7 +124,7 @@
         let mut answer = Vec::new();
         older.read_to_end(&mut answer).await.unwrap();
         let answer = String::from_utf8_lossy(&answer);
-        assert!(answer.contains("servers/i-00000bb7"), "it is not plain");
+        assert!(answer.contains("list/i-00000bb7"), "it is not plain");
         assert!(!answer.contains("content-encoding"));
         let (_closed, nobody) = common::closed_port();
         assert!(matches!(fetch(nobody, unknown()).await, Err(FetchError::Failed(_))));
