Cut the files of the decision and of the dispatcher by what they decide

Change: placement requests, attempts, roles, headrooms and received messages are modules of their own; nothing else changes.

--- a/crates/bergamotpitch-control/src/traffic.rs
+++ b/crates/bergamotpitch-control/src/traffic.rs
@@ -15,6 +15,7 @@
 pub mod facts;
 pub mod grants;
 pub mod placement_queues;
+pub mod placement_requests;
 pub mod policies;
 pub mod prefixes;
 pub mod registries;
--- a/crates/bergamotpitch-control/src/traffic/grants.rs
+++ b/crates/bergamotpitch-control/src/traffic/grants.rs
@@ -10,8 +10,8 @@
 use bergamotpitch_core::ids::{Incarnation, InstanceId};
 use bergamotpitch_core::units::Timestamp;
 
-use crate::traffic::admissions::Placement;
 use crate::traffic::engine_loads::RequestNumber;
+use crate::traffic::placement_requests::Placement;
 
 /// `CONFIRM_INTERVAL` is the time between two confirmations of an asker.
 pub const CONFIRM_INTERVAL: Duration = Duration::from_millis(360);
--- a/crates/bergamotpitch-control/src/traffic/placement_queues.rs
+++ b/crates/bergamotpitch-control/src/traffic/placement_queues.rs
@@ -10,10 +10,11 @@
 use bergamotpitch_core::ids::TeamId;
 use bergamotpitch_core::units::Timestamp;
 
-use crate::traffic::admissions::{Decision, PlacementRequest, Scope, Traffic};
+use crate::traffic::admissions::Traffic;
 use crate::traffic::catalogs::CacheLink;
 use crate::traffic::engine_loads::RequestNumber;
 use crate::traffic::facts::RequestFacts;
+use crate::traffic::placement_requests::{Decision, PlacementRequest, Scope};
 use crate::traffic::registries::UpstreamKey;
 use crate::traffic::residencies::AllowedRegions;
 use crate::traffic::team_windows::ShareClass;
--- a/crates/bergamotpitch-control/src/traffic/request_demands.rs
+++ b/crates/bergamotpitch-control/src/traffic/request_demands.rs
@@ -4,11 +4,11 @@
 use bergamotpitch_core::ids::{DomainId, UpstreamId};
 use bergamotpitch_core::units::Timestamp;
 
-use crate::traffic::admissions::PlacementRequest;
 use crate::traffic::catalogs::CacheLink;
 use crate::traffic::engine_loads::Work;
 use crate::traffic::engine_speeds::EngineSpeed;
 use crate::traffic::facts::PartId;
+use crate::traffic::placement_requests::PlacementRequest;
 use crate::traffic::policies::Policy;
 use crate::traffic::registries::{Registry, Upstream, UpstreamKey};
 use crate::traffic::starts::Starts;
--- a/crates/bergamotpitch-control/src/traffic/upstream_candidates.rs
+++ b/crates/bergamotpitch-control/src/traffic/upstream_candidates.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use crate::traffic::admissions::PlacementRequest;
 use crate::traffic::engine_loads::{Figures, Work};
+use crate::traffic::placement_requests::PlacementRequest;
 use crate::traffic::policies::Policy;
 use crate::traffic::registries::UpstreamKey;
 
--- a/crates/bergamotpitch-control/tests/cold_upstreams.rs
+++ b/crates/bergamotpitch-control/tests/cold_upstreams.rs
@@ -4,12 +4,11 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::admissions::{
-    Decision, Options, PlacementRequest, Scope, Traffic,
-};
+use bergamotpitch_control::traffic::admissions::{Options, Traffic};
 use bergamotpitch_control::traffic::catalogs::{Catalog, Service};
 use bergamotpitch_control::traffic::evacuations::EvacuationOrder;
 use bergamotpitch_control::traffic::facts::RequestFacts;
+use bergamotpitch_control::traffic::placement_requests::{Decision, PlacementRequest, Scope};
 use bergamotpitch_control::traffic::policies::Policy;
 use bergamotpitch_control::traffic::registries::Registration;
 use bergamotpitch_control::traffic::residencies::AllowedRegions;
--- a/crates/bergamotpitch-control/tests/data_residency.rs
+++ b/crates/bergamotpitch-control/tests/data_residency.rs
@@ -2,11 +2,10 @@
 
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::admissions::{
-    Decision, Options, PlacementRequest, Scope, Traffic,
-};
+use bergamotpitch_control::traffic::admissions::{Options, Traffic};
 use bergamotpitch_control::traffic::catalogs::{CacheLink, Catalog, Route, RouteKind, Team};
 use bergamotpitch_control::traffic::facts::{PromptPart, RequestFacts};
+use bergamotpitch_control::traffic::placement_requests::{Decision, PlacementRequest, Scope};
 use bergamotpitch_control::traffic::registries::Registration;
 use bergamotpitch_control::traffic::residencies::AllowedRegions;
 
--- a/crates/bergamotpitch-control/tests/fetched_starts.rs
+++ b/crates/bergamotpitch-control/tests/fetched_starts.rs
@@ -4,11 +4,12 @@
 
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::admissions::{
-    Decision, Options, Placement, PlacementRequest, Scope, Traffic,
-};
+use bergamotpitch_control::traffic::admissions::{Options, Traffic};
 use bergamotpitch_control::traffic::catalogs::CacheLink;
 use bergamotpitch_control::traffic::facts::RequestFacts;
+use bergamotpitch_control::traffic::placement_requests::{
+    Decision, Placement, PlacementRequest, Scope,
+};
 use bergamotpitch_control::traffic::registries::{Registration, UpstreamKey};
 use bergamotpitch_control::traffic::residencies::AllowedRegions;
 use engines::{Engine, EngineEvent, Speed, part};
--- a/crates/bergamotpitch-control/tests/long_prompts.rs
+++ b/crates/bergamotpitch-control/tests/long_prompts.rs
@@ -5,9 +5,9 @@
 
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::admissions::{Decision, Placement};
 use bergamotpitch_control::traffic::engine_loads::{Capacity, Work};
 use bergamotpitch_control::traffic::engine_speeds::EngineSpeed;
+use bergamotpitch_control::traffic::placement_requests::{Decision, Placement};
 use bergamotpitch_control::traffic::team_windows::ShareClass;
 use replays::{
     Fleet, OfferedRequest, SLOTS, arrivals, place_and_send, placement_request_of, replay,
--- a/crates/bergamotpitch-control/tests/policy_switches.rs
+++ b/crates/bergamotpitch-control/tests/policy_switches.rs
@@ -2,11 +2,10 @@
 
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::admissions::{
-    self, Decision, PlacementRequest, Scope, Traffic,
-};
+use bergamotpitch_control::traffic::admissions::{self, Traffic};
 use bergamotpitch_control::traffic::engine_loads::Figures;
 use bergamotpitch_control::traffic::facts::RequestFacts;
+use bergamotpitch_control::traffic::placement_requests::{Decision, PlacementRequest, Scope};
 use bergamotpitch_control::traffic::policies::Policy;
 use bergamotpitch_control::traffic::registries::{Registration, UpstreamKey};
 use bergamotpitch_control::traffic::residencies::AllowedRegions;
--- a/crates/bergamotpitch-control/tests/replays/mod.rs
+++ b/crates/bergamotpitch-control/tests/replays/mod.rs
@@ -3,11 +3,12 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::admissions::{
-    Decision, Options, Placement, PlacementRequest, Scope, Traffic,
-};
+use bergamotpitch_control::traffic::admissions::{Options, Traffic};
 use bergamotpitch_control::traffic::engine_loads::Figures;
 use bergamotpitch_control::traffic::facts::RequestFacts;
+use bergamotpitch_control::traffic::placement_requests::{
+    Decision, Placement, PlacementRequest, Scope,
+};
 use bergamotpitch_control::traffic::registries::{Registration, UpstreamKey};
 use bergamotpitch_control::traffic::residencies::AllowedRegions;
 use rand_core::{Rng, SeedableRng};
--- a/crates/bergamotpitch-control/tests/stated_rates.rs
+++ b/crates/bergamotpitch-control/tests/stated_rates.rs
@@ -6,7 +6,7 @@
 use std::ops::Range;
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::admissions::PlacementRequest;
+use bergamotpitch_control::traffic::placement_requests::PlacementRequest;
 use replays::{Fleet, OfferedRequest, Outcome, arrivals, place_and_send, replay};
 
 /// Several times what the engines of the replay give.
--- a/crates/bergamotpitch-control/tests/underserved_teams.rs
+++ b/crates/bergamotpitch-control/tests/underserved_teams.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::admissions::{
-    Decision, Options, Placement, PlacementRequest, Scope, Traffic,
-};
+use bergamotpitch_control::traffic::admissions::{Options, Traffic};
 use bergamotpitch_control::traffic::engine_loads::Work;
 use bergamotpitch_control::traffic::facts::RequestFacts;
+use bergamotpitch_control::traffic::placement_requests::{
+    Decision, Placement, PlacementRequest, Scope,
+};
 use bergamotpitch_control::traffic::registries::Registration;
 use bergamotpitch_control::traffic::residencies::AllowedRegions;
 use bergamotpitch_control::traffic::team_windows::{ShareClass, TeamSums};
--- a/crates/bergamotpitch-control/tests/worst_load.rs
+++ b/crates/bergamotpitch-control/tests/worst_load.rs
@@ -6,7 +6,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::admissions::{Placement, PlacementRequest, Traffic};
+use bergamotpitch_control::traffic::admissions::Traffic;
+use bergamotpitch_control::traffic::placement_requests::{Placement, PlacementRequest};
 use bergamotpitch_control::traffic::team_windows::ShareClass;
 use replays::{Fleet, OfferedRequest, SLOTS, arrivals, place_and_send, replay};
 
--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -1,19 +1,15 @@
 //! Calls: the way of one request from its arrival to its answer.
 
-use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::admissions::Placement;
-use bergamotpitch_control::traffic::catalogs::{CacheLink, Catalog, Route, RouteKind, Team};
+use bergamotpitch_control::traffic::catalogs::{CacheLink, Catalog, Route, Team};
 use bergamotpitch_control::traffic::facts::RequestFacts;
-use bergamotpitch_control::traffic::registries::UpstreamKey;
 use bergamotpitch_core::events::EventKind;
 use bergamotpitch_core::ids::{TeamId, id_of_name};
 use bergamotpitch_core::refusals::RefusalReason;
 use bergamotpitch_core::units::Timestamp;
-use http::header::CONTENT_LENGTH;
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use hyper::body::Incoming;
@@ -21,33 +17,23 @@
 use crate::arrivals::{
     HeldBody, bad_request, discard, host_of, passed_headers, read_body, target_of, team_of,
 };
-use crate::bodies::{AnswerBody, StreamAnswer, is_event_stream, read_whole};
+use crate::attempts::follow;
+use crate::bodies::AnswerBody;
 use crate::callers::CallerConnection;
-use crate::exchanges::{self, Answer, Failure, Reuse};
 use crate::gateways::Gateway;
-use crate::headers::remove_hop_headers;
 use crate::logs::decision;
-use crate::placements::{PlacedRequest, Run, has_place, place};
 use crate::refusals::{Inputs, Refusal, response_of_refusal};
 use crate::served_streams::ServedStream;
 
 /// `UNSTATED_BUDGET` is how long a caller is taken to wait that does not say so.
 const UNSTATED_BUDGET: Duration = Duration::from_secs(60);
 
-/// `UNREACHABLE_LIMIT` bounds how many upstreams are tried that take no connection; such a try does
-/// not count as an attempt, as nothing was sent.
-const UNREACHABLE_LIMIT: usize = 3;
-
-/// `WITHDRAWN_LIMIT` bounds how many places are given up that a request may not have any more when it is
-/// about to be sent; such a try does not count as an attempt either.
-const WITHDRAWN_LIMIT: usize = 3;
-
 /// `NOT_READY_RETURN` is when to come back to an instance that has no configuration yet.
 const NOT_READY_RETURN: Duration = Duration::from_millis(500);
 
 /// `BUSY_RETURN` is when to come back after an upstream proved that it did not run a request that
 /// may not be sent to another.
-const BUSY_RETURN: Duration = Duration::from_millis(150);
+pub(crate) const BUSY_RETURN: Duration = Duration::from_millis(150);
 
 /// `NO_REGION_RETURN` is when to come back while route and team have no region in common: a change of
 /// the configuration takes seconds.
@@ -60,16 +46,6 @@
 /// `NO_TEAM` stands for requests without a team.
 const NO_TEAM: TeamId = 0;
 
-/// `PATIENCE_FACTOR` is how many times the predicted time an upstream may take before a request
-/// that can be repeated is sent to another one.
-const PATIENCE_FACTOR: f64 = 4.0;
-
-/// `OTHER_PLACE_INTERVAL` is the time between two looks for another upstream.
-const OTHER_PLACE_INTERVAL: Duration = Duration::from_millis(100);
-
-/// `LEAST_PATIENCE` is the least such time, as a part of the target latency.
-const LEAST_PATIENCE: f64 = 1.2;
-
 /// `Call` is one request, read in full.
 #[derive(Debug)]
 pub struct Call {
@@ -317,249 +293,3 @@
     );
     Refusal::not_run(RefusalReason::DeadlinePassed, BUSY_RETURN)
 }
-
-/// Sends a call to one upstream after another until there is an answer to pass on.
-async fn follow(gateway: &Rc<Gateway>, call: Rc<Call>) -> Result<Response<AnswerBody>, Refusal> {
-    let mut tried: Vec<UpstreamKey> = Vec::new();
-    let mut attempts = 0;
-    let mut unreachable = 0;
-    let mut withdrawn = 0;
-    let mut may_have_run = false;
-    loop {
-        let placed = match place(gateway, &call, &tried).await {
-            Ok(placed) => placed,
-            Err(refusal) => return Err(after_attempts(refusal, may_have_run)),
-        };
-        let run = Run::open(gateway, &placed);
-        let placement = placed.placement;
-        if let Some(team) = call.team.as_deref().filter(|_| tried.is_empty()) {
-            gateway.team_counters.note_sent(team, call.facts.pool_tokens());
-        }
-        note_dispatch(&call, &placed, gateway, attempts);
-        match attempt(gateway, &call, &placement, &tried, attempts).await {
-            Ok(answer) => match pass_on(gateway, &call, run, answer, attempts).await {
-                Ok(response) => return Ok(response),
-                Err(detail) => {
-                    may_have_run = true;
-                    note_failure(&call, &placement, gateway, &Failure::Broken { detail });
-                }
-            },
-            Err(failure) => {
-                note_failure(&call, &placement, gateway, &failure);
-                if failure == Failure::Withdrawn {
-                    withdrawn += 1;
-                    if withdrawn < WITHDRAWN_LIMIT {
-                        continue;
-                    }
-                    let refusal = Refusal::not_run(RefusalReason::NoUpstream, BUSY_RETURN);
-                    return Err(after_attempts(refusal, may_have_run));
-                }
-                if failure == Failure::Unreachable {
-                    run.unreachable();
-                    tried.push(placement.upstream);
-                    unreachable += 1;
-                    if unreachable < UNREACHABLE_LIMIT {
-                        continue;
-                    }
-                    let refusal = Refusal::not_run(RefusalReason::NoUpstream, BUSY_RETURN);
-                    return Err(after_attempts(refusal, may_have_run));
-                }
-                let ran = !matches!(failure, Failure::NotRun { .. });
-                if failure == (Failure::NotRun { status: StatusCode::MISDIRECTED_REQUEST }) {
-                    gateway.note_misdirected(placement.upstream);
-                }
-                // An upstream that turns away what fits by the books is worse than others, too.
-                run.complete(true);
-                may_have_run |= ran;
-            }
-        }
-        attempts += 1;
-        tried.push(placement.upstream);
-        if !may_go_on(gateway, &call, attempts, may_have_run) {
-            return Err(final_refusal(gateway, &call, may_have_run));
-        }
-        note_retry(&call, gateway, attempts);
-    }
-}
-
-/// Passes an answer on; an answer that breaks off before anything was passed on is an error, after
-/// which a repeatable call may be sent again.
-async fn pass_on(
-    gateway: &Rc<Gateway>,
-    call: &Rc<Call>,
-    mut run: Run,
-    answer: Answer,
-    attempts: u32,
-) -> Result<Response<AnswerBody>, String> {
-    let Answer { response, sender, reuse } = answer;
-    let (mut parts, body) = response.into_parts();
-    remove_hop_headers(&mut parts.headers);
-    if parts.status.is_success() && is_event_stream(&parts.headers) {
-        parts.headers.remove(CONTENT_LENGTH);
-        let stream = StreamAnswer::new(gateway, call, run, body, sender, reuse);
-        return Ok(Response::from_parts(parts, AnswerBody::Stream(Box::new(stream))));
-    }
-    let time = call.deadline.saturating_sub(gateway.now());
-    let whole = tokio::time::timeout(time, read_whole(body)).await;
-    let seen = run.begun();
-    let key = run.key();
-    let bytes = match whole {
-        Ok(Ok(bytes)) => bytes,
-        Ok(Err(error)) => {
-            run.complete(true);
-            return Err(error);
-        }
-        Err(_) => {
-            run.complete(true);
-            return Err("its body did not end in time".to_owned());
-        }
-    };
-    if let Reuse::Idle(idle) = reuse {
-        gateway.keep_connection(key, sender, idle);
-    }
-    let is_failure = parts.status.is_server_error();
-    run.complete(is_failure);
-    if is_failure && may_go_on(gateway, call, attempts + 1, true) {
-        return Err(format!("status {}", parts.status));
-    }
-    decision(
-        EventKind::RequestAnswered,
-        format_args!(
-            "request={} upstream={} status={} answer_ms={} attempts={} version={}",
-            call.facts.attempt_id,
-            gateway.id_of(key).unwrap_or_default(),
-            parts.status.as_u16(),
-            seen.as_millis(),
-            attempts + 1,
-            call.catalog.version,
-        ),
-    );
-    gateway.metrics.count_answer(seen);
-    parts.headers.remove(CONTENT_LENGTH);
-    Ok(Response::from_parts(parts, AnswerBody::whole(bytes)))
-}
-
-fn may_go_on(gateway: &Gateway, call: &Call, attempts: u32, may_have_run: bool) -> bool {
-    let is_allowed = !may_have_run || call.route.is_repeatable();
-    is_allowed
-        && attempts < call.route.attempts_max
-        && gateway.now() < call.deadline
-        && gateway.take_repeat(&call.service)
-}
-
-fn final_refusal(gateway: &Gateway, call: &Call, may_have_run: bool) -> Refusal {
-    if !may_have_run {
-        return Refusal::not_run(RefusalReason::Overloaded, BUSY_RETURN);
-    }
-    if call.deadline <= gateway.now() {
-        return Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, RefusalReason::DeadlinePassed);
-    }
-    Refusal::unknown(StatusCode::BAD_GATEWAY, RefusalReason::UpstreamFailed)
-}
-
-/// A refusal that would promise "not run" is only true while no attempt may have run.
-fn after_attempts(refusal: Refusal, may_have_run: bool) -> Refusal {
-    if may_have_run {
-        return Refusal::unknown(StatusCode::BAD_GATEWAY, RefusalReason::UpstreamFailed);
-    }
-    refusal
-}
-
-/// Sends a call to an upstream and waits for the head of its answer. A repeatable call that waits for
-/// much longer than predicted goes to another upstream, but only where one has room for it. In the
-/// seconds after an outage all engines have long queues: cut off there, a request lost its place, was
-/// sent nowhere else and failed, where it would have been answered late.
-async fn attempt(
-    gateway: &Rc<Gateway>,
-    call: &Call,
-    placement: &Placement,
-    tried: &[UpstreamKey],
-    attempts: u32,
-) -> Result<Answer, Failure> {
-    let mut answer = pin!(exchanges::send(gateway, call, placement, None, call.deadline));
-    let mut until = patience(gateway, call, placement, attempts);
-    loop {
-        let time = until.saturating_sub(gateway.now());
-        if let Ok(result) = tokio::time::timeout(time, &mut answer).await {
-            return result;
-        }
-        if has_other_place(gateway, call, placement, tried) {
-            return Err(Failure::TimedOut);
-        }
-        until = gateway.now() + OTHER_PLACE_INTERVAL;
-    }
-}
-
-fn has_other_place(
-    gateway: &Gateway,
-    call: &Call,
-    placement: &Placement,
-    tried: &[UpstreamKey],
-) -> bool {
-    let tried = [tried, &[placement.upstream]].concat();
-    has_place(gateway, call, &tried) && gateway.has_repeat(&call.service)
-}
-
-/// Until when an attempt may take: a repeatable call does not spend all its time on one upstream.
-fn patience(gateway: &Gateway, call: &Call, placement: &Placement, attempts: u32) -> Timestamp {
-    let has_more = call.route.is_repeatable() && attempts + 1 < call.route.attempts_max;
-    if !has_more || !gateway.options.admission.policy.cut_offs {
-        return call.deadline;
-    }
-    let least = call.route.target_latency.mul_f64(LEAST_PATIENCE);
-    let patience = placement.predicted.mul_f64(PATIENCE_FACTOR).max(least);
-    (gateway.now() + patience).min(call.deadline)
-}
-
-fn note_dispatch(call: &Call, placed: &PlacedRequest, gateway: &Gateway, attempts: u32) {
-    let placement = &placed.placement;
-    let waited = gateway.now().saturating_sub(call.arrived);
-    gateway.metrics.dispatches.inc();
-    gateway.metrics.count_wait(waited);
-    decision(
-        EventKind::RequestDispatched,
-        format_args!(
-            "request={} route={} team={} prompt_tokens={} upstream={} attempt={} predicted_ms={} \
-             requests_there={} \
-             unread_tokens={:.0} rank={:?} fetch_from={} standing={} granter={} waited_ms={} \
-             cold={} version={}",
-            call.facts.attempt_id,
-            call.route.name,
-            call.team.as_deref().map_or("-", |team| &team.name),
-            call.facts.prompt_tokens,
-            gateway.id_of(placement.upstream).unwrap_or_default(),
-            attempts + 1,
-            placement.predicted.as_millis(),
-            placement.requests,
-            placement.work.unread_tokens,
-            placement.rank,
-            placement.fetch_from.and_then(|key| gateway.id_of(key)).as_deref().unwrap_or("-"),
-            placement.share_class,
-            placed.grantor.map_or(0, |grantor| grantor.instance),
-            waited.as_millis(),
-            placement.is_cold,
-            call.catalog.version,
-        ),
-    );
-}
-
-fn note_failure(call: &Call, placement: &Placement, gateway: &Gateway, failure: &Failure) {
-    gateway.metrics.failed_attempts.inc();
-    decision(
-        EventKind::AttemptFailed,
-        format_args!(
-            "request={} upstream={} kind={} failure={failure:?}",
-            call.facts.attempt_id,
-            gateway.id_of(placement.upstream).unwrap_or_default(),
-            if call.route.kind == RouteKind::Unsafe { "once" } else { "repeatable" },
-        ),
-    );
-}
-
-fn note_retry(call: &Call, gateway: &Gateway, attempts: u32) {
-    gateway.metrics.repeats.inc();
-    decision(
-        EventKind::RequestRetried,
-        format_args!("request={} attempt={}", call.facts.attempt_id, attempts + 1),
-    );
-}
--- a/crates/bergamotpitch-gateway/src/dispatchers.rs
+++ b/crates/bergamotpitch-gateway/src/dispatchers.rs
@@ -5,38 +5,29 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::admissions::{Decision, Headroom, Scope};
-use bergamotpitch_control::traffic::dispatchers::{Candidate, Role, role_of};
+use bergamotpitch_control::traffic::dispatchers::Role;
 use bergamotpitch_control::traffic::engine_loads::RequestNumber;
 use bergamotpitch_control::traffic::grants::{Grant, Grants};
 use bergamotpitch_control::traffic::placement_queues::{
     OwnedPlacementRequest, PlacementQueue, place,
 };
-use bergamotpitch_control::traffic::residencies::AllowedRegions;
-use bergamotpitch_control::traffic::team_windows::ShareClass;
-use bergamotpitch_control::traffic::warm_ups::{Authorities, DomainView};
+use bergamotpitch_control::traffic::placement_requests::{Decision, Headroom, Scope};
+use bergamotpitch_control::traffic::warm_ups::Authorities;
 use bergamotpitch_core::HashMap;
-use bergamotpitch_core::events::EventKind;
-use bergamotpitch_core::ids::{Incarnation, InstanceId, ServiceId, id_of_name};
+use bergamotpitch_core::ids::{Incarnation, InstanceId, ServiceId};
 use bergamotpitch_core::units::Timestamp;
 use tokio::sync::oneshot;
 
 use crate::gateways::Gateway;
-use crate::logs;
 use crate::messages::{
-    Body, GrantConfirmation, HeadroomLine, PlacementRequestBody, ProgressEvent, ProgressReport,
-    Reply, ReplyOutcome,
+    Body, GrantConfirmation, PlacementRequestBody, ProgressEvent, ProgressReport, Reply,
+    ReplyOutcome,
 };
-use crate::peers::{Peer, WARM_UP_TIME};
 
 /// `PLACEMENT_RETRY_INTERVAL` is the time between two looks at requests that wait for a place: a fiftieth
 /// of the shortest target.
 const PLACEMENT_RETRY_INTERVAL: Duration = Duration::from_millis(8);
 
-/// `HEADROOM_WAIT_LIMIT` is the time to a first event up to which an upstream counts as one with room, as other
-/// domains are told: the shortest targets of prompts.
-const HEADROOM_WAIT_LIMIT: Duration = Duration::from_millis(400);
-
 /// `LocalPlacements` are the requests on which this instance decides, its own and others'.
 #[derive(Debug, Default)]
 pub struct LocalPlacements {
@@ -44,11 +35,11 @@
     grants: RefCell<Grants>,
     replies: RefCell<HashMap<RequestNumber, ReplyTarget>>,
     /// What the dispatchers of other domains told of their room, less what was handed on since.
-    headrooms: RefCell<HashMap<InstanceId, HashMap<ServiceId, Headroom>>>,
+    pub(crate) headrooms: RefCell<HashMap<InstanceId, HashMap<ServiceId, Headroom>>>,
     load_changed: Cell<bool>,
     is_retrying: Cell<bool>,
-    role: Cell<Role>,
-    authorities: Cell<Authorities>,
+    pub(crate) role: Cell<Role>,
+    pub(crate) authorities: Cell<Authorities>,
 }
 
 #[derive(Debug)]
@@ -77,98 +68,6 @@
 }
 
 impl Gateway {
-    /// `role` returns what this instance does for its domain.
-    pub fn role(&self) -> Role {
-        self.local_placements.role.get()
-    }
-
-    /// `is_dispatcher` tells whether this instance decides for its domain.
-    pub fn is_dispatcher(&self) -> bool {
-        self.role().dispatcher == Some(self.options.instance)
-    }
-
-    /// `other_dispatcher` returns the instance that should decide on a request, unless it is this one.
-    pub(crate) fn other_dispatcher(&self) -> Option<InstanceId> {
-        let dispatcher = self.role().dispatcher.filter(|first| *first != self.options.instance)?;
-        self.is_responsive(dispatcher).then_some(dispatcher)
-    }
-
-    /// `scope` returns among which upstreams this instance places requests by itself.
-    pub(crate) fn scope(&self) -> Scope {
-        if self.role().dispatcher.is_some() { Scope::Domain } else { Scope::Fleet }
-    }
-
-    /// Decides anew what this instance does for its domain.
-    pub(crate) fn update_role(&self) {
-        let now = self.now();
-        let own = Candidate {
-            instance: self.options.instance,
-            processor_millis: self.options.processor_millis,
-            last_seen: now,
-            is_eligible: self.is_eligible(),
-            is_warmed_up: WARM_UP_TIME <= now,
-        };
-        let domain = &self.options.admission.domain;
-        let peers = self.peers.borrow();
-        let of_domain = peers.values().filter(|peer| peer.address.domain == *domain);
-        let others: Vec<Candidate> = of_domain.map(Peer::candidate).collect();
-        drop(peers);
-        let before = self.role();
-        let mut role = role_of(&own, &others, now, &self.options.dispatchers);
-        if !self.options.admission.policy.dispatchers {
-            role.dispatcher = None;
-        }
-        self.local_placements.role.set(role);
-        self.update_authority(role.dispatcher);
-        if role.dispatcher == before.dispatcher {
-            return;
-        }
-        logs::decision(
-            EventKind::DispatcherChanged,
-            format_args!(
-                "dispatcher={:?} before={:?} rank={} instances={}",
-                role.dispatcher,
-                before.dispatcher,
-                role.rank,
-                others.len() + 1
-            ),
-        );
-        // What the one before had in hand for others is told by these themselves.
-        if let Some(before) = before.dispatcher.filter(|_| self.is_dispatcher()) {
-            self.traffic.borrow_mut().forget_peer(before);
-        }
-    }
-
-    /// Decides anew whether this instance alone decides on requests for its domain's upstreams.
-    fn update_authority(&self, dispatcher: Option<InstanceId>) {
-        let now = self.now();
-        let timeout = self.options.dispatchers.heartbeat_timeout;
-        let domain = &self.options.admission.domain;
-        let peers = self.peers.borrow();
-        let of_domain = peers.values().filter(|peer| peer.address.domain == *domain);
-        let heard = of_domain.clone().filter(|peer| peer.is_heard_within(timeout, now));
-        let view = DomainView {
-            is_dispatcher: dispatcher == Some(self.options.instance),
-            is_contested: heard.clone().any(|peer| peer.is_dispatching(now)),
-            listed: of_domain.count() + 1,
-            heard: heard.count() + 1,
-        };
-        let mut traffic = self.traffic.borrow_mut();
-        traffic.fleet_size = peers.len() + 1;
-        let before = traffic.authority;
-        let mut authorities = self.local_placements.authorities.get();
-        traffic.authority = authorities.update(&view, now);
-        self.local_placements.authorities.set(authorities);
-        if traffic.authority != before && view.is_dispatcher {
-            log::info!("event=authority_changed authority={:?} {view:?}", traffic.authority);
-        }
-    }
-
-    /// `is_eligible` tells whether this instance can be the dispatcher of its domain.
-    pub(crate) fn is_eligible(&self) -> bool {
-        self.knows_all() && !self.is_draining() && self.loop_lag.keeps_up()
-    }
-
     /// `place_locally` decides on a request of this instance by its own books.
     pub(crate) fn place_locally(
         &self,
@@ -491,63 +390,6 @@
         }
         self.end_grants(&lapsed);
     }
-
-    /// `own_headrooms` returns the room at the upstreams of the own domain.
-    pub(crate) fn own_headrooms(&self) -> Vec<HeadroomLine> {
-        let Some(catalog) = self.catalog() else { return Vec::new() };
-        let now = self.now();
-        let traffic = self.traffic.borrow();
-        let services = catalog.services.keys();
-        let lines = services.map(|name| HeadroomLine {
-            service: id_of_name(name),
-            headroom: traffic.headroom(name, HEADROOM_WAIT_LIMIT, now),
-        });
-        lines.filter(|line| line.headroom != Headroom::default()).collect()
-    }
-
-    /// `update_remote_headrooms` takes in the room at the upstreams of another domain.
-    pub(crate) fn update_remote_headrooms(&self, dispatcher: InstanceId, lines: &[HeadroomLine]) {
-        let headrooms = lines.iter().map(|line| (line.service, line.headroom)).collect();
-        self.local_placements.headrooms.borrow_mut().insert(dispatcher, headrooms);
-    }
-
-    /// The dispatcher of another domain that has room for a request that fits nowhere in this one.
-    pub(crate) fn reserve_remote_headroom(
-        &self,
-        service: ServiceId,
-        decision: &Decision,
-        regions: &AllowedRegions,
-    ) -> Option<InstanceId> {
-        let is_within_share = match decision {
-            Decision::Full { share_class, .. } => {
-                matches!(share_class, ShareClass::WithinShare | ShareClass::Underserved)
-            }
-            Decision::NoUpstream(_) => true,
-            Decision::Send(_) => return None,
-        };
-        let now = self.now();
-        let peers = self.peers.borrow();
-        let near = &self.options.admission.near_domains;
-        let traffic = self.traffic.borrow();
-        let mut headrooms = self.local_placements.headrooms.borrow_mut();
-        let open = headrooms.iter_mut().filter_map(|(instance, headrooms)| {
-            let peer = peers.get(instance).filter(|peer| peer.is_dispatching(now))?;
-            let domain = id_of_name(&peer.address.domain);
-            if !traffic.allows(regions, domain) {
-                return None;
-            }
-            let headroom = headrooms.get_mut(&service)?;
-            let count = if is_within_share {
-                &mut headroom.within_share
-            } else {
-                &mut headroom.beyond_share
-            };
-            (0 < *count).then_some((near.contains(&peer.address.domain), *instance, count))
-        });
-        let (_, next, count) = open.max_by_key(|(is_near, _, count)| (*is_near, **count))?;
-        *count -= 1;
-        Some(next)
-    }
 }
 
 async fn retry_waiting_placements(gateway: Rc<Gateway>) {
--- a/crates/bergamotpitch-gateway/src/exchanges.rs
+++ b/crates/bergamotpitch-gateway/src/exchanges.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::admissions::Placement;
+use bergamotpitch_control::traffic::placement_requests::Placement;
 use bergamotpitch_control::traffic::registries::UpstreamKey;
 use bergamotpitch_core::units::Timestamp;
 use bytes::Bytes;
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -32,6 +32,7 @@
 use crate::options::Options;
 use crate::peers::{Peers, UnknownPeers};
 use crate::probes::{self, Port};
+use crate::received_messages;
 use crate::remote_placements::RemotePlacements;
 use crate::served_streams::ServedStreams;
 use crate::store_updates::StoreUpdates;
@@ -126,7 +127,7 @@
         for listener in inner {
             tokio::task::spawn_local(probes::serve(Rc::clone(&gateway), listener, Port::Inner));
         }
-        tokio::task::spawn_local(heartbeats::receive(Rc::clone(&gateway), socket));
+        tokio::task::spawn_local(received_messages::receive(Rc::clone(&gateway), socket));
         tokio::task::spawn_local(beat(Rc::clone(&gateway)));
         Ok(gateway)
     }
--- a/crates/bergamotpitch-gateway/src/lib.rs
+++ b/crates/bergamotpitch-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! reads and writes headers, and whoever starts the gateway hands it catalogs, upstreams and peers.
 
 pub mod arrivals;
+pub mod attempts;
 pub mod bodies;
 pub mod callers;
 pub mod calls;
@@ -20,6 +21,7 @@
 pub mod exchanges;
 pub mod gateways;
 pub mod headers;
+pub mod headrooms;
 pub mod heartbeats;
 pub mod held_bytes;
 pub mod logs;
@@ -30,9 +32,11 @@
 pub mod peers;
 pub mod placements;
 pub mod probes;
+pub mod received_messages;
 pub mod refusals;
 pub mod relays;
 pub mod remote_placements;
+pub mod roles;
 pub mod served_streams;
 pub mod sse;
 pub mod store_updates;
--- a/crates/bergamotpitch-gateway/src/messages.rs
+++ b/crates/bergamotpitch-gateway/src/messages.rs
@@ -7,11 +7,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::admissions::{Decision, Headroom, Placement};
 use bergamotpitch_control::traffic::catalogs::CatalogVersion;
 use bergamotpitch_control::traffic::engine_loads::{Figures, RequestNumber, Work};
 use bergamotpitch_control::traffic::evacuations::EvacuationVersion;
 use bergamotpitch_control::traffic::facts::{PartId, PromptPart, RequestFacts};
+use bergamotpitch_control::traffic::placement_requests::{Decision, Headroom, Placement};
 use bergamotpitch_control::traffic::registries::Registry;
 use bergamotpitch_control::traffic::residencies::AllowedRegions;
 use bergamotpitch_control::traffic::team_windows::{ShareClass, TeamCounts};
--- a/crates/bergamotpitch-gateway/src/placements.rs
+++ b/crates/bergamotpitch-gateway/src/placements.rs
@@ -3,9 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::admissions::{Decision, Placement, Scope};
 use bergamotpitch_control::traffic::engine_loads::RequestNumber;
 use bergamotpitch_control::traffic::placement_queues::OwnedPlacementRequest;
+use bergamotpitch_control::traffic::placement_requests::{Decision, Placement, Scope};
 use bergamotpitch_control::traffic::registries::UpstreamKey;
 use bergamotpitch_control::traffic::residencies::AllowedRegions;
 use bergamotpitch_control::traffic::team_windows::ShareClass;
--- a/crates/bergamotpitch-gateway/src/remote_placements.rs
+++ b/crates/bergamotpitch-gateway/src/remote_placements.rs
@@ -9,9 +9,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::admissions::{Decision, Placement};
 use bergamotpitch_control::traffic::engine_loads::{Figures, RequestNumber};
 use bergamotpitch_control::traffic::grants::{CONFIRM_INTERVAL, HeldGrant, HeldGrants};
+use bergamotpitch_control::traffic::placement_requests::{Decision, Placement};
 use bergamotpitch_control::traffic::registries::UpstreamKey;
 use bergamotpitch_core::HashMap;
 use bergamotpitch_core::ids::{Incarnation, InstanceId, UpstreamId, id_of_name};
--- a/crates/bergamotpitch-gateway/tests/dispatched_requests.rs
+++ b/crates/bergamotpitch-gateway/tests/dispatched_requests.rs
@@ -6,9 +6,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::admissions::{Decision, Placement};
 use bergamotpitch_control::traffic::engine_loads::{RequestNumber, Work};
 use bergamotpitch_control::traffic::evacuations::EvacuationOrder;
+use bergamotpitch_control::traffic::placement_requests::{Decision, Placement};
 use bergamotpitch_control::traffic::team_windows::ShareClass;
 use bergamotpitch_control::traffic::warm_ups::GRANT_VALIDITY;
 use bergamotpitch_core::ids::InstanceId;
