Read all figures of an engine's load, and reserve the messages of the parts for hard load

Cause: engines say in a fourth figure how long work takes on their machine at this moment, and the adapter read two figures; the parts of the work on hard load tell more in messages between instances. Change: reports have slots and slowdown, garbled ones count as unknown; heartbeats have room for offers, learned speeds and the load at ingress, progress reports for a load report, placement requests for domains that declined; the format of messages is 4.

--- a/crates/bergamotpitch-control/src/traffic/engine_loads.rs
+++ b/crates/bergamotpitch-control/src/traffic/engine_loads.rs
@@ -105,12 +105,16 @@
 }
 
 /// `Report` is what an upstream's answer says of its load.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Report {
     /// Requests that run.
     pub running: u32,
     /// Requests that wait for a slot.
     pub waiting: u32,
+    /// Requests that it can run at once, when it says so.
+    pub slots: Option<u32>,
+    /// How long work takes there at this moment, as a multiple of the usual time, when it says so.
+    pub slowdown: Option<f64>,
 }
 
 /// `UpstreamLoad` is the model of one upstream.
--- a/crates/bergamotpitch-gateway/examples/gateway_overhead.rs
+++ b/crates/bergamotpitch-gateway/examples/gateway_overhead.rs
@@ -51,7 +51,7 @@
     answer_facts: |_, headers| AnswerFacts {
         attempt_id: text(headers, "x-id").map(str::to_owned),
         is_not_run: false,
-        load: Some(Report { running: 1, waiting: 0 }),
+        load: Some(Report { running: 1, ..Report::default() }),
         cold_left: None,
     },
     write_own_headers: |_, _| {},
--- a/crates/bergamotpitch-gateway/src/dialects.rs
+++ b/crates/bergamotpitch-gateway/src/dialects.rs
@@ -42,7 +42,7 @@
 }
 
 /// `AnswerFacts` are what the head of an upstream's answer says.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct AnswerFacts {
     /// The request's id, as the upstream echoes it.
     pub attempt_id: Option<String>,
--- a/crates/bergamotpitch-gateway/src/heartbeats.rs
+++ b/crates/bergamotpitch-gateway/src/heartbeats.rs
@@ -348,6 +348,8 @@
             leaving: take_lines(&mut heartbeat.leaving, &mut left),
             headrooms: take_lines(&mut heartbeat.headrooms, &mut left),
             prefixes: take_lines(&mut heartbeat.prefixes, &mut left),
+            offers: take_lines(&mut heartbeat.offers, &mut left),
+            speeds: take_lines(&mut heartbeat.speeds, &mut left),
             ..heartbeat.clone()
         };
         parts.push(part);
--- a/crates/bergamotpitch-gateway/src/messages.rs
+++ b/crates/bergamotpitch-gateway/src/messages.rs
@@ -8,14 +8,14 @@
 use std::time::Duration;
 
 use bergamotpitch_control::traffic::catalogs::CatalogVersion;
-use bergamotpitch_control::traffic::engine_loads::{Figures, RequestNumber, Work};
+use bergamotpitch_control::traffic::engine_loads::{Figures, Report, RequestNumber, Work};
 use bergamotpitch_control::traffic::evacuations::EvacuationVersion;
 use bergamotpitch_control::traffic::facts::{PartId, PromptPart, RequestFacts};
 use bergamotpitch_control::traffic::placement_requests::{Decision, Headroom, Placement};
 use bergamotpitch_control::traffic::registries::Registry;
 use bergamotpitch_control::traffic::residencies::AllowedRegions;
 use bergamotpitch_control::traffic::team_windows::{ShareClass, TeamCounts};
-use bergamotpitch_core::ids::{Incarnation, InstanceId, ServiceId, TeamId, UpstreamId};
+use bergamotpitch_core::ids::{DomainId, Incarnation, InstanceId, ServiceId, TeamId, UpstreamId};
 use bergamotpitch_core::units::Timestamp;
 use displaydoc::Display;
 use serde::{Deserialize, Serialize};
@@ -25,7 +25,7 @@
 use crate::options::Options;
 
 /// `FORMAT` begins each message of this release.
-const FORMAT: [u8; 4] = [0xb9, b'p', 0, 3];
+const FORMAT: [u8; 4] = [0xb9, b'p', 0, 4];
 
 /// `MESSAGE_BYTES` bounds a message: one datagram that is not cut on the way.
 pub const MESSAGE_BYTES: usize = 1_400;
@@ -93,6 +93,12 @@
     pub prefixes: Vec<PrefixLine>,
     /// Room at the upstreams of a dispatcher.
     pub headrooms: Vec<HeadroomLine>,
+    /// State of the upstreams of a dispatcher, for requests that other domains hand over.
+    pub offers: Vec<OfferLine>,
+    /// Speeds that a dispatcher has learned, for those that stand by for it.
+    pub speeds: Vec<SpeedLine>,
+    /// How much of what the sender can take in is in use.
+    pub ingress: IngressLine,
 }
 
 impl Heartbeat {
@@ -104,6 +110,8 @@
         self.leaving.extend(part.leaving);
         self.prefixes.extend(part.prefixes);
         self.headrooms.extend(part.headrooms);
+        self.offers.extend(part.offers);
+        self.speeds.extend(part.speeds);
     }
 
     /// `line_count` returns how many lines its tables have.
@@ -115,6 +123,8 @@
             self.leaving.len(),
             self.prefixes.len(),
             self.headrooms.len(),
+            self.offers.len(),
+            self.speeds.len(),
         ];
         tables.iter().sum()
     }
@@ -155,6 +165,41 @@
     pub headroom: Headroom,
 }
 
+/// `OfferLine` is the state of one upstream, as a dispatcher offers it to other domains.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct OfferLine {
+    /// What its own domain and others have in hand there.
+    pub load: LoadLine,
+    /// By how much work takes longer there than the service's speed tells, in hundredths.
+    pub time_factor_percent: u16,
+}
+
+/// `SpeedLine` is the learned speed of one upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SpeedLine {
+    /// Number of the upstream's life.
+    pub upstream: UpstreamId,
+    /// By how much work takes longer there than the service's speed tells, in hundredths.
+    pub speed_percent: u16,
+    /// The upstream's mean slowdown, in hundredths of the usual time.
+    pub slowdown_percent: u16,
+}
+
+/// `IngressLine` is how much of what an instance can take in is in use.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct IngressLine {
+    /// Part of its processor time that is in use, in hundredths.
+    pub busy_percent: u8,
+    /// Requests of callers a second.
+    pub requests_per_s: u16,
+    /// Callers' connections, in hundredths of their bound.
+    pub connections_percent: u8,
+    /// Whether it says that callers may come.
+    pub is_ready: bool,
+    /// Whether it does not say so because of its load.
+    pub is_shedding: bool,
+}
+
 /// `PlacementRequestBody` is a request that wants a place.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PlacementRequestBody {
@@ -186,6 +231,8 @@
     pub tried: Vec<UpstreamId>,
     /// Regions that it may enter.
     pub regions: AllowedRegions,
+    /// Failure domains that had no place for it.
+    pub declined_by: Vec<DomainId>,
 }
 
 impl PlacementRequestBody {
@@ -216,6 +263,11 @@
 pub enum ReplyOutcome {
     /// It waits for a place, or was handed on; another reply follows.
     Waits,
+    /// The dispatcher of another domain decides on it and replies itself.
+    HandedOver {
+        /// Time after which its reply is not waited for any longer.
+        timeout_ms: u32,
+    },
     /// It has a place.
     Granted(GrantLine),
     /// It fits nowhere.
@@ -259,6 +311,40 @@
     pub number: RequestNumber,
     /// What became of it.
     pub event: ProgressEvent,
+    /// What the upstream's answer said of its load.
+    pub report: Option<ReportLine>,
+}
+
+/// `ReportLine` is a [`Report`] as it is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportLine {
+    running: u16,
+    waiting: u16,
+    slots: Option<u16>,
+    slowdown_percent: Option<u16>,
+}
+
+impl ReportLine {
+    /// `new` tells of a report.
+    pub fn new(report: &Report) -> Self {
+        let short = |number: u32| u16::try_from(number).unwrap_or(u16::MAX);
+        Self {
+            running: short(report.running),
+            waiting: short(report.waiting),
+            slots: report.slots.map(short),
+            slowdown_percent: report.slowdown.map(|ratio| (100.0 * ratio).round() as u16),
+        }
+    }
+
+    /// `report` returns the report.
+    pub fn report(&self) -> Report {
+        Report {
+            running: self.running.into(),
+            waiting: self.waiting.into(),
+            slots: self.slots.map(u32::from),
+            slowdown: self.slowdown_percent.map(|percent| f64::from(percent) / 100.0),
+        }
+    }
 }
 
 /// `ProgressEvent` is what became of a granted request.
--- a/crates/bergamotpitch-gateway/src/remote_placements.rs
+++ b/crates/bergamotpitch-gateway/src/remote_placements.rs
@@ -205,6 +205,7 @@
             elapsed_ms: millis(self.now().saturating_sub(call.arrived)),
             tried: tried_incarnations.collect(),
             regions: self.allowed_regions(call),
+            declined_by: Vec::new(),
         }
     }
 
@@ -222,7 +223,7 @@
                 least_requests: *least_requests,
             }),
             ReplyOutcome::NoUpstream { after_ms } => Some(Decision::NoUpstream(after(*after_ms))),
-            ReplyOutcome::Waits | ReplyOutcome::Declined => None,
+            ReplyOutcome::Waits | ReplyOutcome::HandedOver { .. } | ReplyOutcome::Declined => None,
         }
     }
 
@@ -294,12 +295,11 @@
         event: ProgressEvent,
     ) {
         let remote_placements = &self.remote_placements;
-        remote_placements
-            .reports
-            .borrow_mut()
-            .entry(grantor)
-            .or_default()
-            .push(ProgressReport { number, event });
+        remote_placements.reports.borrow_mut().entry(grantor).or_default().push(ProgressReport {
+            number,
+            event,
+            report: None,
+        });
         if remote_placements.is_flush_scheduled.replace(true) {
             return;
         }
