--- a/crates/bergamotpitch-control/src/traffic/facts.rs
+++ b/crates/bergamotpitch-control/src/traffic/facts.rs
@@ -31,6 +31,8 @@
     pub prefix: Vec<PromptPart>,
     /// Id of the last event that the caller holds of a broken stream.
     pub resume_after: Option<String>,
+    /// Id of the attempt that brought the first event of that stream.
+    pub resumed_attempt_id: Option<String>,
 }
 
 impl RequestFacts {
--- a/crates/bergamotpitch-control/src/traffic/registries.rs
+++ b/crates/bergamotpitch-control/src/traffic/registries.rs
@@ -35,6 +35,8 @@
     pub is_leaving: bool,
     /// How much longer it is slow after its start; `None` when it does not say.
     pub cold_left: Option<Duration>,
+    /// Version of its software; `None` when it does not say.
+    pub software: Option<String>,
 }
 
 /// `Upstream` is one incarnation of a registered upstream.
--- a/crates/bergamotpitch-control/tests/cold_upstreams.rs
+++ b/crates/bergamotpitch-control/tests/cold_upstreams.rs
@@ -49,6 +49,7 @@
         slots: 32,
         is_leaving: false,
         cold_left,
+        software: None,
     }
 }
 
--- a/crates/bergamotpitch-control/tests/data_residency.rs
+++ b/crates/bergamotpitch-control/tests/data_residency.rs
@@ -33,6 +33,7 @@
             slots: 4,
             is_leaving: false,
             cold_left: Some(Duration::ZERO),
+            software: None,
         });
     }
     traffic
--- a/crates/bergamotpitch-control/tests/fetched_starts.rs
+++ b/crates/bergamotpitch-control/tests/fetched_starts.rs
@@ -33,6 +33,7 @@
             slots: SLOTS,
             is_leaving: false,
             cold_left: Some(Duration::ZERO),
+            software: None,
         });
     }
     traffic
--- a/crates/bergamotpitch-control/tests/listed_upstreams.rs
+++ b/crates/bergamotpitch-control/tests/listed_upstreams.rs
@@ -16,6 +16,7 @@
         slots: 8,
         is_leaving: false,
         cold_left: Some(Duration::ZERO),
+        software: None,
     }
 }
 
--- a/crates/bergamotpitch-control/tests/near_domains.rs
+++ b/crates/bergamotpitch-control/tests/near_domains.rs
@@ -25,6 +25,7 @@
             slots: 16,
             is_leaving: false,
             cold_left: Some(Duration::ZERO),
+            software: None,
         });
     }
     traffic
--- a/crates/bergamotpitch-control/tests/policy_switches.rs
+++ b/crates/bergamotpitch-control/tests/policy_switches.rs
@@ -30,6 +30,7 @@
             slots: 64,
             is_leaving: false,
             cold_left: Some(Duration::ZERO),
+            software: None,
         });
         traffic.registry.key_of(&id).unwrap()
     });
--- a/crates/bergamotpitch-control/tests/replays/mod.rs
+++ b/crates/bergamotpitch-control/tests/replays/mod.rs
@@ -120,6 +120,7 @@
             slots: SLOTS,
             is_leaving: false,
             cold_left: Some(Duration::ZERO),
+            software: None,
         });
         keys.push(traffic.registry.key_of(&id).unwrap());
     }
--- a/crates/bergamotpitch-control/tests/slow_services.rs
+++ b/crates/bergamotpitch-control/tests/slow_services.rs
@@ -22,6 +22,7 @@
             slots: 6,
             is_leaving: false,
             cold_left: Some(Duration::ZERO),
+            software: None,
         });
     }
     traffic
--- a/crates/bergamotpitch-control/tests/underserved_teams.rs
+++ b/crates/bergamotpitch-control/tests/underserved_teams.rs
@@ -29,6 +29,7 @@
         slots: 16,
         is_leaving: false,
         cold_left: Some(Duration::ZERO),
+        software: None,
     });
     let upstream = traffic.registry.key_of("engine").unwrap();
     let short = RequestFacts { prompt_tokens: 50, ..RequestFacts::default() };
--- a/crates/bergamotpitch-gateway/examples/gateway_overhead.rs
+++ b/crates/bergamotpitch-gateway/examples/gateway_overhead.rs
@@ -234,6 +234,7 @@
             slots: 64,
             is_leaving: false,
             cold_left: Some(Duration::ZERO),
+            software: None,
         });
     }
     gateway.upstreams_known();
--- a/crates/bergamotpitch-gateway/src/attempts.rs
+++ b/crates/bergamotpitch-gateway/src/attempts.rs
@@ -251,7 +251,7 @@
             "request={} route={} team={} prompt_tokens={} upstream={} attempt={} predicted_ms={} \
              requests_there={} \
              unread_tokens={:.0} rank={:?} fetch_from={} standing={} granter={} waited_ms={} \
-             cold={} version={}",
+             cold={} software={} resumes={} after_event={} version={}",
             call.facts.attempt_id,
             call.route.name,
             call.team.as_deref().map_or("-", |team| &team.name),
@@ -267,6 +267,9 @@
             placed.grantor.map_or(0, |grantor| grantor.instance),
             waited.as_millis(),
             placement.is_cold,
+            gateway.software_of(placement.upstream).as_deref().unwrap_or("-"),
+            call.facts.resumed_attempt_id.as_deref().unwrap_or("-"),
+            call.facts.resume_after.as_deref().unwrap_or("-"),
             call.catalog.version,
         ),
     );
--- a/crates/bergamotpitch-gateway/src/bodies.rs
+++ b/crates/bergamotpitch-gateway/src/bodies.rs
@@ -278,9 +278,10 @@
         decision(
             EventKind::RequestRetried,
             format_args!(
-                "request={} upstream={} after_event={}",
+                "request={} upstream={} software={} after_event={}",
                 self.call.facts.attempt_id,
                 self.gateway.id_of(run.key()).unwrap_or_default(),
+                self.gateway.software_of(run.key()).as_deref().unwrap_or("-"),
                 self.cutter.last_id().unwrap_or("-"),
             ),
         );
--- a/crates/bergamotpitch-gateway/src/upstreams.rs
+++ b/crates/bergamotpitch-gateway/src/upstreams.rs
@@ -68,8 +68,13 @@
                 |upstream| {
                     let listed = &upstream.registration;
                     format!(
-                        "upstream={} address={} service={} domain={} born_ms={:?}",
-                        listed.id, listed.address, listed.service, listed.domain, listed.born_ms
+                        "upstream={} address={} service={} domain={} born_ms={:?} software={}",
+                        listed.id,
+                        listed.address,
+                        listed.service,
+                        listed.domain,
+                        listed.born_ms,
+                        listed.software.as_deref().unwrap_or("-"),
                     )
                 },
             )
@@ -102,6 +107,12 @@
         traffic.registry.get(key).map(|upstream| upstream.registration.id.clone())
     }
 
+    /// `software_of` returns the version of an upstream's software, as its entry states it.
+    pub fn software_of(&self, key: UpstreamKey) -> Option<String> {
+        let traffic = self.traffic.borrow();
+        traffic.registry.get(key).and_then(|upstream| upstream.registration.software.clone())
+    }
+
     /// `note_answer_head` takes in what the head of an answer says of its upstream.
     pub fn note_answer_head(&self, key: UpstreamKey, facts: &AnswerFacts) {
         let now = self.now();
--- a/crates/bergamotpitch-gateway/tests/common/mod.rs
+++ b/crates/bergamotpitch-gateway/tests/common/mod.rs
@@ -58,6 +58,8 @@
         attempt_id: text(headers, "x-id").ok_or(BadHeader { name: "id" })?,
         time_budget: number("x-budget-ms").map(Duration::from_millis),
         prompt_tokens: number("x-prompt-tokens").unwrap_or_default(),
+        resume_after: text(headers, "last-event-id"),
+        resumed_attempt_id: text(headers, "x-resumes"),
         ..RequestFacts::default()
     })
 }
@@ -359,6 +361,7 @@
         slots: 4,
         is_leaving: false,
         cold_left: Some(Duration::ZERO),
+        software: None,
     }
 }
 
