--- a/crates/bergamotpitch-gateway/tests/common/mod.rs
+++ b/crates/bergamotpitch-gateway/tests/common/mod.rs
@@ -24,6 +24,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
+pub mod instances;
+
 /// `run` runs a test on one thread with local tasks.
 pub fn run(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
@@ -241,6 +243,11 @@
     Act::Write(format!("{:x}\r\n{event}\r\n", event.len()))
 }
 
+/// `events_text` is the events of some ids, as a caller reads them.
+pub fn events_text(from: u32, to: u32) -> String {
+    (from..=to).map(|id| format!("id: {id}\ndata: piece {id}\n\n")).collect()
+}
+
 /// `stream_end` ends a stream in order.
 pub fn stream_end() -> Act {
     Act::Write("0\r\n\r\n".to_owned())
--- /dev/null
+++ b/crates/bergamotpitch-gateway/tests/mixed_versions.rs
@@ -0,0 +1,145 @@
+//! Streams go on only at the version of the upstreams' software that began them.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bergamotpitch_control::traffic::registries::Registration;
+use common::instances::{Instance, introduce};
+use common::{
+    Act, FakeUpstream, Got, ask, connect, event, events_text, request, run, stream_end, stream_head,
+};
+use http::{HeaderValue, Request};
+use http_body_util::{BodyExt, Full};
+
+fn listed(id: &str, upstream: &FakeUpstream, software: &str) -> Registration {
+    Registration {
+        software: Some(software.to_owned()),
+        ..common::registration(id, upstream.address)
+    }
+}
+
+fn events(from: u32, to: u32) -> Vec<Act> {
+    (from..=to).map(event).collect()
+}
+
+async fn breaking() -> FakeUpstream {
+    let script = |_| {
+        [vec![stream_head()], events(1, 3), vec![Act::Pause(Duration::from_millis(80)), Act::Reset]]
+            .concat()
+    };
+    FakeUpstream::start(Box::new(script)).await
+}
+
+async fn endless() -> FakeUpstream {
+    FakeUpstream::start(Box::new(|_| [vec![stream_head()], events(1, 3), vec![Act::Hang]].concat()))
+        .await
+}
+
+async fn finishing() -> FakeUpstream {
+    let script = |_| [vec![stream_head()], events(4, 6), vec![stream_end()]].concat();
+    FakeUpstream::start(Box::new(script)).await
+}
+
+fn resumption(id: &str, of: Option<&str>) -> Request<Full<bytes::Bytes>> {
+    let mut request = request("POST", "/resumed/", id);
+    request.headers_mut().insert("last-event-id", HeaderValue::from_static("3"));
+    if let Some(of) = of {
+        request.headers_mut().insert("x-resumes", HeaderValue::from_str(of).unwrap());
+    }
+    request
+}
+
+/// Begins a stream and reads its first three events.
+async fn begin(address: SocketAddr, id: &str) -> impl Sized {
+    let mut sender = connect(address).await;
+    let response = sender.send_request(request("POST", "/resumed/", id)).await.unwrap();
+    let mut body = response.into_body();
+    let mut text = String::new();
+    while text != events_text(1, 3) {
+        let data = body.frame().await.unwrap().unwrap().into_data().unwrap();
+        text.push_str(std::str::from_utf8(&data).unwrap());
+    }
+    (sender, body)
+}
+
+/// Waits until what instances tell each other has arrived.
+async fn settle() {
+    tokio::time::sleep(Duration::from_millis(200)).await;
+}
+
+fn refused(got: Option<Got>) -> bool {
+    got.is_some_and(|got| got.status == 503)
+}
+
+/// Guards against an answer that holds events of two versions, as an engine crashed and another one
+/// had room.
+#[test]
+fn joined_within_answer() {
+    run(async {
+        for has_other in [true, false] {
+            let (old, new, other) = (breaking().await, finishing().await, finishing().await);
+            let (gateway, address) = common::start(&[]).await;
+            gateway.upstream_listed(listed("old", &old, "v1"));
+            let asked = tokio::task::spawn_local(ask(address, request("POST", "/resumed/", "one")));
+            tokio::time::sleep(Duration::from_millis(40)).await;
+            gateway.upstream_listed(listed("new", &new, "v2"));
+            if has_other {
+                gateway.upstream_listed(listed("other", &other, "v1"));
+            }
+            let got = asked.await.unwrap().unwrap();
+            assert_eq!(new.count(), 0, "it went on at another version");
+            assert_eq!(got.is_whole, has_other);
+            assert_eq!(got.body, events_text(1, if has_other { 6 } else { 3 }));
+        }
+    });
+}
+
+/// Guards against a caller that comes back to another instance, which joins its stream from two
+/// versions, as the instance that began the stream was killed.
+#[test]
+fn joined_after_kill() {
+    run(async {
+        let (old, new, other) = (endless().await, finishing().await, finishing().await);
+        let first = Instance::start();
+        let others = [Instance::start(), Instance::start()];
+        introduce(&[&first, &others[0], &others[1]]).await;
+        first.list(&[listed("old", &old, "v1")]).await;
+        let earlier = begin(first.address, "earlier").await;
+        first.list(&[listed("new", &new, "v2")]).await;
+        let later = begin(first.address, "later").await;
+        for instance in &others {
+            instance.list(&[listed("new", &new, "v2"), listed("other", &other, "v1")]).await;
+        }
+        settle().await;
+        assert_eq!((old.count(), new.count()), (2, 0));
+        first.kill();
+        drop((earlier, later));
+        for (instance, begun) in others.iter().zip(["earlier", "later"]) {
+            let got = ask(instance.address, resumption("again", Some(begun))).await.unwrap();
+            assert_eq!((got.body, got.is_whole), (events_text(4, 6), true));
+        }
+        assert_eq!((new.count(), other.count()), (0, 2), "it went on at another version");
+    });
+}
+
+/// Guards against a stream that goes on at a version that nobody knows to be its own.
+#[test]
+fn joined_by_guess() {
+    run(async {
+        let (old, new) = (finishing().await, finishing().await);
+        let (gateway, address) = common::start(&[]).await;
+        gateway.upstream_listed(listed("old", &old, "v1"));
+        assert!(ask(address, resumption("a", Some("unheard"))).await.unwrap().is_whole);
+        assert!(ask(address, resumption("b", None)).await.unwrap().is_whole);
+        gateway.upstream_listed(listed("new", &new, "v2"));
+        let sent = old.count() + new.count();
+        assert!(refused(ask(address, resumption("c", Some("unheard"))).await));
+        assert!(refused(ask(address, resumption("d", None)).await));
+        assert!(refused(ask(address, resumption("e", Some("\u{e9}"))).await));
+        assert_eq!(old.count() + new.count(), sent, "a stream of an unknown version was sent");
+        let fresh = ask(address, request("POST", "/resumed/", "f")).await.unwrap();
+        assert_eq!(fresh.status, 200, "a stream that begins was refused");
+    });
+}
