--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -23,7 +23,9 @@
 use crate::traffic::request_demands::{PrefillPlan, RequestDemand};
 use crate::traffic::residencies::AllowedRegions;
 use crate::traffic::retry_budgets::{self, RetryBudget};
+use crate::traffic::software_versions::SoftwareVersions;
 use crate::traffic::starts::{StartNote, Starts};
+use crate::traffic::stream_origins::StreamOrigins;
 use crate::traffic::team_windows::{self, ShareClass, TeamWindows};
 use crate::traffic::upstream_candidates::{
     Distance, Fit, UpstreamCandidate, UtilizationLimits, millis,
@@ -124,6 +126,10 @@
     pub windows: TeamWindows,
     /// Engines at which starts of prompts were read lately.
     pub starts: Starts,
+    /// Software versions of the upstreams of each service.
+    pub software: SoftwareVersions,
+    /// Software versions at which streams began.
+    pub origins: StreamOrigins,
     /// Authority over the upstreams of the own failure domain.
     pub authority: Authority,
     /// Listed instances of the fleet, this one among them.
@@ -167,6 +173,8 @@
             registry: Registry::default(),
             windows,
             starts: Starts::default(),
+            software: SoftwareVersions::default(),
+            origins: StreamOrigins::default(),
             authority: Authority::Shared(1),
             fleet_size: 1,
             warm_ups: HashMap::default(),
@@ -205,6 +213,14 @@
         let options = self.options.loads;
         self.states.values_mut().for_each(|state| state.load.drop_silent_peers(now, &options));
         self.starts.step(now);
+        self.software.step(now);
+        self.origins.step(now);
+    }
+
+    /// `update_software` takes in that upstreams have changed; it returns the services of which more than
+    /// one version of software is known since then.
+    pub fn update_software(&mut self, now: Timestamp) -> Vec<String> {
+        self.software.update(&self.registry, now)
     }
 
     /// `forget_peer` drops what a peer told of its requests in hand and of its teams.
@@ -270,6 +286,8 @@
     pub fn choose_upstream(&mut self, request: &PlacementRequest<'_>, now: Timestamp) -> Decision {
         let share_class = self.share_class(request, now);
         let limits = match share_class {
+            // Others of its team have had nothing of what the stream was given before it broke off.
+            _ if request.software.is_some() => self.options.within_share,
             ShareClass::WithinShare | ShareClass::Underserved => self.options.within_share,
             ShareClass::EvenSurplus => self.options.even_surplus,
             ShareClass::BeyondEven => self.options.beyond_even,
@@ -381,6 +399,7 @@
             .filter_map(|key| self.registry.get(*key))
             .filter(|upstream| upstream.takes_work() && self.is_in_scope(upstream, request.scope))
             .filter(|upstream| self.allows(request.regions, upstream.domain_number))
+            .filter(|upstream| request.software.is_none_or(|only| upstream.software == only))
             .collect();
         if !self.options.policy.evidence {
             return open;
--- a/crates/bergamotpitch-control/src/traffic/facts.rs
+++ b/crates/bergamotpitch-control/src/traffic/facts.rs
@@ -48,6 +48,19 @@
         0 < self.prompt_tokens
     }
 
+    /// `takes_up_stream` tells whether the caller goes on with a stream that broke off.
+    ///
+    /// ```
+    /// use bergamotpitch_control::traffic::facts::RequestFacts;
+    ///
+    /// let resume_after = Some("12".to_owned());
+    /// assert!(RequestFacts { resume_after, ..Default::default() }.takes_up_stream());
+    /// assert!(!RequestFacts::default().takes_up_stream());
+    /// ```
+    pub fn takes_up_stream(&self) -> bool {
+        self.resume_after.is_some() || self.resumed_attempt_id.is_some()
+    }
+
     /// `output_tokens` returns how many tokens the answer is expected to have.
     ///
     /// ```
--- a/crates/bergamotpitch-control/src/traffic/placement_queues.rs
+++ b/crates/bergamotpitch-control/src/traffic/placement_queues.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bergamotpitch_core::HashMap;
-use bergamotpitch_core::ids::TeamId;
+use bergamotpitch_core::ids::{SoftwareId, TeamId};
 use bergamotpitch_core::units::Timestamp;
 
 use crate::traffic::admissions::Traffic;
@@ -59,6 +59,8 @@
     pub scope: Scope,
     /// Regions that it may enter.
     pub regions: AllowedRegions,
+    /// The version of software at which it goes on, when it takes up a stream of a service of several.
+    pub software: Option<SoftwareId>,
 }
 
 impl OwnedPlacementRequest {
@@ -77,6 +79,7 @@
             cache_link: self.cache_link,
             scope: self.scope,
             regions: &self.regions,
+            software: self.software,
         }
     }
 
--- a/crates/bergamotpitch-control/src/traffic/placement_requests.rs
+++ b/crates/bergamotpitch-control/src/traffic/placement_requests.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bergamotpitch_core::ids::TeamId;
+use bergamotpitch_core::ids::{SoftwareId, TeamId};
 use bergamotpitch_core::units::Timestamp;
 use serde::{Deserialize, Serialize};
 
@@ -51,6 +51,8 @@
     pub scope: Scope,
     /// Regions that it may enter.
     pub regions: &'a AllowedRegions,
+    /// The version of software at which it goes on, when it takes up a stream of a service of several.
+    pub software: Option<SoftwareId>,
 }
 
 /// `Decision` is the decision.
--- a/crates/bergamotpitch-control/src/traffic/registries.rs
+++ b/crates/bergamotpitch-control/src/traffic/registries.rs
@@ -6,11 +6,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bergamotpitch_core::ids::{DomainId, UpstreamId, id_of_name};
+use bergamotpitch_core::ids::{DomainId, SoftwareId, UpstreamId, id_of_name};
 use bergamotpitch_core::units::Timestamp;
 use bergamotpitch_core::{HashMap, HashSet};
 
 use crate::traffic::evacuations::{EvacuationOrder, Evacuations};
+use crate::traffic::software_versions::software_id;
 
 /// `UpstreamKey` is a number for one incarnation of an upstream within this process. It is never
 /// used again, so that late news of an earlier incarnation cannot touch the next.
@@ -50,6 +51,8 @@
     pub life_number: UpstreamId,
     /// Number of its failure domain, which is compared for each request and upstream.
     pub domain_number: DomainId,
+    /// Number of its software's version.
+    pub software: SoftwareId,
     /// What the list says.
     pub registration: Registration,
     /// Who said that it leaves, for good; `None` while it stays.
@@ -88,6 +91,8 @@
     Left(UpstreamKey, LeavingSource),
     /// It is forgotten: nothing of it is kept but its id, for the log.
     Gone(UpstreamKey, String),
+    /// Its id is listed with another version of software: what was sent to it lately was run by either.
+    SoftwareChanged(UpstreamKey),
 }
 
 /// `LAPSE_GRACE` is the time after the end of an outage for which a vanished entry is kept: live
@@ -106,6 +111,7 @@
     key_of_id: HashMap<String, UpstreamKey>,
     key_of_life: HashMap<UpstreamId, UpstreamKey>,
     of_service: HashMap<String, Vec<UpstreamKey>>,
+    software_counts: HashMap<String, HashMap<SoftwareId, usize>>,
     evacuations: Evacuations,
     last_key: UpstreamKey,
     outage: Outage,
@@ -153,6 +159,14 @@
         self.upstreams.values()
     }
 
+    /// `software_in_service` visits the versions of software of each service's upstreams, also of those
+    /// that leave.
+    pub fn software_in_service(&self) -> impl Iterator<Item = (&str, SoftwareId)> {
+        self.software_counts.iter().flat_map(|(service, counts)| {
+            counts.keys().map(|software| (service.as_str(), *software))
+        })
+    }
+
     /// `evacuations` returns which failure domains get nothing new.
     pub fn evacuations(&self) -> &Evacuations {
         &self.evacuations
@@ -213,6 +227,9 @@
                 return changes;
             }
             let key = known.key;
+            if known.registration.software != registration.software {
+                changes.push(Change::SoftwareChanged(key));
+            }
             self.forget(key, &mut changes);
         }
         let is_leaving = registration.is_leaving;
@@ -298,6 +315,9 @@
         let key = self.last_key;
         self.key_of_id.insert(registration.id.clone(), key);
         self.of_service.entry(registration.service.clone()).or_default().push(key);
+        let software = software_id(registration.software.as_deref());
+        let counts = self.software_counts.entry(registration.service.clone()).or_default();
+        *counts.entry(software).or_default() += 1;
         let leaving = registration.is_leaving.then_some(LeavingSource::List);
         let id_number = id_of_name(&registration.id);
         let domain_number = id_of_name(&registration.domain);
@@ -308,6 +328,7 @@
             id_number,
             life_number,
             domain_number,
+            software,
             registration,
             leaving,
             is_evacuated: self.evacuations.is_evacuated(domain_number),
@@ -324,10 +345,27 @@
         if let Some(keys) = self.of_service.get_mut(&upstream.registration.service) {
             keys.retain(|other| *other != key);
         }
+        self.uncount_software(&upstream);
         changes.push(Change::Gone(key, upstream.registration.id));
     }
 }
 
+impl Registry {
+    fn uncount_software(&mut self, upstream: &Upstream) {
+        let service = &upstream.registration.service;
+        let Some(counts) = self.software_counts.get_mut(service) else { return };
+        if let Some(count) = counts.get_mut(&upstream.software) {
+            *count -= 1;
+            if *count == 0 {
+                counts.remove(&upstream.software);
+            }
+        }
+        if counts.is_empty() {
+            self.software_counts.remove(service);
+        }
+    }
+}
+
 /// An upstream may start again under the id that it had. What peers say of the life before, that it
 /// leaves and what it has in hand, must not be taken for the present one: it would get no work for
 /// as long as it lives.
@@ -340,5 +378,8 @@
         (Some(known), Some(listed)) => known == listed,
         _ => true,
     };
-    is_same_start && known.address == listed.address && known.service == listed.service
+    is_same_start
+        && known.address == listed.address
+        && known.service == listed.service
+        && known.software == listed.software
 }
--- /dev/null
+++ b/crates/bergamotpitch-control/src/traffic/software_versions.rs
@@ -0,0 +1,101 @@
+//! Software versions: which versions of their software the upstreams of each service run.
+//!
+//! Load pattern: during a release or a rollback two versions and more serve side by side for seconds
+//! to hours. What two versions write in one stream does not fit together, so a stream goes on only at
+//! the version that began it.
+
+use std::time::Duration;
+
+use bergamotpitch_core::ids::{SoftwareId, id_of_name};
+use bergamotpitch_core::units::Timestamp;
+use bergamotpitch_core::{HashMap, HashSet};
+
+use crate::traffic::registries::Registry;
+
+/// `UNSTATED_SOFTWARE` stands for the version of an upstream that does not state it, and of a stream
+/// whose version is not certain. Two upstreams of it need not run the same software.
+pub const UNSTATED_SOFTWARE: SoftwareId = 0;
+
+/// `VERSION_MEMORY` is for how long a version counts as in service after its last upstream is gone. It is
+/// the longest time for which a caller takes up a stream that began there.
+const VERSION_MEMORY: Duration = Duration::from_secs(60);
+
+/// `software_id` returns the number of a version among instances.
+///
+/// ```
+/// use bergamotpitch_control::traffic::software_versions::{UNSTATED_SOFTWARE, software_id};
+///
+/// assert_ne!(software_id(Some("v1")), software_id(Some("v1.1")));
+/// assert_eq!(software_id(None), UNSTATED_SOFTWARE);
+/// ```
+pub fn software_id(version: Option<&str>) -> SoftwareId {
+    match version {
+        Some(version) => id_of_name(version).max(UNSTATED_SOFTWARE + 1),
+        None => UNSTATED_SOFTWARE,
+    }
+}
+
+/// `SoftwareVersions` are the versions that serve, and those that did lately.
+#[derive(Debug, Default)]
+pub struct SoftwareVersions {
+    of_service: HashMap<String, HashMap<SoftwareId, LastListed>>,
+    mixed: HashSet<String>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LastListed {
+    Now,
+    At(Timestamp),
+}
+
+impl SoftwareVersions {
+    /// `update` takes in the present upstreams; it returns the services of which more than one version
+    /// is known since this update.
+    pub fn update(&mut self, registry: &Registry, now: Timestamp) -> Vec<String> {
+        for last_listed in self.of_service.values_mut().flat_map(HashMap::values_mut) {
+            if *last_listed == LastListed::Now {
+                *last_listed = LastListed::At(now);
+            }
+        }
+        self.forget_versions(now);
+        for (service, software) in registry.software_in_service() {
+            let versions = match self.of_service.get_mut(service) {
+                Some(versions) => versions,
+                None => self.of_service.entry(service.to_owned()).or_default(),
+            };
+            versions.insert(software, LastListed::Now);
+        }
+        let versions = self.of_service.iter();
+        let mixed: Vec<&String> =
+            versions.filter(|(_, known)| 1 < known.len()).map(|(service, _)| service).collect();
+        let is_new = |service: &&&String| !self.mixed.contains(**service);
+        let newly_mixed: Vec<String> = mixed.iter().filter(is_new).copied().cloned().collect();
+        self.mixed.extend(newly_mixed.iter().cloned());
+        newly_mixed
+    }
+
+    /// `step` forgets versions that serve no more and at which no stream is taken up any more.
+    pub fn step(&mut self, now: Timestamp) {
+        if self.mixed.is_empty() {
+            return;
+        }
+        self.forget_versions(now);
+        self.mixed.retain(|service| {
+            self.of_service.get(service).is_some_and(|versions| 1 < versions.len())
+        });
+    }
+
+    fn forget_versions(&mut self, now: Timestamp) {
+        for versions in self.of_service.values_mut() {
+            versions.retain(|_, last_listed| match last_listed {
+                LastListed::Now => true,
+                LastListed::At(last_listed) => now < *last_listed + VERSION_MEMORY,
+            });
+        }
+    }
+
+    /// `are_mixed` tells whether upstreams of more than one version serve, or did lately.
+    pub fn are_mixed(&self, service: &str) -> bool {
+        self.mixed.contains(service)
+    }
+}
--- /dev/null
+++ b/crates/bergamotpitch-control/src/traffic/stream_origins.rs
@@ -0,0 +1,321 @@
+//! Stream origins: at which software version streams began, and where it is known.
+//!
+//! Load pattern: while several versions serve, instances and upstreams end at any moment, and callers
+//! take up the streams that broke at any instance. Each instance knows the origins of its own streams;
+//! while versions are mixed it tells each one to a few others, its keepers, before the first event can
+//! come. Keepers are found by rendezvous over the attempt, so that an instance that is asked to go on
+//! finds them without a table of who serves what.
+
+use std::collections::BTreeSet;
+
+use bergamotpitch_core::HashMap;
+use bergamotpitch_core::ids::{DomainId, InstanceId, ServiceId, SoftwareId};
+use bergamotpitch_core::units::Timestamp;
+
+use crate::traffic::registries::UpstreamKey;
+use crate::traffic::software_versions::UNSTATED_SOFTWARE;
+
+/// `AttemptNumber` is the number of an attempt among instances, derived from its id.
+pub type AttemptNumber = u64;
+
+/// `ORIGINS_MAX` bounds the table: about 80 bytes each.
+const ORIGINS_MAX: usize = 16_384;
+
+/// `OWN_DOMAIN_KEEPERS` is how many instances of the own failure domain keep an origin: callers mostly
+/// come back within it, and links there are short.
+const OWN_DOMAIN_KEEPERS: usize = 2;
+
+/// `KEEPERS` is how many instances keep an origin in all; one of them at least is of another failure
+/// domain, as a whole one may be lost.
+const KEEPERS: usize = 3;
+
+/// `ASKED_PER_DOMAIN` is how many instances of each failure domain are asked for an origin. The domain in
+/// which it began is not known.
+const ASKED_PER_DOMAIN: usize = 2;
+
+/// `attempt_number` returns the number of an attempt.
+///
+/// ```
+/// use bergamotpitch_control::traffic::stream_origins::attempt_number;
+///
+/// assert_ne!(attempt_number("9c41d07be2a35f68"), attempt_number("9c41d07be2a35f69"));
+/// ```
+pub fn attempt_number(id: &str) -> AttemptNumber {
+    let hash = blake3::hash(id.as_bytes());
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&hash.as_bytes()[..8]);
+    AttemptNumber::from_le_bytes(bytes)
+}
+
+/// `Origin` is where a stream began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Origin {
+    /// The service.
+    pub service: ServiceId,
+    /// The version of the upstream that was sent the request; [`UNSTATED_SOFTWARE`] when it is not
+    /// certain.
+    pub software: SoftwareId,
+}
+
+/// `KnownOrigin` is the origin of one attempt, as instances tell it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KnownOrigin {
+    /// The attempt.
+    pub attempt: AttemptNumber,
+    /// Where its stream began.
+    pub origin: Origin,
+    /// Number of this statement: an attempt that is sent to a second upstream before its first event
+    /// may begin at another version, and messages overtake each other.
+    pub revision: u32,
+    /// Until when the stream may be taken up.
+    pub until: Timestamp,
+}
+
+/// `StreamOrigins` is the table of origins that this instance knows.
+#[derive(Debug, Default)]
+pub struct StreamOrigins {
+    entries: HashMap<AttemptNumber, Entry>,
+    by_end: BTreeSet<(Timestamp, AttemptNumber)>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    known: KnownOrigin,
+    holder: Holder,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Holder {
+    /// A stream of this instance, at an upstream.
+    Own { upstream: UpstreamKey, is_told: bool },
+    /// A stream of another instance.
+    Peer,
+}
+
+impl StreamOrigins {
+    /// `sent` takes in that this instance sends a request whose stream begins at an upstream; it returns
+    /// what is to be told.
+    pub fn sent(
+        &mut self,
+        attempt: AttemptNumber,
+        origin: Origin,
+        upstream: UpstreamKey,
+        until: Timestamp,
+    ) -> KnownOrigin {
+        let revision = self.entries.get(&attempt).map_or(0, |entry| entry.known.revision + 1);
+        let known = KnownOrigin { attempt, origin, revision, until };
+        self.insert(Entry { known, holder: Holder::Own { upstream, is_told: false } });
+        known
+    }
+
+    /// `told` takes in the origin of a stream of another instance, unless a later statement is known.
+    pub fn told(&mut self, known: KnownOrigin) {
+        let entry = self.entries.get(&known.attempt);
+        if entry.is_none_or(|entry| entry.known.revision <= known.revision) {
+            self.insert(Entry { known, holder: Holder::Peer });
+        }
+    }
+
+    /// `origin_of` returns where a stream began, as far as this instance knows.
+    pub fn origin_of(&self, attempt: AttemptNumber, now: Timestamp) -> Option<KnownOrigin> {
+        let known = self.entries.get(&attempt)?.known;
+        (now < known.until).then_some(known)
+    }
+
+    /// `note_told` takes in that the origin of a stream of this instance was told.
+    pub fn note_told(&mut self, attempt: AttemptNumber) {
+        if let Some(Entry { holder: Holder::Own { is_told, .. }, .. }) =
+            self.entries.get_mut(&attempt)
+        {
+            *is_told = true;
+        }
+    }
+
+    /// `untold` returns the origins of this instance's streams that were not told, of one service.
+    pub fn untold(&self, service: ServiceId, now: Timestamp) -> Vec<KnownOrigin> {
+        let own = self.entries.values().filter(|entry| {
+            matches!(entry.holder, Holder::Own { is_told: false, .. })
+                && entry.known.origin.service == service
+                && now < entry.known.until
+        });
+        own.map(|entry| entry.known).collect()
+    }
+
+    /// `doubt` takes in that an upstream has started again with other software under its id: streams that
+    /// were sent there may have begun at either. It returns what is to be told.
+    pub fn doubt(&mut self, doubted: UpstreamKey) -> Vec<KnownOrigin> {
+        let mut changed = Vec::new();
+        for entry in self.entries.values_mut() {
+            let Holder::Own { upstream, .. } = entry.holder else { continue };
+            if upstream == doubted {
+                entry.known.origin.software = UNSTATED_SOFTWARE;
+                entry.known.revision += 1;
+                changed.push(entry.known);
+            }
+        }
+        changed
+    }
+
+    /// `forget` drops the origin of a stream that ended in order.
+    pub fn forget(&mut self, attempt: AttemptNumber) {
+        if let Some(entry) = self.entries.remove(&attempt) {
+            self.by_end.remove(&(entry.known.until, attempt));
+        }
+    }
+
+    /// `step` drops origins of streams that nobody takes up any more.
+    pub fn step(&mut self, now: Timestamp) {
+        while let Some((until, attempt)) =
+            self.by_end.first().copied().filter(|(end, _)| *end <= now)
+        {
+            self.by_end.remove(&(until, attempt));
+            self.entries.remove(&attempt);
+        }
+    }
+
+    /// `count` returns how many origins are known.
+    pub fn count(&self) -> usize {
+        self.entries.len()
+    }
+
+    fn insert(&mut self, entry: Entry) {
+        let KnownOrigin { attempt, until, .. } = entry.known;
+        if let Some(before) = self.entries.insert(attempt, entry) {
+            self.by_end.remove(&(before.known.until, attempt));
+        }
+        self.by_end.insert((until, attempt));
+        if ORIGINS_MAX < self.entries.len()
+            && let Some((_, first)) = self.by_end.pop_first()
+        {
+            self.entries.remove(&first);
+        }
+    }
+}
+
+/// `Members` are the other instances of the fleet, by failure domain.
+#[derive(Debug, Default)]
+pub struct Members {
+    of_domain: Vec<(DomainId, Vec<InstanceId>)>,
+}
+
+impl Members {
+    /// `new` groups instances by their failure domains.
+    pub fn new(instances: impl Iterator<Item = (InstanceId, DomainId)>) -> Self {
+        let mut members = Self::default();
+        for (instance, domain) in instances {
+            let of_domain = &mut members.of_domain;
+            match of_domain.iter_mut().find(|(known, _)| *known == domain) {
+                Some((_, instances)) => instances.push(instance),
+                None => of_domain.push((domain, vec![instance])),
+            }
+        }
+        members
+    }
+
+    /// `keepers` returns which instances keep the origin of a stream that begins in a failure domain.
+    pub fn keepers(&self, attempt: AttemptNumber, own_domain: DomainId) -> Vec<InstanceId> {
+        let near = self.of_domain.iter().filter(|(domain, _)| *domain == own_domain);
+        let mut keepers: Vec<InstanceId> = near
+            .flat_map(|(_, instances)| first_by_weight(attempt, instances, OWN_DOMAIN_KEEPERS))
+            .collect();
+        let far = self.of_domain.iter().filter(|(domain, _)| *domain != own_domain);
+        let far: Vec<Vec<InstanceId>> = far
+            .map(|(_, instances)| first_by_weight(attempt, instances, ASKED_PER_DOMAIN))
+            .collect();
+        // A second one of a domain only where there are too few domains.
+        for place in 0..ASKED_PER_DOMAIN {
+            let nth: Vec<InstanceId> =
+                far.iter().filter_map(|instances| instances.get(place).copied()).collect();
+            keepers.extend(first_by_weight(attempt, &nth, KEEPERS - keepers.len()));
+        }
+        keepers
+    }
+
+    /// `likely_keepers` returns which instances are asked for the origin of a stream: those that would
+    /// keep it if it began in their failure domain or in another one.
+    pub fn likely_keepers(&self, attempt: AttemptNumber) -> Vec<InstanceId> {
+        let domains = self.of_domain.iter();
+        domains
+            .flat_map(|(_, instances)| first_by_weight(attempt, instances, ASKED_PER_DOMAIN))
+            .collect()
+    }
+}
+
+fn first_by_weight(
+    attempt: AttemptNumber,
+    instances: &[InstanceId],
+    count: usize,
+) -> Vec<InstanceId> {
+    let mut first: Vec<(u64, InstanceId)> = Vec::with_capacity(count + 1);
+    for instance in instances {
+        let weight = weight(attempt, *instance);
+        let place = first.partition_point(|(other, _)| weight < *other);
+        if place < count {
+            first.insert(place, (weight, *instance));
+            first.truncate(count);
+        }
+    }
+    first.into_iter().map(|(_, instance)| instance).collect()
+}
+
+/// Attempt numbers are hashes; one round of a multiplicative mix spreads the instances over them.
+fn weight(attempt: AttemptNumber, instance: InstanceId) -> u64 {
+    let hash = (attempt ^ u64::from(instance)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    (hash ^ (hash >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53)
+}
+
+/// `Resumption` tells where a stream that a caller takes up may go on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Resumption {
+    /// At any upstream of its service: they all run one version.
+    Any,
+    /// At upstreams of one version.
+    Only(SoftwareId),
+    /// Nowhere, as its version is not known.
+    Nowhere,
+}
+
+/// `Knowledge` is what an instance knows of a stream that a caller takes up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Knowledge {
+    /// Service that it is for.
+    pub service: ServiceId,
+    /// Where it began, by this instance or by those that were asked.
+    pub origin: Option<Origin>,
+    /// Whether more than one version serves, or did lately, as far as this instance knows.
+    pub is_mixed: bool,
+    /// Whether this instance is cut off from all others, and may not know of a version.
+    pub is_isolated: bool,
+}
+
+impl Knowledge {
+    /// `resumption` decides where the stream goes on. Where nobody told its origin, the instance that
+    /// began it knew of one version only.
+    ///
+    /// ```
+    /// use bergamotpitch_control::traffic::stream_origins::{Knowledge, Origin, Resumption};
+    ///
+    /// let mut known = Knowledge {
+    ///     service: 1,
+    ///     origin: Some(Origin { service: 1, software: 7 }),
+    ///     is_mixed: true,
+    ///     is_isolated: false,
+    /// };
+    /// assert_eq!(known.resumption(), Resumption::Only(7));
+    /// known.origin = None;
+    /// assert_eq!(known.resumption(), Resumption::Nowhere);
+    /// ```
+    pub fn resumption(&self) -> Resumption {
+        let origin = self.origin.filter(|origin| origin.service == self.service);
+        match origin {
+            Some(Origin { software: UNSTATED_SOFTWARE, .. }) if self.is_mixed => {
+                Resumption::Nowhere
+            }
+            Some(Origin { software: UNSTATED_SOFTWARE, .. }) => Resumption::Any,
+            Some(Origin { software, .. }) => Resumption::Only(software),
+            None if self.is_mixed || self.is_isolated => Resumption::Nowhere,
+            None => Resumption::Any,
+        }
+    }
+}
--- a/crates/bergamotpitch-control/tests/cold_upstreams.rs
+++ b/crates/bergamotpitch-control/tests/cold_upstreams.rs
@@ -67,6 +67,7 @@
         target_gap: None,
         scope: Scope::Domain,
         regions: &AllowedRegions::Any,
+        software: None,
     }
 }
 
--- a/crates/bergamotpitch-control/tests/data_residency.rs
+++ b/crates/bergamotpitch-control/tests/data_residency.rs
@@ -55,6 +55,7 @@
         cache_link: Some(CacheLink { token_bytes: 250_000, megabits_per_s: 400_000.0 }),
         target_gap: None,
         regions,
+        software: None,
         scope: Scope::Fleet,
     }
 }
--- a/crates/bergamotpitch-control/tests/fetched_starts.rs
+++ b/crates/bergamotpitch-control/tests/fetched_starts.rs
@@ -68,6 +68,7 @@
         target_gap: None,
         scope: Scope::Fleet,
         regions: &AllowedRegions::Any,
+        software: None,
     }
 }
 
--- a/crates/bergamotpitch-control/tests/near_domains.rs
+++ b/crates/bergamotpitch-control/tests/near_domains.rs
@@ -45,6 +45,7 @@
         target_gap: None,
         scope: Scope::Fleet,
         regions: &AllowedRegions::Any,
+        software: None,
     }
 }
 
--- a/crates/bergamotpitch-control/tests/policy_switches.rs
+++ b/crates/bergamotpitch-control/tests/policy_switches.rs
@@ -56,6 +56,7 @@
         target_gap: None,
         scope: Scope::Fleet,
         regions: &AllowedRegions::Any,
+        software: None,
     };
     traffic.choose_upstream(&placement_request, NOW)
 }
--- a/crates/bergamotpitch-control/tests/replays/mod.rs
+++ b/crates/bergamotpitch-control/tests/replays/mod.rs
@@ -142,6 +142,7 @@
         target_gap: None,
         scope: Scope::Fleet,
         regions: &AllowedRegions::Any,
+        software: None,
     }
 }
 
--- a/crates/bergamotpitch-control/tests/slow_services.rs
+++ b/crates/bergamotpitch-control/tests/slow_services.rs
@@ -42,6 +42,7 @@
         target_gap: None,
         scope: Scope::Fleet,
         regions: &AllowedRegions::Any,
+        software: None,
     }
 }
 
--- a/crates/bergamotpitch-control/tests/underserved_teams.rs
+++ b/crates/bergamotpitch-control/tests/underserved_teams.rs
@@ -74,6 +74,7 @@
         target_gap: None,
         scope: Scope::Fleet,
         regions: &AllowedRegions::Any,
+        software: None,
     }
 }
 
--- a/crates/bergamotpitch-core/src/events.rs
+++ b/crates/bergamotpitch-core/src/events.rs
@@ -50,6 +50,8 @@
     RequestRetried = 106,
     /// The stream of an answer broke and was closed as cut.
     AnswerCut = 107,
+    /// A caller takes up a stream that broke off.
+    StreamTakenUp = 108,
     /// A sheet came into force.
     SheetInForce = 200,
     /// A sheet with a lower version than that in force was passed over.
--- a/crates/bergamotpitch-core/src/ids.rs
+++ b/crates/bergamotpitch-core/src/ids.rs
@@ -13,6 +13,9 @@
 /// `UpstreamId` identifies an upstream.
 pub type UpstreamId = u32;
 
+/// `SoftwareId` identifies a version of upstreams' software.
+pub type SoftwareId = u32;
+
 /// `DomainId` identifies a failure domain.
 pub type DomainId = u32;
 
--- a/crates/bergamotpitch-core/src/refusals.rs
+++ b/crates/bergamotpitch-core/src/refusals.rs
@@ -63,6 +63,10 @@
     NoUpstream,
     /// The route and the team have no region in common that the request may enter.
     NoAllowedRegion,
+    /// It is not known which software version began the stream that the request takes up.
+    StreamVersionUnknown,
+    /// No upstream runs the software version that began the stream that the request takes up.
+    StreamVersionGone,
     /// The instance is draining.
     Draining,
     /// The instance has no configuration yet.
--- a/crates/bergamotpitch-gateway/src/attempts.rs
+++ b/crates/bergamotpitch-gateway/src/attempts.rs
@@ -19,6 +19,7 @@
 use crate::gateways::Gateway;
 use crate::headers::remove_hop_headers;
 use crate::logs::decision;
+use crate::origins::bind_resumption;
 use crate::placements::{PlacedRequest, Run, has_place, place};
 use crate::refusals::Refusal;
 
@@ -54,6 +55,7 @@
     let mut unreachable = 0;
     let mut withdrawn = 0;
     let mut may_have_run = false;
+    bind_resumption(gateway, &call).await?;
     loop {
         let placed = match place(gateway, &call, &tried).await {
             Ok(placed) => placed,
@@ -61,6 +63,7 @@
         };
         let run = Run::open(gateway, &placed);
         let placement = placed.placement;
+        gateway.note_origin(&call, placement.upstream);
         if let Some(team) = call.team.as_deref().filter(|_| tried.is_empty()) {
             gateway.team_counters.note_sent(team, call.facts.pool_tokens());
         }
@@ -251,7 +254,7 @@
             "request={} route={} team={} prompt_tokens={} upstream={} attempt={} predicted_ms={} \
              requests_there={} \
              unread_tokens={:.0} rank={:?} fetch_from={} standing={} granter={} waited_ms={} \
-             cold={} software={} resumes={} after_event={} version={}",
+             cold={} software={} resumes={:.64} after_event={:.64} version={}",
             call.facts.attempt_id,
             call.route.name,
             call.team.as_deref().map_or("-", |team| &team.name),
--- a/crates/bergamotpitch-gateway/src/bodies.rs
+++ b/crates/bergamotpitch-gateway/src/bodies.rs
@@ -221,6 +221,7 @@
         let Some(run) = self.run.take() else { return };
         let key = run.key();
         run.complete(false);
+        self.gateway.forget_origin(&self.call);
         if let (Source::Reading(_, sender), Reuse::Idle(idle)) = (source, self.reuse) {
             self.gateway.keep_connection(key, sender, idle);
         }
@@ -259,13 +260,17 @@
             ),
         );
         let attempts = self.resumes + 1;
+        let has_events = self.first_event.is_some();
+        let software = self.gateway.software_of_stream(&self.call, has_events);
         let may_resume = self.call.route.is_resumable
+            && software.is_ok()
             && self.resumes < RESUME_LIMIT
             && attempts < self.call.route.attempts_max
             && self.gateway.take_repeat(&self.call.service);
         if !may_resume {
             return Some(self.cut(Cut::UpstreamBroke));
         }
+        self.call.bound_software.set(software.unwrap_or_default());
         self.resumes += 1;
         self.cutter.restart();
         let last = self.cutter.last_id().map(str::to_owned);
@@ -334,6 +339,7 @@
     let tried: Vec<_> = broken.into_iter().collect();
     let placed = place(&gateway, &call, &tried).await.ok()?;
     let run = Run::open(&gateway, &placed);
+    gateway.note_origin(&call, placed.placement.upstream);
     let sent =
         exchanges::send(&gateway, &call, &placed.placement, last.as_deref(), call.deadline).await;
     let answer = sent.ok()?;
--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -1,5 +1,6 @@
 //! Calls: the way of one request from its arrival to its answer.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,7 +8,7 @@
 use bergamotpitch_control::traffic::catalogs::{CacheLink, Catalog, Route, Team};
 use bergamotpitch_control::traffic::facts::RequestFacts;
 use bergamotpitch_core::events::EventKind;
-use bergamotpitch_core::ids::{TeamId, id_of_name};
+use bergamotpitch_core::ids::{SoftwareId, TeamId, id_of_name};
 use bergamotpitch_core::refusals::RefusalReason;
 use bergamotpitch_core::units::Timestamp;
 use http::request::Parts;
@@ -81,6 +82,8 @@
     pub cache_link: Option<CacheLink>,
     /// Counts it among the streams that this instance serves.
     pub served: Option<ServedStream>,
+    /// The version of software at which it goes on, where its stream began while several served.
+    pub bound_software: Cell<Option<SoftwareId>>,
 }
 
 /// `answer` serves one request.
@@ -194,6 +197,7 @@
         memory_tokens: engine.map_or(u64::MAX, |engine| engine.memory_tokens),
         cache_link: engine.and_then(|engine| engine.cache_link),
         served,
+        bound_software: Cell::new(None),
         headers: passed_headers(gateway, &parts.headers),
         route,
         service,
--- a/crates/bergamotpitch-gateway/src/dispatchers.rs
+++ b/crates/bergamotpitch-gateway/src/dispatchers.rs
@@ -272,6 +272,7 @@
             cache_link: engine.and_then(|engine| engine.cache_link),
             scope: Scope::Domain,
             regions: body.regions.clone(),
+            software: body.software,
         })
     }
 
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -30,6 +30,7 @@
 use crate::loop_lags::LoopLag;
 use crate::metrics::Metrics;
 use crate::options::Options;
+use crate::origins::Origins;
 use crate::peers::{Peers, UnknownPeers};
 use crate::probes::{self, Port};
 use crate::received_messages;
@@ -76,6 +77,8 @@
     pub local_placements: LocalPlacements,
     /// Requests of this instance on which others decide.
     pub remote_placements: RemotePlacements,
+    /// What it tells others of its streams, and asks them about theirs.
+    pub(crate) origins: Origins,
     /// Where messages of other instances come in and go out.
     pub datagrams: Rc<UdpSocket>,
     catalog: RefCell<Option<Arc<Catalog>>>,
@@ -149,6 +152,7 @@
             unknown_peers: UnknownPeers::default(),
             local_placements: LocalPlacements::default(),
             remote_placements: RemotePlacements::default(),
+            origins: Origins::default(),
             datagrams,
             catalog: RefCell::default(),
             connections: RefCell::default(),
@@ -388,6 +392,7 @@
         let now = self.now();
         let traffic = self.traffic.borrow();
         self.metrics.note_upstreams(traffic.cold_count(now), traffic.evacuated_requests(now));
+        self.metrics.note_origins(traffic.origins.count());
     }
 
     /// `is_draining` tells whether the process is about to end.
--- a/crates/bergamotpitch-gateway/src/lib.rs
+++ b/crates/bergamotpitch-gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod messages;
 pub mod metrics;
 pub mod options;
+pub mod origins;
 pub mod peers;
 pub mod placements;
 pub mod probes;
--- a/crates/bergamotpitch-gateway/src/messages.rs
+++ b/crates/bergamotpitch-gateway/src/messages.rs
@@ -14,8 +14,11 @@
 use bergamotpitch_control::traffic::placement_requests::{Decision, Headroom, Placement};
 use bergamotpitch_control::traffic::registries::Registry;
 use bergamotpitch_control::traffic::residencies::AllowedRegions;
+use bergamotpitch_control::traffic::stream_origins::AttemptNumber;
 use bergamotpitch_control::traffic::team_windows::{ShareClass, TeamCounts};
-use bergamotpitch_core::ids::{DomainId, Incarnation, InstanceId, ServiceId, TeamId, UpstreamId};
+use bergamotpitch_core::ids::{
+    DomainId, Incarnation, InstanceId, ServiceId, SoftwareId, TeamId, UpstreamId,
+};
 use bergamotpitch_core::units::Timestamp;
 use displaydoc::Display;
 use serde::{Deserialize, Serialize};
@@ -25,7 +28,7 @@
 use crate::options::Options;
 
 /// `FORMAT` begins each message of this release.
-const FORMAT: [u8; 4] = [0xb9, b'p', 0, 4];
+const FORMAT: [u8; 4] = [0xb9, b'p', 0, 5];
 
 /// `MESSAGE_BYTES` bounds a message: one datagram that is not cut on the way.
 pub const MESSAGE_BYTES: usize = 1_400;
@@ -54,6 +57,12 @@
     Progress(Vec<ProgressReport>),
     /// Which granted requests are in hand.
     GrantConfirmation(GrantConfirmation),
+    /// Where streams began.
+    Origins(Vec<OriginLine>),
+    /// Where did a stream begin?
+    OriginQuery(OriginQuery),
+    /// What is known of it.
+    OriginReply(OriginReply),
 }
 
 /// `Heartbeat` is what one instance tells of itself.
@@ -231,6 +240,8 @@
     pub tried: Vec<UpstreamId>,
     /// Regions that it may enter.
     pub regions: AllowedRegions,
+    /// The version of software at which it goes on, when it takes up a stream of a service of several.
+    pub software: Option<SoftwareId>,
     /// Failure domains that had no place for it.
     pub declined_by: Vec<DomainId>,
 }
@@ -371,6 +382,39 @@
     pub last_byte_ages_ms: Vec<(UpstreamId, u32)>,
 }
 
+/// `OriginLine` tells at which version of software the stream of an attempt began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginLine {
+    /// The attempt.
+    pub attempt: AttemptNumber,
+    /// Its service.
+    pub service: ServiceId,
+    /// The version.
+    pub software: SoftwareId,
+    /// Number of the statement; a later one counts.
+    pub revision: u32,
+    /// For how much longer the stream may be taken up.
+    pub valid_ms: u32,
+}
+
+/// `OriginQuery` asks where the stream of an attempt began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginQuery {
+    /// The asker's number of the query.
+    pub number: u64,
+    /// The attempt.
+    pub attempt: AttemptNumber,
+}
+
+/// `OriginReply` tells what an instance knows of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginReply {
+    /// The asker's number of the query.
+    pub number: u64,
+    /// Where it began; `None` when the instance does not know.
+    pub line: Option<OriginLine>,
+}
+
 /// `MessageError` tells why a datagram is no message.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 pub enum MessageError {
--- a/crates/bergamotpitch-gateway/src/metrics.rs
+++ b/crates/bergamotpitch-gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bergamotpitch_control::traffic::stream_origins::Resumption;
 use bergamotpitch_core::refusals::RefusalReason;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
@@ -50,9 +51,11 @@
     sums_age_s: Gauge<f64>,
     cold_upstreams: Gauge<u64>,
     evacuated_requests: Gauge<u64>,
+    stream_origins: Gauge<u64>,
     registry: Registry,
     _provider: SdkMeterProvider,
     refusals: Counter<u64>,
+    streams_taken_up: Counter<u64>,
     answer_s: Histogram<f64>,
     wait_s: Histogram<f64>,
 }
@@ -104,6 +107,14 @@
                 .u64_counter("bergamotpitch_refusals")
                 .with_description("Refusals by reason")
                 .build(),
+            streams_taken_up: meter
+                .u64_counter("bergamotpitch_streams_taken_up")
+                .with_description("Streams that callers took up again, by where they may go on")
+                .build(),
+            stream_origins: meter
+                .u64_gauge("bergamotpitch_stream_origins")
+                .with_description("Streams of which the software version that began them is known")
+                .build(),
             sums_age_s: meter
                 .f64_gauge("bergamotpitch_team_sums_age_seconds")
                 .with_description("Age of the oldest sums of other instances on teams that count")
@@ -137,6 +148,17 @@
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// `count_taken_up` counts a stream that a caller took up again, by where it may go on.
+    pub fn count_taken_up(&self, resumption: Resumption) {
+        let decision: &'static str = Resumption::into(resumption);
+        self.streams_taken_up.add(1, &[KeyValue::new("decision", decision)]);
+    }
+
+    /// `note_origins` takes in of how many streams the origin is known.
+    pub fn note_origins(&self, count: usize) {
+        self.stream_origins.record(count as u64, &[]);
+    }
+
     /// `count_answer` counts an answer with the time to its first event, or to itself.
     pub fn count_answer(&self, time: Duration) {
         self.answer_s.record(time.as_secs_f64(), &[]);
--- /dev/null
+++ b/crates/bergamotpitch-gateway/src/origins.rs
@@ -0,0 +1,378 @@
+//! Origins: what instances tell each other of the software versions at which streams began, and where
+//! a stream that a caller takes up goes on.
+//!
+//! An origin is told when a request is sent, long before its first event comes, so that no event waits
+//! for it. Nothing rests on its arrival: while versions are mixed, a stream whose origin nobody knows
+//! goes on nowhere.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bergamotpitch_control::traffic::catalogs::RouteKind;
+use bergamotpitch_control::traffic::registries::UpstreamKey;
+use bergamotpitch_control::traffic::software_versions::UNSTATED_SOFTWARE;
+use bergamotpitch_control::traffic::stream_origins::{
+    AttemptNumber, Knowledge, KnownOrigin, Members, Origin, Resumption, attempt_number,
+};
+use bergamotpitch_core::HashMap;
+use bergamotpitch_core::events::EventKind;
+use bergamotpitch_core::ids::{InstanceId, SoftwareId, id_of_name};
+use bergamotpitch_core::refusals::RefusalReason;
+use bergamotpitch_core::units::Timestamp;
+use tokio::sync::Notify;
+
+use crate::calls::Call;
+use crate::gateways::Gateway;
+use crate::logs::decision;
+use crate::messages::{Body, MESSAGE_BYTES, OriginLine, OriginQuery, OriginReply, millis};
+use crate::refusals::Refusal;
+
+/// `TELL_DELAY` is for how long origins are gathered before they are told; a first event takes several
+/// times as long.
+const TELL_DELAY: Duration = Duration::from_millis(3);
+
+/// `LINES_MAX` bounds the origins in one message.
+const LINES_MAX: usize = MESSAGE_BYTES / 28;
+
+/// `RETENTION` is for how long an origin is kept after the deadline of its request: callers take up a
+/// stream within the time that they had for it.
+const RETENTION: Duration = Duration::from_secs(5);
+
+/// `QUERY_TIMEOUT` is the time for the replies to a query: twice the way to the farthest region and back,
+/// and as long again for instances that have little processor time.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// `QUERIES_MAX` bounds the streams about which others are asked at the same time. Made-up attempts cost
+/// their instance a few dozen datagrams each; beyond the bound they are answered unasked.
+const QUERIES_MAX: usize = 64;
+
+/// `ISOLATION_TIME` is the time without any message of a peer after which an instance counts itself as cut
+/// off; several intervals of beats.
+const ISOLATION_TIME: Duration = Duration::from_millis(1_500);
+
+/// `ISOLATED_RETURN` is when to come back to an instance that is cut off; its callers may reach others.
+const ISOLATED_RETURN: Duration = Duration::from_millis(500);
+
+/// `Origins` is what this instance tells others of its streams and asks them about theirs.
+#[derive(Debug, Default)]
+pub struct Origins {
+    members: RefCell<Members>,
+    untold: RefCell<HashMap<InstanceId, Vec<KnownOrigin>>>,
+    is_flush_scheduled: Cell<bool>,
+    queries: RefCell<HashMap<u64, Rc<Query>>>,
+}
+
+#[derive(Debug)]
+struct Query {
+    asked: usize,
+    replies: Cell<usize>,
+    found: Cell<Option<KnownOrigin>>,
+    changed: Notify,
+}
+
+/// `Found` is what is known of a stream that a caller takes up.
+#[derive(Debug, Default)]
+struct Found {
+    known: Option<KnownOrigin>,
+    asked: usize,
+    replies: usize,
+}
+
+impl Gateway {
+    /// `replace_members` takes in which instances there are besides this one.
+    pub(crate) fn replace_members(&self) {
+        let peers = self.peers.borrow();
+        let members = peers.iter().map(|(peer, known)| (*peer, id_of_name(&known.address.domain)));
+        *self.origins.members.borrow_mut() = Members::new(members);
+    }
+
+    /// `are_versions_mixed` tells whether upstreams of more than one software version serve, or did
+    /// lately.
+    pub(crate) fn are_versions_mixed(&self, service: &str) -> bool {
+        self.traffic.borrow().software.are_mixed(service)
+    }
+
+    /// `note_origin` takes in that a request is sent to an upstream, where its stream begins.
+    pub(crate) fn note_origin(self: &Rc<Self>, call: &Call, upstream: UpstreamKey) {
+        if call.route.kind != RouteKind::Streaming || !call.route.is_resumable {
+            return;
+        }
+        let until = call.deadline + RETENTION;
+        let attempt = attempt_number(&call.facts.attempt_id);
+        let mut traffic = self.traffic.borrow_mut();
+        let Some(listed) = traffic.registry.get(upstream) else { return };
+        let origin = Origin { service: id_of_name(&call.service), software: listed.software };
+        let known = traffic.origins.sent(attempt, origin, upstream, until);
+        drop(traffic);
+        if self.are_versions_mixed(&call.service) {
+            self.queue_origin(known);
+            self.schedule_flush();
+        }
+    }
+
+    /// `forget_origin` takes in that the stream of a request ended in order.
+    pub(crate) fn forget_origin(&self, call: &Call) {
+        let attempt = attempt_number(&call.facts.attempt_id);
+        self.traffic.borrow_mut().origins.forget(attempt);
+    }
+
+    /// `tell_mixed_services` tells the origins of all streams of services of which another software
+    /// version has appeared.
+    pub(crate) fn tell_mixed_services(&self, services: &[String]) {
+        if services.is_empty() {
+            return;
+        }
+        let now = self.now();
+        for service in services {
+            let untold = self.traffic.borrow().origins.untold(id_of_name(service), now);
+            log::info!("event=versions_mixed service={service} untold_streams={}", untold.len());
+            untold.into_iter().for_each(|known| self.queue_origin(known));
+        }
+        self.flush_origins();
+    }
+
+    /// `doubt_origins` takes in that an upstream's id is listed with other software.
+    pub(crate) fn doubt_origins(&self, upstream: UpstreamKey) {
+        let doubted = self.traffic.borrow_mut().origins.doubt(upstream);
+        log::info!("event=origins_doubted key={upstream} streams={}", doubted.len());
+        doubted.into_iter().for_each(|known| self.queue_origin(known));
+        self.flush_origins();
+    }
+
+    fn queue_origin(&self, known: KnownOrigin) {
+        let own_domain = id_of_name(&self.options.admission.domain);
+        let keepers = self.origins.members.borrow().keepers(known.attempt, own_domain);
+        if keepers.is_empty() {
+            return;
+        }
+        self.traffic.borrow_mut().origins.note_told(known.attempt);
+        let mut untold = self.origins.untold.borrow_mut();
+        keepers.into_iter().for_each(|keeper| untold.entry(keeper).or_default().push(known));
+    }
+
+    fn schedule_flush(self: &Rc<Self>) {
+        if self.origins.is_flush_scheduled.replace(true) {
+            return;
+        }
+        let gateway = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(TELL_DELAY).await;
+            gateway.origins.is_flush_scheduled.set(false);
+            gateway.flush_origins();
+        });
+    }
+
+    fn flush_origins(&self) {
+        let now = self.now();
+        let untold = std::mem::take(&mut *self.origins.untold.borrow_mut());
+        for (keeper, known) in untold {
+            let Some(address) = self.beat_address_of(keeper) else { continue };
+            for known in known.chunks(LINES_MAX) {
+                let lines = known.iter().map(|known| line_of_origin(known, now)).collect();
+                self.send_message(Body::Origins(lines), address);
+            }
+        }
+    }
+
+    /// `handle_origins` keeps what another instance tells of its streams.
+    pub(crate) fn handle_origins(&self, lines: &[OriginLine]) {
+        let now = self.now();
+        let mut traffic = self.traffic.borrow_mut();
+        lines.iter().for_each(|line| traffic.origins.told(origin_of_line(line, now)));
+    }
+
+    /// `handle_origin_query` tells another instance what is known of a stream.
+    pub(crate) fn handle_origin_query(&self, peer: InstanceId, query: &OriginQuery) {
+        let now = self.now();
+        let known = self.traffic.borrow().origins.origin_of(query.attempt, now);
+        let line = known.map(|known| line_of_origin(&known, now));
+        if let Some(address) = self.beat_address_of(peer) {
+            let reply = OriginReply { number: query.number, line };
+            self.send_message(Body::OriginReply(reply), address);
+        }
+    }
+
+    /// `handle_origin_reply` takes in a reply to a query.
+    pub(crate) fn handle_origin_reply(&self, reply: &OriginReply) {
+        let Some(query) = self.origins.queries.borrow().get(&reply.number).cloned() else { return };
+        query.replies.set(query.replies.get() + 1);
+        if let Some(line) = &reply.line {
+            let known = origin_of_line(line, self.now());
+            let is_later = |before: KnownOrigin| before.revision <= known.revision;
+            if query.found.get().is_none_or(is_later) {
+                query.found.set(Some(known));
+            }
+        }
+        query.changed.notify_one();
+    }
+
+    async fn find_origin(&self, attempt: AttemptNumber) -> Found {
+        if let Some(known) = self.traffic.borrow().origins.origin_of(attempt, self.now()) {
+            return Found { known: Some(known), ..Found::default() };
+        }
+        let addresses: Vec<_> = {
+            let keepers = self.origins.members.borrow().likely_keepers(attempt);
+            keepers.into_iter().filter_map(|keeper| self.beat_address_of(keeper)).collect()
+        };
+        if addresses.is_empty() || QUERIES_MAX <= self.origins.queries.borrow().len() {
+            return Found::default();
+        }
+        let number = self.fresh_number();
+        let query = Rc::new(Query::new(addresses.len()));
+        self.origins.queries.borrow_mut().insert(number, Rc::clone(&query));
+        let _pending = PendingQuery { gateway: self, number };
+        for address in addresses {
+            self.send_message(Body::OriginQuery(OriginQuery { number, attempt }), address);
+        }
+        // What has come until then is what is known.
+        let _ = tokio::time::timeout(QUERY_TIMEOUT, query.answered()).await;
+        Found { known: query.found.get(), asked: query.asked, replies: query.replies.get() }
+    }
+
+    /// Whether nobody is heard, so that versions may serve of which this instance does not know. One that
+    /// has just started has read the list in full.
+    fn is_isolated(&self) -> bool {
+        let now = self.now();
+        let peers = self.peers.borrow();
+        ISOLATION_TIME <= now
+            && !peers.is_empty()
+            && !peers.values().any(|peer| peer.is_heard_within(ISOLATION_TIME, now))
+    }
+}
+
+impl Query {
+    fn new(asked: usize) -> Self {
+        let (replies, found) = (Cell::new(0), Cell::new(None));
+        Self { asked, replies, found, changed: Notify::new() }
+    }
+
+    async fn answered(&self) {
+        while self.found.get().is_none() && self.replies.get() < self.asked {
+            self.changed.notified().await;
+        }
+    }
+}
+
+struct PendingQuery<'a> {
+    gateway: &'a Gateway,
+    number: u64,
+}
+
+impl Drop for PendingQuery<'_> {
+    fn drop(&mut self) {
+        self.gateway.origins.queries.borrow_mut().remove(&self.number);
+    }
+}
+
+/// `bind_resumption` decides where the stream that a call takes up may go on.
+///
+/// # Errors
+///
+/// Refuses the call when its stream can go on nowhere.
+pub(crate) async fn bind_resumption(gateway: &Rc<Gateway>, call: &Call) -> Result<(), Refusal> {
+    if !call.route.is_resumable || !call.facts.takes_up_stream() {
+        return Ok(());
+    }
+    let resumed = call.facts.resumed_attempt_id.as_deref();
+    let is_mixed = gateway.are_versions_mixed(&call.service);
+    if resumed.is_none() && !is_mixed {
+        return Ok(());
+    }
+    let found = match resumed {
+        Some(resumed) => gateway.find_origin(attempt_number(resumed)).await,
+        None => Found::default(),
+    };
+    let knowledge = Knowledge {
+        service: id_of_name(&call.service),
+        origin: found.known.map(|known| known.origin),
+        is_mixed: is_mixed || gateway.are_versions_mixed(&call.service),
+        is_isolated: found.replies == 0 && gateway.is_isolated(),
+    };
+    let resumption = knowledge.resumption();
+    gateway.metrics.count_taken_up(resumption);
+    decision(
+        EventKind::StreamTakenUp,
+        format_args!(
+            "request={} resumes={:.64} decision={resumption} origin={:?} asked={} replies={} mixed={} \
+             isolated={} waited_ms={}",
+            call.facts.attempt_id,
+            resumed.unwrap_or("-"),
+            knowledge.origin,
+            found.asked,
+            found.replies,
+            knowledge.is_mixed,
+            knowledge.is_isolated,
+            gateway.now().saturating_sub(call.arrived).as_millis(),
+        ),
+    );
+    match resumption {
+        Resumption::Any => Ok(()),
+        Resumption::Only(software) => {
+            call.bound_software.set(Some(software));
+            if let Some(known) = found.known {
+                gateway.extend_origin(known, call.deadline + RETENTION);
+            }
+            Ok(())
+        }
+        Resumption::Nowhere if knowledge.is_mixed => {
+            Err(Refusal::not_resumable(RefusalReason::StreamVersionUnknown))
+        }
+        Resumption::Nowhere => {
+            Err(Refusal::not_run(RefusalReason::StreamVersionUnknown, ISOLATED_RETURN))
+        }
+    }
+}
+
+impl Gateway {
+    /// The caller may lose this attempt too, and then names the first one again.
+    fn extend_origin(self: &Rc<Self>, known: KnownOrigin, until: Timestamp) {
+        let known = KnownOrigin { until: until.max(known.until), ..known };
+        self.traffic.borrow_mut().origins.told(known);
+        self.queue_origin(known);
+        self.schedule_flush();
+    }
+
+    /// `software_of_stream` returns the version at which the stream of a call that this instance serves
+    /// goes on, and `None` when it may be any.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it is not certain at which version the stream began.
+    pub(crate) fn software_of_stream(
+        &self,
+        call: &Call,
+        has_events: bool,
+    ) -> Result<Option<SoftwareId>, UnknownVersion> {
+        if !has_events || !self.are_versions_mixed(&call.service) {
+            return Ok(call.bound_software.get());
+        }
+        let attempt = attempt_number(&call.facts.attempt_id);
+        let known = self.traffic.borrow().origins.origin_of(attempt, self.now());
+        let software = known.map(|known| known.origin.software);
+        software.filter(|software| *software != UNSTATED_SOFTWARE).map(Some).ok_or(UnknownVersion)
+    }
+}
+
+/// `UnknownVersion` tells that it is not certain at which software version a stream began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct UnknownVersion;
+
+fn line_of_origin(known: &KnownOrigin, now: Timestamp) -> OriginLine {
+    OriginLine {
+        attempt: known.attempt,
+        service: known.origin.service,
+        software: known.origin.software,
+        revision: known.revision,
+        valid_ms: millis(known.until.saturating_sub(now)),
+    }
+}
+
+fn origin_of_line(line: &OriginLine, now: Timestamp) -> KnownOrigin {
+    KnownOrigin {
+        attempt: line.attempt,
+        origin: Origin { service: line.service, software: line.software },
+        revision: line.revision,
+        until: now + Duration::from_millis(line.valid_ms.into()),
+    }
+}
--- a/crates/bergamotpitch-gateway/src/peers.rs
+++ b/crates/bergamotpitch-gateway/src/peers.rs
@@ -217,6 +217,7 @@
         let others: Vec<_> =
             addresses.into_iter().filter(|address| address.instance != own).collect();
         replace_peers(&mut self.peers.borrow_mut(), others, self.now());
+        self.replace_members();
         self.update_role();
         self.note_peers_listed();
     }
--- a/crates/bergamotpitch-gateway/src/placements.rs
+++ b/crates/bergamotpitch-gateway/src/placements.rs
@@ -56,6 +56,9 @@
             };
             (refusal_reason(share_class), after, inputs)
         }
+        Decision::NoUpstream(_) if !gateway.has_bound_upstream(call) => {
+            return Err(Refusal::not_resumable(RefusalReason::StreamVersionGone));
+        }
         Decision::NoUpstream(after) => {
             let inputs = Inputs { grantor: grantor_id, ..Inputs::default() };
             (RefusalReason::NoUpstream, after, inputs)
@@ -90,8 +93,12 @@
             .await;
             let Some(RemoteDecision { grantor, decision }) = decided else { break };
             // The dispatcher of another domain had less room than it told.
-            let is_final = matches!(decision, Decision::Send(_)) || grantor.instance == dispatcher;
-            if is_final {
+            let is_placed = matches!(decision, Decision::Send(_));
+            // Upstreams of a stream's version may stand in any domain.
+            if !is_placed && call.bound_software.get().is_some() {
+                break;
+            }
+            if is_placed || grantor.instance == dispatcher {
                 return (number, Some(grantor), decision);
             }
         }
@@ -107,6 +114,11 @@
 ) -> (RequestNumber, Option<Grantor>, Decision) {
     let now = gateway.now();
     let ask = owned_placement_request(gateway, call, tried);
+    if ask.software.is_some() {
+        let number = gateway.fresh_number();
+        let ask = OwnedPlacementRequest { scope: Scope::Fleet, ..ask };
+        return (number, None, gateway.decide(number, ask).await);
+    }
     if tried.is_empty() {
         gateway.note_asked(&ask, now);
     }
@@ -152,6 +164,7 @@
         cache_link: call.cache_link,
         scope: gateway.scope(),
         regions: gateway.allowed_regions(call),
+        software: call.bound_software.get(),
     }
 }
 
@@ -174,9 +187,21 @@
         let traffic = self.traffic.borrow();
         let upstream = traffic.registry.get(placement.upstream);
         upstream.is_some_and(|upstream| {
-            upstream.takes_work() && traffic.allows(&regions, upstream.domain_number)
+            upstream.takes_work()
+                && traffic.allows(&regions, upstream.domain_number)
+                && call.bound_software.get().is_none_or(|only| upstream.software == only)
         })
     }
+
+    /// Whether an upstream may take the call some time: always, unless it takes up a stream of a version
+    /// whose last upstreams leave or are gone.
+    fn has_bound_upstream(&self, call: &Call) -> bool {
+        let Some(software) = call.bound_software.get() else { return true };
+        let traffic = self.traffic.borrow();
+        let keys = traffic.registry.of_service(&call.service).iter();
+        let mut upstreams = keys.filter_map(|key| traffic.registry.get(*key));
+        upstreams.any(|upstream| upstream.software == software && upstream.leaving.is_none())
+    }
 }
 
 /// `has_place` tells whether an upstream other than those that were tried has room for a call, as far
--- a/crates/bergamotpitch-gateway/src/received_messages.rs
+++ b/crates/bergamotpitch-gateway/src/received_messages.rs
@@ -53,6 +53,9 @@
         Body::GrantConfirmation(confirmation) => {
             gateway.handle_grant_confirmation(instance, &confirmation)
         }
+        Body::Origins(lines) => gateway.handle_origins(&lines),
+        Body::OriginQuery(query) => gateway.handle_origin_query(instance, &query),
+        Body::OriginReply(reply) => gateway.handle_origin_reply(&reply),
     }
 }
 
--- a/crates/bergamotpitch-gateway/src/refusals.rs
+++ b/crates/bergamotpitch-gateway/src/refusals.rs
@@ -72,6 +72,12 @@
         Self { status, reason, ran: Ran::NotRun, retry_after: None, inputs }
     }
 
+    /// `not_resumable` refuses to go on with a stream: it will not be possible later either, and the caller
+    /// may begin anew.
+    pub fn not_resumable(reason: RefusalReason) -> Self {
+        Self::denied(StatusCode::SERVICE_UNAVAILABLE, reason)
+    }
+
     /// `unknown` tells that a request was sent and that its outcome is not known.
     pub fn unknown(status: StatusCode, reason: RefusalReason) -> Self {
         let inputs = Inputs::default();
--- a/crates/bergamotpitch-gateway/src/remote_placements.rs
+++ b/crates/bergamotpitch-gateway/src/remote_placements.rs
@@ -205,6 +205,7 @@
             elapsed_ms: millis(self.now().saturating_sub(call.arrived)),
             tried: tried_incarnations.collect(),
             regions: self.allowed_regions(call),
+            software: call.bound_software.get(),
             declined_by: Vec::new(),
         }
     }
--- a/crates/bergamotpitch-gateway/src/upstreams.rs
+++ b/crates/bergamotpitch-gateway/src/upstreams.rs
@@ -30,7 +30,14 @@
             self.log_change(&traffic, change);
         }
         traffic.remove_gone_upstreams();
+        let mixed_services = traffic.update_software(now);
         drop(traffic);
+        self.tell_mixed_services(&mixed_services);
+        for change in &changes {
+            if let Change::SoftwareChanged(key) = change {
+                self.doubt_origins(*key);
+            }
+        }
         self.mark_load_changed();
     }
 
@@ -92,6 +99,9 @@
                 self.store_updates.relay.borrow_mut().upstream_gone(id);
                 decision(EventKind::UpstreamGone, format_args!("upstream={id}"));
             }
+            Change::SoftwareChanged(key) => {
+                log::info!("event=software_changed {}", describe(*key));
+            }
         }
     }
 
--- a/crates/bergamotpitch-gateway/tests/dispatched_requests.rs
+++ b/crates/bergamotpitch-gateway/tests/dispatched_requests.rs
@@ -9,6 +9,8 @@
 use bergamotpitch_control::traffic::engine_loads::{RequestNumber, Work};
 use bergamotpitch_control::traffic::evacuations::EvacuationOrder;
 use bergamotpitch_control::traffic::placement_requests::{Decision, Placement};
+use bergamotpitch_control::traffic::registries::Registration;
+use bergamotpitch_control::traffic::software_versions::software_id;
 use bergamotpitch_control::traffic::team_windows::ShareClass;
 use bergamotpitch_control::traffic::warm_ups::GRANT_VALIDITY;
 use bergamotpitch_core::ids::InstanceId;
@@ -17,7 +19,10 @@
     Body, Message, PlacementRequestBody, ProgressEvent, Reply, ReplyOutcome, decode, encode,
 };
 use bergamotpitch_gateway::peers::PeerAddress;
-use common::{FakeUpstream, ask, prompt, run, start_small, whole};
+use common::{
+    Act, FakeUpstream, ask, event, events_text, prompt, registration, request, run, start_small,
+    stream_end, stream_head, whole,
+};
 use tokio::net::UdpSocket;
 
 const DISPATCHER: InstanceId = 7;
@@ -232,3 +237,35 @@
         assert_eq!((refused.status, upstream.count()), (503, 0));
     });
 }
+
+/// Guards against a dispatcher that lets a stream go on at another version of software than the one that
+/// began it, and against one without room that ends the stream, where another domain has its version.
+#[test]
+fn stream_of_a_version() {
+    run(async {
+        let begun = [stream_head(), event(1), Act::Pause(Duration::from_millis(60)), Act::Reset];
+        let old = FakeUpstream::start(Box::new(move |_| begun.to_vec())).await;
+        let rest = |_| vec![stream_head(), event(2), stream_end()];
+        let (new, other) =
+            (FakeUpstream::start(Box::new(rest)).await, FakeUpstream::start(Box::new(rest)).await);
+        let (gateway, address, dispatcher, _remote) = domain_of_two(&old).await;
+        let list = |id: &str, upstream: &FakeUpstream, domain: &str, software: &str| {
+            let (domain, software) = (domain.to_owned(), Some(software.to_owned()));
+            let listed = registration(id, upstream.address);
+            gateway.upstream_listed(Registration { domain, software, ..listed });
+        };
+        list("u0", &old, "a", "v1");
+        list("new", &new, "a", "v2");
+        list("other", &other, "b", "v1");
+        let caller = tokio::task::spawn_local(ask(address, request("POST", "/resumed/", "a")));
+        let first = dispatcher.next_placement_request().await;
+        assert_eq!(first.software, None, "a stream that begins may have any version");
+        dispatcher.reply(first.number, granted(&gateway)).await;
+        let second = dispatcher.next_placement_request().await;
+        assert_eq!(second.software, Some(software_id(Some("v1"))));
+        dispatcher.reply(second.number, FULL).await;
+        let got = caller.await.unwrap().unwrap();
+        assert_eq!((got.body, got.is_whole), (events_text(1, 2), true));
+        assert_eq!((new.count(), other.count()), (0, 1));
+    });
+}
--- a/crates/bergamotpitch-gateway/tests/mixed_versions.rs
+++ b/crates/bergamotpitch-gateway/tests/mixed_versions.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bergamotpitch_control::traffic::registries::Registration;
+use bergamotpitch_gateway::peers::PeerAddress;
 use common::instances::{Instance, introduce};
 use common::{
     Act, FakeUpstream, Got, ask, connect, event, events_text, request, run, stream_end, stream_head,
@@ -64,6 +65,16 @@
     (sender, body)
 }
 
+fn peer_at(address: SocketAddr) -> PeerAddress {
+    PeerAddress {
+        instance: 7,
+        domain: "a".to_owned(),
+        beat_address: address,
+        relay_address: address,
+        processor_millis: 1_000,
+    }
+}
+
 /// Waits until what instances tell each other has arrived.
 async fn settle() {
     tokio::time::sleep(Duration::from_millis(200)).await;
@@ -102,9 +113,10 @@
 fn joined_after_kill() {
     run(async {
         let (old, new, other) = (endless().await, finishing().await, finishing().await);
-        let first = Instance::start();
-        let others = [Instance::start(), Instance::start()];
-        introduce(&[&first, &others[0], &others[1]]).await;
+        let first = Instance::start_in("a");
+        let others = ["a", "a", "b", "b", "b"].map(Instance::start_in);
+        let all: Vec<&Instance> = [&first].into_iter().chain(&others).collect();
+        introduce(&all).await;
         first.list(&[listed("old", &old, "v1")]).await;
         let earlier = begin(first.address, "earlier").await;
         first.list(&[listed("new", &new, "v2")]).await;
@@ -116,11 +128,51 @@
         assert_eq!((old.count(), new.count()), (2, 0));
         first.kill();
         drop((earlier, later));
-        for (instance, begun) in others.iter().zip(["earlier", "later"]) {
-            let got = ask(instance.address, resumption("again", Some(begun))).await.unwrap();
-            assert_eq!((got.body, got.is_whole), (events_text(4, 6), true));
+        for instance in &others {
+            for begun in ["earlier", "later"] {
+                let got = ask(instance.address, resumption("again", Some(begun))).await.unwrap();
+                assert_eq!((got.body, got.is_whole), (events_text(4, 6), true), "{begun}");
+            }
         }
-        assert_eq!((new.count(), other.count()), (0, 2), "it went on at another version");
+        assert_eq!((new.count(), other.count()), (0, 10), "it went on at another version");
+    });
+}
+
+/// Guards against a stream that goes on at the only version that an instance knows which was cut off
+/// from all others before another one appeared.
+#[test]
+fn joined_by_isolated() {
+    run(async {
+        let old = finishing().await;
+        let (gateway, address) = common::start(&[]).await;
+        gateway.upstream_listed(listed("old", &old, "v1"));
+        let silent = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        gateway.replace_peers(vec![peer_at(silent.local_addr().unwrap())]);
+        assert!(ask(address, resumption("a", Some("unheard"))).await.unwrap().is_whole);
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let refusal = ask(address, resumption("b", Some("unheard"))).await.unwrap();
+        assert_eq!((refusal.status, old.count()), (503, 1));
+        assert_eq!(refusal.headers["retry-after"], "0.500");
+        assert_eq!(ask(address, request("POST", "/resumed/", "c")).await.unwrap().status, 200);
+    });
+}
+
+/// Guards against a stream that waits, or goes on elsewhere, when the last upstreams of its version leave.
+#[test]
+fn version_gone() {
+    run(async {
+        let (old, new) = (endless().await, finishing().await);
+        let (gateway, address) = common::start(&[]).await;
+        gateway.upstream_listed(listed("old", &old, "v1"));
+        let stream = begin(address, "one").await;
+        gateway.upstream_listed(listed("new", &new, "v2"));
+        let leaving = Registration { is_leaving: true, ..listed("old", &old, "v1") };
+        gateway.upstream_listed(leaving);
+        drop(stream);
+        let refusal = ask(address, resumption("again", Some("one"))).await.unwrap();
+        assert_eq!((refusal.status, new.count()), (503, 0));
+        assert!(refusal.body.contains("stream_version_gone"), "{}", refusal.body);
+        assert!(!refusal.headers.contains_key("retry-after"), "it will not be possible later");
     });
 }
 
--- a/crates/bergamotpitch-router/src/refusals.rs
+++ b/crates/bergamotpitch-router/src/refusals.rs
@@ -79,6 +79,8 @@
         RefusalReason::DeadlineUnreachable
         | RefusalReason::NoUpstream
         | RefusalReason::NoAllowedRegion
+        | RefusalReason::StreamVersionUnknown
+        | RefusalReason::StreamVersionGone
         | RefusalReason::Draining
         | RefusalReason::NotReady
         | RefusalReason::ClaimUnavailable
@@ -99,6 +101,8 @@
         RefusalReason::DeadlinePassed => "The deadline passed.",
         RefusalReason::NoUpstream => "No live upstream serves the service.",
         RefusalReason::NoAllowedRegion => "The route and the team have no region in common.",
+        RefusalReason::StreamVersionUnknown => "The software version of the stream is not known.",
+        RefusalReason::StreamVersionGone => "No upstream runs the software version of the stream.",
         RefusalReason::Draining => "This instance is leaving.",
         RefusalReason::NotReady => "This instance has no configuration yet.",
         RefusalReason::ClaimUnavailable => "The idempotency key cannot be claimed now.",
