Take a stream up at the service that began it

Callers could get a text begun by one service and ended by another: where a route shares its requests between services, the service was drawn from the id of each attempt, and a caller that takes a stream up comes with a new one.

Cause: the same as of streams joined from two versions: nothing related an attempt to the one that began its stream. Change: the draw takes the id of the attempt that began the stream; a stream of which it is known that it began at another service, as the weights have changed since, goes on nowhere. Attempts that name no other are drawn as before.

--- a/crates/bergamotpitch-control/src/traffic/catalogs.rs
+++ b/crates/bergamotpitch-control/src/traffic/catalogs.rs
@@ -66,8 +66,8 @@
         }
     }
 
-    /// `target_of` picks the service of one request by weight. Each attempt of the same request
-    /// gets the same answer, as it depends on `hash` alone.
+    /// `target_of` picks the service of one request by weight. All attempts at one stream get the same
+    /// answer, as it depends on `hash` alone.
     pub fn target_of(&self, hash: u64) -> Option<&str> {
         let weights: u64 = self.targets.iter().map(|target| u64::from(target.weight)).sum();
         if weights == 0 {
--- a/crates/bergamotpitch-control/src/traffic/facts.rs
+++ b/crates/bergamotpitch-control/src/traffic/facts.rs
@@ -61,6 +61,12 @@
         self.resume_after.is_some() || self.resumed_attempt_id.is_some()
     }
 
+    /// `first_attempt_id` returns the id of the attempt that began the stream: this one, unless the caller
+    /// goes on with another one's.
+    pub fn first_attempt_id(&self) -> &str {
+        self.resumed_attempt_id.as_deref().unwrap_or(&self.attempt_id)
+    }
+
     /// `output_tokens` returns how many tokens the answer is expected to have.
     ///
     /// ```
--- a/crates/bergamotpitch-control/src/traffic/stream_origins.rs
+++ b/crates/bergamotpitch-control/src/traffic/stream_origins.rs
@@ -272,7 +272,7 @@
     Any,
     /// At upstreams of one version.
     Only(SoftwareId),
-    /// Nowhere, as its version is not known.
+    /// Nowhere, as its version is not known, or it began at another service.
     Nowhere,
 }
 
@@ -307,8 +307,8 @@
     /// assert_eq!(known.resumption(), Resumption::Nowhere);
     /// ```
     pub fn resumption(&self) -> Resumption {
-        let origin = self.origin.filter(|origin| origin.service == self.service);
-        match origin {
+        match self.origin {
+            Some(origin) if origin.service != self.service => Resumption::Nowhere,
             Some(Origin { software: UNSTATED_SOFTWARE, .. }) if self.is_mixed => {
                 Resumption::Nowhere
             }
--- a/crates/bergamotpitch-control/tests/stream_origins.rs
+++ b/crates/bergamotpitch-control/tests/stream_origins.rs
@@ -157,7 +157,7 @@
 }
 
 /// Guards against a caller that is let on at any version because its instance knows one only: where the
-/// origin says another, or nobody is heard at all.
+/// origin says another or another service, or nobody is heard at all.
 #[test]
 fn single_version() {
     let known =
@@ -167,7 +167,7 @@
     assert_eq!(known(None, true).resumption(), Resumption::Nowhere);
     assert_eq!(known(Some(origin("v1")), true).resumption(), Resumption::Only(v1));
     let other_service = Origin { service: SERVICE + 1, ..origin("v1") };
-    assert_eq!(known(Some(other_service), false).resumption(), Resumption::Any);
+    assert_eq!(known(Some(other_service), false).resumption(), Resumption::Nowhere);
     let unstated = Origin { service: SERVICE, software: UNSTATED_SOFTWARE };
     assert_eq!(known(Some(unstated), false).resumption(), Resumption::Any);
 }
--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -186,7 +186,7 @@
     let time = deadline.saturating_sub(arrived);
     let hold = gateway.held_bytes.open();
     let body = read_body(&parts.headers, body, &catalog, hold, time).await?;
-    let hash = u64::from(id_of_name(&facts.attempt_id));
+    let hash = u64::from(id_of_name(facts.first_attempt_id()));
     let service = route
         .target_of(hash)
         .ok_or(Refusal::not_run(RefusalReason::NoUpstream, NOT_READY_RETURN))?
--- a/crates/bergamotpitch-gateway/tests/common/mod.rs
+++ b/crates/bergamotpitch-gateway/tests/common/mod.rs
@@ -272,6 +272,16 @@
     }
 }
 
+/// `service` is a service of small engines.
+pub fn service(name: &str) -> Service {
+    Service {
+        name: name.to_owned(),
+        connections_max: 10,
+        warm_up: None,
+        engine: Some(EngineService { slots: 4, memory_tokens: 1_000, cache_link: None }),
+    }
+}
+
 /// `catalog` has one route of each kind.
 pub fn catalog(version: u64) -> Catalog {
     let mut resumable = route("/resumed/", RouteKind::Streaming);
@@ -285,12 +295,7 @@
         resumable,
         closed,
     ];
-    let service = Service {
-        name: "all".to_owned(),
-        connections_max: 10,
-        warm_up: None,
-        engine: Some(EngineService { slots: 4, memory_tokens: 1_000, cache_link: None }),
-    };
+    let service = service("all");
     let team = Team {
         name: "florists".to_owned(),
         priority: None,
--- a/crates/bergamotpitch-gateway/tests/mixed_versions.rs
+++ b/crates/bergamotpitch-gateway/tests/mixed_versions.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bergamotpitch_control::traffic::catalogs::{Catalog, RouteKind, Target};
 use bergamotpitch_control::traffic::registries::Registration;
 use bergamotpitch_gateway::peers::PeerAddress;
 use common::instances::{Instance, introduce};
@@ -195,3 +196,33 @@
         assert_eq!(fresh.status, 200, "a stream that begins was refused");
     });
 }
+
+/// Guards against a stream that goes on at another service than the one that began it, as the services of
+/// its route are drawn anew for each attempt.
+#[test]
+fn other_service() {
+    run(async {
+        let (one, two) = (finishing().await, finishing().await);
+        let mut split = common::route("/resumed/", RouteKind::Streaming);
+        split.is_resumable = true;
+        split.targets.push(Target { service: "second".to_owned(), weight: 1 });
+        let services = ["all", "second"].map(common::service);
+        let (gateway, address) =
+            common::start_with(&[], Catalog::new(1, vec![split], services.to_vec(), vec![])).await;
+        gateway.upstream_listed(listed("one", &one, "v1"));
+        let second = Registration { service: "second".to_owned(), ..listed("two", &two, "v1") };
+        gateway.upstream_listed(second);
+        for stream in ["a", "b", "c", "d", "e", "f"] {
+            let before = (one.count(), two.count());
+            ask(address, request("POST", "/resumed/", stream)).await.unwrap();
+            let is_first = one.count() != before.0;
+            let before = (one.count(), two.count());
+            for again in ["g", "h", "i"] {
+                ask(address, resumption(again, Some(stream))).await.unwrap();
+            }
+            let expected = if is_first { (3, 0) } else { (0, 3) };
+            assert_eq!((one.count() - before.0, two.count() - before.1), expected);
+        }
+        assert!(0 < one.count() && 0 < two.count());
+    });
+}
