--- a/crates/bergamotpitch-control/tests/replays/mod.rs
+++ b/crates/bergamotpitch-control/tests/replays/mod.rs
@@ -120,7 +120,7 @@
             slots: SLOTS,
             is_leaving: false,
             cold_left: Some(Duration::ZERO),
-            software: None,
+            software: Some(if index == 0 { "v1" } else { "v2" }.to_owned()),
         });
         keys.push(traffic.registry.key_of(&id).unwrap());
     }
