Name the parts of a prompt on failed attempts

Change: event 105 names the parts that other requests may hold too. Result: no decision changes; the gateway's tests pass.

--- a/crates/bergamotpitch-control/src/traffic/facts.rs
+++ b/crates/bergamotpitch-control/src/traffic/facts.rs
@@ -101,6 +101,12 @@
         self.prefix.iter().rev().skip(1).map(|part| u64::from(part.tokens)).sum()
     }
 
+    /// `shared_parts` visits the parts of the prompt that other requests may hold too: all but the last.
+    pub fn shared_parts(&self) -> impl Iterator<Item = PartId> {
+        let shared = self.prefix.len().saturating_sub(1);
+        self.prefix[..shared].iter().map(|part| part.id)
+    }
+
     /// `shared_prefix` names the start of the prompt that other requests share, by its last part.
     ///
     /// ```
--- a/crates/bergamotpitch-gateway/src/attempts.rs
+++ b/crates/bergamotpitch-gateway/src/attempts.rs
@@ -18,7 +18,7 @@
 use crate::exchanges::{self, Answer, Failure, Reuse};
 use crate::gateways::Gateway;
 use crate::headers::remove_hop_headers;
-use crate::logs::decision;
+use crate::logs::{SharedParts, decision};
 use crate::origins::bind_resumption;
 use crate::placements::{PlacedRequest, Run, has_place, place};
 use crate::refusals::Refusal;
@@ -283,10 +283,11 @@
     decision(
         EventKind::AttemptFailed,
         format_args!(
-            "request={} upstream={} kind={} failure={failure:?}",
+            "request={} upstream={} kind={} parts={} failure={failure:?}",
             call.facts.attempt_id,
             gateway.id_of(placement.upstream).unwrap_or_default(),
             if call.route.kind == RouteKind::Unsafe { "once" } else { "repeatable" },
+            SharedParts(&call.facts),
         ),
     );
 }
--- a/crates/bergamotpitch-gateway/src/bodies.rs
+++ b/crates/bergamotpitch-gateway/src/bodies.rs
@@ -22,7 +22,7 @@
 use crate::errors::Cut;
 use crate::exchanges::{self, Answer, Reuse};
 use crate::gateways::{Gateway, InFlight};
-use crate::logs::decision;
+use crate::logs::{SharedParts, decision};
 use crate::placements::{Run, place};
 use crate::sse::EventCutter;
 
@@ -253,10 +253,11 @@
         decision(
             EventKind::AttemptFailed,
             format_args!(
-                "request={} upstream={} after_event={} detail={detail:?}",
+                "request={} upstream={} after_event={} parts={} detail={detail:?}",
                 self.call.facts.attempt_id,
                 key.and_then(|key| self.gateway.id_of(key)).unwrap_or_default(),
                 self.cutter.last_id().unwrap_or("-"),
+                SharedParts(&self.call.facts),
             ),
         );
         let attempts = self.resumes + 1;
--- a/crates/bergamotpitch-gateway/src/logs.rs
+++ b/crates/bergamotpitch-gateway/src/logs.rs
@@ -4,12 +4,13 @@
 //! a bounded buffer that a separate thread writes out; when the buffer or the budget of a second
 //! is spent, lines are left out and counted, and requests go on.
 
-use std::fmt::Write as _;
+use std::fmt::{self, Write as _};
 use std::io::Write as _;
 use std::ops::Range;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use bergamotpitch_control::traffic::facts::RequestFacts;
 use bergamotpitch_core::events::EventKind;
 use log::{LevelFilter, Log, Metadata, Record};
 
@@ -143,6 +144,26 @@
     }
 }
 
+/// `SHOWN_PARTS_MAX` bounds the parts of a prompt in one line.
+const SHOWN_PARTS_MAX: usize = 16;
+
+/// `SharedParts` shows the parts of a prompt that other requests may hold too.
+#[derive(Debug)]
+pub struct SharedParts<'a>(pub &'a RequestFacts);
+
+impl fmt::Display for SharedParts<'_> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.0.prefix.len() < 2 {
+            return formatter.write_str("-");
+        }
+        for (index, part) in self.0.shared_parts().take(SHOWN_PARTS_MAX).enumerate() {
+            let comma = if index == 0 { "" } else { "," };
+            write!(formatter, "{comma}{part:x}")?;
+        }
+        Ok(())
+    }
+}
+
 /// `decision` writes one line on a decision, with its event number and name.
 pub fn decision(kind: EventKind, details: std::fmt::Arguments<'_>) {
     let number = kind as u16;
