--- /dev/null
+++ b/crates/bergamotpitch-gateway/tests/common/crashes.rs
@@ -0,0 +1,116 @@
+//! Upstreams that crash when they begin to write an answer on one part of a prompt.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::Notify;
+
+use super::read_request;
+
+/// `BAD_PART` crashes each upstream.
+pub const BAD_PART: u64 = 0xbad;
+
+/// `CrashingUpstream` streams six events, unless the prompt holds [`BAD_PART`] before its last part: then it
+/// writes the head of an answer and is gone, with all of its connections.
+pub struct CrashingUpstream {
+    /// Where it listens.
+    pub address: SocketAddr,
+    state: Rc<State>,
+}
+
+#[derive(Default)]
+struct State {
+    requests: Cell<usize>,
+    is_crashed: Cell<bool>,
+    crashed: Notify,
+    /// Keeps the port from being taken by others, and closed.
+    port: RefCell<Option<TcpSocket>>,
+}
+
+impl CrashingUpstream {
+    /// `start` listens.
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let state = Rc::new(State::default());
+        tokio::task::spawn_local(serve(listener, Rc::clone(&state)));
+        Self { address, state }
+    }
+
+    /// `has_crashed` tells whether it is gone.
+    pub fn has_crashed(&self) -> bool {
+        self.state.is_crashed.get()
+    }
+
+    /// `count` returns how many requests came.
+    pub fn count(&self) -> usize {
+        self.state.requests.get()
+    }
+}
+
+async fn serve(listener: TcpListener, state: Rc<State>) {
+    let address = listener.local_addr().unwrap();
+    while !state.is_crashed.get() {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { break };
+                tokio::task::spawn_local(work(stream, Rc::clone(&state)));
+            }
+            () = state.crashed.notified() => {}
+        }
+    }
+    drop(listener);
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_reuseaddr(true).unwrap();
+    // A port that is not free is refused as well as long as nobody listens there.
+    let _ = socket.bind(address);
+    *state.port.borrow_mut() = Some(socket);
+}
+
+async fn work(mut stream: TcpStream, state: Rc<State>) {
+    socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+    let gone = Rc::clone(&state);
+    tokio::select! {
+        () = answer_all(&mut stream, &state) => {}
+        () = gone.crashed.notified() => {}
+    }
+}
+
+async fn answer_all(stream: &mut TcpStream, state: &Rc<State>) {
+    let mut buffer = Vec::new();
+    while let Some(request) = read_request(stream, &mut buffer).await {
+        state.requests.set(state.requests.get() + 1);
+        let id = request.header("x-id").unwrap_or("-").to_owned();
+        let parts = request.header("x-prefix").unwrap_or_default();
+        let shared = parts.rsplit_once(',').map_or("", |(shared, _)| shared);
+        let is_bad = shared.split(',').any(|part| part == BAD_PART.to_string());
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\ncontent-type: text/event-stream\r\n\
+             transfer-encoding: chunked\r\n\r\n"
+        );
+        if stream.write_all(head.as_bytes()).await.is_err() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        if is_bad {
+            state.is_crashed.set(true);
+            state.crashed.notify_waiters();
+            return;
+        }
+        for event in 1..=6 {
+            let event = format!("id: {event}\ndata: piece {event}\n\n");
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            if stream.write_all(chunk.as_bytes()).await.is_err() {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        if stream.write_all(b"0\r\n\r\n").await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/bergamotpitch-gateway/tests/common/mod.rs
+++ b/crates/bergamotpitch-gateway/tests/common/mod.rs
@@ -11,7 +11,7 @@
 use bergamotpitch_control::traffic::catalogs::{
     Catalog, EngineService, Route, RouteKind, Service, Target, Team,
 };
-use bergamotpitch_control::traffic::facts::RequestFacts;
+use bergamotpitch_control::traffic::facts::{PromptPart, RequestFacts};
 use bergamotpitch_control::traffic::registries::Registration;
 use bergamotpitch_control::traffic::residencies::AllowedRegions;
 use bergamotpitch_gateway::dialects::{AnswerFacts, BadHeader, Dialect, UpstreamHeaders};
@@ -24,6 +24,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
+pub mod crashes;
 pub mod instances;
 
 /// `run` runs a test on one thread with local tasks.
@@ -60,12 +61,18 @@
         attempt_id: text(headers, "x-id").ok_or(BadHeader { name: "id" })?,
         time_budget: number("x-budget-ms").map(Duration::from_millis),
         prompt_tokens: number("x-prompt-tokens").unwrap_or_default(),
+        prefix: text(headers, "x-prefix").map(|list| prompt_parts(&list)).unwrap_or_default(),
         resume_after: text(headers, "last-event-id"),
         resumed_attempt_id: text(headers, "x-resumes"),
         ..RequestFacts::default()
     })
 }
 
+/// Ids of parts of ten tokens each.
+fn prompt_parts(list: &str) -> Vec<PromptPart> {
+    list.split(',').map(|id| PromptPart { id: id.parse().unwrap(), tokens: 10 }).collect()
+}
+
 fn write_upstream_headers(headers: &mut HeaderMap, written: &UpstreamHeaders<'_>) {
     let mut set = |name: &'static str, value: &str| {
         headers.insert(name, HeaderValue::from_str(value).unwrap());
@@ -430,6 +437,16 @@
     request
 }
 
+/// `prompt_of` is a request for a stream that may be resumed, with the parts of its prompt.
+pub fn prompt_of(id: &str, parts: &[u64]) -> Request<Full<Bytes>> {
+    let mut request = request("POST", "/resumed/", id);
+    let list: Vec<String> = parts.iter().map(u64::to_string).collect();
+    let headers = request.headers_mut();
+    headers.insert("x-prefix", HeaderValue::from_str(&list.join(",")).unwrap());
+    headers.insert("x-prompt-tokens", HeaderValue::from(10 * parts.len()));
+    request
+}
+
 /// `ask` sends one request on a connection of its own; `None` when no answer came.
 pub async fn ask(address: SocketAddr, request: Request<Full<Bytes>>) -> Option<Got> {
     let mut sender = connect(address).await;
