--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -12,6 +12,7 @@
 use bergamotpitch_core::ids::{DomainId, InstanceId, RegionId, id_of_name};
 use bergamotpitch_core::units::Timestamp;
 
+use crate::traffic::crash_suspects::{CrashSuspects, Turn, Verdict};
 use crate::traffic::engine_loads::{self, Capacity, RequestNumber, UpstreamLoad};
 use crate::traffic::engine_speeds::EngineSpeed;
 use crate::traffic::evidences::Evidence;
@@ -20,10 +21,11 @@
 use crate::traffic::policies::Policy;
 use crate::traffic::prefixes::KeptParts;
 use crate::traffic::registries::{Registry, Upstream, UpstreamKey};
-use crate::traffic::request_demands::{PrefillPlan, RequestDemand};
+use crate::traffic::request_demands::{PrefillPlan, RequestDemand, rendezvous_weight};
 use crate::traffic::residencies::AllowedRegions;
 use crate::traffic::retry_budgets::{self, RetryBudget};
 use crate::traffic::software_versions::SoftwareVersions;
+use crate::traffic::sound_parts::moment_of;
 use crate::traffic::starts::{StartNote, Starts};
 use crate::traffic::stream_origins::StreamOrigins;
 use crate::traffic::team_windows::{self, ShareClass, TeamWindows};
@@ -130,6 +132,8 @@
     pub software: SoftwareVersions,
     /// Software versions at which streams began.
     pub origins: StreamOrigins,
+    /// Parts of prompts under which upstreams have crashed.
+    pub crash_suspects: CrashSuspects,
     /// Authority over the upstreams of the own failure domain.
     pub authority: Authority,
     /// Listed instances of the fleet, this one among them.
@@ -175,6 +179,7 @@
             starts: Starts::default(),
             software: SoftwareVersions::default(),
             origins: StreamOrigins::default(),
+            crash_suspects: CrashSuspects::default(),
             authority: Authority::Shared(1),
             fleet_size: 1,
             warm_ups: HashMap::default(),
@@ -215,6 +220,7 @@
         self.starts.step(now);
         self.software.step(now);
         self.origins.step(now);
+        self.crash_suspects.step(moment_of(now));
     }
 
     /// `update_software` takes in that upstreams have changed; it returns the services of which more than
@@ -292,10 +298,15 @@
             ShareClass::EvenSurplus => self.options.even_surplus,
             ShareClass::BeyondEven => self.options.beyond_even,
         };
+        let verdict = self.part_verdict(request.service, request.facts, now);
+        if let Verdict::Block(time) = verdict {
+            return Decision::Blocked(time);
+        }
         let candidates = self.candidates(request, now);
         if candidates.is_empty() {
             return Decision::NoUpstream(NO_UPSTREAM_RETRY_AFTER);
         }
+        let preferred = preferred_by_suspect(&verdict, &candidates);
         let demand = self.demand(request, &candidates, now);
         let default_state = UpstreamState::default();
         let mut best: Option<(f64, Placement)> = None;
@@ -313,7 +324,10 @@
             };
             match fit {
                 Fit::Fits => {
-                    let score = candidate.score(request, &self.options.policy);
+                    let score = match Some(upstream.key) == preferred {
+                        true => f64::NEG_INFINITY,
+                        false => candidate.score(request, &self.options.policy),
+                    };
                     if best.as_ref().is_none_or(|(least, _)| score < *least) {
                         best = Some((score, placement_at(&candidate, share_class, now)));
                     }
@@ -331,6 +345,14 @@
         }
     }
 
+    /// `part_verdict` tells where a request may go because of the parts of its prompt.
+    pub fn part_verdict(&self, service: &str, facts: &RequestFacts, now: Timestamp) -> Verdict {
+        if self.crash_suspects.is_empty() || !self.options.policy.crash_suspects {
+            return Verdict::Admit;
+        }
+        self.crash_suspects.verdict(id_of_name(service), facts.shared_parts(), moment_of(now))
+    }
+
     /// `send` takes in that a request goes where [`Traffic::choose_upstream`] placed it.
     pub fn send(
         &mut self,
@@ -518,6 +540,14 @@
     }
 }
 
+/// The upstream that all requests with a suspected part prefer: should they crash it, they crash one
+/// together.
+fn preferred_by_suspect(verdict: &Verdict, candidates: &[&Upstream]) -> Option<UpstreamKey> {
+    let (Verdict::Confine(part) | Verdict::Try(Turn { part, .. })) = verdict else { return None };
+    let weight = |upstream: &&&Upstream| rendezvous_weight(*part, upstream.id_number);
+    candidates.iter().max_by_key(weight).map(|upstream| upstream.key)
+}
+
 fn placement_at(
     candidate: &UpstreamCandidate,
     share_class: ShareClass,
--- a/crates/bergamotpitch-control/src/traffic/placement_queues.rs
+++ b/crates/bergamotpitch-control/src/traffic/placement_queues.rs
@@ -86,6 +86,7 @@
     /// `wait_deadline` returns until when the request may wait after it was not placed.
     pub fn wait_deadline(&self, decision: &Decision) -> Timestamp {
         let fraction = match decision {
+            Decision::Blocked(_) => 0.0,
             Decision::Full {
                 share_class: ShareClass::WithinShare | ShareClass::Underserved,
                 ..
@@ -152,7 +153,7 @@
         for (_, _, number) in due {
             let Some(queued) = self.requests.get_mut(&number) else { continue };
             let decision = place(number, &queued.request, traffic, now);
-            if matches!(decision, Decision::Send(_)) {
+            if matches!(decision, Decision::Send(_) | Decision::Blocked(_)) {
                 self.requests.remove(&number);
                 placed.push((number, decision));
             } else {
--- a/crates/bergamotpitch-control/src/traffic/placement_requests.rs
+++ b/crates/bergamotpitch-control/src/traffic/placement_requests.rs
@@ -71,6 +71,8 @@
     },
     /// No upstream of the service takes work; it is worth asking again at this time.
     NoUpstream(Duration),
+    /// It goes nowhere for this time, as a part of its prompt crashes upstreams.
+    Blocked(Duration),
 }
 
 /// `Headroom` is for how many more requests there is a place.
--- a/crates/bergamotpitch-control/src/traffic/policies.rs
+++ b/crates/bergamotpitch-control/src/traffic/policies.rs
@@ -63,6 +63,8 @@
     pub warm_up_limits: bool,
     /// Upstreams that count as warm are bounded as well, as they may become cold unannounced.
     pub unannounced_warm_ups: bool,
+    /// Prompts with a part under which upstreams crash are refused.
+    pub crash_suspects: bool,
     /// Requests to a second upstream stay within the budget of the whole fleet. Without it none is
     /// sent a second time.
     pub retries: bool,
@@ -94,6 +96,7 @@
             cut_offs: true,
             warm_up_limits: true,
             unannounced_warm_ups: true,
+            crash_suspects: true,
             retries: true,
         }
     }
--- a/crates/bergamotpitch-control/src/traffic/request_demands.rs
+++ b/crates/bergamotpitch-control/src/traffic/request_demands.rs
@@ -178,7 +178,8 @@
     }
 }
 
-fn rendezvous_weight(part: PartId, upstream: UpstreamId) -> u64 {
+/// `rendezvous_weight` orders upstreams for a part of prompts, in the same way at all instances.
+pub fn rendezvous_weight(part: PartId, upstream: UpstreamId) -> u64 {
     let mut hash = part ^ (u64::from(upstream) << 32) ^ u64::from(upstream);
     // Two rounds of a multiplicative mix; with one, neighbouring parts go to the same engine.
     for _ in 0..2 {
--- a/crates/bergamotpitch-control/tests/bound_streams.rs
+++ b/crates/bergamotpitch-control/tests/bound_streams.rs
@@ -16,8 +16,8 @@
         let offered = arrivals(seed, 95.0, 0.7);
         let old = software_id(Some("v1"));
         let mut placed = [0, 0];
-        let is_taken_up = |number: u64| number % 12 == 0;
-        replay(&offered, Fleet::default(), |traffic, request, number, now| {
+        let is_taken_up = |number: u64| number.is_multiple_of(12);
+        let outcome = replay(&offered, Fleet::default(), |traffic, request, number, now| {
             let software = is_taken_up(number).then_some(old);
             let request = PlacementRequest { software, ..*request };
             let placement = place_and_send(traffic, &request, number, now)?;
@@ -29,7 +29,12 @@
         let taken_up = (0..offered.len() as u64).filter(|number| is_taken_up(*number)).count();
         let part = |placed: i32, of: usize| f64::from(placed) / of as f64;
         let (begin, go_on) = (part(placed[0], offered.len() - taken_up), part(placed[1], taken_up));
-        println!("seed {seed}: {begin:.2} of those that begin, {go_on:.2} of those that go on");
+        println!(
+            "seed {seed}: {begin:.2} of those that begin, {go_on:.2} of those that go on, {} in time, \
+             small teams {:.2}",
+            outcome.all_in_time(),
+            outcome.small_teams_in_time(),
+        );
         assert!(begin < 0.9, "the load is too low to tell");
         // What was read and written of a stream before it broke off is lost with it.
         assert!(begin <= go_on, "seed {seed}: {go_on:.2} go on, {begin:.2} begin");
--- a/crates/bergamotpitch-control/tests/stream_origins.rs
+++ b/crates/bergamotpitch-control/tests/stream_origins.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use arbtest::arbtest;
+use bergamotpitch_control::traffic::fleet_members::Members;
 use bergamotpitch_control::traffic::registries::{Change, Registration, Registry};
 use bergamotpitch_control::traffic::software_versions::{
     SoftwareVersions, UNSTATED_SOFTWARE, software_id,
 };
 use bergamotpitch_control::traffic::stream_origins::{
-    Knowledge, KnownOrigin, Members, Origin, Resumption, StreamOrigins, attempt_number,
+    Knowledge, KnownOrigin, Origin, Resumption, StreamOrigins, attempt_number,
 };
 use bergamotpitch_core::ids::{DomainId, InstanceId};
 use bergamotpitch_core::units::Timestamp;
--- a/crates/bergamotpitch-core/src/events.rs
+++ b/crates/bergamotpitch-core/src/events.rs
@@ -82,6 +82,12 @@
     DomainEvacuated = 405,
     /// The evacuation of a failure domain has ended; its upstreams count as just started.
     DomainReturned = 406,
+    /// An upstream has ended while it answered requests.
+    UpstreamCrashed = 407,
+    /// A part of prompts is suspected of crashing upstreams, or blocked.
+    PartSuspected = 408,
+    /// A part of prompts is not suspected any more.
+    PartCleared = 409,
     /// The key-value service is out of reach.
     PlatformLost = 500,
     /// The key-value service answers again.
--- a/crates/bergamotpitch-core/src/refusals.rs
+++ b/crates/bergamotpitch-core/src/refusals.rs
@@ -67,6 +67,8 @@
     StreamVersionUnknown,
     /// No upstream runs the software version that began the stream that the request takes up.
     StreamVersionGone,
+    /// A part of the prompt crashes upstreams.
+    PromptPartBlocked,
     /// The instance is draining.
     Draining,
     /// The instance has no configuration yet.
--- a/crates/bergamotpitch-ctl/src/commands.rs
+++ b/crates/bergamotpitch-ctl/src/commands.rs
@@ -9,7 +9,7 @@
 use crate::events::note_accepted;
 use crate::keys::hash_key;
 use crate::settings::{CtlSettings, parse_router, read_settings};
-use crate::{operators, sheets};
+use crate::{operators, parts, sheets};
 
 mod flags {
     #![allow(missing_docs, reason = "the macro makes items that take no comments")]
@@ -66,6 +66,20 @@
                 required instance: String
             }
 
+            /// Work with parts of prompts that crash upstreams. The routers are named by their metrics
+            /// or relay addresses.
+            cmd part {
+                /// Ask every router which parts it suspects or refuses.
+                cmd list {}
+                /// Let a part in again, at all routers that the first one knows.
+                cmd lift {
+                    /// Service of the prompts.
+                    required service: String
+                    /// Id of the part, in hexadecimal, as `part list` prints it.
+                    required part: String
+                }
+            }
+
             /// Work with bearer keys.
             cmd key {
                 /// Print the hash of a key as the sheet holds it.
@@ -78,7 +92,7 @@
     }
 }
 
-use flags::{BergamotpitchCtl as Flags, BergamotpitchCtlCmd as Command, KeyCmd};
+use flags::{BergamotpitchCtl as Flags, BergamotpitchCtlCmd as Command, KeyCmd, PartCmd};
 
 /// `SheetAction` is what is to be done with a sheet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, EnumString)]
@@ -134,6 +148,10 @@
         Command::Status(_) => operators::status(&settings.routers).await,
         Command::Explain(explain) => operators::explain(&settings.routers, &explain.request).await,
         Command::Drain(drain) => operators::drain(&settings.routers, &drain.instance).await,
+        Command::Part(part) => match part.subcommand {
+            PartCmd::List(_) => parts::list(&settings.routers).await,
+            PartCmd::Lift(lift) => parts::lift(&settings.routers, &lift.service, &lift.part).await,
+        },
         Command::Key(key) => match key.subcommand {
             KeyCmd::Hash(hash) => Ok(format!("{}\n", hash_key(&read_key(hash.key)?))),
         },
--- a/crates/bergamotpitch-ctl/src/lib.rs
+++ b/crates/bergamotpitch-ctl/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod events;
 pub mod keys;
 pub mod operators;
+pub mod parts;
 pub mod settings;
 pub mod sheets;
 
--- a/crates/bergamotpitch-ctl/src/operators.rs
+++ b/crates/bergamotpitch-ctl/src/operators.rs
@@ -183,12 +183,12 @@
 
 /// `RouterAnswer` is what a router said.
 #[derive(Debug)]
-struct RouterAnswer {
-    status: StatusCode,
-    body: String,
+pub(crate) struct RouterAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) body: String,
 }
 
-fn parse_answer<T: DeserializeOwned>(
+pub(crate) fn parse_answer<T: DeserializeOwned>(
     router: &RouterEntry,
     path: &str,
     answer: &RouterAnswer,
@@ -200,7 +200,7 @@
     serde_json::from_str(&answer.body).map_err(|error| router_error(router, path, error))
 }
 
-async fn ask_all(routers: &[RouterEntry], path: &str) -> Vec<Result<RouterAnswer>> {
+pub(crate) async fn ask_all(routers: &[RouterEntry], path: &str) -> Vec<Result<RouterAnswer>> {
     let mut asked = Vec::new();
     for router in routers {
         let (router, path) = (router.clone(), path.to_owned());
@@ -214,7 +214,7 @@
     answers
 }
 
-async fn ask(router: &RouterEntry, method: Method, path: &str) -> Result<RouterAnswer> {
+pub(crate) async fn ask(router: &RouterEntry, method: Method, path: &str) -> Result<RouterAnswer> {
     match tokio::time::timeout(CALL_TIMEOUT, exchange(router, method, path)).await {
         Ok(answer) => answer,
         Err(_) => Err(router_error(router, path, format!("no answer within {CALL_TIMEOUT:?}"))),
@@ -238,7 +238,7 @@
     Ok(RouterAnswer { status, body: String::from_utf8_lossy(&body.to_bytes()).into_owned() })
 }
 
-fn router_error(router: &RouterEntry, path: &str, reason: impl ToString) -> Error {
+pub(crate) fn router_error(router: &RouterEntry, path: &str, reason: impl ToString) -> Error {
     Error::Router {
         router: router.name.clone(),
         address: router.operator_address,
--- a/crates/bergamotpitch-ctl/tests/router_calls.rs
+++ b/crates/bergamotpitch-ctl/tests/router_calls.rs
@@ -6,6 +6,7 @@
 
 use bergamotpitch_ctl::errors::{Error, exit_code};
 use bergamotpitch_ctl::operators::{drain, explain, status};
+use bergamotpitch_ctl::parts;
 use bergamotpitch_ctl::settings::RouterEntry;
 use bergamotpitch_standin::bodies::text_answer;
 use bergamotpitch_standin::servers::{Server, serve};
@@ -24,6 +25,10 @@
     {"time_us":9,"process":"router-1","number":103,"kind":"request_refused",
      "detail":"queue_full"}]}"#;
 
+const PARTS: &str = r#"[
+    {"service":"engines","part":"bad","crashes":2,"is_blocked":true,"blocked_for_ms":900},
+    {"service":"engines","part":"7","crashes":1,"is_blocked":false,"blocked_for_ms":0}]"#;
+
 /// Starts a router's operator port that knows the request `r1` and drains.
 async fn start_operator_port(status: &'static str) -> (Server, RouterEntry) {
     let handler = Arc::new(move |request: Request<Incoming>| {
@@ -31,6 +36,8 @@
             (&Method::GET, "/status") => text_answer(StatusCode::OK, status),
             (&Method::GET, "/explain/r1") => text_answer(StatusCode::OK, EXPLANATION),
             (&Method::GET, "/explain/r2") => text_answer(StatusCode::OK, r#"{"events":[]}"#),
+            (&Method::GET, "/parts") => text_answer(StatusCode::OK, PARTS),
+            (&Method::POST, "/parts/lift") => text_answer(StatusCode::OK, "lifted"),
             (&Method::POST, "/drain") => text_answer(StatusCode::OK, "draining"),
             _ => text_answer(StatusCode::NOT_FOUND, "unknown"),
         };
@@ -60,6 +67,21 @@
     server.close().await;
 }
 
+#[tokio::test]
+async fn crashing_parts() {
+    let (server, router) = start_operator_port(STATUS).await;
+    let text = parts::list(&[silent_router(), router.clone()]).await.unwrap();
+    let lines: Vec<&str> = text.lines().collect();
+    assert!(lines[0].starts_with("router-2: does not answer: "), "{text}");
+    assert_eq!(lines[1], "router-1: engines bad blocked for 900 ms, 2 crashes");
+    assert_eq!(lines[2], "router-1: engines 7 suspected, 1 crashes");
+    let lifted = parts::lift(&[silent_router(), router], "engines", "bad").await.unwrap();
+    assert_eq!(lifted, "router-1: lifted\n");
+    assert!(matches!(parts::list(&[silent_router()]).await, Err(Error::Router { .. })));
+    assert!(matches!(parts::list(&[]).await, Err(Error::NoRouters)));
+    server.close().await;
+}
+
 /// One router cannot reach the platform nor a peer and goes on under an old sheet. An operator who
 /// looks after the morning's sheet must be told.
 #[tokio::test]
--- a/crates/bergamotpitch-gateway/src/attempts.rs
+++ b/crates/bergamotpitch-gateway/src/attempts.rs
@@ -10,10 +10,11 @@
 use bergamotpitch_core::events::EventKind;
 use bergamotpitch_core::refusals::RefusalReason;
 use bergamotpitch_core::units::Timestamp;
+use displaydoc::Display;
 use http::header::CONTENT_LENGTH;
 use http::{Response, StatusCode};
 
-use crate::bodies::{AnswerBody, StreamAnswer, is_event_stream, read_whole};
+use crate::bodies::{AnswerBody, EventSource, StreamAnswer, is_event_stream, read_whole};
 use crate::calls::{BUSY_RETURN, Call};
 use crate::exchanges::{self, Answer, Failure, Reuse};
 use crate::gateways::Gateway;
@@ -57,6 +58,9 @@
     let mut may_have_run = false;
     bind_resumption(gateway, &call).await?;
     loop {
+        if let Err(refusal) = gateway.check_parts(&call) {
+            return Err(after_attempts(refusal, may_have_run));
+        }
         let placed = match place(gateway, &call, &tried).await {
             Ok(placed) => placed,
             Err(refusal) => return Err(after_attempts(refusal, may_have_run)),
@@ -71,9 +75,14 @@
         match attempt(gateway, &call, &placement, &tried, attempts).await {
             Ok(answer) => match pass_on(gateway, &call, run, answer, attempts).await {
                 Ok(response) => return Ok(response),
-                Err(detail) => {
+                Err(unusable) => {
                     may_have_run = true;
-                    note_failure(&call, &placement, gateway, &Failure::Broken { detail });
+                    let is_broken = matches!(unusable, UnusableAnswer::Broken(_));
+                    let failure = Failure::Broken { detail: unusable.to_string() };
+                    note_failure(&call, &placement, gateway, &failure);
+                    if is_broken && !gateway.may_repeat(&call, placement.upstream, true).await {
+                        return Err(final_refusal(gateway, &call, true));
+                    }
                 }
             },
             Err(failure) => {
@@ -103,6 +112,10 @@
                 // An upstream that turns away what fits by the books is worse than others, too.
                 run.complete(true);
                 may_have_run |= ran;
+                let is_broken = matches!(failure, Failure::Broken { .. });
+                if is_broken && !gateway.may_repeat(&call, placement.upstream, false).await {
+                    return Err(final_refusal(gateway, &call, true));
+                }
             }
         }
         attempts += 1;
@@ -114,6 +127,17 @@
     }
 }
 
+/// `UnusableAnswer` is an answer that is not passed on, as the call may be sent again.
+#[derive(Debug, Display)]
+enum UnusableAnswer {
+    /// {0}
+    Broken(String),
+    /// its body did not end in time
+    Late,
+    /// status {0}
+    Failed(StatusCode),
+}
+
 /// Passes an answer on; an answer that breaks off before anything was passed on is an error, after
 /// which a repeatable call may be sent again.
 async fn pass_on(
@@ -122,13 +146,14 @@
     mut run: Run,
     answer: Answer,
     attempts: u32,
-) -> Result<Response<AnswerBody>, String> {
-    let Answer { response, sender, reuse } = answer;
+) -> Result<Response<AnswerBody>, UnusableAnswer> {
+    let Answer { response, sender, reuse, is_framed } = answer;
     let (mut parts, body) = response.into_parts();
     remove_hop_headers(&mut parts.headers);
     if parts.status.is_success() && is_event_stream(&parts.headers) {
         parts.headers.remove(CONTENT_LENGTH);
-        let stream = StreamAnswer::new(gateway, call, run, body, sender, reuse);
+        let source = EventSource { body, sender, reuse, is_framed };
+        let stream = StreamAnswer::new(gateway, call, run, source);
         return Ok(Response::from_parts(parts, AnswerBody::Stream(Box::new(stream))));
     }
     let time = call.deadline.saturating_sub(gateway.now());
@@ -139,11 +164,11 @@
         Ok(Ok(bytes)) => bytes,
         Ok(Err(error)) => {
             run.complete(true);
-            return Err(error);
+            return Err(UnusableAnswer::Broken(error));
         }
         Err(_) => {
             run.complete(true);
-            return Err("its body did not end in time".to_owned());
+            return Err(UnusableAnswer::Late);
         }
     };
     if let Reuse::Idle(idle) = reuse {
@@ -151,8 +176,11 @@
     }
     let is_failure = parts.status.is_server_error();
     run.complete(is_failure);
+    if parts.status.is_success() && is_framed {
+        gateway.note_answered(call, call.arrived + seen);
+    }
     if is_failure && may_go_on(gateway, call, attempts + 1, true) {
-        return Err(format!("status {}", parts.status));
+        return Err(UnusableAnswer::Failed(parts.status));
     }
     decision(
         EventKind::RequestAnswered,
--- a/crates/bergamotpitch-gateway/src/bodies.rs
+++ b/crates/bergamotpitch-gateway/src/bodies.rs
@@ -19,6 +19,7 @@
 use crate::callers::InRequest;
 use crate::calls::Call;
 use crate::connections::Sender;
+use crate::crashes::ANSWERED_TIME;
 use crate::errors::Cut;
 use crate::exchanges::{self, Answer, Reuse};
 use crate::gateways::{Gateway, InFlight};
@@ -93,6 +94,19 @@
 
 type Resumption = Pin<Box<dyn Future<Output = Option<(Run, Answer)>>>>;
 
+/// `EventSource` is an upstream's answer whose events are passed on.
+#[derive(Debug)]
+pub struct EventSource {
+    /// Its body.
+    pub body: Incoming,
+    /// The connection.
+    pub sender: Sender,
+    /// Whether the connection may carry another request.
+    pub reuse: Reuse,
+    /// Whether the body's end is known from the body itself.
+    pub is_framed: bool,
+}
+
 /// `StreamAnswer` passes the events of an upstream on, and goes on at another upstream where the
 /// route allows it.
 pub struct StreamAnswer {
@@ -100,11 +114,12 @@
     call: Rc<Call>,
     run: Option<Run>,
     source: Source,
-    reuse: Reuse,
     cutter: EventCutter,
     resumes: u32,
     first_event: Option<Duration>,
     last_event: Timestamp,
+    begun: Timestamp,
+    is_answered: bool,
     longest_pause: Duration,
     deadline: Pin<Box<Sleep>>,
     _in_flight: InFlight,
@@ -112,32 +127,26 @@
 }
 
 enum Source {
-    Reading(Incoming, Sender),
+    Reading(EventSource),
     Resuming(Resumption),
     Ended,
 }
 
 impl StreamAnswer {
     /// `new` passes on the events of `body`.
-    pub fn new(
-        gateway: &Rc<Gateway>,
-        call: &Rc<Call>,
-        run: Run,
-        body: Incoming,
-        sender: Sender,
-        reuse: Reuse,
-    ) -> Self {
+    pub fn new(gateway: &Rc<Gateway>, call: &Rc<Call>, run: Run, source: EventSource) -> Self {
         let left = call.deadline.saturating_sub(gateway.now());
         Self {
             gateway: Rc::clone(gateway),
             call: Rc::clone(call),
             run: Some(run),
-            source: Source::Reading(body, sender),
-            reuse,
+            source: Source::Reading(source),
             cutter: EventCutter::default(),
             resumes: 0,
             first_event: None,
             last_event: Timestamp::ZERO,
+            begun: Timestamp::ZERO,
+            is_answered: false,
             longest_pause: Duration::ZERO,
             deadline: Box::pin(tokio::time::sleep(left)),
             _in_flight: gateway.enter(),
@@ -157,7 +166,7 @@
         }
         loop {
             match &mut self.source {
-                Source::Reading(body, _) => match Pin::new(body).poll_frame(context) {
+                Source::Reading(source) => match Pin::new(&mut source.body).poll_frame(context) {
                     Poll::Pending => return Poll::Pending,
                     Poll::Ready(Some(Ok(frame))) => {
                         let Ok(data) = frame.into_data() else { continue };
@@ -205,25 +214,42 @@
             self.gateway.note_life(run.key());
             let now = self.gateway.now();
             match self.first_event {
-                None => self.first_event = Some(seen),
+                None => {
+                    self.first_event = Some(seen);
+                    self.begun = now;
+                }
                 Some(_) => {
                     let pause = now.saturating_sub(self.last_event);
                     self.longest_pause = self.longest_pause.max(pause);
                 }
             }
             self.last_event = now;
+            if self.begun + ANSWERED_TIME <= now {
+                self.note_answered();
+            }
         }
         Some(events)
     }
 
+    fn note_answered(&mut self) {
+        if !std::mem::replace(&mut self.is_answered, true) {
+            self.gateway.note_answered(&self.call, self.last_event);
+        }
+    }
+
     fn end(&mut self) {
         let source = std::mem::replace(&mut self.source, Source::Ended);
         let Some(run) = self.run.take() else { return };
         let key = run.key();
         run.complete(false);
         self.gateway.forget_origin(&self.call);
-        if let (Source::Reading(_, sender), Reuse::Idle(idle)) = (source, self.reuse) {
-            self.gateway.keep_connection(key, sender, idle);
+        if let Source::Reading(EventSource { sender, reuse, is_framed, .. }) = source {
+            if is_framed && self.first_event.is_some() {
+                self.note_answered();
+            }
+            if let Reuse::Idle(idle) = reuse {
+                self.gateway.keep_connection(key, sender, idle);
+            }
         }
         let first_event = self.first_event.unwrap_or_default();
         self.gateway.metrics.count_answer(first_event);
@@ -292,8 +318,9 @@
             ),
         );
         self.run = Some(run);
-        self.reuse = answer.reuse;
-        self.source = Source::Reading(answer.response.into_body(), answer.sender);
+        let Answer { response, sender, reuse, is_framed } = answer;
+        let body = response.into_body();
+        self.source = Source::Reading(EventSource { body, sender, reuse, is_framed });
     }
 
     fn cut(&mut self, cut: Cut) -> Option<Result<Frame<Bytes>, Cut>> {
@@ -338,6 +365,11 @@
     last: Option<String>,
 ) -> Option<(Run, Answer)> {
     let tried: Vec<_> = broken.into_iter().collect();
+    if let Some(broken) = broken
+        && !gateway.may_repeat(&call, broken, true).await
+    {
+        return None;
+    }
     let placed = place(&gateway, &call, &tried).await.ok()?;
     let run = Run::open(&gateway, &placed);
     gateway.note_origin(&call, placed.placement.upstream);
--- a/crates/bergamotpitch-gateway/src/exchanges.rs
+++ b/crates/bergamotpitch-gateway/src/exchanges.rs
@@ -7,7 +7,7 @@
 use bergamotpitch_control::traffic::registries::UpstreamKey;
 use bergamotpitch_core::units::Timestamp;
 use bytes::Bytes;
-use http::header::{CONNECTION, HOST};
+use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -26,6 +26,9 @@
     pub sender: Sender,
     /// How long the upstream keeps the connection when idle; `None` when it closes it.
     pub reuse: Reuse,
+    /// Whether its body has a length or comes in chunks; else it ends with its connection, and nothing
+    /// tells whether that was its end.
+    pub is_framed: bool,
 }
 
 /// `Reuse` tells whether a connection may carry another request.
@@ -163,7 +166,10 @@
         return Err(Failure::NotRun { status: response.status() });
     }
     let reuse = if closes { Reuse::Never } else { Reuse::Idle(stated_idle(response.headers())) };
-    Ok(Answer { response, sender, reuse })
+    let is_framed = [CONTENT_LENGTH, TRANSFER_ENCODING]
+        .iter()
+        .any(|name| response.headers().contains_key(name));
+    Ok(Answer { response, sender, reuse, is_framed })
 }
 
 /// An answer that echoes another id was meant for an earlier request on this connection. Only the
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -10,6 +10,7 @@
 use bergamotpitch_control::traffic::catalogs::{CallerLimits, Catalog, CatalogVersion, Team};
 use bergamotpitch_control::traffic::concurrency_limits;
 use bergamotpitch_control::traffic::facts::RequestFacts;
+use bergamotpitch_control::traffic::fleet_members::Members;
 use bergamotpitch_control::traffic::registries::UpstreamKey;
 use bergamotpitch_control::traffic::team_windows::ShareClass;
 use bergamotpitch_core::HashMap;
@@ -21,6 +22,7 @@
 use crate::callers::{self, CallerConnection};
 use crate::calls::Call;
 use crate::connections::{Pools, Sender};
+use crate::crashes::Crashes;
 use crate::dialects::Dialect;
 use crate::dispatchers::LocalPlacements;
 use crate::errors::{Error, Result};
@@ -67,6 +69,8 @@
     pub metrics: Metrics,
     /// Peers.
     pub peers: RefCell<Peers>,
+    /// The instances besides this one, by failure domain.
+    pub(crate) members: RefCell<Members>,
     /// At which upstreams each peer told of requests in hand.
     pub told_upstreams: RefCell<HashMap<InstanceId, Vec<UpstreamKey>>>,
     /// Instances that tell this one something and are not among its peers.
@@ -77,6 +81,8 @@
     pub local_placements: LocalPlacements,
     /// Requests of this instance on which others decide.
     pub remote_placements: RemotePlacements,
+    /// What it knows of upstreams that crashed.
+    pub(crate) crashes: Crashes,
     /// What it tells others of its streams, and asks them about theirs.
     pub(crate) origins: Origins,
     /// Where messages of other instances come in and go out.
@@ -148,10 +154,12 @@
             team_counters: TeamCounters::default(),
             metrics,
             peers: RefCell::default(),
+            members: RefCell::default(),
             told_upstreams: RefCell::default(),
             unknown_peers: UnknownPeers::default(),
             local_placements: LocalPlacements::default(),
             remote_placements: RemotePlacements::default(),
+            crashes: Crashes::default(),
             origins: Origins::default(),
             datagrams,
             catalog: RefCell::default(),
--- a/crates/bergamotpitch-gateway/src/headrooms.rs
+++ b/crates/bergamotpitch-gateway/src/headrooms.rs
@@ -46,7 +46,7 @@
                 matches!(share_class, ShareClass::WithinShare | ShareClass::Underserved)
             }
             Decision::NoUpstream(_) => true,
-            Decision::Send(_) => return None,
+            Decision::Send(_) | Decision::Blocked(_) => return None,
         };
         let now = self.now();
         let peers = self.peers.borrow();
--- a/crates/bergamotpitch-gateway/src/heartbeats.rs
+++ b/crates/bergamotpitch-gateway/src/heartbeats.rs
@@ -48,6 +48,7 @@
 pub fn send_heartbeat(gateway: &Gateway, sequence: u64) {
     gateway.confirm_grants(gateway.now());
     gateway.drop_lapsed_grants();
+    gateway.tell_suspects(sequence);
     if gateway.role().dispatcher.is_none() {
         let receivers = round_robin_peers(gateway, sequence);
         send_to(gateway, &receivers, || heartbeat_to_all(gateway), sequence);
@@ -118,7 +119,8 @@
     receivers
 }
 
-fn remote_deciders(gateway: &Gateway) -> Vec<SocketAddr> {
+/// `remote_deciders` returns where the instances of other domains that decide there are told of load.
+pub(crate) fn remote_deciders(gateway: &Gateway) -> Vec<SocketAddr> {
     let peers = gateway.peers.borrow();
     let remote = remote_peers(gateway, &peers.values().collect::<Vec<_>>());
     remote.into_iter().map(|peer| peer.beat_address).collect()
--- a/crates/bergamotpitch-gateway/src/lib.rs
+++ b/crates/bergamotpitch-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod callers;
 pub mod calls;
 pub mod connections;
+pub mod crashes;
 pub mod dialects;
 pub mod dispatchers;
 pub mod drains;
--- a/crates/bergamotpitch-gateway/src/messages.rs
+++ b/crates/bergamotpitch-gateway/src/messages.rs
@@ -63,6 +63,12 @@
     OriginQuery(OriginQuery),
     /// What is known of it.
     OriginReply(OriginReply),
+    /// Crashes of upstreams that count against parts of prompts.
+    Crashes(Vec<CrashLine>),
+    /// Parts of prompts that were answered, or that operators let in again.
+    AnsweredParts(Vec<AnsweredLine>),
+    /// Lives of upstreams that were taken for crashed and are not.
+    LivingUpstreams(Vec<UpstreamId>),
 }
 
 /// `Heartbeat` is what one instance tells of itself.
@@ -295,6 +301,11 @@
         /// When it is worth asking again.
         after_ms: u32,
     },
+    /// It goes nowhere, as a part of its prompt crashes upstreams.
+    Blocked {
+        /// When it may be let in again.
+        after_ms: u32,
+    },
     /// This instance cannot decide on it.
     Declined,
 }
@@ -415,6 +426,34 @@
     pub line: Option<OriginLine>,
 }
 
+/// `CrashLine` is one crash that counts against one part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashLine {
+    /// The service.
+    pub service: ServiceId,
+    /// The part of prompts for it.
+    pub part: PartId,
+    /// The life of the upstream that crashed.
+    pub life: UpstreamId,
+    /// Whether an answer on the part had begun there.
+    pub has_begun: bool,
+    /// Time since the crash.
+    pub age_ms: u32,
+}
+
+/// `AnsweredLine` tells that a part was answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnsweredLine {
+    /// The service.
+    pub service: ServiceId,
+    /// The part of prompts for it.
+    pub part: PartId,
+    /// Time since it was answered.
+    pub age_ms: u32,
+    /// Whether an operator let it in again instead; it may crash upstreams all the same.
+    pub is_lifted: bool,
+}
+
 /// `MessageError` tells why a datagram is no message.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 pub enum MessageError {
@@ -549,6 +588,7 @@
                 least_requests: *least_requests,
             },
             Decision::NoUpstream(after) => Self::NoUpstream { after_ms: millis(*after) },
+            Decision::Blocked(after) => Self::Blocked { after_ms: millis(*after) },
         })
     }
 }
--- a/crates/bergamotpitch-gateway/src/metrics.rs
+++ b/crates/bergamotpitch-gateway/src/metrics.rs
@@ -48,10 +48,14 @@
     pub unanswered_asks: Count,
     /// Connections of callers that were only told to come back.
     pub callers_turned_away: Count,
+    /// Upstreams that ended while they answered requests.
+    pub upstream_crashes: Count,
     sums_age_s: Gauge<f64>,
     cold_upstreams: Gauge<u64>,
     evacuated_requests: Gauge<u64>,
     stream_origins: Gauge<u64>,
+    suspected_parts: Gauge<u64>,
+    blocked_parts: Gauge<u64>,
     registry: Registry,
     _provider: SdkMeterProvider,
     refusals: Counter<u64>,
@@ -99,6 +103,10 @@
                 "bergamotpitch_callers_turned_away",
                 "Connections of callers that were only told to come back",
             ),
+            upstream_crashes: count(
+                "bergamotpitch_upstream_crashes",
+                "Upstreams that ended while they answered requests",
+            ),
             connections_opened: count(
                 "bergamotpitch_connections_opened",
                 "Connections opened to upstreams",
@@ -115,6 +123,14 @@
                 .u64_gauge("bergamotpitch_stream_origins")
                 .with_description("Streams of which the software version that began them is known")
                 .build(),
+            suspected_parts: meter
+                .u64_gauge("bergamotpitch_suspected_parts")
+                .with_description("Parts of prompts under which an upstream has crashed")
+                .build(),
+            blocked_parts: meter
+                .u64_gauge("bergamotpitch_blocked_parts")
+                .with_description("Parts of prompts that are refused, as they crash upstreams")
+                .build(),
             sums_age_s: meter
                 .f64_gauge("bergamotpitch_team_sums_age_seconds")
                 .with_description("Age of the oldest sums of other instances on teams that count")
@@ -159,6 +175,12 @@
         self.stream_origins.record(count as u64, &[]);
     }
 
+    /// `note_suspects` takes in how many parts of prompts are suspected, and how many of them blocked.
+    pub fn note_suspects(&self, suspected: usize, blocked: usize) {
+        self.suspected_parts.record(suspected as u64, &[]);
+        self.blocked_parts.record(blocked as u64, &[]);
+    }
+
     /// `count_answer` counts an answer with the time to its first event, or to itself.
     pub fn count_answer(&self, time: Duration) {
         self.answer_s.record(time.as_secs_f64(), &[]);
--- a/crates/bergamotpitch-gateway/src/origins.rs
+++ b/crates/bergamotpitch-gateway/src/origins.rs
@@ -13,7 +13,7 @@
 use bergamotpitch_control::traffic::registries::UpstreamKey;
 use bergamotpitch_control::traffic::software_versions::UNSTATED_SOFTWARE;
 use bergamotpitch_control::traffic::stream_origins::{
-    AttemptNumber, Knowledge, KnownOrigin, Members, Origin, Resumption, attempt_number,
+    AttemptNumber, Knowledge, KnownOrigin, Origin, Resumption, attempt_number,
 };
 use bergamotpitch_core::HashMap;
 use bergamotpitch_core::events::EventKind;
@@ -57,7 +57,6 @@
 /// `Origins` is what this instance tells others of its streams and asks them about theirs.
 #[derive(Debug, Default)]
 pub struct Origins {
-    members: RefCell<Members>,
     untold: RefCell<HashMap<InstanceId, Vec<KnownOrigin>>>,
     is_flush_scheduled: Cell<bool>,
     queries: RefCell<HashMap<u64, Rc<Query>>>,
@@ -80,13 +79,6 @@
 }
 
 impl Gateway {
-    /// `replace_members` takes in which instances there are besides this one.
-    pub(crate) fn replace_members(&self) {
-        let peers = self.peers.borrow();
-        let members = peers.iter().map(|(peer, known)| (*peer, id_of_name(&known.address.domain)));
-        *self.origins.members.borrow_mut() = Members::new(members);
-    }
-
     /// `are_versions_mixed` tells whether upstreams of more than one software version serve, or did
     /// lately.
     pub(crate) fn are_versions_mixed(&self, service: &str) -> bool {
@@ -142,7 +134,7 @@
 
     fn queue_origin(&self, known: KnownOrigin) {
         let own_domain = id_of_name(&self.options.admission.domain);
-        let keepers = self.origins.members.borrow().keepers(known.attempt, own_domain);
+        let keepers = self.members.borrow().keepers(known.attempt, own_domain);
         if keepers.is_empty() {
             return;
         }
@@ -212,7 +204,7 @@
             return Found { known: Some(known), ..Found::default() };
         }
         let addresses: Vec<_> = {
-            let keepers = self.origins.members.borrow().likely_keepers(attempt);
+            let keepers = self.members.borrow().likely_keepers(attempt);
             keepers.into_iter().filter_map(|keeper| self.beat_address_of(keeper)).collect()
         };
         if addresses.is_empty() || QUERIES_MAX <= self.origins.queries.borrow().len() {
--- a/crates/bergamotpitch-gateway/src/peers.rs
+++ b/crates/bergamotpitch-gateway/src/peers.rs
@@ -8,7 +8,8 @@
 use bergamotpitch_control::traffic::catalogs::CatalogVersion;
 use bergamotpitch_control::traffic::dispatchers::Candidate;
 use bergamotpitch_control::traffic::evacuations::EvacuationVersion;
-use bergamotpitch_core::ids::{Incarnation, InstanceId};
+use bergamotpitch_control::traffic::fleet_members::Members;
+use bergamotpitch_core::ids::{Incarnation, InstanceId, id_of_name};
 use bergamotpitch_core::units::Timestamp;
 use bergamotpitch_core::{HashMap, HashSet};
 use tokio::sync::Notify;
@@ -217,7 +218,10 @@
         let others: Vec<_> =
             addresses.into_iter().filter(|address| address.instance != own).collect();
         replace_peers(&mut self.peers.borrow_mut(), others, self.now());
-        self.replace_members();
+        let peers = self.peers.borrow();
+        let members = peers.iter().map(|(peer, known)| (*peer, id_of_name(&known.address.domain)));
+        *self.members.borrow_mut() = Members::new(members);
+        drop(peers);
         self.update_role();
         self.note_peers_listed();
     }
--- a/crates/bergamotpitch-gateway/src/placements.rs
+++ b/crates/bergamotpitch-gateway/src/placements.rs
@@ -56,6 +56,9 @@
             };
             (refusal_reason(share_class), after, inputs)
         }
+        Decision::Blocked(after) => {
+            return Err(Refusal::not_run(RefusalReason::PromptPartBlocked, after));
+        }
         Decision::NoUpstream(_) if !gateway.has_bound_upstream(call) => {
             return Err(Refusal::not_resumable(RefusalReason::StreamVersionGone));
         }
@@ -180,7 +183,7 @@
 
     /// `may_send` tells whether a call may still be sent where it was placed.
     pub(crate) fn may_send(&self, call: &Call, placement: &Placement) -> bool {
-        if placement.has_lapsed(self.now()) {
+        if placement.has_lapsed(self.now()) || self.is_part_blocked(call) {
             return false;
         }
         let regions = self.allowed_regions(call);
--- a/crates/bergamotpitch-gateway/src/probes.rs
+++ b/crates/bergamotpitch-gateway/src/probes.rs
@@ -3,8 +3,9 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 
+use bergamotpitch_control::traffic::facts::PartId;
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -20,6 +21,12 @@
 /// `METRICS_PATH` is where metrics are read.
 pub const METRICS_PATH: &str = "/metrics";
 
+/// `PARTS_PATH` is where operators see which parts of prompts are suspected of crashing upstreams.
+pub const PARTS_PATH: &str = "/parts";
+
+/// `LIFT_PATH` is where operators let one in again, named in the query by `service` and `part`.
+pub const LIFT_PATH: &str = "/parts/lift";
+
 /// `Port` tells what a port serves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Port {
@@ -62,10 +69,38 @@
             respond_with(StatusCode::OK, Bytes::from(gateway.metrics.text()))
         }
         (Port::Inner, DOCUMENTS_PATH) => gateway.answer_of_query(request.uri().query()).response(),
+        (Port::Inner, PARTS_PATH) => respond_with_parts(gateway),
+        (Port::Inner, LIFT_PATH) if request.method() == Method::POST => lift(gateway, request),
         (Port::Inner, _) => respond_with(StatusCode::NOT_FOUND, Bytes::new()),
     }
 }
 
+fn respond_with_parts(gateway: &Gateway) -> Response<Full<Bytes>> {
+    match serde_json::to_vec(&gateway.part_reports()) {
+        Ok(body) => respond_with(StatusCode::OK, Bytes::from(body)),
+        Err(error) => {
+            log::warn!("event=parts_not_encoded error={error}");
+            respond_with(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+        }
+    }
+}
+
+fn lift(gateway: &Gateway, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let query = request.uri().query().unwrap_or_default();
+    let value_of =
+        |name: &str| query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
+    let part = value_of("part").and_then(|part| PartId::from_str_radix(part, 16).ok());
+    let (Some(service), Some(part)) = (value_of("service"), part) else {
+        let body = Bytes::from_static(b"name service=NAME and part=HEX in the query");
+        return respond_with(StatusCode::BAD_REQUEST, body);
+    };
+    let body = match gateway.lift_part(service, part) {
+        true => "lifted",
+        false => "nothing was known against it here; all instances are told",
+    };
+    respond_with(StatusCode::OK, Bytes::from_static(body.as_bytes()))
+}
+
 fn respond_with(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(body));
     *response.status_mut() = status;
--- a/crates/bergamotpitch-gateway/src/received_messages.rs
+++ b/crates/bergamotpitch-gateway/src/received_messages.rs
@@ -56,6 +56,9 @@
         Body::Origins(lines) => gateway.handle_origins(&lines),
         Body::OriginQuery(query) => gateway.handle_origin_query(instance, &query),
         Body::OriginReply(reply) => gateway.handle_origin_reply(&reply),
+        Body::Crashes(lines) => gateway.handle_crashes(&lines),
+        Body::AnsweredParts(lines) => gateway.handle_answered_parts(&lines),
+        Body::LivingUpstreams(lives) => gateway.handle_living_upstreams(&lives),
     }
 }
 
@@ -72,12 +75,15 @@
         return;
     }
     let Some(heartbeat) = peer.parts.add(incarnation, heartbeat) else { return };
-    if peer.latest.0 != incarnation {
-        log::info!("event=300 name=peer_joined peer={instance} incarnation={incarnation}");
-    }
+    let has_joined = peer.latest.0 != incarnation;
+    let address = peer.address.beat_address;
     let now = gateway.now();
     peer.update(incarnation, &heartbeat, now);
     drop(peers);
+    if has_joined {
+        log::info!("event=300 name=peer_joined peer={instance} incarnation={incarnation}");
+        gateway.tell_suspects_to(address);
+    }
     apply_heartbeat(gateway, instance, &heartbeat, now);
 }
 
--- a/crates/bergamotpitch-gateway/src/remote_placements.rs
+++ b/crates/bergamotpitch-gateway/src/remote_placements.rs
@@ -224,6 +224,7 @@
                 least_requests: *least_requests,
             }),
             ReplyOutcome::NoUpstream { after_ms } => Some(Decision::NoUpstream(after(*after_ms))),
+            ReplyOutcome::Blocked { after_ms } => Some(Decision::Blocked(after(*after_ms))),
             ReplyOutcome::Waits | ReplyOutcome::HandedOver { .. } | ReplyOutcome::Declined => None,
         }
     }
--- a/crates/bergamotpitch-gateway/src/upstreams.rs
+++ b/crates/bergamotpitch-gateway/src/upstreams.rs
@@ -96,6 +96,7 @@
             ),
             Change::Gone(key, id) => {
                 self.pools.close_all_of(*key);
+                self.forget_probe(*key);
                 self.store_updates.relay.borrow_mut().upstream_gone(id);
                 decision(EventKind::UpstreamGone, format_args!("upstream={id}"));
             }
@@ -134,12 +135,15 @@
         if let Some(report) = facts.load {
             traffic.load(key).reported(report, now);
         }
+        drop(traffic);
+        self.note_alive(key, now);
     }
 
     /// `note_life` takes in that bytes came from an upstream.
     pub fn note_life(&self, key: UpstreamKey) {
         let now = self.now();
         self.traffic.borrow_mut().note_life(key, now, now);
+        self.note_alive(key, now);
     }
 
     /// `note_unreachable` takes in that an upstream took no connection.
--- a/crates/bergamotpitch-gateway/tests/common/instances.rs
+++ b/crates/bergamotpitch-gateway/tests/common/instances.rs
@@ -104,6 +104,7 @@
     options.admission.domain = domain.to_owned();
     options.admission.retries.fixed = 100.0;
     options.instance = next_instance();
+    options.incarnation = 1;
     options
 }
 
@@ -117,7 +118,7 @@
         instance: gateway.options.instance,
         domain: gateway.options.admission.domain.clone(),
         beat_address: gateway.options.beat_address,
-        relay_address: gateway.options.beat_address,
+        relay_address: gateway.options.relay_addresses[0],
         processor_millis: 1_000,
     }
 }
--- a/crates/bergamotpitch-gateway/tests/crashing_parts.rs
+++ b/crates/bergamotpitch-gateway/tests/crashing_parts.rs
@@ -7,7 +7,11 @@
 use bergamotpitch_control::traffic::registries::Registration;
 use common::crashes::{BAD_PART, CrashingUpstream};
 use common::instances::{Instance, introduce};
-use common::{ask, prompt_of, registration, run, start};
+use common::{
+    Act, FakeUpstream, Script, ask, event, prompt_of, registration, run, start, stream_head,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// The rule allows few requests more once five engines have crashed under a part.
 const CRASHES_MAX: usize = 5;
@@ -17,8 +21,9 @@
     vec![1, 100 + number % 3, 10_000 + number]
 }
 
+/// The same with the bad one at a place.
 fn bad_parts(number: u64, place: usize) -> Vec<u64> {
-    let mut parts = sound_parts(20_000 + number);
+    let mut parts = sound_parts(number);
     parts.insert(place, BAD_PART);
     parts
 }
@@ -66,6 +71,7 @@
                 tokio::time::sleep(Duration::from_millis(40)).await;
             }
             let crashed = crashed(&engines);
+            println!("part in place {place}: {crashed} engines crashed");
             assert!(crashed <= CRASHES_MAX, "{crashed} engines crashed, part in place {place}");
             assert_eq!(served, 24, "sound requests were not served");
         }
@@ -83,3 +89,112 @@
         assert_eq!(crashed(&engines), 1);
     });
 }
+
+/// Guards against parts that are blocked because connections are reset, links are cut, answers are garbled
+/// or upstreams leave: none of these is a crash.
+#[test]
+fn other_faults() {
+    run(async {
+        let reset = || vec![stream_head(), Act::Pause(Duration::from_millis(5)), Act::Reset];
+        let scripts: [Script; 4] = [
+            Box::new(move |_| reset()),
+            Box::new(|_| vec![stream_head(), Act::Write("zz\r\n".to_owned()), Act::Close]),
+            Box::new(|_| vec![stream_head(), event(1), Act::Close]),
+            Box::new(|_| vec![stream_head(), Act::Write("8\r\nid: 1\nda\r\n0\r\n\r\n".to_owned())]),
+        ];
+        for (kind, script) in scripts.into_iter().enumerate() {
+            let upstream = FakeUpstream::start(script).await;
+            let (gateway, address) = start(&[&upstream]).await;
+            for number in 0..8 {
+                ask(address, prompt_of(&format!("{kind}-{number}"), &bad_parts(number, 1))).await;
+            }
+            assert!(8 <= upstream.count(), "fault {kind}: only {} were sent", upstream.count());
+            assert!(gateway.traffic.borrow().crash_suspects.is_empty(), "fault {kind}");
+        }
+        let engines = engines(6).await;
+        let (gateway, address) = start(&[]).await;
+        for engine in listed(&engines) {
+            gateway.upstream_listed(engine.clone());
+            let asked = tokio::task::spawn_local(ask(address, prompt_of("b", &bad_parts(1, 1))));
+            tokio::time::sleep(Duration::from_millis(8)).await;
+            gateway.upstream_listed(Registration { is_leaving: true, ..engine });
+            asked.await.unwrap();
+        }
+        assert_eq!(crashed(&engines), 6, "each of them left while it ended");
+        assert!(gateway.traffic.borrow().crash_suspects.is_empty());
+    });
+}
+
+/// Guards against an instance that starts after the crashes, and lets two more engines crash to learn it.
+#[test]
+fn late_instance() {
+    run(async {
+        let engines = engines(6).await;
+        let first = Instance::start();
+        first.list(&listed(&engines)).await;
+        for number in 0..4 {
+            ask(first.address, prompt_of(&format!("b{number}"), &bad_parts(number, 1))).await;
+            tokio::time::sleep(Duration::from_millis(120)).await;
+        }
+        assert_eq!(crashed(&engines), 2);
+        let late = Instance::start();
+        late.list(&listed(&engines)).await;
+        introduce(&[&first, &late]).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let refusal = ask(late.address, prompt_of("late", &bad_parts(9, 1))).await.unwrap();
+        assert_eq!((refusal.status, crashed(&engines)), (503, 2));
+        assert!(refusal.body.contains("prompt_part_blocked"), "{}", refusal.body);
+        let sound = ask(late.address, prompt_of("sound", &sound_parts(9))).await.unwrap();
+        assert!(sound.is_whole);
+    });
+}
+
+/// An operator lets a part in again, which is known to all instances; it is blocked again by the next two
+/// crashes.
+#[test]
+fn lifted_part() {
+    run(async {
+        let engines = engines(6).await;
+        let instances = [Instance::start(), Instance::start()];
+        introduce(&[&instances[0], &instances[1]]).await;
+        for instance in &instances {
+            instance.list(&listed(&engines)).await;
+        }
+        let mut number = 0;
+        let mut ask_bad = async |instance: &Instance| {
+            number += 1;
+            let sound = prompt_of(&format!("s{number}"), &sound_parts(number));
+            assert!(ask(instance.address, sound).await.unwrap().is_whole);
+            tokio::time::sleep(Duration::from_millis(120)).await;
+            ask(instance.address, prompt_of(&format!("b{number}"), &bad_parts(number, 1))).await
+        };
+        for instance in [&instances[0], &instances[1], &instances[0]] {
+            ask_bad(instance).await;
+        }
+        assert_eq!(crashed(&engines), 2);
+        let parts = call_port(instances[0].peer.relay_address, "GET /parts").await;
+        let listed = format!(
+            "\"service\":\"all\",\"part\":\"{BAD_PART:x}\",\"crashes\":2,\"is_blocked\":true"
+        );
+        assert!(parts.contains(&listed), "{parts}");
+        let lift = format!("POST /parts/lift?service=all&part={BAD_PART:x}");
+        let lifted = call_port(instances[0].peer.relay_address, &lift).await;
+        assert!(lifted.ends_with("lifted"), "{lifted}");
+        for _ in 0..3 {
+            ask_bad(&instances[1]).await;
+        }
+        assert_eq!(crashed(&engines), 4);
+        let refused = call_port(instances[0].peer.relay_address, "POST /parts/lift?part=zz").await;
+        assert!(refused.starts_with("HTTP/1.1 400"), "{refused}");
+    });
+}
+
+/// Calls an instance's own port and returns all that it answers.
+async fn call_port(address: std::net::SocketAddr, line: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let request = format!("{line} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    answer
+}
--- a/crates/bergamotpitch-gateway/tests/dispatched_requests.rs
+++ b/crates/bergamotpitch-gateway/tests/dispatched_requests.rs
@@ -13,15 +13,16 @@
 use bergamotpitch_control::traffic::software_versions::software_id;
 use bergamotpitch_control::traffic::team_windows::ShareClass;
 use bergamotpitch_control::traffic::warm_ups::GRANT_VALIDITY;
-use bergamotpitch_core::ids::InstanceId;
+use bergamotpitch_core::ids::{InstanceId, id_of_name};
 use bergamotpitch_gateway::Gateway;
 use bergamotpitch_gateway::messages::{
-    Body, Message, PlacementRequestBody, ProgressEvent, Reply, ReplyOutcome, decode, encode,
+    Body, CrashLine, Message, PlacementRequestBody, ProgressEvent, Reply, ReplyOutcome, decode,
+    encode,
 };
 use bergamotpitch_gateway::peers::PeerAddress;
 use common::{
-    Act, FakeUpstream, ask, event, events_text, prompt, registration, request, run, start_small,
-    stream_end, stream_head, whole,
+    Act, FakeUpstream, ask, event, events_text, prompt, prompt_of, registration, request, run,
+    start_small, stream_end, stream_head, whole,
 };
 use tokio::net::UdpSocket;
 
@@ -78,7 +79,10 @@
     }
 
     async fn reply(&self, number: RequestNumber, outcome: ReplyOutcome) {
-        let body = Body::Reply(Reply { number, outcome });
+        self.send(Body::Reply(Reply { number, outcome })).await;
+    }
+
+    async fn send(&self, body: Body) {
         let bytes = encode(&Message { instance: self.instance, incarnation: 1, body }).unwrap();
         self.socket.send_to(&bytes, self.gateway).await.unwrap();
     }
@@ -269,3 +273,59 @@
         assert_eq!((new.count(), other.count()), (0, 1));
     });
 }
+
+fn crashes(lives: [u32; 2], age_ms: u32) -> Body {
+    let line =
+        |life| CrashLine { service: id_of_name("all"), part: 7, life, has_begun: true, age_ms };
+    let [first, second] = lives.map(line);
+    Body::Crashes(vec![first, CrashLine { age_ms: age_ms + 500, ..second }])
+}
+
+/// Guards against a request that reaches an engine although the part of its prompt which crashes engines
+/// became known after it had been placed, or that waits for a dispatcher which knows it.
+#[test]
+fn blocked_under_way() {
+    run(async {
+        let upstream = FakeUpstream::start(Box::new(|_| vec![whole("200 OK", "done")])).await;
+        let (gateway, address, dispatcher, remote) = domain_of_two(&upstream).await;
+        let caller = tokio::task::spawn_local(ask(address, prompt_of("a", &[1, 7, 20])));
+        let first = dispatcher.next_placement_request().await;
+        dispatcher.reply(first.number, ReplyOutcome::Blocked { after_ms: 9_000 }).await;
+        let refused = caller.await.unwrap().unwrap();
+        assert_eq!(
+            (refused.status, refused.headers["retry-after"].to_str().unwrap()),
+            (503, "9.000")
+        );
+        let caller = tokio::task::spawn_local(ask(address, prompt_of("b", &[1, 7, 21])));
+        let second = dispatcher.next_placement_request().await;
+        remote.send(crashes([901, 902], 10)).await;
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        dispatcher.reply(second.number, granted(&gateway)).await;
+        let refused = caller.await.unwrap().unwrap();
+        assert!(refused.body.contains("prompt_part_blocked"), "{}", refused.body);
+        assert_eq!((refused.status, upstream.count()), (503, 0));
+    });
+}
+
+/// Guards against parts that stay blocked as an instance whose links were refused took living upstreams for
+/// crashed.
+#[test]
+fn refuted_crash() {
+    run(async {
+        let upstream = FakeUpstream::start(Box::new(|_| vec![whole("200 OK", "done")])).await;
+        let (gateway, address, _dispatcher, remote) = domain_of_two(&upstream).await;
+        let life = {
+            let registry = &gateway.traffic.borrow().registry;
+            registry.get(registry.key_of("u0").unwrap()).unwrap().life_number
+        };
+        remote.send(crashes([life, 902], 300)).await;
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        assert_eq!(ask(address, prompt_of("a", &[1, 7, 20])).await.unwrap().status, 503);
+        assert_eq!(ask(address, prompt_of("b", &[1, 8, 21])).await.unwrap().status, 200);
+        let lives = remote
+            .next(|body| if let Body::LivingUpstreams(lives) = body { Some(lives) } else { None })
+            .await;
+        assert_eq!(lives, [life]);
+        assert_eq!(ask(address, prompt_of("c", &[1, 7, 22])).await.unwrap().status, 200);
+    });
+}
--- a/crates/bergamotpitch-router/src/refusals.rs
+++ b/crates/bergamotpitch-router/src/refusals.rs
@@ -81,6 +81,7 @@
         | RefusalReason::NoAllowedRegion
         | RefusalReason::StreamVersionUnknown
         | RefusalReason::StreamVersionGone
+        | RefusalReason::PromptPartBlocked
         | RefusalReason::Draining
         | RefusalReason::NotReady
         | RefusalReason::ClaimUnavailable
@@ -103,6 +104,7 @@
         RefusalReason::NoAllowedRegion => "The route and the team have no region in common.",
         RefusalReason::StreamVersionUnknown => "The software version of the stream is not known.",
         RefusalReason::StreamVersionGone => "No upstream runs the software version of the stream.",
+        RefusalReason::PromptPartBlocked => "A part of the prompt crashes upstreams.",
         RefusalReason::Draining => "This instance is leaving.",
         RefusalReason::NotReady => "This instance has no configuration yet.",
         RefusalReason::ClaimUnavailable => "The idempotency key cannot be claimed now.",
