Take an answer without length for whole only while its upstream lives

Callers could get half of an answer, or a stream without its end, as if it were complete: an upstream that had stated no length and sent no chunks crashed, and the end of its connection looked like the end of its answer.

Cause: the end of the connection was believed at any place but within an event. Change: where an answer ends with its connection, the upstream is asked for another one; if it refuses and does not leave, it has crashed, and the answer broke off there.

--- a/crates/bergamotpitch-gateway/src/attempts.rs
+++ b/crates/bergamotpitch-gateway/src/attempts.rs
@@ -161,6 +161,10 @@
     let seen = run.begun();
     let key = run.key();
     let bytes = match whole {
+        Ok(Ok(_)) if !is_framed && gateway.has_ended(key).await => {
+            run.complete(true);
+            return Err(UnusableAnswer::Broken("its upstream ended with it".to_owned()));
+        }
         Ok(Ok(bytes)) => bytes,
         Ok(Err(error)) => {
             run.complete(true);
--- a/crates/bergamotpitch-gateway/src/bodies.rs
+++ b/crates/bergamotpitch-gateway/src/bodies.rs
@@ -92,6 +92,8 @@
     limited.collect().await.map(|body| body.to_bytes()).map_err(|error| error.to_string())
 }
 
+type Verification = Pin<Box<dyn Future<Output = bool>>>;
+
 type Resumption = Pin<Box<dyn Future<Output = Option<(Run, Answer)>>>>;
 
 /// `EventSource` is an upstream's answer whose events are passed on.
@@ -128,6 +130,8 @@
 
 enum Source {
     Reading(EventSource),
+    /// The answer ended with its connection; whether its upstream has ended too is looked at.
+    Verifying(EventSource, Verification),
     Resuming(Resumption),
     Ended,
 }
@@ -174,10 +178,11 @@
                             return Poll::Ready(Some(Ok(Frame::data(events))));
                         }
                     }
-                    Poll::Ready(None) if self.cutter.is_at_boundary() => {
+                    Poll::Ready(None) if self.cutter.is_at_boundary() && source.is_framed => {
                         self.end();
                         return Poll::Ready(None);
                     }
+                    Poll::Ready(None) if self.cutter.is_at_boundary() => self.verify_end(),
                     Poll::Ready(None) => {
                         if let Some(cut) = self.broken("it ended within an event") {
                             return Poll::Ready(cut);
@@ -190,6 +195,18 @@
                         }
                     }
                 },
+                Source::Verifying(_, verification) => match verification.as_mut().poll(context) {
+                    Poll::Pending => return Poll::Pending,
+                    Poll::Ready(true) => {
+                        if let Some(cut) = self.broken("its upstream ended with it") {
+                            return Poll::Ready(cut);
+                        }
+                    }
+                    Poll::Ready(false) => {
+                        self.end();
+                        return Poll::Ready(None);
+                    }
+                },
                 Source::Resuming(resumption) => match resumption.as_mut().poll(context) {
                     Poll::Pending => return Poll::Pending,
                     Poll::Ready(Some((run, answer))) => self.go_on(run, answer),
@@ -237,13 +254,23 @@
         }
     }
 
+    /// An answer that ends with its connection is whole unless its upstream ended.
+    fn verify_end(&mut self) {
+        let source = std::mem::replace(&mut self.source, Source::Ended);
+        let (Source::Reading(source), Some(run)) = (source, &self.run) else { return };
+        let (gateway, upstream) = (Rc::clone(&self.gateway), run.key());
+        let verification = async move { gateway.has_ended(upstream).await };
+        self.source = Source::Verifying(source, Box::pin(verification));
+    }
+
     fn end(&mut self) {
         let source = std::mem::replace(&mut self.source, Source::Ended);
         let Some(run) = self.run.take() else { return };
         let key = run.key();
         run.complete(false);
         self.gateway.forget_origin(&self.call);
-        if let Source::Reading(EventSource { sender, reuse, is_framed, .. }) = source {
+        if let Source::Reading(source) | Source::Verifying(source, _) = source {
+            let EventSource { sender, reuse, is_framed, .. } = source;
             if is_framed && self.first_event.is_some() {
                 self.note_answered();
             }
--- a/crates/bergamotpitch-gateway/src/crashes.rs
+++ b/crates/bergamotpitch-gateway/src/crashes.rs
@@ -222,6 +222,12 @@
         known.leaving.is_none().then_some((known.life_number, known.registration.address))
     }
 
+    /// `has_ended` tells whether an upstream that does not leave has ended.
+    pub(crate) async fn has_ended(self: &Rc<Self>, upstream: UpstreamKey) -> bool {
+        let Some((_, address)) = self.life_that_stays(upstream) else { return false };
+        self.has_crashed(upstream, address).await
+    }
+
     /// Whether an upstream whose answer broke off refuses connections.
     async fn has_crashed(self: &Rc<Self>, upstream: UpstreamKey, address: SocketAddr) -> bool {
         let known = self.crashes.probes.borrow().get(&upstream).cloned();
--- a/crates/bergamotpitch-gateway/tests/common/crashes.rs
+++ b/crates/bergamotpitch-gateway/tests/common/crashes.rs
@@ -9,7 +9,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
 
-use super::read_request;
+use super::{events_text, read_request};
 
 /// `BAD_PART` crashes each upstream.
 pub const BAD_PART: u64 = 0xbad;
@@ -22,8 +22,19 @@
     state: Rc<State>,
 }
 
+/// `Ending` is how an upstream crashes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Ending {
+    /// Under [`BAD_PART`], with all connections reset.
+    #[default]
+    Reset,
+    /// Under any request, after some of an answer without a length, with its connections closed in order.
+    Unframed,
+}
+
 #[derive(Default)]
 struct State {
+    ending: Ending,
     requests: Cell<usize>,
     is_crashed: Cell<bool>,
     crashed: Notify,
@@ -34,9 +45,14 @@
 impl CrashingUpstream {
     /// `start` listens.
     pub async fn start() -> Self {
+        Self::start_ending(Ending::Reset).await
+    }
+
+    /// `start_ending` listens, and crashes in a certain way.
+    pub async fn start_ending(ending: Ending) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let state = Rc::new(State::default());
+        let state = Rc::new(State { ending, ..State::default() });
         tokio::task::spawn_local(serve(listener, Rc::clone(&state)));
         Self { address, state }
     }
@@ -72,7 +88,9 @@
 }
 
 async fn work(mut stream: TcpStream, state: Rc<State>) {
-    socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+    if state.ending == Ending::Reset {
+        socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+    }
     let gone = Rc::clone(&state);
     tokio::select! {
         () = answer_all(&mut stream, &state) => {}
@@ -87,6 +105,19 @@
         let id = request.header("x-id").unwrap_or("-").to_owned();
         let parts = request.header("x-prefix").unwrap_or_default();
         let shared = parts.rsplit_once(',').map_or("", |(shared, _)| shared);
+        if state.ending == Ending::Unframed {
+            let is_stream = !request.head.starts_with("GET");
+            let kind = if is_stream { "text/event-stream" } else { "text/plain" };
+            let body = if is_stream { events_text(1, 3) } else { "half".to_owned() };
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\ncontent-type: {kind}\r\n\r\n{body}"
+            );
+            // The caller may have left.
+            let _ = stream.write_all(answer.as_bytes()).await;
+            state.is_crashed.set(true);
+            state.crashed.notify_waiters();
+            return;
+        }
         let is_bad = shared.split(',').any(|part| part == BAD_PART.to_string());
         let head = format!(
             "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\ncontent-type: text/event-stream\r\n\
--- a/crates/bergamotpitch-gateway/tests/event_streams.rs
+++ b/crates/bergamotpitch-gateway/tests/event_streams.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use common::crashes::{CrashingUpstream, Ending};
 use common::{Act, FakeUpstream, ask, event, request, run, start, stream_end, stream_head};
 
 fn events(from: u32, to: u32) -> Vec<Act> {
@@ -100,3 +101,38 @@
         assert_eq!(first.into_data().unwrap(), text(1, 1));
     });
 }
+
+/// Guards against a stream that passes for complete, as its engine crashed at the end of an event and had
+/// not said how long the answer is.
+#[test]
+fn crash_without_length() {
+    run(async {
+        let crashing = CrashingUpstream::start_ending(Ending::Unframed).await;
+        let rest = |_| [vec![stream_head()], events(4, 6), vec![stream_end()]].concat();
+        let good = FakeUpstream::start(Box::new(rest)).await;
+        let (gateway, address) = start(&[]).await;
+        gateway.upstream_listed(common::registration("crashing", crashing.address));
+        gateway.upstream_listed(common::registration("good", good.address));
+        let got = ask(address, request("POST", "/resumed/", "one")).await.unwrap();
+        assert_eq!((got.body, got.is_whole), (text(1, 6), true));
+        let alone = CrashingUpstream::start_ending(Ending::Unframed).await;
+        let (gateway, address) = start(&[]).await;
+        gateway.upstream_listed(common::registration("alone", alone.address));
+        let got = ask(address, request("POST", "/stream/", "two")).await.unwrap();
+        assert_eq!((got.body, got.is_whole), (text(1, 3), false));
+    });
+}
+
+/// An engine that lives may end its answer with the connection.
+#[test]
+fn end_of_connection() {
+    run(async {
+        let head =
+            "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\ncontent-type: text/event-stream\r\n\r\n";
+        let script = move |_| vec![Act::Write(format!("{head}{}", text(1, 3))), Act::Close];
+        let upstream = FakeUpstream::start(Box::new(script)).await;
+        let (_, address) = start(&[&upstream]).await;
+        let got = ask(address, request("POST", "/stream/", "one")).await.unwrap();
+        assert_eq!((got.body, got.is_whole), (text(1, 3), true));
+    });
+}
--- a/crates/bergamotpitch-gateway/tests/whole_answers.rs
+++ b/crates/bergamotpitch-gateway/tests/whole_answers.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use bergamotpitch_control::traffic::catalogs::RouteKind;
-use common::{Act, FakeUpstream, ask, not_run, request, run, start, whole};
+use common::crashes::{CrashingUpstream, Ending};
+use common::{Act, FakeUpstream, ask, not_run, registration, request, run, start, whole};
 
 /// All is well: the answer goes through as it is.
 #[test]
@@ -135,3 +136,23 @@
         assert!(got.body.contains("\"ran\":\"not_run\""), "{}", got.body);
     });
 }
+
+/// Guards against half of an answer that passes for whole, as its upstream crashed and had not said how
+/// long it is.
+#[test]
+fn crash_without_length() {
+    run(async {
+        let crashing = CrashingUpstream::start_ending(Ending::Unframed).await;
+        let good = FakeUpstream::start(Box::new(|_| vec![whole("200 OK", "all of it")])).await;
+        let (gateway, address) = start(&[]).await;
+        gateway.upstream_listed(registration("crashing", crashing.address));
+        gateway.upstream_listed(registration("good", good.address));
+        let got = ask(address, request("GET", "/safe/", "one")).await.unwrap();
+        assert_eq!((got.status, got.body.as_str()), (200, "all of it"));
+        let alone = CrashingUpstream::start_ending(Ending::Unframed).await;
+        let (gateway, address) = start(&[]).await;
+        gateway.upstream_listed(registration("alone", alone.address));
+        let got = ask(address, request("GET", "/once/", "two")).await.unwrap();
+        assert_eq!(got.status, 502);
+    });
+}
