Block a part by how unlikely its crashes are, and let explained ones not count

Cause: two crashes blocked a part, whatever else was answered.

Change: what ends engines by chance ends requests with any part alike. A part is blocked from 6 bits of certainty on, k * log2(1 + n/k) for k crashes and n requests without it that were answered since the first: two crashes and 14 answers. One that was answered in the last minute takes four crashes and 12 bits, and five crashes block any, as there may be nothing to compare with. Crash lines tell the answers. Crashes at which a blocked part was in hand that a request lacks do not count against the parts of that request, also where those were in hand at others besides. Only crashes at trials make a block longer.

The probes of upstreams that may have ended moved to a file of their own.

--- a/crates/bergamotpitch-control/src/traffic.rs
+++ b/crates/bergamotpitch-control/src/traffic.rs
@@ -7,6 +7,7 @@
 pub mod admissions;
 pub mod catalogs;
 pub mod concurrency_limits;
+pub mod crash_evidence;
 pub mod crash_suspects;
 pub mod dispatchers;
 pub mod engine_loads;
--- a/crates/bergamotpitch-control/src/traffic/crash_suspects.rs
+++ b/crates/bergamotpitch-control/src/traffic/crash_suspects.rs
@@ -3,7 +3,7 @@
 //! Load pattern: each engine that begins to answer a prompt with a certain part crashes, and takes the
 //! streams of all others with it. Such prompts come at any instance, beside sound ones that share all of
 //! their other parts. One crash tells little: dozens of requests were in hand there. A part is found by
-//! what upstreams that crashed one after the other had begun to answer, and by what none has ever
+//! what upstreams that crashed one after the other had begun to answer, while requests without it were
 //! answered; a part that is answered once is sound.
 
 use std::time::Duration;
@@ -11,44 +11,14 @@
 use bergamotpitch_core::ids::{ServiceId, UpstreamId};
 use bergamotpitch_core::{HashMap, HashSet};
 
+pub use crate::traffic::crash_evidence::Evidence;
+use crate::traffic::crash_evidence::{BEGUN_WEIGHT, CrashRecord, WAITING_WEIGHT};
 use crate::traffic::facts::PartId;
 use crate::traffic::sound_parts::{Moment, SoundParts};
 
 /// `PartKey` names a part of the prompts for one service.
 pub type PartKey = (ServiceId, PartId);
 
-/// `CLUSTER_MS` is the time within which upstreams that end count as one crash: what ended them
-/// together is not a prompt.
-const CLUSTER_MS: Moment = 100;
-
-/// `BEGUN_WEIGHT` is what a crash weighs against a part whose answer had just begun there, and
-/// [`WAITING_WEIGHT`] against one that still waited, as far as its instance could see.
-const BEGUN_WEIGHT: u32 = 2;
-
-/// `WAITING_WEIGHT` see [`BEGUN_WEIGHT`].
-const WAITING_WEIGHT: u32 = 1;
-
-/// `BLOCK_WEIGHT` is the weight at which a part is blocked that no upstream answered lately.
-const BLOCK_WEIGHT: u32 = 2 * BEGUN_WEIGHT;
-
-/// `BLOCK_WEIGHT_OF_SOUND` is the same for a part that was answered before: it may have gone bad, or may
-/// have been in hand at each of several crashes, as many requests hold it.
-const BLOCK_WEIGHT_OF_SOUND: u32 = 4 * BEGUN_WEIGHT;
-
-/// `SOUND_SPAN_MS` is the least time between the first and the last crash under such a part. Requests that
-/// hold it are answered elsewhere meanwhile, if it is sound.
-const SOUND_SPAN_MS: Moment = 1_000;
-
-/// `FIRST_BLOCK_MS` is for how long a part is blocked at first; each further crash makes it
-/// [`BLOCK_GROWTH`] times as long.
-const FIRST_BLOCK_MS: Moment = 30_000;
-
-/// `BLOCK_GROWTH` see [`FIRST_BLOCK_MS`].
-const BLOCK_GROWTH: Moment = 4;
-
-/// `LONGEST_BLOCK_MS` bounds it.
-const LONGEST_BLOCK_MS: Moment = 32 * 60_000;
-
 /// `TRIAL_WINDOW_MS` is for how long one instance may try a part whose block is over, before the next one
 /// may: it may be gone, or get no request with the part.
 pub const TRIAL_WINDOW_MS: Moment = 5_000;
@@ -62,26 +32,10 @@
 /// `SUSPECTS_MAX` bounds the table; parts with the least evidence give way.
 const SUSPECTS_MAX: usize = 1_024;
 
-/// `EVIDENCE_MAX` bounds the crashes that are kept of one part; the first ones tell nothing more.
-const EVIDENCE_MAX: usize = 16;
-
 /// `RETRACTION_DELAY_MS` is the time after which a byte of an upstream shows that it did not crash; what was
 /// under way may be read until then.
 const RETRACTION_DELAY_MS: Moment = 250;
 
-/// `Evidence` is one crash that counts against one part.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Evidence {
-    /// The part.
-    pub part: PartKey,
-    /// The life of the upstream that crashed: seen by several instances, it is one crash.
-    pub life: UpstreamId,
-    /// Whether its answer had begun there.
-    pub has_begun: bool,
-    /// When the upstream crashed.
-    pub at: Moment,
-}
-
 /// `Verdict` tells where a request may go because of the parts of its prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -113,6 +67,14 @@
     pub part: PartKey,
     /// Crashes that count against it.
     pub crashes: usize,
+    /// Whether an answer on it had begun at one of them.
+    pub has_begun: bool,
+    /// The upstream of the last of them.
+    pub last_life: UpstreamId,
+    /// When that was.
+    pub last_at: Moment,
+    /// Requests without it that were answered since the first of them.
+    pub answers: u64,
     /// Until when it is blocked; `None` while it is only suspected.
     pub blocked_until: Option<Moment>,
 }
@@ -128,13 +90,17 @@
     /// of the time before counts no more.
     lifted: HashMap<PartKey, Moment>,
     alive: HashMap<UpstreamId, Moment>,
+    /// Requests that were answered here, by service.
+    answers: HashMap<ServiceId, u64>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Suspect {
-    /// In order of time.
-    evidence: Vec<Evidence>,
-    was_sound: bool,
+    record: CrashRecord,
+    /// Requests that had been answered here before the first crash.
+    answers_before: u64,
+    /// Requests that were answered since then at another instance.
+    answers_told: u64,
 }
 
 impl CrashSuspects {
@@ -143,35 +109,31 @@
         self.suspects.is_empty()
     }
 
-    /// `note_crash` takes in a crash that counts against a part; it tells whether that was news.
-    pub fn note_crash(&mut self, evidence: Evidence) -> bool {
-        let Evidence { part, life, has_begun, at } = evidence;
+    /// `note_crash` takes in a crash that counts against a part, and how many requests without the part have
+    /// been answered since the first one at whoever tells of it; it tells whether the crash was news.
+    pub fn note_crash(&mut self, evidence: Evidence, answers: u64) -> bool {
+        let Evidence { part, life, at, .. } = evidence;
         let sound_at = self.sound.answered_at(part);
-        let refuted_at =
-            [sound_at, self.lifted.get(&part).copied(), self.alive.get(&life).copied()];
+        let lifted_at = self.lifted.get(&part).copied();
+        let alive_at = self.alive.get(&life).copied();
+        let refuted_at = [sound_at, lifted_at, alive_at];
         if refuted_at.into_iter().flatten().any(|refuted_at| at <= refuted_at) {
             return false;
         }
         if !self.suspects.contains_key(&part) && SUSPECTS_MAX <= self.suspects.len() {
             self.drop_weakest();
         }
-        let suspect = self.suspects.entry(part).or_default();
-        suspect.was_sound |= suspect.evidence.is_empty() && sound_at.is_some();
-        if let Some(known) = suspect.evidence.iter_mut().find(|known| known.life == life) {
-            let is_news = has_begun && !known.has_begun;
-            known.has_begun |= has_begun;
-            return is_news;
-        }
+        let answers_before = self.answers.get(&part.0).copied().unwrap_or_default();
+        let suspect = self.suspects.entry(part).or_insert_with(|| {
+            let record = CrashRecord::new(sound_at.is_some());
+            Suspect { record, answers_before, answers_told: 0 }
+        });
+        suspect.answers_told = suspect.answers_told.max(answers);
         self.crashed.insert(life);
-        let place = suspect.evidence.partition_point(|known| known.at <= at);
-        suspect.evidence.insert(place, evidence);
-        if EVIDENCE_MAX < suspect.evidence.len() {
-            suspect.evidence.remove(0);
-        }
-        true
+        suspect.record.add(evidence)
     }
 
-    /// `note_answered` takes in that requests with these parts were answered, up to a time; it returns the
+    /// `note_answered` takes in that a request with these parts was answered, up to a time; it returns the
     /// parts that were suspected.
     pub fn note_answered(
         &mut self,
@@ -179,14 +141,15 @@
         parts: impl Iterator<Item = PartId>,
         at: Moment,
     ) -> Vec<PartKey> {
-        let mut cleared = Vec::new();
-        for part in parts.map(|part| (service, part)) {
-            self.sound.note(part, at);
-            if !self.suspects.is_empty() && self.clear(part, at) {
-                cleared.push(part);
-            }
-        }
-        cleared
+        *self.answers.entry(service).or_default() += 1;
+        let parts = parts.map(|part| (service, part));
+        parts.filter(|part| self.note_sound(*part, at)).collect()
+    }
+
+    /// `note_sound` takes in that a part was answered up to a time; it tells whether it was suspected.
+    pub fn note_sound(&mut self, part: PartKey, at: Moment) -> bool {
+        self.sound.note(part, at);
+        !self.suspects.is_empty() && self.clear(part, at)
     }
 
     /// `lift` lets a part in again until upstreams crash under it anew; it tells whether anything counted
@@ -196,14 +159,13 @@
         self.clear(part, at)
     }
 
-    /// `clear` drops what counts against a part up to a time; it tells whether there was anything.
     fn clear(&mut self, part: PartKey, at: Moment) -> bool {
+        let answers = self.answers.get(&part.0).copied().unwrap_or_default();
         let Some(suspect) = self.suspects.get_mut(&part) else { return false };
-        let before = suspect.evidence.len();
-        suspect.evidence.retain(|evidence| at < evidence.at);
-        let is_cleared = suspect.evidence.len() < before;
-        suspect.was_sound = true;
-        if suspect.evidence.is_empty() {
+        let is_cleared = suspect.record.retain(|evidence| at < evidence.at);
+        suspect.record.was_sound = true;
+        (suspect.answers_before, suspect.answers_told) = (answers, 0);
+        if suspect.record.evidence().is_empty() {
             self.suspects.remove(&part);
         }
         is_cleared
@@ -219,9 +181,8 @@
             |evidence: &Evidence| evidence.life == life && evidence.at + RETRACTION_DELAY_MS <= now;
         let mut was_crashed = false;
         self.suspects.retain(|_, suspect| {
-            was_crashed |= suspect.evidence.iter().any(is_refuted);
-            suspect.evidence.retain(|evidence| !is_refuted(evidence));
-            !suspect.evidence.is_empty()
+            was_crashed |= suspect.record.retain(|evidence| !is_refuted(evidence));
+            !suspect.record.evidence().is_empty()
         });
         if was_crashed {
             self.crashed.remove(&life);
@@ -230,9 +191,9 @@
         was_crashed
     }
 
-    /// `verdict` tells where a request with these parts may go. A part counts as blocked only where the
-    /// request holds all parts that may have crashed the same upstreams instead: sound requests that share
-    /// one of them are let in, and clear it.
+    /// `verdict` tells where a request with these parts may go. Crashes that a blocked part explains which
+    /// the request does not hold do not count against its own: sound requests that share all other parts
+    /// are let in, and clear them.
     pub fn verdict(
         &self,
         service: ServiceId,
@@ -242,57 +203,70 @@
         let suspected: Vec<(PartId, &Suspect)> =
             parts.filter_map(|part| Some((part, self.suspects.get(&(service, part))?))).collect();
         let verdicts = suspected.iter().map(|(part, suspect)| {
-            let verdict = suspect.verdict(*part, now);
-            match verdict {
-                Verdict::Block(_) | Verdict::Try(_)
-                    if self.has_other_cause(service, suspect, &suspected) =>
-                {
-                    Verdict::Confine(*part)
-                }
-                _ => verdict,
+            let answers = self.answers_since(service, suspect);
+            if suspect.record.blocked_until(answers).is_none() {
+                return verdict_of(&suspect.record, answers, *part, now);
             }
+            let mut unexplained = suspect.record.clone();
+            unexplained.retain(|evidence| !self.is_explained(service, evidence.life, &suspected));
+            verdict_of(&unexplained, answers, *part, now)
         });
         verdicts.max_by_key(Verdict::severity).unwrap_or(Verdict::Admit)
     }
 
-    /// Whether a part that a request does not hold was in hand wherever the suspect was.
-    fn has_other_cause(
+    /// Whether a blocked part that a request does not hold had begun to be answered at an upstream that
+    /// crashed.
+    fn is_explained(
         &self,
         service: ServiceId,
-        suspect: &Suspect,
+        life: UpstreamId,
         held: &[(PartId, &Suspect)],
     ) -> bool {
-        let others = self.suspects.iter().filter(|((of_service, part), _)| {
-            *of_service == service && held.iter().all(|(other, _)| other != part)
-        });
-        let is_in_hand = |other: &Suspect, life: UpstreamId| {
-            other.evidence.iter().any(|evidence| evidence.life == life && evidence.has_begun)
-        };
-        let mut others = others.map(|(_, other)| other);
-        others.any(|other| suspect.evidence.iter().all(|evidence| is_in_hand(other, evidence.life)))
+        self.suspects.iter().any(|((of_service, part), other)| {
+            *of_service == service
+                && held.iter().all(|(held, _)| held != part)
+                && other.record.has_begun_at(life)
+                && other.record.blocked_until(self.answers_since(service, other)).is_some()
+        })
+    }
+
+    fn answers_since(&self, service: ServiceId, suspect: &Suspect) -> u64 {
+        let answers = self.answers.get(&service).copied().unwrap_or_default();
+        answers.saturating_sub(suspect.answers_before).max(suspect.answers_told)
     }
 
     /// `suspicions` returns what is known against each part, in no order.
     pub fn suspicions(&self) -> Vec<Suspicion> {
-        let suspicion = |(part, suspect): (&PartKey, &Suspect)| Suspicion {
-            part: *part,
-            crashes: suspect.evidence.len(),
-            blocked_until: suspect.blocked_until(),
-        };
-        self.suspects.iter().map(suspicion).collect()
+        self.suspects.iter().map(|(part, suspect)| self.suspicion(*part, suspect)).collect()
     }
 
     /// `suspicion_of` returns what is known against one part.
     pub fn suspicion_of(&self, part: PartKey) -> Option<Suspicion> {
-        let suspect = self.suspects.get(&part)?;
-        let (crashes, blocked_until) = (suspect.evidence.len(), suspect.blocked_until());
-        Some(Suspicion { part, crashes, blocked_until })
+        self.suspects.get(&part).map(|suspect| self.suspicion(part, suspect))
     }
 
-    /// `begun_evidence` returns the crashes that other instances are told again and again.
-    pub fn begun_evidence(&self) -> impl Iterator<Item = &Evidence> {
-        let all = self.suspects.values().flat_map(|suspect| &suspect.evidence);
-        all.filter(|evidence| evidence.has_begun)
+    fn suspicion(&self, part: PartKey, suspect: &Suspect) -> Suspicion {
+        let answers = self.answers_since(part.0, suspect);
+        let evidence = suspect.record.evidence();
+        Suspicion {
+            part,
+            crashes: evidence.len(),
+            has_begun: evidence.iter().any(|evidence| evidence.has_begun),
+            last_life: evidence.last().map_or(0, |evidence| evidence.life),
+            last_at: suspect.record.last_at(),
+            answers,
+            blocked_until: suspect.record.blocked_until(answers),
+        }
+    }
+
+    /// `begun_evidence` returns the crashes that other instances are told again and again, with how many
+    /// requests without the part were answered since the first one.
+    pub fn begun_evidence(&self) -> Vec<(Evidence, u64)> {
+        let all = self.suspects.iter().flat_map(|((service, _), suspect)| {
+            let answers = self.answers_since(*service, suspect);
+            suspect.record.evidence().iter().map(move |evidence| (*evidence, answers))
+        });
+        all.filter(|(evidence, _)| evidence.has_begun).collect()
     }
 
     /// `step` forgets crashes that are long past.
@@ -305,20 +279,44 @@
             self.crashed.clear();
             return;
         }
-        self.suspects.retain(|_, suspect| !suspect.is_forgotten(now));
+        let answers = &self.answers;
+        self.suspects.retain(|(service, _), suspect| {
+            let answers = answers.get(service).copied().unwrap_or_default();
+            now <= suspect.forgotten_at(answers)
+        });
     }
 
     fn drop_weakest(&mut self) {
-        let weakest = self
-            .suspects
-            .iter()
-            .min_by_key(|(part, suspect)| (suspect.weight(), suspect.last_at(), **part));
+        let weakest = self.suspects.iter().min_by_key(|(part, suspect)| {
+            (suspect.record.weight(), suspect.record.last_at(), **part)
+        });
         if let Some(part) = weakest.map(|(part, _)| *part) {
             self.suspects.remove(&part);
         }
     }
 }
 
+impl Suspect {
+    fn forgotten_at(&self, answers: u64) -> Moment {
+        let answers = answers.saturating_sub(self.answers_before).max(self.answers_told);
+        let is_weak = self.record.weight() <= WAITING_WEIGHT;
+        let memory = if is_weak { WAITING_MEMORY_MS } else { EVIDENCE_MEMORY_MS };
+        self.record.blocked_until(answers).unwrap_or(self.record.last_at()) + memory
+    }
+}
+
+fn verdict_of(record: &CrashRecord, answers: u64, part: PartId, now: Moment) -> Verdict {
+    let Some(blocked_until) = record.blocked_until(answers) else {
+        let is_confined = !record.was_sound && BEGUN_WEIGHT <= record.weight();
+        return if is_confined { Verdict::Confine(part) } else { Verdict::Admit };
+    };
+    if now < blocked_until {
+        return Verdict::Block(Duration::from_millis((blocked_until - now) as u64));
+    }
+    let place = ((now - blocked_until) / TRIAL_WINDOW_MS) as usize;
+    Verdict::Try(Turn { part, round: record.weight(), place })
+}
+
 impl Verdict {
     fn severity(&self) -> u8 {
         match self {
@@ -329,57 +327,3 @@
         }
     }
 }
-
-impl Suspect {
-    fn verdict(&self, part: PartId, now: Moment) -> Verdict {
-        let Some(blocked_until) = self.blocked_until() else {
-            let is_confined = !self.was_sound && BEGUN_WEIGHT <= self.weight();
-            return if is_confined { Verdict::Confine(part) } else { Verdict::Admit };
-        };
-        if now < blocked_until {
-            return Verdict::Block(Duration::from_millis((blocked_until - now) as u64));
-        }
-        let place = ((now - blocked_until) / TRIAL_WINDOW_MS) as usize;
-        Verdict::Try(Turn { part, round: self.weight(), place })
-    }
-
-    fn blocked_until(&self) -> Option<Moment> {
-        let weight = self.weight();
-        let (first, last) = (self.evidence.first()?.at, self.evidence.last()?.at);
-        let block_weight = match self.was_sound {
-            true if last < first + SOUND_SPAN_MS => return None,
-            true => BLOCK_WEIGHT_OF_SOUND,
-            false => BLOCK_WEIGHT,
-        };
-        let further = weight.checked_sub(block_weight)? / BEGUN_WEIGHT;
-        let growth = BLOCK_GROWTH.saturating_pow(further);
-        Some(last + FIRST_BLOCK_MS.saturating_mul(growth).min(LONGEST_BLOCK_MS))
-    }
-
-    /// The sum over crashes; upstreams that ended together count once.
-    fn weight(&self) -> u32 {
-        let mut weight = 0;
-        let mut cluster: Option<(Moment, u32)> = None;
-        for evidence in &self.evidence {
-            let own = if evidence.has_begun { BEGUN_WEIGHT } else { WAITING_WEIGHT };
-            match &mut cluster {
-                Some((first, most)) if evidence.at < *first + CLUSTER_MS => *most = own.max(*most),
-                _ => {
-                    weight += cluster.map_or(0, |(_, most)| most);
-                    cluster = Some((evidence.at, own));
-                }
-            }
-        }
-        weight + cluster.map_or(0, |(_, most)| most)
-    }
-
-    fn last_at(&self) -> Moment {
-        self.evidence.last().map_or(0, |evidence| evidence.at)
-    }
-
-    fn is_forgotten(&self, now: Moment) -> bool {
-        let memory =
-            if self.weight() <= WAITING_WEIGHT { WAITING_MEMORY_MS } else { EVIDENCE_MEMORY_MS };
-        self.blocked_until().unwrap_or(self.last_at()) + memory < now
-    }
-}
--- a/crates/bergamotpitch-gateway/src/crashes.rs
+++ b/crates/bergamotpitch-gateway/src/crashes.rs
@@ -1,12 +1,7 @@
-//! Crashes: how this instance notices that an upstream has ended, and what instances tell each other of
-//! the parts of prompts under which it did.
-//!
-//! An answer that breaks off is no crash: connections are reset, links are cut and upstreams leave. An
-//! upstream that does not leave has crashed when it refuses connections right after; bytes that come
-//! from it later show that it has not.
-
-use std::cell::{Cell, RefCell};
-use std::io::ErrorKind;
+//! Crashes: which requests are refused because of parts of their prompts under which upstreams crash, and
+//! what instances tell each other of them.
+
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,10 +18,9 @@
 use bergamotpitch_core::refusals::RefusalReason;
 use bergamotpitch_core::units::Timestamp;
 use serde::Serialize;
-use tokio::sync::Notify;
 
 use crate::calls::Call;
-use crate::connections::connect;
+use crate::crash_probes::Probe;
 use crate::gateways::Gateway;
 use crate::heartbeats::{domain_peers, remote_deciders, standby_peers};
 use crate::logs::decision;
@@ -41,17 +35,11 @@
 /// use all the time, and the next answer on it tells more than a crash.
 const FRESH_ANSWER_MS: Moment = 1_000;
 
-/// `PROBES_MAX` is how many connections are made to an upstream to find out whether it has ended.
-const PROBES_MAX: usize = 2;
-
-/// `PROBE_HOLD` is for how long such a connection must stay open.
-const PROBE_HOLD: Duration = Duration::from_millis(20);
-
 /// `TRIAL_WINDOW` is the time for one instance to try a part whose block is over.
 const TRIAL_WINDOW: Duration = Duration::from_millis(TRIAL_WINDOW_MS as u64);
 
 /// `LINES_MAX` bounds the lines of one message.
-const LINES_MAX: usize = MESSAGE_BYTES / 28;
+const LINES_MAX: usize = MESSAGE_BYTES / 30;
 
 /// `TOLD_LINES_MAX` bounds what is told again with beats.
 const TOLD_LINES_MAX: usize = 3 * LINES_MAX;
@@ -66,7 +54,7 @@
 /// `Crashes` is what this instance knows of upstreams that crashed.
 #[derive(Debug, Default)]
 pub struct Crashes {
-    probes: RefCell<HashMap<UpstreamKey, Rc<Probe>>>,
+    pub(crate) probes: RefCell<HashMap<UpstreamKey, Rc<Probe>>>,
     /// Parts whose block is over, and when this instance let a request with them pass.
     trials: RefCell<HashMap<PartKey, Timestamp>>,
     answers_told: RefCell<HashMap<PartKey, Timestamp>>,
@@ -89,25 +77,6 @@
     pub blocked_for_ms: i64,
 }
 
-/// `Probe` is a connection to an upstream whose answers broke off.
-#[derive(Debug, Default)]
-struct Probe {
-    has_crashed: Cell<Option<bool>>,
-    ended: Notify,
-}
-
-impl Probe {
-    async fn outcome(&self) -> bool {
-        loop {
-            let ended = self.ended.notified();
-            match self.has_crashed.get() {
-                Some(has_crashed) => return has_crashed,
-                None => ended.await,
-            }
-        }
-    }
-}
-
 impl Gateway {
     /// `check_parts` refuses a call with a part that crashes upstreams. Of those whose block is over it lets
     /// one pass at a time, when it is this instance's turn.
@@ -190,8 +159,8 @@
         let service = id_of_name(&call.service);
         let evidence = |part| Evidence { part: (service, part), life, has_begun, at };
         let evidence: Vec<Evidence> = parts.into_iter().map(evidence).collect();
-        self.note_crashes(&evidence);
-        self.tell_crashes(&evidence);
+        self.note_crashes(&evidence, 0);
+        self.tell_crashes(&self.with_answers(evidence));
         let verdict = self.traffic.borrow().part_verdict(&call.service, &call.facts, self.now());
         match verdict {
             Verdict::Admit => true,
@@ -215,120 +184,62 @@
         call.facts.shared_parts().filter(|part| !is_fresh(part)).collect()
     }
 
-    /// An upstream that leaves ends without a crash.
-    fn life_that_stays(&self, upstream: UpstreamKey) -> Option<(UpstreamId, SocketAddr)> {
+    fn with_answers(&self, evidence: Vec<Evidence>) -> Vec<(Evidence, u64)> {
         let traffic = self.traffic.borrow();
-        let known = traffic.registry.get(upstream)?;
-        known.leaving.is_none().then_some((known.life_number, known.registration.address))
+        let answers_of = |evidence: &Evidence| {
+            let suspicion = traffic.crash_suspects.suspicion_of(evidence.part);
+            suspicion.map_or(0, |suspicion| suspicion.answers)
+        };
+        evidence.into_iter().map(|evidence| (evidence, answers_of(&evidence))).collect()
     }
 
-    /// `has_ended` tells whether an upstream that does not leave has ended.
-    pub(crate) async fn has_ended(self: &Rc<Self>, upstream: UpstreamKey) -> bool {
-        let Some((_, address)) = self.life_that_stays(upstream) else { return false };
-        self.has_crashed(upstream, address).await
+    fn note_crashes(&self, evidence: &[Evidence], answers: u64) {
+        let mut is_news = false;
+        for evidence in evidence {
+            let mut traffic = self.traffic.borrow_mut();
+            is_news |= traffic.crash_suspects.note_crash(*evidence, answers);
+        }
+        if is_news {
+            self.log_suspicions();
+        }
     }
 
-    /// Whether an upstream whose answer broke off refuses connections.
-    async fn has_crashed(self: &Rc<Self>, upstream: UpstreamKey, address: SocketAddr) -> bool {
-        let known = self.crashes.probes.borrow().get(&upstream).cloned();
-        let probe = match known {
-            Some(probe) => probe,
-            None => {
-                let probe = Rc::new(Probe::default());
-                self.crashes.probes.borrow_mut().insert(upstream, Rc::clone(&probe));
-                let gateway = Rc::clone(self);
-                tokio::task::spawn_local(async move { gateway.probe(upstream, address).await });
-                probe
+    /// `log_suspicions` logs parts that are suspected or blocked since it did so last. A part is blocked by
+    /// answers to requests without it as well as by a crash.
+    pub(crate) fn log_suspicions(&self) {
+        let suspicions = {
+            let traffic = self.traffic.borrow();
+            match traffic.crash_suspects.is_empty() {
+                true => return,
+                false => traffic.crash_suspects.suspicions(),
             }
         };
-        probe.outcome().await
-    }
-
-    async fn probe(&self, upstream: UpstreamKey, address: SocketAddr) {
-        let has_crashed = self.refuses_connections(upstream, address).await;
-        let probe = self.crashes.probes.borrow().get(&upstream).cloned();
-        if has_crashed {
-            self.metrics.upstream_crashes.inc();
-            self.note_unreachable(upstream);
+        let now = moment_of(self.now());
+        let blocked = suspicions.iter().filter(|known| known.blocked_until.is_some()).count();
+        self.metrics.note_suspects(suspicions.len(), blocked);
+        // Parts that only waited at an upstream are no news for operators.
+        for known in suspicions.iter().filter(|known| known.has_begun) {
+            let is_blocked = known.blocked_until.is_some();
+            let logged = self.crashes.logged.borrow_mut().insert(known.part, is_blocked);
+            if logged == Some(is_blocked) {
+                continue;
+            }
+            let (service, part) = known.part;
             decision(
-                EventKind::UpstreamCrashed,
+                EventKind::PartSuspected,
                 format_args!(
-                    "upstream={} address={address}",
-                    self.id_of(upstream).unwrap_or_default()
+                    "service={service} part={part:x} blocked={is_blocked} crashes={} answers={} \
+                     last_upstream={} age_ms={} blocked_for_ms={}",
+                    known.crashes,
+                    known.answers,
+                    known.last_life,
+                    now - known.last_at,
+                    known.blocked_until.map_or(0, |until| until - now),
                 ),
             );
-        } else {
-            // Its next answer that breaks off is looked at anew.
-            self.crashes.probes.borrow_mut().remove(&upstream);
-        }
-        if let Some(probe) = probe {
-            probe.has_crashed.set(Some(has_crashed));
-            probe.ended.notify_waiters();
         }
     }
 
-    /// A process that ends closes its port a moment before or after its connections; one that is made in
-    /// between is closed at once.
-    async fn refuses_connections(&self, upstream: UpstreamKey, address: SocketAddr) -> bool {
-        for _ in 0..PROBES_MAX {
-            self.metrics.connections_opened.inc();
-            let sender = match connect(address).await {
-                Ok(sender) => sender,
-                Err(error) => return error.kind() == ErrorKind::ConnectionRefused,
-            };
-            tokio::time::sleep(PROBE_HOLD).await;
-            if !sender.is_closed() {
-                self.keep_connection(upstream, sender, None);
-                return false;
-            }
-        }
-        false
-    }
-
-    /// `forget_probe` forgets an upstream that is gone.
-    pub(crate) fn forget_probe(&self, upstream: UpstreamKey) {
-        self.crashes.probes.borrow_mut().remove(&upstream);
-    }
-
-    fn note_crashes(&self, evidence: &[Evidence]) {
-        for evidence in evidence {
-            let is_news = self.traffic.borrow_mut().crash_suspects.note_crash(*evidence);
-            if is_news {
-                self.log_suspicion(evidence);
-            }
-        }
-        self.note_suspect_count();
-    }
-
-    /// A part that only waited at one upstream is no news for operators.
-    fn log_suspicion(&self, evidence: &Evidence) {
-        let suspicion = self.traffic.borrow().crash_suspects.suspicion_of(evidence.part);
-        let Some(suspicion) = suspicion else { return };
-        let is_blocked = suspicion.blocked_until.is_some();
-        if !is_blocked && !evidence.has_begun {
-            return;
-        }
-        if self.crashes.logged.borrow_mut().insert(evidence.part, is_blocked) == Some(is_blocked)
-            && !is_blocked
-        {
-            return;
-        }
-        let now = moment_of(self.now());
-        let blocked_for_ms = suspicion.blocked_until.map_or(0, |until| until - now);
-        decision(
-            EventKind::PartSuspected,
-            format_args!(
-                "service={} part={:x} blocked={is_blocked} crashes={} last_upstream={} age_ms={} \
-                 blocked_for_ms={blocked_for_ms}",
-                evidence.part.0,
-                evidence.part.1,
-                suspicion.crashes,
-                evidence.life,
-                now - evidence.at,
-            ),
-        );
-    }
-
     fn note_cleared(&self, parts: &[PartKey], reason: &str) {
         for part in parts {
             self.crashes.trials.borrow_mut().remove(part);
@@ -340,16 +251,10 @@
             }
         }
         if !parts.is_empty() {
-            self.note_suspect_count();
+            self.log_suspicions();
         }
     }
 
-    fn note_suspect_count(&self) {
-        let suspicions = self.traffic.borrow().crash_suspects.suspicions();
-        let blocked = suspicions.iter().filter(|known| known.blocked_until.is_some()).count();
-        self.metrics.note_suspects(suspicions.len(), blocked);
-    }
-
     /// `note_alive` takes in that bytes came from an upstream; others that take it for crashed are told.
     pub(crate) fn note_alive(&self, upstream: UpstreamKey, now: Timestamp) {
         let mut traffic = self.traffic.borrow_mut();
@@ -362,7 +267,7 @@
         if traffic.crash_suspects.retract(life, moment_of(now)) {
             drop(traffic);
             self.forget_probe(upstream);
-            self.note_suspect_count();
+            self.log_suspicions();
             log::info!("event=crash_retracted upstream={:?}", self.id_of(upstream));
             self.tell(&Body::LivingUpstreams(vec![life]));
         }
@@ -374,7 +279,7 @@
         for life in lives {
             self.traffic.borrow_mut().crash_suspects.retract(*life, now);
         }
-        self.note_suspect_count();
+        self.log_suspicions();
     }
 
     /// `handle_crashes` takes in crashes that another instance saw. Parts that were answered here are
@@ -388,8 +293,8 @@
             if self.traffic.borrow().crash_suspects.sound.answered_at(part).is_some() {
                 answered.push(part);
             }
-            let CrashLine { life, has_begun, .. } = *line;
-            self.note_crashes(&[Evidence { part, life, has_begun, at }]);
+            let CrashLine { life, has_begun, answers, .. } = *line;
+            self.note_crashes(&[Evidence { part, life, has_begun, at }], answers.into());
         }
         self.tell_answered(&answered);
     }
@@ -403,11 +308,11 @@
                 self.lift((line.service, line.part), at);
                 continue;
             }
-            let cleared = {
-                let suspects = &mut self.traffic.borrow_mut().crash_suspects;
-                suspects.note_answered(line.service, [line.part].into_iter(), at)
-            };
-            self.note_cleared(&cleared, "answered_elsewhere");
+            let part = (line.service, line.part);
+            let is_cleared = self.traffic.borrow_mut().crash_suspects.note_sound(part, at);
+            if is_cleared {
+                self.note_cleared(&[part], "answered_elsewhere");
+            }
         }
     }
 
@@ -472,7 +377,7 @@
         }
     }
 
-    fn tell_crashes(&self, evidence: &[Evidence]) {
+    fn tell_crashes(&self, evidence: &[(Evidence, u64)]) {
         let now = moment_of(self.now());
         for evidence in evidence.chunks(LINES_MAX) {
             let lines = evidence.iter().map(|evidence| line_of_evidence(evidence, now)).collect();
@@ -497,10 +402,9 @@
         }
     }
 
-    fn evidence_to_tell(&self) -> Vec<Evidence> {
-        let mut evidence: Vec<Evidence> =
-            self.traffic.borrow().crash_suspects.begun_evidence().copied().collect();
-        evidence.sort_unstable_by_key(|evidence| std::cmp::Reverse(evidence.at));
+    fn evidence_to_tell(&self) -> Vec<(Evidence, u64)> {
+        let mut evidence = self.traffic.borrow().crash_suspects.begun_evidence();
+        evidence.sort_unstable_by_key(|(evidence, _)| std::cmp::Reverse(evidence.at));
         evidence.truncate(TOLD_LINES_MAX);
         evidence
     }
@@ -528,7 +432,8 @@
     u32::try_from(now - at).unwrap_or_default()
 }
 
-fn line_of_evidence(evidence: &Evidence, now: Moment) -> CrashLine {
+fn line_of_evidence((evidence, answers): &(Evidence, u64), now: Moment) -> CrashLine {
     let Evidence { part: (service, part), life, has_begun, at } = *evidence;
-    CrashLine { service, part, life, has_begun, age_ms: age_of(at, now) }
+    let answers = u16::try_from(*answers).unwrap_or(u16::MAX);
+    CrashLine { service, part, life, has_begun, answers, age_ms: age_of(at, now) }
 }
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -463,6 +463,7 @@
         });
         if sequence.is_multiple_of(SWEEP_BEATS) {
             gateway.measure_upstreams();
+            gateway.log_suspicions();
             gateway.pools.sweep(gateway.now());
             callers::drop_slow_heads(&gateway);
         }
--- a/crates/bergamotpitch-gateway/src/lib.rs
+++ b/crates/bergamotpitch-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod callers;
 pub mod calls;
 pub mod connections;
+mod crash_probes;
 pub mod crashes;
 pub mod dialects;
 pub mod dispatchers;
--- a/crates/bergamotpitch-gateway/src/messages.rs
+++ b/crates/bergamotpitch-gateway/src/messages.rs
@@ -437,6 +437,8 @@
     pub life: UpstreamId,
     /// Whether an answer on the part had begun there.
     pub has_begun: bool,
+    /// Requests without the part that were answered at the sender since the first crash under it.
+    pub answers: u16,
     /// Time since the crash.
     pub age_ms: u32,
 }
