Show callers that a stream without a length was cut, whatever its upstream speaks

Change: answers go on as HTTP/1.1; whether the upstream has ended is looked at in each case, at the address to which the request was sent, and counts as a crash only for one that stays; a stream that does not say how long it is and has no event has broken off, unless it is one that was taken up. Whoever waits for a probe is told when its upstream is forgotten meanwhile.

Result: `old_protocol` and `no_event` failed before and pass.

--- a/crates/bergamotpitch-gateway/src/attempts.rs
+++ b/crates/bergamotpitch-gateway/src/attempts.rs
@@ -12,7 +12,7 @@
 use bergamotpitch_core::units::Timestamp;
 use displaydoc::Display;
 use http::header::CONTENT_LENGTH;
-use http::{Response, StatusCode};
+use http::{Response, StatusCode, Version};
 
 use crate::bodies::{AnswerBody, EventSource, StreamAnswer, is_event_stream, read_whole};
 use crate::calls::{BUSY_RETURN, Call};
@@ -147,12 +147,14 @@
     answer: Answer,
     attempts: u32,
 ) -> Result<Response<AnswerBody>, UnusableAnswer> {
-    let Answer { response, sender, reuse, is_framed } = answer;
+    let Answer { response, sender, address, reuse, is_framed } = answer;
     let (mut parts, body) = response.into_parts();
     remove_hop_headers(&mut parts.headers);
+    // Answers of HTTP/1.0 end with the connection, so that callers would take a cut one for whole.
+    parts.version = Version::HTTP_11;
     if parts.status.is_success() && is_event_stream(&parts.headers) {
         parts.headers.remove(CONTENT_LENGTH);
-        let source = EventSource { body, sender, reuse, is_framed };
+        let source = EventSource { body, sender, address, reuse, is_framed };
         let stream = StreamAnswer::new(gateway, call, run, source);
         return Ok(Response::from_parts(parts, AnswerBody::Stream(Box::new(stream))));
     }
@@ -161,7 +163,7 @@
     let seen = run.begun();
     let key = run.key();
     let bytes = match whole {
-        Ok(Ok(_)) if !is_framed && gateway.has_ended(key).await => {
+        Ok(Ok(_)) if !is_framed && gateway.has_ended(key, address).await => {
             run.complete(true);
             return Err(UnusableAnswer::Broken("its upstream ended with it".to_owned()));
         }
--- a/crates/bergamotpitch-gateway/src/bodies.rs
+++ b/crates/bergamotpitch-gateway/src/bodies.rs
@@ -1,6 +1,7 @@
 //! Bodies: answers as they go to the caller, whole or as a stream of events.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -103,6 +104,8 @@
     pub body: Incoming,
     /// The connection.
     pub sender: Sender,
+    /// Where the upstream listens.
+    pub address: SocketAddr,
     /// Whether the connection may carry another request.
     pub reuse: Reuse,
     /// Whether the body's end is known from the body itself.
@@ -178,13 +181,18 @@
                             return Poll::Ready(Some(Ok(Frame::data(events))));
                         }
                     }
-                    Poll::Ready(None) if self.cutter.is_at_boundary() && source.is_framed => {
+                    Poll::Ready(None) if !self.cutter.is_at_boundary() => {
+                        if let Some(cut) = self.broken("it ended within an event") {
+                            return Poll::Ready(cut);
+                        }
+                    }
+                    Poll::Ready(None) if source.is_framed => {
                         self.end();
                         return Poll::Ready(None);
                     }
-                    Poll::Ready(None) if self.cutter.is_at_boundary() => self.verify_end(),
+                    Poll::Ready(None) if self.may_be_whole() => self.verify_end(),
                     Poll::Ready(None) => {
-                        if let Some(cut) = self.broken("it ended within an event") {
+                        if let Some(cut) = self.broken("it ended without an event") {
                             return Poll::Ready(cut);
                         }
                     }
@@ -254,12 +262,18 @@
         }
     }
 
+    /// A stream without a length may have been cut after its head. One that is taken up again may have no
+    /// more events.
+    fn may_be_whole(&self) -> bool {
+        self.first_event.is_some() || self.call.facts.takes_up_stream()
+    }
+
     /// An answer that ends with its connection is whole unless its upstream ended.
     fn verify_end(&mut self) {
         let source = std::mem::replace(&mut self.source, Source::Ended);
         let (Source::Reading(source), Some(run)) = (source, &self.run) else { return };
-        let (gateway, upstream) = (Rc::clone(&self.gateway), run.key());
-        let verification = async move { gateway.has_ended(upstream).await };
+        let (gateway, upstream, address) = (Rc::clone(&self.gateway), run.key(), source.address);
+        let verification = async move { gateway.has_ended(upstream, address).await };
         self.source = Source::Verifying(source, Box::pin(verification));
     }
 
@@ -322,6 +336,10 @@
             && attempts < self.call.route.attempts_max
             && self.gateway.take_repeat(&self.call.service);
         if !may_resume {
+            if let Some(key) = key {
+                let (gateway, call) = (Rc::clone(&self.gateway), Rc::clone(&self.call));
+                tokio::task::spawn_local(async move { gateway.may_repeat(&call, key, true).await });
+            }
             return Some(self.cut(Cut::UpstreamBroke));
         }
         self.call.bound_software.set(software.unwrap_or_default());
@@ -345,9 +363,9 @@
             ),
         );
         self.run = Some(run);
-        let Answer { response, sender, reuse, is_framed } = answer;
+        let Answer { response, sender, address, reuse, is_framed } = answer;
         let body = response.into_body();
-        self.source = Source::Reading(EventSource { body, sender, reuse, is_framed });
+        self.source = Source::Reading(EventSource { body, sender, address, reuse, is_framed });
     }
 
     fn cut(&mut self, cut: Cut) -> Option<Result<Frame<Bytes>, Cut>> {
--- a/crates/bergamotpitch-gateway/src/crash_probes.rs
+++ b/crates/bergamotpitch-gateway/src/crash_probes.rs
@@ -28,7 +28,7 @@
 /// `Probe` is a connection to an upstream whose answers broke off.
 #[derive(Debug, Default)]
 pub(crate) struct Probe {
-    has_crashed: Cell<Option<bool>>,
+    has_ended: Cell<Option<bool>>,
     ended: Notify,
 }
 
@@ -36,8 +36,8 @@
     async fn outcome(&self) -> bool {
         loop {
             let ended = self.ended.notified();
-            match self.has_crashed.get() {
-                Some(has_crashed) => return has_crashed,
+            match self.has_ended.get() {
+                Some(has_ended) => return has_ended,
                 None => ended.await,
             }
         }
@@ -45,13 +45,8 @@
 }
 
 impl Gateway {
-    /// `has_ended` tells whether an upstream that does not leave has ended.
-    pub(crate) async fn has_ended(self: &Rc<Self>, upstream: UpstreamKey) -> bool {
-        let Some((_, address)) = self.life_that_stays(upstream) else { return false };
-        self.has_crashed(upstream, address).await
-    }
-
-    /// An upstream that leaves ends without a crash.
+    /// `life_that_stays` returns the life and the address of an upstream that does not leave. One that leaves
+    /// ends without a crash.
     pub(crate) fn life_that_stays(
         &self,
         upstream: UpstreamKey,
@@ -61,8 +56,8 @@
         known.leaving.is_none().then_some((known.life_number, known.registration.address))
     }
 
-    /// Whether an upstream whose answer broke off refuses connections.
-    pub(crate) async fn has_crashed(
+    /// `has_ended` tells whether an upstream whose answer ended with its connection refuses others.
+    pub(crate) async fn has_ended(
         self: &Rc<Self>,
         upstream: UpstreamKey,
         address: SocketAddr,
@@ -73,17 +68,19 @@
             None => {
                 let probe = Rc::new(Probe::default());
                 self.crashes.probes.borrow_mut().insert(upstream, Rc::clone(&probe));
-                let gateway = Rc::clone(self);
-                tokio::task::spawn_local(async move { gateway.probe(upstream, address).await });
+                let (gateway, pending) = (Rc::clone(self), Rc::clone(&probe));
+                tokio::task::spawn_local(async move {
+                    gateway.probe(upstream, address, &pending).await;
+                });
                 probe
             }
         };
         probe.outcome().await
     }
 
-    async fn probe(&self, upstream: UpstreamKey, address: SocketAddr) {
-        let has_crashed = self.refuses_connections(upstream, address).await;
-        let probe = self.crashes.probes.borrow().get(&upstream).cloned();
+    async fn probe(&self, upstream: UpstreamKey, address: SocketAddr, probe: &Probe) {
+        let has_ended = self.refuses_connections(upstream, address).await;
+        let has_crashed = has_ended && self.life_that_stays(upstream).is_some();
         if has_crashed {
             self.metrics.upstream_crashes.inc();
             self.note_unreachable(upstream);
@@ -94,14 +91,13 @@
                     self.id_of(upstream).unwrap_or_default()
                 ),
             );
-        } else {
-            // Its next answer that breaks off is looked at anew.
-            self.crashes.probes.borrow_mut().remove(&upstream);
         }
-        if let Some(probe) = probe {
-            probe.has_crashed.set(Some(has_crashed));
-            probe.ended.notify_waiters();
+        if !has_crashed {
+            // Its next answer that breaks off is looked at anew.
+            self.forget_probe(upstream);
         }
+        probe.has_ended.set(Some(has_ended));
+        probe.ended.notify_waiters();
     }
 
     /// A process that ends closes its port a moment before or after its connections; one that is made in
--- a/crates/bergamotpitch-gateway/src/crashes.rs
+++ b/crates/bergamotpitch-gateway/src/crashes.rs
@@ -153,7 +153,7 @@
         let at = moment_of(self.now());
         let parts = self.reportable_parts(call, at);
         let Some((life, address)) = self.life_that_stays(upstream) else { return true };
-        if parts.is_empty() || !self.has_crashed(upstream, address).await {
+        if parts.is_empty() || !self.has_ended(upstream, address).await {
             return true;
         }
         let service = id_of_name(&call.service);
--- a/crates/bergamotpitch-gateway/src/exchanges.rs
+++ b/crates/bergamotpitch-gateway/src/exchanges.rs
@@ -1,5 +1,6 @@
 //! Exchanges: one request on one connection to one upstream, up to the head of its answer.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,6 +25,8 @@
     pub response: Response<Incoming>,
     /// The connection, to be kept when the body was read to its end.
     pub sender: Sender,
+    /// Where the upstream listens.
+    pub address: SocketAddr,
     /// How long the upstream keeps the connection when idle; `None` when it closes it.
     pub reuse: Reuse,
     /// Whether its body has a length or comes in chunks; else it ends with its connection, and nothing
@@ -88,12 +91,13 @@
     resume_after: Option<&str>,
 ) -> Result<Answer, Failure> {
     let key = placement.upstream;
+    let address = gateway.address_of(key).ok_or(Failure::Unreachable)?;
     let mut warm = gateway.pools.take(key, gateway.now());
     loop {
         let is_warm = warm.is_some();
         let mut sender = match warm.take() {
             Some(sender) => sender,
-            None => open(gateway, key).await?,
+            None => open(gateway, address).await?,
         };
         // Connecting takes a while, in which operators may have changed what is allowed.
         if !gateway.may_send(call, placement) {
@@ -101,7 +105,7 @@
         }
         let request = request_of_call(gateway, call, placement, resume_after)?;
         match sender.try_send_request(request).await {
-            Ok(response) => return read_head(gateway, call, key, response, sender),
+            Ok(response) => return read_head(gateway, call, (key, address), response, sender),
             // The connection closed before anything was written: a fresh one may carry it.
             Err(error) if is_warm && error.message().is_some() => {}
             Err(mut error) => {
@@ -114,8 +118,7 @@
     }
 }
 
-async fn open(gateway: &Rc<Gateway>, key: UpstreamKey) -> Result<Sender, Failure> {
-    let address = gateway.address_of(key).ok_or(Failure::Unreachable)?;
+async fn open(gateway: &Rc<Gateway>, address: SocketAddr) -> Result<Sender, Failure> {
     gateway.metrics.connections_opened.inc();
     connect(address).await.map_err(|error| {
         log::info!("event=connect_failed upstream={address} error={error}");
@@ -150,7 +153,7 @@
 fn read_head(
     gateway: &Rc<Gateway>,
     call: &Call,
-    key: UpstreamKey,
+    (key, address): (UpstreamKey, SocketAddr),
     response: Response<Incoming>,
     sender: Sender,
 ) -> Result<Answer, Failure> {
@@ -169,7 +172,7 @@
     let is_framed = [CONTENT_LENGTH, TRANSFER_ENCODING]
         .iter()
         .any(|name| response.headers().contains_key(name));
-    Ok(Answer { response, sender, reuse, is_framed })
+    Ok(Answer { response, sender, address, reuse, is_framed })
 }
 
 /// An answer that echoes another id was meant for an earlier request on this connection. Only the
--- a/crates/bergamotpitch-gateway/tests/common/crashes.rs
+++ b/crates/bergamotpitch-gateway/tests/common/crashes.rs
@@ -28,7 +28,7 @@
     /// Under [`BAD_PART`], with all connections reset.
     #[default]
     Reset,
-    /// Under any request, after some of an answer without a length, with its connections closed in order.
+    /// Under any request, 30 ms after some of an answer without a length, with its connections closed in order.
     Unframed,
 }
 
@@ -114,6 +114,7 @@
             );
             // The caller may have left.
             let _ = stream.write_all(answer.as_bytes()).await;
+            tokio::time::sleep(Duration::from_millis(30)).await;
             state.is_crashed.set(true);
             state.crashed.notify_waiters();
             return;
--- a/crates/bergamotpitch-gateway/tests/event_streams.rs
+++ b/crates/bergamotpitch-gateway/tests/event_streams.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use bergamotpitch_control::traffic::registries::Registration;
 use common::crashes::{CrashingUpstream, Ending};
 use common::{Act, FakeUpstream, ask, event, request, run, start, stream_end, stream_head};
 
@@ -123,6 +124,59 @@
     });
 }
 
+/// Guards against a stream that passes for complete, as its engine had said that it leaves before it ended.
+#[test]
+fn crash_while_leaving() {
+    run(async {
+        let engine = CrashingUpstream::start_ending(Ending::Unframed).await;
+        let (gateway, address) = start(&[]).await;
+        let listed = common::registration("leaving", engine.address);
+        gateway.upstream_listed(listed.clone());
+        let asked = tokio::task::spawn_local(ask(address, request("POST", "/stream/", "one")));
+        tokio::time::sleep(Duration::from_millis(15)).await;
+        gateway.upstream_listed(Registration { is_leaving: true, ..listed });
+        let got = asked.await.unwrap().unwrap();
+        assert_eq!((got.body, got.is_whole), (text(1, 3), false));
+        assert!(gateway.traffic.borrow().crash_suspects.is_empty(), "it is no crash");
+    });
+}
+
+/// Guards against a stream that is cut and passes for complete, as its engine speaks HTTP/1.0, in which answers
+/// end with their connection.
+#[test]
+fn old_protocol() {
+    run(async {
+        let head =
+            "HTTP/1.0 200 OK\r\nx-id: {id}\r\nx-seal: s\r\ncontent-type: text/event-stream\r\n\r\n";
+        let pause = Act::Pause(Duration::from_millis(20));
+        let script = move |number: usize| {
+            let end = if number == 0 { Act::Reset } else { Act::Close };
+            vec![Act::Write(format!("{head}{}", text(1, 3))), pause.clone(), end]
+        };
+        let upstream = FakeUpstream::start(Box::new(script)).await;
+        let (_, address) = start(&[&upstream]).await;
+        for (id, is_whole) in [("reset", false), ("closed", true)] {
+            let got = ask(address, request("POST", "/stream/", id)).await.unwrap();
+            assert_eq!((got.body, got.is_whole), (text(1, 3), is_whole), "{id}");
+        }
+    });
+}
+
+/// Guards against a stream without any event that passes for complete, as its connection was closed after the
+/// head and no length was said.
+#[test]
+fn no_event() {
+    run(async {
+        let head =
+            "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\ncontent-type: text/event-stream\r\n\r\n";
+        let script = move |_| vec![Act::Write(head.to_owned()), Act::Close];
+        let upstream = FakeUpstream::start(Box::new(script)).await;
+        let (_, address) = start(&[&upstream]).await;
+        let got = ask(address, request("POST", "/stream/", "one")).await;
+        assert!(got.as_ref().is_none_or(|got| !got.is_whole), "{got:?}");
+    });
+}
+
 /// An engine that lives may end its answer with the connection.
 #[test]
 fn end_of_connection() {
