Count crashes also under streams that are not sent again

Cause: an instance looked whether an upstream had crashed only before it sent a stream on elsewhere.

Change: each answer that breaks off counts, whether its call is sent again or not.

--- a/crates/bergamotpitch-gateway/src/attempts.rs
+++ b/crates/bergamotpitch-gateway/src/attempts.rs
@@ -80,7 +80,7 @@
                     let is_broken = matches!(unusable, UnusableAnswer::Broken(_));
                     let failure = Failure::Broken { detail: unusable.to_string() };
                     note_failure(&call, &placement, gateway, &failure);
-                    if is_broken && !gateway.may_repeat(&call, placement.upstream, true).await {
+                    if is_broken && !gateway.note_broken(&call, placement.upstream, true).await {
                         return Err(final_refusal(gateway, &call, true));
                     }
                 }
@@ -113,7 +113,7 @@
                 run.complete(true);
                 may_have_run |= ran;
                 let is_broken = matches!(failure, Failure::Broken { .. });
-                if is_broken && !gateway.may_repeat(&call, placement.upstream, false).await {
+                if is_broken && !gateway.note_broken(&call, placement.upstream, false).await {
                     return Err(final_refusal(gateway, &call, true));
                 }
             }
--- a/crates/bergamotpitch-gateway/src/bodies.rs
+++ b/crates/bergamotpitch-gateway/src/bodies.rs
@@ -338,7 +338,9 @@
         if !may_resume {
             if let Some(key) = key {
                 let (gateway, call) = (Rc::clone(&self.gateway), Rc::clone(&self.call));
-                tokio::task::spawn_local(async move { gateway.may_repeat(&call, key, true).await });
+                tokio::task::spawn_local(
+                    async move { gateway.note_broken(&call, key, true).await },
+                );
             }
             return Some(self.cut(Cut::UpstreamBroke));
         }
@@ -411,7 +413,7 @@
 ) -> Option<(Run, Answer)> {
     let tried: Vec<_> = broken.into_iter().collect();
     if let Some(broken) = broken
-        && !gateway.may_repeat(&call, broken, true).await
+        && !gateway.note_broken(&call, broken, true).await
     {
         return None;
     }
--- a/crates/bergamotpitch-gateway/src/crashes.rs
+++ b/crates/bergamotpitch-gateway/src/crashes.rs
@@ -141,10 +141,10 @@
         self.tell_answered(&cleared);
     }
 
-    /// `may_repeat` tells whether a call whose answer broke off at an upstream may be sent to another one.
-    /// It may not, where the upstream has crashed and the call holds a part that no other one has
-    /// answered lately: it would crash the next.
-    pub(crate) async fn may_repeat(
+    /// `note_broken` takes in that the answer to a call broke off at an upstream; it tells whether the call
+    /// may be sent to another one. It may not, where the upstream has crashed and the call holds a part
+    /// that no other one has answered lately: it would crash the next.
+    pub(crate) async fn note_broken(
         self: &Rc<Self>,
         call: &Call,
         upstream: UpstreamKey,
--- a/crates/bergamotpitch-gateway/tests/crashing_parts.rs
+++ b/crates/bergamotpitch-gateway/tests/crashing_parts.rs
@@ -95,6 +95,23 @@
     });
 }
 
+/// Guards against crashes that count for nothing, as the streams which broke off may not be sent again.
+#[test]
+fn unrepeatable_streams() {
+    run(async {
+        let engines = engines(12).await;
+        let (gateway, address) = start(&[]).await;
+        listed(&engines).into_iter().for_each(|engine| gateway.upstream_listed(engine));
+        for number in 0..12 {
+            let mut request = prompt_of(&format!("b{number}"), &bad_parts(number, 1));
+            *request.uri_mut() = "/stream/".parse().unwrap();
+            ask(address, request).await;
+            tokio::time::sleep(Duration::from_millis(150)).await;
+        }
+        assert!(crashed(&engines) <= CRASHES_MAX, "{} engines crashed", crashed(&engines));
+    });
+}
+
 /// Guards against one request that crashes two engines, as it is sent on within its answer.
 #[test]
 fn repeated_crash() {
