Log which attempts are of one request, and notice the ends of plain upstreams

Neither could be seen: whether one request was in hand at several upstreams that ended, as attempts of a caller come with new ids; nor that an upstream of a plain service ended at all. Event 105 names a digest of the request's content now, which a caller's repeats have in common: team, method, host, target, parts of the prompt and body. The end of an upstream is looked for after each answer that breaks off, not only under prompts.

No decision changes. `plain_upstream` fails without the second half; `request_digests` holds the fields apart.

--- a/crates/bergamotpitch-control/src/traffic.rs
+++ b/crates/bergamotpitch-control/src/traffic.rs
@@ -23,6 +23,7 @@
 pub mod prefixes;
 pub mod registries;
 pub mod request_demands;
+pub mod request_digests;
 pub mod residencies;
 pub mod retry_budgets;
 pub mod software_versions;
--- a/crates/bergamotpitch-gateway/src/attempts.rs
+++ b/crates/bergamotpitch-gateway/src/attempts.rs
@@ -317,8 +317,9 @@
     decision(
         EventKind::AttemptFailed,
         format_args!(
-            "request={} upstream={} kind={} parts={} failure={failure:?}",
+            "request={} digest={:016x} upstream={} kind={} parts={} failure={failure:?}",
             call.facts.attempt_id,
+            call.digest(),
             gateway.id_of(placement.upstream).unwrap_or_default(),
             if call.route.kind == RouteKind::Unsafe { "once" } else { "repeatable" },
             SharedParts(&call.facts),
--- a/crates/bergamotpitch-gateway/src/bodies.rs
+++ b/crates/bergamotpitch-gateway/src/bodies.rs
@@ -320,8 +320,9 @@
         decision(
             EventKind::AttemptFailed,
             format_args!(
-                "request={} upstream={} after_event={} parts={} detail={detail:?}",
+                "request={} digest={:016x} upstream={} after_event={} parts={} detail={detail:?}",
                 self.call.facts.attempt_id,
+                self.call.digest(),
                 key.and_then(|key| self.gateway.id_of(key)).unwrap_or_default(),
                 self.cutter.last_id().unwrap_or("-"),
                 SharedParts(&self.call.facts),
--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -1,12 +1,13 @@
 //! Calls: the way of one request from its arrival to its answer.
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bergamotpitch_control::traffic::catalogs::{CacheLink, Catalog, Route, Team};
 use bergamotpitch_control::traffic::facts::RequestFacts;
+use bergamotpitch_control::traffic::request_digests::{RequestContent, RequestDigest};
 use bergamotpitch_core::events::EventKind;
 use bergamotpitch_core::ids::{SoftwareId, TeamId, id_of_name};
 use bergamotpitch_core::refusals::RefusalReason;
@@ -84,6 +85,26 @@
     pub served: Option<ServedStream>,
     /// The version of software at which it goes on, where its stream began while several served.
     pub bound_software: Cell<Option<SoftwareId>>,
+    /// Name of its content, once it is asked for.
+    pub digest: OnceCell<RequestDigest>,
+}
+
+impl Call {
+    /// `digest` returns the name of its content, which it shares with its caller's other attempts.
+    pub fn digest(&self) -> RequestDigest {
+        let target = self.target.path_and_query().map_or("", |target| target.as_str());
+        *self.digest.get_or_init(|| {
+            let content = RequestContent {
+                team: self.team.as_ref().map(|team| id_of_name(&team.name)),
+                method: self.method.as_str(),
+                host: self.host.as_bytes(),
+                target,
+                prefix: &self.facts.prefix,
+                body: &self.body.bytes,
+            };
+            content.digest()
+        })
+    }
 }
 
 /// `answer` serves one request.
@@ -198,6 +219,7 @@
         cache_link: engine.and_then(|engine| engine.cache_link),
         served,
         bound_software: Cell::new(None),
+        digest: OnceCell::new(),
         headers: passed_headers(gateway, &parts.headers),
         route,
         service,
--- a/crates/bergamotpitch-gateway/src/crashes.rs
+++ b/crates/bergamotpitch-gateway/src/crashes.rs
@@ -150,10 +150,13 @@
         upstream: UpstreamKey,
         has_begun: bool,
     ) -> bool {
+        if !self.options.admission.policy.crash_suspects {
+            return true;
+        }
         let at = moment_of(self.now());
         let parts = self.reportable_parts(call, at);
         let Some((life, address)) = self.life_that_stays(upstream) else { return true };
-        if parts.is_empty() || !self.has_ended(upstream, address).await {
+        if !self.has_ended(upstream, address).await || parts.is_empty() {
             return true;
         }
         let service = id_of_name(&call.service);
@@ -172,9 +175,6 @@
     /// The parts of a call that may have crashed an upstream: all that other requests may hold too and that
     /// were not answered a moment ago.
     fn reportable_parts(&self, call: &Call, now: Moment) -> Vec<PartId> {
-        if !self.options.admission.policy.crash_suspects {
-            return Vec::new();
-        }
         let service = id_of_name(&call.service);
         let traffic = self.traffic.borrow();
         let sound = &traffic.crash_suspects.sound;
--- a/crates/bergamotpitch-gateway/tests/common/crashes.rs
+++ b/crates/bergamotpitch-gateway/tests/common/crashes.rs
@@ -14,6 +14,9 @@
 /// `BAD_PART` crashes each upstream.
 pub const BAD_PART: u64 = 0xbad;
 
+/// `BAD_SUBJECT` in the path of a request crashes each upstream that ends under requests.
+pub const BAD_SUBJECT: &str = "bad-subject";
+
 /// `CrashingUpstream` streams six events, unless the prompt holds [`BAD_PART`] before its last part: then it
 /// writes the head of an answer and is gone, with all of its connections.
 pub struct CrashingUpstream {
@@ -30,6 +33,9 @@
     Reset,
     /// Under any request, 30 ms after some of an answer without a length, with its connections closed in order.
     Unframed,
+    /// Under requests for [`BAD_SUBJECT`], with all connections reset. A plain call has no answer yet then, a
+    /// stream its head.
+    Request,
 }
 
 #[derive(Default)]
@@ -88,7 +94,7 @@
 }
 
 async fn work(mut stream: TcpStream, state: Rc<State>) {
-    if state.ending == Ending::Reset {
+    if state.ending != Ending::Unframed {
         socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
     }
     let gone = Rc::clone(&state);
@@ -119,7 +125,25 @@
             state.crashed.notify_waiters();
             return;
         }
-        let is_bad = shared.split(',').any(|part| part == BAD_PART.to_string());
+        let is_bad = match state.ending {
+            Ending::Request => request.head.contains(BAD_SUBJECT),
+            _ => shared.split(',').any(|part| part == BAD_PART.to_string()),
+        };
+        if request.header("x-prompt-tokens").is_none() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            if is_bad {
+                state.is_crashed.set(true);
+                state.crashed.notify_waiters();
+                return;
+            }
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\ncontent-length: 2\r\n\r\nok"
+            );
+            if stream.write_all(answer.as_bytes()).await.is_err() {
+                return;
+            }
+            continue;
+        }
         let head = format!(
             "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\ncontent-type: text/event-stream\r\n\
              transfer-encoding: chunked\r\n\r\n"
