--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -22,6 +22,7 @@
 use crate::traffic::prefixes::KeptParts;
 use crate::traffic::registries::{Registry, Upstream, UpstreamKey};
 use crate::traffic::request_demands::{PrefillPlan, RequestDemand, rendezvous_weight};
+use crate::traffic::request_digests::RequestDigest;
 use crate::traffic::residencies::AllowedRegions;
 use crate::traffic::retry_budgets::{self, RetryBudget};
 use crate::traffic::software_versions::SoftwareVersions;
@@ -298,7 +299,7 @@
             ShareClass::EvenSurplus => self.options.even_surplus,
             ShareClass::BeyondEven => self.options.beyond_even,
         };
-        let verdict = self.part_verdict(request.service, request.facts, now);
+        let verdict = self.suspect_verdict(request.service, request.facts, request.digest, now);
         if let Verdict::Block(time) = verdict {
             return Decision::Blocked(time);
         }
@@ -345,12 +346,20 @@
         }
     }
 
-    /// `part_verdict` tells where a request may go because of the parts of its prompt.
-    pub fn part_verdict(&self, service: &str, facts: &RequestFacts, now: Timestamp) -> Verdict {
+    /// `suspect_verdict` tells where a request may go because of the parts of its prompt, and of what
+    /// happened to its other attempts.
+    pub fn suspect_verdict(
+        &self,
+        service: &str,
+        facts: &RequestFacts,
+        digest: Option<RequestDigest>,
+        now: Timestamp,
+    ) -> Verdict {
         if self.crash_suspects.is_empty() || !self.options.policy.crash_suspects {
             return Verdict::Admit;
         }
-        self.crash_suspects.verdict(id_of_name(service), facts.shared_parts(), moment_of(now))
+        let (service, now) = (id_of_name(service), moment_of(now));
+        self.crash_suspects.verdict(service, facts.shared_parts(), digest, now)
     }
 
     /// `send` takes in that a request goes where [`Traffic::choose_upstream`] placed it.
@@ -540,11 +549,13 @@
     }
 }
 
-/// The upstream that all requests with a suspected part prefer: should they crash it, they crash one
-/// together.
+/// The upstream that all requests with a suspected part, or all attempts of a suspected request, prefer:
+/// should they crash it, they crash one together.
 fn preferred_by_suspect(verdict: &Verdict, candidates: &[&Upstream]) -> Option<UpstreamKey> {
-    let (Verdict::Confine(part) | Verdict::Try(Turn { part, .. })) = verdict else { return None };
-    let weight = |upstream: &&&Upstream| rendezvous_weight(*part, upstream.id_number);
+    let (Verdict::Confine(suspect) | Verdict::Try(Turn { suspect, .. })) = verdict else {
+        return None;
+    };
+    let weight = |upstream: &&&Upstream| rendezvous_weight(suspect.number(), upstream.id_number);
     candidates.iter().max_by_key(weight).map(|upstream| upstream.key)
 }
 
--- a/crates/bergamotpitch-control/src/traffic/crash_evidence.rs
+++ b/crates/bergamotpitch-control/src/traffic/crash_evidence.rs
@@ -1,19 +1,31 @@
-//! Crash evidence: what counts against one part of prompts, and from when on it is blocked.
+//! Crash evidence: what counts against one part of prompts or one request, and from when on it is blocked.
 
-use crate::traffic::crash_suspects::PartKey;
+use bergamotpitch_core::ids::{ServiceId, UpstreamId};
+use serde::{Deserialize, Serialize};
+
+use crate::traffic::facts::PartId;
+use crate::traffic::request_digests::RequestDigest;
 use crate::traffic::sound_parts::Moment;
-use bergamotpitch_core::ids::UpstreamId;
 
 /// `CLUSTER_MS` is the time within which upstreams that end count as one crash: what ended them
 /// together is not a prompt.
 const CLUSTER_MS: Moment = 100;
 
-/// `BEGUN_WEIGHT` is what a crash weighs against a part whose answer had just begun there, and
-/// [`WAITING_WEIGHT`] against one that still waited, as far as its instance could see.
-pub const BEGUN_WEIGHT: u32 = 2;
+/// `STRONG_WEIGHT` is what strong evidence weighs, and [`WEAK_WEIGHT`] what other evidence does.
+pub const STRONG_WEIGHT: u32 = 2;
+
+/// `WEAK_WEIGHT` see [`STRONG_WEIGHT`].
+pub const WEAK_WEIGHT: u32 = 1;
+
+/// `REQUEST_CRASHES_MIN` is how many crashes with strong evidence block a request. It is sent to one upstream
+/// after the other, so that they had not ended together.
+const REQUEST_CRASHES_MIN: u32 = 2;
+
+/// `REQUEST_CRASHES_MAX` is how many crashes block a request at any rate.
+const REQUEST_CRASHES_MAX: usize = 3;
 
-/// `WAITING_WEIGHT` see [`BEGUN_WEIGHT`].
-pub const WAITING_WEIGHT: u32 = 1;
+/// `REQUEST_BLOCK_MS` is for how long a request is blocked at first: longer than its caller waits.
+const REQUEST_BLOCK_MS: Moment = 120_000;
 
 /// `CRASHES_MIN` is how many crashes a part must have been in hand at before it is blocked.
 const CRASHES_MIN: u32 = 2;
@@ -37,45 +49,71 @@
 /// are answered elsewhere meanwhile, if it is sound.
 const SOUND_SPAN_MS: Moment = 1_000;
 
-/// `FIRST_BLOCK_MS` is for how long a part is blocked at first; each crash that comes as long after the one
-/// before, as a trial does, makes it [`BLOCK_GROWTH`] times as long.
-const FIRST_BLOCK_MS: Moment = 30_000;
+/// `PART_BLOCK_MS` is for how long a part is blocked at first.
+const PART_BLOCK_MS: Moment = 30_000;
 
-/// `BLOCK_GROWTH` see [`FIRST_BLOCK_MS`].
+/// `BLOCK_GROWTH` is how many times as long a block is after each crash that comes as long after the one before
+/// as the first block lasted: the crash of a trial.
 const BLOCK_GROWTH: Moment = 4;
 
 /// `LONGEST_BLOCK_MS` bounds it.
 const LONGEST_BLOCK_MS: Moment = 32 * 60_000;
 
-/// `EVIDENCE_MAX` bounds the crashes that are kept of one part; the first ones tell nothing more.
+/// `EVIDENCE_MAX` bounds the crashes that are kept of one suspect; the first ones tell nothing more.
 const EVIDENCE_MAX: usize = 16;
 
-/// `Evidence` is one crash that counts against one part.
+/// `SuspectId` names what may crash upstreams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum SuspectId {
+    /// A part of the prompts for a service, whatever else a prompt holds.
+    Part(ServiceId, PartId),
+    /// One request, at whichever service.
+    Request(RequestDigest),
+}
+
+impl SuspectId {
+    /// `number` returns a number to draw by.
+    pub fn number(self) -> u64 {
+        match self {
+            Self::Part(_, part) => part,
+            Self::Request(digest) => digest,
+        }
+    }
+
+    /// `is_request` tells whether it is one request.
+    pub fn is_request(self) -> bool {
+        matches!(self, Self::Request(_))
+    }
+}
+
+/// `Evidence` is one crash that counts against one suspect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Evidence {
-    /// The part.
-    pub part: PartKey,
+    /// The suspect.
+    pub suspect: SuspectId,
     /// The life of the upstream that crashed: seen by several instances, it is one crash.
     pub life: UpstreamId,
-    /// Whether its answer had begun there.
-    pub has_begun: bool,
+    /// Whether an answer on the part had begun there, as far as its instance could see; and of a request, that
+    /// it had not been answered for long, as the upstream would have crashed sooner.
+    pub is_strong: bool,
     /// When the upstream crashed.
     pub at: Moment,
 }
 
-/// `CrashRecord` is all that counts against one part.
+/// `CrashRecord` is all that counts against one suspect.
 #[derive(Debug, Clone)]
 pub struct CrashRecord {
     /// In order of time.
     evidence: Vec<Evidence>,
+    is_request: bool,
     /// Whether the part was answered before the first crash.
     pub was_sound: bool,
 }
 
 impl CrashRecord {
-    /// `new` holds nothing against a part that was answered before, or was not.
-    pub fn new(was_sound: bool) -> Self {
-        Self { evidence: Vec::new(), was_sound }
+    /// `new` holds nothing against a suspect that was answered before, or was not.
+    pub fn new(suspect: SuspectId, was_sound: bool) -> Self {
+        Self { evidence: Vec::new(), is_request: suspect.is_request(), was_sound }
     }
 
     /// `evidence` returns the crashes, in order of time.
@@ -86,8 +124,8 @@
     /// `add` takes in a crash; it tells whether that was news.
     pub fn add(&mut self, evidence: Evidence) -> bool {
         if let Some(known) = self.evidence.iter_mut().find(|known| known.life == evidence.life) {
-            let is_news = evidence.has_begun && !known.has_begun;
-            known.has_begun |= evidence.has_begun;
+            let is_news = evidence.is_strong && !known.is_strong;
+            known.is_strong |= evidence.is_strong;
             return is_news;
         }
         let place = self.evidence.partition_point(|known| known.at <= evidence.at);
@@ -105,9 +143,9 @@
         self.evidence.len() < before
     }
 
-    /// `has_begun_at` tells whether an answer on the part had begun at an upstream that crashed.
-    pub fn has_begun_at(&self, life: UpstreamId) -> bool {
-        self.evidence.iter().any(|evidence| evidence.life == life && evidence.has_begun)
+    /// `is_strong_at` tells whether the crash of an upstream is strong evidence.
+    pub fn is_strong_at(&self, life: UpstreamId) -> bool {
+        self.evidence.iter().any(|evidence| evidence.life == life && evidence.is_strong)
     }
 
     /// `last_at` returns the time of the last crash.
@@ -115,35 +153,51 @@
         self.evidence.last().map_or(0, |evidence| evidence.at)
     }
 
-    /// `blocked_until` returns until when the part is blocked, where `answers` requests without it have been
-    /// answered since the first crash; `None` while it is only suspected.
+    /// `blocked_until` returns until when the suspect is blocked, where `answers` requests without a part have
+    /// been answered since the first crash; `None` while it is only suspected.
     pub fn blocked_until(&self, answers: u64) -> Option<Moment> {
+        let (is_blocked, first_block_ms) = match self.is_request {
+            true => (self.is_certain_of_request(), REQUEST_BLOCK_MS),
+            false => (self.is_certain_of_part(answers), PART_BLOCK_MS),
+        };
+        if !is_blocked {
+            return None;
+        }
+        let gaps = self.evidence.windows(2).map(|pair| pair[1].at - pair[0].at);
+        let trials = gaps.filter(|gap| first_block_ms <= *gap).count();
+        let growth = BLOCK_GROWTH.saturating_pow(trials as u32);
+        Some(self.last_at() + first_block_ms.saturating_mul(growth).min(LONGEST_BLOCK_MS))
+    }
+
+    /// A sound request may be in hand at one upstream that ends, and at another one in seconds of many ends;
+    /// with each further one it costs others more than it is worth itself.
+    fn is_certain_of_request(&self) -> bool {
+        STRONG_WEIGHT * REQUEST_CRASHES_MIN <= self.weight()
+            || REQUEST_CRASHES_MAX <= self.evidence.len()
+    }
+
+    fn is_certain_of_part(&self, answers: u64) -> bool {
+        let Some(first) = self.evidence.first() else { return false };
         let (crashes_min, bits_min) = match self.was_sound {
             true => (SOUND_CRASHES_MIN, SOUND_CERTAINTY_BITS),
             false => (CRASHES_MIN, CERTAINTY_BITS),
         };
-        let (first, last) = (self.evidence.first()?.at, self.last_at());
         let weight = self.weight();
-        let is_compared = BEGUN_WEIGHT * crashes_min <= weight
+        let is_compared = STRONG_WEIGHT * crashes_min <= weight
             && bits_min <= self.certainty_bits(answers)
-            && (!self.was_sound || first + SOUND_SPAN_MS <= last);
-        if !is_compared && weight < BEGUN_WEIGHT * CRASHES_MAX {
-            return None;
-        }
-        let gaps = self.evidence.windows(2).map(|pair| pair[1].at - pair[0].at);
-        let trials = gaps.filter(|gap| FIRST_BLOCK_MS <= *gap).count();
-        let growth = BLOCK_GROWTH.saturating_pow(trials as u32);
-        Some(last + FIRST_BLOCK_MS.saturating_mul(growth).min(LONGEST_BLOCK_MS))
+            && (!self.was_sound || first.at + SOUND_SPAN_MS <= self.last_at());
+        is_compared || STRONG_WEIGHT * CRASHES_MAX <= weight
     }
 
-    /// `weight` returns the sum over crashes; upstreams that ended together count once.
+    /// `weight` returns the sum over crashes. Upstreams that ended together count once against a part.
     pub fn weight(&self) -> u32 {
+        let cluster_ms = if self.is_request { 0 } else { CLUSTER_MS };
         let mut weight = 0;
         let mut cluster: Option<(Moment, u32)> = None;
         for evidence in &self.evidence {
-            let own = if evidence.has_begun { BEGUN_WEIGHT } else { WAITING_WEIGHT };
+            let own = if evidence.is_strong { STRONG_WEIGHT } else { WEAK_WEIGHT };
             match &mut cluster {
-                Some((first, most)) if evidence.at < *first + CLUSTER_MS => *most = own.max(*most),
+                Some((first, most)) if evidence.at < *first + cluster_ms => *most = own.max(*most),
                 _ => {
                     weight += cluster.map_or(0, |(_, most)| most);
                     cluster = Some((evidence.at, own));
@@ -156,7 +210,7 @@
     /// How unlikely these crashes are for a sound part: each request that ended did so by a crash, where of
     /// all that ended one in `1 + answers / crashes` did. Before anything is answered they tell nothing.
     fn certainty_bits(&self, answers: u64) -> f64 {
-        let crashes = f64::from(self.weight()) / f64::from(BEGUN_WEIGHT);
+        let crashes = f64::from(self.weight()) / f64::from(STRONG_WEIGHT);
         if crashes <= 0.0 { 0.0 } else { crashes * (1.0 + answers as f64 / crashes).log2() }
     }
 }
--- a/crates/bergamotpitch-control/src/traffic/crash_suspects.rs
+++ b/crates/bergamotpitch-control/src/traffic/crash_suspects.rs
@@ -1,74 +1,80 @@
-//! Crash suspects: parts of prompts under which upstreams crash.
+//! Crash suspects: parts of prompts, and requests, under which upstreams crash.
 //!
 //! Load pattern: each engine that begins to answer a prompt with a certain part crashes, and takes the
 //! streams of all others with it. Such prompts come at any instance, beside sound ones that share all of
 //! their other parts. One crash tells little: dozens of requests were in hand there. A part is found by
 //! what upstreams that crashed one after the other had begun to answer, while requests without it were
 //! answered; a part that is answered once is sound.
+//!
+//! Besides, each engine that runs a certain request crashes, and its caller sends it again, at any instance,
+//! at once and several times. It is found by the upstreams that crashed under its attempts.
 
 use std::time::Duration;
 
 use bergamotpitch_core::ids::{ServiceId, UpstreamId};
 use bergamotpitch_core::{HashMap, HashSet};
 
-pub use crate::traffic::crash_evidence::Evidence;
-use crate::traffic::crash_evidence::{BEGUN_WEIGHT, CrashRecord, WAITING_WEIGHT};
+use crate::traffic::crash_evidence::{CrashRecord, STRONG_WEIGHT, WEAK_WEIGHT};
+pub use crate::traffic::crash_evidence::{Evidence, SuspectId};
 use crate::traffic::facts::PartId;
+use crate::traffic::request_digests::RequestDigest;
 use crate::traffic::sound_parts::{Moment, SoundParts};
 
 /// `PartKey` names a part of the prompts for one service.
 pub type PartKey = (ServiceId, PartId);
 
-/// `TRIAL_WINDOW_MS` is for how long one instance may try a part whose block is over, before the next one
-/// may: it may be gone, or get no request with the part.
+/// `TRIAL_WINDOW_MS` is for how long one instance may try a suspect whose block is over, before the next one
+/// may: it may be gone, or get no request with a part.
 pub const TRIAL_WINDOW_MS: Moment = 5_000;
 
 /// `EVIDENCE_MEMORY_MS` is for how long a crash counts after the block that it led to.
 const EVIDENCE_MEMORY_MS: Moment = 10 * 60_000;
 
-/// `WAITING_MEMORY_MS` is the same for a part that only waited at an upstream which crashed once.
-const WAITING_MEMORY_MS: Moment = 60_000;
+/// `WEAK_MEMORY_MS` is the same for a part that only waited at an upstream which crashed once, and for a
+/// request that is not blocked: its caller waits no longer.
+const WEAK_MEMORY_MS: Moment = 60_000;
 
-/// `SUSPECTS_MAX` bounds the table; parts with the least evidence give way.
+/// `SUSPECTS_MAX` bounds the parts, and the requests, in the table; those with the least evidence give way.
 const SUSPECTS_MAX: usize = 1_024;
 
 /// `RETRACTION_DELAY_MS` is the time after which a byte of an upstream shows that it did not crash; what was
 /// under way may be read until then.
 const RETRACTION_DELAY_MS: Moment = 250;
 
-/// `Verdict` tells where a request may go because of the parts of its prompt.
+/// `Verdict` tells where a request may go because of what is held against it or the parts of its prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
     /// Anywhere.
     Admit,
-    /// To the upstream that all requests with this part prefer, so that they crash one together.
-    Confine(PartId),
+    /// To the upstream that all requests with this part, or all attempts of this request, prefer, so that they
+    /// crash one together.
+    Confine(SuspectId),
     /// As [`Verdict::Confine`], and only from the instance whose turn it is, one at a time.
     Try(Turn),
     /// Nowhere, for this time.
     Block(Duration),
 }
 
-/// `Turn` tells whose turn it is to try a part whose block is over.
+/// `Turn` tells whose turn it is to try a suspect whose block is over.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Turn {
-    /// The part.
-    pub part: PartId,
+    /// The suspect.
+    pub suspect: SuspectId,
     /// Number of the block that is over; each one begins with another instance.
     pub round: u32,
     /// Place of the instance in the order of the round.
     pub place: usize,
 }
 
-/// `Suspicion` is what is known against one part.
+/// `Suspicion` is what is known against one suspect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Suspicion {
-    /// The part.
-    pub part: PartKey,
+    /// The suspect.
+    pub suspect: SuspectId,
     /// Crashes that count against it.
     pub crashes: usize,
-    /// Whether an answer on it had begun at one of them.
-    pub has_begun: bool,
+    /// Whether one of them is strong evidence.
+    pub is_strong: bool,
     /// The upstream of the last of them.
     pub last_life: UpstreamId,
     /// When that was.
@@ -79,16 +85,16 @@
     pub blocked_until: Option<Moment>,
 }
 
-/// `CrashSuspects` is the table of parts under which upstreams have crashed.
+/// `CrashSuspects` is the table of parts and requests under which upstreams have crashed.
 #[derive(Debug, Default)]
 pub struct CrashSuspects {
     /// Parts that were answered lately.
     pub sound: SoundParts,
-    suspects: HashMap<PartKey, Suspect>,
+    suspects: HashMap<SuspectId, Suspect>,
     crashed: HashSet<UpstreamId>,
-    /// When operators let parts in again, and when upstreams showed that they live: what others tell
-    /// of the time before counts no more.
-    lifted: HashMap<PartKey, Moment>,
+    /// When operators let suspects in again or requests were answered, and when upstreams showed that they
+    /// live: what others tell of the time before counts no more.
+    lifted: HashMap<SuspectId, Moment>,
     alive: HashMap<UpstreamId, Moment>,
     /// Requests that were answered here, by service.
     answers: HashMap<ServiceId, u64>,
@@ -104,33 +110,48 @@
 }
 
 impl CrashSuspects {
-    /// `is_empty` tells whether no part is suspected at all.
+    /// `is_empty` tells whether nothing is suspected at all.
     pub fn is_empty(&self) -> bool {
         self.suspects.is_empty()
     }
 
-    /// `note_crash` takes in a crash that counts against a part, and how many requests without the part have
+    /// `note_crash` takes in a crash that counts against a suspect, and how many requests without a part have
     /// been answered since the first one at whoever tells of it; it tells whether the crash was news.
     pub fn note_crash(&mut self, evidence: Evidence, answers: u64) -> bool {
-        let Evidence { part, life, at, .. } = evidence;
-        let sound_at = self.sound.answered_at(part);
-        let lifted_at = self.lifted.get(&part).copied();
+        let Evidence { suspect, life, at, .. } = evidence;
+        let sound_at = self.answered_at(suspect);
+        let lifted_at = self.lifted.get(&suspect).copied();
         let alive_at = self.alive.get(&life).copied();
         let refuted_at = [sound_at, lifted_at, alive_at];
         if refuted_at.into_iter().flatten().any(|refuted_at| at <= refuted_at) {
             return false;
         }
-        if !self.suspects.contains_key(&part) && SUSPECTS_MAX <= self.suspects.len() {
-            self.drop_weakest();
+        if !self.suspects.contains_key(&suspect) {
+            self.make_room(suspect.is_request());
         }
-        let answers_before = self.answers.get(&part.0).copied().unwrap_or_default();
-        let suspect = self.suspects.entry(part).or_insert_with(|| {
-            let record = CrashRecord::new(sound_at.is_some());
+        let answers_before = self.answers_of(suspect);
+        let known = self.suspects.entry(suspect).or_insert_with(|| {
+            let record = CrashRecord::new(suspect, sound_at.is_some());
             Suspect { record, answers_before, answers_told: 0 }
         });
-        suspect.answers_told = suspect.answers_told.max(answers);
+        known.answers_told = known.answers_told.max(answers);
         self.crashed.insert(life);
-        suspect.record.add(evidence)
+        known.record.add(evidence)
+    }
+
+    fn answered_at(&self, suspect: SuspectId) -> Option<Moment> {
+        match suspect {
+            SuspectId::Part(service, part) => self.sound.answered_at((service, part)),
+            SuspectId::Request(_) => None,
+        }
+    }
+
+    /// Requests that were answered here for the service of a part.
+    fn answers_of(&self, suspect: SuspectId) -> u64 {
+        match suspect {
+            SuspectId::Part(service, _) => self.answers.get(&service).copied().unwrap_or_default(),
+            SuspectId::Request(_) => 0,
+        }
     }
 
     /// `note_answered` takes in that a request with these parts was answered, up to a time; it returns the
@@ -149,24 +170,24 @@
     /// `note_sound` takes in that a part was answered up to a time; it tells whether it was suspected.
     pub fn note_sound(&mut self, part: PartKey, at: Moment) -> bool {
         self.sound.note(part, at);
-        !self.suspects.is_empty() && self.clear(part, at)
+        !self.suspects.is_empty() && self.clear(SuspectId::Part(part.0, part.1), at)
     }
 
-    /// `lift` lets a part in again until upstreams crash under it anew; it tells whether anything counted
-    /// against it.
-    pub fn lift(&mut self, part: PartKey, at: Moment) -> bool {
-        self.lifted.insert(part, at);
-        self.clear(part, at)
+    /// `lift` lets a suspect in again until upstreams crash under it anew, as operators want it or as a request
+    /// was answered in full; it tells whether anything counted against it.
+    pub fn lift(&mut self, suspect: SuspectId, at: Moment) -> bool {
+        self.lifted.insert(suspect, at);
+        self.clear(suspect, at)
     }
 
-    fn clear(&mut self, part: PartKey, at: Moment) -> bool {
-        let answers = self.answers.get(&part.0).copied().unwrap_or_default();
-        let Some(suspect) = self.suspects.get_mut(&part) else { return false };
-        let is_cleared = suspect.record.retain(|evidence| at < evidence.at);
-        suspect.record.was_sound = true;
-        (suspect.answers_before, suspect.answers_told) = (answers, 0);
-        if suspect.record.evidence().is_empty() {
-            self.suspects.remove(&part);
+    fn clear(&mut self, suspect: SuspectId, at: Moment) -> bool {
+        let answers = self.answers_of(suspect);
+        let Some(known) = self.suspects.get_mut(&suspect) else { return false };
+        let is_cleared = known.record.retain(|evidence| at < evidence.at);
+        known.record.was_sound = true;
+        (known.answers_before, known.answers_told) = (answers, 0);
+        if known.record.evidence().is_empty() {
+            self.suspects.remove(&suspect);
         }
         is_cleared
     }
@@ -191,25 +212,34 @@
         was_crashed
     }
 
-    /// `verdict` tells where a request with these parts may go. Crashes that a blocked part explains which
-    /// the request does not hold do not count against its own: sound requests that share all other parts
-    /// are let in, and clear them.
+    /// `holds_requests` tells whether any request is suspected, so that others must be compared with it.
+    pub fn holds_requests(&self) -> bool {
+        self.suspects.keys().any(|suspect| suspect.is_request())
+    }
+
+    /// `verdict` tells where a request with these parts may go; `digest` names it, where it is known. Crashes
+    /// that a blocked part explains which the request does not hold count neither against it nor against its
+    /// own parts: sound requests that share all other parts are let in, and clear them.
     pub fn verdict(
         &self,
         service: ServiceId,
         parts: impl Iterator<Item = PartId>,
+        digest: Option<RequestDigest>,
         now: Moment,
     ) -> Verdict {
-        let suspected: Vec<(PartId, &Suspect)> =
-            parts.filter_map(|part| Some((part, self.suspects.get(&(service, part))?))).collect();
-        let verdicts = suspected.iter().map(|(part, suspect)| {
-            let answers = self.answers_since(service, suspect);
+        let request = digest.map(SuspectId::Request);
+        let parts = parts.map(|part| SuspectId::Part(service, part));
+        let held = request.into_iter().chain(parts);
+        let suspected: Vec<(SuspectId, &Suspect)> =
+            held.filter_map(|held| Some((held, self.suspects.get(&held)?))).collect();
+        let verdicts = suspected.iter().map(|(id, suspect)| {
+            let answers = self.answers_since(*id, suspect);
             if suspect.record.blocked_until(answers).is_none() {
-                return verdict_of(&suspect.record, answers, *part, now);
+                return verdict_of(&suspect.record, answers, *id, now);
             }
             let mut unexplained = suspect.record.clone();
             unexplained.retain(|evidence| !self.is_explained(service, evidence.life, &suspected));
-            verdict_of(&unexplained, answers, *part, now)
+            verdict_of(&unexplained, answers, *id, now)
         });
         verdicts.max_by_key(Verdict::severity).unwrap_or(Verdict::Admit)
     }
@@ -220,38 +250,38 @@
         &self,
         service: ServiceId,
         life: UpstreamId,
-        held: &[(PartId, &Suspect)],
+        held: &[(SuspectId, &Suspect)],
     ) -> bool {
-        self.suspects.iter().any(|((of_service, part), other)| {
-            *of_service == service
-                && held.iter().all(|(held, _)| held != part)
-                && other.record.has_begun_at(life)
-                && other.record.blocked_until(self.answers_since(service, other)).is_some()
+        self.suspects.iter().any(|(id, other)| {
+            matches!(id, SuspectId::Part(of_service, _) if *of_service == service)
+                && held.iter().all(|(held, _)| held != id)
+                && other.record.is_strong_at(life)
+                && other.record.blocked_until(self.answers_since(*id, other)).is_some()
         })
     }
 
-    fn answers_since(&self, service: ServiceId, suspect: &Suspect) -> u64 {
-        let answers = self.answers.get(&service).copied().unwrap_or_default();
+    fn answers_since(&self, id: SuspectId, suspect: &Suspect) -> u64 {
+        let answers = self.answers_of(id);
         answers.saturating_sub(suspect.answers_before).max(suspect.answers_told)
     }
 
-    /// `suspicions` returns what is known against each part, in no order.
+    /// `suspicions` returns what is known against each suspect, in no order.
     pub fn suspicions(&self) -> Vec<Suspicion> {
-        self.suspects.iter().map(|(part, suspect)| self.suspicion(*part, suspect)).collect()
+        self.suspects.iter().map(|(id, suspect)| self.suspicion(*id, suspect)).collect()
     }
 
-    /// `suspicion_of` returns what is known against one part.
-    pub fn suspicion_of(&self, part: PartKey) -> Option<Suspicion> {
-        self.suspects.get(&part).map(|suspect| self.suspicion(part, suspect))
+    /// `suspicion_of` returns what is known against one suspect.
+    pub fn suspicion_of(&self, id: SuspectId) -> Option<Suspicion> {
+        self.suspects.get(&id).map(|suspect| self.suspicion(id, suspect))
     }
 
-    fn suspicion(&self, part: PartKey, suspect: &Suspect) -> Suspicion {
-        let answers = self.answers_since(part.0, suspect);
+    fn suspicion(&self, id: SuspectId, suspect: &Suspect) -> Suspicion {
+        let answers = self.answers_since(id, suspect);
         let evidence = suspect.record.evidence();
         Suspicion {
-            part,
+            suspect: id,
             crashes: evidence.len(),
-            has_begun: evidence.iter().any(|evidence| evidence.has_begun),
+            is_strong: evidence.iter().any(|evidence| evidence.is_strong),
             last_life: evidence.last().map_or(0, |evidence| evidence.life),
             last_at: suspect.record.last_at(),
             answers,
@@ -259,14 +289,24 @@
         }
     }
 
-    /// `begun_evidence` returns the crashes that other instances are told again and again, with how many
-    /// requests without the part were answered since the first one.
-    pub fn begun_evidence(&self) -> Vec<(Evidence, u64)> {
-        let all = self.suspects.iter().flat_map(|((service, _), suspect)| {
-            let answers = self.answers_since(*service, suspect);
-            suspect.record.evidence().iter().map(move |evidence| (*evidence, answers))
-        });
-        all.filter(|(evidence, _)| evidence.has_begun).collect()
+    /// `evidence_to_tell` returns the crashes that other instances are told again and again, with how many
+    /// requests without a part were answered since the first one: at most so many, those of what is blocked
+    /// first, and of these parts before requests.
+    pub fn evidence_to_tell(&self, most: usize) -> Vec<(Evidence, u64)> {
+        let mut ordered = Vec::new();
+        for (id, suspect) in &self.suspects {
+            let answers = self.answers_since(*id, suspect);
+            let is_blocked = suspect.record.blocked_until(answers).is_some();
+            // A part that only waited is told once; a request may be at the next instance by then.
+            let told = suspect.record.evidence().iter();
+            let told = told.filter(|evidence| evidence.is_strong || id.is_request());
+            ordered.extend(told.map(|evidence| {
+                let order = (!is_blocked, id.is_request(), std::cmp::Reverse(evidence.at), *id);
+                (order, (*evidence, answers))
+            }));
+        }
+        ordered.sort_unstable_by_key(|(order, _)| *order);
+        ordered.into_iter().map(|(_, evidence)| evidence).take(most).collect()
     }
 
     /// `step` forgets crashes that are long past.
@@ -279,42 +319,49 @@
             self.crashed.clear();
             return;
         }
-        let answers = &self.answers;
-        self.suspects.retain(|(service, _), suspect| {
-            let answers = answers.get(service).copied().unwrap_or_default();
-            now <= suspect.forgotten_at(answers)
-        });
+        let mut suspects = std::mem::take(&mut self.suspects);
+        suspects.retain(|id, suspect| now <= self.forgotten_at(*id, suspect));
+        self.suspects = suspects;
     }
 
-    fn drop_weakest(&mut self) {
-        let weakest = self.suspects.iter().min_by_key(|(part, suspect)| {
-            (suspect.record.weight(), suspect.record.last_at(), **part)
-        });
-        if let Some(part) = weakest.map(|(part, _)| *part) {
-            self.suspects.remove(&part);
+    fn forgotten_at(&self, id: SuspectId, suspect: &Suspect) -> Moment {
+        let record = &suspect.record;
+        match record.blocked_until(self.answers_since(id, suspect)) {
+            Some(until) => until + EVIDENCE_MEMORY_MS,
+            None if id.is_request() || record.weight() <= WEAK_WEIGHT => {
+                record.last_at() + WEAK_MEMORY_MS
+            }
+            None => record.last_at() + EVIDENCE_MEMORY_MS,
         }
     }
-}
 
-impl Suspect {
-    fn forgotten_at(&self, answers: u64) -> Moment {
-        let answers = answers.saturating_sub(self.answers_before).max(self.answers_told);
-        let is_weak = self.record.weight() <= WAITING_WEIGHT;
-        let memory = if is_weak { WAITING_MEMORY_MS } else { EVIDENCE_MEMORY_MS };
-        self.record.blocked_until(answers).unwrap_or(self.record.last_at()) + memory
+    /// Drops the suspect of a kind with the least evidence, where there are too many of it.
+    fn make_room(&mut self, is_request: bool) {
+        let of_kind = self.suspects.iter().filter(|(id, _)| id.is_request() == is_request);
+        if of_kind.clone().count() < SUSPECTS_MAX {
+            return;
+        }
+        let weakest =
+            of_kind.min_by_key(|(id, known)| (known.record.weight(), known.record.last_at(), **id));
+        if let Some(id) = weakest.map(|(id, _)| *id) {
+            self.suspects.remove(&id);
+        }
     }
 }
 
-fn verdict_of(record: &CrashRecord, answers: u64, part: PartId, now: Moment) -> Verdict {
+fn verdict_of(record: &CrashRecord, answers: u64, id: SuspectId, now: Moment) -> Verdict {
     let Some(blocked_until) = record.blocked_until(answers) else {
-        let is_confined = !record.was_sound && BEGUN_WEIGHT <= record.weight();
-        return if is_confined { Verdict::Confine(part) } else { Verdict::Admit };
+        let is_confined = match id {
+            SuspectId::Part(..) => !record.was_sound && STRONG_WEIGHT <= record.weight(),
+            SuspectId::Request(_) => !record.evidence().is_empty(),
+        };
+        return if is_confined { Verdict::Confine(id) } else { Verdict::Admit };
     };
     if now < blocked_until {
         return Verdict::Block(Duration::from_millis((blocked_until - now) as u64));
     }
     let place = ((now - blocked_until) / TRIAL_WINDOW_MS) as usize;
-    Verdict::Try(Turn { part, round: record.weight(), place })
+    Verdict::Try(Turn { suspect: id, round: record.weight(), place })
 }
 
 impl Verdict {
--- a/crates/bergamotpitch-control/src/traffic/placement_queues.rs
+++ b/crates/bergamotpitch-control/src/traffic/placement_queues.rs
@@ -16,6 +16,7 @@
 use crate::traffic::facts::RequestFacts;
 use crate::traffic::placement_requests::{Decision, PlacementRequest, Scope};
 use crate::traffic::registries::UpstreamKey;
+use crate::traffic::request_digests::RequestDigest;
 use crate::traffic::residencies::AllowedRegions;
 use crate::traffic::team_windows::ShareClass;
 
@@ -61,6 +62,8 @@
     pub regions: AllowedRegions,
     /// The version of software at which it goes on, when it takes up a stream of a service of several.
     pub software: Option<SoftwareId>,
+    /// Name of its content, while requests are suspected of crashing upstreams.
+    pub digest: Option<RequestDigest>,
 }
 
 impl OwnedPlacementRequest {
@@ -80,6 +83,7 @@
             scope: self.scope,
             regions: &self.regions,
             software: self.software,
+            digest: self.digest,
         }
     }
 
--- a/crates/bergamotpitch-control/src/traffic/placement_requests.rs
+++ b/crates/bergamotpitch-control/src/traffic/placement_requests.rs
@@ -10,6 +10,7 @@
 use crate::traffic::engine_loads::Work;
 use crate::traffic::facts::RequestFacts;
 use crate::traffic::registries::UpstreamKey;
+use crate::traffic::request_digests::RequestDigest;
 use crate::traffic::residencies::AllowedRegions;
 use crate::traffic::team_windows::ShareClass;
 use crate::traffic::warm_ups;
@@ -53,6 +54,8 @@
     pub regions: &'a AllowedRegions,
     /// The version of software at which it goes on, when it takes up a stream of a service of several.
     pub software: Option<SoftwareId>,
+    /// Name of its content, while requests are suspected of crashing upstreams.
+    pub digest: Option<RequestDigest>,
 }
 
 /// `Decision` is the decision.
@@ -71,7 +74,7 @@
     },
     /// No upstream of the service takes work; it is worth asking again at this time.
     NoUpstream(Duration),
-    /// It goes nowhere for this time, as a part of its prompt crashes upstreams.
+    /// It goes nowhere for this time, as it or a part of its prompt crashes upstreams.
     Blocked(Duration),
 }
 
--- a/crates/bergamotpitch-control/tests/cold_upstreams.rs
+++ b/crates/bergamotpitch-control/tests/cold_upstreams.rs
@@ -68,6 +68,7 @@
         scope: Scope::Domain,
         regions: &AllowedRegions::Any,
         software: None,
+        digest: None,
     }
 }
 
--- a/crates/bergamotpitch-control/tests/crash_suspects.rs
+++ b/crates/bergamotpitch-control/tests/crash_suspects.rs
@@ -1,7 +1,7 @@
 //! Which part of prompts is taken for what crashes upstreams, when, and until when.
 
 use bergamotpitch_control::traffic::crash_suspects::{
-    CrashSuspects, Evidence, TRIAL_WINDOW_MS, Turn, Verdict,
+    CrashSuspects, Evidence, SuspectId, TRIAL_WINDOW_MS, Turn, Verdict,
 };
 use bergamotpitch_control::traffic::facts::PartId;
 use bergamotpitch_control::traffic::fleet_members::Members;
@@ -15,8 +15,12 @@
 /// Requests without a part that are answered while it crashes two upstreams: enough to be certain.
 const ENOUGH: u64 = 14;
 
+fn id(part: PartId) -> SuspectId {
+    SuspectId::Part(SERVICE, part)
+}
+
 fn crash(part: PartId, life: UpstreamId, at: Moment) -> Evidence {
-    Evidence { part: (SERVICE, part), life, has_begun: true, at }
+    Evidence { suspect: id(part), life, is_strong: true, at }
 }
 
 fn note(suspects: &mut CrashSuspects, evidence: Evidence) -> bool {
@@ -38,7 +42,7 @@
 }
 
 fn verdict(suspects: &CrashSuspects, part: PartId, now: Moment) -> Verdict {
-    suspects.verdict(SERVICE, [START, part].into_iter(), now)
+    suspects.verdict(SERVICE, [START, part].into_iter(), None, now)
 }
 
 fn is_blocked(suspects: &CrashSuspects, part: PartId, now: Moment) -> bool {
@@ -52,12 +56,12 @@
     let mut suspects = CrashSuspects::default();
     assert_eq!(verdict(&suspects, BAD, 0), Verdict::Admit);
     assert!(note(&mut suspects, crash(BAD, 1, 0)));
-    assert_eq!(verdict(&suspects, BAD, 0), Verdict::Confine(BAD));
+    assert_eq!(verdict(&suspects, BAD, 0), Verdict::Confine(id(BAD)));
     answer_others(&mut suspects, ENOUGH);
-    assert_eq!(verdict(&suspects, BAD, 500), Verdict::Confine(BAD));
+    assert_eq!(verdict(&suspects, BAD, 500), Verdict::Confine(id(BAD)));
     assert!(note(&mut suspects, crash(BAD, 2, 1_000)));
     assert!(is_blocked(&suspects, BAD, 1_000) && is_blocked(&suspects, BAD, 30_999));
-    assert_eq!(suspects.verdict(SERVICE + 1, [BAD].into_iter(), 1_500), Verdict::Admit);
+    assert_eq!(suspects.verdict(SERVICE + 1, [BAD].into_iter(), None, 1_500), Verdict::Admit);
 }
 
 /// Guards against parts that are blocked although nothing is known yet: all instances have just started,
@@ -115,7 +119,7 @@
         note(&mut suspects, crash(7, life, 1_000 + 10 * Moment::from(life)));
     }
     answer_others(&mut suspects, 1_000);
-    assert_eq!(verdict(&suspects, 7, 1_100), Verdict::Confine(7));
+    assert_eq!(verdict(&suspects, 7, 1_100), Verdict::Confine(id(7)));
 }
 
 /// Guards against a part that sound requests share, and that is blocked as some of them were in hand at
@@ -146,10 +150,10 @@
     note(&mut suspects, crash(BAD, 3, 1_500));
     answer_others(&mut suspects, ENOUGH);
     assert!(is_blocked(&suspects, BAD, 1_500), "it holds both");
-    assert_eq!(verdict(&suspects, 7, 1_500), Verdict::Confine(START));
+    assert_eq!(verdict(&suspects, 7, 1_500), Verdict::Confine(id(START)));
     suspects.note_sound((SERVICE, START), 2_000);
     assert_eq!(verdict(&suspects, 7, 2_000), Verdict::Admit);
-    let alone = suspects.verdict(SERVICE, [BAD].into_iter(), 2_000);
+    let alone = suspects.verdict(SERVICE, [BAD].into_iter(), None, 2_000);
     assert!(matches!(alone, Verdict::Block(_)));
 }
 
@@ -195,7 +199,7 @@
 fn block_ends() {
     let mut suspects = CrashSuspects::default();
     block(&mut suspects, BAD);
-    let turn = |place| Verdict::Try(Turn { part: BAD, round: 4, place });
+    let turn = |place| Verdict::Try(Turn { suspect: id(BAD), round: 4, place });
     assert_eq!(verdict(&suspects, BAD, 31_000), turn(0));
     assert_eq!(verdict(&suspects, BAD, 31_000 + TRIAL_WINDOW_MS), turn(1));
     note(&mut suspects, crash(BAD, 3, 31_500));
@@ -216,7 +220,7 @@
     block(&mut suspects, 7);
     assert!(!suspects.retract(1, 100), "it may have been written before");
     assert!(suspects.retract(1, 300));
-    assert_eq!(verdict(&suspects, 7, 2_000), Verdict::Confine(7));
+    assert_eq!(verdict(&suspects, 7, 2_000), Verdict::Confine(id(7)));
     assert!(!note(&mut suspects, crash(7, 1, 0)), "others tell of it still");
     assert!(!suspects.retract(1, 400));
     assert!(suspects.retract(2, 3_000) && suspects.is_empty());
@@ -227,7 +231,7 @@
 fn lifted_part() {
     let mut suspects = CrashSuspects::default();
     block(&mut suspects, BAD);
-    assert!(suspects.lift((SERVICE, BAD), 5_000));
+    assert!(suspects.lift(id(BAD), 5_000));
     assert!(!note(&mut suspects, crash(BAD, 2, 1_000)));
     assert_eq!(verdict(&suspects, BAD, 5_000), Verdict::Admit);
     assert!(note(&mut suspects, crash(BAD, 3, 6_000)));
@@ -236,7 +240,7 @@
 /// A part that only waited at engines that crashed weighs half as much.
 #[test]
 fn only_waited() {
-    let waited = |life, at| Evidence { has_begun: false, ..crash(7, life, at) };
+    let waited = |life, at| Evidence { is_strong: false, ..crash(7, life, at) };
     let mut suspects = CrashSuspects::default();
     for life in 1..=3 {
         note(&mut suspects, waited(life, 1_000 * Moment::from(life)));
--- a/crates/bergamotpitch-control/tests/data_residency.rs
+++ b/crates/bergamotpitch-control/tests/data_residency.rs
@@ -56,6 +56,7 @@
         target_gap: None,
         regions,
         software: None,
+        digest: None,
         scope: Scope::Fleet,
     }
 }
--- a/crates/bergamotpitch-control/tests/fetched_starts.rs
+++ b/crates/bergamotpitch-control/tests/fetched_starts.rs
@@ -69,6 +69,7 @@
         scope: Scope::Fleet,
         regions: &AllowedRegions::Any,
         software: None,
+        digest: None,
     }
 }
 
--- a/crates/bergamotpitch-control/tests/near_domains.rs
+++ b/crates/bergamotpitch-control/tests/near_domains.rs
@@ -46,6 +46,7 @@
         scope: Scope::Fleet,
         regions: &AllowedRegions::Any,
         software: None,
+        digest: None,
     }
 }
 
--- a/crates/bergamotpitch-control/tests/policy_switches.rs
+++ b/crates/bergamotpitch-control/tests/policy_switches.rs
@@ -57,6 +57,7 @@
         scope: Scope::Fleet,
         regions: &AllowedRegions::Any,
         software: None,
+        digest: None,
     };
     traffic.choose_upstream(&placement_request, NOW)
 }
--- a/crates/bergamotpitch-control/tests/replays/mod.rs
+++ b/crates/bergamotpitch-control/tests/replays/mod.rs
@@ -143,6 +143,7 @@
         scope: Scope::Fleet,
         regions: &AllowedRegions::Any,
         software: None,
+        digest: None,
     }
 }
 
--- a/crates/bergamotpitch-control/tests/slow_services.rs
+++ b/crates/bergamotpitch-control/tests/slow_services.rs
@@ -43,6 +43,7 @@
         scope: Scope::Fleet,
         regions: &AllowedRegions::Any,
         software: None,
+        digest: None,
     }
 }
 
--- a/crates/bergamotpitch-control/tests/underserved_teams.rs
+++ b/crates/bergamotpitch-control/tests/underserved_teams.rs
@@ -75,6 +75,7 @@
         scope: Scope::Fleet,
         regions: &AllowedRegions::Any,
         software: None,
+        digest: None,
     }
 }
 
--- a/crates/bergamotpitch-core/src/events.rs
+++ b/crates/bergamotpitch-core/src/events.rs
@@ -88,6 +88,10 @@
     PartSuspected = 408,
     /// A part of prompts is not suspected any more.
     PartCleared = 409,
+    /// A request is refused, as upstreams crash under it.
+    RequestBlocked = 410,
+    /// A request is not refused any more.
+    RequestCleared = 411,
     /// The key-value service is out of reach.
     PlatformLost = 500,
     /// The key-value service answers again.
--- a/crates/bergamotpitch-core/src/refusals.rs
+++ b/crates/bergamotpitch-core/src/refusals.rs
@@ -69,6 +69,8 @@
     StreamVersionGone,
     /// A part of the prompt crashes upstreams.
     PromptPartBlocked,
+    /// Upstreams crash under the request.
+    RequestBlocked,
     /// The instance is draining.
     Draining,
     /// The instance has no configuration yet.
--- a/crates/bergamotpitch-ctl/src/commands.rs
+++ b/crates/bergamotpitch-ctl/src/commands.rs
@@ -9,7 +9,7 @@
 use crate::events::note_accepted;
 use crate::keys::hash_key;
 use crate::settings::{CtlSettings, parse_router, read_settings};
-use crate::{operators, parts, sheets};
+use crate::{operators, sheets, suspects};
 
 mod flags {
     #![allow(missing_docs, reason = "the macro makes items that take no comments")]
@@ -80,6 +80,13 @@
                 }
             }
 
+            /// Ask every router which requests it refuses, as upstreams crash under them. The routers are
+            /// named as for parts.
+            cmd request {
+                /// Let this one in again instead, by its digest, at all routers that the first one knows.
+                optional --lift digest: String
+            }
+
             /// Work with bearer keys.
             cmd key {
                 /// Print the hash of a key as the sheet holds it.
@@ -149,8 +156,14 @@
         Command::Explain(explain) => operators::explain(&settings.routers, &explain.request).await,
         Command::Drain(drain) => operators::drain(&settings.routers, &drain.instance).await,
         Command::Part(part) => match part.subcommand {
-            PartCmd::List(_) => parts::list(&settings.routers).await,
-            PartCmd::Lift(lift) => parts::lift(&settings.routers, &lift.service, &lift.part).await,
+            PartCmd::List(_) => suspects::list_parts(&settings.routers).await,
+            PartCmd::Lift(lift) => {
+                suspects::lift_part(&settings.routers, &lift.service, &lift.part).await
+            }
+        },
+        Command::Request(request) => match request.lift {
+            None => suspects::list_requests(&settings.routers).await,
+            Some(digest) => suspects::lift_request(&settings.routers, &digest).await,
         },
         Command::Key(key) => match key.subcommand {
             KeyCmd::Hash(hash) => Ok(format!("{}\n", hash_key(&read_key(hash.key)?))),
--- a/crates/bergamotpitch-ctl/src/lib.rs
+++ b/crates/bergamotpitch-ctl/src/lib.rs
@@ -6,8 +6,8 @@
 pub mod events;
 pub mod keys;
 pub mod operators;
-pub mod parts;
 pub mod settings;
 pub mod sheets;
+pub mod suspects;
 
 pub use crate::errors::{Error, Result};
--- a/crates/bergamotpitch-ctl/tests/router_calls.rs
+++ b/crates/bergamotpitch-ctl/tests/router_calls.rs
@@ -6,8 +6,8 @@
 
 use bergamotpitch_ctl::errors::{Error, exit_code};
 use bergamotpitch_ctl::operators::{drain, explain, status};
-use bergamotpitch_ctl::parts;
 use bergamotpitch_ctl::settings::RouterEntry;
+use bergamotpitch_ctl::suspects::{lift_part, lift_request, list_parts, list_requests};
 use bergamotpitch_standin::bodies::text_answer;
 use bergamotpitch_standin::servers::{Server, serve};
 use common::LOOPBACK;
@@ -29,6 +29,9 @@
     {"service":"engines","part":"bad","crashes":2,"is_blocked":true,"blocked_for_ms":900},
     {"service":"engines","part":"7","crashes":1,"is_blocked":false,"blocked_for_ms":0}]"#;
 
+const REQUESTS: &str = r#"[
+    {"digest":"00000000000000ad","crashes":2,"is_blocked":true,"blocked_for_ms":0}]"#;
+
 /// Starts a router's operator port that knows the request `r1` and drains.
 async fn start_operator_port(status: &'static str) -> (Server, RouterEntry) {
     let handler = Arc::new(move |request: Request<Incoming>| {
@@ -38,6 +41,8 @@
             (&Method::GET, "/explain/r2") => text_answer(StatusCode::OK, r#"{"events":[]}"#),
             (&Method::GET, "/parts") => text_answer(StatusCode::OK, PARTS),
             (&Method::POST, "/parts/lift") => text_answer(StatusCode::OK, "lifted"),
+            (&Method::GET, "/requests") => text_answer(StatusCode::OK, REQUESTS),
+            (&Method::POST, "/requests/lift") => text_answer(StatusCode::OK, "lifted"),
             (&Method::POST, "/drain") => text_answer(StatusCode::OK, "draining"),
             _ => text_answer(StatusCode::NOT_FOUND, "unknown"),
         };
@@ -70,15 +75,25 @@
 #[tokio::test]
 async fn crashing_parts() {
     let (server, router) = start_operator_port(STATUS).await;
-    let text = parts::list(&[silent_router(), router.clone()]).await.unwrap();
+    let text = list_parts(&[silent_router(), router.clone()]).await.unwrap();
     let lines: Vec<&str> = text.lines().collect();
     assert!(lines[0].starts_with("router-2: does not answer: "), "{text}");
     assert_eq!(lines[1], "router-1: engines bad blocked for 900 ms, 2 crashes");
     assert_eq!(lines[2], "router-1: engines 7 suspected, 1 crashes");
-    let lifted = parts::lift(&[silent_router(), router], "engines", "bad").await.unwrap();
+    let lifted = lift_part(&[silent_router(), router], "engines", "bad").await.unwrap();
+    assert_eq!(lifted, "router-1: lifted\n");
+    assert!(matches!(list_parts(&[silent_router()]).await, Err(Error::Router { .. })));
+    assert!(matches!(list_parts(&[]).await, Err(Error::NoRouters)));
+    server.close().await;
+}
+
+#[tokio::test]
+async fn crashing_request() {
+    let (server, router) = start_operator_port(STATUS).await;
+    let text = list_requests(std::slice::from_ref(&router)).await.unwrap();
+    assert_eq!(text, "router-1: 00000000000000ad blocked, may be tried, 2 crashes\n");
+    let lifted = lift_request(&[silent_router(), router], "ad").await.unwrap();
     assert_eq!(lifted, "router-1: lifted\n");
-    assert!(matches!(parts::list(&[silent_router()]).await, Err(Error::Router { .. })));
-    assert!(matches!(parts::list(&[]).await, Err(Error::NoRouters)));
     server.close().await;
 }
 
--- a/crates/bergamotpitch-gateway/src/attempts.rs
+++ b/crates/bergamotpitch-gateway/src/attempts.rs
@@ -16,6 +16,7 @@
 
 use crate::bodies::{AnswerBody, EventSource, StreamAnswer, is_event_stream, read_whole};
 use crate::calls::{BUSY_RETURN, Call};
+use crate::crashes::AnswerProgress;
 use crate::exchanges::{self, Answer, Failure, Reuse};
 use crate::gateways::Gateway;
 use crate::headers::remove_hop_headers;
@@ -50,43 +51,55 @@
 pub(crate) async fn follow(
     gateway: &Rc<Gateway>,
     call: Rc<Call>,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let result = try_upstreams(gateway, &call).await;
+    if result.is_err() {
+        gateway.wait_until_told(&call).await;
+    }
+    result
+}
+
+async fn try_upstreams(
+    gateway: &Rc<Gateway>,
+    call: &Rc<Call>,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let mut tried: Vec<UpstreamKey> = Vec::new();
     let mut attempts = 0;
     let mut unreachable = 0;
     let mut withdrawn = 0;
     let mut may_have_run = false;
-    bind_resumption(gateway, &call).await?;
+    bind_resumption(gateway, call).await?;
     loop {
-        if let Err(refusal) = gateway.check_parts(&call) {
+        if let Err(refusal) = gateway.check_suspects(call) {
             return Err(after_attempts(refusal, may_have_run));
         }
-        let placed = match place(gateway, &call, &tried).await {
+        let placed = match place(gateway, call, &tried).await {
             Ok(placed) => placed,
             Err(refusal) => return Err(after_attempts(refusal, may_have_run)),
         };
         let run = Run::open(gateway, &placed);
         let placement = placed.placement;
-        gateway.note_origin(&call, placement.upstream);
+        gateway.note_origin(call, placement.upstream);
         if let Some(team) = call.team.as_deref().filter(|_| tried.is_empty()) {
             gateway.team_counters.note_sent(team, call.facts.pool_tokens());
         }
-        note_dispatch(&call, &placed, gateway, attempts);
-        match attempt(gateway, &call, &placement, &tried, attempts).await {
-            Ok(answer) => match pass_on(gateway, &call, run, answer, attempts).await {
+        note_dispatch(call, &placed, gateway, attempts);
+        match attempt(gateway, call, &placement, &tried, attempts).await {
+            Ok(answer) => match pass_on(gateway, call, run, answer, attempts).await {
                 Ok(response) => return Ok(response),
                 Err(unusable) => {
                     may_have_run = true;
                     let is_broken = matches!(unusable, UnusableAnswer::Broken(_));
                     let failure = Failure::Broken { detail: unusable.to_string() };
-                    note_failure(&call, &placement, gateway, &failure);
-                    if is_broken && !gateway.note_broken(&call, placement.upstream, true).await {
-                        return Err(final_refusal(gateway, &call, true));
+                    note_failure(call, &placement, gateway, &failure);
+                    let begun = AnswerProgress::Begun;
+                    if is_broken && !gateway.note_broken(call, placement.upstream, begun).await {
+                        return Err(final_refusal(gateway, call, true));
                     }
                 }
             },
             Err(failure) => {
-                note_failure(&call, &placement, gateway, &failure);
+                note_failure(call, &placement, gateway, &failure);
                 if failure == Failure::Withdrawn {
                     withdrawn += 1;
                     if withdrawn < WITHDRAWN_LIMIT {
@@ -113,17 +126,18 @@
                 run.complete(true);
                 may_have_run |= ran;
                 let is_broken = matches!(failure, Failure::Broken { .. });
-                if is_broken && !gateway.note_broken(&call, placement.upstream, false).await {
-                    return Err(final_refusal(gateway, &call, true));
+                let waiting = AnswerProgress::Waiting;
+                if is_broken && !gateway.note_broken(call, placement.upstream, waiting).await {
+                    return Err(final_refusal(gateway, call, true));
                 }
             }
         }
         attempts += 1;
         tried.push(placement.upstream);
-        if !may_go_on(gateway, &call, attempts, may_have_run) {
-            return Err(final_refusal(gateway, &call, may_have_run));
+        if !may_go_on(gateway, call, attempts, may_have_run) {
+            return Err(final_refusal(gateway, call, may_have_run));
         }
-        note_retry(&call, gateway, attempts);
+        note_retry(call, gateway, attempts);
     }
 }
 
@@ -182,6 +196,7 @@
     }
     let is_failure = parts.status.is_server_error();
     run.complete(is_failure);
+    gateway.note_completed(call);
     if parts.status.is_success() && is_framed {
         gateway.note_answered(call, call.arrived + seen);
     }
@@ -269,7 +284,8 @@
 /// Until when an attempt may take: a repeatable call does not spend all its time on one upstream.
 fn patience(gateway: &Gateway, call: &Call, placement: &Placement, attempts: u32) -> Timestamp {
     let has_more = call.route.is_repeatable() && attempts + 1 < call.route.attempts_max;
-    if !has_more || !gateway.options.admission.policy.cut_offs {
+    // A request that may crash upstreams is at one of them at a time.
+    if !has_more || !gateway.options.admission.policy.cut_offs || gateway.is_suspected(call) {
         return call.deadline;
     }
     let least = call.route.target_latency.mul_f64(LEAST_PATIENCE);
@@ -312,7 +328,12 @@
     );
 }
 
-fn note_failure(call: &Call, placement: &Placement, gateway: &Gateway, failure: &Failure) {
+pub(crate) fn note_failure(
+    call: &Call,
+    placement: &Placement,
+    gateway: &Gateway,
+    failure: &Failure,
+) {
     gateway.metrics.failed_attempts.inc();
     decision(
         EventKind::AttemptFailed,
--- a/crates/bergamotpitch-gateway/src/bodies.rs
+++ b/crates/bergamotpitch-gateway/src/bodies.rs
@@ -17,12 +17,13 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::Sleep;
 
+use crate::attempts::note_failure;
 use crate::callers::InRequest;
 use crate::calls::Call;
 use crate::connections::Sender;
-use crate::crashes::ANSWERED_TIME;
+use crate::crashes::{ANSWERED_TIME, AnswerProgress};
 use crate::errors::Cut;
-use crate::exchanges::{self, Answer, Reuse};
+use crate::exchanges::{self, Answer, Failure, Reuse};
 use crate::gateways::{Gateway, InFlight};
 use crate::logs::{SharedParts, decision};
 use crate::placements::{Run, place};
@@ -95,6 +96,8 @@
 
 type Verification = Pin<Box<dyn Future<Output = bool>>>;
 
+type Breaking = Pin<Box<dyn Future<Output = ()>>>;
+
 type Resumption = Pin<Box<dyn Future<Output = Option<(Run, Answer)>>>>;
 
 /// `EventSource` is an upstream's answer whose events are passed on.
@@ -124,6 +127,8 @@
     first_event: Option<Duration>,
     last_event: Timestamp,
     begun: Timestamp,
+    /// First event of the present upstream.
+    run_begun: Option<Timestamp>,
     is_answered: bool,
     longest_pause: Duration,
     deadline: Pin<Box<Sleep>>,
@@ -136,6 +141,8 @@
     /// The answer ended with its connection; whether its upstream has ended too is looked at.
     Verifying(EventSource, Verification),
     Resuming(Resumption),
+    /// It broke off for good; the caller learns of it once other instances know of a crash.
+    Breaking(Breaking),
     Ended,
 }
 
@@ -153,6 +160,7 @@
             first_event: None,
             last_event: Timestamp::ZERO,
             begun: Timestamp::ZERO,
+            run_begun: None,
             is_answered: false,
             longest_pause: Duration::ZERO,
             deadline: Box::pin(tokio::time::sleep(left)),
@@ -182,34 +190,19 @@
                         }
                     }
                     Poll::Ready(None) if !self.cutter.is_at_boundary() => {
-                        if let Some(cut) = self.broken("it ended within an event") {
-                            return Poll::Ready(cut);
-                        }
+                        self.broken("it ended within an event");
                     }
                     Poll::Ready(None) if source.is_framed => {
                         self.end();
                         return Poll::Ready(None);
                     }
                     Poll::Ready(None) if self.may_be_whole() => self.verify_end(),
-                    Poll::Ready(None) => {
-                        if let Some(cut) = self.broken("it ended without an event") {
-                            return Poll::Ready(cut);
-                        }
-                    }
-                    Poll::Ready(Some(Err(error))) => {
-                        let detail = error.to_string();
-                        if let Some(cut) = self.broken(&detail) {
-                            return Poll::Ready(cut);
-                        }
-                    }
+                    Poll::Ready(None) => self.broken("it ended without an event"),
+                    Poll::Ready(Some(Err(error))) => self.broken(&error.to_string()),
                 },
                 Source::Verifying(_, verification) => match verification.as_mut().poll(context) {
                     Poll::Pending => return Poll::Pending,
-                    Poll::Ready(true) => {
-                        if let Some(cut) = self.broken("its upstream ended with it") {
-                            return Poll::Ready(cut);
-                        }
-                    }
+                    Poll::Ready(true) => self.broken("its upstream ended with it"),
                     Poll::Ready(false) => {
                         self.end();
                         return Poll::Ready(None);
@@ -220,6 +213,10 @@
                     Poll::Ready(Some((run, answer))) => self.go_on(run, answer),
                     Poll::Ready(None) => return Poll::Ready(self.cut(Cut::UpstreamBroke)),
                 },
+                Source::Breaking(breaking) => match breaking.as_mut().poll(context) {
+                    Poll::Pending => return Poll::Pending,
+                    Poll::Ready(()) => return Poll::Ready(self.cut(Cut::UpstreamBroke)),
+                },
                 Source::Ended => return Poll::Ready(None),
             }
         }
@@ -249,6 +246,7 @@
                 }
             }
             self.last_event = now;
+            self.run_begun.get_or_insert(now);
             if self.begun + ANSWERED_TIME <= now {
                 self.note_answered();
             }
@@ -288,6 +286,7 @@
             if is_framed && self.first_event.is_some() {
                 self.note_answered();
             }
+            self.gateway.note_completed(&self.call);
             if let Reuse::Idle(idle) = reuse {
                 self.gateway.keep_connection(key, sender, idle);
             }
@@ -310,9 +309,9 @@
         );
     }
 
-    /// Takes in that the upstream broke off; returns what the caller sees when the stream cannot go
-    /// on elsewhere.
-    fn broken(&mut self, detail: &str) -> Option<Option<Result<Frame<Bytes>, Cut>>> {
+    /// Takes in that the upstream broke off: the stream goes on elsewhere, or breaks off for its caller.
+    fn broken(&mut self, detail: &str) {
+        let progress = self.progress();
         let key = self.run.as_ref().map(Run::key);
         if let Some(run) = self.run.take() {
             run.complete(true);
@@ -336,22 +335,26 @@
             && self.resumes < RESUME_LIMIT
             && attempts < self.call.route.attempts_max
             && self.gateway.take_repeat(&self.call.service);
+        let (gateway, call) = (Rc::clone(&self.gateway), Rc::clone(&self.call));
         if !may_resume {
-            if let Some(key) = key {
-                let (gateway, call) = (Rc::clone(&self.gateway), Rc::clone(&self.call));
-                tokio::task::spawn_local(
-                    async move { gateway.note_broken(&call, key, true).await },
-                );
-            }
-            return Some(self.cut(Cut::UpstreamBroke));
+            let breaking = break_off(gateway, call, key, progress);
+            self.source = Source::Breaking(Box::pin(breaking));
+            return;
         }
         self.call.bound_software.set(software.unwrap_or_default());
         self.resumes += 1;
         self.cutter.restart();
         let last = self.cutter.last_id().map(str::to_owned);
-        let resumption = resume(Rc::clone(&self.gateway), Rc::clone(&self.call), key, last);
+        let resumption = resume(gateway, call, (key, progress), last);
         self.source = Source::Resuming(Box::pin(resumption));
-        None
+    }
+
+    /// How far the answer of the present upstream has come.
+    fn progress(&self) -> AnswerProgress {
+        match self.run_begun {
+            Some(begun) if begun + ANSWERED_TIME <= self.last_event => AnswerProgress::Answered,
+            _ => AnswerProgress::Begun,
+        }
     }
 
     fn go_on(&mut self, run: Run, answer: Answer) {
@@ -365,7 +368,7 @@
                 self.cutter.last_id().unwrap_or("-"),
             ),
         );
-        self.run = Some(run);
+        (self.run, self.run_begun) = (Some(run), None);
         let Answer { response, sender, address, reuse, is_framed } = answer;
         let body = response.into_body();
         self.source = Source::Reading(EventSource { body, sender, address, reuse, is_framed });
@@ -406,24 +409,61 @@
     }
 }
 
+/// Takes in that a stream broke off for good.
+async fn break_off(
+    gateway: Rc<Gateway>,
+    call: Rc<Call>,
+    upstream: Option<UpstreamKey>,
+    progress: AnswerProgress,
+) {
+    if let Some(upstream) = upstream {
+        gateway.note_broken(&call, upstream, progress).await;
+    }
+    gateway.wait_until_told(&call).await;
+}
+
+/// Goes on with a stream after its last event, where an upstream broke it off.
 async fn resume(
     gateway: Rc<Gateway>,
     call: Rc<Call>,
-    broken: Option<UpstreamKey>,
+    broken: (Option<UpstreamKey>, AnswerProgress),
+    last: Option<String>,
+) -> Option<(Run, Answer)> {
+    let resumed = resume_elsewhere(&gateway, &call, broken, last).await;
+    if resumed.is_none() {
+        gateway.wait_until_told(&call).await;
+    }
+    resumed
+}
+
+async fn resume_elsewhere(
+    gateway: &Rc<Gateway>,
+    call: &Rc<Call>,
+    (broken, progress): (Option<UpstreamKey>, AnswerProgress),
     last: Option<String>,
 ) -> Option<(Run, Answer)> {
     let tried: Vec<_> = broken.into_iter().collect();
     if let Some(broken) = broken
-        && !gateway.note_broken(&call, broken, true).await
+        && !gateway.note_broken(call, broken, progress).await
     {
         return None;
     }
-    let placed = place(&gateway, &call, &tried).await.ok()?;
-    let run = Run::open(&gateway, &placed);
-    gateway.note_origin(&call, placed.placement.upstream);
-    let sent =
-        exchanges::send(&gateway, &call, &placed.placement, last.as_deref(), call.deadline).await;
-    let answer = sent.ok()?;
+    let placed = place(gateway, call, &tried).await.ok()?;
+    let run = Run::open(gateway, &placed);
+    let placement = placed.placement;
+    gateway.note_origin(call, placement.upstream);
+    let sent = exchanges::send(gateway, call, &placement, last.as_deref(), call.deadline).await;
+    let answer = match sent {
+        Ok(answer) => answer,
+        Err(failure) => {
+            note_failure(call, &placement, gateway, &failure);
+            if matches!(failure, Failure::Broken { .. }) {
+                let waiting = AnswerProgress::Waiting;
+                gateway.note_broken(call, placement.upstream, waiting).await;
+            }
+            return None;
+        }
+    };
     let head = &answer.response;
     (head.status().is_success() && is_event_stream(head.headers())).then_some((run, answer))
 }
--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -87,6 +87,8 @@
     pub bound_software: Cell<Option<SoftwareId>>,
     /// Name of its content, once it is asked for.
     pub digest: OnceCell<RequestDigest>,
+    /// Until when crashes under it may not be known to all others.
+    pub told_until: Cell<Timestamp>,
 }
 
 impl Call {
@@ -220,6 +222,7 @@
         served,
         bound_software: Cell::new(None),
         digest: OnceCell::new(),
+        told_until: Cell::new(Timestamp::ZERO),
         headers: passed_headers(gateway, &parts.headers),
         route,
         service,
--- /dev/null
+++ b/crates/bergamotpitch-gateway/src/crash_reports.rs
@@ -0,0 +1,185 @@
+//! Crash reports: what operators see of parts and requests that crash upstreams, and how they let one in again.
+
+use bergamotpitch_control::traffic::crash_suspects::{SuspectId, Suspicion};
+use bergamotpitch_control::traffic::facts::PartId;
+use bergamotpitch_control::traffic::request_digests::RequestDigest;
+use bergamotpitch_control::traffic::sound_parts::moment_of;
+use bergamotpitch_core::events::EventKind;
+use bergamotpitch_core::ids::{ServiceId, id_of_name};
+use serde::Serialize;
+
+use crate::gateways::Gateway;
+use crate::logs::decision;
+
+/// `PartReport` is a part of prompts that is suspected of crashing upstreams, as operators see it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct PartReport {
+    /// The service.
+    pub service: String,
+    /// Id of the part, in hexadecimal.
+    pub part: String,
+    /// What is known against it.
+    #[serde(flatten)]
+    pub state: SuspectState,
+}
+
+/// `RequestReport` is a request that is blocked, as operators see it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct RequestReport {
+    /// Digest of its content, in hexadecimal.
+    pub digest: String,
+    /// What is known against it.
+    #[serde(flatten)]
+    pub state: SuspectState,
+}
+
+/// `SuspectState` is what is known against a suspect.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct SuspectState {
+    /// Upstreams that crashed under it.
+    pub crashes: usize,
+    /// Whether it is refused.
+    pub is_blocked: bool,
+    /// For how much longer; 0 when one request at a time may try it.
+    pub blocked_for_ms: i64,
+}
+
+impl Gateway {
+    /// `part_reports` returns the parts that are suspected or blocked, for operators.
+    pub fn part_reports(&self) -> Vec<PartReport> {
+        let report = |known: &Suspicion| match known.suspect {
+            SuspectId::Part(service, part) => Some(PartReport {
+                service: self.name_of_service(service),
+                part: format!("{part:x}"),
+                state: self.state_of(known),
+            }),
+            SuspectId::Request(_) => None,
+        };
+        let mut reports: Vec<PartReport> = self.suspicions().iter().filter_map(report).collect();
+        reports.sort_by(|one, other| one.part.cmp(&other.part));
+        reports
+    }
+
+    /// `request_reports` returns the requests that are blocked, for operators. Others were in hand at one
+    /// upstream that ended, and are many.
+    pub fn request_reports(&self) -> Vec<RequestReport> {
+        let report = |known: &Suspicion| match known.suspect {
+            SuspectId::Request(digest) if known.blocked_until.is_some() => {
+                let digest = format!("{digest:016x}");
+                Some(RequestReport { digest, state: self.state_of(known) })
+            }
+            _ => None,
+        };
+        let mut reports: Vec<RequestReport> = self.suspicions().iter().filter_map(report).collect();
+        reports.sort_by(|one, other| one.digest.cmp(&other.digest));
+        reports
+    }
+
+    fn suspicions(&self) -> Vec<Suspicion> {
+        self.traffic.borrow().crash_suspects.suspicions()
+    }
+
+    fn name_of_service(&self, service: ServiceId) -> String {
+        let catalog = self.catalog();
+        let named = catalog.as_ref().and_then(|catalog| catalog.service_of_id(service));
+        named.map_or_else(|| service.to_string(), |named| named.name.clone())
+    }
+
+    fn state_of(&self, known: &Suspicion) -> SuspectState {
+        let now = moment_of(self.now());
+        SuspectState {
+            crashes: known.crashes,
+            is_blocked: known.blocked_until.is_some(),
+            blocked_for_ms: known.blocked_until.map_or(0, |until| (until - now).max(0)),
+        }
+    }
+
+    /// `lift_part` lets a part in again, here and at all other instances, until it crashes upstreams anew;
+    /// it tells whether anything was known against it here.
+    pub fn lift_part(&self, service: &str, part: PartId) -> bool {
+        self.lift_everywhere(SuspectId::Part(id_of_name(service), part))
+    }
+
+    /// `lift_request` does so with a request.
+    pub fn lift_request(&self, digest: RequestDigest) -> bool {
+        self.lift_everywhere(SuspectId::Request(digest))
+    }
+
+    fn lift_everywhere(&self, suspect: SuspectId) -> bool {
+        let is_known = self.lift(suspect, moment_of(self.now()), "lifted");
+        self.tell_lifted(suspect);
+        is_known
+    }
+
+    /// `log_suspicions` logs parts that are suspected or blocked since it did so last, and requests that are
+    /// blocked. A part is blocked by answers to requests without it as well as by a crash.
+    pub(crate) fn log_suspicions(&self) {
+        let suspicions = self.suspicions();
+        // Metrics tell once that there are none any more.
+        let was_suspected = self.crashes.is_suspected.replace(!suspicions.is_empty());
+        if suspicions.is_empty() && !was_suspected {
+            return;
+        }
+        self.metrics.note_suspects(&suspicions);
+        // Parts that only waited at an upstream are no news for operators.
+        let is_news = |known: &&Suspicion| match known.suspect {
+            SuspectId::Part(..) => known.is_strong,
+            SuspectId::Request(_) => known.blocked_until.is_some(),
+        };
+        for known in suspicions.iter().filter(is_news) {
+            let is_blocked = known.blocked_until.is_some();
+            let logged = self.crashes.logged.borrow_mut().insert(known.suspect, is_blocked);
+            if logged != Some(is_blocked) {
+                self.log_suspicion(known);
+            }
+        }
+    }
+
+    fn log_suspicion(&self, known: &Suspicion) {
+        let now = moment_of(self.now());
+        let is_blocked = known.blocked_until.is_some();
+        let blocked_for_ms = known.blocked_until.map_or(0, |until| until - now);
+        let (crashes, age_ms) = (known.crashes, now - known.last_at);
+        let (answers, last_upstream) = (known.answers, known.last_life);
+        match known.suspect {
+            SuspectId::Part(service, part) => decision(
+                EventKind::PartSuspected,
+                format_args!(
+                    "service={service} part={part:x} blocked={is_blocked} crashes={crashes} \
+                     answers={answers} last_upstream={last_upstream} age_ms={age_ms} \
+                     blocked_for_ms={blocked_for_ms}",
+                ),
+            ),
+            SuspectId::Request(digest) => decision(
+                EventKind::RequestBlocked,
+                format_args!(
+                    "digest={digest:016x} crashes={crashes} last_upstream={last_upstream} \
+                     age_ms={age_ms} blocked_for_ms={blocked_for_ms}",
+                ),
+            ),
+        }
+    }
+
+    /// `note_cleared` takes in that suspects are none any more.
+    pub(crate) fn note_cleared(&self, suspects: &[SuspectId], reason: &str) {
+        for suspect in suspects {
+            self.crashes.trials.borrow_mut().remove(suspect);
+            if self.crashes.logged.borrow_mut().remove(suspect).is_none() {
+                continue;
+            }
+            match suspect {
+                SuspectId::Part(service, part) => decision(
+                    EventKind::PartCleared,
+                    format_args!("service={service} part={part:x} reason={reason}"),
+                ),
+                SuspectId::Request(digest) => decision(
+                    EventKind::RequestCleared,
+                    format_args!("digest={digest:016x} reason={reason}"),
+                ),
+            }
+        }
+        if !suspects.is_empty() {
+            self.log_suspicions();
+        }
+    }
+}
--- a/crates/bergamotpitch-gateway/src/dispatchers.rs
+++ b/crates/bergamotpitch-gateway/src/dispatchers.rs
@@ -273,6 +273,7 @@
             scope: Scope::Domain,
             regions: body.regions.clone(),
             software: body.software,
+            digest: body.digest,
         })
     }
 
--- a/crates/bergamotpitch-gateway/src/exchanges.rs
+++ b/crates/bergamotpitch-gateway/src/exchanges.rs
@@ -92,7 +92,11 @@
 ) -> Result<Answer, Failure> {
     let key = placement.upstream;
     let address = gateway.address_of(key).ok_or(Failure::Unreachable)?;
-    let mut warm = gateway.pools.take(key, gateway.now());
+    // On a kept connection a request may go to an upstream that has ended, and would seem to crash it.
+    let mut warm = match gateway.is_suspected(call) {
+        true => None,
+        false => gateway.pools.take(key, gateway.now()),
+    };
     loop {
         let is_warm = warm.is_some();
         let mut sender = match warm.take() {
--- a/crates/bergamotpitch-gateway/src/messages.rs
+++ b/crates/bergamotpitch-gateway/src/messages.rs
@@ -8,11 +8,13 @@
 use std::time::Duration;
 
 use bergamotpitch_control::traffic::catalogs::CatalogVersion;
+use bergamotpitch_control::traffic::crash_suspects::SuspectId;
 use bergamotpitch_control::traffic::engine_loads::{Figures, Report, RequestNumber, Work};
 use bergamotpitch_control::traffic::evacuations::EvacuationVersion;
 use bergamotpitch_control::traffic::facts::{PartId, PromptPart, RequestFacts};
 use bergamotpitch_control::traffic::placement_requests::{Decision, Headroom, Placement};
 use bergamotpitch_control::traffic::registries::Registry;
+use bergamotpitch_control::traffic::request_digests::RequestDigest;
 use bergamotpitch_control::traffic::residencies::AllowedRegions;
 use bergamotpitch_control::traffic::stream_origins::AttemptNumber;
 use bergamotpitch_control::traffic::team_windows::{ShareClass, TeamCounts};
@@ -28,7 +30,7 @@
 use crate::options::Options;
 
 /// `FORMAT` begins each message of this release.
-const FORMAT: [u8; 4] = [0xb9, b'p', 0, 5];
+const FORMAT: [u8; 4] = [0xb9, b'p', 0, 6];
 
 /// `MESSAGE_BYTES` bounds a message: one datagram that is not cut on the way.
 pub const MESSAGE_BYTES: usize = 1_400;
@@ -63,10 +65,10 @@
     OriginQuery(OriginQuery),
     /// What is known of it.
     OriginReply(OriginReply),
-    /// Crashes of upstreams that count against parts of prompts.
+    /// Crashes of upstreams that count against parts of prompts and requests.
     Crashes(Vec<CrashLine>),
-    /// Parts of prompts that were answered, or that operators let in again.
-    AnsweredParts(Vec<AnsweredLine>),
+    /// Parts of prompts and requests that were answered, or that operators let in again.
+    Answered(Vec<AnsweredLine>),
     /// Lives of upstreams that were taken for crashed and are not.
     LivingUpstreams(Vec<UpstreamId>),
 }
@@ -248,6 +250,8 @@
     pub regions: AllowedRegions,
     /// The version of software at which it goes on, when it takes up a stream of a service of several.
     pub software: Option<SoftwareId>,
+    /// Name of its content, while requests are suspected of crashing upstreams.
+    pub digest: Option<RequestDigest>,
     /// Failure domains that had no place for it.
     pub declined_by: Vec<DomainId>,
 }
@@ -301,7 +305,7 @@
         /// When it is worth asking again.
         after_ms: u32,
     },
-    /// It goes nowhere, as a part of its prompt crashes upstreams.
+    /// It goes nowhere, as it or a part of its prompt crashes upstreams.
     Blocked {
         /// When it may be let in again.
         after_ms: u32,
@@ -426,30 +430,26 @@
     pub line: Option<OriginLine>,
 }
 
-/// `CrashLine` is one crash that counts against one part.
+/// `CrashLine` is one crash that counts against one suspect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashLine {
-    /// The service.
-    pub service: ServiceId,
-    /// The part of prompts for it.
-    pub part: PartId,
+    /// The suspect.
+    pub suspect: SuspectId,
     /// The life of the upstream that crashed.
     pub life: UpstreamId,
-    /// Whether an answer on the part had begun there.
-    pub has_begun: bool,
-    /// Requests without the part that were answered at the sender since the first crash under it.
+    /// Whether the evidence is strong.
+    pub is_strong: bool,
+    /// Requests without a part that were answered at the sender since the first crash under it.
     pub answers: u16,
     /// Time since the crash.
     pub age_ms: u32,
 }
 
-/// `AnsweredLine` tells that a part was answered.
+/// `AnsweredLine` tells that a suspect was answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AnsweredLine {
-    /// The service.
-    pub service: ServiceId,
-    /// The part of prompts for it.
-    pub part: PartId,
+    /// The suspect.
+    pub suspect: SuspectId,
     /// Time since it was answered.
     pub age_ms: u32,
     /// Whether an operator let it in again instead; it may crash upstreams all the same.
--- a/crates/bergamotpitch-gateway/src/metrics.rs
+++ b/crates/bergamotpitch-gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bergamotpitch_control::traffic::crash_suspects::Suspicion;
 use bergamotpitch_control::traffic::stream_origins::Resumption;
 use bergamotpitch_core::refusals::RefusalReason;
 use opentelemetry::KeyValue;
@@ -56,6 +57,8 @@
     stream_origins: Gauge<u64>,
     suspected_parts: Gauge<u64>,
     blocked_parts: Gauge<u64>,
+    suspected_requests: Gauge<u64>,
+    blocked_requests: Gauge<u64>,
     registry: Registry,
     _provider: SdkMeterProvider,
     refusals: Counter<u64>,
@@ -131,6 +134,14 @@
                 .u64_gauge("bergamotpitch_blocked_parts")
                 .with_description("Parts of prompts that are refused, as they crash upstreams")
                 .build(),
+            suspected_requests: meter
+                .u64_gauge("bergamotpitch_suspected_requests")
+                .with_description("Requests under which an upstream has crashed")
+                .build(),
+            blocked_requests: meter
+                .u64_gauge("bergamotpitch_blocked_requests")
+                .with_description("Requests that are refused, as they crash upstreams")
+                .build(),
             sums_age_s: meter
                 .f64_gauge("bergamotpitch_team_sums_age_seconds")
                 .with_description("Age of the oldest sums of other instances on teams that count")
@@ -175,10 +186,17 @@
         self.stream_origins.record(count as u64, &[]);
     }
 
-    /// `note_suspects` takes in how many parts of prompts are suspected, and how many of them blocked.
-    pub fn note_suspects(&self, suspected: usize, blocked: usize) {
-        self.suspected_parts.record(suspected as u64, &[]);
-        self.blocked_parts.record(blocked as u64, &[]);
+    /// `note_suspects` takes in which parts of prompts and requests are suspected or blocked.
+    pub fn note_suspects(&self, suspicions: &[Suspicion]) {
+        let record = |suspected: &Gauge<u64>, blocked: &Gauge<u64>, is_request: bool| {
+            let of_kind =
+                suspicions.iter().filter(|known| known.suspect.is_request() == is_request);
+            suspected.record(of_kind.clone().count() as u64, &[]);
+            let of_kind = of_kind.filter(|known| known.blocked_until.is_some());
+            blocked.record(of_kind.count() as u64, &[]);
+        };
+        record(&self.suspected_parts, &self.blocked_parts, false);
+        record(&self.suspected_requests, &self.blocked_requests, true);
     }
 
     /// `count_answer` counts an answer with the time to its first event, or to itself.
--- a/crates/bergamotpitch-gateway/src/origins.rs
+++ b/crates/bergamotpitch-gateway/src/origins.rs
@@ -26,6 +26,7 @@
 use crate::gateways::Gateway;
 use crate::logs::decision;
 use crate::messages::{Body, MESSAGE_BYTES, OriginLine, OriginQuery, OriginReply, millis};
+use crate::peers::{ISOLATED_RETURN, ISOLATION_TIME};
 use crate::refusals::Refusal;
 
 /// `TELL_DELAY` is for how long origins are gathered before they are told; a first event takes several
@@ -47,13 +48,6 @@
 /// their instance a few dozen datagrams each; beyond the bound they are answered unasked.
 const QUERIES_MAX: usize = 64;
 
-/// `ISOLATION_TIME` is the time without any message of a peer after which an instance counts itself as cut
-/// off; several intervals of beats.
-const ISOLATION_TIME: Duration = Duration::from_millis(1_500);
-
-/// `ISOLATED_RETURN` is when to come back to an instance that is cut off; its callers may reach others.
-const ISOLATED_RETURN: Duration = Duration::from_millis(500);
-
 /// `Origins` is what this instance tells others of its streams and asks them about theirs.
 #[derive(Debug, Default)]
 pub struct Origins {
@@ -225,11 +219,7 @@
     /// Whether nobody is heard, so that versions may serve of which this instance does not know. One that
     /// has just started has read the list in full.
     fn is_isolated(&self) -> bool {
-        let now = self.now();
-        let peers = self.peers.borrow();
-        ISOLATION_TIME <= now
-            && !peers.is_empty()
-            && !peers.values().any(|peer| peer.is_heard_within(ISOLATION_TIME, now))
+        ISOLATION_TIME <= self.now() && self.hears_no_peer()
     }
 }
 
--- a/crates/bergamotpitch-gateway/src/peers.rs
+++ b/crates/bergamotpitch-gateway/src/peers.rs
@@ -175,6 +175,13 @@
     }
 }
 
+/// `ISOLATION_TIME` is the time without any message of a peer after which an instance counts itself as cut
+/// off; several intervals of beats.
+pub(crate) const ISOLATION_TIME: Duration = Duration::from_millis(1_500);
+
+/// `ISOLATED_RETURN` is when to come back to an instance that is cut off; its callers may reach others.
+pub(crate) const ISOLATED_RETURN: Duration = Duration::from_millis(500);
+
 /// `UNKNOWN_PEERS_MAX` bounds how many unknown peers are remembered; more than the largest fleet has.
 const UNKNOWN_PEERS_MAX: usize = 1_024;
 
@@ -226,6 +233,13 @@
         self.note_peers_listed();
     }
 
+    /// `hears_no_peer` tells whether there are peers, and none was heard lately.
+    pub(crate) fn hears_no_peer(&self) -> bool {
+        let now = self.now();
+        let peers = self.peers.borrow();
+        !peers.is_empty() && !peers.values().any(|peer| peer.is_heard_within(ISOLATION_TIME, now))
+    }
+
     /// `beat_address_of` returns where a peer's messages go.
     pub(crate) fn beat_address_of(&self, peer: InstanceId) -> Option<SocketAddr> {
         self.peers.borrow().get(&peer).map(|peer| peer.address.beat_address)
--- a/crates/bergamotpitch-gateway/src/placements.rs
+++ b/crates/bergamotpitch-gateway/src/placements.rs
@@ -56,9 +56,7 @@
             };
             (refusal_reason(share_class), after, inputs)
         }
-        Decision::Blocked(after) => {
-            return Err(Refusal::not_run(RefusalReason::PromptPartBlocked, after));
-        }
+        Decision::Blocked(after) => return Err(gateway.refusal_of_suspect(call, after)),
         Decision::NoUpstream(_) if !gateway.has_bound_upstream(call) => {
             return Err(Refusal::not_resumable(RefusalReason::StreamVersionGone));
         }
@@ -168,6 +166,7 @@
         scope: gateway.scope(),
         regions: gateway.allowed_regions(call),
         software: call.bound_software.get(),
+        digest: gateway.digest_to_compare(call),
     }
 }
 
@@ -183,7 +182,7 @@
 
     /// `may_send` tells whether a call may still be sent where it was placed.
     pub(crate) fn may_send(&self, call: &Call, placement: &Placement) -> bool {
-        if placement.has_lapsed(self.now()) || self.is_part_blocked(call) {
+        if placement.has_lapsed(self.now()) || self.is_blocked(call) {
             return false;
         }
         let regions = self.allowed_regions(call);
--- a/crates/bergamotpitch-gateway/src/probes.rs
+++ b/crates/bergamotpitch-gateway/src/probes.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use bergamotpitch_control::traffic::facts::PartId;
+use bergamotpitch_control::traffic::request_digests::RequestDigest;
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
@@ -11,6 +12,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use serde::Serialize;
 use tokio::net::TcpListener;
 
 use crate::gateways::Gateway;
@@ -24,8 +26,14 @@
 /// `PARTS_PATH` is where operators see which parts of prompts are suspected of crashing upstreams.
 pub const PARTS_PATH: &str = "/parts";
 
-/// `LIFT_PATH` is where operators let one in again, named in the query by `service` and `part`.
-pub const LIFT_PATH: &str = "/parts/lift";
+/// `LIFT_PART_PATH` is where operators let one in again, named in the query by `service` and `part`.
+pub const LIFT_PART_PATH: &str = "/parts/lift";
+
+/// `REQUESTS_PATH` is where operators see which requests are blocked, as upstreams crash under them.
+pub const REQUESTS_PATH: &str = "/requests";
+
+/// `LIFT_REQUEST_PATH` is where operators let one in again, named in the query by `digest`.
+pub const LIFT_REQUEST_PATH: &str = "/requests/lift";
 
 /// `Port` tells what a port serves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -69,38 +77,59 @@
             respond_with(StatusCode::OK, Bytes::from(gateway.metrics.text()))
         }
         (Port::Inner, DOCUMENTS_PATH) => gateway.answer_of_query(request.uri().query()).response(),
-        (Port::Inner, PARTS_PATH) => respond_with_parts(gateway),
-        (Port::Inner, LIFT_PATH) if request.method() == Method::POST => lift(gateway, request),
+        (Port::Inner, PARTS_PATH) => respond_with_json(&gateway.part_reports()),
+        (Port::Inner, REQUESTS_PATH) => respond_with_json(&gateway.request_reports()),
+        (Port::Inner, LIFT_PART_PATH) if request.method() == Method::POST => {
+            lift_part(gateway, request.uri().query().unwrap_or_default())
+        }
+        (Port::Inner, LIFT_REQUEST_PATH) if request.method() == Method::POST => {
+            lift_request(gateway, request.uri().query().unwrap_or_default())
+        }
         (Port::Inner, _) => respond_with(StatusCode::NOT_FOUND, Bytes::new()),
     }
 }
 
-fn respond_with_parts(gateway: &Gateway) -> Response<Full<Bytes>> {
-    match serde_json::to_vec(&gateway.part_reports()) {
+fn respond_with_json(reports: &impl Serialize) -> Response<Full<Bytes>> {
+    match serde_json::to_vec(reports) {
         Ok(body) => respond_with(StatusCode::OK, Bytes::from(body)),
         Err(error) => {
-            log::warn!("event=parts_not_encoded error={error}");
+            log::warn!("event=reports_not_encoded error={error}");
             respond_with(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
         }
     }
 }
 
-fn lift(gateway: &Gateway, request: &Request<Incoming>) -> Response<Full<Bytes>> {
-    let query = request.uri().query().unwrap_or_default();
-    let value_of =
-        |name: &str| query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
-    let part = value_of("part").and_then(|part| PartId::from_str_radix(part, 16).ok());
-    let (Some(service), Some(part)) = (value_of("service"), part) else {
+fn lift_part(gateway: &Gateway, query: &str) -> Response<Full<Bytes>> {
+    let part = value_of(query, "part").and_then(|part| PartId::from_str_radix(part, 16).ok());
+    let (Some(service), Some(part)) = (value_of(query, "service"), part) else {
         let body = Bytes::from_static(b"name service=NAME and part=HEX in the query");
         return respond_with(StatusCode::BAD_REQUEST, body);
     };
-    let body = match gateway.lift_part(service, part) {
+    respond_lifted(gateway.lift_part(service, part))
+}
+
+fn lift_request(gateway: &Gateway, query: &str) -> Response<Full<Bytes>> {
+    let digest = value_of(query, "digest");
+    let digest = digest.and_then(|digest| RequestDigest::from_str_radix(digest, 16).ok());
+    let Some(digest) = digest else {
+        let body = Bytes::from_static(b"name digest=HEX in the query");
+        return respond_with(StatusCode::BAD_REQUEST, body);
+    };
+    respond_lifted(gateway.lift_request(digest))
+}
+
+fn respond_lifted(is_known: bool) -> Response<Full<Bytes>> {
+    let body = match is_known {
         true => "lifted",
         false => "nothing was known against it here; all instances are told",
     };
     respond_with(StatusCode::OK, Bytes::from_static(body.as_bytes()))
 }
 
+fn value_of<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+}
+
 fn respond_with(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(body));
     *response.status_mut() = status;
--- a/crates/bergamotpitch-gateway/src/received_messages.rs
+++ b/crates/bergamotpitch-gateway/src/received_messages.rs
@@ -57,7 +57,7 @@
         Body::OriginQuery(query) => gateway.handle_origin_query(instance, &query),
         Body::OriginReply(reply) => gateway.handle_origin_reply(&reply),
         Body::Crashes(lines) => gateway.handle_crashes(&lines),
-        Body::AnsweredParts(lines) => gateway.handle_answered_parts(&lines),
+        Body::Answered(lines) => gateway.handle_answered(&lines),
         Body::LivingUpstreams(lives) => gateway.handle_living_upstreams(&lives),
     }
 }
--- a/crates/bergamotpitch-gateway/src/remote_placements.rs
+++ b/crates/bergamotpitch-gateway/src/remote_placements.rs
@@ -206,6 +206,7 @@
             tried: tried_incarnations.collect(),
             regions: self.allowed_regions(call),
             software: call.bound_software.get(),
+            digest: self.digest_to_compare(call),
             declined_by: Vec::new(),
         }
     }
--- a/crates/bergamotpitch-gateway/tests/common/crashes.rs
+++ b/crates/bergamotpitch-gateway/tests/common/crashes.rs
@@ -17,6 +17,9 @@
 /// `BAD_SUBJECT` in the path of a request crashes each upstream that ends under requests.
 pub const BAD_SUBJECT: &str = "bad-subject";
 
+/// `EARLY_SUBJECT` does so before the head of a stream.
+pub const EARLY_SUBJECT: &str = "bad-subject-early";
+
 /// `CrashingUpstream` streams six events, unless the prompt holds [`BAD_PART`] before its last part: then it
 /// writes the head of an answer and is gone, with all of its connections.
 pub struct CrashingUpstream {
@@ -42,8 +45,12 @@
 struct State {
     ending: Ending,
     requests: Cell<usize>,
+    /// Whether it works on a plain call.
+    is_busy: Cell<bool>,
     is_crashed: Cell<bool>,
     crashed: Notify,
+    is_port_closed: Cell<bool>,
+    port_closed: Notify,
     /// Keeps the port from being taken by others, and closed.
     port: RefCell<Option<TcpSocket>>,
 }
@@ -72,17 +79,35 @@
     pub fn count(&self) -> usize {
         self.state.requests.get()
     }
+
+    /// `is_busy` tells whether it works on a request.
+    pub fn is_busy(&self) -> bool {
+        self.state.is_busy.get()
+    }
+
+    /// `close_port` ends it, and its connections a moment later: when something is sent on one.
+    pub fn close_port(&self) {
+        self.state.is_port_closed.set(true);
+        self.state.port_closed.notify_one();
+    }
+
+    /// `crash` ends it, whatever it works on.
+    pub fn crash(&self) {
+        self.state.is_crashed.set(true);
+        self.state.crashed.notify_waiters();
+    }
 }
 
 async fn serve(listener: TcpListener, state: Rc<State>) {
     let address = listener.local_addr().unwrap();
-    while !state.is_crashed.get() {
+    while !state.is_crashed.get() && !state.is_port_closed.get() {
         tokio::select! {
             accepted = listener.accept() => {
                 let Ok((stream, _)) = accepted else { break };
                 tokio::task::spawn_local(work(stream, Rc::clone(&state)));
             }
             () = state.crashed.notified() => {}
+            () = state.port_closed.notified() => {}
         }
     }
     drop(listener);
@@ -107,6 +132,9 @@
 async fn answer_all(stream: &mut TcpStream, state: &Rc<State>) {
     let mut buffer = Vec::new();
     while let Some(request) = read_request(stream, &mut buffer).await {
+        if state.is_port_closed.get() {
+            return;
+        }
         state.requests.set(state.requests.get() + 1);
         let id = request.header("x-id").unwrap_or("-").to_owned();
         let parts = request.header("x-prefix").unwrap_or_default();
@@ -129,8 +157,11 @@
             Ending::Request => request.head.contains(BAD_SUBJECT),
             _ => shared.split(',').any(|part| part == BAD_PART.to_string()),
         };
-        if request.header("x-prompt-tokens").is_none() {
+        let is_plain = request.header("x-prompt-tokens").is_none();
+        if is_plain || request.head.contains(EARLY_SUBJECT) {
+            state.is_busy.set(true);
             tokio::time::sleep(Duration::from_millis(20)).await;
+            state.is_busy.set(false);
             if is_bad {
                 state.is_crashed.set(true);
                 state.crashed.notify_waiters();
--- a/crates/bergamotpitch-gateway/tests/crashing_requests.rs
+++ b/crates/bergamotpitch-gateway/tests/crashing_requests.rs
@@ -3,12 +3,14 @@
 mod common;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bergamotpitch_control::traffic::registries::Registration;
+use bergamotpitch_gateway::peers::PeerAddress;
 use bytes::Bytes;
-use common::crashes::{BAD_SUBJECT, CrashingUpstream, Ending};
+use common::crashes::{BAD_SUBJECT, CrashingUpstream, EARLY_SUBJECT, Ending};
 use common::instances::{Instance, introduce};
-use common::{Got, ask, prompt_of, registration, request, run, start};
+use common::{Got, ask, closed_port, prompt_of, registration, request, run, start};
 use http::Request;
 use http_body_util::Full;
 
@@ -18,6 +20,12 @@
 /// How often a caller sends a request that fails.
 const ATTEMPTS: usize = 8;
 
+/// Failure domains; each instance prefers the upstreams of its own.
+const DOMAINS: [&str; 3] = ["a", "b", "c"];
+
+/// The time in which a datagram reaches the farthest region.
+const WAY_BETWEEN_REGIONS: Duration = Duration::from_millis(15);
+
 /// The kinds of requests that callers send again after any failure.
 const REPEATED_KINDS: [&str; 2] = ["safe", "resumed"];
 
@@ -42,17 +50,20 @@
 }
 
 fn listed(upstreams: &[CrashingUpstream]) -> Vec<Registration> {
-    let listed = upstreams.iter().enumerate();
-    listed.map(|(index, one)| registration(&format!("e{index}"), one.address)).collect()
+    let registration = |(index, upstream): (usize, &CrashingUpstream)| Registration {
+        domain: DOMAINS[index % DOMAINS.len()].to_owned(),
+        ..registration(&format!("e{index}"), upstream.address)
+    };
+    upstreams.iter().enumerate().map(registration).collect()
 }
 
 fn crashed(upstreams: &[CrashingUpstream]) -> usize {
     upstreams.iter().filter(|upstream| upstream.has_crashed()).count()
 }
 
-/// Three instances that know each other, before the same upstreams.
+/// Instances that know each other, one in each domain, before the same upstreams.
 async fn instances_before(upstreams: &[CrashingUpstream]) -> Vec<Instance> {
-    let instances = vec![Instance::start(), Instance::start(), Instance::start()];
+    let instances: Vec<Instance> = DOMAINS.into_iter().map(Instance::start_in).collect();
     introduce(&instances.iter().collect::<Vec<_>>()).await;
     for instance in &instances {
         instance.list(&listed(upstreams)).await;
@@ -77,19 +88,34 @@
     got
 }
 
+/// How many requests an instance knows under which upstreams crashed.
+async fn suspected(instance: &Instance) -> usize {
+    let count = |gateway: &std::rc::Rc<bergamotpitch_gateway::Gateway>| {
+        let suspicions = gateway.traffic.borrow().crash_suspects.suspicions();
+        suspicions.iter().filter(|known| known.suspect.is_request()).count()
+    };
+    instance.with(count).await
+}
+
 /// Guards against upstream after upstream that crashes under one request, as its caller sends it again at
 /// other instances.
 #[test]
 fn repeated_request() {
     run(async {
-        for kind in ["safe", "resumed", "once", "stream"] {
+        let kinds = ["safe", "resumed", "once", "stream"].map(|kind| (kind, BAD_SUBJECT));
+        for (kind, subject) in kinds.into_iter().chain([("resumed", EARLY_SUBJECT)]) {
             let upstreams = upstreams(8).await;
             let instances = instances_before(&upstreams).await;
+            let mut last = None;
             for number in 0..ATTEMPTS {
                 let address = instances[number % instances.len()].address;
-                ask(address, attempt(kind, BAD_SUBJECT, number)).await;
+                last = ask(address, attempt(kind, subject, number)).await;
             }
             assert!(crashed(&upstreams) <= CRASHES_MAX, "{kind}: {} crashed", crashed(&upstreams));
+            let last = last.unwrap();
+            let return_s: f64 = last.headers["retry-after"].to_str().unwrap().parse().unwrap();
+            assert!(last.status == 503 && last.body.contains("request_blocked"), "{last:?}");
+            assert!(60.0 < return_s, "its caller would come back in vain after {return_s} s");
             let sound = ask(instances[0].address, attempt(kind, "sound", 0)).await.unwrap();
             assert_eq!((sound.status, sound.is_whole), (200, true), "{kind}");
         }
@@ -101,7 +127,7 @@
 #[test]
 fn repeated_at_once() {
     run(async {
-        for kind in REPEATED_KINDS {
+        for kind in ["safe", "resumed", "once", "stream"] {
             let upstreams = upstreams(8).await;
             let instances = instances_before(&upstreams).await;
             let addresses: Vec<_> = instances.iter().map(|instance| instance.address).collect();
@@ -134,6 +160,124 @@
     });
 }
 
+/// Guards against a request that crashes two upstreams at each instance that hears no other one: what those
+/// know cannot be told to it.
+#[test]
+fn isolated_instances() {
+    run(async {
+        let (_kept, dead_address) = closed_port();
+        let dead_peer = PeerAddress {
+            instance: 99,
+            domain: "a".to_owned(),
+            beat_address: dead_address,
+            relay_address: dead_address,
+            processor_millis: 1_000,
+        };
+        for kind in REPEATED_KINDS {
+            let upstreams = upstreams(8).await;
+            let instances = [Instance::start(), Instance::start()];
+            for instance in &instances {
+                let peers = vec![dead_peer.clone()];
+                instance.with(move |gateway| gateway.replace_peers(peers)).await;
+                instance.list(&listed(&upstreams)).await;
+            }
+            for number in 0..ATTEMPTS {
+                ask(instances[number % 2].address, attempt(kind, BAD_SUBJECT, number)).await;
+            }
+            assert_eq!(crashed(&upstreams), instances.len(), "{kind}");
+        }
+    });
+}
+
+/// Guards against a sound request that is held responsible for an upstream which ended for another reason: it
+/// is served elsewhere, and no instance holds anything against it then.
+#[test]
+fn sound_request() {
+    run(async {
+        let upstreams = upstreams(4).await;
+        let instances = instances_before(&upstreams).await;
+        let asked = tokio::task::spawn_local(ask(instances[0].address, attempt("safe", "it", 0)));
+        while upstreams.iter().all(|upstream| upstream.count() == 0) {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        upstreams.iter().filter(|upstream| upstream.count() != 0).for_each(CrashingUpstream::crash);
+        assert_eq!(asked.await.unwrap().unwrap().status, 200);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        for instance in &instances {
+            assert_eq!(suspected(instance).await, 0);
+        }
+        let again = ask(instances[1].address, attempt("safe", "it", 1)).await.unwrap();
+        assert_eq!(again.status, 200);
+    });
+}
+
+/// Guards against a caller that sends a request again before other instances can know that it crashed an
+/// upstream.
+#[test]
+fn early_failure() {
+    run(async {
+        for kind in ["once", "stream"] {
+            let upstreams = upstreams(4).await;
+            let instances = instances_before(&upstreams).await;
+            let address = instances[0].address;
+            let asked = tokio::task::spawn_local(ask(address, attempt(kind, BAD_SUBJECT, 0)));
+            while crashed(&upstreams) == 0 {
+                tokio::task::yield_now().await;
+            }
+            let crashed = std::time::Instant::now();
+            asked.await.unwrap();
+            assert!(WAY_BETWEEN_REGIONS < crashed.elapsed(), "{kind}: {:?}", crashed.elapsed());
+            assert_eq!(suspected(&instances[2]).await, 1);
+        }
+    });
+}
+
+/// Guards against a crash of which nobody hears, as the caller leaves at the same moment.
+#[test]
+fn departed_caller() {
+    run(async {
+        let upstreams = upstreams(4).await;
+        let instances = instances_before(&upstreams).await;
+        let address = instances[0].address;
+        let asked = tokio::task::spawn_local(ask(address, attempt("stream", BAD_SUBJECT, 0)));
+        while crashed(&upstreams) == 0 {
+            tokio::task::yield_now().await;
+        }
+        asked.abort();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(suspected(&instances[2]).await, 1);
+    });
+}
+
+/// Guards against an upstream that counts as crashed under a request although it had ended before: its kept
+/// connections are not known to be closed yet.
+#[test]
+fn ended_before() {
+    run(async {
+        let upstreams = upstreams(2).await;
+        let (gateway, address) = start(&[]).await;
+        listed(&upstreams).into_iter().for_each(|upstream| gateway.upstream_listed(upstream));
+        // More than one of them takes.
+        let sound = (0..20).map(|number| ask(address, attempt("safe", "sound", number)));
+        let sound: Vec<_> = sound.map(tokio::task::spawn_local).collect();
+        for sound in sound {
+            sound.await.unwrap();
+        }
+        let asked = tokio::task::spawn_local(ask(address, attempt("safe", "it", 0)));
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        // Both end in the same moment, with the request in hand at one of them.
+        let counts: Vec<usize> = upstreams.iter().map(CrashingUpstream::count).collect();
+        assert!(counts.iter().all(|count| 0 < *count), "both have kept connections: {counts:?}");
+        upstreams.iter().for_each(CrashingUpstream::close_port);
+        tokio::time::sleep(Duration::from_millis(2)).await;
+        upstreams.iter().filter(|upstream| upstream.is_busy()).for_each(CrashingUpstream::crash);
+        assert_ne!(asked.await.unwrap().unwrap().status, 200);
+        let suspicions = gateway.traffic.borrow().crash_suspects.suspicions();
+        let crashes: Vec<usize> = suspicions.iter().map(|known| known.crashes).collect();
+        assert_eq!(crashes, [1]);
+    });
+}
+
 /// Guards against ends of plain upstreams that no line and no counter shows.
 #[test]
 fn plain_upstream() {
--- a/crates/bergamotpitch-gateway/tests/dispatched_requests.rs
+++ b/crates/bergamotpitch-gateway/tests/dispatched_requests.rs
@@ -6,10 +6,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bergamotpitch_control::traffic::crash_suspects::SuspectId;
 use bergamotpitch_control::traffic::engine_loads::{RequestNumber, Work};
 use bergamotpitch_control::traffic::evacuations::EvacuationOrder;
 use bergamotpitch_control::traffic::placement_requests::{Decision, Placement};
 use bergamotpitch_control::traffic::registries::Registration;
+use bergamotpitch_control::traffic::request_digests::RequestContent;
 use bergamotpitch_control::traffic::software_versions::software_id;
 use bergamotpitch_control::traffic::team_windows::ShareClass;
 use bergamotpitch_control::traffic::warm_ups::GRANT_VALIDITY;
@@ -274,15 +276,12 @@
     });
 }
 
-fn crashes(lives: [u32; 2], age_ms: u32) -> Body {
-    let line = |life| CrashLine {
-        service: id_of_name("all"),
-        part: 7,
-        life,
-        has_begun: true,
-        age_ms,
-        answers: 20,
-    };
+fn part() -> SuspectId {
+    SuspectId::Part(id_of_name("all"), 7)
+}
+
+fn crashes(suspect: SuspectId, lives: [u32; 2], age_ms: u32) -> Body {
+    let line = |life| CrashLine { suspect, life, is_strong: true, age_ms, answers: 20 };
     let [first, second] = lives.map(line);
     Body::Crashes(vec![first, CrashLine { age_ms: age_ms + 500, ..second }])
 }
@@ -304,7 +303,7 @@
         );
         let caller = tokio::task::spawn_local(ask(address, prompt_of("b", &[1, 7, 21])));
         let second = dispatcher.next_placement_request().await;
-        remote.send(crashes([901, 902], 10)).await;
+        remote.send(crashes(part(), [901, 902], 10)).await;
         tokio::time::sleep(Duration::from_millis(10)).await;
         dispatcher.reply(second.number, granted(&gateway)).await;
         let refused = caller.await.unwrap().unwrap();
@@ -313,6 +312,39 @@
     });
 }
 
+/// Guards against a request that reaches an engine although it became known as one which crashes them after it
+/// had been placed; from then on its dispatcher compares requests too.
+#[test]
+fn blocked_request() {
+    run(async {
+        let upstream = FakeUpstream::start(Box::new(|_| vec![whole("200 OK", "done")])).await;
+        let (gateway, address, dispatcher, remote) = domain_of_two(&upstream).await;
+        let digest = RequestContent {
+            team: None,
+            method: "POST",
+            host: b"test.example",
+            target: "/safe/it",
+            prefix: &[],
+            body: b"a body",
+        }
+        .digest();
+        let caller = tokio::task::spawn_local(ask(address, request("POST", "/safe/it", "a")));
+        let first = dispatcher.next_placement_request().await;
+        assert_eq!(first.digest, None, "nothing is suspected yet");
+        remote.send(crashes(SuspectId::Request(digest), [901, 902], 10)).await;
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        dispatcher.reply(first.number, granted(&gateway)).await;
+        let refused = caller.await.unwrap().unwrap();
+        assert!(refused.body.contains("request_blocked"), "{}", refused.body);
+        assert_eq!((refused.status, upstream.count()), (503, 0));
+        let other = tokio::task::spawn_local(ask(address, request("POST", "/safe/other", "b")));
+        let second = dispatcher.next_placement_request().await;
+        assert!(second.digest.is_some_and(|other| other != digest));
+        dispatcher.reply(second.number, granted(&gateway)).await;
+        assert_eq!(other.await.unwrap().unwrap().status, 200);
+    });
+}
+
 /// Guards against parts that stay blocked as an instance whose links were refused took living upstreams for
 /// crashed.
 #[test]
@@ -324,7 +356,7 @@
             let registry = &gateway.traffic.borrow().registry;
             registry.get(registry.key_of("u0").unwrap()).unwrap().life_number
         };
-        remote.send(crashes([life, 902], 300)).await;
+        remote.send(crashes(part(), [life, 902], 300)).await;
         tokio::time::sleep(Duration::from_millis(10)).await;
         assert_eq!(ask(address, prompt_of("a", &[1, 7, 20])).await.unwrap().status, 503);
         assert_eq!(ask(address, prompt_of("b", &[1, 8, 21])).await.unwrap().status, 200);
--- a/crates/bergamotpitch-router/src/refusals.rs
+++ b/crates/bergamotpitch-router/src/refusals.rs
@@ -82,6 +82,7 @@
         | RefusalReason::StreamVersionUnknown
         | RefusalReason::StreamVersionGone
         | RefusalReason::PromptPartBlocked
+        | RefusalReason::RequestBlocked
         | RefusalReason::Draining
         | RefusalReason::NotReady
         | RefusalReason::ClaimUnavailable
@@ -105,6 +106,7 @@
         RefusalReason::StreamVersionUnknown => "The software version of the stream is not known.",
         RefusalReason::StreamVersionGone => "No upstream runs the software version of the stream.",
         RefusalReason::PromptPartBlocked => "A part of the prompt crashes upstreams.",
+        RefusalReason::RequestBlocked => "Upstreams crash under the request.",
         RefusalReason::Draining => "This instance is leaving.",
         RefusalReason::NotReady => "This instance has no configuration yet.",
         RefusalReason::ClaimUnavailable => "The idempotency key cannot be claimed now.",
