Keep the retry budget of the fleet through restarts and lapsed members

What callers may see: engines that fail get more repeats than operators allow the whole fleet.

Cause: of the same class as the request that crashes engines, a bound that an instance keeps by what it alone knows. An instance that starts has sent nothing again, as far as it knows, and took a whole share of the fixed part; and an instance that finds nobody else in the list of members took the part of the whole fleet, as all of them do once their entries have lapsed while the store was away.

Change: the fixed part counts one window after the start, but for the first start of a fleet, and is divided by the most instances that were listed in the last minute. What the ratio allows of an instance's own requests counts from the start on as before.

--- a/crates/bergamotpitch-control/src/traffic/retry_budgets.rs
+++ b/crates/bergamotpitch-control/src/traffic/retry_budgets.rs
@@ -20,12 +20,16 @@
     pub fixed: f64,
     /// Length of the sliding window.
     pub window: Duration,
+    /// Time since the start of the instance from which on the fixed number counts: a life before it may have
+    /// used it up.
+    pub fixed_from: Duration,
 }
 
 impl Default for Options {
     fn default() -> Self {
         // One repeat for ten requests is the usual default of retry budgets.
-        Self { ratio: 0.1, fixed: 10.0, window: Duration::from_secs(10) }
+        let window = Duration::from_secs(10);
+        Self { ratio: 0.1, fixed: 10.0, window, fixed_from: Duration::ZERO }
     }
 }
 
@@ -72,11 +76,48 @@
         drop_before(&mut self.requests, now, options.window);
         drop_before(&mut self.repeats, now, options.window);
         let requests = self.requests.len() as f64;
-        let allowed = options.ratio * requests + options.fixed / instances.max(1) as f64;
+        let fixed = if now < options.fixed_from { 0.0 } else { options.fixed };
+        let allowed = options.ratio * requests + fixed / instances.max(1) as f64;
         self.repeats.len() as f64 + 1.0 <= SAFETY * allowed
     }
 }
 
+/// `FLEET_SIZE_MEMORY` is for how long an instance counts that is not listed any more: entries lapse while the
+/// platform is away, and are back some seconds after it.
+const FLEET_SIZE_MEMORY: Duration = Duration::from_secs(60);
+
+/// `FleetSize` is how many instances share a budget.
+#[derive(Debug, Default)]
+pub struct FleetSize {
+    /// Sizes of which no later one was larger, with when they were known last.
+    sizes: VecDeque<(Timestamp, usize)>,
+}
+
+impl FleetSize {
+    /// `largest` takes in how many instances are known, and returns the most of the last minute.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bergamotpitch_control::traffic::retry_budgets::FleetSize;
+    ///
+    /// let mut size = FleetSize::default();
+    /// assert_eq!(size.largest(Duration::ZERO, 8), 8);
+    /// assert_eq!(size.largest(Duration::from_secs(59), 1), 8);
+    /// assert_eq!(size.largest(Duration::from_secs(61), 1), 1);
+    /// ```
+    pub fn largest(&mut self, now: Timestamp, known: usize) -> usize {
+        while self.sizes.back().is_some_and(|(_, size)| *size <= known) {
+            self.sizes.pop_back();
+        }
+        self.sizes.push_back((now, known));
+        while self.sizes.front().is_some_and(|(at, _)| *at + FLEET_SIZE_MEMORY < now) {
+            self.sizes.pop_front();
+        }
+        self.sizes.front().map_or(known, |(_, size)| *size)
+    }
+}
+
 fn drop_before(times: &mut VecDeque<Timestamp>, now: Timestamp, window: Duration) {
     while times.front().is_some_and(|time| *time + window <= now) {
         times.pop_front();
--- a/crates/bergamotpitch-control/tests/repeat_budgets.rs
+++ b/crates/bergamotpitch-control/tests/repeat_budgets.rs
@@ -2,9 +2,38 @@
 
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::retry_budgets::{Options, RetryBudget};
+use bergamotpitch_control::traffic::retry_budgets::{FleetSize, Options, RetryBudget};
 
-const OPTIONS: Options = Options { ratio: 0.2, fixed: 54.0, window: Duration::from_secs(10) };
+const OPTIONS: Options = Options {
+    ratio: 0.2,
+    fixed: 54.0,
+    window: Duration::from_secs(10),
+    fixed_from: Duration::ZERO,
+};
+
+/// Options of instances that were started again.
+const RESTARTED: Options = Options { fixed_from: OPTIONS.window, ..OPTIONS };
+
+/// Requests and repeats of a whole fleet.
+#[derive(Default)]
+struct Counts {
+    requests: Vec<Duration>,
+    repeats: Vec<Duration>,
+}
+
+impl Counts {
+    /// Requests count in the window of the repeats or in the one before, whichever has more.
+    fn check(&self, now: Duration) {
+        let within = |times: &[Duration], end: Duration| {
+            let is_within = |time: &&Duration| **time <= end && end < **time + OPTIONS.window;
+            times.iter().filter(is_within).count() as f64
+        };
+        let before = now.saturating_sub(OPTIONS.window);
+        let requests = within(&self.requests, now).max(within(&self.requests, before));
+        let (repeats, allowed) = (within(&self.repeats, now), OPTIONS.ratio * requests);
+        assert!(repeats <= allowed + OPTIONS.fixed, "{repeats} repeats of {requests} requests");
+    }
+}
 
 /// Every engine of a service fails. If each instance sent every request twice, the service would
 /// get twice the load at the moment at which it has least capacity. Whatever the numbers of
@@ -49,3 +78,62 @@
     assert!(!budget.take(Duration::from_secs(9), 7, &OPTIONS));
     assert!(budget.take(Duration::from_secs(10), 7, &OPTIONS));
 }
+
+/// Guards against a budget that is spent twice: instances are killed, alone or all together, and the next
+/// life knows nothing of what the one before has sent again.
+#[test]
+fn restarted_fleet() {
+    arbtest::arbtest(|random| {
+        let instances: usize = random.int_in_range(1..=8)?;
+        let new = |started| (RetryBudget::default(), started);
+        let mut budgets: Vec<_> = (0..instances).map(|_| new(Duration::ZERO)).collect();
+        let mut counts = Counts::default();
+        let mut now = OPTIONS.window;
+        for _ in 0..200 {
+            now += Duration::from_millis(random.int_in_range(0..=600)?);
+            match random.int_in_range(0..=40)? {
+                0 => budgets.iter_mut().for_each(|budget| *budget = new(now)),
+                1..=4 => budgets[random.int_in_range(0..=instances - 1)?] = new(now),
+                _ => {}
+            }
+            let (budget, started) = &mut budgets[random.int_in_range(0..=instances - 1)?];
+            budget.note_request(now - *started, &RESTARTED);
+            counts.requests.push(now);
+            while budget.take(now - *started, instances, &RESTARTED) {
+                counts.repeats.push(now);
+            }
+            counts.check(now);
+        }
+        Ok(())
+    })
+    .seed(0x7e1a_0002_0000_0100);
+}
+
+/// Guards against a budget that each instance takes for its own: their entries in the list of members have
+/// lapsed together, and each finds nobody else there for some seconds.
+#[test]
+fn lapsed_members() {
+    arbtest::arbtest(|random| {
+        let instances: usize = random.int_in_range(2..=8)?;
+        let mut budgets: Vec<_> = (0..instances).map(|_| RetryBudget::default()).collect();
+        let mut sizes: Vec<_> = (0..instances).map(|_| FleetSize::default()).collect();
+        let mut counts = Counts::default();
+        let lapsed = Duration::from_secs(20)..Duration::from_secs(26);
+        let mut now = Duration::ZERO;
+        for _ in 0..200 {
+            now += Duration::from_millis(random.int_in_range(0..=500)?);
+            let number = random.int_in_range(0..=instances - 1)?;
+            let known = if lapsed.contains(&now) { 1 } else { instances };
+            // Each hears of the others at all times.
+            let known = sizes.iter_mut().map(|size| size.largest(now, known)).collect::<Vec<_>>();
+            budgets[number].note_request(now, &OPTIONS);
+            counts.requests.push(now);
+            while budgets[number].take(now, known[number], &OPTIONS) {
+                counts.repeats.push(now);
+            }
+            counts.check(now);
+        }
+        Ok(())
+    })
+    .seed(0x7e1a_0003_0000_0100);
+}
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -12,6 +12,7 @@
 use bergamotpitch_control::traffic::facts::RequestFacts;
 use bergamotpitch_control::traffic::fleet_members::Members;
 use bergamotpitch_control::traffic::registries::UpstreamKey;
+use bergamotpitch_control::traffic::retry_budgets::FleetSize;
 use bergamotpitch_control::traffic::team_windows::ShareClass;
 use bergamotpitch_core::HashMap;
 use bergamotpitch_core::events::EventKind;
@@ -75,6 +76,8 @@
     pub told_upstreams: RefCell<HashMap<InstanceId, Vec<UpstreamKey>>>,
     /// Instances that tell this one something and are not among its peers.
     pub unknown_peers: UnknownPeers,
+    /// How many instances share what is allowed to the whole fleet.
+    fleet_size: RefCell<FleetSize>,
     /// What it knows of the platform's store, and by whom.
     pub store_updates: StoreUpdates,
     /// Requests on which this instance decides, its own and others'.
@@ -157,6 +160,7 @@
             members: RefCell::default(),
             told_upstreams: RefCell::default(),
             unknown_peers: UnknownPeers::default(),
+            fleet_size: RefCell::default(),
             local_placements: LocalPlacements::default(),
             remote_placements: RemotePlacements::default(),
             crashes: Crashes::default(),
@@ -244,16 +248,22 @@
     /// `take_repeat` takes one request to a second upstream out of the service's budget.
     pub fn take_repeat(&self, service: &str) -> bool {
         let now = self.now();
-        let instances = self.peers.borrow().len() + 1;
+        let instances = self.fleet_size();
         let mut traffic = self.traffic.borrow_mut();
         let options = traffic.options.retries;
         traffic.options.policy.retries && traffic.budget(service).take(now, instances, &options)
     }
 
+    /// `fleet_size` returns how many instances share what is allowed to the whole fleet.
+    pub(crate) fn fleet_size(&self) -> usize {
+        let known = self.peers.borrow().len() + 1;
+        self.fleet_size.borrow_mut().largest(self.now(), known)
+    }
+
     /// `has_repeat` tells whether the service's budget has room for one more repeat.
     pub fn has_repeat(&self, service: &str) -> bool {
         let now = self.now();
-        let instances = self.peers.borrow().len() + 1;
+        let instances = self.fleet_size();
         let mut traffic = self.traffic.borrow_mut();
         let options = traffic.options.retries;
         traffic.options.policy.retries && traffic.budget(service).has_room(now, instances, &options)
--- a/crates/bergamotpitch-gateway/src/peers.rs
+++ b/crates/bergamotpitch-gateway/src/peers.rs
@@ -224,6 +224,8 @@
         let own = self.options.instance;
         let others: Vec<_> =
             addresses.into_iter().filter(|address| address.instance != own).collect();
+        // Those that are not listed any more may only have lapsed.
+        self.fleet_size();
         replace_peers(&mut self.peers.borrow_mut(), others, self.now());
         let peers = self.peers.borrow();
         let members = peers.iter().map(|(peer, known)| (*peer, id_of_name(&known.address.domain)));
