Hold copies of a suspected request back, and know when others may know more

The engine that all prefer had room for one, the others went where they fitted best, and three crashed. One attempt of a suspected request is under way at an instance at a time now, and the upstreams are taken in rendezvous order (`full_upstreams`). What counts is whether half of the own domain is heard. Whoever hears of a block first tells it on (`unknown_witness`).

Ends within 0.1 s count once, unless the request was sent on in between (`ended_together`), and a block lasts 30 s at first, as with parts.

--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -12,7 +12,7 @@
 use bergamotpitch_core::ids::{DomainId, InstanceId, RegionId, id_of_name};
 use bergamotpitch_core::units::Timestamp;
 
-use crate::traffic::crash_suspects::{CrashSuspects, Turn, Verdict};
+use crate::traffic::crash_suspects::{CrashSuspects, SuspectId, Turn, Verdict};
 use crate::traffic::engine_loads::{self, Capacity, RequestNumber, UpstreamLoad};
 use crate::traffic::engine_speeds::EngineSpeed;
 use crate::traffic::evidences::Evidence;
@@ -307,7 +307,8 @@
         if candidates.is_empty() {
             return Decision::NoUpstream(NO_UPSTREAM_RETRY_AFTER);
         }
-        let preferred = preferred_by_suspect(&verdict, &candidates);
+        let confined_to = confining_suspect(&verdict);
+        let preferred = confined_to.and_then(|suspect| preferred_by(suspect, &candidates));
         let demand = self.demand(request, &candidates, now);
         let default_state = UpstreamState::default();
         let mut best: Option<(f64, Placement)> = None;
@@ -325,9 +326,12 @@
             };
             match fit {
                 Fit::Fits => {
-                    let score = match Some(upstream.key) == preferred {
-                        true => f64::NEG_INFINITY,
-                        false => candidate.score(request, &self.options.policy),
+                    let score = match confined_to {
+                        Some(SuspectId::Request(digest)) => {
+                            -(rendezvous_weight(digest, upstream.id_number) as f64)
+                        }
+                        _ if Some(upstream.key) == preferred => f64::NEG_INFINITY,
+                        _ => candidate.score(request, &self.options.policy),
                     };
                     if best.as_ref().is_none_or(|(least, _)| score < *least) {
                         best = Some((score, placement_at(&candidate, share_class, now)));
@@ -549,12 +553,16 @@
     }
 }
 
-/// The upstream that all requests with a suspected part, or all attempts of a suspected request, prefer:
-/// should they crash it, they crash one together.
-fn preferred_by_suspect(verdict: &Verdict, candidates: &[&Upstream]) -> Option<UpstreamKey> {
-    let (Verdict::Confine(suspect) | Verdict::Try(Turn { suspect, .. })) = verdict else {
-        return None;
-    };
+/// The suspect because of which a request goes to the upstream that all with it prefer.
+fn confining_suspect(verdict: &Verdict) -> Option<SuspectId> {
+    match verdict {
+        Verdict::Confine(suspect) | Verdict::Try(Turn { suspect, .. }) => Some(*suspect),
+        Verdict::Admit | Verdict::Block(_) => None,
+    }
+}
+
+/// The upstream that all with a suspect prefer: should they crash it, they crash one together.
+fn preferred_by(suspect: SuspectId, candidates: &[&Upstream]) -> Option<UpstreamKey> {
     let weight = |upstream: &&&Upstream| rendezvous_weight(suspect.number(), upstream.id_number);
     candidates.iter().max_by_key(weight).map(|upstream| upstream.key)
 }
--- a/crates/bergamotpitch-control/src/traffic/crash_evidence.rs
+++ b/crates/bergamotpitch-control/src/traffic/crash_evidence.rs
@@ -17,16 +17,12 @@
 /// `WEAK_WEIGHT` see [`STRONG_WEIGHT`].
 pub const WEAK_WEIGHT: u32 = 1;
 
-/// `REQUEST_CRASHES_MIN` is how many crashes with strong evidence block a request. It is sent to one upstream
-/// after the other, so that they had not ended together.
+/// `REQUEST_CRASHES_MIN` is how many crashes with strong evidence block a request.
 const REQUEST_CRASHES_MIN: u32 = 2;
 
 /// `REQUEST_CRASHES_MAX` is how many crashes block a request at any rate.
 const REQUEST_CRASHES_MAX: usize = 3;
 
-/// `REQUEST_BLOCK_MS` is for how long a request is blocked at first: longer than its caller waits.
-const REQUEST_BLOCK_MS: Moment = 120_000;
-
 /// `CRASHES_MIN` is how many crashes a part must have been in hand at before it is blocked.
 const CRASHES_MIN: u32 = 2;
 
@@ -49,8 +45,8 @@
 /// are answered elsewhere meanwhile, if it is sound.
 const SOUND_SPAN_MS: Moment = 1_000;
 
-/// `PART_BLOCK_MS` is for how long a part is blocked at first.
-const PART_BLOCK_MS: Moment = 30_000;
+/// `FIRST_BLOCK_MS` is for how long a suspect is blocked at first: longer than callers come back after.
+const FIRST_BLOCK_MS: Moment = 30_000;
 
 /// `BLOCK_GROWTH` is how many times as long a block is after each crash that comes as long after the one before
 /// as the first block lasted: the crash of a trial.
@@ -98,6 +94,8 @@
     pub is_strong: bool,
     /// When the upstream crashed.
     pub at: Moment,
+    /// When the request was sent there.
+    pub sent_at: Moment,
 }
 
 /// `CrashRecord` is all that counts against one suspect.
@@ -156,24 +154,24 @@
     /// `blocked_until` returns until when the suspect is blocked, where `answers` requests without a part have
     /// been answered since the first crash; `None` while it is only suspected.
     pub fn blocked_until(&self, answers: u64) -> Option<Moment> {
-        let (is_blocked, first_block_ms) = match self.is_request {
-            true => (self.is_certain_of_request(), REQUEST_BLOCK_MS),
-            false => (self.is_certain_of_part(answers), PART_BLOCK_MS),
+        let is_blocked = match self.is_request {
+            true => self.is_certain_of_request(),
+            false => self.is_certain_of_part(answers),
         };
         if !is_blocked {
             return None;
         }
         let gaps = self.evidence.windows(2).map(|pair| pair[1].at - pair[0].at);
-        let trials = gaps.filter(|gap| first_block_ms <= *gap).count();
+        let trials = gaps.filter(|gap| FIRST_BLOCK_MS <= *gap).count();
         let growth = BLOCK_GROWTH.saturating_pow(trials as u32);
-        Some(self.last_at() + first_block_ms.saturating_mul(growth).min(LONGEST_BLOCK_MS))
+        Some(self.last_at() + FIRST_BLOCK_MS.saturating_mul(growth).min(LONGEST_BLOCK_MS))
     }
 
     /// A sound request may be in hand at one upstream that ends, and at another one in seconds of many ends;
     /// with each further one it costs others more than it is worth itself.
     fn is_certain_of_request(&self) -> bool {
         STRONG_WEIGHT * REQUEST_CRASHES_MIN <= self.weight()
-            || REQUEST_CRASHES_MAX <= self.evidence.len()
+            || REQUEST_CRASHES_MAX <= self.clusters().count()
     }
 
     fn is_certain_of_part(&self, answers: u64) -> bool {
@@ -189,22 +187,30 @@
         is_compared || STRONG_WEIGHT * CRASHES_MAX <= weight
     }
 
-    /// `weight` returns the sum over crashes. Upstreams that ended together count once against a part.
+    /// `weight` returns the sum over crashes; upstreams that ended together count once.
     pub fn weight(&self) -> u32 {
-        let cluster_ms = if self.is_request { 0 } else { CLUSTER_MS };
-        let mut weight = 0;
-        let mut cluster: Option<(Moment, u32)> = None;
-        for evidence in &self.evidence {
-            let own = if evidence.is_strong { STRONG_WEIGHT } else { WEAK_WEIGHT };
-            match &mut cluster {
-                Some((first, most)) if evidence.at < *first + cluster_ms => *most = own.max(*most),
-                _ => {
-                    weight += cluster.map_or(0, |(_, most)| most);
-                    cluster = Some((evidence.at, own));
-                }
-            }
-        }
-        weight + cluster.map_or(0, |(_, most)| most)
+        let weight_of = |evidence: &Evidence| match evidence.is_strong {
+            true => STRONG_WEIGHT,
+            false => WEAK_WEIGHT,
+        };
+        self.clusters().map(|cluster| cluster.iter().map(weight_of).max().unwrap_or(0)).sum()
+    }
+
+    /// Crashes of upstreams that ended together. A request that was sent on after one of them had ended had a
+    /// further one to itself.
+    fn clusters(&self) -> impl Iterator<Item = &[Evidence]> {
+        let mut rest = self.evidence.as_slice();
+        std::iter::from_fn(move || {
+            let first = rest.first()?;
+            let is_apart = |evidence: &Evidence| {
+                let is_sent_on = self.is_request && first.at <= evidence.sent_at;
+                is_sent_on || first.at + CLUSTER_MS <= evidence.at
+            };
+            let end = rest.iter().skip(1).position(is_apart).map_or(rest.len(), |end| end + 1);
+            let (cluster, after) = rest.split_at(end);
+            rest = after;
+            Some(cluster)
+        })
     }
 
     /// How unlikely these crashes are for a sound part: each request that ended did so by a crash, where of
--- a/crates/bergamotpitch-control/src/traffic/crash_suspects.rs
+++ b/crates/bergamotpitch-control/src/traffic/crash_suspects.rs
@@ -289,6 +289,12 @@
         }
     }
 
+    /// `evidence_of` returns the crashes that count against one suspect, in order of time.
+    pub fn evidence_of(&self, id: SuspectId) -> Vec<Evidence> {
+        let known = self.suspects.get(&id);
+        known.map_or_else(Vec::new, |known| known.record.evidence().to_vec())
+    }
+
     /// `evidence_to_tell` returns the crashes that other instances are told again and again, with how many
     /// requests without a part were answered since the first one: at most so many, those of what is blocked
     /// first, and of these parts before requests.
--- a/crates/bergamotpitch-gateway/src/attempts.rs
+++ b/crates/bergamotpitch-gateway/src/attempts.rs
@@ -16,7 +16,7 @@
 
 use crate::bodies::{AnswerBody, EventSource, StreamAnswer, is_event_stream, read_whole};
 use crate::calls::{BUSY_RETURN, Call};
-use crate::crashes::AnswerProgress;
+use crate::crashes::{AnswerProgress, BrokenAttempt};
 use crate::exchanges::{self, Answer, Failure, Reuse};
 use crate::gateways::Gateway;
 use crate::headers::remove_hop_headers;
@@ -79,6 +79,8 @@
         };
         let run = Run::open(gateway, &placed);
         let placement = placed.placement;
+        let (upstream, sent) = (placement.upstream, run.sent());
+        let broken_at = |progress| BrokenAttempt { upstream, sent, progress };
         gateway.note_origin(call, placement.upstream);
         if let Some(team) = call.team.as_deref().filter(|_| tried.is_empty()) {
             gateway.team_counters.note_sent(team, call.facts.pool_tokens());
@@ -92,8 +94,8 @@
                     let is_broken = matches!(unusable, UnusableAnswer::Broken(_));
                     let failure = Failure::Broken { detail: unusable.to_string() };
                     note_failure(call, &placement, gateway, &failure);
-                    let begun = AnswerProgress::Begun;
-                    if is_broken && !gateway.note_broken(call, placement.upstream, begun).await {
+                    let broken = broken_at(AnswerProgress::Begun);
+                    if is_broken && !gateway.note_broken(call, broken).await {
                         return Err(final_refusal(gateway, call, true));
                     }
                 }
@@ -126,8 +128,8 @@
                 run.complete(true);
                 may_have_run |= ran;
                 let is_broken = matches!(failure, Failure::Broken { .. });
-                let waiting = AnswerProgress::Waiting;
-                if is_broken && !gateway.note_broken(call, placement.upstream, waiting).await {
+                let broken = broken_at(AnswerProgress::Waiting);
+                if is_broken && !gateway.note_broken(call, broken).await {
                     return Err(final_refusal(gateway, call, true));
                 }
             }
--- a/crates/bergamotpitch-gateway/src/bodies.rs
+++ b/crates/bergamotpitch-gateway/src/bodies.rs
@@ -7,7 +7,6 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::registries::UpstreamKey;
 use bergamotpitch_core::events::EventKind;
 use bergamotpitch_core::units::Timestamp;
 use bytes::Bytes;
@@ -21,7 +20,7 @@
 use crate::callers::InRequest;
 use crate::calls::Call;
 use crate::connections::Sender;
-use crate::crashes::{ANSWERED_TIME, AnswerProgress};
+use crate::crashes::{ANSWERED_TIME, AnswerProgress, BrokenAttempt};
 use crate::errors::Cut;
 use crate::exchanges::{self, Answer, Failure, Reuse};
 use crate::gateways::{Gateway, InFlight};
@@ -313,6 +312,11 @@
     fn broken(&mut self, detail: &str) {
         let progress = self.progress();
         let key = self.run.as_ref().map(Run::key);
+        let broken = self.run.as_ref().map(|run| BrokenAttempt {
+            upstream: run.key(),
+            sent: run.sent(),
+            progress,
+        });
         if let Some(run) = self.run.take() {
             run.complete(true);
         }
@@ -337,7 +341,7 @@
             && self.gateway.take_repeat(&self.call.service);
         let (gateway, call) = (Rc::clone(&self.gateway), Rc::clone(&self.call));
         if !may_resume {
-            let breaking = break_off(gateway, call, key, progress);
+            let breaking = break_off(gateway, call, broken);
             self.source = Source::Breaking(Box::pin(breaking));
             return;
         }
@@ -345,7 +349,7 @@
         self.resumes += 1;
         self.cutter.restart();
         let last = self.cutter.last_id().map(str::to_owned);
-        let resumption = resume(gateway, call, (key, progress), last);
+        let resumption = resume(gateway, call, broken, last);
         self.source = Source::Resuming(Box::pin(resumption));
     }
 
@@ -410,14 +414,9 @@
 }
 
 /// Takes in that a stream broke off for good.
-async fn break_off(
-    gateway: Rc<Gateway>,
-    call: Rc<Call>,
-    upstream: Option<UpstreamKey>,
-    progress: AnswerProgress,
-) {
-    if let Some(upstream) = upstream {
-        gateway.note_broken(&call, upstream, progress).await;
+async fn break_off(gateway: Rc<Gateway>, call: Rc<Call>, broken: Option<BrokenAttempt>) {
+    if let Some(broken) = broken {
+        gateway.note_broken(&call, broken).await;
     }
     gateway.wait_until_told(&call).await;
 }
@@ -426,7 +425,7 @@
 async fn resume(
     gateway: Rc<Gateway>,
     call: Rc<Call>,
-    broken: (Option<UpstreamKey>, AnswerProgress),
+    broken: Option<BrokenAttempt>,
     last: Option<String>,
 ) -> Option<(Run, Answer)> {
     let resumed = resume_elsewhere(&gateway, &call, broken, last).await;
@@ -439,12 +438,12 @@
 async fn resume_elsewhere(
     gateway: &Rc<Gateway>,
     call: &Rc<Call>,
-    (broken, progress): (Option<UpstreamKey>, AnswerProgress),
+    broken: Option<BrokenAttempt>,
     last: Option<String>,
 ) -> Option<(Run, Answer)> {
-    let tried: Vec<_> = broken.into_iter().collect();
+    let tried: Vec<_> = broken.iter().map(|broken| broken.upstream).collect();
     if let Some(broken) = broken
-        && !gateway.note_broken(call, broken, progress).await
+        && !gateway.note_broken(call, broken).await
     {
         return None;
     }
@@ -458,8 +457,9 @@
         Err(failure) => {
             note_failure(call, &placement, gateway, &failure);
             if matches!(failure, Failure::Broken { .. }) {
-                let waiting = AnswerProgress::Waiting;
-                gateway.note_broken(call, placement.upstream, waiting).await;
+                let (upstream, sent) = (placement.upstream, run.sent());
+                let progress = AnswerProgress::Waiting;
+                gateway.note_broken(call, BrokenAttempt { upstream, sent, progress }).await;
             }
             return None;
         }
--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -22,6 +22,7 @@
 use crate::attempts::follow;
 use crate::bodies::AnswerBody;
 use crate::callers::CallerConnection;
+use crate::crashes::SoleAttempt;
 use crate::gateways::Gateway;
 use crate::logs::decision;
 use crate::refusals::{Inputs, Refusal, response_of_refusal};
@@ -89,6 +90,8 @@
     pub digest: OnceCell<RequestDigest>,
     /// Until when crashes under it may not be known to all others.
     pub told_until: Cell<Timestamp>,
+    /// Keeps other attempts of the same request from being sent, once it is suspected.
+    pub sole_attempt: OnceCell<SoleAttempt>,
 }
 
 impl Call {
@@ -223,6 +226,7 @@
         bound_software: Cell::new(None),
         digest: OnceCell::new(),
         told_until: Cell::new(Timestamp::ZERO),
+        sole_attempt: OnceCell::new(),
         headers: passed_headers(gateway, &parts.headers),
         route,
         service,
--- a/crates/bergamotpitch-gateway/src/crash_messages.rs
+++ b/crates/bergamotpitch-gateway/src/crash_messages.rs
@@ -16,7 +16,7 @@
 use crate::messages::{AnsweredLine, Body, CrashLine, MESSAGE_BYTES};
 
 /// `LINES_MAX` bounds the lines of one message.
-const LINES_MAX: usize = MESSAGE_BYTES / 32;
+const LINES_MAX: usize = MESSAGE_BYTES / 36;
 
 /// `TOLD_LINES_MAX` bounds what is told again with beats.
 const TOLD_LINES_MAX: usize = 3 * LINES_MAX;
@@ -42,16 +42,34 @@
         let now = moment_of(self.now());
         let mut answered = Vec::new();
         for line in lines {
-            let CrashLine { suspect, life, is_strong, answers, age_ms } = *line;
+            let CrashLine { suspect, life, is_strong, answers, age_ms, run_ms } = *line;
             let at = now - Moment::from(age_ms);
+            let sent_at = at - Moment::from(run_ms);
             if self.answered_at(suspect).is_some() {
                 answered.push(suspect);
             }
-            self.note_crashes(&[Evidence { suspect, life, is_strong, at }], answers.into());
+            let evidence = Evidence { suspect, life, is_strong, at, sent_at };
+            let was_blocked = self.is_blocked_request(suspect);
+            self.note_crashes(&[evidence], answers.into());
+            if !was_blocked && self.is_blocked_request(suspect) {
+                self.forward_block(suspect);
+            }
         }
         self.tell_answered(&answered);
     }
 
+    fn is_blocked_request(&self, suspect: SuspectId) -> bool {
+        let known = self.traffic.borrow().crash_suspects.suspicion_of(suspect);
+        suspect.is_request() && known.is_some_and(|known| known.blocked_until.is_some())
+    }
+
+    /// Tells a block on at once, as an instance that has just started is known to some of the others only.
+    fn forward_block(&self, suspect: SuspectId) {
+        let evidence = self.traffic.borrow().crash_suspects.evidence_of(suspect);
+        let evidence: Vec<(Evidence, u64)> = evidence.into_iter().map(|crash| (crash, 0)).collect();
+        self.tell_crashes(&evidence, &self.crash_receivers());
+    }
+
     /// `handle_answered` takes in suspects that were answered at another instance, or let in by operators.
     pub(crate) fn handle_answered(&self, lines: &[AnsweredLine]) {
         let now = moment_of(self.now());
@@ -194,7 +212,8 @@
 }
 
 fn line_of_evidence((evidence, answers): &(Evidence, u64), now: Moment) -> CrashLine {
-    let Evidence { suspect, life, is_strong, at } = *evidence;
+    let Evidence { suspect, life, is_strong, at, sent_at } = *evidence;
     let answers = u16::try_from(*answers).unwrap_or(u16::MAX);
-    CrashLine { suspect, life, is_strong, answers, age_ms: age_of(at, now) }
+    let (age_ms, run_ms) = (age_of(at, now), age_of(sent_at, at));
+    CrashLine { suspect, life, is_strong, answers, age_ms, run_ms }
 }
--- a/crates/bergamotpitch-gateway/src/crashes.rs
+++ b/crates/bergamotpitch-gateway/src/crashes.rs
@@ -11,12 +11,12 @@
 use bergamotpitch_control::traffic::registries::UpstreamKey;
 use bergamotpitch_control::traffic::request_digests::RequestDigest;
 use bergamotpitch_control::traffic::sound_parts::{Moment, moment_of};
-use bergamotpitch_core::HashMap;
 use bergamotpitch_core::ids::id_of_name;
 use bergamotpitch_core::refusals::RefusalReason;
 use bergamotpitch_core::units::Timestamp;
+use bergamotpitch_core::{HashMap, HashSet};
 
-use crate::calls::Call;
+use crate::calls::{BUSY_RETURN, Call};
 use crate::crash_messages::TELL_TIME;
 use crate::crash_probes::Probe;
 use crate::gateways::Gateway;
@@ -45,6 +45,33 @@
     pub(crate) logged: RefCell<HashMap<SuspectId, bool>>,
     /// Whether metrics show any suspects.
     pub(crate) is_suspected: Cell<bool>,
+    /// Suspected requests of which an attempt is under way here.
+    under_way: RefCell<HashSet<RequestDigest>>,
+}
+
+/// `SoleAttempt` is the only attempt of a suspected request that is under way at this instance, until it is
+/// dropped.
+#[derive(Debug)]
+pub struct SoleAttempt {
+    gateway: Rc<Gateway>,
+    digest: RequestDigest,
+}
+
+impl Drop for SoleAttempt {
+    fn drop(&mut self) {
+        self.gateway.crashes.under_way.borrow_mut().remove(&self.digest);
+    }
+}
+
+/// `BrokenAttempt` is an attempt whose answer broke off.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct BrokenAttempt {
+    /// Where.
+    pub upstream: UpstreamKey,
+    /// When it was sent.
+    pub sent: Timestamp,
+    /// How far its answer had come.
+    pub progress: AnswerProgress,
 }
 
 /// `AnswerProgress` is how far an upstream's answer had come when it broke off.
@@ -60,19 +87,21 @@
 
 impl Gateway {
     /// `check_suspects` refuses a call that crashes upstreams, or a part of its prompt. Of those whose block
-    /// is over it lets one pass at a time, when it is this instance's turn.
+    /// is over it lets one pass at a time, when it is this instance's turn, and of a request that is suspected
+    /// one attempt.
     ///
     /// # Errors
     ///
     /// Refuses the call as not run until its block is over.
-    pub(crate) fn check_suspects(&self, call: &Call) -> Result<(), Refusal> {
+    pub(crate) fn check_suspects(self: &Rc<Self>, call: &Call) -> Result<(), Refusal> {
         let now = self.now();
         let blocked_for = match self.verdict_on(call) {
+            Verdict::Admit => return Ok(()),
+            Verdict::Confine(_) if !self.is_suspected(call) => return Ok(()),
             // Others may know of further upstreams that crashed under it.
-            Verdict::Confine(_) if self.is_suspected(call) && self.hears_no_peer() => {
-                ISOLATED_RETURN
-            }
-            Verdict::Admit | Verdict::Confine(_) => return Ok(()),
+            Verdict::Confine(_) if self.is_out_of_touch() => ISOLATED_RETURN,
+            Verdict::Confine(_) if self.is_sole_attempt(call) => return Ok(()),
+            Verdict::Confine(_) => BUSY_RETURN,
             Verdict::Block(time) => time,
             Verdict::Try(turn) => {
                 let draw = turn.suspect.number() ^ u64::from(turn.round);
@@ -96,6 +125,21 @@
         Refusal::not_run(reason, blocked_for)
     }
 
+    /// Whether no other attempt of the same request is under way here.
+    fn is_sole_attempt(self: &Rc<Self>, call: &Call) -> bool {
+        if call.sole_attempt.get().is_some() {
+            return true;
+        }
+        let digest = call.digest();
+        let is_sole = self.crashes.under_way.borrow_mut().insert(digest);
+        if is_sole {
+            let attempt = SoleAttempt { gateway: Rc::clone(self), digest };
+            // It was empty a moment ago.
+            let _ = call.sole_attempt.set(attempt);
+        }
+        is_sole
+    }
+
     fn begin_trial(&self, suspect: SuspectId, now: Timestamp) -> bool {
         let mut trials = self.crashes.trials.borrow_mut();
         if trials.get(&suspect).is_some_and(|begun| now < *begun + TRIAL_WINDOW) {
@@ -170,26 +214,23 @@
     pub(crate) async fn note_broken(
         self: &Rc<Self>,
         call: &Rc<Call>,
-        upstream: UpstreamKey,
-        progress: AnswerProgress,
+        broken: BrokenAttempt,
     ) -> bool {
         let (gateway, call) = (Rc::clone(self), Rc::clone(call));
-        let noted = tokio::task::spawn_local(async move {
-            gateway.look_for_crash(&call, upstream, progress).await
-        });
+        let noted =
+            tokio::task::spawn_local(async move { gateway.look_for_crash(&call, broken).await });
         noted.await.unwrap_or(true)
     }
 
     async fn look_for_crash(
         self: &Rc<Self>,
         call: &Call,
-        upstream: UpstreamKey,
-        progress: AnswerProgress,
+        BrokenAttempt { upstream, sent, progress }: BrokenAttempt,
     ) -> bool {
         if !self.options.admission.policy.crash_suspects {
             return true;
         }
-        let at = moment_of(self.now());
+        let (at, sent_at) = (moment_of(self.now()), moment_of(sent));
         let parts = self.reportable_parts(call, at);
         let Some((life, address)) = self.life_that_stays(upstream) else { return true };
         if !self.has_ended(upstream, address).await {
@@ -198,17 +239,17 @@
         let service = id_of_name(&call.service);
         let of_part = |part| {
             let is_strong = progress != AnswerProgress::Waiting;
-            Evidence { suspect: SuspectId::Part(service, part), life, is_strong, at }
+            Evidence { suspect: SuspectId::Part(service, part), life, is_strong, at, sent_at }
         };
         let mut evidence: Vec<Evidence> = parts.into_iter().map(of_part).collect();
         let is_strong = progress != AnswerProgress::Answered;
         let request = SuspectId::Request(call.digest());
-        evidence.push(Evidence { suspect: request, life, is_strong, at });
+        evidence.push(Evidence { suspect: request, life, is_strong, at, sent_at });
         self.note_crashes(&evidence, 0);
         self.tell_crashes_at_once(&evidence);
         call.told_until.set(self.now() + TELL_TIME);
         match self.verdict_on(call) {
-            Verdict::Admit | Verdict::Confine(_) if self.hears_no_peer() => false,
+            Verdict::Admit | Verdict::Confine(_) if self.is_out_of_touch() => false,
             Verdict::Admit | Verdict::Confine(SuspectId::Request(_)) => true,
             Verdict::Confine(SuspectId::Part(..)) => progress == AnswerProgress::Waiting,
             Verdict::Try(_) | Verdict::Block(_) => false,
--- a/crates/bergamotpitch-gateway/src/messages.rs
+++ b/crates/bergamotpitch-gateway/src/messages.rs
@@ -443,6 +443,8 @@
     pub answers: u16,
     /// Time since the crash.
     pub age_ms: u32,
+    /// Time between the sending of the request and the crash.
+    pub run_ms: u32,
 }
 
 /// `AnsweredLine` tells that a suspect was answered.
--- a/crates/bergamotpitch-gateway/src/peers.rs
+++ b/crates/bergamotpitch-gateway/src/peers.rs
@@ -242,6 +242,19 @@
         !peers.is_empty() && !peers.values().any(|peer| peer.is_heard_within(ISOLATION_TIME, now))
     }
 
+    /// `is_out_of_touch` tells whether it heard fewer than half of its domain lately, or of all peers where it
+    /// is the only one of its domain: what others know of requests that come there may not be known here.
+    pub(crate) fn is_out_of_touch(&self) -> bool {
+        let now = self.now();
+        let peers = self.peers.borrow();
+        let domain = &self.options.admission.domain;
+        let near: Vec<&Peer> =
+            peers.values().filter(|peer| peer.address.domain == *domain).collect();
+        let counted = if near.is_empty() { peers.values().collect() } else { near };
+        let heard = counted.iter().filter(|peer| peer.is_heard_within(ISOLATION_TIME, now));
+        2 * heard.count() < counted.len()
+    }
+
     /// `beat_address_of` returns where a peer's messages go.
     pub(crate) fn beat_address_of(&self, peer: InstanceId) -> Option<SocketAddr> {
         self.peers.borrow().get(&peer).map(|peer| peer.address.beat_address)
--- a/crates/bergamotpitch-gateway/src/placements.rs
+++ b/crates/bergamotpitch-gateway/src/placements.rs
@@ -257,6 +257,11 @@
         self.key
     }
 
+    /// `sent` returns when the request was sent there.
+    pub fn sent(&self) -> Timestamp {
+        self.sent
+    }
+
     /// `begun` takes in the first event or the answer; it returns how long it took.
     pub fn begun(&mut self) -> Duration {
         let now = self.gateway.now();
