Let few instances read the store after a restart of the whole fleet

Cause: who stands by and watches the store is ranked among those that can decide. After a restart of everything nobody can, as nobody knows the list of upstreams, so that each instance is the first: in the logged domain 145 of 147 ceased to rely on peers, and read the list of 10,002 entries in 51 pages at once, some 4 MB each. Besides, in a domain without dispatcher all tell all in turns of twelve; from 61 instances on a turn comes later than the silence after which an instance is passed over, so that each seems to be alone.

Change: an instance that does not know all yet counts all before it that are present, two of a domain read the store, and two more each second while nobody has told what is needed. While nobody decides for a large domain, its instances tell the first three that they are there, and these tell all. One peer that did not hand over what it knows is passed over for 5 s; the store is read after two, not after one. An instance that begins to watch goes on from what peers told instead of reading the list again.

--- a/crates/bergamotpitch-control/src/traffic.rs
+++ b/crates/bergamotpitch-control/src/traffic.rs
@@ -33,3 +33,4 @@
 pub mod team_windows;
 pub mod upstream_candidates;
 pub mod warm_ups;
+pub mod watch_roles;
--- a/crates/bergamotpitch-control/src/traffic/dispatchers.rs
+++ b/crates/bergamotpitch-control/src/traffic/dispatchers.rs
@@ -73,8 +73,11 @@
     pub dispatcher: Option<InstanceId>,
     /// Whether this instance is among those that stand by: it tells the domain what it knows.
     pub is_standby: bool,
-    /// How many instances that are present come before this one.
+    /// How many instances that are present and can take the role come before this one.
     pub rank: usize,
+    /// How many instances that are present come before this one, also while they know too little to take the
+    /// role. After a restart of the whole fleet none can, and each would be the first.
+    pub place: usize,
 }
 
 /// `role_of` returns the role of `own` among the other listed instances of its domain.
@@ -109,13 +112,14 @@
             + options.succession_step.saturating_mul(groups)
     };
     let present = before.iter().enumerate().filter(|(place, other)| is_present(*place, other));
+    let place = present.clone().count();
     let rank = present.filter(|(_, candidate)| candidate.is_eligible).count();
     let is_dispatched = options.instances_min <= others.len() + 1;
-    let is_standby = rank < options.standbys;
+    let is_standby = if own.is_eligible { rank } else { place } < options.standbys;
     let responsive =
         others.iter().filter(|candidate| now < candidate.last_seen + options.heartbeat_timeout);
     let candidates = responsive.chain(is_standby.then_some(own));
     let first = candidates.min_by_key(|candidate| candidate.preference());
     let dispatcher = first.filter(|first| is_dispatched && first.is_eligible);
-    Role { dispatcher: dispatcher.map(|first| first.instance), is_standby, rank }
+    Role { dispatcher: dispatcher.map(|first| first.instance), is_standby, rank, place }
 }
--- a/crates/bergamotpitch-gateway/src/heartbeats.rs
+++ b/crates/bergamotpitch-gateway/src/heartbeats.rs
@@ -51,6 +51,9 @@
     gateway.tell_suspects(sequence);
     if gateway.role().dispatcher.is_none() {
         let receivers = round_robin_peers(gateway, sequence);
+        if gateway.options.dispatchers.heartbeat_timeout <= domain_round(gateway) {
+            tell_presence(gateway, sequence);
+        }
         send_to(gateway, &receivers, || heartbeat_to_all(gateway), sequence);
     } else if gateway.role().is_standby {
         send_as_standby(gateway, sequence);
@@ -61,6 +64,36 @@
         }
     }
 }
+/// The time between two heartbeats to one instance of the own domain where all tell all.
+fn domain_round(gateway: &Gateway) -> Duration {
+    round_interval(domain_peers(gateway).len())
+}
+
+/// Tells that this instance is there, in a domain that is too large for all to hear all in time while
+/// nobody can decide for it yet: without that each takes itself for the first.
+fn tell_presence(gateway: &Gateway, sequence: u64) {
+    let standbys = standby_peers(gateway);
+    let mut receivers: Vec<SocketAddr> = Vec::new();
+    if sequence.is_multiple_of(DOMAIN_HEARTBEATS) {
+        receivers.extend(standbys.iter().map(|peer| peer.beat_address));
+    }
+    if gateway.role().is_standby {
+        receivers.extend(domain_turn(gateway, &standbys, sequence));
+    }
+    send_to(gateway, &receivers, || base_heartbeat(gateway), sequence);
+}
+
+/// The instances of the own domain that do not stand by and whose turn it is.
+fn domain_turn(gateway: &Gateway, standbys: &[PeerAddress], sequence: u64) -> Vec<SocketAddr> {
+    let others = domain_peers(gateway).into_iter();
+    let mut others: Vec<PeerAddress> = others.filter(|peer| !standbys.contains(peer)).collect();
+    others.sort_by_key(|address| address.instance);
+    let turns = others.iter().enumerate();
+    let due =
+        turns.filter(|(index, _)| (*index as u64 + sequence).is_multiple_of(DOMAIN_HEARTBEATS));
+    due.map(|(_, peer)| peer.beat_address).collect()
+}
+
 
 fn send_as_standby(gateway: &Gateway, sequence: u64) {
     let interval = if gateway.is_dispatcher() { REMOTE_HEARTBEATS } else { STANDBY_HEARTBEATS };
@@ -76,14 +109,7 @@
             || Heartbeat { prefixes, ..heartbeat_to_standby(gateway, standby.instance) };
         send_to(gateway, &[standby.beat_address], heartbeat, sequence);
     }
-    let others = domain_peers(gateway).into_iter();
-    let mut others: Vec<PeerAddress> = others.filter(|peer| !standbys.contains(peer)).collect();
-    others.sort_by_key(|address| address.instance);
-    let due = others
-        .iter()
-        .enumerate()
-        .filter(|(index, _)| (*index as u64 + sequence).is_multiple_of(DOMAIN_HEARTBEATS));
-    let due: Vec<SocketAddr> = due.map(|(_, peer)| peer.beat_address).collect();
+    let due = domain_turn(gateway, &standbys, sequence);
     send_to(gateway, &due, || heartbeat_to_domain(gateway), sequence);
     if is_remote_due {
         let remote = remote_deciders(gateway);
--- a/crates/bergamotpitch-gateway/src/store_updates.rs
+++ b/crates/bergamotpitch-gateway/src/store_updates.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bergamotpitch_control::traffic::watch_roles::{WATCHERS_PER_DOMAIN, is_watcher};
 use bergamotpitch_core::HashMap;
 use bergamotpitch_core::events::EventKind;
 use bergamotpitch_core::ids::{Incarnation, InstanceId};
@@ -22,20 +23,12 @@
 /// given up: the store tells all watches within some milliseconds.
 const LIST_TOLERANCE: Duration = Duration::from_millis(800);
 
-/// `WATCHERS_PER_DOMAIN` is how many instances of a failure domain watch the store, so that some may fail; the
-/// others fetch from them what has changed, and know of it up to half a second later. Were all 90
-/// instances of a fleet to watch, each change of one upstream would cost 90 calls; in a domain of
-/// three nothing is saved by it. They are those that stand by to be the domain's dispatcher, which
-/// the others hear.
-const WATCHERS_PER_DOMAIN: usize = 2;
-
-/// `DISTRUST_TIME` is for how long an instance reads the store itself after a peer did not hand over
-/// what it knows.
+/// `DISTRUST_TIME` is for how long a peer is not asked after it did not hand over what it knows.
 const DISTRUST_TIME: Duration = Duration::from_secs(5);
 
-/// `STARTUP_WATCHER_TIMEOUT` is for how long an instance that starts counts on watchers of its domain that do not
-/// answer. A fleet that starts as a whole has its watchers start with it.
-const STARTUP_WATCHER_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// `DISTRUSTED_MAX` is from how many such peers on an instance reads the store itself. After one, all that rely
+/// on a watcher which was killed would read the whole list at once.
+const DISTRUSTED_MAX: usize = 2;
 
 /// `STARTUP_FETCH_INTERVAL` is the time between two questions to watchers until then.
 const STARTUP_FETCH_INTERVAL: Duration = Duration::from_millis(120);
@@ -76,16 +69,15 @@
     pub list_behind: Notify,
     /// Told when peers were listed for the first time.
     peers_listed: Notify,
-    is_listed: Cell<bool>,
-    /// Until when this instance counts on the watchers for what it needs at its start.
-    watchers_trusted_until: Cell<Timestamp>,
+    /// When peers were listed for the first time.
+    peers_listed_at: Cell<Option<Timestamp>>,
     update_handler: RefCell<Option<UpdateHandler>>,
     shared_answers: RefCell<SharedAnswers>,
     /// Up to where the changes of each peer, by its address, were taken in.
     cursors: RefCell<HashMap<SocketAddr, Cursor>>,
     is_relying: Cell<bool>,
-    /// Until when no peer is relied on, as one did not hand over what it knows.
-    peers_distrusted_until: Cell<Timestamp>,
+    /// Until when peers, by their addresses, are not asked, as they did not hand over what they know.
+    distrusted: RefCell<HashMap<SocketAddr, Timestamp>>,
     /// Up to where the own watch has read the list.
     list_watched: Cell<u64>,
     /// Up to where it is known, by the own watch or by peers.
@@ -114,6 +106,11 @@
         *self.store_updates.update_handler.borrow_mut() = Some(handler);
     }
 
+    /// `list_known` returns the revision of the store up to which this instance knows the list of upstreams.
+    pub fn list_known(&self) -> u64 {
+        self.store_updates.list_known.get()
+    }
+
     /// `list_change` returns the revision of the latest change of the list of upstreams that this
     /// instance has seen.
     pub fn list_change(&self) -> u64 {
@@ -141,17 +138,25 @@
 
     /// Decides anew whether others watch the store; the beats of a watcher that ended cease.
     pub(crate) fn update_watch_role(&self) {
-        let rank = self.role().rank;
+        let role = self.role();
         let now = self.now();
-        let is_trusted = self.store_updates.peers_distrusted_until.get() <= now;
-        let may_wait = now < self.store_updates.watchers_trusted_until.get();
-        let relies = (self.knows_all() || may_wait) && is_trusted && WATCHERS_PER_DOMAIN <= rank;
+        let is_trusted = self.distrusted_count() < DISTRUSTED_MAX;
+        let listed = self.store_updates.peers_listed_at.get();
+        let starting_for = match (self.knows_all(), listed) {
+            (true, _) => None,
+            (false, Some(listed)) => Some(now.saturating_sub(listed)),
+            (false, None) => Some(Duration::MAX),
+        };
+        let relies = is_trusted && !is_watcher(&role, starting_for);
         if self.store_updates.is_relying.replace(relies) == relies {
             return;
         }
         decision(
             EventKind::WatchRoleChanged,
-            format_args!("relies_on_peers={relies} rank={rank} trusted={is_trusted}"),
+            format_args!(
+                "relies_on_peers={relies} rank={} place={} trusted={is_trusted}",
+                role.rank, role.place,
+            ),
         );
         self.store_updates.role_changed.notify_waiters();
     }
@@ -159,10 +164,10 @@
     /// Takes in that peers were listed. Where others of the domain watch the store, this instance asks
     /// them for all that it needs to know.
     pub(crate) fn note_peers_listed(self: &Rc<Self>) {
-        if self.store_updates.is_listed.replace(true) {
+        if self.store_updates.peers_listed_at.get().is_some() {
             return;
         }
-        self.store_updates.watchers_trusted_until.set(self.now() + STARTUP_WATCHER_TIMEOUT);
+        self.store_updates.peers_listed_at.set(Some(self.now()));
         self.update_watch_role();
         self.store_updates.peers_listed.notify_waiters();
         if self.relies_on_peers() {
@@ -181,7 +186,7 @@
     /// `wait_for_peer_list` waits for a moment until this instance knows whether others watch the store for it.
     pub async fn wait_for_peer_list(&self) {
         let listed = self.store_updates.peers_listed.notified();
-        if !self.store_updates.is_listed.get() {
+        if self.store_updates.peers_listed_at.get().is_none() {
             // The store may be out of reach; the watches will tell.
             let _ = tokio::time::timeout(STARTUP_PEERS_TIMEOUT, listed).await;
         }
@@ -241,7 +246,7 @@
                     update.list_known,
                 );
                 self.store_updates.cursors.borrow_mut().insert(from, update.cursor);
-                self.store_updates.watchers_trusted_until.set(self.now() + STARTUP_WATCHER_TIMEOUT);
+                self.store_updates.distrusted.borrow_mut().remove(&from);
                 if let Some(handler) = self.store_updates.update_handler.borrow().as_ref() {
                     handler(update);
                 }
@@ -249,12 +254,21 @@
             Err(error) => {
                 log::info!("event=news_not_fetched peer={from} error={error}");
                 if self.knows_all() && error != FetchError::Busy {
-                    self.store_updates.peers_distrusted_until.set(self.now() + DISTRUST_TIME);
+                    let until = self.now() + DISTRUST_TIME;
+                    self.store_updates.distrusted.borrow_mut().insert(from, until);
                 }
             }
         }
     }
 
+    /// How many peers did not hand over what they know lately.
+    fn distrusted_count(&self) -> usize {
+        let now = self.now();
+        let mut distrusted = self.store_updates.distrusted.borrow_mut();
+        distrusted.retain(|_, until| now < *until);
+        distrusted.len()
+    }
+
     /// Gives the own watch up once a peer has known more of the list for some time, also when that
     /// peer has told of it: a watch that misses one change will miss the next.
     pub(crate) fn check_list_lag(&self) {
@@ -286,10 +300,14 @@
             self.is_behind(peer)
                 || first_watcher.is_some_and(|first| self.has_unfetched_changes(first, peer))
         };
-        let ahead =
-            peers.values().filter(|peer| peer.is_alive(now)).filter(is_ahead).max_by_key(|peer| {
-                (self.is_of_domain(peer), peer.version, peer.list_change, peer.last_seen)
-            });
+        let distrusted = self.store_updates.distrusted.borrow();
+        let is_trusted = |peer: &&Peer| {
+            distrusted.get(&peer.address.relay_address).is_none_or(|until| *until <= now)
+        };
+        let alive = peers.values().filter(|peer| peer.is_alive(now));
+        let ahead = alive.filter(is_trusted).filter(is_ahead).max_by_key(|peer| {
+            (self.is_of_domain(peer), peer.version, peer.list_change, peer.last_seen)
+        });
         let Some(ahead) = ahead else {
             self.store_updates.lagging_since.set(None);
             return None;
