Take in changes of a long list without a look at all of it

Cause, from reading the code with a list of 10,002 upstreams: each received heartbeat that told of leaving upstreams was compared with all upstreams, and each heartbeat told of all that were leaving: with 188 of them 1.9 million comparisons for each of some 600 heartbeats a second at an instance that stands by.

Change: leaving upstreams are found by their lives, and told for 4 s; the list and the documents bring the rest. What is gone is dropped by key; the relay finds documents by prefix and by number of change. The first reading of the list is one line (list_known).

--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -20,7 +20,7 @@
 use crate::traffic::placement_requests::{Decision, Headroom, Placement, PlacementRequest, Scope};
 use crate::traffic::policies::Policy;
 use crate::traffic::prefixes::KeptParts;
-use crate::traffic::registries::{Registry, Upstream, UpstreamKey};
+use crate::traffic::registries::{Change, Registry, Upstream, UpstreamKey};
 use crate::traffic::request_demands::{PrefillPlan, RequestDemand, rendezvous_weight};
 use crate::traffic::request_digests::RequestDigest;
 use crate::traffic::residencies::AllowedRegions;
@@ -148,6 +148,8 @@
     budgets: HashMap<String, RetryBudget>,
 }
 
+    /// Upstreams that are gone and at which requests of this instance still run.
+    gone_in_use: Vec<UpstreamKey>,
 /// `UpstreamState` is all that is known of one upstream besides its registration. It is one entry,
 /// as a decision looks at each upstream of a service.
 #[derive(Debug, Default)]
@@ -190,12 +192,30 @@
         }
     }
 
-    /// `remove_gone_upstreams` drops what is kept on upstreams that are gone, but for those at which requests
-    /// of this instance still run.
-    pub fn remove_gone_upstreams(&mut self) {
-        let registry = &self.registry;
-        self.states.retain(|key, state| {
-            registry.get(*key).is_some() || state.load.own_figures().requests != 0
+            gone_in_use: Vec::new(),
+    /// `remove_gone_upstreams` drops what is kept on upstreams that are gone by some changes, but for those at
+    /// which requests of this instance still run; these are dropped by a later step.
+    pub fn remove_gone_upstreams(&mut self, changes: &[Change]) {
+        for change in changes {
+            let Change::Gone(key, _) = change else { continue };
+            let Some(state) = self.states.get(key) else { continue };
+            if state.load.own_figures().requests == 0 {
+                self.states.remove(key);
+            } else {
+                self.gone_in_use.push(*key);
+            }
+        }
+    }
+
+    fn remove_unused_upstreams(&mut self) {
+        let (states, registry) = (&mut self.states, &self.registry);
+        self.gone_in_use.retain(|key| {
+            let is_in_use =
+                states.get(key).is_some_and(|state| state.load.own_figures().requests != 0);
+            if !is_in_use && registry.get(*key).is_none() {
+                states.remove(key);
+            }
+            is_in_use
         });
     }
 
@@ -224,6 +244,7 @@
         self.crash_suspects.step(moment_of(now));
     }
 
+        self.remove_unused_upstreams();
     /// `update_software` takes in that upstreams have changed; it returns the services of which more than
     /// one version of software is known since then.
     pub fn update_software(&mut self, now: Timestamp) -> Vec<String> {
--- a/crates/bergamotpitch-control/src/traffic/registries.rs
+++ b/crates/bergamotpitch-control/src/traffic/registries.rs
@@ -104,6 +104,11 @@
 /// new 2.5 s after they vanished, and others hear of it from those that watch.
 const DOUBT_GRACE: Duration = Duration::from_millis(2_000);
 
+/// `LEAVING_NEWS_TIME` is for how long peers are told that an upstream leaves: some of their heartbeats. With
+/// all that leave in each heartbeat, a release of a service of thousands fills the links and the processor
+/// time of those that stand by.
+const LEAVING_NEWS_TIME: Duration = Duration::from_secs(4);
+
 /// `Registry` is the table of upstreams.
 #[derive(Debug, Default)]
 pub struct Registry {
@@ -111,6 +116,10 @@
     key_of_id: HashMap<String, UpstreamKey>,
     key_of_life: HashMap<UpstreamId, UpstreamKey>,
     of_service: HashMap<String, Vec<UpstreamKey>>,
+    of_domain: HashMap<String, HashMap<DomainId, Vec<UpstreamKey>>>,
+    /// Those of which the platform's list has said lately that they leave, with the time from which on that
+    /// is known; `None` until the next step.
+    leaving_lately: HashMap<UpstreamKey, Option<Timestamp>>,
     software_counts: HashMap<String, HashMap<SoftwareId, usize>>,
     evacuations: Evacuations,
     last_key: UpstreamKey,
@@ -148,6 +157,18 @@
         self.of_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// `of_domain` returns the upstreams of a service in one failure domain, in the same order.
+    pub fn of_domain(&self, service: &str, domain: DomainId) -> &[UpstreamKey] {
+        let of_service = self.of_domain.get(service);
+        of_service.and_then(|domains| domains.get(&domain)).map_or(&[], Vec::as_slice)
+    }
+
+    /// `leaving_lately` returns the upstreams of which the platform's list has said within the last seconds
+    /// that they leave, in no order. Whoever has not heard of it by then learns it from the list.
+    pub fn leaving_lately(&self) -> impl Iterator<Item = &Upstream> {
+        self.leaving_lately.keys().filter_map(|key| self.upstreams.get(key))
+    }
+
     /// `staying` returns how many upstreams of a service do not leave, evacuated ones among them.
     pub fn staying(&self, service: &str) -> usize {
         let upstreams = self.of_service(service).iter().filter_map(|key| self.get(*key));
@@ -220,9 +241,17 @@
                 known.domain_number = id_of_name(&registration.domain);
                 known.is_evacuated = self.evacuations.is_evacuated(known.domain_number);
                 known.registration = registration;
-                if known.registration.is_leaving && known.leaving.is_none() {
+                let has_left = known.registration.is_leaving && known.leaving.is_none();
+                if has_left {
                     known.leaving = Some(LeavingSource::List);
-                    changes.push(Change::Left(known.key, LeavingSource::List));
+                    changes.push(Change::Left(key, LeavingSource::List));
+                }
+                let (service, domain) = (known.registration.service.clone(), known.domain_number);
+                if has_left {
+                    self.leaving_lately.insert(key, None);
+                }
+                if before != domain {
+                    self.move_to_domain(key, &service, before, domain);
                 }
                 return changes;
             }
@@ -275,6 +304,7 @@
     pub fn step(&mut self, now: Timestamp) -> Vec<Change> {
         let mut changes = Vec::new();
         let Outage::GraceUntil(end) = self.outage else { return changes };
+        self.leaving_lately.retain(|_, known| now < *known.get_or_insert(now) + LEAVING_NEWS_TIME);
         if now < end {
             return changes;
         }
@@ -322,6 +352,11 @@
         let id_number = id_of_name(&registration.id);
         let domain_number = id_of_name(&registration.domain);
         let life_number = life_number(&registration);
+        let of_domain = self.of_domain.entry(registration.service.clone()).or_default();
+        of_domain.entry(domain_number).or_default().push(key);
+        if leaving.is_some() {
+            self.leaving_lately.insert(key, None);
+        }
         self.key_of_life.insert(life_number, key);
         let upstream = Upstream {
             key,
@@ -343,6 +378,9 @@
         self.key_of_id.remove(&upstream.registration.id);
         self.key_of_life.remove(&upstream.life_number);
         if let Some(keys) = self.of_service.get_mut(&upstream.registration.service) {
+        self.leaving_lately.remove(&key);
+        let service = &upstream.registration.service;
+        remove_key(&mut self.of_domain, service, upstream.domain_number, key);
             keys.retain(|other| *other != key);
         }
         self.uncount_software(&upstream);
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -234,39 +234,15 @@
 
     /// `upstreams_known` notes that the list of upstreams was read once.
     pub fn upstreams_known(&self) {
-        self.is_listed.set(true);
-    }
-
-    /// `note_request` counts a caller's request.
-    pub fn note_request(&self, call: &Call) {
-        let now = self.now();
-        let mut traffic = self.traffic.borrow_mut();
-        let options = traffic.options.retries;
-        traffic.budget(&call.service).note_request(now, &options);
-    }
-
-    /// `take_repeat` takes one request to a second upstream out of the service's budget.
-    pub fn take_repeat(&self, service: &str) -> bool {
-        let now = self.now();
-        let instances = self.fleet_size();
-        let mut traffic = self.traffic.borrow_mut();
-        let options = traffic.options.retries;
-        traffic.options.policy.retries && traffic.budget(service).take(now, instances, &options)
-    }
-
-    /// `fleet_size` returns how many instances share what is allowed to the whole fleet.
-    pub(crate) fn fleet_size(&self) -> usize {
-        let known = self.peers.borrow().len() + 1;
-        self.fleet_size.borrow_mut().largest(self.now(), known)
+        if !self.is_listed.replace(true) {
+            let upstreams = self.traffic.borrow().registry.all().count();
+            log::info!("event=list_known upstreams={upstreams}");
+        }
     }
 
-    /// `has_repeat` tells whether the service's budget has room for one more repeat.
-    pub fn has_repeat(&self, service: &str) -> bool {
-        let now = self.now();
-        let instances = self.fleet_size();
-        let mut traffic = self.traffic.borrow_mut();
-        let options = traffic.options.retries;
-        traffic.options.policy.retries && traffic.budget(service).has_room(now, instances, &options)
+    /// `knows_list` tells whether the list of upstreams was read once.
+    pub(crate) fn knows_list(&self) -> bool {
+        self.is_listed.get()
     }
 
     /// `fresh_number` numbers a request.
--- a/crates/bergamotpitch-gateway/src/heartbeats.rs
+++ b/crates/bergamotpitch-gateway/src/heartbeats.rs
@@ -10,7 +10,6 @@
 use std::time::Duration;
 
 use bergamotpitch_control::traffic::engine_loads::Figures;
-use bergamotpitch_control::traffic::registries::LeavingSource;
 use bergamotpitch_control::traffic::starts::StartNote;
 use bergamotpitch_core::HashMap;
 use bergamotpitch_core::ids::{InstanceId, UpstreamId};
@@ -218,8 +217,7 @@
 
 fn base_heartbeat(gateway: &Gateway) -> Heartbeat {
     let traffic = gateway.traffic.borrow();
-    let leaving = traffic.registry.all();
-    let leaving = leaving.filter(|upstream| upstream.leaving == Some(LeavingSource::List));
+    let leaving = traffic.registry.leaving_lately();
     Heartbeat {
         version: gateway.version(),
         list_change: gateway.list_change(),
--- a/crates/bergamotpitch-gateway/src/relays.rs
+++ b/crates/bergamotpitch-gateway/src/relays.rs
@@ -8,6 +8,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -77,6 +78,8 @@
 pub struct Relay {
     incarnation: Incarnation,
     documents: BTreeMap<String, Numbered<Document>>,
+    /// Keys in `documents`, by the number of their latest change.
+    keys: BTreeMap<u64, String>,
     /// Keys that are in `documents` no more.
     removals: VecDeque<Numbered<String>>,
     key_of_upstream: HashMap<String, String>,
@@ -104,7 +107,11 @@
     pub fn keep(&mut self, document: Document) {
         let number = self.fresh_number();
         self.removals.retain(|removal| removal.entry != document.key);
-        self.documents.insert(document.key.clone(), Numbered { number, entry: document });
+        self.keys.insert(number, document.key.clone());
+        let kept = Numbered { number, entry: document };
+        if let Some(before) = self.documents.insert(kept.entry.key.clone(), kept) {
+            self.keys.remove(&before.number);
+        }
     }
 
     /// `keep_upstream` takes in the newest entry of an upstream.
@@ -123,9 +130,8 @@
 
     /// `drop_entry` takes in that an entry is gone; peers are told so.
     pub fn drop_entry(&mut self, key: &str) {
-        if self.documents.remove(key).is_none() {
-            return;
-        }
+        let Some(before) = self.documents.remove(key) else { return };
+        self.keys.remove(&before.number);
         let number = self.fresh_number();
         self.removals.push_back(Numbered { number, entry: key.to_owned() });
         if REMOVALS_KEPT < self.removals.len()
@@ -174,6 +180,31 @@
         self.documents.values().map(|kept| &kept.entry)
     }
 
+    /// `documents_of` returns the entries whose keys begin with a prefix.
+    ///
+    /// ```
+    /// use bergamotpitch_gateway::relays::{Document, Relay};
+    ///
+    /// let mut relay = Relay::new(5);
+    /// for key in ["list/a", "members/b", "op/c"] {
+    ///     relay.keep(Document { key: key.to_owned(), revision: 7, value: vec![] });
+    /// }
+    /// let keys: Vec<&str> = relay.documents_of("members/").map(|kept| kept.key.as_str()).collect();
+    /// assert_eq!(keys, ["members/b"]);
+    /// ```
+    pub fn documents_of<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = &'a Document> {
+        let from_prefix =
+            self.documents.range::<str, _>((Bound::Included(prefix), Bound::Unbounded));
+        let of_prefix = from_prefix.take_while(move |(key, _)| key.starts_with(prefix));
+        of_prefix.map(|(_, kept)| &kept.entry)
+    }
+
+    /// `upstream_revision` returns the revision of an upstream's kept entry, by its id.
+    pub fn upstream_revision(&self, id: &str) -> Option<u64> {
+        let kept = self.documents.get(self.key_of_upstream.get(id)?)?;
+        Some(kept.entry.revision)
+    }
+
     /// `upstreams` returns all entries of upstreams, by id, with the revisions of their values.
     pub fn upstreams(&self) -> impl Iterator<Item = (&str, &str, u64)> {
         self.key_of_upstream.iter().filter_map(|(id, key)| {
@@ -214,8 +245,9 @@
     /// `changes_between` returns what has changed after one number, up to another; what has changed
     /// again since is left for later.
     pub fn changes_between(&self, after: u64, until: u64) -> RelayUpdate {
-        let documents = self.documents.values();
-        let documents = documents.filter(|kept| after < kept.number && kept.number <= until);
+        let changed = (Bound::Excluded(after), Bound::Included(until.max(after + 1)));
+        let keys = self.keys.range(changed).filter(|(number, _)| **number <= until);
+        let documents = keys.filter_map(|(_, key)| self.documents.get(key));
         let removals = self.removals.iter();
         let removals = removals.filter(|kept| after < kept.number && kept.number <= until);
         RelayUpdate {
--- a/crates/bergamotpitch-gateway/src/upstreams.rs
+++ b/crates/bergamotpitch-gateway/src/upstreams.rs
@@ -29,7 +29,7 @@
         for change in &changes {
             self.log_change(&traffic, change);
         }
-        traffic.remove_gone_upstreams();
+        traffic.remove_gone_upstreams(&changes);
         let mixed_services = traffic.update_software(now);
         drop(traffic);
         self.tell_mixed_services(&mixed_services);
@@ -87,6 +87,8 @@
             )
         };
         match change {
+            // The first reading of a list of thousands is one line.
+            Change::Joined(_) if !self.knows_list() => {}
             Change::Joined(key) => {
                 decision(EventKind::UpstreamJoined, format_args!("{}", describe(*key)));
             }
@@ -189,20 +191,19 @@
 
     /// `mark_leaving_upstreams` takes in of which upstreams a peer knows that they leave.
     pub fn mark_leaving_upstreams(&self, leaving: &[UpstreamId]) {
-        if leaving.is_empty() {
+        let traffic = self.traffic.borrow();
+        let registry = &traffic.registry;
+        let known = leaving.iter().filter_map(|life| registry.get(registry.key_of_life(*life)?));
+        let staying = known.filter(|upstream| upstream.leaving.is_none());
+        let keys: Vec<UpstreamKey> = staying.map(|upstream| upstream.key).collect();
+        drop(traffic);
+        if keys.is_empty() {
             return;
         }
         self.change_upstreams(|traffic, _| {
-            let keys: Vec<UpstreamKey> = traffic
-                .registry
-                .all()
-                .filter(|upstream| upstream.leaving.is_none())
-                .filter(|upstream| leaving.contains(&upstream.life_number))
-                .map(|upstream| upstream.key)
-                .collect();
-            keys.into_iter()
-                .filter_map(|key| traffic.registry.left(key, LeavingSource::Peer))
-                .collect()
+            let left =
+                keys.iter().filter_map(|key| traffic.registry.left(*key, LeavingSource::Peer));
+            left.collect()
         });
     }
 }
