Look at as many engines as a decision needs, not at all of the service

Cause: a decision walked all 9,414 engines of the service, filtered those of its domain afterwards, and compared all 1,569 of these; an instance that decides by itself compared all.

A decision compares the engines that hold the prompt's start and those up to the 64th that would begin at once, of the own domain first; only where none of them fits, all. Ways weighed: a random choice beside the holders spreads starts over all engines, which read them again; a fixed subset an instance leaves capacity idle when its subset is full; indexes by predicted wait have to follow each event. Taken is the walk in list order, as short as idle engines allow, so that busy ones stay together.

Services of up to 64 upstreams decide as before.

--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -118,6 +118,10 @@
 /// change within about a second.
 const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
+/// `READY_ENOUGH` is how many upstreams that would begin a request at once a decision compares; a service of
+/// thousands has hundreds of them.
+const READY_ENOUGH: usize = 64;
+
 /// `Traffic` is the state on which requests are decided.
 #[derive(Debug)]
 pub struct Traffic {
@@ -144,12 +148,13 @@
     near_domain_numbers: Vec<DomainId>,
     region_of_domain: HashMap<DomainId, RegionId>,
     states: HashMap<UpstreamKey, UpstreamState>,
+    /// Upstreams that are gone and at which requests of this instance still run.
+    gone_in_use: Vec<UpstreamKey>,
     speeds: HashMap<String, EngineSpeed>,
     budgets: HashMap<String, RetryBudget>,
+    candidates_considered: u64,
 }
 
-    /// Upstreams that are gone and at which requests of this instance still run.
-    gone_in_use: Vec<UpstreamKey>,
 /// `UpstreamState` is all that is known of one upstream besides its registration. It is one entry,
 /// as a decision looks at each upstream of a service.
 #[derive(Debug, Default)]
@@ -187,12 +192,13 @@
             fleet_size: 1,
             warm_ups: HashMap::default(),
             states: HashMap::default(),
+            gone_in_use: Vec::new(),
             speeds: HashMap::default(),
             budgets: HashMap::default(),
+            candidates_considered: 0,
         }
     }
 
-            gone_in_use: Vec::new(),
     /// `remove_gone_upstreams` drops what is kept on upstreams that are gone by some changes, but for those at
     /// which requests of this instance still run; these are dropped by a later step.
     pub fn remove_gone_upstreams(&mut self, changes: &[Change]) {
@@ -238,13 +244,13 @@
     pub fn step(&mut self, now: Timestamp) {
         let options = self.options.loads;
         self.states.values_mut().for_each(|state| state.load.drop_silent_peers(now, &options));
+        self.remove_unused_upstreams();
         self.starts.step(now);
         self.software.step(now);
         self.origins.step(now);
         self.crash_suspects.step(moment_of(now));
     }
 
-        self.remove_unused_upstreams();
     /// `update_software` takes in that upstreams have changed; it returns the services of which more than
     /// one version of software is known since then.
     pub fn update_software(&mut self, now: Timestamp) -> Vec<String> {
@@ -272,10 +278,9 @@
     pub fn headroom(&self, service: &str, wait: Duration, now: Timestamp) -> Headroom {
         let options = &self.options.loads;
         let speed = self.speed(service);
-        let keys = self.registry.of_service(service).iter();
+        let keys = self.registry.of_domain(service, self.domain_number).iter();
         let upstreams = keys.filter_map(|key| self.registry.get(*key));
-        let open = upstreams
-            .filter(|upstream| upstream.takes_work() && self.is_in_scope(upstream, Scope::Domain));
+        let open = upstreams.filter(|upstream| upstream.takes_work());
         let default_state = UpstreamState::default();
         let mut headroom = Headroom::default();
         for upstream in open {
@@ -313,37 +318,71 @@
     /// `choose_upstream` decides on a request; it changes nothing.
     pub fn choose_upstream(&mut self, request: &PlacementRequest<'_>, now: Timestamp) -> Decision {
         let share_class = self.share_class(request, now);
-        let limits = match share_class {
-            // Others of its team have had nothing of what the stream was given before it broke off.
-            _ if request.software.is_some() => self.options.within_share,
-            ShareClass::WithinShare | ShareClass::Underserved => self.options.within_share,
-            ShareClass::EvenSurplus => self.options.even_surplus,
-            ShareClass::BeyondEven => self.options.beyond_even,
-        };
         let verdict = self.suspect_verdict(request.service, request.facts, request.digest, now);
         if let Verdict::Block(time) = verdict {
             return Decision::Blocked(time);
         }
-        let candidates = self.candidates(request, now);
+        let confined_to = confining_suspect(&verdict);
+        // All attempts of a suspect go to the same upstream, so that it is chosen among all.
+        let ready_max = if confined_to.is_none() { READY_ENOUGH } else { usize::MAX };
+        let (is_whole, candidates) = self.candidates(request, ready_max, now);
+        let decision = self.choose_among(&candidates, request, share_class, confined_to, now);
+        let mut considered = candidates.len();
+        let is_sent = matches!(decision, Decision::Send(_));
+        let decision = match is_whole || is_sent {
+            true => decision,
+            false => {
+                let (_, candidates) = self.candidates(request, usize::MAX, now);
+                considered += candidates.len();
+                self.choose_among(&candidates, request, share_class, confined_to, now)
+            }
+        };
+        self.candidates_considered += considered as u64;
+        decision
+    }
+
+    /// `candidates_considered` returns at how many upstreams all decisions together have looked.
+    pub fn candidates_considered(&self) -> u64 {
+        self.candidates_considered
+    }
+
+    fn choose_among(
+        &self,
+        candidates: &[&Upstream],
+        request: &PlacementRequest<'_>,
+        share_class: ShareClass,
+        confined_to: Option<SuspectId>,
+        now: Timestamp,
+    ) -> Decision {
         if candidates.is_empty() {
             return Decision::NoUpstream(NO_UPSTREAM_RETRY_AFTER);
         }
-        let confined_to = confining_suspect(&verdict);
-        let preferred = confined_to.and_then(|suspect| preferred_by(suspect, &candidates));
-        let demand = self.demand(request, &candidates, now);
+        let limits = match share_class {
+            // Others of its team have had nothing of what the stream was given before it broke off.
+            _ if request.software.is_some() => self.options.within_share,
+            ShareClass::WithinShare | ShareClass::Underserved => self.options.within_share,
+            ShareClass::EvenSurplus => self.options.even_surplus,
+            ShareClass::BeyondEven => self.options.beyond_even,
+        };
+        let preferred = confined_to.and_then(|suspect| preferred_by(suspect, candidates));
+        let demand = self.demand(request, candidates, now);
         let default_state = UpstreamState::default();
         let mut best: Option<(f64, Placement)> = None;
         let mut least_excess = RETRY_AFTER_MAX;
         let mut least_requests = u32::MAX;
-        for upstream in &candidates {
+        for upstream in candidates {
             let state = self.states.get(&upstream.key).unwrap_or(&default_state);
             let candidate = self.evaluate_candidate(upstream, state, request, &demand, now);
             least_requests = least_requests.min(candidate.figures.requests);
             let arrival_wait =
                 self.arrival_wait(upstream, &state.arrivals, limits.arrivals_fraction, now);
-            let fit = match arrival_wait.is_zero() {
-                true => candidate.fit(request, &limits, &self.options.policy),
-                false => Fit::Excess(arrival_wait),
+            let fit = match (arrival_wait.is_zero(), confined_to) {
+                (false, _) => Fit::Excess(arrival_wait),
+                // Instances that know different loads must still choose the same upstream.
+                (true, Some(SuspectId::Request(_))) if candidate.has_room(request, &limits) => {
+                    Fit::Fits
+                }
+                (true, _) => candidate.fit(request, &limits, &self.options.policy),
             };
             match fit {
                 Fit::Fits => {
@@ -445,20 +484,17 @@
     }
 
     /// Upstreams that may get the request: those with bad evidence only where no other is left, or
-    /// when a trial is due.
-    fn candidates(&self, request: &PlacementRequest<'_>, now: Timestamp) -> Vec<&Upstream> {
-        let open: Vec<&Upstream> = self
-            .registry
-            .of_service(request.service)
-            .iter()
-            .filter(|key| !request.tried.contains(key))
-            .filter_map(|key| self.registry.get(*key))
-            .filter(|upstream| upstream.takes_work() && self.is_in_scope(upstream, request.scope))
-            .filter(|upstream| self.allows(request.regions, upstream.domain_number))
-            .filter(|upstream| request.software.is_none_or(|only| upstream.software == only))
-            .collect();
+    /// when a trial is due. Once `ready_max` of them would begin it at once, further ones are not looked
+    /// at; returns whether all were.
+    fn candidates(
+        &self,
+        request: &PlacementRequest<'_>,
+        ready_max: usize,
+        now: Timestamp,
+    ) -> (bool, Vec<&Upstream>) {
+        let (is_whole, open) = self.open_upstreams(request, ready_max, now);
         if !self.options.policy.evidence {
-            return open;
+            return (is_whole, open);
         }
         let median_rate = self.median_failure_rate(&open);
         let healthy: Vec<&Upstream> = open
@@ -466,7 +502,70 @@
             .copied()
             .filter(|upstream| self.is_healthy(upstream.key, median_rate, now))
             .collect();
-        if healthy.is_empty() { open } else { healthy }
+        (is_whole, if healthy.is_empty() { open } else { healthy })
+    }
+
+    fn open_upstreams(
+        &self,
+        request: &PlacementRequest<'_>,
+        ready_max: usize,
+        now: Timestamp,
+    ) -> (bool, Vec<&Upstream>) {
+        let is_open = |upstream: &&Upstream| {
+            upstream.takes_work()
+                && self.is_in_scope(upstream, request.scope)
+                && self.allows(request.regions, upstream.domain_number)
+                && request.software.is_none_or(|only| upstream.software == only)
+                && !request.tried.contains(&upstream.key)
+        };
+        let of_domain = self.registry.of_domain(request.service, self.domain_number);
+        let of_service = self.registry.of_service(request.service);
+        let is_long = ready_max < of_service.len();
+        let keys: &[&[UpstreamKey]] = match request.scope {
+            Scope::Domain => &[of_domain],
+            // Those of the own domain first: with enough of them, nobody looks elsewhere.
+            Scope::Fleet if is_long => &[of_domain, of_service],
+            Scope::Fleet => &[of_service],
+        };
+        let holders: Vec<UpstreamKey> =
+            if is_long { self.holders(request, now) } else { Vec::new() };
+        let mut open: Vec<&Upstream> =
+            holders.iter().filter_map(|key| self.registry.get(*key)).filter(is_open).collect();
+        let mut ready = 0;
+        for (part, keys) in keys.iter().enumerate() {
+            let is_seen = |upstream: &Upstream| {
+                holders.contains(&upstream.key)
+                    || (part != 0 && upstream.domain_number == self.domain_number)
+            };
+            let listed = keys.iter().filter_map(|key| self.registry.get(*key)).filter(is_open);
+            for upstream in listed.filter(|upstream| !is_seen(upstream)) {
+                open.push(upstream);
+                ready += usize::from(self.is_ready(upstream, now));
+                if ready_max <= ready {
+                    return (false, open);
+                }
+            }
+        }
+        (true, open)
+    }
+
+    /// The engines at which the shared start of the prompt was read lately.
+    fn holders(&self, request: &PlacementRequest<'_>, now: Timestamp) -> Vec<UpstreamKey> {
+        let Some(prefix) = request.facts.shared_prefix() else { return Vec::new() };
+        let lives = self.starts.holders(prefix, now);
+        lives.filter_map(|life| self.registry.key_of_life(life)).collect()
+    }
+
+    /// Whether an upstream would begin a request at once.
+    fn is_ready(&self, upstream: &Upstream, now: Timestamp) -> bool {
+        let Some(UpstreamState { load, evidence, .. }) = self.states.get(&upstream.key) else {
+            return true;
+        };
+        let figures = load.figures(now, &self.options.loads);
+        figures.unread_tokens <= 0.0
+            && 2 * figures.requests < upstream.registration.slots
+            && evidence.failure_rate() == 0.0
+            && !evidence.is_paused(now)
     }
 
     fn is_in_scope(&self, upstream: &Upstream, scope: Scope) -> bool {
--- a/crates/bergamotpitch-control/src/traffic/registries.rs
+++ b/crates/bergamotpitch-control/src/traffic/registries.rs
@@ -237,6 +237,7 @@
                 return changes;
             }
             if is_same_life(&known.registration, &registration) {
+                let (key, before) = (known.key, known.domain_number);
                 known.lapsed = None;
                 known.domain_number = id_of_name(&registration.domain);
                 known.is_evacuated = self.evacuations.is_evacuated(known.domain_number);
@@ -303,8 +304,8 @@
     /// `step` forgets entries that are still missing when the grace after an outage is over.
     pub fn step(&mut self, now: Timestamp) -> Vec<Change> {
         let mut changes = Vec::new();
-        let Outage::GraceUntil(end) = self.outage else { return changes };
         self.leaving_lately.retain(|_, known| now < *known.get_or_insert(now) + LEAVING_NEWS_TIME);
+        let Outage::GraceUntil(end) = self.outage else { return changes };
         if now < end {
             return changes;
         }
@@ -351,12 +352,12 @@
         let leaving = registration.is_leaving.then_some(LeavingSource::List);
         let id_number = id_of_name(&registration.id);
         let domain_number = id_of_name(&registration.domain);
-        let life_number = life_number(&registration);
         let of_domain = self.of_domain.entry(registration.service.clone()).or_default();
         of_domain.entry(domain_number).or_default().push(key);
         if leaving.is_some() {
             self.leaving_lately.insert(key, None);
         }
+        let life_number = life_number(&registration);
         self.key_of_life.insert(life_number, key);
         let upstream = Upstream {
             key,
@@ -377,10 +378,10 @@
         let Some(upstream) = self.upstreams.remove(&key) else { return };
         self.key_of_id.remove(&upstream.registration.id);
         self.key_of_life.remove(&upstream.life_number);
-        if let Some(keys) = self.of_service.get_mut(&upstream.registration.service) {
         self.leaving_lately.remove(&key);
         let service = &upstream.registration.service;
         remove_key(&mut self.of_domain, service, upstream.domain_number, key);
+        if let Some(keys) = self.of_service.get_mut(&upstream.registration.service) {
             keys.retain(|other| *other != key);
         }
         self.uncount_software(&upstream);
@@ -389,6 +390,18 @@
 }
 
 impl Registry {
+    fn move_to_domain(
+        &mut self,
+        key: UpstreamKey,
+        service: &str,
+        before: DomainId,
+        domain: DomainId,
+    ) {
+        remove_key(&mut self.of_domain, service, before, key);
+        let domains = self.of_domain.entry(service.to_owned()).or_default();
+        domains.entry(domain).or_default().push(key);
+    }
+
     fn uncount_software(&mut self, upstream: &Upstream) {
         let service = &upstream.registration.service;
         let Some(counts) = self.software_counts.get_mut(service) else { return };
@@ -404,6 +417,18 @@
     }
 }
 
+fn remove_key(
+    of_domain: &mut HashMap<String, HashMap<DomainId, Vec<UpstreamKey>>>,
+    service: &str,
+    domain: DomainId,
+    key: UpstreamKey,
+) {
+    let keys = of_domain.get_mut(service).and_then(|domains| domains.get_mut(&domain));
+    if let Some(keys) = keys {
+        keys.retain(|other| *other != key);
+    }
+}
+
 /// An upstream may start again under the id that it had. What peers say of the life before, that it
 /// leaves and what it has in hand, must not be taken for the present one: it would get no work for
 /// as long as it lives.
--- a/crates/bergamotpitch-control/src/traffic/upstream_candidates.rs
+++ b/crates/bergamotpitch-control/src/traffic/upstream_candidates.rs
@@ -127,7 +127,7 @@
         policy: &Policy,
     ) -> Fit {
         let is_generation = request.facts.is_generation();
-        if !self.has_slot(is_generation, limits) || !self.has_memory(request, limits) {
+        if !self.has_room(request, limits) {
             return Fit::Excess(request.target);
         }
         if is_generation && policy.empty_engines && self.is_nearly_idle() {
@@ -154,6 +154,12 @@
         Fit::Excess(Duration::from_secs_f64(excess_ms / 1_000.0))
     }
 
+    /// `has_room` tells whether it has a slot and memory for the request, however late it would begin.
+    pub fn has_room(&self, request: &PlacementRequest<'_>, limits: &UtilizationLimits) -> bool {
+        let is_generation = request.facts.is_generation();
+        self.has_slot(is_generation, limits) && self.has_memory(request, limits)
+    }
+
     /// `would_pause_streams` tells whether streams that run there would pause for longer than callers aim at.
     fn would_pause_streams(&self, request: &PlacementRequest<'_>) -> bool {
         let Some(gap) = request.target_gap else { return false };
--- a/crates/bergamotpitch-gateway/src/heartbeats.rs
+++ b/crates/bergamotpitch-gateway/src/heartbeats.rs
@@ -50,10 +50,10 @@
     gateway.tell_suspects(sequence);
     if gateway.role().dispatcher.is_none() {
         let receivers = round_robin_peers(gateway, sequence);
+        send_to(gateway, &receivers, || heartbeat_to_all(gateway), sequence);
         if gateway.options.dispatchers.heartbeat_timeout <= domain_round(gateway) {
             tell_presence(gateway, sequence);
         }
-        send_to(gateway, &receivers, || heartbeat_to_all(gateway), sequence);
     } else if gateway.role().is_standby {
         send_as_standby(gateway, sequence);
     } else if sequence.is_multiple_of(DOMAIN_HEARTBEATS) {
@@ -63,6 +63,7 @@
         }
     }
 }
+
 /// The time between two heartbeats to one instance of the own domain where all tell all.
 fn domain_round(gateway: &Gateway) -> Duration {
     round_interval(domain_peers(gateway).len())
@@ -93,7 +94,6 @@
     due.map(|(_, peer)| peer.beat_address).collect()
 }
 
-
 fn send_as_standby(gateway: &Gateway, sequence: u64) {
     let interval = if gateway.is_dispatcher() { REMOTE_HEARTBEATS } else { STANDBY_HEARTBEATS };
     let is_remote_due = sequence.is_multiple_of(interval);
