Pool the retry budget of a domain at its dispatcher

Cause: each instance keeps its own part. With 985 of them it receives 2.8 requests of the plain service in ten seconds, and 0.6 x (0.2 x 2.8 + 1,040 / 985) is less than one repeat. Besides, a repeat after a failed answer was taken out of the budget twice, when it was decided on and when it was sent.

Change: what a dispatcher decides on counts in its budget, with half of the fixed parts of its domain, and it allows the repeats of the others, who ask by one datagram when their own part is spent. Requests count in one book each. A new dispatcher uses the pooled parts after a window, as the one before may have used them up. A repeat is reserved once.

Domains without dispatcher keep their budget as before.

--- a/crates/bergamotpitch-control/src/traffic/retry_budgets.rs
+++ b/crates/bergamotpitch-control/src/traffic/retry_budgets.rs
@@ -5,6 +5,11 @@
 //! sliding window plus a fixed number. Each instance takes its part of the ratio from what it
 //! received itself and an even part of the fixed number, so that the sum stays below the budget
 //! without any talk between instances.
+//!
+//! In a fleet of a thousand instances each receives a few requests of a service in a window, and its
+//! part of the budget is less than one repeat. Where an instance decides for its domain, it therefore
+//! counts the requests that it decides on, holds half of the fixed parts of the whole domain, and allows
+//! the repeats of the others.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -64,24 +69,90 @@
     /// assert!(!budget.take(Duration::ZERO, 1, &options));
     /// ```
     pub fn take(&mut self, now: Timestamp, instances: usize, options: &Options) -> bool {
-        let has_room = self.has_room(now, instances, options);
+        let fixed = if now < options.fixed_from { 0.0 } else { options.fixed };
+        self.take_within(now, fixed / instances.max(1) as f64, options)
+    }
+
+    /// `take_within` does so, where `fixed` is this instance's part of the fixed number.
+    pub fn take_within(&mut self, now: Timestamp, fixed: f64, options: &Options) -> bool {
+        let has_room = self.has_room_within(now, fixed, options);
         if has_room {
             self.repeats.push_back(now);
         }
         has_room
     }
 
-    /// `has_room` tells whether one more repeat fits.
-    pub fn has_room(&mut self, now: Timestamp, instances: usize, options: &Options) -> bool {
+    /// `has_room_within` tells whether one more repeat fits.
+    pub fn has_room_within(&mut self, now: Timestamp, fixed: f64, options: &Options) -> bool {
         drop_before(&mut self.requests, now, options.window);
         drop_before(&mut self.repeats, now, options.window);
-        let requests = self.requests.len() as f64;
-        let fixed = if now < options.fixed_from { 0.0 } else { options.fixed };
-        let allowed = options.ratio * requests + fixed / instances.max(1) as f64;
+        let allowed = options.ratio * self.requests.len() as f64 + fixed;
         self.repeats.len() as f64 + 1.0 <= SAFETY * allowed
     }
 }
 
+/// `DOMAIN_FRACTION` is the fraction of each instance's part of the fixed number that is pooled where an instance
+/// decides for its domain.
+const DOMAIN_FRACTION: f64 = 0.5;
+
+/// `Holder` is who holds what the instances of a failure domain pool.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Holder {
+    /// Nothing is pooled.
+    #[default]
+    Nobody,
+    /// This instance.
+    This,
+    /// Another one.
+    Other,
+}
+
+/// `FixedParts` is how many instances' parts of the fixed number this one may use.
+///
+/// Whoever held the pool before may have used it up, so that a new holder uses it after a window.
+#[derive(Debug, Default)]
+pub struct FixedParts {
+    holder: Holder,
+    held_from: Timestamp,
+}
+
+impl FixedParts {
+    /// `update` takes in who holds the pool now.
+    pub fn update(&mut self, holder: Holder, now: Timestamp, options: &Options) {
+        if self.holder != holder {
+            self.holder = holder;
+            self.held_from = now + options.window;
+        }
+    }
+
+    /// `usable` returns how many parts count at this instance, in a domain of `domain_instances`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bergamotpitch_control::traffic::retry_budgets::{FixedParts, Holder, Options};
+    ///
+    /// let options = Options::default();
+    /// let mut parts = FixedParts::default();
+    /// assert_eq!(parts.usable(150, Duration::ZERO, &options), 1.0);
+    /// parts.update(Holder::This, Duration::from_secs(3), &options);
+    /// assert_eq!(parts.usable(150, Duration::from_secs(12), &options), 0.5);
+    /// assert_eq!(parts.usable(150, Duration::from_secs(13), &options), 75.5);
+    /// ```
+    pub fn usable(&self, domain_instances: usize, now: Timestamp, options: &Options) -> f64 {
+        if now < options.fixed_from {
+            return 0.0;
+        }
+        match self.holder {
+            Holder::Nobody => 1.0,
+            Holder::This if self.held_from <= now => {
+                1.0 - DOMAIN_FRACTION + DOMAIN_FRACTION * domain_instances as f64
+            }
+            Holder::This | Holder::Other => 1.0 - DOMAIN_FRACTION,
+        }
+    }
+}
+
 /// `FLEET_SIZE_MEMORY` is for how long an instance counts that is not listed any more: entries lapse while the
 /// platform is away, and are back some seconds after it.
 const FLEET_SIZE_MEMORY: Duration = Duration::from_secs(60);
--- a/crates/bergamotpitch-control/tests/repeat_budgets.rs
+++ b/crates/bergamotpitch-control/tests/repeat_budgets.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::retry_budgets::{FleetSize, Options, RetryBudget};
+use bergamotpitch_control::traffic::retry_budgets::{
+    FixedParts, FleetSize, Holder, Options, RetryBudget,
+};
 
 const OPTIONS: Options = Options {
     ratio: 0.2,
@@ -137,3 +139,62 @@
     })
     .seed(0x7e1a_0003_0000_0100);
 }
+
+/// Repeats that are allowed and asked for in one window, in six domains of instances that receive 2.8 requests
+/// each, of which one in seven fails. Each instance counts its own, or the dispatcher of each domain counts all.
+fn allowed_of_failed(domain_instances: usize, is_pooled: bool) -> (usize, usize) {
+    const DOMAINS: usize = 6;
+    let fleet = DOMAINS * domain_instances;
+    let options = Options { fixed: 1.06 * fleet as f64, ..OPTIONS };
+    let budgets = if is_pooled { DOMAINS } else { fleet };
+    let mut budgets: Vec<RetryBudget> = (0..budgets).map(|_| RetryBudget::default()).collect();
+    let mut parts = FixedParts::default();
+    if is_pooled {
+        parts.update(Holder::This, Duration::ZERO, &options);
+    }
+    let start = options.window;
+    let (mut allowed, mut failed) = (0, 0);
+    let requests = (2.8 * fleet as f64) as usize;
+    for number in 0..requests {
+        let now = start + options.window.mul_f64(number as f64 / requests as f64);
+        // Callers come to instances at random.
+        let instance = (number * 7_919) % 104_729 % fleet;
+        let count = budgets.len();
+        let budget = &mut budgets[instance % count];
+        budget.note_request(now, &options);
+        if number % 7 == 0 {
+            failed += 1;
+            let usable = parts.usable(domain_instances, now, &options);
+            let fixed = options.fixed * usable / fleet as f64;
+            allowed += usize::from(budget.take_within(now, fixed, &options));
+        }
+    }
+    assert!(allowed as f64 <= options.ratio * requests as f64 + options.fixed);
+    (allowed, failed)
+}
+
+/// Guards against calls that fail in a large fleet while nearly all of its retry budget is left: an instance that
+/// receives a few requests in a window has a part of less than one repeat.
+#[test]
+fn small_parts() {
+    for domain_instances in [164, 330] {
+        let (alone, failed) = allowed_of_failed(domain_instances, false);
+        let (pooled, _) = allowed_of_failed(domain_instances, true);
+        println!("{domain_instances} instances a domain: {alone}, pooled {pooled} of {failed}");
+        assert_eq!(pooled, failed);
+        assert!(2 * alone < failed);
+    }
+}
+
+/// Guards against a pool that two dispatchers use within one window, one after the other.
+#[test]
+fn two_holders() {
+    let mut parts = FixedParts::default();
+    parts.update(Holder::This, Duration::ZERO, &OPTIONS);
+    assert_eq!(parts.usable(9, OPTIONS.window, &OPTIONS), 5.0);
+    let mut next = FixedParts::default();
+    next.update(Holder::Other, Duration::ZERO, &OPTIONS);
+    next.update(Holder::This, OPTIONS.window, &OPTIONS);
+    assert_eq!(next.usable(9, 2 * OPTIONS.window - Duration::from_millis(1), &OPTIONS), 0.5);
+    assert_eq!(next.usable(9, 2 * OPTIONS.window, &OPTIONS), 5.0);
+}
--- a/crates/bergamotpitch-gateway/src/attempts.rs
+++ b/crates/bergamotpitch-gateway/src/attempts.rs
@@ -136,7 +136,7 @@
         }
         attempts += 1;
         tried.push(placement.upstream);
-        if !may_go_on(gateway, call, attempts, may_have_run) {
+        if !may_go_on(gateway, call, attempts, may_have_run).await {
             return Err(final_refusal(gateway, call, may_have_run));
         }
         note_retry(call, gateway, attempts);
@@ -202,7 +202,7 @@
     if parts.status.is_success() && is_framed {
         gateway.note_answered(call, call.arrived + seen);
     }
-    if is_failure && may_go_on(gateway, call, attempts + 1, true) {
+    if is_failure && reserve_repeat(gateway, call, attempts + 1).await {
         return Err(UnusableAnswer::Failed(parts.status));
     }
     decision(
@@ -222,12 +222,19 @@
     Ok(Response::from_parts(parts, AnswerBody::whole(bytes)))
 }
 
-fn may_go_on(gateway: &Gateway, call: &Call, attempts: u32, may_have_run: bool) -> bool {
+async fn may_go_on(gateway: &Rc<Gateway>, call: &Call, attempts: u32, may_have_run: bool) -> bool {
     let is_allowed = !may_have_run || call.route.is_repeatable();
     is_allowed
         && attempts < call.route.attempts_max
         && gateway.now() < call.deadline
-        && gateway.take_repeat(&call.service)
+        && (call.is_repeat_reserved.take() || gateway.obtain_repeat(&call.service).await)
+}
+
+/// Takes one repeat of a call that may have run out of the retry budget, for when it goes on.
+async fn reserve_repeat(gateway: &Rc<Gateway>, call: &Call, attempts: u32) -> bool {
+    let is_reserved = may_go_on(gateway, call, attempts, true).await;
+    call.is_repeat_reserved.set(is_reserved);
+    is_reserved
 }
 
 fn final_refusal(gateway: &Gateway, call: &Call, may_have_run: bool) -> Refusal {
@@ -267,7 +274,13 @@
             return result;
         }
         if has_other_place(gateway, call, placement, tried) {
-            return Err(Failure::TimedOut);
+            tokio::select! {
+                biased;
+                result = &mut answer => return result,
+                is_reserved = reserve_repeat(gateway, call, attempts + 1) => if is_reserved {
+                    return Err(Failure::TimedOut);
+                },
+            }
         }
         until = gateway.now() + OTHER_PLACE_INTERVAL;
     }
@@ -280,7 +293,7 @@
     tried: &[UpstreamKey],
 ) -> bool {
     let tried = [tried, &[placement.upstream]].concat();
-    has_place(gateway, call, &tried) && gateway.has_repeat(&call.service)
+    has_place(gateway, call, &tried)
 }
 
 /// Until when an attempt may take: a repeatable call does not spend all its time on one upstream.
--- a/crates/bergamotpitch-gateway/src/bodies.rs
+++ b/crates/bergamotpitch-gateway/src/bodies.rs
@@ -337,8 +337,7 @@
         let may_resume = self.call.route.is_resumable
             && software.is_ok()
             && self.resumes < RESUME_LIMIT
-            && attempts < self.call.route.attempts_max
-            && self.gateway.take_repeat(&self.call.service);
+            && attempts < self.call.route.attempts_max;
         let (gateway, call) = (Rc::clone(&self.gateway), Rc::clone(&self.call));
         if !may_resume {
             let breaking = break_off(gateway, call, broken);
@@ -447,6 +446,9 @@
     {
         return None;
     }
+    if !gateway.obtain_repeat(&call.service).await {
+        return None;
+    }
     let placed = place(gateway, call, &tried).await.ok()?;
     let run = Run::open(gateway, &placed);
     let placement = placed.placement;
--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -86,6 +86,8 @@
     pub served: Option<ServedStream>,
     /// The version of software at which it goes on, where its stream began while several served.
     pub bound_software: Cell<Option<SoftwareId>>,
+    /// Whether a request to a second upstream was taken out of the retry budget and not sent yet.
+    pub is_repeat_reserved: Cell<bool>,
     /// Name of its content, once it is asked for.
     pub digest: OnceCell<RequestDigest>,
     /// Until when crashes under it may not be known to all others.
@@ -224,6 +226,7 @@
         cache_link: engine.and_then(|engine| engine.cache_link),
         served,
         bound_software: Cell::new(None),
+        is_repeat_reserved: Cell::new(false),
         digest: OnceCell::new(),
         told_until: Cell::new(Timestamp::ZERO),
         sole_attempt: OnceCell::new(),
@@ -240,7 +243,9 @@
         arrived,
         deadline,
     };
-    gateway.note_request(&call);
+    if gateway.other_dispatcher().is_none() {
+        gateway.note_request(&call.service);
+    }
     Ok(call)
 }
 
--- a/crates/bergamotpitch-gateway/src/dispatchers.rs
+++ b/crates/bergamotpitch-gateway/src/dispatchers.rs
@@ -196,6 +196,7 @@
         let now = self.now();
         if body.is_first && body.requester.is_none() {
             self.note_asked(&ask, now);
+            self.note_request(&ask.service);
         }
         let own_number = self.fresh_number();
         let decision = place(own_number, &ask, &mut self.traffic.borrow_mut(), now);
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -12,7 +12,7 @@
 use bergamotpitch_control::traffic::facts::RequestFacts;
 use bergamotpitch_control::traffic::fleet_members::Members;
 use bergamotpitch_control::traffic::registries::UpstreamKey;
-use bergamotpitch_control::traffic::retry_budgets::FleetSize;
+use bergamotpitch_control::traffic::retry_budgets::{FixedParts, FleetSize};
 use bergamotpitch_control::traffic::team_windows::ShareClass;
 use bergamotpitch_core::HashMap;
 use bergamotpitch_core::events::EventKind;
@@ -21,7 +21,6 @@
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 use crate::callers::{self, CallerConnection};
-use crate::calls::Call;
 use crate::connections::{Pools, Sender};
 use crate::crashes::Crashes;
 use crate::dialects::Dialect;
@@ -38,6 +37,7 @@
 use crate::probes::{self, Port};
 use crate::received_messages;
 use crate::remote_placements::RemotePlacements;
+use crate::retries::RemoteRepeats;
 use crate::served_streams::ServedStreams;
 use crate::store_updates::StoreUpdates;
 use crate::team_counters::TeamCounters;
@@ -77,13 +77,17 @@
     /// Instances that tell this one something and are not among its peers.
     pub unknown_peers: UnknownPeers,
     /// How many instances share what is allowed to the whole fleet.
-    fleet_size: RefCell<FleetSize>,
+    pub(crate) fleet_size: RefCell<FleetSize>,
+    /// Which parts of the fleet's retry budget this instance holds.
+    pub(crate) fixed_parts: RefCell<FixedParts>,
     /// What it knows of the platform's store, and by whom.
     pub store_updates: StoreUpdates,
     /// Requests on which this instance decides, its own and others'.
     pub local_placements: LocalPlacements,
     /// Requests of this instance on which others decide.
     pub remote_placements: RemotePlacements,
+    /// Requests to second upstreams that others are asked to allow.
+    pub(crate) remote_repeats: RemoteRepeats,
     /// What it knows of upstreams that crashed.
     pub(crate) crashes: Crashes,
     /// What it tells others of its streams, and asks them about theirs.
@@ -161,6 +165,8 @@
             told_upstreams: RefCell::default(),
             unknown_peers: UnknownPeers::default(),
             fleet_size: RefCell::default(),
+            fixed_parts: RefCell::default(),
+            remote_repeats: RemoteRepeats::default(),
             local_placements: LocalPlacements::default(),
             remote_placements: RemotePlacements::default(),
             crashes: Crashes::default(),
--- a/crates/bergamotpitch-gateway/src/lib.rs
+++ b/crates/bergamotpitch-gateway/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod refusals;
 pub mod relays;
 pub mod remote_placements;
+pub mod retries;
 pub mod roles;
 pub mod served_streams;
 pub mod sse;
--- a/crates/bergamotpitch-gateway/src/messages.rs
+++ b/crates/bergamotpitch-gateway/src/messages.rs
@@ -71,6 +71,10 @@
     Answered(Vec<AnsweredLine>),
     /// Lives of upstreams that were taken for crashed and are not.
     LivingUpstreams(Vec<UpstreamId>),
+    /// May a request be sent to a second upstream?
+    RepeatRequest(RepeatRequest),
+    /// Whether it may.
+    RepeatReply(RepeatReply),
 }
 
 /// `Heartbeat` is what one instance tells of itself.
@@ -430,6 +434,24 @@
     pub line: Option<OriginLine>,
 }
 
+/// `RepeatRequest` asks a dispatcher to allow a request to a second upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RepeatRequest {
+    /// The asker's number of the question.
+    pub number: u64,
+    /// Service whose retry budget it is taken from.
+    pub service: ServiceId,
+}
+
+/// `RepeatReply` tells whether it is allowed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RepeatReply {
+    /// The asker's number of the question.
+    pub number: u64,
+    /// Whether it was taken out of the budget.
+    pub is_allowed: bool,
+}
+
 /// `CrashLine` is one crash that counts against one suspect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashLine {
--- a/crates/bergamotpitch-gateway/src/placements.rs
+++ b/crates/bergamotpitch-gateway/src/placements.rs
@@ -81,6 +81,7 @@
     tried: &[UpstreamKey],
 ) -> (RequestNumber, Option<Grantor>, Decision) {
     if let Some(dispatcher) = gateway.other_dispatcher() {
+        let mut is_counted = !tried.is_empty();
         for may_forward in [true, false] {
             let number = gateway.fresh_number();
             let decided = remote_placements::request_placement(
@@ -93,6 +94,7 @@
             )
             .await;
             let Some(RemoteDecision { grantor, decision }) = decided else { break };
+            is_counted = true;
             // The dispatcher of another domain had less room than it told.
             let is_placed = matches!(decision, Decision::Send(_));
             // Upstreams of a stream's version may stand in any domain.
@@ -103,6 +105,9 @@
                 return (number, Some(grantor), decision);
             }
         }
+        if !is_counted {
+            gateway.note_request(&call.service);
+        }
     }
     decide_locally(gateway, call, tried).await
 }
--- a/crates/bergamotpitch-gateway/src/received_messages.rs
+++ b/crates/bergamotpitch-gateway/src/received_messages.rs
@@ -59,6 +59,8 @@
         Body::Crashes(lines) => gateway.handle_crashes(&lines),
         Body::Answered(lines) => gateway.handle_answered(&lines),
         Body::LivingUpstreams(lives) => gateway.handle_living_upstreams(&lives),
+        Body::RepeatRequest(request) => gateway.handle_repeat_request(instance, request),
+        Body::RepeatReply(reply) => gateway.handle_repeat_reply(reply),
     }
 }
 
--- /dev/null
+++ b/crates/bergamotpitch-gateway/src/retries.rs
@@ -0,0 +1,126 @@
+//! Retries: which requests may be sent to a second upstream, within the retry budget of the fleet.
+//!
+//! What an instance decides by itself counts in its own budget. What the dispatcher of its domain
+//! decides on counts there, and so do the repeats that it allows: a thousand instances that receive a
+//! few requests each would otherwise have a part of the budget of less than one repeat.
+
+use std::cell::RefCell;
+use std::time::Duration;
+
+use bergamotpitch_control::traffic::retry_budgets::Holder;
+use bergamotpitch_core::HashMap;
+use bergamotpitch_core::ids::{InstanceId, id_of_name};
+use tokio::sync::oneshot;
+
+use crate::gateways::Gateway;
+use crate::messages::{Body, RepeatReply, RepeatRequest};
+
+/// `REPLY_TIMEOUT` is the time for the reply of the dispatcher: many times the way within a domain.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(30);
+
+/// `RemoteRepeats` are the repeats that a dispatcher was asked to allow and has not replied to.
+#[derive(Debug, Default)]
+pub struct RemoteRepeats {
+    pending: RefCell<HashMap<u64, oneshot::Sender<bool>>>,
+}
+
+impl Gateway {
+    /// `note_request` counts a request on which this instance decides.
+    pub(crate) fn note_request(&self, service: &str) {
+        let now = self.now();
+        let mut traffic = self.traffic.borrow_mut();
+        let options = traffic.options.retries;
+        traffic.budget(service).note_request(now, &options);
+    }
+
+    /// `take_repeat` takes one request to a second upstream out of this instance's budget of the service.
+    pub fn take_repeat(&self, service: &str) -> bool {
+        let now = self.now();
+        let fixed = self.fixed_repeats();
+        let mut traffic = self.traffic.borrow_mut();
+        let options = traffic.options.retries;
+        traffic.options.policy.retries && traffic.budget(service).take_within(now, fixed, &options)
+    }
+
+    /// `obtain_repeat` does so, or lets the dispatcher of the domain allow it.
+    pub(crate) async fn obtain_repeat(&self, service: &str) -> bool {
+        if self.take_repeat(service) {
+            return true;
+        }
+        let dispatcher = self.other_dispatcher().and_then(|id| self.beat_address_of(id));
+        let Some(address) = dispatcher.filter(|_| self.options.admission.policy.retries) else {
+            return false;
+        };
+        let number = self.fresh_number();
+        let (sender, reply) = oneshot::channel();
+        self.remote_repeats.pending.borrow_mut().insert(number, sender);
+        let _pending = PendingRepeat { gateway: self, number };
+        let request = RepeatRequest { number, service: id_of_name(service) };
+        self.send_message(Body::RepeatRequest(request), address);
+        let reply = tokio::time::timeout(REPLY_TIMEOUT, reply).await;
+        let is_allowed = matches!(reply, Ok(Ok(true)));
+        log::debug!("event=repeat_asked service={service} allowed={is_allowed} reply={reply:?}");
+        is_allowed
+    }
+
+    /// `handle_repeat_request` allows a repeat of another instance, or does not.
+    pub(crate) fn handle_repeat_request(&self, sender: InstanceId, request: RepeatRequest) {
+        let catalog = self.catalog();
+        let service = catalog.as_ref().and_then(|known| known.service_of_id(request.service));
+        let is_allowed =
+            self.is_dispatcher() && service.is_some_and(|service| self.take_repeat(&service.name));
+        if let Some(address) = self.beat_address_of(sender) {
+            let reply = RepeatReply { number: request.number, is_allowed };
+            self.send_message(Body::RepeatReply(reply), address);
+        }
+    }
+
+    /// `handle_repeat_reply` takes in whether a repeat is allowed.
+    pub(crate) fn handle_repeat_reply(&self, reply: RepeatReply) {
+        let pending = self.remote_repeats.pending.borrow_mut().remove(&reply.number);
+        if let Some(sender) = pending {
+            // Whoever asked may have given up; what was allowed is then not used.
+            let _ = sender.send(reply.is_allowed);
+        }
+    }
+
+    /// `fleet_size` returns how many instances share what is allowed to the whole fleet.
+    pub(crate) fn fleet_size(&self) -> usize {
+        let known = self.peers.borrow().len() + 1;
+        self.fleet_size.borrow_mut().largest(self.now(), known)
+    }
+
+    /// `update_fixed_parts` takes in who decides for the domain.
+    pub(crate) fn update_fixed_parts(&self) {
+        let holder = match self.role().dispatcher {
+            None => Holder::Nobody,
+            Some(dispatcher) if dispatcher == self.options.instance => Holder::This,
+            Some(_) => Holder::Other,
+        };
+        let options = self.traffic.borrow().options.retries;
+        self.fixed_parts.borrow_mut().update(holder, self.now(), &options);
+    }
+
+    /// How many repeats this instance may send whatever it received.
+    fn fixed_repeats(&self) -> f64 {
+        let options = self.traffic.borrow().options.retries;
+        let domain = &self.options.admission.domain;
+        let peers = self.peers.borrow();
+        let others = peers.values().filter(|peer| peer.address.domain == *domain).count();
+        drop(peers);
+        let usable = self.fixed_parts.borrow().usable(others + 1, self.now(), &options);
+        options.fixed * usable / self.fleet_size() as f64
+    }
+}
+
+/// `PendingRepeat` forgets a question when it is dropped.
+struct PendingRepeat<'a> {
+    gateway: &'a Gateway,
+    number: u64,
+}
+
+impl Drop for PendingRepeat<'_> {
+    fn drop(&mut self) {
+        self.gateway.remote_repeats.pending.borrow_mut().remove(&self.number);
+    }
+}
--- a/crates/bergamotpitch-gateway/src/roles.rs
+++ b/crates/bergamotpitch-gateway/src/roles.rs
@@ -54,6 +54,7 @@
         }
         self.local_placements.role.set(role);
         self.update_authority(role.dispatcher);
+        self.update_fixed_parts();
         if role.dispatcher == before.dispatcher {
             return;
         }
--- a/crates/bergamotpitch-gateway/tests/common/mod.rs
+++ b/crates/bergamotpitch-gateway/tests/common/mod.rs
@@ -25,6 +25,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 pub mod crashes;
+pub mod fake_peers;
 pub mod instances;
 
 /// `run` runs a test on one thread with local tasks.
--- a/crates/bergamotpitch-gateway/tests/dispatched_requests.rs
+++ b/crates/bergamotpitch-gateway/tests/dispatched_requests.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bergamotpitch_control::traffic::crash_suspects::SuspectId;
-use bergamotpitch_control::traffic::engine_loads::{RequestNumber, Work};
+use bergamotpitch_control::traffic::engine_loads::Work;
 use bergamotpitch_control::traffic::evacuations::EvacuationOrder;
 use bergamotpitch_control::traffic::placement_requests::{Decision, Placement};
 use bergamotpitch_control::traffic::registries::Registration;
@@ -17,79 +17,16 @@
 use bergamotpitch_control::traffic::warm_ups::GRANT_VALIDITY;
 use bergamotpitch_core::ids::{InstanceId, id_of_name};
 use bergamotpitch_gateway::Gateway;
-use bergamotpitch_gateway::messages::{
-    Body, CrashLine, Message, PlacementRequestBody, ProgressEvent, Reply, ReplyOutcome, decode,
-    encode,
-};
-use bergamotpitch_gateway::peers::PeerAddress;
+use bergamotpitch_gateway::messages::{Body, CrashLine, ProgressEvent, ReplyOutcome};
+use common::fake_peers::FakePeer;
 use common::{
     Act, FakeUpstream, ask, event, events_text, prompt, prompt_of, registration, request, run,
     start_small, stream_end, stream_head, whole,
 };
-use tokio::net::UdpSocket;
 
 const DISPATCHER: InstanceId = 7;
 const REMOTE: InstanceId = 8;
 
-/// `FakePeer` is another instance, of which a test writes the messages.
-struct FakePeer {
-    instance: InstanceId,
-    socket: UdpSocket,
-    gateway: SocketAddr,
-}
-
-impl FakePeer {
-    async fn start(instance: InstanceId, gateway: &Gateway) -> Self {
-        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
-        Self { instance, socket, gateway: gateway.options.beat_address }
-    }
-
-    fn address(&self, domain: &str) -> PeerAddress {
-        let address = self.socket.local_addr().unwrap();
-        PeerAddress {
-            instance: self.instance,
-            domain: domain.to_owned(),
-            beat_address: address,
-            relay_address: address,
-            processor_millis: 1_000,
-        }
-    }
-
-    /// The next message in which something is found; the others are passed over.
-    async fn next<T>(&self, find: impl Fn(Body) -> Option<T>) -> T {
-        let mut buffer = [0; 4_000];
-        loop {
-            let length = self.socket.recv(&mut buffer).await.unwrap();
-            if let Some(found) = find(decode(&buffer[..length]).unwrap().body) {
-                return found;
-            }
-        }
-    }
-
-    async fn next_placement_request(&self) -> PlacementRequestBody {
-        self.next(|body| if let Body::PlacementRequest(ask) = body { Some(ask) } else { None })
-            .await
-    }
-
-    /// What becomes next of a granted request.
-    async fn next_event(&self, number: RequestNumber) -> ProgressEvent {
-        let event_of = |body| {
-            let Body::Progress(reports) = body else { return None };
-            reports.iter().find(|report| report.number == number).map(|report| report.event)
-        };
-        self.next(event_of).await
-    }
-
-    async fn reply(&self, number: RequestNumber, outcome: ReplyOutcome) {
-        self.send(Body::Reply(Reply { number, outcome })).await;
-    }
-
-    async fn send(&self, body: Body) {
-        let bytes = encode(&Message { instance: self.instance, incarnation: 1, body }).unwrap();
-        self.socket.send_to(&bytes, self.gateway).await.unwrap();
-    }
-}
-
 async fn domain_of_two(upstream: &FakeUpstream) -> (Rc<Gateway>, SocketAddr, FakePeer, FakePeer) {
     let (gateway, address) = start_small(&[upstream]).await;
     let dispatcher = FakePeer::start(DISPATCHER, &gateway).await;
