--- a/crates/bergamotpitch-gateway/src/store_updates.rs
+++ b/crates/bergamotpitch-gateway/src/store_updates.rs
@@ -34,8 +34,9 @@
 const STARTUP_FETCH_INTERVAL: Duration = Duration::from_millis(120);
 
 /// `STARTUP_PEERS_TIMEOUT` is for how long an instance that starts waits to know its peers before it reads the store
-/// for all that it needs.
-const STARTUP_PEERS_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// for all that it needs. While it is cut off from the store it can read neither; hundreds that are back at
+/// once would all read the whole list before they know that others do so for them.
+const STARTUP_PEERS_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// `LIST_CHECK_INTERVAL` is the time after which one of the instances of a domain that rely on peers looks at
 /// the list by itself: should all watchers of a fleet have lost the store at once, nobody else would
@@ -183,10 +184,15 @@
         LIST_CHECK_INTERVAL.mul_f64(relying as f64 * spread)
     }
 
+    /// `knows_peers` tells whether peers were listed.
+    pub fn knows_peers(&self) -> bool {
+        self.store_updates.peers_listed_at.get().is_some()
+    }
+
     /// `wait_for_peer_list` waits for a moment until this instance knows whether others watch the store for it.
     pub async fn wait_for_peer_list(&self) {
         let listed = self.store_updates.peers_listed.notified();
-        if self.store_updates.peers_listed_at.get().is_none() {
+        if !self.knows_peers() {
             // The store may be out of reach; the watches will tell.
             let _ = tokio::time::timeout(STARTUP_PEERS_TIMEOUT, listed).await;
         }
