--- a/crates/bergamotpitch-gateway/tests/crashing_requests.rs
+++ b/crates/bergamotpitch-gateway/tests/crashing_requests.rs
@@ -177,7 +177,11 @@
         assert_ne!(witness.instance, last.instance);
         ask(instances[0].address, attempt("safe", BAD_SUBJECT, 0)).await;
         // The news takes two hops, for which a busy machine may need longer than the caller waits.
-        while suspected(&instances[2]).await == 0 {
+        let blocked = |gateway: &std::rc::Rc<bergamotpitch_gateway::Gateway>| {
+            let suspicions = gateway.traffic.borrow().crash_suspects.suspicions();
+            suspicions.iter().any(|known| known.blocked_until.is_some())
+        };
+        while !instances[2].with(blocked).await {
             tokio::time::sleep(Duration::from_millis(1)).await;
         }
         let refused = ask(instances[2].address, attempt("safe", BAD_SUBJECT, 1)).await.unwrap();
