--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -23,14 +23,32 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-# Places, bounds and sizes are those of sites/vbc-router.toml.
-ZONES = {"randstad-a": "randstad", "noord-oost-a": "noord-oost", "zuid-a": "zuid"}
+# Places and sizes of the site files vbc-router.toml and naitus-ruuter.toml; both have these bounds.
+SITES = {
+    "vbc-router": {"zones": {"randstad-a": "randstad", "noord-oost-a": "noord-oost",
+                             "zuid-a": "zuid"},
+                   "machines": 8, "retry_fixed": 56, "connections": 370, "tokens": 528578},
+    "naitus-ruuter": {"zones": {"harju-a": "harju", "tartu-a": "tartu", "parnu-a": "parnu"},
+                      "machines": 7, "retry_fixed": 54, "connections": 360, "tokens": 231906},
+}
+SITE = dict(SITES["vbc-router"])
+ZONES = dict(SITE["zones"])
 BOUNDS = {"drain-ms": 2500, "grace-s": 8, "stable-window-ms": 4000, "config-apply-ms": 2500}
 HOST = "orders.example"
 HEARTBEAT_S = 1.2
 
 STARTED = time.monotonic()
 
+# Exit status of a case whose rule was broken.
+BROKEN = 10
+
+
+def use_site(name):
+    """Takes places and sizes of another site file."""
+    SITE.update(SITES[name])
+    ZONES.clear()
+    ZONES.update(SITE["zones"])
+
 
 def now():
     """Seconds since the script began."""
@@ -445,7 +463,7 @@
             "store_address": fleet.store.address, "descriptors_max": 4100,
             "processor_share": 0.25, "processor_cores": 1, "memory_mb": 110,
             "is_fleet_start": self.starts == 0, "grace_s": BOUNDS["grace-s"],
-            "retry_ratio": 0.2, "retry_fixed": 56, "retry_window_s": 10, "team_window_s": 4,
+            "retry_ratio": 0.2, "retry_fixed": SITE["retry_fixed"], "retry_window_s": 10, "team_window_s": 4,
         }
 
     def start(self):
@@ -482,7 +500,7 @@
 class Fleet:
     """All machines, and the balancer before them."""
 
-    def __init__(self, store, record, count=8):
+    def __init__(self, store, record):
         self.store, self.record = store, record
         self.holder = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = self.holder.name
@@ -491,7 +509,7 @@
         self.command = shlex.split(role["run"])
         self.machines = []
         zones = list(ZONES)
-        for number in range(count):
+        for number in range(SITE["machines"]):
             self.machines.append(Machine(self, number, zones[number % len(zones)]))
         self.last = 0
         # Whatever ends this process ends the machines as well.
@@ -564,8 +582,8 @@
 
 
 def service(name, slots=64):
-    return {"name": name, "health-path": "/health", "max-conns": 370, "protocol": "h1",
-            "tls": False, "engine": {"slots": slots, "kv-capacity-tokens": 528578,
+    return {"name": name, "health-path": "/health", "max-conns": SITE["connections"], "protocol": "h1",
+            "tls": False, "engine": {"slots": slots, "kv-capacity-tokens": SITE["tokens"],
                                      "kv-token-bytes": 327680, "link-mbps": 550000.0,
                                      "models": [{"name": "m"}]}}
 
@@ -642,7 +660,11 @@
 
 
 def run_case(folder, main):
-    """Runs a case; its exit status is what `main` returns: 1 broken, 0 held, 2 could not run."""
+    """Runs a case, which returns 1 if the rule was broken, 0 if it held, 2 if it could not run.
+
+    A broken rule ends the process with BROKEN, which run.sh turns into 1: the interpreter itself ends
+    with 1 where anything is wrong with the script.
+    """
     record = Record(folder)
     code = 2
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
@@ -654,4 +676,4 @@
             raise
     finally:
         record.close()
-    sys.exit(code)
+    sys.exit(BROKEN if code == 1 else code)
