--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 python3 -B -c 'import sys; assert (3, 11) <= sys.version_info, "Python 3.11 or later is needed"'
-for file in lib/standins.py */case.py; do
+for file in lib/standins.py */case.py trials/*.py; do
   python3 -B -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
 done
 PYTHONPATH=lib python3 -B -c 'import standins'
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -319,8 +319,11 @@
         self.tasks = set()
         self.server = None
         self.beating = None
-        # Called with the request's headers before each event; it may end the engine.
+        # Called with the request's headers before its first event; it may end the engine, or return
+        # "fail" for an answer 500.
         self.before_event = None
+        # The connections on which attempts are streamed.
+        self.streams = {}
 
     async def start(self, port=0):
         self.born = int(time.time() * 1000)
@@ -426,8 +429,12 @@
         after = int(headers.get("last-event-id") or 0)
         self.record.note("engine", self.id, self.version, "gets", attempt, "after", after)
         await asyncio.sleep(self.first_s)
-        if self.before_event:
-            await self.before_event(self, headers, attempt)
+        if self.before_event and await self.before_event(self, headers, attempt) == "fail":
+            self.record.note("engine", self.id, self.version, "fails", attempt, "500")
+            return await self.reply(writer, 500, {
+                "Bergamotpitch-Attempt-Id": attempt,
+                "Bergamotpitch-Server-Seal": "%s.%s" % (self.id, attempt)}, b"error")
+        self.streams[attempt] = writer
         writer.write(head_of(200, {
             "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked",
             "Bergamotpitch-Attempt-Id": attempt, "Bergamotpitch-Engine-Load": self.load(),
@@ -443,6 +450,7 @@
                 raise Closed("the caller left")
             if event < events:
                 await asyncio.sleep(self.pause_s)
+        self.streams.pop(attempt, None)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
 
