Let streams of unknown origin go on only where a witness remembers their beginning

Cause: origins are in the memory of four instances. After the kill all list one version and know no origin, and the decision took 'nobody knows it' for 'one version served'.

Change: without an origin a stream goes on at any version only if the instance or one that it asks has known the list for as long as streams are taken up, or since the fleet's first start. After a kill of all the store tells: a key for each service while it runs several versions, read once. Replies to queries tell of several versions, too.

--- a/crates/bergamotpitch-control/src/traffic/software_versions.rs
+++ b/crates/bergamotpitch-control/src/traffic/software_versions.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use bergamotpitch_core::ids::{SoftwareId, id_of_name};
+use bergamotpitch_core::ids::{ServiceId, SoftwareId, id_of_name};
 use bergamotpitch_core::units::Timestamp;
 use bergamotpitch_core::{HashMap, HashSet};
 
@@ -18,7 +18,7 @@
 
 /// `VERSION_MEMORY` is for how long a version counts as in service after its last upstream is gone. It is
 /// the longest time for which a caller takes up a stream that began there.
-const VERSION_MEMORY: Duration = Duration::from_secs(60);
+pub const VERSION_MEMORY: Duration = Duration::from_secs(60);
 
 /// `software_id` returns the number of a version among instances.
 ///
@@ -98,4 +98,9 @@
     pub fn are_mixed(&self, service: &str) -> bool {
         self.mixed.contains(service)
     }
+
+    /// `are_mixed_of` is [`Self::are_mixed`] for a service by its number.
+    pub fn are_mixed_of(&self, service: ServiceId) -> bool {
+        self.mixed.iter().any(|mixed| id_of_name(mixed) == service)
+    }
 }
--- a/crates/bergamotpitch-control/src/traffic/stream_origins.rs
+++ b/crates/bergamotpitch-control/src/traffic/stream_origins.rs
@@ -203,11 +203,14 @@
     pub is_mixed: bool,
     /// Whether this instance is cut off from all others, and may not know of a version.
     pub is_isolated: bool,
+    /// Whether somebody knows all versions that served since the stream may have begun.
+    pub has_witness: bool,
 }
 
 impl Knowledge {
     /// `resumption` decides where the stream goes on. Where nobody told its origin, the instance that
-    /// began it knew of one version only.
+    /// began it knew of one version only; but those that were told may all have ended since, so that
+    /// it takes a witness of the time before.
     ///
     /// ```
     /// use bergamotpitch_control::traffic::stream_origins::{Knowledge, Origin, Resumption};
@@ -217,6 +220,7 @@
     ///     origin: Some(Origin { service: 1, software: 7 }),
     ///     is_mixed: true,
     ///     is_isolated: false,
+    ///     has_witness: true,
     /// };
     /// assert_eq!(known.resumption(), Resumption::Only(7));
     /// known.origin = None;
@@ -230,7 +234,7 @@
             }
             Some(Origin { software: UNSTATED_SOFTWARE, .. }) => Resumption::Any,
             Some(Origin { software, .. }) => Resumption::Only(software),
-            None if self.is_mixed || self.is_isolated => Resumption::Nowhere,
+            None if self.is_mixed || self.is_isolated || !self.has_witness => Resumption::Nowhere,
             None => Resumption::Any,
         }
     }
--- a/crates/bergamotpitch-control/tests/stream_origins.rs
+++ b/crates/bergamotpitch-control/tests/stream_origins.rs
@@ -124,6 +124,7 @@
         origin: Some(doubted[0].origin),
         is_mixed: true,
         is_isolated: false,
+        has_witness: true,
     };
     assert_eq!(knowledge.resumption(), Resumption::Nowhere);
     knowledge.is_mixed = false;
@@ -161,11 +162,18 @@
 /// origin says another or another service, or nobody is heard at all.
 #[test]
 fn single_version() {
-    let known =
-        |origin, is_isolated| Knowledge { service: SERVICE, origin, is_mixed: false, is_isolated };
+    let known = |origin, is_isolated| Knowledge {
+        service: SERVICE,
+        origin,
+        is_mixed: false,
+        is_isolated,
+        has_witness: true,
+    };
     let v1 = software_id(Some("v1"));
     assert_eq!(known(None, false).resumption(), Resumption::Any);
     assert_eq!(known(None, true).resumption(), Resumption::Nowhere);
+    let unwitnessed = Knowledge { has_witness: false, ..known(None, false) };
+    assert_eq!(unwitnessed.resumption(), Resumption::Nowhere);
     assert_eq!(known(Some(origin("v1")), true).resumption(), Resumption::Only(v1));
     let other_service = Origin { service: SERVICE + 1, ..origin("v1") };
     assert_eq!(known(Some(other_service), false).resumption(), Resumption::Nowhere);
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -13,6 +13,7 @@
 use bergamotpitch_control::traffic::fleet_members::Members;
 use bergamotpitch_control::traffic::registries::UpstreamKey;
 use bergamotpitch_control::traffic::retry_budgets::{FixedParts, FleetSize};
+use bergamotpitch_control::traffic::software_versions::VERSION_MEMORY;
 use bergamotpitch_control::traffic::team_windows::ShareClass;
 use bergamotpitch_core::HashMap;
 use bergamotpitch_core::events::EventKind;
@@ -41,6 +42,7 @@
 use crate::served_streams::ServedStreams;
 use crate::store_updates::StoreUpdates;
 use crate::team_counters::TeamCounters;
+use crate::version_marks::VersionMarks;
 
 /// `SWEEP_BEATS` is how many beats go by between two sweeps over connections.
 const SWEEP_BEATS: u64 = 4;
@@ -92,6 +94,8 @@
     pub(crate) crashes: Crashes,
     /// What it tells others of its streams, and asks them about theirs.
     pub(crate) origins: Origins,
+    /// What is kept beyond this process of services that ran several software versions.
+    pub(crate) version_marks: VersionMarks,
     /// Where messages of other instances come in and go out.
     pub datagrams: Rc<UdpSocket>,
     catalog: RefCell<Option<Arc<Catalog>>>,
@@ -100,7 +104,7 @@
     last_number: Cell<u64>,
     in_flight: Rc<Cell<usize>>,
     arrivals: Cell<u32>,
-    is_listed: Cell<bool>,
+    listed: Cell<Option<Timestamp>>,
     was_ready: Cell<bool>,
     is_draining: Cell<bool>,
     refuses_new: Cell<bool>,
@@ -171,6 +175,7 @@
             remote_placements: RemotePlacements::default(),
             crashes: Crashes::default(),
             origins: Origins::default(),
+            version_marks: VersionMarks::default(),
             datagrams,
             catalog: RefCell::default(),
             connections: RefCell::default(),
@@ -178,7 +183,7 @@
             last_number: Cell::new(0),
             in_flight: Rc::default(),
             arrivals: Cell::new(0),
-            is_listed: Cell::new(false),
+            listed: Cell::new(None),
             was_ready: Cell::new(false),
             is_draining: Cell::new(false),
             refuses_new: Cell::new(false),
@@ -240,7 +245,8 @@
 
     /// `upstreams_known` notes that the list of upstreams was read once.
     pub fn upstreams_known(&self) {
-        if !self.is_listed.replace(true) {
+        if !self.knows_list() {
+            self.listed.set(Some(self.now()));
             let upstreams = self.traffic.borrow().registry.all().count();
             log::info!("event=list_known upstreams={upstreams}");
         }
@@ -248,7 +254,14 @@
 
     /// `knows_list` tells whether the list of upstreams was read once.
     pub(crate) fn knows_list(&self) -> bool {
-        self.is_listed.get()
+        self.listed.get().is_some()
+    }
+
+    /// `remembers_versions` tells whether this instance knows all software versions that served since any
+    /// stream began that may be taken up now.
+    pub fn remembers_versions(&self) -> bool {
+        let memory = self.listed.get().map(|listed| self.now().saturating_sub(listed));
+        memory.is_some_and(|memory| self.options.is_fleet_start || VERSION_MEMORY <= memory)
     }
 
     /// `fresh_number` numbers a request.
@@ -319,7 +332,7 @@
 
     /// `knows_all` tells whether the configuration and the list of upstreams were read.
     pub fn knows_all(&self) -> bool {
-        self.catalog.borrow().is_some() && self.is_listed.get()
+        self.catalog.borrow().is_some() && self.knows_list()
     }
 
     /// `is_overloaded` tells whether new requests are refused at once, as this process is late.
--- a/crates/bergamotpitch-gateway/src/messages.rs
+++ b/crates/bergamotpitch-gateway/src/messages.rs
@@ -30,7 +30,7 @@
 use crate::options::Options;
 
 /// `FORMAT` begins each message of this release.
-const FORMAT: [u8; 4] = [0xb9, b'p', 0, 6];
+const FORMAT: [u8; 4] = [0xb9, b'p', 0, 7];
 
 /// `MESSAGE_BYTES` bounds a message: one datagram that is not cut on the way.
 pub const MESSAGE_BYTES: usize = 1_400;
@@ -423,6 +423,8 @@
     pub number: u64,
     /// The attempt.
     pub attempt: AttemptNumber,
+    /// Service at which it is taken up.
+    pub service: ServiceId,
 }
 
 /// `OriginReply` tells what an instance knows of it.
@@ -432,6 +434,10 @@
     pub number: u64,
     /// Where it began; `None` when the instance does not know.
     pub line: Option<OriginLine>,
+    /// Whether the service runs several software versions, or did lately, as far as the instance knows.
+    pub is_mixed: bool,
+    /// Whether it knows all versions that served since the stream may have begun.
+    pub remembers_versions: bool,
 }
 
 /// `RepeatRequest` asks a dispatcher to allow a request to a second upstream.
--- a/crates/bergamotpitch-gateway/src/options.rs
+++ b/crates/bergamotpitch-gateway/src/options.rs
@@ -15,6 +15,8 @@
     pub instance: InstanceId,
     /// Its present life.
     pub incarnation: Incarnation,
+    /// Whether the whole fleet starts for the first time, so that no stream began before.
+    pub is_fleet_start: bool,
     /// Where callers connect.
     pub caller_address: SocketAddr,
     /// Where the balancer asks whether this instance takes callers.
@@ -47,6 +49,7 @@
             instance_name: String::new(),
             instance: 0,
             incarnation: 0,
+            is_fleet_start: true,
             caller_address: any_port,
             ready_address: any_port,
             beat_address: any_port,
--- a/crates/bergamotpitch-gateway/src/origins.rs
+++ b/crates/bergamotpitch-gateway/src/origins.rs
@@ -17,7 +17,7 @@
 };
 use bergamotpitch_core::HashMap;
 use bergamotpitch_core::events::EventKind;
-use bergamotpitch_core::ids::{InstanceId, SoftwareId, id_of_name};
+use bergamotpitch_core::ids::{InstanceId, ServiceId, SoftwareId, id_of_name};
 use bergamotpitch_core::refusals::RefusalReason;
 use bergamotpitch_core::units::Timestamp;
 use tokio::sync::Notify;
@@ -61,6 +61,8 @@
     asked: usize,
     replies: Cell<usize>,
     found: Cell<Option<KnownOrigin>>,
+    is_mixed: Cell<bool>,
+    has_witness: Cell<bool>,
     changed: Notify,
 }
 
@@ -70,12 +72,16 @@
     known: Option<KnownOrigin>,
     asked: usize,
     replies: usize,
+    /// Whether one of those asked knows several versions of the service.
+    is_mixed: bool,
+    /// Whether one of them remembers all versions since the stream may have begun.
+    has_witness: bool,
 }
 
 impl Gateway {
     /// `are_versions_mixed` tells whether upstreams of more than one software version serve, or did
     /// lately.
-    pub(crate) fn are_versions_mixed(&self, service: &str) -> bool {
+    pub fn are_versions_mixed(&self, service: &str) -> bool {
         self.traffic.borrow().software.are_mixed(service)
     }
 
@@ -114,6 +120,7 @@
             let untold = self.traffic.borrow().origins.untold(id_of_name(service), now);
             log::info!("event=versions_mixed service={service} untold_streams={}", untold.len());
             untold.into_iter().for_each(|known| self.queue_origin(known));
+            self.version_marks.set(service);
         }
         self.flush_origins();
     }
@@ -171,10 +178,14 @@
     /// `handle_origin_query` tells another instance what is known of a stream.
     pub(crate) fn handle_origin_query(&self, peer: InstanceId, query: &OriginQuery) {
         let now = self.now();
-        let known = self.traffic.borrow().origins.origin_of(query.attempt, now);
+        let traffic = self.traffic.borrow();
+        let known = traffic.origins.origin_of(query.attempt, now);
+        let is_mixed = traffic.software.are_mixed_of(query.service);
+        drop(traffic);
         let line = known.map(|known| line_of_origin(&known, now));
         if let Some(address) = self.beat_address_of(peer) {
-            let reply = OriginReply { number: query.number, line };
+            let remembers_versions = self.remembers_versions();
+            let reply = OriginReply { number: query.number, line, is_mixed, remembers_versions };
             self.send_message(Body::OriginReply(reply), address);
         }
     }
@@ -183,6 +194,8 @@
     pub(crate) fn handle_origin_reply(&self, reply: &OriginReply) {
         let Some(query) = self.origins.queries.borrow().get(&reply.number).cloned() else { return };
         query.replies.set(query.replies.get() + 1);
+        query.is_mixed.set(query.is_mixed.get() || reply.is_mixed);
+        query.has_witness.set(query.has_witness.get() || reply.remembers_versions);
         if let Some(line) = &reply.line {
             let known = origin_of_line(line, self.now());
             let is_later = |before: KnownOrigin| before.revision <= known.revision;
@@ -193,7 +206,7 @@
         query.changed.notify_one();
     }
 
-    async fn find_origin(&self, attempt: AttemptNumber) -> Found {
+    async fn find_origin(&self, attempt: AttemptNumber, service: ServiceId) -> Found {
         if let Some(known) = self.traffic.borrow().origins.origin_of(attempt, self.now()) {
             return Found { known: Some(known), ..Found::default() };
         }
@@ -209,11 +222,17 @@
         self.origins.queries.borrow_mut().insert(number, Rc::clone(&query));
         let _pending = PendingQuery { gateway: self, number };
         for address in addresses {
-            self.send_message(Body::OriginQuery(OriginQuery { number, attempt }), address);
+            self.send_message(Body::OriginQuery(OriginQuery { number, attempt, service }), address);
         }
         // What has come until then is what is known.
         let _ = tokio::time::timeout(QUERY_TIMEOUT, query.answered()).await;
-        Found { known: query.found.get(), asked: query.asked, replies: query.replies.get() }
+        Found {
+            known: query.found.get(),
+            asked: query.asked,
+            replies: query.replies.get(),
+            is_mixed: query.is_mixed.get(),
+            has_witness: query.has_witness.get(),
+        }
     }
 
     /// Whether nobody is heard, so that versions may serve of which this instance does not know. One that
@@ -225,8 +244,14 @@
 
 impl Query {
     fn new(asked: usize) -> Self {
-        let (replies, found) = (Cell::new(0), Cell::new(None));
-        Self { asked, replies, found, changed: Notify::new() }
+        Self {
+            asked,
+            replies: Cell::new(0),
+            found: Cell::new(None),
+            is_mixed: Cell::new(false),
+            has_witness: Cell::new(false),
+            changed: Notify::new(),
+        }
     }
 
     async fn answered(&self) {
@@ -257,19 +282,23 @@
         return Ok(());
     }
     let resumed = call.facts.resumed_attempt_id.as_deref();
-    let is_mixed = gateway.are_versions_mixed(&call.service);
-    if resumed.is_none() && !is_mixed {
-        return Ok(());
-    }
+    let service = id_of_name(&call.service);
     let found = match resumed {
-        Some(resumed) => gateway.find_origin(attempt_number(resumed)).await,
+        Some(resumed) => gateway.find_origin(attempt_number(resumed), service).await,
         None => Found::default(),
     };
+    let is_mixed = found.is_mixed || gateway.are_versions_mixed(&call.service);
+    let has_witness = found.has_witness || gateway.remembers_versions();
+    let is_marked = match found.known {
+        None if !is_mixed && !has_witness => gateway.read_version_mark(&call.service).await,
+        _ => None,
+    };
     let knowledge = Knowledge {
-        service: id_of_name(&call.service),
+        service,
         origin: found.known.map(|known| known.origin),
-        is_mixed: is_mixed || gateway.are_versions_mixed(&call.service),
+        is_mixed: is_mixed || is_marked == Some(true),
         is_isolated: found.replies == 0 && gateway.is_isolated(),
+        has_witness: has_witness || is_marked == Some(false),
     };
     let resumption = knowledge.resumption();
     gateway.metrics.count_taken_up(resumption);
@@ -277,7 +306,7 @@
         EventKind::StreamTakenUp,
         format_args!(
             "request={} resumes={:.64} decision={resumption} origin={:?} asked={} replies={} mixed={} \
-             isolated={} waited_ms={}",
+             isolated={} witness={} marked={is_marked:?} waited_ms={}",
             call.facts.attempt_id,
             resumed.unwrap_or("-"),
             knowledge.origin,
@@ -285,6 +314,7 @@
             found.replies,
             knowledge.is_mixed,
             knowledge.is_isolated,
+            knowledge.has_witness,
             gateway.now().saturating_sub(call.arrived).as_millis(),
         ),
     );
