Hand origins of streams over as instances end and start

Cause: an origin was told to three keepers once. Each forgot it as it started anew, and instances went on being chosen as keepers until their end; within the life of a stream all four that knew it had restarted.

Change: an instance that is about to end says so, is no keeper any more and hands over what it keeps; all that know an origin tell it to the new life of a keeper; one that has just started says that it may yet be told.

Ruled out: lost messages (155 refusals, 116 after replies of all that were asked), missing upstreams of the version.

--- a/crates/bergamotpitch-control/src/traffic/software_versions.rs
+++ b/crates/bergamotpitch-control/src/traffic/software_versions.rs
@@ -99,6 +99,11 @@
         self.mixed.contains(service)
     }
 
+    /// `are_any_mixed` tells whether that holds for any service.
+    pub fn are_any_mixed(&self) -> bool {
+        !self.mixed.is_empty()
+    }
+
     /// `are_mixed_of` is [`Self::are_mixed`] for a service by its number.
     pub fn are_mixed_of(&self, service: ServiceId) -> bool {
         self.mixed.iter().any(|mixed| id_of_name(mixed) == service)
--- a/crates/bergamotpitch-control/src/traffic/stream_origins.rs
+++ b/crates/bergamotpitch-control/src/traffic/stream_origins.rs
@@ -7,6 +7,7 @@
 //! finds them without a table of who serves what.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use bergamotpitch_core::HashMap;
 use bergamotpitch_core::ids::{ServiceId, SoftwareId};
@@ -21,6 +22,9 @@
 /// `ORIGINS_MAX` bounds the table: about 80 bytes each.
 const ORIGINS_MAX: usize = 16_384;
 
+/// `END_TOLERANCE` is by how much the end of an origin may differ between instances.
+const END_TOLERANCE: Duration = Duration::from_secs(1);
+
 /// `attempt_number` returns the number of an attempt.
 ///
 /// ```
@@ -96,12 +100,32 @@
         known
     }
 
-    /// `told` takes in the origin of a stream of another instance, unless a later statement is known.
-    pub fn told(&mut self, known: KnownOrigin) {
-        let entry = self.entries.get(&known.attempt);
-        if entry.is_none_or(|entry| entry.known.revision <= known.revision) {
+    /// `told` takes in the origin of a stream of another instance, unless a later statement is known. It
+    /// tells whether that was news; an end that differs by the way of a message is none.
+    pub fn told(&mut self, known: KnownOrigin) -> bool {
+        let Some(entry) = self.entries.get(&known.attempt).map(|entry| entry.known) else {
             self.insert(Entry { known, holder: Holder::Peer });
+            return true;
+        };
+        if known.revision < entry.revision {
+            return false;
         }
+        self.insert(Entry { known, holder: Holder::Peer });
+        entry.revision < known.revision || entry.until + END_TOLERANCE < known.until
+    }
+
+    /// `shared` returns the origins that other instances were told, or told this one.
+    pub fn shared(&self, now: Timestamp) -> impl Iterator<Item = KnownOrigin> {
+        let is_shared =
+            |entry: &&Entry| !matches!(entry.holder, Holder::Own { is_told: false, .. });
+        let shared = self.entries.values().filter(is_shared).map(|entry| entry.known);
+        shared.filter(move |known| now < known.until)
+    }
+
+    /// `unfinished` returns the origins of this instance's streams that have not ended in order.
+    pub fn unfinished(&self, now: Timestamp) -> impl Iterator<Item = KnownOrigin> {
+        let own = self.entries.values().filter(|entry| matches!(entry.holder, Holder::Own { .. }));
+        own.map(|entry| entry.known).filter(move |known| now < known.until)
     }
 
     /// `origin_of` returns where a stream began, as far as this instance knows.
--- a/crates/bergamotpitch-control/tests/stream_origins.rs
+++ b/crates/bergamotpitch-control/tests/stream_origins.rs
@@ -88,6 +88,92 @@
     assert_eq!((near.count(), counts.len()), (14, 89));
 }
 
+/// Guards against streams that a rolling restart loses: however many instances are about to end at a time,
+/// and whichever is asked, the origin is at a keeper that it asks.
+#[test]
+fn rolling_restart() {
+    for seed in 0..200 {
+        arbtest(|random| {
+            let domains: u32 = random.int_in_range(1..=6)?;
+            let count: u32 = random.int_in_range(3..=40)?;
+            let at_a_time = random.int_in_range(1..=count as usize)?;
+            let number = |number: u32| (number.wrapping_mul(0x9e37_79b9), number % domains);
+            let fleet: Vec<(InstanceId, DomainId)> = (0..count).map(number).collect();
+            let mut views: Vec<Members> =
+                fleet.iter().map(|(instance, _)| others_of(&fleet, *instance)).collect();
+            let attempt = random.arbitrary()?;
+            let place = |instance| fleet.iter().position(|(other, _)| *other == instance).unwrap();
+            let mut knows = vec![false; fleet.len()];
+            let hand_over = |views: &[Members], knows: &mut Vec<bool>, from: usize| {
+                let keepers = views[from].keepers(attempt, fleet[from].1);
+                keepers.into_iter().for_each(|keeper| knows[place(keeper)] = true);
+            };
+            knows[0] = true;
+            hand_over(&views, &mut knows, 0);
+            let mut is_leaving = vec![false; fleet.len()];
+            let turns: Vec<usize> = (0..fleet.len()).collect();
+            for batch in turns.chunks(at_a_time) {
+                for leaving in batch {
+                    is_leaving[*leaving] = true;
+                    views.iter_mut().for_each(|view| view.leaves(fleet[*leaving].0, second(60)));
+                    if knows[*leaving] {
+                        hand_over(&views, &mut knows, *leaving);
+                    }
+                }
+                for restarted in batch {
+                    (knows[*restarted], is_leaving[*restarted]) = (false, false);
+                    views[*restarted] = others_of(&fleet, fleet[*restarted].0);
+                    let leaving = turns.iter().filter(|other| is_leaving[**other]);
+                    leaving.for_each(|other| views[*restarted].leaves(fleet[*other].0, second(60)));
+                    let others: Vec<usize> =
+                        turns.iter().copied().filter(|other| other != restarted).collect();
+                    for other in others {
+                        views[other].stays(fleet[*restarted].0);
+                        knows[*restarted] |= knows[other]
+                            && views[other].is_likely_keeper(attempt, fleet[*restarted].0);
+                    }
+                    for asked in turns.iter().filter(|asked| !is_leaving[**asked]) {
+                        let likely = views[*asked].likely_keepers(attempt);
+                        let is_found = likely.iter().any(|keeper| knows[place(*keeper)]);
+                        assert!(knows[*asked] || is_found, "{count} {domains} {at_a_time}");
+                    }
+                }
+            }
+            Ok(())
+        })
+        .seed((0x0555 + seed) << 32 | 0x100);
+    }
+}
+
+/// An instance that is about to end counts so for a bounded time, also where its next life is not heard.
+#[test]
+fn leaving_instance() {
+    let fleet: Vec<(InstanceId, DomainId)> = (0..3).map(|number| (number * 77, 0)).collect();
+    let mut members = others_of(&fleet, 0);
+    let attempt = attempt_number("a");
+    members.leaves(77, second(9));
+    assert_eq!(members.keepers(attempt, 0), [154]);
+    assert!(members.likely_keepers(attempt).contains(&77), "it answers still");
+    members.relist(fleet[1..].iter().copied());
+    members.step(second(8));
+    assert_eq!(members.keepers(attempt, 0), [154]);
+    members.step(second(9));
+    assert_eq!(members.keepers(attempt, 0).len(), 2);
+}
+
+/// Guards against instances that are about to end and hand each other the same origins again and again.
+#[test]
+fn repeated_statement() {
+    let mut origins = StreamOrigins::default();
+    let known = KnownOrigin { attempt: 7, origin: origin("v1"), revision: 1, until: second(12) };
+    assert!(origins.told(known));
+    let delayed = KnownOrigin { until: second(12) + Duration::from_millis(20), ..known };
+    assert!(!origins.told(delayed));
+    assert!(!origins.told(KnownOrigin { revision: 0, ..known }));
+    assert!(origins.told(KnownOrigin { revision: 2, ..known }));
+    assert!(origins.told(KnownOrigin { revision: 2, until: second(20), ..known }));
+}
+
 /// Guards against a statement that a later one had overtaken: the request was sent to a second upstream
 /// before its first event.
 #[test]
@@ -97,7 +183,9 @@
     let first = origins.sent(attempt, origin("v1"), 1, until);
     let second_one = origins.sent(attempt, origin("v2"), 2, until);
     let mut keeper = StreamOrigins::default();
-    [second_one, first].into_iter().for_each(|known| keeper.told(known));
+    [second_one, first].into_iter().for_each(|known| {
+        keeper.told(known);
+    });
     assert_eq!(keeper.origin_of(attempt, second(1)).unwrap().origin, origin("v2"));
     assert_eq!(keeper.origin_of(attempt, until), None);
     keeper.step(until);
--- a/crates/bergamotpitch-gateway/src/drains.rs
+++ b/crates/bergamotpitch-gateway/src/drains.rs
@@ -21,7 +21,7 @@
 /// `drain` takes the instance out of rotation, serves what it has and what still comes, ends kept
 /// connections between two requests, and returns when nothing is open or the grace is over.
 pub async fn drain(gateway: &Rc<Gateway>) {
-    let began = gateway.now();
+    let (began, started) = (gateway.now(), tokio::time::Instant::now());
     gateway.begin_drain();
     decision(
         EventKind::DrainBegan,
@@ -31,8 +31,11 @@
             gateway.connection_count()
         ),
     );
-    tokio::time::sleep(ROTATION_TIME).await;
+    gateway.hand_over_origins().await;
+    tokio::time::sleep_until(started + ROTATION_TIME).await;
     gateway.refuse_new();
+    // What was lost on the way the first time.
+    gateway.hand_over_origins().await;
     let end = began + gateway.options.grace.saturating_sub(END_MARGIN);
     loop {
         gateway.each_connection(|connection| connection.end());
@@ -40,6 +43,7 @@
             break;
         }
         if end <= gateway.now() {
+            gateway.hand_over_unfinished().await;
             break;
         }
         tokio::time::sleep(POLL_INTERVAL).await;
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -47,6 +47,10 @@
 /// `SWEEP_BEATS` is how many beats go by between two sweeps over connections.
 const SWEEP_BEATS: u64 = 4;
 
+/// `START_TIME` is for how long an instance that knows the list waits to be told by others what it keeps:
+/// some heartbeats.
+const START_TIME: Duration = Duration::from_millis(1_500);
+
 /// `ARRIVALS_A_TURN` is how many requests come in between two that measure a turn.
 const ARRIVALS_A_TURN: u32 = 8;
 
@@ -107,6 +111,7 @@
     listed: Cell<Option<Timestamp>>,
     was_ready: Cell<bool>,
     is_draining: Cell<bool>,
+    pub(crate) is_start_announced: Cell<bool>,
     refuses_new: Cell<bool>,
 }
 
@@ -186,6 +191,7 @@
             listed: Cell::new(None),
             was_ready: Cell::new(false),
             is_draining: Cell::new(false),
+            is_start_announced: Cell::new(false),
             refuses_new: Cell::new(false),
         }
     }
@@ -257,6 +263,12 @@
         self.listed.get().is_some()
     }
 
+    /// `has_just_started` tells whether others may not have told it yet what they did when it started.
+    pub(crate) fn has_just_started(&self) -> bool {
+        let started = self.listed.get().unwrap_or(Timestamp::MAX);
+        !self.options.is_fleet_start && self.now() < started.saturating_add(START_TIME)
+    }
+
     /// `remembers_versions` tells whether this instance knows all software versions that served since any
     /// stream began that may be taken up now.
     pub fn remembers_versions(&self) -> bool {
@@ -466,6 +478,8 @@
             traffic.step(now);
             traffic.registry.step(now)
         });
+        gateway.members.borrow_mut().step(gateway.now());
+        gateway.announce_start();
         if sequence.is_multiple_of(SWEEP_BEATS) {
             gateway.measure_upstreams();
             gateway.log_suspicions();
--- a/crates/bergamotpitch-gateway/src/lib.rs
+++ b/crates/bergamotpitch-gateway/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod messages;
 pub mod metrics;
 pub mod options;
+mod origin_handovers;
 pub mod origins;
 pub mod peers;
 pub mod placements;
--- a/crates/bergamotpitch-gateway/src/messages.rs
+++ b/crates/bergamotpitch-gateway/src/messages.rs
@@ -65,6 +65,8 @@
     OriginQuery(OriginQuery),
     /// What is known of it.
     OriginReply(OriginReply),
+    /// The sender is there, or is about to end.
+    Presence(Presence),
     /// Crashes of upstreams that count against parts of prompts and requests.
     Crashes(Vec<CrashLine>),
     /// Parts of prompts and requests that were answered, or that operators let in again.
@@ -100,6 +102,8 @@
     pub is_eligible: bool,
     /// Whether it is.
     pub is_dispatcher: bool,
+    /// Whether it is about to end.
+    pub is_leaving: bool,
     /// For how long it has counted what its teams asked.
     pub counted_ms: u64,
     /// What it has in hand at each upstream.
@@ -438,6 +442,15 @@
     pub is_mixed: bool,
     /// Whether it knows all versions that served since the stream may have begun.
     pub remembers_versions: bool,
+    /// Whether it has just started, and others may not have told it yet what it is to keep.
+    pub has_just_started: bool,
+}
+
+/// `Presence` tells an instance's failure domain that it has started, or that it is about to end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Presence {
+    /// Whether it is about to end.
+    pub is_leaving: bool,
 }
 
 /// `RepeatRequest` asks a dispatcher to allow a request to a second upstream.
--- a/crates/bergamotpitch-gateway/src/origins.rs
+++ b/crates/bergamotpitch-gateway/src/origins.rs
@@ -34,7 +34,7 @@
 const TELL_DELAY: Duration = Duration::from_millis(3);
 
 /// `LINES_MAX` bounds the origins in one message.
-const LINES_MAX: usize = MESSAGE_BYTES / 28;
+pub(crate) const LINES_MAX: usize = MESSAGE_BYTES / 28;
 
 /// `RETENTION` is for how long an origin is kept after the deadline of its request: callers take up a
 /// stream within the time that they had for it.
@@ -51,7 +51,7 @@
 /// `Origins` is what this instance tells others of its streams and asks them about theirs.
 #[derive(Debug, Default)]
 pub struct Origins {
-    untold: RefCell<HashMap<InstanceId, Vec<KnownOrigin>>>,
+    pub(crate) untold: RefCell<HashMap<InstanceId, Vec<KnownOrigin>>>,
     is_flush_scheduled: Cell<bool>,
     queries: RefCell<HashMap<u64, Rc<Query>>>,
 }
@@ -63,6 +63,7 @@
     found: Cell<Option<KnownOrigin>>,
     is_mixed: Cell<bool>,
     has_witness: Cell<bool>,
+    may_be_told: Cell<bool>,
     changed: Notify,
 }
 
@@ -76,6 +77,8 @@
     is_mixed: bool,
     /// Whether one of them remembers all versions since the stream may have begun.
     has_witness: bool,
+    /// Whether one of them has just started and may yet be told where the stream began.
+    may_be_told: bool,
 }
 
 impl Gateway {
@@ -133,7 +136,7 @@
         self.flush_origins();
     }
 
-    fn queue_origin(&self, known: KnownOrigin) {
+    pub(crate) fn queue_origin(&self, known: KnownOrigin) {
         let own_domain = id_of_name(&self.options.admission.domain);
         let keepers = self.members.borrow().keepers(known.attempt, own_domain);
         if keepers.is_empty() {
@@ -157,22 +160,32 @@
     }
 
     fn flush_origins(&self) {
-        let now = self.now();
         let untold = std::mem::take(&mut *self.origins.untold.borrow_mut());
         for (keeper, known) in untold {
-            let Some(address) = self.beat_address_of(keeper) else { continue };
-            for known in known.chunks(LINES_MAX) {
-                let lines = known.iter().map(|known| line_of_origin(known, now)).collect();
-                self.send_message(Body::Origins(lines), address);
-            }
+            known.chunks(LINES_MAX).for_each(|known| self.send_origins(keeper, known));
         }
     }
 
-    /// `handle_origins` keeps what another instance tells of its streams.
-    pub(crate) fn handle_origins(&self, lines: &[OriginLine]) {
+    /// `send_origins` tells a keeper some origins in one message.
+    pub(crate) fn send_origins(&self, keeper: InstanceId, known: &[KnownOrigin]) {
+        let Some(address) = self.beat_address_of(keeper) else { return };
+        let now = self.now();
+        let lines = known.iter().map(|known| line_of_origin(known, now)).collect();
+        self.send_message(Body::Origins(lines), address);
+    }
+
+    /// `handle_origins` keeps what another instance tells of its streams. One that is about to end hands
+    /// it over at once: whoever told it did not know that yet.
+    pub(crate) fn handle_origins(self: &Rc<Self>, lines: &[OriginLine]) {
         let now = self.now();
         let mut traffic = self.traffic.borrow_mut();
-        lines.iter().for_each(|line| traffic.origins.told(origin_of_line(line, now)));
+        let known = lines.iter().map(|line| origin_of_line(line, now));
+        let news: Vec<KnownOrigin> = known.filter(|known| traffic.origins.told(*known)).collect();
+        drop(traffic);
+        if self.is_draining() && !news.is_empty() {
+            news.into_iter().for_each(|known| self.queue_origin(known));
+            self.schedule_flush();
+        }
     }
 
     /// `handle_origin_query` tells another instance what is known of a stream.
@@ -184,8 +197,13 @@
         drop(traffic);
         let line = known.map(|known| line_of_origin(&known, now));
         if let Some(address) = self.beat_address_of(peer) {
-            let remembers_versions = self.remembers_versions();
-            let reply = OriginReply { number: query.number, line, is_mixed, remembers_versions };
+            let reply = OriginReply {
+                number: query.number,
+                line,
+                is_mixed,
+                remembers_versions: self.remembers_versions(),
+                has_just_started: self.has_just_started(),
+            };
             self.send_message(Body::OriginReply(reply), address);
         }
     }
@@ -196,6 +214,7 @@
         query.replies.set(query.replies.get() + 1);
         query.is_mixed.set(query.is_mixed.get() || reply.is_mixed);
         query.has_witness.set(query.has_witness.get() || reply.remembers_versions);
+        query.may_be_told.set(query.may_be_told.get() || reply.has_just_started);
         if let Some(line) = &reply.line {
             let known = origin_of_line(line, self.now());
             let is_later = |before: KnownOrigin| before.revision <= known.revision;
@@ -232,6 +251,7 @@
             replies: query.replies.get(),
             is_mixed: query.is_mixed.get(),
             has_witness: query.has_witness.get(),
+            may_be_told: query.may_be_told.get(),
         }
     }
 
@@ -250,6 +270,7 @@
             found: Cell::new(None),
             is_mixed: Cell::new(false),
             has_witness: Cell::new(false),
+            may_be_told: Cell::new(false),
             changed: Notify::new(),
         }
     }
@@ -300,6 +321,8 @@
         is_isolated: found.replies == 0 && gateway.is_isolated(),
         has_witness: has_witness || is_marked == Some(false),
     };
+    let may_be_told =
+        knowledge.origin.is_none() && (found.may_be_told || gateway.has_just_started());
     let resumption = knowledge.resumption();
     gateway.metrics.count_taken_up(resumption);
     decision(
@@ -327,7 +350,7 @@
             }
             Ok(())
         }
-        Resumption::Nowhere if knowledge.is_mixed => {
+        Resumption::Nowhere if knowledge.is_mixed && !may_be_told => {
             Err(Refusal::not_resumable(RefusalReason::StreamVersionUnknown))
         }
         Resumption::Nowhere => {
--- a/crates/bergamotpitch-gateway/src/peers.rs
+++ b/crates/bergamotpitch-gateway/src/peers.rs
@@ -8,7 +8,6 @@
 use bergamotpitch_control::traffic::catalogs::CatalogVersion;
 use bergamotpitch_control::traffic::dispatchers::Candidate;
 use bergamotpitch_control::traffic::evacuations::EvacuationVersion;
-use bergamotpitch_control::traffic::fleet_members::Members;
 use bergamotpitch_core::ids::{Incarnation, InstanceId, id_of_name};
 use bergamotpitch_core::units::Timestamp;
 use bergamotpitch_core::{HashMap, HashSet};
@@ -52,6 +51,8 @@
     /// Its life and the number of its latest beat.
     pub(crate) latest: (Incarnation, u64),
     pub(crate) parts: HeartbeatParts,
+    /// Its latest life that was told the origins of streams that it keeps.
+    pub(crate) origins_told: Incarnation,
     listed: Timestamp,
     /// When it was heard.
     pub last_seen: Option<Timestamp>,
@@ -77,6 +78,7 @@
             address,
             latest: (0, 0),
             parts: HeartbeatParts::default(),
+            origins_told: 0,
             listed: now,
             last_seen: None,
             version: 0,
@@ -229,7 +231,7 @@
         replace_peers(&mut self.peers.borrow_mut(), others, self.now());
         let peers = self.peers.borrow();
         let members = peers.iter().map(|(peer, known)| (*peer, id_of_name(&known.address.domain)));
-        *self.members.borrow_mut() = Members::new(members);
+        self.members.borrow_mut().relist(members);
         drop(peers);
         self.update_role();
         self.note_peers_listed();
--- a/crates/bergamotpitch-gateway/src/received_messages.rs
+++ b/crates/bergamotpitch-gateway/src/received_messages.rs
@@ -56,6 +56,9 @@
         Body::Origins(lines) => gateway.handle_origins(&lines),
         Body::OriginQuery(query) => gateway.handle_origin_query(instance, &query),
         Body::OriginReply(reply) => gateway.handle_origin_reply(&reply),
+        Body::Presence(presence) => {
+            gateway.note_presence(instance, incarnation, presence.is_leaving)
+        }
         Body::Crashes(lines) => gateway.handle_crashes(&lines),
         Body::Answered(lines) => gateway.handle_answered(&lines),
         Body::LivingUpstreams(lives) => gateway.handle_living_upstreams(&lives),
@@ -66,7 +69,7 @@
 
 /// Takes in one part of a beat; a beat of which a part is lost counts as lost.
 fn handle_heartbeat_part(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     instance: InstanceId,
     incarnation: Incarnation,
     heartbeat: Heartbeat,
@@ -86,6 +89,7 @@
         log::info!("event=300 name=peer_joined peer={instance} incarnation={incarnation}");
         gateway.tell_suspects_to(address);
     }
+    gateway.note_presence(instance, incarnation, heartbeat.is_leaving);
     apply_heartbeat(gateway, instance, &heartbeat, now);
 }
 
--- a/crates/bergamotpitch-gateway/tests/mixed_versions.rs
+++ b/crates/bergamotpitch-gateway/tests/mixed_versions.rs
@@ -7,6 +7,7 @@
 
 use bergamotpitch_control::traffic::catalogs::{Catalog, RouteKind, Target};
 use bergamotpitch_control::traffic::registries::Registration;
+use bergamotpitch_gateway::drains;
 use bergamotpitch_gateway::peers::PeerAddress;
 use common::instances::{Instance, introduce};
 use common::{
@@ -139,6 +140,47 @@
     });
 }
 
+/// Guards against streams that nobody can go on with after a rolling restart, in which each instance that knew
+/// their beginning started anew. Each one is killed while it drains.
+#[test]
+fn restarted_in_turn() {
+    run(async {
+        let (old, new, other) = (endless().await, finishing().await, finishing().await);
+        let domains = ["a", "a", "a", "b", "b", "c"];
+        let mut fleet: Vec<Instance> =
+            domains.iter().map(|name| Instance::start_in(name)).collect();
+        introduce(&fleet.iter().collect::<Vec<_>>()).await;
+        fleet[0].list(&[listed("old", &old, "v1")]).await;
+        let stream = begin(fleet[0].address, "one").await;
+        let all = [listed("new", &new, "v2"), listed("other", &other, "v1")];
+        for instance in &fleet {
+            instance.list(&all).await;
+        }
+        settle().await;
+        for domain in domains {
+            let leaving = fleet.remove(0);
+            leaving
+                .with(|gateway| {
+                    let gateway = std::rc::Rc::clone(gateway);
+                    tokio::task::spawn_local(async move { drains::drain(&gateway).await });
+                })
+                .await;
+            settle().await;
+            leaving.kill();
+            fleet.push(Instance::start_in(domain));
+            introduce(&fleet.iter().collect::<Vec<_>>()).await;
+            fleet[domains.len() - 1].list(&all).await;
+            settle().await;
+        }
+        drop(stream);
+        for instance in &fleet {
+            let got = ask(instance.address, resumption("again", Some("one"))).await.unwrap();
+            assert_eq!((got.body, got.is_whole), (events_text(4, 6), true));
+        }
+        assert_eq!((new.count(), other.count()), (0, domains.len()));
+    });
+}
+
 /// Guards against a stream that goes on at the only version that an instance knows which was cut off
 /// from all others before another one appeared.
 #[test]
