Count the upstreams of a call in one place, before and after its first event

Cause: try_upstreams counted attempts before the first event, and StreamAnswer began again at one.

Change: the call counts; the count rises where a request is written to a connection and falls where nothing of it was. The bound of resumptions stays a second one. Read besides: requests that are sent on for lateness, placements of other domains, fetched starts, kept connections that turn out closed.

Ruled out: upstreams that ended, callers' own repeats (event 101, 105 and 106 of one request on three upstreams).

--- a/crates/bergamotpitch-gateway/src/attempts.rs
+++ b/crates/bergamotpitch-gateway/src/attempts.rs
@@ -64,7 +64,6 @@
     call: &Rc<Call>,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let mut tried: Vec<UpstreamKey> = Vec::new();
-    let mut attempts = 0;
     let mut unreachable = 0;
     let mut withdrawn = 0;
     let mut may_have_run = false;
@@ -85,9 +84,9 @@
         if let Some(team) = call.team.as_deref().filter(|_| tried.is_empty()) {
             gateway.team_counters.note_sent(team, call.facts.pool_tokens());
         }
-        note_dispatch(call, &placed, gateway, attempts);
-        match attempt(gateway, call, &placement, &tried, attempts).await {
-            Ok(answer) => match pass_on(gateway, call, run, answer, attempts).await {
+        note_dispatch(call, &placed, gateway);
+        match attempt(gateway, call, &placement, &tried).await {
+            Ok(answer) => match pass_on(gateway, call, run, answer).await {
                 Ok(response) => return Ok(response),
                 Err(unusable) => {
                     may_have_run = true;
@@ -134,12 +133,11 @@
                 }
             }
         }
-        attempts += 1;
         tried.push(placement.upstream);
-        if !may_go_on(gateway, call, attempts, may_have_run).await {
+        if !may_go_on(gateway, call, may_have_run).await {
             return Err(final_refusal(gateway, call, may_have_run));
         }
-        note_retry(call, gateway, attempts);
+        note_retry(call, gateway);
     }
 }
 
@@ -161,7 +159,6 @@
     call: &Rc<Call>,
     mut run: Run,
     answer: Answer,
-    attempts: u32,
 ) -> Result<Response<AnswerBody>, UnusableAnswer> {
     let Answer { response, sender, address, reuse, is_framed } = answer;
     let (mut parts, body) = response.into_parts();
@@ -202,7 +199,7 @@
     if parts.status.is_success() && is_framed {
         gateway.note_answered(call, call.arrived + seen);
     }
-    if is_failure && reserve_repeat(gateway, call, attempts + 1).await {
+    if is_failure && reserve_repeat(gateway, call).await {
         return Err(UnusableAnswer::Failed(parts.status));
     }
     decision(
@@ -213,7 +210,7 @@
             gateway.id_of(key).unwrap_or_default(),
             parts.status.as_u16(),
             seen.as_millis(),
-            attempts + 1,
+            call.attempts.get(),
             call.catalog.version,
         ),
     );
@@ -222,17 +219,17 @@
     Ok(Response::from_parts(parts, AnswerBody::whole(bytes)))
 }
 
-async fn may_go_on(gateway: &Rc<Gateway>, call: &Call, attempts: u32, may_have_run: bool) -> bool {
+async fn may_go_on(gateway: &Rc<Gateway>, call: &Call, may_have_run: bool) -> bool {
     let is_allowed = !may_have_run || call.route.is_repeatable();
     is_allowed
-        && attempts < call.route.attempts_max
+        && call.has_attempts_left()
         && gateway.now() < call.deadline
         && (call.is_repeat_reserved.take() || gateway.obtain_repeat(&call.service).await)
 }
 
 /// Takes one repeat of a call that may have run out of the retry budget, for when it goes on.
-async fn reserve_repeat(gateway: &Rc<Gateway>, call: &Call, attempts: u32) -> bool {
-    let is_reserved = may_go_on(gateway, call, attempts, true).await;
+async fn reserve_repeat(gateway: &Rc<Gateway>, call: &Call) -> bool {
+    let is_reserved = may_go_on(gateway, call, true).await;
     call.is_repeat_reserved.set(is_reserved);
     is_reserved
 }
@@ -264,10 +261,9 @@
     call: &Call,
     placement: &Placement,
     tried: &[UpstreamKey],
-    attempts: u32,
 ) -> Result<Answer, Failure> {
     let mut answer = pin!(exchanges::send(gateway, call, placement, None, call.deadline));
-    let mut until = patience(gateway, call, placement, attempts);
+    let mut until = patience(gateway, call, placement);
     loop {
         let time = until.saturating_sub(gateway.now());
         if let Ok(result) = tokio::time::timeout(time, &mut answer).await {
@@ -277,7 +273,7 @@
             tokio::select! {
                 biased;
                 result = &mut answer => return result,
-                is_reserved = reserve_repeat(gateway, call, attempts + 1) => if is_reserved {
+                is_reserved = reserve_repeat(gateway, call) => if is_reserved {
                     return Err(Failure::TimedOut);
                 },
             }
@@ -297,8 +293,8 @@
 }
 
 /// Until when an attempt may take: a repeatable call does not spend all its time on one upstream.
-fn patience(gateway: &Gateway, call: &Call, placement: &Placement, attempts: u32) -> Timestamp {
-    let has_more = call.route.is_repeatable() && attempts + 1 < call.route.attempts_max;
+fn patience(gateway: &Gateway, call: &Call, placement: &Placement) -> Timestamp {
+    let has_more = call.route.is_repeatable() && call.attempts.get() + 1 < call.route.attempts_max;
     // A request that may crash upstreams is at one of them at a time.
     if !has_more || !gateway.options.admission.policy.cut_offs || gateway.is_suspected(call) {
         return call.deadline;
@@ -308,7 +304,7 @@
     (gateway.now() + patience).min(call.deadline)
 }
 
-fn note_dispatch(call: &Call, placed: &PlacedRequest, gateway: &Gateway, attempts: u32) {
+fn note_dispatch(call: &Call, placed: &PlacedRequest, gateway: &Gateway) {
     let placement = &placed.placement;
     let waited = gateway.now().saturating_sub(call.arrived);
     gateway.metrics.dispatches.inc();
@@ -325,7 +321,7 @@
             call.team.as_deref().map_or("-", |team| &team.name),
             call.facts.prompt_tokens,
             gateway.id_of(placement.upstream).unwrap_or_default(),
-            attempts + 1,
+            call.attempts.get() + 1,
             placement.predicted.as_millis(),
             placement.requests,
             placement.work.unread_tokens,
@@ -363,10 +359,10 @@
     );
 }
 
-fn note_retry(call: &Call, gateway: &Gateway, attempts: u32) {
+fn note_retry(call: &Call, gateway: &Gateway) {
     gateway.metrics.repeats.inc();
     decision(
         EventKind::RequestRetried,
-        format_args!("request={} attempt={}", call.facts.attempt_id, attempts + 1),
+        format_args!("request={} attempt={}", call.facts.attempt_id, call.attempts.get() + 1),
     );
 }
--- a/crates/bergamotpitch-gateway/src/bodies.rs
+++ b/crates/bergamotpitch-gateway/src/bodies.rs
@@ -331,13 +331,12 @@
                 SharedParts(&self.call.facts),
             ),
         );
-        let attempts = self.resumes + 1;
         let has_events = self.first_event.is_some();
         let software = self.gateway.software_of_stream(&self.call, has_events);
         let may_resume = self.call.route.is_resumable
             && software.is_ok()
             && self.resumes < RESUME_LIMIT
-            && attempts < self.call.route.attempts_max;
+            && self.call.has_attempts_left();
         let (gateway, call) = (Rc::clone(&self.gateway), Rc::clone(&self.call));
         if !may_resume {
             let breaking = break_off(gateway, call, broken);
--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -86,6 +86,8 @@
     pub served: Option<ServedStream>,
     /// The version of software at which it goes on, where its stream began while several served.
     pub bound_software: Cell<Option<SoftwareId>>,
+    /// How many upstreams it was sent to, before the first event of its answer and after it.
+    pub attempts: Cell<u32>,
     /// Whether a request to a second upstream was taken out of the retry budget and not sent yet.
     pub is_repeat_reserved: Cell<bool>,
     /// Name of its content, once it is asked for.
@@ -97,6 +99,21 @@
 }
 
 impl Call {
+    /// `count_attempt` takes in that it is sent to one more upstream.
+    pub(crate) fn count_attempt(&self) {
+        self.attempts.set(self.attempts.get() + 1);
+    }
+
+    /// `discount_attempt` takes in that nothing of it was written there.
+    pub(crate) fn discount_attempt(&self) {
+        self.attempts.set(self.attempts.get().saturating_sub(1));
+    }
+
+    /// `has_attempts_left` tells whether its route allows one more upstream than it was sent to.
+    pub(crate) fn has_attempts_left(&self) -> bool {
+        self.attempts.get() < self.route.attempts_max
+    }
+
     /// `digest` returns the name of its content, which it shares with its caller's other attempts.
     pub fn digest(&self) -> RequestDigest {
         let target = self.target.path_and_query().map_or("", |target| target.as_str());
@@ -226,6 +243,7 @@
         cache_link: engine.and_then(|engine| engine.cache_link),
         served,
         bound_software: Cell::new(None),
+        attempts: Cell::new(0),
         is_repeat_reserved: Cell::new(false),
         digest: OnceCell::new(),
         told_until: Cell::new(Timestamp::ZERO),
--- a/crates/bergamotpitch-gateway/src/exchanges.rs
+++ b/crates/bergamotpitch-gateway/src/exchanges.rs
@@ -108,12 +108,14 @@
             return Err(Failure::Withdrawn);
         }
         let request = request_of_call(gateway, call, placement, resume_after)?;
+        call.count_attempt();
         match sender.try_send_request(request).await {
             Ok(response) => return read_head(gateway, call, (key, address), response, sender),
             // The connection closed before anything was written: a fresh one may carry it.
-            Err(error) if is_warm && error.message().is_some() => {}
+            Err(error) if is_warm && error.message().is_some() => call.discount_attempt(),
             Err(mut error) => {
                 if error.take_message().is_some() {
+                    call.discount_attempt();
                     return Err(Failure::Unreachable);
                 }
                 return Err(Failure::Broken { detail: error.into_error().to_string() });
--- a/crates/bergamotpitch-gateway/tests/event_streams.rs
+++ b/crates/bergamotpitch-gateway/tests/event_streams.rs
@@ -6,7 +6,7 @@
 
 use bergamotpitch_control::traffic::registries::Registration;
 use common::crashes::{CrashingUpstream, Ending};
-use common::{Act, FakeUpstream, ask, event, request, run, start, stream_end, stream_head};
+use common::{Act, FakeUpstream, ask, event, request, run, start, stream_end, stream_head, whole};
 
 fn events(from: u32, to: u32) -> Vec<Act> {
     (from..=to).map(event).collect()
@@ -88,6 +88,40 @@
     });
 }
 
+/// Guards against a stream that runs on more upstreams than its route allows: the first one failed before any
+/// event, the second one broke the stream off, and the third one was free to go on.
+#[test]
+fn attempts_spent() {
+    run(async {
+        let fails = |_| vec![Act::Pause(Duration::from_millis(60)), whole("500 Failed", "")];
+        let failing = FakeUpstream::start(Box::new(fails)).await;
+        let script = |_| {
+            [
+                vec![stream_head()],
+                events(1, 3),
+                vec![Act::Pause(Duration::from_millis(50)), Act::Reset],
+            ]
+            .concat()
+        };
+        let broken = FakeUpstream::start(Box::new(script)).await;
+        let rest = |_| [vec![stream_head()], events(4, 6), vec![stream_end()]].concat();
+        let free = FakeUpstream::start(Box::new(rest)).await;
+        let (gateway, address) = start(&[&failing]).await;
+        let asked = tokio::task::spawn_local(async move {
+            ask(address, request("POST", "/resumed/", "one")).await.unwrap()
+        });
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        gateway.upstream_listed(common::registration("broken", broken.address));
+        while broken.count() == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        gateway.upstream_listed(common::registration("free", free.address));
+        let got = asked.await.unwrap();
+        assert_eq!((failing.count(), broken.count(), free.count()), (1, 1, 0));
+        assert_eq!((got.body, got.is_whole), (text(1, 3), false));
+    });
+}
+
 /// The first event must not wait for the second.
 #[test]
 fn at_once() {
