Read the list of instances again while it is older than what it must show

Cause: instances find each other by stale reads, twice in the first two seconds and then each 24 s. Where those are older than the instances, each takes itself for the whole fleet until then, and so do the others for an instance at a new address.

Change: a list without the own entry as it was written last, or without an instance that was heard, is read again at growing pauses, at most five times in a row, the last time not stale. The stand-in store can answer stale reads late.

--- a/crates/bergamotpitch-gateway/src/peers.rs
+++ b/crates/bergamotpitch-gateway/src/peers.rs
@@ -211,6 +211,11 @@
         self.first_seen.notified().await;
     }
 
+    /// `are_all_in` tells whether all of them are among the peers by now.
+    pub fn are_all_in(&self, peers: &Peers) -> bool {
+        self.seen.borrow().iter().all(|instance| peers.contains_key(instance))
+    }
+
     /// `forget` lets each of them count as heard for the first time again.
     pub fn forget(&self) {
         self.seen.borrow_mut().clear();
--- a/crates/bergamotpitch-gateway/src/store_updates.rs
+++ b/crates/bergamotpitch-gateway/src/store_updates.rs
@@ -76,6 +76,8 @@
     shared_answers: RefCell<SharedAnswers>,
     /// Up to where the changes of each peer, by its address, were taken in.
     cursors: RefCell<HashMap<SocketAddr, Cursor>>,
+    /// Revision of this instance's own entry in the list of instances, once it was written.
+    pub own_entry: Cell<Option<u64>>,
     is_relying: Cell<bool>,
     /// Until when peers, by their addresses, are not asked, as they did not hand over what they know.
     distrusted: RefCell<HashMap<SocketAddr, Timestamp>>,
