End connections on which upstreams send bytes without end

Cause: only whole bodies were bounded, at 8 MB each. Interim answers, the digits of a chunk's size, an event without an end and events that the caller has already were read until the request's deadline; an unfinished event grew in memory, and was searched for its end from the start with each piece.

Change: reading from an upstream's connection fails once 256 kB came that brought no answer on. What is read in full takes from a bound of its own on memory. The search for an event's end goes on where it ended. A final answer with an interim status counts as broken.

--- a/crates/bergamotpitch-gateway/src/attempts.rs
+++ b/crates/bergamotpitch-gateway/src/attempts.rs
@@ -172,7 +172,8 @@
         return Ok(Response::from_parts(parts, AnswerBody::Stream(Box::new(stream))));
     }
     let time = call.deadline.saturating_sub(gateway.now());
-    let whole = tokio::time::timeout(time, read_whole(body)).await;
+    let reading = read_whole(body, &sender, gateway.answer_bytes.open());
+    let whole = tokio::time::timeout(time, reading).await;
     let seen = run.begun();
     let key = run.key();
     let bytes = match whole {
--- a/crates/bergamotpitch-gateway/src/bodies.rs
+++ b/crates/bergamotpitch-gateway/src/bodies.rs
@@ -9,10 +9,10 @@
 
 use bergamotpitch_core::events::EventKind;
 use bergamotpitch_core::units::Timestamp;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::HeaderMap;
 use http::header::CONTENT_TYPE;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::Sleep;
 
@@ -24,6 +24,7 @@
 use crate::errors::Cut;
 use crate::exchanges::{self, Answer, Failure, Reuse};
 use crate::gateways::{Gateway, InFlight};
+use crate::held_bytes::Hold;
 use crate::logs::{SharedParts, decision};
 use crate::placements::{Run, place};
 use crate::sse::EventCutter;
@@ -31,6 +32,9 @@
 /// `ANSWER_LIMIT_BYTES` bounds an answer that is read in full before it is passed on.
 const ANSWER_LIMIT_BYTES: usize = 8 << 20;
 
+/// `UNCOUNTED_BYTES` is what an answer that is read in full may take whatever others take.
+const UNCOUNTED_BYTES: usize = 64 << 10;
+
 /// `RESUME_LIMIT` bounds how often one stream goes on at another upstream.
 const RESUME_LIMIT: u32 = 2;
 
@@ -83,14 +87,31 @@
         .is_some_and(|value| value.starts_with("text/event-stream"))
 }
 
-/// `read_whole` reads an answer to its end.
+/// `read_whole` reads an answer to its end; what it takes beyond [`UNCOUNTED_BYTES`] is held meanwhile.
 ///
 /// # Errors
 ///
-/// Fails when it breaks off or is larger than the limit.
-pub async fn read_whole(body: Incoming) -> Result<Bytes, String> {
-    let limited = Limited::new(body, ANSWER_LIMIT_BYTES);
-    limited.collect().await.map(|body| body.to_bytes()).map_err(|error| error.to_string())
+/// Fails when it breaks off, is larger than the limit, or there is no memory left for it.
+pub async fn read_whole(
+    mut body: Incoming,
+    sender: &Sender,
+    mut hold: Hold,
+) -> Result<Bytes, String> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| error.to_string())?;
+        let Ok(data) = frame.into_data() else { continue };
+        let length = bytes.len() + data.len();
+        if ANSWER_LIMIT_BYTES < length {
+            return Err(format!("it is longer than {ANSWER_LIMIT_BYTES} bytes"));
+        }
+        if !hold.reach(length.saturating_sub(UNCOUNTED_BYTES)) {
+            return Err(format!("no memory is left for more than {} bytes of it", bytes.len()));
+        }
+        bytes.extend_from_slice(&data);
+        sender.progress();
+    }
+    Ok(bytes.freeze())
 }
 
 type Verification = Pin<Box<dyn Future<Output = bool>>>;
@@ -185,6 +206,9 @@
                     Poll::Ready(Some(Ok(frame))) => {
                         let Ok(data) = frame.into_data() else { continue };
                         if let Some(events) = self.take_in(data) {
+                            if let Source::Reading(source) = &self.source {
+                                source.sender.progress();
+                            }
                             return Poll::Ready(Some(Ok(Frame::data(events))));
                         }
                     }
--- a/crates/bergamotpitch-gateway/src/connections.rs
+++ b/crates/bergamotpitch-gateway/src/connections.rs
@@ -1,17 +1,25 @@
 //! Connections to upstreams: warm ones are used again, doubtful ones are closed.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bergamotpitch_control::traffic::registries::UpstreamKey;
 use bergamotpitch_core::HashMap;
 use bergamotpitch_core::units::Timestamp;
 use bytes::Bytes;
+use http::{Request, Response};
 use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 /// `CONNECT_TIMEOUT` is the time for a connection to be made: a lost opening packet is sent again
@@ -38,8 +46,113 @@
 /// carried bytes that belong to no request: the next answer on another may be foreign as well.
 const DOUBT: Duration = Duration::from_secs(5);
 
+/// `READ_BUFFER_BYTES` bounds what is read of a connection ahead of whoever takes it; the head of an answer is no
+/// longer.
+const READ_BUFFER_BYTES: usize = 64 << 10;
+
+/// `FRUITLESS_BYTES_MAX` bounds what an upstream sends without bringing an answer on. One that is faulty may
+/// send for as long as its connection is open, and each of its requests would take memory and processor
+/// time until its deadline.
+pub const FRUITLESS_BYTES_MAX: usize = 256 << 10;
+
 /// `Sender` sends requests on one connection.
-pub type Sender = SendRequest<Full<Bytes>>;
+#[derive(Debug)]
+pub struct Sender {
+    requests: SendRequest<Full<Bytes>>,
+    fruitless: FruitlessBytes,
+}
+
+/// `FruitlessBytes` counts what came on a connection since the answer there went on last.
+#[derive(Debug, Clone, Default)]
+struct FruitlessBytes(Rc<Cell<usize>>);
+
+impl Sender {
+    /// `send` sends a request and returns the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is none; the error holds the request where nothing of it was written.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.progress();
+        let response = self.requests.try_send_request(request).await;
+        self.progress();
+        response
+    }
+
+    /// `progress` takes in that the answer goes on: its head came, or a part of its body is used.
+    pub fn progress(&self) {
+        self.fruitless.0.set(0);
+    }
+
+    /// `is_ready` tells whether the connection can take a request.
+    pub fn is_ready(&self) -> bool {
+        self.requests.is_ready()
+    }
+
+    /// `is_closed` tells whether the connection was closed.
+    pub fn is_closed(&self) -> bool {
+        self.requests.is_closed()
+    }
+}
+
+/// `BoundedStream` is a connection on which reading fails once too much came in vain.
+struct BoundedStream {
+    stream: TcpStream,
+    fruitless: FruitlessBytes,
+}
+
+impl AsyncRead for BoundedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if FRUITLESS_BYTES_MAX < self.fruitless.0.get() {
+            return Poll::Ready(Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                format!("over {FRUITLESS_BYTES_MAX} bytes that bring no answer on"),
+            )));
+        }
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let count = &self.fruitless.0;
+        count.set(count.get() + buffer.filled().len() - before);
+        read
+    }
+}
+
+impl AsyncWrite for BoundedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
 
 /// `Pools` holds the idle connections to all upstreams.
 #[derive(Debug, Default)]
@@ -125,14 +238,19 @@
         .await
         .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
     tune(&stream)?;
-    let (sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+    let fruitless = FruitlessBytes::default();
+    let bounded = BoundedStream { stream, fruitless: fruitless.clone() };
+    let (requests, connection) = http1::Builder::new()
+        .max_buf_size(READ_BUFFER_BYTES)
+        .handshake(TokioIo::new(bounded))
+        .await
+        .map_err(std::io::Error::other)?;
     tokio::task::spawn_local(async move {
         if let Err(error) = connection.await {
             log::debug!("event=connection_ended address={address} error={error}");
         }
     });
-    Ok(sender)
+    Ok(Sender { requests, fruitless })
 }
 
 /// `tune` makes a socket send at once and notice a dead link.
--- a/crates/bergamotpitch-gateway/src/exchanges.rs
+++ b/crates/bergamotpitch-gateway/src/exchanges.rs
@@ -109,7 +109,7 @@
         }
         let request = request_of_call(gateway, call, placement, resume_after)?;
         call.count_attempt();
-        match sender.try_send_request(request).await {
+        match sender.send(request).await {
             Ok(response) => return read_head(gateway, call, (key, address), response, sender),
             // The connection closed before anything was written: a fresh one may carry it.
             Err(error) if is_warm && error.message().is_some() => call.discount_attempt(),
@@ -170,6 +170,11 @@
         let echoed = facts.attempt_id.unwrap_or_default();
         return Err(Failure::Broken { detail: format!("foreign answer for {echoed:?}") });
     }
+    if response.status().is_informational() {
+        return Err(Failure::Broken {
+            detail: format!("status {} is no answer", response.status()),
+        });
+    }
     let closes = says_close(response.headers());
     if facts.is_not_run {
         return Err(Failure::NotRun { status: response.status() });
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -68,6 +68,8 @@
     pub loop_lag: LoopLag,
     /// Memory that the bodies of requests take.
     pub held_bytes: HeldBytes,
+    /// Memory that answers which are read in full take.
+    pub answer_bytes: HeldBytes,
     /// Requests for streams that it has taken on.
     pub streams: ServedStreams,
     /// What teams asked for and were given here lately.
@@ -161,6 +163,7 @@
         Self {
             traffic: RefCell::new(Traffic::new(options.admission.clone())),
             held_bytes: HeldBytes::new(options.body_bytes_max),
+            answer_bytes: HeldBytes::new(options.body_bytes_max),
             store_updates: StoreUpdates::new(options.incarnation),
             options,
             dialect,
--- a/crates/bergamotpitch-gateway/src/relays.rs
+++ b/crates/bergamotpitch-gateway/src/relays.rs
@@ -469,15 +469,17 @@
         .header(http::header::HOST, peer.to_string())
         .body(Full::new(Bytes::new()))
         .map_err(|error| error.to_string())?;
-    let response = sender.send_request(request).await.map_err(|error| error.to_string())?;
+    let response = sender.send(request).await.map_err(|error| error.error().to_string())?;
     if response.status() == StatusCode::SERVICE_UNAVAILABLE {
         return Err(FetchError::Busy);
     }
     let is_packed = response.headers().contains_key(CONTENT_ENCODING);
-    let body = Limited::new(response.into_body(), FETCH_LIMIT_BYTES)
-        .collect()
-        .await
-        .map_err(|error| error.to_string())?;
+    let body = response.into_body().map_frame(|frame| {
+        sender.progress();
+        frame
+    });
+    let body =
+        Limited::new(body, FETCH_LIMIT_BYTES).collect().await.map_err(|error| error.to_string())?;
     let mut bytes = body.to_bytes();
     if is_packed {
         let unpacked = unpack_bytes("documents", &bytes).map_err(|error| error.to_string())?;
--- a/crates/bergamotpitch-gateway/src/sse.rs
+++ b/crates/bergamotpitch-gateway/src/sse.rs
@@ -5,6 +5,9 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// `BOUNDARY_BYTES_MAX` is the length of the longest end of an event.
+const BOUNDARY_BYTES_MAX: usize = 4;
+
 /// `EventCutter` cuts a stream of bytes into whole events.
 #[derive(Debug, Default)]
 pub struct EventCutter {
@@ -29,8 +32,13 @@
             self.pending.extend_from_slice(&data[end..]);
             data.slice(..end)
         } else {
+            // What was looked at before holds no end, but for the first bytes of one.
+            let from = self.pending.len().saturating_sub(BOUNDARY_BYTES_MAX - 1);
             self.pending.extend_from_slice(&data);
-            let end = end_of_events(&self.pending);
+            let end = match end_of_events(&self.pending[from..]) {
+                0 => 0,
+                end => from + end,
+            };
             self.pending.split_to(end).freeze()
         };
         if let Some(id) = last_id(&whole) {
--- a/crates/bergamotpitch-gateway/tests/common/mod.rs
+++ b/crates/bergamotpitch-gateway/tests/common/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code)]
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -105,8 +105,13 @@
     Close,
     /// It waits until the other side closes.
     Hang,
+    /// It writes these bytes again and again until the other side closes.
+    Repeat(String),
 }
 
+/// `REPEATED_BYTES` is how much of what is written without end goes out at once.
+const REPEATED_BYTES: usize = 16 << 10;
+
 /// `Script` tells how an upstream answers its requests, by their number from 0.
 pub type Script = Box<dyn Fn(usize) -> Vec<Act>>;
 
@@ -134,6 +139,8 @@
     pub seen: Rc<RefCell<Vec<Seen>>>,
     /// How many connections were closed by the other side while it worked.
     pub abandoned: Rc<RefCell<usize>>,
+    /// How many bytes it has written without end.
+    pub repeated: Rc<Cell<usize>>,
 }
 
 impl FakeUpstream {
@@ -144,14 +151,17 @@
         let seen: Rc<RefCell<Vec<Seen>>> = Rc::default();
         let abandoned: Rc<RefCell<usize>> = Rc::default();
         let script = Rc::new(script);
+        let repeated: Rc<Cell<usize>> = Rc::default();
         let (all, left) = (Rc::clone(&seen), Rc::clone(&abandoned));
+        let written = Rc::clone(&repeated);
         tokio::task::spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let work = work(stream, Rc::clone(&script), Rc::clone(&all), Rc::clone(&left));
+                let counts = (Rc::clone(&left), Rc::clone(&written));
+                let work = work(stream, Rc::clone(&script), Rc::clone(&all), counts);
                 tokio::task::spawn_local(work);
             }
         });
-        Self { address, seen, abandoned }
+        Self { address, seen, abandoned, repeated }
     }
 
     /// `count` returns how many requests came.
@@ -164,7 +174,7 @@
     mut stream: TcpStream,
     script: Rc<Script>,
     seen: Rc<RefCell<Vec<Seen>>>,
-    abandoned: Rc<RefCell<usize>>,
+    (abandoned, repeated): (Rc<RefCell<usize>>, Rc<Cell<usize>>),
 ) {
     let mut buffer = Vec::new();
     loop {
@@ -186,6 +196,14 @@
                     return;
                 }
                 Act::Close => return,
+                Act::Repeat(text) => {
+                    let bytes = text.repeat(REPEATED_BYTES.div_ceil(text.len()));
+                    while stream.write_all(bytes.as_bytes()).await.is_ok() {
+                        repeated.set(repeated.get() + bytes.len());
+                    }
+                    *abandoned.borrow_mut() += 1;
+                    return;
+                }
                 Act::Hang => {
                     // Whatever ends the reading, the other side has left.
                     let _ = stream.read(&mut [0; 16]).await;
