--- a/crates/bergamotpitch-gateway/src/exchanges.rs
+++ b/crates/bergamotpitch-gateway/src/exchanges.rs
@@ -65,6 +65,9 @@
     TimedOut,
 }
 
+/// `LONGEST_IDLE` bounds for how long an upstream may say that it keeps an idle connection.
+const LONGEST_IDLE: Duration = Duration::from_secs(600);
+
 /// `send` sends a call to an upstream and returns the head of its answer.
 ///
 /// # Errors
@@ -208,5 +211,6 @@
     let value: &HeaderValue = headers.get("keep-alive")?;
     let timeout =
         value.to_str().ok()?.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
-    timeout.trim().parse().ok().map(Duration::from_secs)
+    let idle = timeout.trim().parse().ok().map(Duration::from_secs)?;
+    Some(idle.min(LONGEST_IDLE))
 }
