Do not hold a 421 against an upstream that a caller's condition explains

Cause: each 421 was read as 'another upstream answers at this address', which counts until the next start.

Change: the dialect tells whether the caller set a condition; a 421 to it counts neither as leaving nor as a failure. An upstream that stays listed for 10 s after a 421 without one is tried again.

--- a/crates/bergamotpitch-control/src/traffic/facts.rs
+++ b/crates/bergamotpitch-control/src/traffic/facts.rs
@@ -33,6 +33,8 @@
     pub resume_after: Option<String>,
     /// Id of the attempt that brought the first event of that stream.
     pub resumed_attempt_id: Option<String>,
+    /// Whether the caller set a condition for which a sound upstream may turn the request away.
+    pub has_condition: bool,
 }
 
 impl RequestFacts {
--- a/crates/bergamotpitch-control/src/traffic/registries.rs
+++ b/crates/bergamotpitch-control/src/traffic/registries.rs
@@ -1,7 +1,8 @@
 //! Registries: which upstreams there are, and which of them take new work.
 //!
 //! The registry learns of an upstream from the platform's list, from its own answers and from
-//! peers. The first source that says "leaving" wins; only a new incarnation comes back.
+//! peers. The first source that says "leaving" wins; only a new incarnation comes back, and an upstream that
+//! is still listed long after another one answered at its address.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -55,7 +56,7 @@
     pub software: SoftwareId,
     /// What the list says.
     pub registration: Registration,
-    /// Who said that it leaves, for good; `None` while it stays.
+    /// Who said that it leaves; `None` while it stays.
     pub leaving: Option<LeavingSource>,
     /// Whether its failure domain is evacuated.
     pub is_evacuated: bool,
@@ -109,6 +110,10 @@
 /// time of those that stand by.
 const LEAVING_NEWS_TIME: Duration = Duration::from_secs(4);
 
+/// `MISDIRECTED_TIME` is for how long an upstream that is listed gets nothing after another one answered at its
+/// address. Entries of those that have left are gone by then, unless the list is out of reach.
+const MISDIRECTED_TIME: Duration = Duration::from_secs(10);
+
 /// `Registry` is the table of upstreams.
 #[derive(Debug, Default)]
 pub struct Registry {
@@ -120,6 +125,9 @@
     /// Those of which the platform's list has said lately that they leave, with the time from which on that
     /// is known; `None` until the next step.
     leaving_lately: HashMap<UpstreamKey, Option<Timestamp>>,
+    /// Those at whose addresses others answered, with the time from which on that is known; `None` until the
+    /// next step.
+    misdirected: HashMap<UpstreamKey, Option<Timestamp>>,
     software_counts: HashMap<String, HashMap<SoftwareId, usize>>,
     evacuations: Evacuations,
     last_key: UpstreamKey,
@@ -242,7 +250,8 @@
                 known.domain_number = id_of_name(&registration.domain);
                 known.is_evacuated = self.evacuations.is_evacuated(known.domain_number);
                 known.registration = registration;
-                let has_left = known.registration.is_leaving && known.leaving.is_none();
+                let stays = matches!(known.leaving, None | Some(LeavingSource::Answer));
+                let has_left = known.registration.is_leaving && stays;
                 if has_left {
                     known.leaving = Some(LeavingSource::List);
                     changes.push(Change::Left(key, LeavingSource::List));
@@ -303,7 +312,7 @@
 
     /// `step` forgets entries that are still missing when the grace after an outage is over.
     pub fn step(&mut self, now: Timestamp) -> Vec<Change> {
-        let mut changes = Vec::new();
+        let mut changes = self.end_misdirections(now);
         self.leaving_lately.retain(|_, known| now < *known.get_or_insert(now) + LEAVING_NEWS_TIME);
         let Outage::GraceUntil(end) = self.outage else { return changes };
         if now < end {
@@ -322,6 +331,27 @@
         changes
     }
 
+    /// Lets upstreams back in that are still listed so long after another one answered at their addresses.
+    fn end_misdirections(&mut self, now: Timestamp) -> Vec<Change> {
+        let mut over = Vec::new();
+        self.misdirected.retain(|key, known| {
+            let is_lasting = now < *known.get_or_insert(now) + MISDIRECTED_TIME;
+            if !is_lasting {
+                over.push(*key);
+            }
+            is_lasting
+        });
+        let mut changes = Vec::new();
+        for key in over {
+            let Some(upstream) = self.upstreams.get_mut(&key) else { continue };
+            if upstream.leaving == Some(LeavingSource::Answer) {
+                upstream.leaving = None;
+                changes.push(Change::Joined(key));
+            }
+        }
+        changes
+    }
+
     /// `gone` takes in from a peer, which has waited for what lapsed, that an id is gone.
     pub fn gone(&mut self, id: &str) -> Vec<Change> {
         let mut changes = Vec::new();
@@ -338,6 +368,9 @@
             return None;
         }
         upstream.leaving = Some(source);
+        if source == LeavingSource::Answer {
+            self.misdirected.insert(key, None);
+        }
         Some(Change::Left(key, source))
     }
 
@@ -379,6 +412,7 @@
         self.key_of_id.remove(&upstream.registration.id);
         self.key_of_life.remove(&upstream.life_number);
         self.leaving_lately.remove(&key);
+        self.misdirected.remove(&key);
         let service = &upstream.registration.service;
         remove_key(&mut self.of_domain, service, upstream.domain_number, key);
         if let Some(keys) = self.of_service.get_mut(&upstream.registration.service) {
--- a/crates/bergamotpitch-control/tests/listed_upstreams.rs
+++ b/crates/bergamotpitch-control/tests/listed_upstreams.rs
@@ -109,3 +109,23 @@
     let gone = registry.step(heard + Duration::from_millis(2_100));
     assert_eq!(gone.len(), 2, "{gone:?}");
 }
+
+/// Guards against an upstream that is out of use for good, as another one answered once at its address although it
+/// stays listed; one that has said that it leaves does not come back.
+#[test]
+fn misdirected_upstream() {
+    let mut registry = Registry::default();
+    for id in ["stays", "leaves"] {
+        registry.listed(registration(id, 1));
+    }
+    let keys = ["stays", "leaves"].map(|id| registry.key_of(id).unwrap());
+    for key in keys {
+        assert!(registry.left(key, LeavingSource::Answer).is_some());
+    }
+    assert!(registry.step(Duration::from_secs(1)).is_empty());
+    assert_eq!(registry.listed(leaving("leaves", 1)), [Change::Left(keys[1], LeavingSource::List)]);
+    assert!(registry.step(Duration::from_millis(10_900)).is_empty());
+    assert_eq!(registry.step(Duration::from_secs(11)), [Change::Joined(keys[0])]);
+    let takes_work = |key| registry.get(key).is_some_and(|upstream| upstream.takes_work());
+    assert_eq!(keys.map(takes_work), [true, false]);
+}
--- a/crates/bergamotpitch-gateway/src/attempts.rs
+++ b/crates/bergamotpitch-gateway/src/attempts.rs
@@ -120,11 +120,18 @@
                     return Err(after_attempts(refusal, may_have_run));
                 }
                 let ran = !matches!(failure, Failure::NotRun { .. });
-                if failure == (Failure::NotRun { status: StatusCode::MISDIRECTED_REQUEST }) {
-                    gateway.note_misdirected(placement.upstream);
+                let is_misdirected =
+                    failure == Failure::NotRun { status: StatusCode::MISDIRECTED_REQUEST };
+                if is_misdirected && call.facts.has_condition {
+                    // The caller's condition explains it, whatever the upstream is like.
+                    drop(run);
+                } else {
+                    if is_misdirected {
+                        gateway.note_misdirected(placement.upstream);
+                    }
+                    // An upstream that turns away what fits by the books is worse than others, too.
+                    run.complete(true);
                 }
-                // An upstream that turns away what fits by the books is worse than others, too.
-                run.complete(true);
                 may_have_run |= ran;
                 let is_broken = matches!(failure, Failure::Broken { .. });
                 let broken = broken_at(AnswerProgress::Waiting);
--- a/crates/bergamotpitch-gateway/tests/common/mod.rs
+++ b/crates/bergamotpitch-gateway/tests/common/mod.rs
@@ -65,6 +65,7 @@
         prefix: text(headers, "x-prefix").map(|list| prompt_parts(&list)).unwrap_or_default(),
         resume_after: text(headers, "last-event-id"),
         resumed_attempt_id: text(headers, "x-resumes"),
+        has_condition: headers.contains_key("x-expect"),
         ..RequestFacts::default()
     })
 }
@@ -115,6 +116,9 @@
 /// `Script` tells how an upstream answers its requests, by their number from 0.
 pub type Script = Box<dyn Fn(usize) -> Vec<Act>>;
 
+/// `Reader` tells how an upstream answers a request.
+pub type Reader = Box<dyn Fn(&Seen) -> Vec<Act>>;
+
 /// `Seen` is a request as an upstream saw it.
 #[derive(Debug, Clone)]
 pub struct Seen {
@@ -146,6 +150,12 @@
 impl FakeUpstream {
     /// `start` listens.
     pub async fn start(script: Script) -> Self {
+        let number = Cell::new(0);
+        Self::start_reading(Box::new(move |_| script(number.replace(number.get() + 1)))).await
+    }
+
+    /// `start_reading` listens, and answers by what the requests hold.
+    pub async fn start_reading(script: Reader) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let seen: Rc<RefCell<Vec<Seen>>> = Rc::default();
@@ -172,7 +182,7 @@
 
 async fn work(
     mut stream: TcpStream,
-    script: Rc<Script>,
+    script: Rc<Reader>,
     seen: Rc<RefCell<Vec<Seen>>>,
     (abandoned, repeated): (Rc<RefCell<usize>>, Rc<Cell<usize>>),
 ) {
@@ -180,9 +190,9 @@
     loop {
         let Some(request) = read_request(&mut stream, &mut buffer).await else { return };
         let id = request.header("x-id").unwrap_or("-").to_owned();
-        let number = seen.borrow().len();
+        let acts = script(&request);
         seen.borrow_mut().push(request);
-        for act in script(number) {
+        for act in acts {
             match act {
                 Act::Write(text) => {
                     if stream.write_all(text.replace("{id}", &id).as_bytes()).await.is_err() {
