Keep an origin that comes back to the instance that told it

A stream would have gone on at another version: an instance that ends hands what it keeps to keepers that stay, one of which may be the instance that began the stream. It took the statement for a stream of another instance, and no longer put it in doubt when the upstream started again with other software. Found by reading; no caller saw it.

Change: the holder changes only with a later statement. An instance that ends says nothing of hand-overs where it has none.

--- a/crates/bergamotpitch-control/src/traffic/stream_origins.rs
+++ b/crates/bergamotpitch-control/src/traffic/stream_origins.rs
@@ -101,17 +101,21 @@
     }
 
     /// `told` takes in the origin of a stream of another instance, unless a later statement is known. It
-    /// tells whether that was news; an end that differs by the way of a message is none.
+    /// tells whether that was news; an end that differs by the way of a message is none. What comes back to the
+    /// instance that told it stays its own.
     pub fn told(&mut self, known: KnownOrigin) -> bool {
-        let Some(entry) = self.entries.get(&known.attempt).map(|entry| entry.known) else {
+        let Some(Entry { known: before, holder }) = self.entries.get(&known.attempt).copied()
+        else {
             self.insert(Entry { known, holder: Holder::Peer });
             return true;
         };
-        if known.revision < entry.revision {
+        if known.revision < before.revision {
             return false;
         }
-        self.insert(Entry { known, holder: Holder::Peer });
-        entry.revision < known.revision || entry.until + END_TOLERANCE < known.until
+        let is_later = before.revision < known.revision;
+        let holder = if is_later { Holder::Peer } else { holder };
+        self.insert(Entry { known, holder });
+        is_later || before.until + END_TOLERANCE < known.until
     }
 
     /// `shared` returns the origins that other instances were told, or told this one.
--- a/crates/bergamotpitch-control/tests/stream_origins.rs
+++ b/crates/bergamotpitch-control/tests/stream_origins.rs
@@ -161,6 +161,18 @@
     assert_eq!(members.keepers(attempt, 0).len(), 2);
 }
 
+/// Guards against a stream whose beginning is no longer in doubt when its upstream starts again with another version,
+/// as an instance that ended handed its origin back to the one that began it.
+#[test]
+fn handed_back() {
+    let mut origins = StreamOrigins::default();
+    let known = origins.sent(attempt_number("a"), origin("v1"), 3, second(12));
+    origins.note_told(known.attempt);
+    assert!(!origins.told(known));
+    assert_eq!(origins.unfinished(second(1)).collect::<Vec<_>>(), [known]);
+    assert_eq!(origins.doubt(3).len(), 1);
+}
+
 /// Guards against instances that are about to end and hand each other the same origins again and again.
 #[test]
 fn repeated_statement() {
--- a/crates/bergamotpitch-gateway/src/options.rs
+++ b/crates/bergamotpitch-gateway/src/options.rs
@@ -30,7 +30,7 @@
     pub caller_connections_max: usize,
     /// Connections of callers and to upstreams from which on no idle one to an upstream is kept.
     pub connections_max: usize,
-    /// Bytes that the bodies of all requests in flight may take.
+    /// Bytes that the bodies of all requests in flight may take, and answers that are read in full as many.
     pub body_bytes_max: usize,
     /// Thousandths of a core that this process may use.
     pub processor_millis: u32,
--- a/crates/bergamotpitch-gateway/src/origin_handovers.rs
+++ b/crates/bergamotpitch-gateway/src/origin_handovers.rs
@@ -43,6 +43,9 @@
     }
 
     async fn hand_over(self: &Rc<Self>, origins: &[KnownOrigin]) {
+        if origins.is_empty() {
+            return;
+        }
         let own_domain = id_of_name(&self.options.admission.domain);
         let mut of_keeper: HashMap<InstanceId, Vec<KnownOrigin>> = HashMap::default();
         for known in origins {
