--- a/crates/bergamotpitch-gateway/src/store_updates.rs
+++ b/crates/bergamotpitch-gateway/src/store_updates.rs
@@ -205,6 +205,16 @@
         self.role().rank == 0
     }
 
+    /// `is_first_of_fleet` tells whether this instance is the first of its domain, and that one the first of
+    /// those that are heard.
+    pub fn is_first_of_fleet(&self) -> bool {
+        let now = self.now();
+        let own = &self.options.admission.domain;
+        let peers = self.peers.borrow();
+        let is_before = |peer: &Peer| peer.address.domain < *own && peer.is_alive(now);
+        self.is_first_of_domain() && !peers.values().any(is_before)
+    }
+
     /// `updates_since` returns what this instance knows, or what has changed since a cursor.
     pub fn updates_since(&self, cursor: Cursor) -> RelayUpdate {
         RelayUpdate {
