Count two crashes of one request apart also where they are told of

Cause: whether the second attempt was sent after the first upstream had ended is read off two times that two messages tell in milliseconds.

Change: requests have the tolerance of 10 ms that weak crashes of parts have.

--- a/crates/bergamotpitch-control/src/traffic/crash_evidence.rs
+++ b/crates/bergamotpitch-control/src/traffic/crash_evidence.rs
@@ -208,11 +208,8 @@
         std::iter::from_fn(move || {
             let first = rest.first()?;
             let is_apart = |evidence: &Evidence| {
-                let is_sent_on = match (self.is_request, evidence.is_strong) {
-                    (true, _) => first.at <= evidence.sent_at,
-                    (false, true) => false,
-                    (false, false) => first.at <= evidence.sent_at + TOLD_TOLERANCE_MS,
-                };
+                let may_be_sent_on = self.is_request || !evidence.is_strong;
+                let is_sent_on = may_be_sent_on && first.at <= evidence.sent_at + TOLD_TOLERANCE_MS;
                 is_sent_on || first.at + CLUSTER_MS <= evidence.at
             };
             let end = rest.iter().skip(1).position(is_apart).map_or(rest.len(), |end| end + 1);
--- a/crates/bergamotpitch-control/tests/crashing_requests.rs
+++ b/crates/bergamotpitch-control/tests/crashing_requests.rs
@@ -69,6 +69,17 @@
     assert_eq!(verdict(&suspects, BAD, 2_000), Verdict::Confine(id(BAD)));
 }
 
+/// Guards against a request that is blocked at the instance which saw its crashes alone: where they are told of, the
+/// second upstream seems to have got it before the first one ended, by the way of a message.
+#[test]
+fn told_late() {
+    for (late, is_apart) in [(0, true), (8, true), (40, false)] {
+        let second = Evidence { sent_at: 1_000 - late, ..crash(7, 2, 1_030) };
+        let suspects = suspects_after(&[crash(7, 1, 1_000), second]);
+        assert_eq!(is_blocked(&suspects, 7, 1_030), is_apart, "{late} ms");
+    }
+}
+
 /// Guards against a sound request of many callers that is refused, as several of its attempts were in hand at
 /// upstreams which ended together: a rack, a failure domain.
 #[test]
