Log by what a repeat is decided, and what a look at an upstream finds

Event 109 names the inputs of each decision, event=upstream_probed the outcome of each look; two metrics count repeats that were denied and the instances that share the budget. No decision changes.

--- a/crates/bergamotpitch-control/src/traffic/retry_budgets.rs
+++ b/crates/bergamotpitch-control/src/traffic/retry_budgets.rs
@@ -42,6 +42,15 @@
 /// not yet counted, and windows that are cut differently.
 const SAFETY: f64 = 0.6;
 
+/// `Usage` is what one service's budget holds at this instance, within its window.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Usage {
+    /// Requests of callers.
+    pub requests: usize,
+    /// Repeats that were taken.
+    pub repeats: usize,
+}
+
 /// `RetryBudget` counts one service's requests and repeats at this instance.
 #[derive(Debug, Default)]
 pub struct RetryBudget {
@@ -82,6 +91,11 @@
         has_room
     }
 
+    /// `usage` returns what was counted, as of the last call that told the time.
+    pub fn usage(&self) -> Usage {
+        Usage { requests: self.requests.len(), repeats: self.repeats.len() }
+    }
+
     /// `has_room_within` tells whether one more repeat fits.
     pub fn has_room_within(&mut self, now: Timestamp, fixed: f64, options: &Options) -> bool {
         drop_before(&mut self.requests, now, options.window);
--- a/crates/bergamotpitch-core/src/events.rs
+++ b/crates/bergamotpitch-core/src/events.rs
@@ -52,6 +52,8 @@
     AnswerCut = 107,
     /// A caller takes up a stream that broke off.
     StreamTakenUp = 108,
+    /// It was decided whether a request may be sent to a second upstream.
+    RepeatDecided = 109,
     /// A sheet came into force.
     SheetInForce = 200,
     /// A sheet with a lower version than that in force was passed over.
--- a/crates/bergamotpitch-gateway/src/attempts.rs
+++ b/crates/bergamotpitch-gateway/src/attempts.rs
@@ -232,7 +232,7 @@
     is_allowed
         && call.has_attempts_left()
         && gateway.now() < call.deadline
-        && (call.is_repeat_reserved.take() || gateway.obtain_repeat(&call.service).await)
+        && (call.is_repeat_reserved.take() || gateway.obtain_repeat(call).await)
 }
 
 /// Takes one repeat of a call that may have run out of the retry budget, for when it goes on.
--- a/crates/bergamotpitch-gateway/src/bodies.rs
+++ b/crates/bergamotpitch-gateway/src/bodies.rs
@@ -469,7 +469,7 @@
     {
         return None;
     }
-    if !gateway.obtain_repeat(&call.service).await {
+    if !gateway.obtain_repeat(call).await {
         return None;
     }
     let placed = place(gateway, call, &tried).await.ok()?;
--- a/crates/bergamotpitch-gateway/src/crash_probes.rs
+++ b/crates/bergamotpitch-gateway/src/crash_probes.rs
@@ -80,6 +80,10 @@
 
     async fn probe(&self, upstream: UpstreamKey, address: SocketAddr, probe: &Probe) {
         let has_ended = self.refuses_connections(upstream, address).await;
+        log::info!(
+            "event=upstream_probed upstream={} address={address} has_ended={has_ended}",
+            self.id_of(upstream).unwrap_or_default()
+        );
         let has_crashed = has_ended && self.life_that_stays(upstream).is_some();
         if has_crashed {
             self.metrics.upstream_crashes.inc();
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -421,6 +421,7 @@
         let traffic = self.traffic.borrow();
         self.metrics.note_upstreams(traffic.cold_count(now), traffic.evacuated_requests(now));
         self.metrics.note_origins(traffic.origins.count());
+        self.metrics.note_fleet(self.fleet_size());
     }
 
     /// `is_draining` tells whether the process is about to end.
--- a/crates/bergamotpitch-gateway/src/metrics.rs
+++ b/crates/bergamotpitch-gateway/src/metrics.rs
@@ -39,6 +39,8 @@
     pub failed_attempts: Count,
     /// Requests sent to a second upstream.
     pub repeats: Count,
+    /// Requests that were not sent to a second upstream, as the retry budget was spent.
+    pub repeats_denied: Count,
     /// Streams closed without their end.
     pub cut_answers: Count,
     /// Connections opened to upstreams.
@@ -51,6 +53,7 @@
     pub callers_turned_away: Count,
     /// Upstreams that ended while they answered requests.
     pub upstream_crashes: Count,
+    fleet_instances: Gauge<u64>,
     sums_age_s: Gauge<f64>,
     cold_upstreams: Gauge<u64>,
     evacuated_requests: Gauge<u64>,
@@ -96,6 +99,10 @@
             dispatches: count("bergamotpitch_dispatches", "Requests sent to upstreams"),
             failed_attempts: count("bergamotpitch_failed_attempts", "Attempts that failed"),
             repeats: count("bergamotpitch_repeats", "Requests sent to a second upstream"),
+            repeats_denied: count(
+                "bergamotpitch_repeats_denied",
+                "Requests not sent to a second upstream, as the retry budget was spent",
+            ),
             cut_answers: count("bergamotpitch_cut_answers", "Streams closed without their end"),
             asks: count("bergamotpitch_asks", "Asks sent to a dispatcher"),
             unanswered_asks: count(
@@ -142,6 +149,10 @@
                 .u64_gauge("bergamotpitch_blocked_requests")
                 .with_description("Requests that are refused, as they crash upstreams")
                 .build(),
+            fleet_instances: meter
+                .u64_gauge("bergamotpitch_fleet_instances")
+                .with_description("Instances that share what is allowed to the whole fleet")
+                .build(),
             sums_age_s: meter
                 .f64_gauge("bergamotpitch_team_sums_age_seconds")
                 .with_description("Age of the oldest sums of other instances on teams that count")
@@ -181,6 +192,11 @@
         self.streams_taken_up.add(1, &[KeyValue::new("decision", decision)]);
     }
 
+    /// `note_fleet` takes in how many instances share what is allowed to the whole fleet.
+    pub fn note_fleet(&self, instances: usize) {
+        self.fleet_instances.record(instances as u64, &[]);
+    }
+
     /// `note_origins` takes in of how many streams the origin is known.
     pub fn note_origins(&self, count: usize) {
         self.stream_origins.record(count as u64, &[]);
--- a/crates/bergamotpitch-gateway/src/retries.rs
+++ b/crates/bergamotpitch-gateway/src/retries.rs
@@ -9,10 +9,13 @@
 
 use bergamotpitch_control::traffic::retry_budgets::Holder;
 use bergamotpitch_core::HashMap;
+use bergamotpitch_core::events::EventKind;
 use bergamotpitch_core::ids::{InstanceId, id_of_name};
 use tokio::sync::oneshot;
 
+use crate::calls::Call;
 use crate::gateways::Gateway;
+use crate::logs::decision;
 use crate::messages::{Body, RepeatReply, RepeatRequest};
 
 /// `REPLY_TIMEOUT` is the time for the reply of the dispatcher: many times the way within a domain.
@@ -42,11 +45,31 @@
         traffic.options.policy.retries && traffic.budget(service).take_within(now, fixed, &options)
     }
 
-    /// `obtain_repeat` does so, or lets the dispatcher of the domain allow it.
-    pub(crate) async fn obtain_repeat(&self, service: &str) -> bool {
-        if self.take_repeat(service) {
-            return true;
+    /// `obtain_repeat` takes one for a call, or lets the dispatcher of the domain allow it.
+    pub(crate) async fn obtain_repeat(&self, call: &Call) -> bool {
+        let is_own = self.take_repeat(&call.service);
+        let is_allowed = is_own || self.ask_for_repeat(&call.service).await;
+        let usage = self.traffic.borrow_mut().budget(&call.service).usage();
+        decision(
+            EventKind::RepeatDecided,
+            format_args!(
+                "request={} service={} allowed={is_allowed} own={is_own} repeats={} requests={} \
+                 fixed={:.1} instances={}",
+                call.facts.attempt_id,
+                call.service,
+                usage.repeats,
+                usage.requests,
+                self.fixed_repeats(),
+                self.fleet_size(),
+            ),
+        );
+        if !is_allowed {
+            self.metrics.repeats_denied.inc();
         }
+        is_allowed
+    }
+
+    async fn ask_for_repeat(&self, service: &str) -> bool {
         let dispatcher = self.other_dispatcher().and_then(|id| self.beat_address_of(id));
         let Some(address) = dispatcher.filter(|_| self.options.admission.policy.retries) else {
             return false;
@@ -58,9 +81,7 @@
         let request = RepeatRequest { number, service: id_of_name(service) };
         self.send_message(Body::RepeatRequest(request), address);
         let reply = tokio::time::timeout(REPLY_TIMEOUT, reply).await;
-        let is_allowed = matches!(reply, Ok(Ok(true)));
-        log::debug!("event=repeat_asked service={service} allowed={is_allowed} reply={reply:?}");
-        is_allowed
+        matches!(reply, Ok(Ok(true)))
     }
 
     /// `handle_repeat_request` allows a repeat of another instance, or does not.
