Use what the fleet may repeat only once all instances are known

Callers of a service whose upstreams fail saw it get more repeats than its retry budget allows, from the first second of a fleet on: 202 where 176 are allowed in ten seconds with stale reads of 3 s, 364 of 296 with 6 s, 411 of 296 while the store was silent at the start, and 338 of 176 after a kill of all during an outage in which the entries lapsed (real processes, trials).

Cause: an instance that knows no other divided the fixed number by one, and eight of them took it eight times. The class: a share of a bound of the whole fleet is taken by whoever knows nobody.

An instance now has a part of the fixed number only once it has read a list of all instances that holds itself, and has known the fleet for a window: instances that start together find each other in it, and a life before may have used its part. This holds for the first start of a fleet too, where the window was left out; its callers come ten seconds later. The part of the ratio is used from the first request on.

--- a/crates/bergamotpitch-control/src/traffic.rs
+++ b/crates/bergamotpitch-control/src/traffic.rs
@@ -16,6 +16,7 @@
 pub mod evidences;
 pub mod facts;
 pub mod fleet_members;
+pub mod fleet_sizes;
 pub mod grants;
 pub mod placement_queues;
 pub mod placement_requests;
--- a/crates/bergamotpitch-control/src/traffic/retry_budgets.rs
+++ b/crates/bergamotpitch-control/src/traffic/retry_budgets.rs
@@ -25,16 +25,16 @@
     pub fixed: f64,
     /// Length of the sliding window.
     pub window: Duration,
-    /// Time since the start of the instance from which on the fixed number counts: a life before it may have
-    /// used it up.
-    pub fixed_from: Duration,
+    /// Time for which an instance must have known the fleet until its part of the fixed number counts: a life
+    /// before may have used it up, and instances that start together find each other in it.
+    pub fixed_after: Duration,
 }
 
 impl Default for Options {
     fn default() -> Self {
         // One repeat for ten requests is the usual default of retry budgets.
         let window = Duration::from_secs(10);
-        Self { ratio: 0.1, fixed: 10.0, window, fixed_from: Duration::ZERO }
+        Self { ratio: 0.1, fixed: 10.0, window, fixed_after: window }
     }
 }
 
@@ -78,8 +78,7 @@
     /// assert!(!budget.take(Duration::ZERO, 1, &options));
     /// ```
     pub fn take(&mut self, now: Timestamp, instances: usize, options: &Options) -> bool {
-        let fixed = if now < options.fixed_from { 0.0 } else { options.fixed };
-        self.take_within(now, fixed / instances.max(1) as f64, options)
+        self.take_within(now, options.fixed / instances.max(1) as f64, options)
     }
 
     /// `take_within` does so, where `fixed` is this instance's part of the fixed number.
@@ -139,7 +138,8 @@
         }
     }
 
-    /// `usable` returns how many parts count at this instance, in a domain of `domain_instances`.
+    /// `usable` returns how many parts count at this instance, in a domain of `domain_instances`, where the fleet
+    /// is known since `known_since`.
     ///
     /// ```
     /// use std::time::Duration;
@@ -148,13 +148,22 @@
     ///
     /// let options = Options::default();
     /// let mut parts = FixedParts::default();
-    /// assert_eq!(parts.usable(150, Duration::ZERO, &options), 1.0);
-    /// parts.update(Holder::This, Duration::from_secs(3), &options);
-    /// assert_eq!(parts.usable(150, Duration::from_secs(12), &options), 0.5);
-    /// assert_eq!(parts.usable(150, Duration::from_secs(13), &options), 75.5);
+    /// let known_since = Some(Duration::from_secs(1));
+    /// assert_eq!(parts.usable(150, None, Duration::from_secs(99), &options), 0.0);
+    /// assert_eq!(parts.usable(150, known_since, Duration::from_secs(10), &options), 0.0);
+    /// assert_eq!(parts.usable(150, known_since, Duration::from_secs(11), &options), 1.0);
+    /// parts.update(Holder::This, Duration::from_secs(13), &options);
+    /// assert_eq!(parts.usable(150, known_since, Duration::from_secs(22), &options), 0.5);
+    /// assert_eq!(parts.usable(150, known_since, Duration::from_secs(23), &options), 75.5);
     /// ```
-    pub fn usable(&self, domain_instances: usize, now: Timestamp, options: &Options) -> f64 {
-        if now < options.fixed_from {
+    pub fn usable(
+        &self,
+        domain_instances: usize,
+        known_since: Option<Timestamp>,
+        now: Timestamp,
+        options: &Options,
+    ) -> f64 {
+        if known_since.is_none_or(|since| now < since + options.fixed_after) {
             return 0.0;
         }
         match self.holder {
@@ -167,42 +176,6 @@
     }
 }
 
-/// `FLEET_SIZE_MEMORY` is for how long an instance counts that is not listed any more: entries lapse while the
-/// platform is away, and are back some seconds after it.
-const FLEET_SIZE_MEMORY: Duration = Duration::from_secs(60);
-
-/// `FleetSize` is how many instances share a budget.
-#[derive(Debug, Default)]
-pub struct FleetSize {
-    /// Sizes of which no later one was larger, with when they were known last.
-    sizes: VecDeque<(Timestamp, usize)>,
-}
-
-impl FleetSize {
-    /// `largest` takes in how many instances are known, and returns the most of the last minute.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    ///
-    /// use bergamotpitch_control::traffic::retry_budgets::FleetSize;
-    ///
-    /// let mut size = FleetSize::default();
-    /// assert_eq!(size.largest(Duration::ZERO, 8), 8);
-    /// assert_eq!(size.largest(Duration::from_secs(59), 1), 8);
-    /// assert_eq!(size.largest(Duration::from_secs(61), 1), 1);
-    /// ```
-    pub fn largest(&mut self, now: Timestamp, known: usize) -> usize {
-        while self.sizes.back().is_some_and(|(_, size)| *size <= known) {
-            self.sizes.pop_back();
-        }
-        self.sizes.push_back((now, known));
-        while self.sizes.front().is_some_and(|(at, _)| *at + FLEET_SIZE_MEMORY < now) {
-            self.sizes.pop_front();
-        }
-        self.sizes.front().map_or(known, |(_, size)| *size)
-    }
-}
-
 fn drop_before(times: &mut VecDeque<Timestamp>, now: Timestamp, window: Duration) {
     while times.front().is_some_and(|time| *time + window <= now) {
         times.pop_front();
--- a/crates/bergamotpitch-control/tests/repeat_budgets.rs
+++ b/crates/bergamotpitch-control/tests/repeat_budgets.rs
@@ -2,19 +2,18 @@
 
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::retry_budgets::{
-    FixedParts, FleetSize, Holder, Options, RetryBudget,
-};
+use bergamotpitch_control::traffic::fleet_sizes::FleetSize;
+use bergamotpitch_control::traffic::retry_budgets::{FixedParts, Holder, Options, RetryBudget};
 
 const OPTIONS: Options = Options {
     ratio: 0.2,
     fixed: 54.0,
     window: Duration::from_secs(10),
-    fixed_from: Duration::ZERO,
+    fixed_after: Duration::from_secs(10),
 };
 
-/// Options of instances that were started again.
-const RESTARTED: Options = Options { fixed_from: OPTIONS.window, ..OPTIONS };
+/// An instance has known the fleet since it started.
+const KNOWN: Option<Duration> = Some(Duration::ZERO);
 
 /// Requests and repeats of a whole fleet.
 #[derive(Default)]
@@ -99,9 +98,12 @@
                 _ => {}
             }
             let (budget, started) = &mut budgets[random.int_in_range(0..=instances - 1)?];
-            budget.note_request(now - *started, &RESTARTED);
+            let own = now - *started;
+            budget.note_request(own, &OPTIONS);
             counts.requests.push(now);
-            while budget.take(now - *started, instances, &RESTARTED) {
+            let usable = FixedParts::default().usable(1, KNOWN, own, &OPTIONS);
+            let fixed = OPTIONS.fixed * usable / instances as f64;
+            while budget.take_within(own, fixed, &OPTIONS) {
                 counts.repeats.push(now);
             }
             counts.check(now);
@@ -140,6 +142,49 @@
     .seed(0x7e1a_0003_0000_0100);
 }
 
+/// Guards against a budget that instances divide among fewer than there are: each starts at another moment, reads
+/// some time later who is listed by then, and learns of the others later still or never.
+#[test]
+fn unknown_fleet() {
+    arbtest::arbtest(|random| {
+        let instances: usize = random.int_in_range(2..=8)?;
+        let delays = |random: &mut arbtest::arbitrary::Unstructured<'_>, most: u64| {
+            let mut delay = || Ok(Duration::from_millis(random.int_in_range(0..=most)?));
+            (0..instances).map(|_| delay()).collect::<arbtest::arbitrary::Result<Vec<_>>>()
+        };
+        let started = delays(random, 8_000)?;
+        let read = delays(random, 2_000)?;
+        let heard = delays(random, 9_000)?;
+        let mut budgets: Vec<_> = (0..instances).map(|_| RetryBudget::default()).collect();
+        let mut sizes: Vec<_> = (0..instances).map(|_| FleetSize::default()).collect();
+        let mut counts = Counts::default();
+        for step in 0..300 {
+            let now = Duration::from_millis(100 * step);
+            for (number, budget) in budgets.iter_mut().enumerate() {
+                let first_read = started[number] + read[number];
+                if now < started[number] {
+                    continue;
+                }
+                let known_at = if now < first_read + heard[number] { first_read } else { now };
+                let listed = started.iter().filter(|started| **started <= known_at).count();
+                if first_read <= now {
+                    sizes[number].note_listed(now);
+                }
+                let listed = if now < first_read { 1 } else { listed };
+                let size = sizes[number].largest(now, listed);
+                let known_since = sizes[number].known_since();
+                let usable = FixedParts::default().usable(1, known_since, now, &OPTIONS);
+                while budget.take_within(now, OPTIONS.fixed * usable / size as f64, &OPTIONS) {
+                    counts.repeats.push(now);
+                }
+            }
+            counts.check(now);
+        }
+        Ok(())
+    })
+    .seed(0x7e1a_0004_0000_0040);
+}
+
 /// Repeats that are allowed and asked for in one window, in six domains of instances that receive 2.8 requests
 /// each, of which one in seven fails. Each instance counts its own, or the dispatcher of each domain counts all.
 fn allowed_of_failed(domain_instances: usize, is_pooled: bool) -> (usize, usize) {
@@ -164,7 +209,7 @@
         budget.note_request(now, &options);
         if number % 7 == 0 {
             failed += 1;
-            let usable = parts.usable(domain_instances, now, &options);
+            let usable = parts.usable(domain_instances, KNOWN, now, &options);
             let fixed = options.fixed * usable / fleet as f64;
             allowed += usize::from(budget.take_within(now, fixed, &options));
         }
@@ -191,10 +236,10 @@
 fn two_holders() {
     let mut parts = FixedParts::default();
     parts.update(Holder::This, Duration::ZERO, &OPTIONS);
-    assert_eq!(parts.usable(9, OPTIONS.window, &OPTIONS), 5.0);
+    assert_eq!(parts.usable(9, KNOWN, OPTIONS.window, &OPTIONS), 5.0);
     let mut next = FixedParts::default();
     next.update(Holder::Other, Duration::ZERO, &OPTIONS);
     next.update(Holder::This, OPTIONS.window, &OPTIONS);
-    assert_eq!(next.usable(9, 2 * OPTIONS.window - Duration::from_millis(1), &OPTIONS), 0.5);
-    assert_eq!(next.usable(9, 2 * OPTIONS.window, &OPTIONS), 5.0);
+    assert_eq!(next.usable(9, KNOWN, 2 * OPTIONS.window - Duration::from_millis(1), &OPTIONS), 0.5);
+    assert_eq!(next.usable(9, KNOWN, 2 * OPTIONS.window, &OPTIONS), 5.0);
 }
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -11,8 +11,9 @@
 use bergamotpitch_control::traffic::concurrency_limits;
 use bergamotpitch_control::traffic::facts::RequestFacts;
 use bergamotpitch_control::traffic::fleet_members::Members;
+use bergamotpitch_control::traffic::fleet_sizes::FleetSize;
 use bergamotpitch_control::traffic::registries::UpstreamKey;
-use bergamotpitch_control::traffic::retry_budgets::{FixedParts, FleetSize};
+use bergamotpitch_control::traffic::retry_budgets::FixedParts;
 use bergamotpitch_control::traffic::software_versions::VERSION_MEMORY;
 use bergamotpitch_control::traffic::team_windows::ShareClass;
 use bergamotpitch_core::HashMap;
--- a/crates/bergamotpitch-gateway/src/retries.rs
+++ b/crates/bergamotpitch-gateway/src/retries.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// `note_fleet_listed` takes in that all instances are among the peers, of a list that holds this one.
+    pub fn note_fleet_listed(&self) {
+        self.fleet_size.borrow_mut().note_listed(self.now());
+    }
+
     /// `fleet_size` returns how many instances share what is allowed to the whole fleet.
     pub(crate) fn fleet_size(&self) -> usize {
         let known = self.peers.borrow().len() + 1;
@@ -129,7 +134,9 @@
         let peers = self.peers.borrow();
         let others = peers.values().filter(|peer| peer.address.domain == *domain).count();
         drop(peers);
-        let usable = self.fixed_parts.borrow().usable(others + 1, self.now(), &options);
+        let known_since = self.fleet_size.borrow().known_since();
+        let parts = self.fixed_parts.borrow();
+        let usable = parts.usable(others + 1, known_since, self.now(), &options);
         options.fixed * usable / self.fleet_size() as f64
     }
 }
--- a/crates/bergamotpitch-gateway/tests/common/instances.rs
+++ b/crates/bergamotpitch-gateway/tests/common/instances.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 use bergamotpitch_control::traffic::registries::Registration;
 use bergamotpitch_core::ids::InstanceId;
@@ -41,6 +42,7 @@
             tokio::task::LocalSet::new().block_on(&runtime, async {
                 let gateway = Gateway::start(options(&domain), DIALECT).await.unwrap();
                 gateway.put_catalog(catalog(1), "test");
+                gateway.note_fleet_listed();
                 started.send((gateway.options.caller_address, peer_of(&gateway))).unwrap();
                 while let Some(task) = queue.recv().await {
                     task(&gateway);
@@ -103,6 +105,7 @@
     let mut options = Options::default();
     options.admission.domain = domain.to_owned();
     options.admission.retries.fixed = 100.0;
+    options.admission.retries.fixed_after = Duration::ZERO;
     options.instance = next_instance();
     options.incarnation = 1;
     options
--- a/crates/bergamotpitch-gateway/tests/common/mod.rs
+++ b/crates/bergamotpitch-gateway/tests/common/mod.rs
@@ -388,7 +388,9 @@
 ) -> (Rc<Gateway>, SocketAddr) {
     options.admission.domain = "a".to_owned();
     options.admission.retries.fixed = 100.0;
+    options.admission.retries.fixed_after = Duration::ZERO;
     let gateway = Gateway::start(options, DIALECT).await.unwrap();
+    gateway.note_fleet_listed();
     gateway.put_catalog(catalog, "test");
     for (index, upstream) in upstreams.iter().enumerate() {
         gateway.upstream_listed(registration(&format!("u{index}"), upstream.address));
--- a/crates/bergamotpitch-gateway/tests/pooled_repeats.rs
+++ b/crates/bergamotpitch-gateway/tests/pooled_repeats.rs
@@ -19,7 +19,7 @@
 }
 
 fn set_fixed(gateway: &Gateway, fixed: f64) {
-    let options = Options { ratio: 0.0, fixed, ..Options::default() };
+    let options = Options { ratio: 0.0, fixed, fixed_after: Duration::ZERO, ..Options::default() };
     gateway.traffic.borrow_mut().options.retries = options;
 }
 
