Let an instance that knows no other send little to upstreams that may be cold

Instances that start together, or after an outage of the store, each took what all may send to an upstream that counts as warm and may be cold: an instance that knew no other divided that bound by one, as it did with the retry budget.

While an instance has read no list of all instances that holds itself it leaves room for as many as the largest fleet has, and one whose peers' entries have lapsed counts them for a minute longer, in its domain as well. Domains without a stated warm-up are not touched.

--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -17,6 +17,7 @@
 use crate::traffic::engine_speeds::EngineSpeed;
 use crate::traffic::evidences::Evidence;
 use crate::traffic::facts::RequestFacts;
+use crate::traffic::fleet_sizes::UNKNOWN_FLEET_SIZE;
 use crate::traffic::placement_requests::{Decision, Headroom, Placement, PlacementRequest, Scope};
 use crate::traffic::policies::Policy;
 use crate::traffic::prefixes::KeptParts;
@@ -141,7 +142,7 @@
     pub crash_suspects: CrashSuspects,
     /// Authority over the upstreams of the own failure domain.
     pub authority: Authority,
-    /// Listed instances of the fleet, this one among them.
+    /// Instances of the fleet, this one among them.
     pub fleet_size: usize,
     warm_ups: HashMap<String, WarmUp>,
     domain_number: DomainId,
@@ -188,8 +189,8 @@
             software: SoftwareVersions::default(),
             origins: StreamOrigins::default(),
             crash_suspects: CrashSuspects::default(),
-            authority: Authority::Shared(1),
-            fleet_size: 1,
+            authority: Authority::Shared(UNKNOWN_FLEET_SIZE),
+            fleet_size: UNKNOWN_FLEET_SIZE,
             warm_ups: HashMap::default(),
             states: HashMap::default(),
             gone_in_use: Vec::new(),
--- a/crates/bergamotpitch-control/src/traffic/fleet_sizes.rs
+++ b/crates/bergamotpitch-control/src/traffic/fleet_sizes.rs
@@ -13,6 +13,10 @@
 /// is away, and are back some seconds after it.
 const SIZE_MEMORY: Duration = Duration::from_secs(60);
 
+/// `UNKNOWN_FLEET_SIZE` is for how many instances an instance leaves room while it does not know the others: as many
+/// as the largest fleet has. Its part of a bound is small then, and no part is too large.
+pub const UNKNOWN_FLEET_SIZE: usize = 1_000;
+
 /// `FleetSize` is how many instances there are, as far as this one knows.
 #[derive(Debug, Default)]
 pub struct FleetSize {
--- a/crates/bergamotpitch-control/tests/cold_upstreams.rs
+++ b/crates/bergamotpitch-control/tests/cold_upstreams.rs
@@ -23,6 +23,14 @@
 
 /// One instance of a domain with engines of its own and one elsewhere, with these mechanisms in force.
 fn traffic(authority: Authority, policy: Policy) -> Traffic {
+    let mut traffic = starting_traffic(policy);
+    traffic.authority = authority;
+    traffic.fleet_size = 78;
+    traffic
+}
+
+/// The same as it starts, before it knows any other instance.
+fn starting_traffic(policy: Policy) -> Traffic {
     let (overshoot, slack) = LIMITS;
     let warm_ups = warm_ups::Options { overshoot, slack, ..warm_ups::Options::default() };
     let options = Options { domain: "a".to_owned(), policy, warm_ups, ..Options::default() };
@@ -34,8 +42,6 @@
         engine: None,
     };
     traffic.set_services(&Catalog::new(1, vec![], vec![service], vec![]));
-    traffic.authority = authority;
-    traffic.fleet_size = 78;
     traffic
 }
 
@@ -152,6 +158,22 @@
     }
 }
 
+/// Guards against instances that start together and each take what all may send: none knows another one, and an
+/// upstream has become cold unannounced.
+#[test]
+fn unknown_others() {
+    let mut sent = Vec::new();
+    for domain in ["a", "b"] {
+        for _ in 0..20 {
+            let mut traffic = starting_traffic(Policy::default());
+            traffic.listed(registration(domain, 1, Some(Duration::ZERO)), Duration::ZERO);
+            sent.extend(flood(&mut traffic, Duration::ZERO, Duration::from_secs(1)));
+        }
+        assert!(most_in_a_second(&sent) <= BOUND, "{}", most_in_a_second(&sent));
+        sent.clear();
+    }
+}
+
 /// All instances of a domain lose their dispatcher and decide by themselves. Together they must send an
 /// engine that became cold unannounced no more than it may get.
 #[test]
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -87,6 +87,8 @@
     pub unknown_peers: UnknownPeers,
     /// How many instances share what is allowed to the whole fleet.
     pub(crate) fleet_size: RefCell<FleetSize>,
+    /// The same within the failure domain.
+    pub(crate) domain_size: RefCell<FleetSize>,
     /// Which parts of the fleet's retry budget this instance holds.
     pub(crate) fixed_parts: RefCell<FixedParts>,
     /// What it knows of the platform's store, and by whom.
@@ -178,6 +180,7 @@
             told_upstreams: RefCell::default(),
             unknown_peers: UnknownPeers::default(),
             fleet_size: RefCell::default(),
+            domain_size: RefCell::default(),
             fixed_parts: RefCell::default(),
             remote_repeats: RemoteRepeats::default(),
             local_placements: LocalPlacements::default(),
--- a/crates/bergamotpitch-gateway/src/roles.rs
+++ b/crates/bergamotpitch-gateway/src/roles.rs
@@ -1,6 +1,7 @@
 //! Roles: what this instance does for its failure domain, and with which authority.
 
 use bergamotpitch_control::traffic::dispatchers::{Candidate, Role, role_of};
+use bergamotpitch_control::traffic::fleet_sizes::UNKNOWN_FLEET_SIZE;
 use bergamotpitch_control::traffic::placement_requests::Scope;
 use bergamotpitch_control::traffic::warm_ups::DomainView;
 use bergamotpitch_core::events::EventKind;
@@ -82,14 +83,16 @@
         let peers = self.peers.borrow();
         let of_domain = peers.values().filter(|peer| peer.address.domain == *domain);
         let heard = of_domain.clone().filter(|peer| peer.is_heard_within(timeout, now));
+        let listed = self.domain_size.borrow_mut().largest(now, of_domain.count() + 1);
+        let is_known = self.fleet_size.borrow().known_since().is_some();
         let view = DomainView {
             is_dispatcher: dispatcher == Some(self.options.instance),
             is_contested: heard.clone().any(|peer| peer.is_dispatching(now)),
-            listed: of_domain.count() + 1,
+            listed: if is_known { listed } else { UNKNOWN_FLEET_SIZE },
             heard: heard.count() + 1,
         };
         let mut traffic = self.traffic.borrow_mut();
-        traffic.fleet_size = peers.len() + 1;
+        traffic.fleet_size = if is_known { self.fleet_size() } else { UNKNOWN_FLEET_SIZE };
         let before = traffic.authority;
         let mut authorities = self.local_placements.authorities.get();
         traffic.authority = authorities.update(&view, now);
