Let an instance that knows no other take nothing for known of crashing requests

An instance that had read no list of instances which holds it took what it knew of a request that crashes upstreams for all that is known: alone it sent the request to a second upstream, and so would each of those that start together. It counts as out of touch now, as one does that hears fewer than half of the others, and a suspect whose block is over is not tried there.

--- a/crates/bergamotpitch-gateway/src/crashes.rs
+++ b/crates/bergamotpitch-gateway/src/crashes.rs
@@ -103,6 +103,7 @@
             Verdict::Confine(_) if self.is_sole_attempt(call) => return Ok(()),
             Verdict::Confine(_) => BUSY_RETURN,
             Verdict::Block(time) => time,
+            Verdict::Try(_) if self.is_out_of_touch() => ISOLATED_RETURN,
             Verdict::Try(turn) => {
                 let draw = turn.suspect.number() ^ u64::from(turn.round);
                 let own = self.options.instance;
--- a/crates/bergamotpitch-gateway/src/peers.rs
+++ b/crates/bergamotpitch-gateway/src/peers.rs
@@ -249,9 +249,12 @@
         !peers.is_empty() && !peers.values().any(|peer| peer.is_heard_within(ISOLATION_TIME, now))
     }
 
-    /// `is_out_of_touch` tells whether it heard fewer than half lately of those that tell it of themselves: what
-    /// others know of requests that come there may not be known here.
+    /// `is_out_of_touch` tells whether it does not know the others, or heard fewer than half lately of those that
+    /// tell it of themselves: what others know of requests that come there may not be known here.
     pub(crate) fn is_out_of_touch(&self) -> bool {
+        if self.fleet_size.borrow().known_since().is_none() {
+            return true;
+        }
         let now = self.now();
         let peers = self.peers.borrow();
         let domain = &self.options.admission.domain;
--- a/crates/bergamotpitch-gateway/tests/common/instances.rs
+++ b/crates/bergamotpitch-gateway/tests/common/instances.rs
@@ -33,6 +33,15 @@
 
     /// `start_in` starts an instance of a failure domain.
     pub fn start_in(domain: &str) -> Self {
+        Self::launch(domain, true)
+    }
+
+    /// `start_unlisted` starts one that has read no list of instances which holds it.
+    pub fn start_unlisted() -> Self {
+        Self::launch("a", false)
+    }
+
+    fn launch(domain: &str, is_listed: bool) -> Self {
         let (started, starts) = std::sync::mpsc::channel();
         let (tasks, mut queue) = mpsc::unbounded_channel::<Task>();
         let domain = domain.to_owned();
@@ -42,7 +51,9 @@
             tokio::task::LocalSet::new().block_on(&runtime, async {
                 let gateway = Gateway::start(options(&domain), DIALECT).await.unwrap();
                 gateway.put_catalog(catalog(1), "test");
-                gateway.note_fleet_listed();
+                if is_listed {
+                    gateway.note_fleet_listed();
+                }
                 started.send((gateway.options.caller_address, peer_of(&gateway))).unwrap();
                 while let Some(task) = queue.recv().await {
                     task(&gateway);
--- a/crates/bergamotpitch-gateway/tests/crashing_requests.rs
+++ b/crates/bergamotpitch-gateway/tests/crashing_requests.rs
@@ -288,6 +288,21 @@
     });
 }
 
+/// Guards against an instance that knows no other one and takes what it knows of a request for all that is known:
+/// several that start together would each send it to some upstreams.
+#[test]
+fn unlisted_instance() {
+    run(async {
+        let upstreams = upstreams(8).await;
+        let instance = Instance::start_unlisted();
+        instance.list(&listed(&upstreams)).await;
+        for number in 0..ATTEMPTS {
+            ask(instance.address, attempt("safe", BAD_SUBJECT, number)).await;
+        }
+        assert_eq!(crashed(&upstreams), 1);
+    });
+}
+
 /// Guards against a caller that sends a request again before other instances can know that it crashed an
 /// upstream.
 #[test]
