Watch an upstream for a while whose answer broke off

Cause: one look decided whether an upstream has crashed. It found the port open, and what had broken off counted for nothing; event=upstream_probed says so each time. The class: a conclusion for good from one moment.

The connection of that look is kept apart now and watched for two seconds. If the upstream closes it and refuses the next one, what broke off there counts as a crash then. Requests do not wait for it: they are sent on, or fail, as before.

--- a/crates/bergamotpitch-gateway/src/crash_probes.rs
+++ b/crates/bergamotpitch-gateway/src/crash_probes.rs
@@ -15,7 +15,7 @@
 use bergamotpitch_core::ids::UpstreamId;
 use tokio::sync::Notify;
 
-use crate::connections::connect;
+use crate::connections::{Sender, connect};
 use crate::gateways::Gateway;
 use crate::logs::decision;
 
@@ -25,6 +25,25 @@
 /// `PROBE_HOLD` is for how long such a connection must stay open.
 const PROBE_HOLD: Duration = Duration::from_millis(20);
 
+/// `WATCH_TIME` is for how long an upstream that still takes connections is watched after an answer of it broke
+/// off, and [`WATCH_INTERVAL`] the time between two looks at the connection to it.
+const WATCH_TIME: Duration = Duration::from_secs(2);
+
+/// `WATCH_INTERVAL` see [`WATCH_TIME`].
+const WATCH_INTERVAL: Duration = Duration::from_millis(50);
+
+/// `Found` is what an upstream did with a connection.
+#[derive(Debug, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+enum Found {
+    /// It took it and keeps it open.
+    Connection(Sender),
+    /// It refused it.
+    Refusal,
+    /// Neither: it closed each at once, or did not answer.
+    Nothing,
+}
+
 /// `Probe` is a connection to an upstream whose answers broke off.
 #[derive(Debug, Default)]
 pub(crate) struct Probe {
@@ -78,48 +97,92 @@
         probe.outcome().await
     }
 
-    async fn probe(&self, upstream: UpstreamKey, address: SocketAddr, probe: &Probe) {
-        let has_ended = self.refuses_connections(upstream, address).await;
-        log::info!(
-            "event=upstream_probed upstream={} address={address} has_ended={has_ended}",
-            self.id_of(upstream).unwrap_or_default()
-        );
-        let has_crashed = has_ended && self.life_that_stays(upstream).is_some();
-        if has_crashed {
-            self.metrics.upstream_crashes.inc();
-            self.note_unreachable(upstream);
-            decision(
-                EventKind::UpstreamCrashed,
-                format_args!(
-                    "upstream={} address={address}",
-                    self.id_of(upstream).unwrap_or_default()
-                ),
-            );
-        }
-        if !has_crashed {
+    async fn probe(self: &Rc<Self>, upstream: UpstreamKey, address: SocketAddr, probe: &Probe) {
+        let found = self.look_at(upstream, address).await;
+        let has_ended = matches!(found, Found::Refusal);
+        if !(has_ended && self.note_end(upstream, address)) {
             // Its next answer that breaks off is looked at anew.
             self.forget_probe(upstream);
         }
         probe.has_ended.set(Some(has_ended));
         probe.ended.notify_waiters();
+        if let Found::Connection(sender) = found {
+            self.watch(upstream, address, sender).await;
+        }
     }
 
     /// A process that ends closes its port a moment before or after its connections; one that is made in
     /// between is closed at once.
-    async fn refuses_connections(&self, upstream: UpstreamKey, address: SocketAddr) -> bool {
+    async fn look_at(&self, upstream: UpstreamKey, address: SocketAddr) -> Found {
+        let found = self.connect_to(address).await;
+        log::info!(
+            "event=upstream_probed upstream={} address={address} found={found}",
+            self.id_of(upstream).unwrap_or_default()
+        );
+        found
+    }
+
+    async fn connect_to(&self, address: SocketAddr) -> Found {
         for _ in 0..PROBES_MAX {
             self.metrics.connections_opened.inc();
-            let sender = match connect(address).await {
-                Ok(sender) => sender,
-                Err(error) => return error.kind() == ErrorKind::ConnectionRefused,
-            };
-            tokio::time::sleep(PROBE_HOLD).await;
-            if !sender.is_closed() {
-                self.keep_connection(upstream, sender, None);
-                return false;
+            match connect(address).await {
+                Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
+                    return Found::Refusal;
+                }
+                Err(_) => return Found::Nothing,
+                Ok(sender) => {
+                    tokio::time::sleep(PROBE_HOLD).await;
+                    if !sender.is_closed() {
+                        return Found::Connection(sender);
+                    }
+                }
+            }
+        }
+        Found::Nothing
+    }
+
+    /// Some processes go on for a while after their answers have broken off, and then end.
+    async fn watch(self: &Rc<Self>, upstream: UpstreamKey, address: SocketAddr, sender: Sender) {
+        if !self.crashes.watched.borrow_mut().insert(upstream) {
+            self.keep_connection(upstream, sender, None);
+            return;
+        }
+        let until = self.now() + WATCH_TIME;
+        let mut found = Found::Connection(sender);
+        while let Found::Connection(sender) = &found
+            && self.now() < until
+        {
+            tokio::time::sleep(WATCH_INTERVAL).await;
+            if sender.is_closed() {
+                found = self.look_at(upstream, address).await;
             }
         }
-        false
+        self.crashes.watched.borrow_mut().remove(&upstream);
+        match found {
+            Found::Refusal => {
+                self.note_end(upstream, address);
+            }
+            Found::Connection(sender) => self.keep_connection(upstream, sender, None),
+            Found::Nothing => {}
+        }
+        self.crashes.undecided.borrow_mut().remove(&upstream);
+    }
+
+    /// `note_end` takes in that an upstream has ended; it tells whether it crashed, as it did not leave. What
+    /// broke off there before counts now.
+    pub(crate) fn note_end(self: &Rc<Self>, upstream: UpstreamKey, address: SocketAddr) -> bool {
+        if self.life_that_stays(upstream).is_none() {
+            return false;
+        }
+        self.metrics.upstream_crashes.inc();
+        self.note_unreachable(upstream);
+        decision(
+            EventKind::UpstreamCrashed,
+            format_args!("upstream={} address={address}", self.id_of(upstream).unwrap_or_default()),
+        );
+        let evidence = self.crashes.undecided.borrow_mut().remove(&upstream).unwrap_or_default();
+        self.note_own_crashes(&evidence);
+        true
     }
 
     /// `forget_probe` forgets an upstream that is gone.
--- a/crates/bergamotpitch-gateway/src/crashes.rs
+++ b/crates/bergamotpitch-gateway/src/crashes.rs
@@ -38,6 +38,10 @@
 #[derive(Debug, Default)]
 pub struct Crashes {
     pub(crate) probes: RefCell<HashMap<UpstreamKey, Rc<Probe>>>,
+    /// Upstreams whose answers broke off, while they are watched whether they end.
+    pub(crate) watched: RefCell<HashSet<UpstreamKey>>,
+    /// What counts against suspects if these upstreams end.
+    pub(crate) undecided: RefCell<HashMap<UpstreamKey, Vec<Evidence>>>,
     /// Suspects whose block is over, and when this instance let a request with them pass.
     pub(crate) trials: RefCell<HashMap<SuspectId, Timestamp>>,
     pub(crate) answers_told: RefCell<HashMap<SuspectId, Timestamp>>,
@@ -234,9 +238,7 @@
         let (at, sent_at) = (moment_of(self.now()), moment_of(sent));
         let parts = self.reportable_parts(call, at);
         let Some((life, address)) = self.life_that_stays(upstream) else { return true };
-        if !self.has_ended(upstream, address).await {
-            return true;
-        }
+        let has_ended = self.has_ended(upstream, address).await;
         let service = id_of_name(&call.service);
         let of_part = |part| {
             let is_strong = progress != AnswerProgress::Waiting;
@@ -246,8 +248,14 @@
         let is_strong = progress != AnswerProgress::Answered;
         let request = SuspectId::Request(call.digest());
         evidence.push(Evidence { suspect: request, life, is_strong, at, sent_at });
-        self.note_crashes(&evidence, 0);
-        self.tell_crashes_at_once(&evidence);
+        if !has_ended {
+            let mut undecided = self.crashes.undecided.borrow_mut();
+            if self.crashes.watched.borrow().contains(&upstream) {
+                undecided.entry(upstream).or_default().extend(evidence);
+            }
+            return true;
+        }
+        self.note_own_crashes(&evidence);
         call.told_until.set(self.now() + TELL_TIME);
         match self.verdict_on(call) {
             Verdict::Admit | Verdict::Confine(_) if self.is_out_of_touch() => false,
@@ -257,6 +265,14 @@
         }
     }
 
+    /// `note_own_crashes` takes in crashes that this instance saw, and tells the others.
+    pub(crate) fn note_own_crashes(self: &Rc<Self>, evidence: &[Evidence]) {
+        if !evidence.is_empty() {
+            self.note_crashes(evidence, 0);
+            self.tell_crashes_at_once(evidence);
+        }
+    }
+
     /// `wait_until_told` waits until other instances know of the crashes under a call. Its caller sends it
     /// again as soon as it has failed, to any of them.
     pub(crate) async fn wait_until_told(&self, call: &Call) {
--- a/crates/bergamotpitch-gateway/tests/common/crashes.rs
+++ b/crates/bergamotpitch-gateway/tests/common/crashes.rs
@@ -41,6 +41,8 @@
     Request,
     /// The same, with its port closed 10 ms later.
     LatePort,
+    /// Under [`BAD_PART`], with all connections reset and its port closed so long after.
+    SlowReset(Duration),
     /// Under [`BAD_PART`], with all connections reset, so long after the request came and before any byte.
     BeforeHead(Duration),
 }
@@ -114,8 +116,10 @@
             () = state.port_closed.notified() => {}
         }
     }
-    if state.ending == Ending::LatePort {
-        tokio::time::sleep(Duration::from_millis(10)).await;
+    match state.ending {
+        Ending::LatePort => tokio::time::sleep(Duration::from_millis(10)).await,
+        Ending::SlowReset(delay) => tokio::time::sleep(delay).await,
+        _ => {}
     }
     drop(listener);
     let socket = TcpSocket::new_v4().unwrap();
--- a/crates/bergamotpitch-gateway/tests/crashing_parts.rs
+++ b/crates/bergamotpitch-gateway/tests/crashing_parts.rs
@@ -2,9 +2,11 @@
 
 mod common;
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bergamotpitch_control::traffic::registries::Registration;
+use bergamotpitch_gateway::Gateway;
 use common::crashes::{BAD_PART, CrashingUpstream, Ending};
 use common::instances::{Instance, introduce};
 use common::{
@@ -124,6 +126,48 @@
     });
 }
 
+/// Sends bad requests one after the other, each before an engine of its own that crashes in a certain way; returns
+/// how many crashed.
+async fn crashed_in_turn(ending: Ending, pause: Duration) -> usize {
+    let instances = [Instance::start(), Instance::start()];
+    introduce(&[&instances[0], &instances[1]]).await;
+    let mut crashed = 0;
+    for number in 0..8 {
+        let engine = CrashingUpstream::start_ending(ending).await;
+        let id = format!("e{number}");
+        for instance in &instances {
+            instance.list(&[registration(&id, engine.address)]).await;
+        }
+        let mut bad = prompt_of(&format!("b{number}"), &bad_parts(number, 1));
+        *bad.uri_mut() = "/stream/".parse().unwrap();
+        ask(instances[number as usize % 2].address, bad).await;
+        tokio::time::sleep(pause).await;
+        crashed += usize::from(engine.has_crashed());
+        for instance in &instances {
+            let id = id.clone();
+            let remove = move |gateway: &Rc<Gateway>| {
+                gateway.change_upstreams(|traffic, _| traffic.registry.gone(&id));
+            };
+            instance.with(remove).await;
+        }
+    }
+    crashed
+}
+
+/// Guards against crashes that are not noticed: connections break some time before the port refuses others, as the
+/// process takes that long to end.
+#[test]
+fn slow_end() {
+    run(async {
+        for delay_ms in [50, 800] {
+            let delay = Duration::from_millis(delay_ms);
+            let pause = delay + Duration::from_millis(200);
+            let crashed = crashed_in_turn(Ending::SlowReset(delay), pause).await;
+            assert!(crashed <= CRASHES_MAX, "port closed {delay_ms} ms later: {crashed} crashed");
+        }
+    });
+}
+
 /// Guards against crashes that count for nothing, as the streams which broke off may not be sent again.
 #[test]
 fn unrepeatable_streams() {
