Let no lesser part explain the crashes of a part away

Upstreams were down most of the time, and no request was served.

Cause: the part was blocked, and its requests were let in all the same. So that sound requests which share a start with the bad ones are not refused, crashes that a blocked part explains which a request does not hold count against none of its parts. Dozens of requests were in hand at each upstream: the subjects beside the part were all blocked as well, and for each crash one of them was found that the request did not hold. The log has the part blocked from 13.5 s on, with 13 crashes, and 20 more in the 8 s after it.

A blocked part now explains a suspect's crashes only where it covers two thirds of them, and one that was answered lately explains none of a part that was not.

--- a/crates/bergamotpitch-control/src/traffic/crash_suspects.rs
+++ b/crates/bergamotpitch-control/src/traffic/crash_suspects.rs
@@ -356,27 +356,43 @@
             if suspect.record.blocked_until(answers).is_none() {
                 return verdict_of(&suspect.record, answers, *id, now);
             }
+            let explained = self.explained_crashes(service, &suspect.record, &suspected);
             let mut unexplained = suspect.record.clone();
-            unexplained.retain(|evidence| !self.is_explained(service, evidence.life, &suspected));
+            unexplained.retain(|evidence| !explained.contains(&evidence.life));
             verdict_of(&unexplained, answers, *id, now)
         });
         verdicts.max_by_key(Verdict::severity).unwrap_or(Verdict::Admit)
     }
 
-    /// Whether a blocked part that a request does not hold had begun to be answered at an upstream that
-    /// crashed.
-    fn is_explained(
+    /// Crashes of one suspect that are explained by blocked parts which a request does not hold: parts that had
+    /// begun to be answered there and at most of its other crashes. As dozens of requests are in hand at an
+    /// upstream, some blocked part is found for each crash; one that was answered lately explains none of a part
+    /// that was not.
+    fn explained_crashes(
         &self,
         service: ServiceId,
-        life: UpstreamId,
+        record: &CrashRecord,
         held: &[(SuspectId, &Suspect)],
-    ) -> bool {
-        self.suspects.iter().any(|(id, other)| {
-            matches!(id, SuspectId::Part(of_service, _) if *of_service == service)
-                && held.iter().all(|(held, _)| held != id)
-                && other.record.is_strong_at(life)
-                && other.record.blocked_until(self.answers_since(*id, other)).is_some()
-        })
+    ) -> HashSet<UpstreamId> {
+        let mut explained = HashSet::default();
+        for (id, other) in &self.suspects {
+            let is_of_service =
+                matches!(id, SuspectId::Part(of_service, _) if *of_service == service);
+            if !is_of_service
+                || held.iter().any(|(held, _)| held == id)
+                || other.record.was_sound && !record.was_sound
+                || other.record.blocked_until(self.answers_since(*id, other)).is_none()
+            {
+                continue;
+            }
+            let lives = record.evidence().iter().map(|evidence| evidence.life);
+            let common: Vec<UpstreamId> =
+                lives.filter(|life| other.record.is_strong_at(*life)).collect();
+            if 2 * record.evidence().len() <= 3 * common.len() {
+                explained.extend(common);
+            }
+        }
+        explained
     }
 
     fn answers_since(&self, id: SuspectId, suspect: &Suspect) -> u64 {
--- a/crates/bergamotpitch-control/tests/crash_suspects.rs
+++ b/crates/bergamotpitch-control/tests/crash_suspects.rs
@@ -167,6 +167,33 @@
     assert!(matches!(alone, Verdict::Block(_)));
 }
 
+/// Guards against a part whose crashes count for nothing, as each of them is put down to one of the parts beside it:
+/// dozens of requests were in hand at each upstream, so that all of their parts are blocked.
+#[test]
+fn blocked_together() {
+    let subjects = 100..110;
+    for (was_answered, in_hand_of_six) in [(false, 3), (true, 4)] {
+        let mut suspects = CrashSuspects::default();
+        for part in subjects.clone().chain([START]).filter(|_| was_answered) {
+            suspects.note_sound((SERVICE, part), 0);
+        }
+        for life in 1..=12 {
+            let at = 150 * Moment::from(life);
+            let is_in_hand =
+                |subject: &PartId| (5 * subject + u64::from(life)) % 6 < in_hand_of_six;
+            let parts = subjects.clone().filter(is_in_hand).chain([START, BAD]);
+            parts.for_each(|part| {
+                note(&mut suspects, crash(part, life, at));
+            });
+        }
+        for subject in subjects.clone() {
+            assert!(!is_blocked(&suspects, subject, 1_800), "the bad part explains its crashes");
+            let bad = suspects.verdict(SERVICE, [START, BAD, subject].into_iter(), None, 1_800);
+            assert!(matches!(bad, Verdict::Block(_)), "{bad:?} beside {subject}");
+        }
+    }
+}
+
 /// Guards against a part that was answered for long, and then crashes all the same: it takes more crashes,
 /// and none is answered between them.
 #[test]
