Record which software versions serve, not only that they are mixed

Cause: an absence was taken for knowledge. A key in the store was written at the first sight of a second version; no key was read as one version all along, and a version that nobody had seen left none. An instance whose settings call its start the fleet's first bore witness of the time before. A witness was believed whatever version it remembered.

The key now names the versions that served lately, at all times. A stream whose origin nobody knows goes on after a restart of all only where the key names the version that is listed and no other one; where it names another one, versions count as mixed. One instance keeps it right: one read and one write for each service at a fleet's first start, one read at a restart. Replies name the version that their instance knows.

--- a/crates/bergamotpitch-control/src/traffic/catalogs.rs
+++ b/crates/bergamotpitch-control/src/traffic/catalogs.rs
@@ -289,6 +289,11 @@
         self.teams.iter()
     }
 
+    /// `routes` returns all routes, in no order.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes_of_host.values().flatten()
+    }
+
     /// `route_count` returns how many routes there are.
     pub fn route_count(&self) -> usize {
         self.route_count
--- a/crates/bergamotpitch-control/src/traffic/software_versions.rs
+++ b/crates/bergamotpitch-control/src/traffic/software_versions.rs
@@ -74,6 +74,50 @@
         newly_mixed
     }
 
+    /// `note_recorded` takes in which versions of a service served, as others have recorded; it tells whether more
+    /// than one version is known since then.
+    pub fn note_recorded(
+        &mut self,
+        service: &str,
+        versions: &[SoftwareId],
+        now: Timestamp,
+    ) -> bool {
+        let known = self.of_service.entry(service.to_owned()).or_default();
+        for version in versions {
+            known.entry(*version).or_insert(LastListed::At(now));
+        }
+        1 < known.len() && self.mixed.insert(service.to_owned())
+    }
+
+    /// `versions_of` returns the versions of a service that serve or did so lately, in order.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bergamotpitch_control::traffic::software_versions::SoftwareVersions;
+    ///
+    /// let mut versions = SoftwareVersions::default();
+    /// assert!(!versions.note_recorded("engines", &[7], Duration::ZERO));
+    /// assert!(versions.note_recorded("engines", &[3], Duration::ZERO));
+    /// assert_eq!(versions.versions_of("engines"), [3, 7]);
+    /// ```
+    pub fn versions_of(&self, service: &str) -> Vec<SoftwareId> {
+        let known = self.of_service.get(service);
+        let mut versions: Vec<SoftwareId> =
+            known.into_iter().flat_map(HashMap::keys).copied().collect();
+        versions.sort_unstable();
+        versions
+    }
+
+    /// `only_version_of` returns the version of a service by its number, where it is the only one that serves or
+    /// did so lately.
+    pub fn only_version_of(&self, service: ServiceId) -> Option<SoftwareId> {
+        let known = self.of_service.iter().find(|(name, _)| id_of_name(name) == service);
+        let mut versions = known.into_iter().flat_map(|(_, versions)| versions.keys());
+        let only = versions.next().copied();
+        only.filter(|_| versions.next().is_none())
+    }
+
     /// `step` forgets versions that serve no more and at which no stream is taken up any more.
     pub fn step(&mut self, now: Timestamp) {
         if self.mixed.is_empty() {
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -43,7 +43,7 @@
 use crate::served_streams::ServedStreams;
 use crate::store_updates::StoreUpdates;
 use crate::team_counters::TeamCounters;
-use crate::version_marks::VersionMarks;
+use crate::version_records::VersionRecords;
 
 /// `SWEEP_BEATS` is how many beats go by between two sweeps over connections.
 const SWEEP_BEATS: u64 = 4;
@@ -104,7 +104,7 @@
     /// What it tells others of its streams, and asks them about theirs.
     pub(crate) origins: Origins,
     /// What is kept beyond this process of services that ran several software versions.
-    pub(crate) version_marks: VersionMarks,
+    pub(crate) version_records: VersionRecords,
     /// Where messages of other instances come in and go out.
     pub datagrams: Rc<UdpSocket>,
     catalog: RefCell<Option<Arc<Catalog>>>,
@@ -187,7 +187,7 @@
             remote_placements: RemotePlacements::default(),
             crashes: Crashes::default(),
             origins: Origins::default(),
-            version_marks: VersionMarks::default(),
+            version_records: VersionRecords::default(),
             datagrams,
             catalog: RefCell::default(),
             connections: RefCell::default(),
@@ -273,14 +273,14 @@
     /// `has_just_started` tells whether others may not have told it yet what they did when it started.
     pub(crate) fn has_just_started(&self) -> bool {
         let started = self.listed.get().unwrap_or(Timestamp::MAX);
-        !self.options.is_fleet_start && self.now() < started.saturating_add(START_TIME)
+        self.now() < started.saturating_add(START_TIME)
     }
 
     /// `remembers_versions` tells whether this instance knows all software versions that served since any
     /// stream began that may be taken up now.
     pub fn remembers_versions(&self) -> bool {
         let memory = self.listed.get().map(|listed| self.now().saturating_sub(listed));
-        memory.is_some_and(|memory| self.options.is_fleet_start || VERSION_MEMORY <= memory)
+        memory.is_some_and(|memory| VERSION_MEMORY <= memory)
     }
 
     /// `fresh_number` numbers a request.
--- a/crates/bergamotpitch-gateway/src/lib.rs
+++ b/crates/bergamotpitch-gateway/src/lib.rs
@@ -49,7 +49,7 @@
 pub mod store_updates;
 pub mod team_counters;
 pub mod upstreams;
-pub mod version_marks;
+pub mod version_records;
 pub mod watched_streams;
 
 pub use crate::errors::{Error, Result};
--- a/crates/bergamotpitch-gateway/src/origins.rs
+++ b/crates/bergamotpitch-gateway/src/origins.rs
@@ -59,6 +59,8 @@
 #[derive(Debug)]
 struct Query {
     asked: usize,
+    /// The version of the service, where this instance knows of no other one.
+    only_software: Option<SoftwareId>,
     replies: Cell<usize>,
     found: Cell<Option<KnownOrigin>>,
     is_mixed: Cell<bool>,
@@ -73,7 +75,7 @@
     known: Option<KnownOrigin>,
     asked: usize,
     replies: usize,
-    /// Whether one of those asked knows several versions of the service.
+    /// Whether one of those asked knows several versions of the service, or another one.
     is_mixed: bool,
     /// Whether one of them remembers all versions since the stream may have begun.
     has_witness: bool,
@@ -123,7 +125,7 @@
             let untold = self.traffic.borrow().origins.untold(id_of_name(service), now);
             log::info!("event=versions_mixed service={service} untold_streams={}", untold.len());
             untold.into_iter().for_each(|known| self.queue_origin(known));
-            self.version_marks.set(service);
+            self.version_records.write(service);
         }
         self.flush_origins();
     }
@@ -194,14 +196,19 @@
         let traffic = self.traffic.borrow();
         let known = traffic.origins.origin_of(query.attempt, now);
         let is_mixed = traffic.software.are_mixed_of(query.service);
+        let only_software = traffic.software.only_version_of(query.service);
         drop(traffic);
+        let service = self.catalog().and_then(|catalog| {
+            catalog.service_of_id(query.service).map(|service| service.name.clone())
+        });
         let line = known.map(|known| line_of_origin(&known, now));
         if let Some(address) = self.beat_address_of(peer) {
             let reply = OriginReply {
                 number: query.number,
                 line,
                 is_mixed,
-                remembers_versions: self.remembers_versions(),
+                only_software,
+                bears_witness: service.is_some_and(|service| self.bears_witness(&service)),
                 has_just_started: self.has_just_started(),
             };
             self.send_message(Body::OriginReply(reply), address);
@@ -212,8 +219,9 @@
     pub(crate) fn handle_origin_reply(&self, reply: &OriginReply) {
         let Some(query) = self.origins.queries.borrow().get(&reply.number).cloned() else { return };
         query.replies.set(query.replies.get() + 1);
-        query.is_mixed.set(query.is_mixed.get() || reply.is_mixed);
-        query.has_witness.set(query.has_witness.get() || reply.remembers_versions);
+        let is_other = reply.only_software.is_some_and(|only| Some(only) != query.only_software);
+        query.is_mixed.set(query.is_mixed.get() || reply.is_mixed || is_other);
+        query.has_witness.set(query.has_witness.get() || reply.bears_witness);
         query.may_be_told.set(query.may_be_told.get() || reply.has_just_started);
         if let Some(line) = &reply.line {
             let known = origin_of_line(line, self.now());
@@ -237,7 +245,8 @@
             return Found::default();
         }
         let number = self.fresh_number();
-        let query = Rc::new(Query::new(addresses.len()));
+        let only_software = self.traffic.borrow().software.only_version_of(service);
+        let query = Rc::new(Query::new(addresses.len(), only_software));
         self.origins.queries.borrow_mut().insert(number, Rc::clone(&query));
         let _pending = PendingQuery { gateway: self, number };
         for address in addresses {
@@ -263,9 +272,10 @@
 }
 
 impl Query {
-    fn new(asked: usize) -> Self {
+    fn new(asked: usize, only_software: Option<SoftwareId>) -> Self {
         Self {
             asked,
+            only_software,
             replies: Cell::new(0),
             found: Cell::new(None),
             is_mixed: Cell::new(false),
@@ -309,17 +319,18 @@
         None => Found::default(),
     };
     let is_mixed = found.is_mixed || gateway.are_versions_mixed(&call.service);
-    let has_witness = found.has_witness || gateway.remembers_versions();
-    let is_marked = match found.known {
-        None if !is_mixed && !has_witness => gateway.read_version_mark(&call.service).await,
+    let has_witness = found.has_witness || gateway.bears_witness(&call.service);
+    let recorded = match found.known {
+        None if !is_mixed && !has_witness => gateway.read_version_record(&call.service).await,
         _ => None,
     };
+    let is_mixed = is_mixed || gateway.are_versions_mixed(&call.service);
     let knowledge = Knowledge {
         service,
         origin: found.known.map(|known| known.origin),
-        is_mixed: is_mixed || is_marked == Some(true),
+        is_mixed,
         is_isolated: found.replies == 0 && gateway.is_isolated(),
-        has_witness: has_witness || is_marked == Some(false),
+        has_witness: has_witness || gateway.bears_witness(&call.service),
     };
     let may_be_told =
         knowledge.origin.is_none() && (found.may_be_told || gateway.has_just_started());
@@ -329,7 +340,7 @@
         EventKind::StreamTakenUp,
         format_args!(
             "request={} resumes={:.64} decision={resumption} origin={:?} asked={} replies={} mixed={} \
-             isolated={} witness={} marked={is_marked:?} waited_ms={}",
+             isolated={} witness={} recorded={recorded:?} waited_ms={}",
             call.facts.attempt_id,
             resumed.unwrap_or("-"),
             knowledge.origin,
--- a/crates/bergamotpitch-gateway/tests/common/mod.rs
+++ b/crates/bergamotpitch-gateway/tests/common/mod.rs
@@ -15,6 +15,7 @@
 use bergamotpitch_control::traffic::registries::Registration;
 use bergamotpitch_control::traffic::residencies::AllowedRegions;
 use bergamotpitch_gateway::dialects::{AnswerFacts, BadHeader, Dialect, UpstreamHeaders};
+use bergamotpitch_gateway::version_records::RecordStore;
 use bergamotpitch_gateway::{Gateway, Options};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
@@ -380,6 +381,18 @@
     launch(upstreams, catalog(1), options).await
 }
 
+/// Records of a fleet that has run in calm for long: the versions that serve now, and no other ones.
+fn records_of(gateway: &Rc<Gateway>) -> RecordStore {
+    let known = Rc::clone(gateway);
+    RecordStore {
+        write: Box::new(|_| {}),
+        read: Box::new(move |service| {
+            let versions = known.versions_of(service);
+            Box::pin(async move { Some(Some(versions)) })
+        }),
+    }
+}
+
 /// `launch` starts a gateway with options.
 pub async fn launch(
     upstreams: &[&FakeUpstream],
@@ -391,6 +404,7 @@
     options.admission.retries.fixed_after = Duration::ZERO;
     let gateway = Gateway::start(options, DIALECT).await.unwrap();
     gateway.note_fleet_listed();
+    gateway.keep_version_records(records_of(&gateway));
     gateway.put_catalog(catalog, "test");
     for (index, upstream) in upstreams.iter().enumerate() {
         gateway.upstream_listed(registration(&format!("u{index}"), upstream.address));
--- a/crates/bergamotpitch-gateway/tests/mixed_versions.rs
+++ b/crates/bergamotpitch-gateway/tests/mixed_versions.rs
@@ -7,8 +7,11 @@
 
 use bergamotpitch_control::traffic::catalogs::{Catalog, RouteKind, Target};
 use bergamotpitch_control::traffic::registries::Registration;
+use bergamotpitch_control::traffic::software_versions::software_id;
 use bergamotpitch_gateway::drains;
+use bergamotpitch_gateway::messages::{Body, OriginReply};
 use bergamotpitch_gateway::peers::PeerAddress;
+use common::fake_peers::FakePeer;
 use common::instances::{Instance, introduce};
 use common::{
     Act, FakeUpstream, Got, ask, connect, event, events_text, request, run, stream_end, stream_head,
@@ -200,6 +203,34 @@
     });
 }
 
+/// Guards against a stream that goes on at another version because somebody remembers one version for long: its list
+/// is older than a release, and the instance that asks has started after it.
+#[test]
+fn outdated_witness() {
+    run(async {
+        let new = finishing().await;
+        let (gateway, address) = common::start(&[]).await;
+        gateway.upstream_listed(listed("new", &new, "v2"));
+        let witness = FakePeer::start(7, &gateway).await;
+        gateway.replace_peers(vec![witness.address("b")]);
+        for (version, status, sent) in [("v1", 503, 0), ("v2", 200, 1)] {
+            let asked = tokio::task::spawn_local(ask(address, resumption("a", Some("unheard"))));
+            let find = |body| if let Body::OriginQuery(query) = body { Some(query) } else { None };
+            let query = witness.next(find).await;
+            let reply = OriginReply {
+                number: query.number,
+                line: None,
+                is_mixed: false,
+                only_software: Some(software_id(Some(version))),
+                bears_witness: true,
+                has_just_started: false,
+            };
+            witness.send(Body::OriginReply(reply)).await;
+            assert_eq!((asked.await.unwrap().unwrap().status, new.count()), (status, sent));
+        }
+    });
+}
+
 /// Guards against a stream that waits, or goes on elsewhere, when the last upstreams of its version leave.
 #[test]
 fn version_gone() {
