Call an answer framed only by a length or by chunks

An upstream that names a transfer coding other than chunks ends its answer's body with the connection.

Found while looking for the fault of a report: an engine that stops in the middle of its answer's head, and a 200 with an empty or short body.

--- a/crates/bergamotpitch-gateway/src/exchanges.rs
+++ b/crates/bergamotpitch-gateway/src/exchanges.rs
@@ -9,7 +9,7 @@
 use bergamotpitch_core::units::Timestamp;
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 
@@ -183,12 +183,27 @@
         return Err(Failure::NotRun { status: response.status() });
     }
     let reuse = if closes { Reuse::Never } else { Reuse::Idle(stated_idle(response.headers())) };
-    let is_framed = [CONTENT_LENGTH, TRANSFER_ENCODING]
-        .iter()
-        .any(|name| response.headers().contains_key(name));
+    let is_framed = is_framed(&call.method, response.status(), response.headers());
     Ok(Answer { response, sender, address, reuse, is_framed })
 }
 
+/// Whether the end of an answer's body is known from its head or in the body itself. A transfer coding that does
+/// not end in chunks frames nothing.
+fn is_framed(method: &Method, status: StatusCode, headers: &HeaderMap) -> bool {
+    if *method == Method::HEAD
+        || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+    {
+        return true;
+    }
+    match headers.get_all(TRANSFER_ENCODING).iter().next_back() {
+        Some(codings) => {
+            let last = codings.to_str().unwrap_or_default().rsplit(',').next();
+            last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+        }
+        None => headers.contains_key(CONTENT_LENGTH),
+    }
+}
+
 /// An answer that echoes another id was meant for an earlier request on this connection. Only the
 /// refusals of an upstream that read no further than the head may come without one.
 fn is_answer_to(facts: &AnswerFacts, call: &Call, status: StatusCode) -> bool {
--- a/crates/bergamotpitch-gateway/tests/common/crashes.rs
+++ b/crates/bergamotpitch-gateway/tests/common/crashes.rs
@@ -36,6 +36,8 @@
     Reset,
     /// Under any request, 30 ms after some of an answer without a length, with its connections closed in order.
     Unframed,
+    /// The same, where the answer names a transfer coding that does not frame it.
+    Named(&'static str),
     /// Under requests for [`BAD_SUBJECT`], with all connections reset. A plain call has no answer yet then, a
     /// stream its head.
     Request,
@@ -132,7 +134,7 @@
 }
 
 async fn work(mut stream: TcpStream, state: Rc<State>) {
-    if state.ending != Ending::Unframed {
+    if !matches!(state.ending, Ending::Unframed | Ending::Named(_)) {
         socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
     }
     let gone = Rc::clone(&state);
@@ -152,12 +154,16 @@
         let id = request.header("x-id").unwrap_or("-").to_owned();
         let parts = request.header("x-prefix").unwrap_or_default();
         let shared = parts.rsplit_once(',').map_or("", |(shared, _)| shared);
-        if state.ending == Ending::Unframed {
+        if let Ending::Unframed | Ending::Named(_) = state.ending {
+            let coding = match state.ending {
+                Ending::Named(coding) => format!("transfer-encoding: {coding}\r\n"),
+                _ => String::new(),
+            };
             let is_stream = !request.head.starts_with("GET");
             let kind = if is_stream { "text/event-stream" } else { "text/plain" };
             let body = if is_stream { events_text(1, 3) } else { "half".to_owned() };
             let answer = format!(
-                "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\ncontent-type: {kind}\r\n\r\n{body}"
+                "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\n{coding}content-type: {kind}\r\n\r\n{body}"
             );
             // The caller may have left.
             let _ = stream.write_all(answer.as_bytes()).await;
