Reset the connection of an HTTP/1.0 caller whose stream is cut

A caller of HTTP/1.0 whose stream broke off got 200 and an orderly end of its connection: an empty or short answer that looks whole. Its answers have neither a length nor chunks there, so that the end of the connection is the end of the answer, and the connection was closed in order whatever had happened. Such a connection ends with a reset now where the stream is cut.

--- a/crates/bergamotpitch-gateway/src/bodies.rs
+++ b/crates/bergamotpitch-gateway/src/bodies.rs
@@ -152,7 +152,7 @@
     longest_pause: Duration,
     deadline: Pin<Box<Sleep>>,
     _in_flight: InFlight,
-    _in_request: Option<InRequest>,
+    in_request: Option<InRequest>,
 }
 
 enum Source {
@@ -183,14 +183,14 @@
             longest_pause: Duration::ZERO,
             deadline: Box::pin(tokio::time::sleep(left)),
             _in_flight: gateway.enter(),
-            _in_request: None,
+            in_request: None,
         }
     }
 
     /// `hold` keeps the caller's connection marked as one that carries a request until the stream has
     /// ended.
     pub fn hold(&mut self, in_request: InRequest) {
-        self._in_request = Some(in_request);
+        self.in_request = Some(in_request);
     }
 
     fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
@@ -400,6 +400,7 @@
     fn cut(&mut self, cut: Cut) -> Option<Result<Frame<Bytes>, Cut>> {
         self.source = Source::Ended;
         self.run = None;
+        self.in_request.iter().for_each(InRequest::cut);
         self.gateway.metrics.cut_answers.inc();
         decision(
             EventKind::AnswerCut,
--- a/crates/bergamotpitch-gateway/src/callers.rs
+++ b/crates/bergamotpitch-gateway/src/callers.rs
@@ -14,7 +14,7 @@
 
 use bergamotpitch_core::units::Timestamp;
 use http::header::CONNECTION;
-use http::{HeaderValue, Request, Response};
+use http::{HeaderValue, Request, Response, Version};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -119,6 +119,14 @@
         self.wake.notify_one();
     }
 
+    /// `reset_when_closed` lets the connection end with a reset, where its caller could not tell otherwise that what
+    /// came is not all.
+    pub fn reset_when_closed(&self) {
+        if let Err(error) = SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO)) {
+            log::warn!("event=caller_not_reset error={error}");
+        }
+    }
+
     /// `head_began` returns when the head that is not complete yet began.
     pub fn head_began(&self) -> Option<Timestamp> {
         if self.is_in_request.get() { None } else { self.head_began.get() }
@@ -128,19 +136,30 @@
 /// `InRequest` marks a connection as one that carries a request, until the answer was written. Between
 /// the head of a stream and its end it would otherwise count as idle, and be ended for another one.
 #[derive(Debug)]
-pub struct InRequest(Rc<CallerConnection>);
+pub struct InRequest {
+    connection: Rc<CallerConnection>,
+    version: Version,
+}
 
 impl InRequest {
-    fn begin(connection: &Rc<CallerConnection>) -> Self {
+    fn begin(connection: &Rc<CallerConnection>, version: Version) -> Self {
         connection.is_in_request.set(true);
-        Self(Rc::clone(connection))
+        Self { connection: Rc::clone(connection), version }
+    }
+
+    /// `cut` takes in that the stream which answers it ends before its time. To a caller of HTTP/1.0 the end of the
+    /// connection is the end of the answer.
+    pub fn cut(&self) {
+        if self.version < Version::HTTP_11 {
+            self.connection.reset_when_closed();
+        }
     }
 }
 
 impl Drop for InRequest {
     fn drop(&mut self) {
-        self.0.is_in_request.set(false);
-        self.0.head_began.set(None);
+        self.connection.is_in_request.set(false);
+        self.connection.head_began.set(None);
     }
 }
 
@@ -214,7 +233,8 @@
     let limits = gateway.limits();
     let watched = WatchedStream::new(gateway, connection);
     let service = service_fn(|request: Request<Incoming>| {
-        serve_request(Rc::clone(gateway), InRequest::begin(connection), request)
+        let in_request = InRequest::begin(connection, request.version());
+        serve_request(Rc::clone(gateway), in_request, request)
     });
     let serving = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -247,10 +267,10 @@
     in_request: InRequest,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
-    let mut response = calls::answer(Rc::clone(&gateway), &in_request.0, request).await;
+    let mut response = calls::answer(Rc::clone(&gateway), &in_request.connection, request).await;
     if let AnswerBody::Stream(stream) = response.body_mut() {
         // Other answers go out at once and whole, and a caller that is refused need not be tuned to.
-        if let Err(error) = tune(in_request.0.stream()) {
+        if let Err(error) = tune(in_request.connection.stream()) {
             log::info!("event=caller_not_tuned error={error}");
         }
         stream.hold(in_request);
--- a/crates/bergamotpitch-gateway/tests/stopped_answers.rs
+++ b/crates/bergamotpitch-gateway/tests/stopped_answers.rs
@@ -7,8 +7,10 @@
 use common::crashes::{CrashingUpstream, Ending};
 use common::{
     Act, FakeUpstream, Got, ask, ask_on, connect, event, registration, request, run, start,
-    stream_head,
+    stream_end, stream_head,
 };
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// Heads of answers: with a length, in chunks, up to the end of the connection, of the version before, with bare
 /// line feeds, after informational ones, of streams, and with framings that contradict themselves.
@@ -133,6 +135,43 @@
     });
 }
 
+/// Sends a request of a caller of the version before; returns what came and whether the connection ended in order.
+async fn ask_as_old_caller(address: SocketAddr, path: &str) -> (String, bool) {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let request = format!("POST {path} HTTP/1.0\r\nhost: test.example\r\nx-id: x\r\n\r\n");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    let ended = stream.read_to_end(&mut answer).await;
+    (String::from_utf8(answer).unwrap(), ended.is_ok())
+}
+
+/// Guards against a stream that was cut and looks whole to a caller of HTTP/1.0: its answer has neither a length nor
+/// chunks, and the end of its connection is all that tells.
+#[test]
+fn old_caller() {
+    run(async {
+        for (acts, is_whole) in [
+            (vec![stream_head(), Act::Close], false),
+            (
+                vec![
+                    stream_head(),
+                    event(1),
+                    Act::Pause(std::time::Duration::from_millis(20)),
+                    Act::Reset,
+                ],
+                false,
+            ),
+            (vec![stream_head(), event(1), event(2), stream_end()], true),
+        ] {
+            let upstream = FakeUpstream::start(Box::new(move |_| acts.clone())).await;
+            let (_, address) = start(&[&upstream]).await;
+            let (answer, has_ended) = ask_as_old_caller(address, "/stream/").await;
+            assert_eq!(has_ended, is_whole, "{answer}");
+            assert_eq!(answer.contains("piece 2"), is_whole, "{answer}");
+        }
+    });
+}
+
 /// Guards against an answer that is taken for whole because it has a header that frames nothing, while its upstream
 /// ended in the middle of it.
 #[test]
