Keep blocks of crashing parts over a restart of all instances

Cause: which part is blocked was known in memory alone; those that start took knowing nothing for nothing to know, as with software versions and the retry budget.

An instance that starts reads these keys once, by a stale read, and counts each as the crashes that block a part at any rate. Lifting a part, or an answer on it, takes its key away.

--- a/crates/bergamotpitch-control/src/traffic/crash_evidence.rs
+++ b/crates/bergamotpitch-control/src/traffic/crash_evidence.rs
@@ -9,7 +9,7 @@
 
 /// `CLUSTER_MS` is the time within which upstreams that end count as one crash: what ended them
 /// together is not a prompt.
-const CLUSTER_MS: Moment = 100;
+pub const CLUSTER_MS: Moment = 100;
 
 /// `TOLD_TOLERANCE_MS` is by how much the times of two crashes may differ from those of whoever saw them, as
 /// they were told by messages.
@@ -37,7 +37,7 @@
 /// `CRASHES_MAX` is how many crashes block a part at any rate, also where it only waited at all of them: where
 /// nothing else is answered, there is nothing to compare with, and an upstream may end before it has written
 /// a byte.
-const CRASHES_MAX: usize = 5;
+pub const CRASHES_MAX: usize = 5;
 
 /// `SOUND_CRASHES_MIN` is the least number of crashes for a part that was answered before: it may have gone
 /// bad.
--- a/crates/bergamotpitch-gateway/src/crash_reports.rs
+++ b/crates/bergamotpitch-gateway/src/crash_reports.rs
@@ -1,5 +1,7 @@
 //! Crash reports: what operators see of parts and requests that crash upstreams, and how they let one in again.
 
+use std::time::Duration;
+
 use bergamotpitch_control::traffic::crash_suspects::{SuspectId, Suspicion};
 use bergamotpitch_control::traffic::facts::PartId;
 use bergamotpitch_control::traffic::request_digests::RequestDigest;
@@ -79,7 +81,7 @@
         self.traffic.borrow().crash_suspects.suspicions()
     }
 
-    fn name_of_service(&self, service: ServiceId) -> String {
+    pub(crate) fn name_of_service(&self, service: ServiceId) -> String {
         let catalog = self.catalog();
         let named = catalog.as_ref().and_then(|catalog| catalog.service_of_id(service));
         named.map_or_else(|| service.to_string(), |named| named.name.clone())
@@ -132,6 +134,10 @@
             if logged != Some(is_blocked) {
                 self.log_suspicion(known);
             }
+            if is_blocked && logged != Some(true) {
+                let blocked_for = self.state_of(known).blocked_for_ms;
+                self.record_block(known.suspect, Duration::from_millis(blocked_for as u64));
+            }
         }
     }
 
@@ -164,8 +170,11 @@
     pub(crate) fn note_cleared(&self, suspects: &[SuspectId], reason: &str) {
         for suspect in suspects {
             self.crashes.trials.borrow_mut().remove(suspect);
-            if self.crashes.logged.borrow_mut().remove(suspect).is_none() {
+            let Some(was_blocked) = self.crashes.logged.borrow_mut().remove(suspect) else {
                 continue;
+            };
+            if was_blocked {
+                self.forget_block(*suspect);
             }
             match suspect {
                 SuspectId::Part(service, part) => decision(
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -22,6 +22,7 @@
 use bergamotpitch_core::units::Timestamp;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
+use crate::block_records::BlockRecords;
 use crate::callers::{self, CallerConnection};
 use crate::connections::{Pools, Sender};
 use crate::crashes::Crashes;
@@ -101,6 +102,8 @@
     pub(crate) remote_repeats: RemoteRepeats,
     /// What it knows of upstreams that crashed.
     pub(crate) crashes: Crashes,
+    /// What is kept beyond this process of parts of prompts that crash upstreams.
+    pub(crate) block_records: BlockRecords,
     /// What it tells others of its streams, and asks them about theirs.
     pub(crate) origins: Origins,
     /// What is kept beyond this process of services that ran several software versions.
@@ -186,6 +189,7 @@
             local_placements: LocalPlacements::default(),
             remote_placements: RemotePlacements::default(),
             crashes: Crashes::default(),
+            block_records: BlockRecords::default(),
             origins: Origins::default(),
             version_records: VersionRecords::default(),
             datagrams,
--- a/crates/bergamotpitch-gateway/src/lib.rs
+++ b/crates/bergamotpitch-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod arrivals;
 pub mod attempts;
+pub mod block_records;
 pub mod bodies;
 pub mod callers;
 pub mod calls;
