Let the example of a provisional answer end its upstream in time

The code is right and the example was wrong; the doc tests had not been run after it was written. The upstream of the example now ends one millisecond before it would have outlived the answer.

--- a/crates/bergamotpitch-control/src/traffic/provisional_answers.rs
+++ b/crates/bergamotpitch-control/src/traffic/provisional_answers.rs
@@ -61,7 +61,7 @@
     /// let mut answers = ProvisionalAnswers::default();
     /// answers.note(3, answer.clone());
     /// assert_eq!(answers.answered_at((1, 7)), Some(450));
-    /// assert_eq!(answers.take_ended(3, 900), [answer.clone()]);
+    /// assert_eq!(answers.take_ended(3, 49 + OUTLIVED_MS), [answer.clone()]);
     /// answers.note(3, answer.clone());
     /// assert_eq!(answers.take_outlived(50 + OUTLIVED_MS), [answer]);
     /// assert_eq!(answers.answered_at((1, 7)), None);
