Try a part that the store records as blocked before it is refused

The start that all prompts share had been blocked beside the bad part as all ended before an answer cleared it. Blocked at every instance, no request could clear it; whoever read the record wrote it anew, for another 90 s. Instances without a configuration named the service by its number, and the next life took that for a name: records of records.

A record now counts as a block that is over: one request at a time tries the part, an answer clears it everywhere, a crash blocks it again. Reading writes nothing, a later block renews a record that it outlasts, and a service whose name is not known is not recorded until it is.

--- a/crates/bergamotpitch-control/src/traffic/crash_evidence.rs
+++ b/crates/bergamotpitch-control/src/traffic/crash_evidence.rs
@@ -1,6 +1,6 @@
 //! Crash evidence: what counts against one part of prompts or one request, and from when on it is blocked.
 
-use bergamotpitch_core::ids::{ServiceId, UpstreamId};
+use bergamotpitch_core::ids::{ServiceId, UpstreamId, id_of_name};
 use serde::{Deserialize, Serialize};
 
 use crate::traffic::facts::PartId;
@@ -9,7 +9,7 @@
 
 /// `CLUSTER_MS` is the time within which upstreams that end count as one crash: what ended them
 /// together is not a prompt.
-pub const CLUSTER_MS: Moment = 100;
+const CLUSTER_MS: Moment = 100;
 
 /// `TOLD_TOLERANCE_MS` is by how much the times of two crashes may differ from those of whoever saw them, as
 /// they were told by messages.
@@ -37,7 +37,7 @@
 /// `CRASHES_MAX` is how many crashes block a part at any rate, also where it only waited at all of them: where
 /// nothing else is answered, there is nothing to compare with, and an upstream may end before it has written
 /// a byte.
-pub const CRASHES_MAX: usize = 5;
+const CRASHES_MAX: usize = 5;
 
 /// `SOUND_CRASHES_MIN` is the least number of crashes for a part that was answered before: it may have gone
 /// bad.
@@ -103,6 +103,20 @@
     pub sent_at: Moment,
 }
 
+/// `recorded_block` returns what counts against a part that was blocked before the start of this process, at time
+/// zero: as many crashes as block a part at any rate, of a block that is over. What cleared the part since then may
+/// not be known, so that it is tried before it is refused again.
+pub fn recorded_block(service: ServiceId, part: PartId) -> Vec<Evidence> {
+    let crash = |number: Moment| {
+        // The same at each instance, so that it counts once.
+        let life = id_of_name(&format!("{service}/{part:x}/{number}"));
+        let at = -FIRST_BLOCK_MS - number * CLUSTER_MS;
+        let suspect = SuspectId::Part(service, part);
+        Evidence { suspect, life, is_strong: true, at, sent_at: at }
+    };
+    (1..=CRASHES_MAX as Moment).map(crash).collect()
+}
+
 /// `CrashRecord` is all that counts against one suspect.
 #[derive(Debug, Clone)]
 pub struct CrashRecord {
--- a/crates/bergamotpitch-control/tests/crash_suspects.rs
+++ b/crates/bergamotpitch-control/tests/crash_suspects.rs
@@ -1,5 +1,6 @@
 //! Which part of prompts is taken for what crashes upstreams, when, and until when.
 
+use bergamotpitch_control::traffic::crash_evidence::recorded_block;
 use bergamotpitch_control::traffic::crash_suspects::{
     CrashSuspects, Evidence, SuspectId, TRIAL_WINDOW_MS, Turn, Verdict,
 };
@@ -452,3 +453,23 @@
     suspects.step(31_000 + 600_001);
     assert!(suspects.is_empty());
 }
+
+/// Guards against a part that a restart of all instances blocks for as long as a new block lasts, though it may
+/// have been sound: a request tries it, and its outcome decides.
+#[test]
+fn recorded_part() {
+    let restarted = || {
+        let mut suspects = CrashSuspects::default();
+        for evidence in recorded_block(SERVICE, BAD) {
+            suspects.note_crash(evidence, 0);
+        }
+        suspects
+    };
+    let mut sound = restarted();
+    assert!(matches!(verdict(&sound, BAD, 0), Verdict::Try(_)));
+    answer(&mut sound, SOUND_LIFE, &[BAD], 500);
+    assert_eq!(verdict(&sound, BAD, 600), Verdict::Admit);
+    let mut bad = restarted();
+    note(&mut bad, crash(BAD, 1, 300));
+    assert!(is_blocked(&bad, BAD, 20_000));
+}
--- a/crates/bergamotpitch-gateway/src/block_records.rs
+++ b/crates/bergamotpitch-gateway/src/block_records.rs
@@ -7,11 +7,12 @@
 use std::cell::RefCell;
 use std::time::Duration;
 
-use bergamotpitch_control::traffic::crash_evidence::{CLUSTER_MS, CRASHES_MAX};
-use bergamotpitch_control::traffic::crash_suspects::{Evidence, SuspectId};
+use bergamotpitch_control::traffic::crash_evidence::recorded_block;
+use bergamotpitch_control::traffic::crash_suspects::SuspectId;
 use bergamotpitch_control::traffic::facts::PartId;
-use bergamotpitch_control::traffic::sound_parts::Moment;
+use bergamotpitch_core::HashMap;
 use bergamotpitch_core::ids::id_of_name;
+use bergamotpitch_core::units::Timestamp;
 
 use crate::gateways::Gateway;
 
@@ -42,6 +43,8 @@
 #[derive(Default)]
 pub(crate) struct BlockRecords {
     store: RefCell<Option<BlockStore>>,
+    /// Until when the blocks last that this instance has recorded.
+    recorded: RefCell<HashMap<SuspectId, Timestamp>>,
 }
 
 impl Gateway {
@@ -50,17 +53,26 @@
         *self.block_records.store.borrow_mut() = Some(store);
     }
 
-    /// `record_block` records that a part is blocked for some time.
+    /// `record_block` records that a part is blocked for some time, where no record outlasts that.
     pub(crate) fn record_block(&self, suspect: SuspectId, blocked_for: Duration) {
+        let until = self.now() + blocked_for;
+        let mut recorded = self.block_records.recorded.borrow_mut();
+        let is_recorded =
+            recorded.get(&suspect).is_some_and(|recorded| until < *recorded + RECORD_MARGIN);
+        if blocked_for.is_zero() || is_recorded {
+            return;
+        }
         if let (Some(part), Some(store)) =
             (self.recorded_part(suspect), &*self.block_records.store.borrow())
         {
+            recorded.insert(suspect, until);
             (store.write)(part, blocked_for + RECORD_MARGIN);
         }
     }
 
     /// `forget_block` takes the record of a part away that is not blocked any more.
     pub(crate) fn forget_block(&self, suspect: SuspectId) {
+        self.block_records.recorded.borrow_mut().remove(&suspect);
         if let (Some(part), Some(store)) =
             (self.recorded_part(suspect), &*self.block_records.store.borrow())
         {
@@ -68,31 +80,22 @@
         }
     }
 
-    /// The part that a suspect is, where this instance is one of those that record it.
+    /// The part that a suspect is, where this instance is one of those that record it and knows its service.
     fn recorded_part(&self, suspect: SuspectId) -> Option<BlockedPart> {
         let SuspectId::Part(service, part) = suspect else { return None };
         let own = self.options.instance;
         let members = self.members.borrow();
         let mut recorders = (0..RECORDERS).map(|place| members.whose_turn(part, place, own));
-        let service = self.name_of_service(service);
+        let service = self.catalog()?.service_of_id(service)?.name.clone();
         recorders.any(|recorder| recorder == own).then_some(BlockedPart { service, part })
     }
 
-    /// `note_recorded_blocks` takes in which parts were blocked before this process started: they are again, from
-    /// its start on, as if as many upstreams had crashed as block a part at any rate.
+    /// `note_recorded_blocks` takes in which parts were blocked before this process started: one request at a time
+    /// tries them.
     pub fn note_recorded_blocks(&self, blocked: &[BlockedPart]) {
         for BlockedPart { service, part } in blocked {
             log::info!("event=block_record_read service={service} part={part:x}");
-            let suspect = SuspectId::Part(id_of_name(service), *part);
-            let evidence: Vec<Evidence> = (1..=CRASHES_MAX as Moment)
-                .map(|number| {
-                    // The same at each instance, so that it counts once.
-                    let life = id_of_name(&format!("{service}/{part:x}/{number}"));
-                    let at = -number * CLUSTER_MS;
-                    Evidence { suspect, life, is_strong: true, at, sent_at: at }
-                })
-                .collect();
-            self.note_crashes(&evidence, 0);
+            self.note_crashes(&recorded_block(id_of_name(service), *part), 0);
         }
     }
 }
--- a/crates/bergamotpitch-gateway/src/crash_reports.rs
+++ b/crates/bergamotpitch-gateway/src/crash_reports.rs
@@ -81,7 +81,7 @@
         self.traffic.borrow().crash_suspects.suspicions()
     }
 
-    pub(crate) fn name_of_service(&self, service: ServiceId) -> String {
+    fn name_of_service(&self, service: ServiceId) -> String {
         let catalog = self.catalog();
         let named = catalog.as_ref().and_then(|catalog| catalog.service_of_id(service));
         named.map_or_else(|| service.to_string(), |named| named.name.clone())
@@ -134,7 +134,7 @@
             if logged != Some(is_blocked) {
                 self.log_suspicion(known);
             }
-            if is_blocked && logged != Some(true) {
+            if is_blocked {
                 let blocked_for = self.state_of(known).blocked_for_ms;
                 self.record_block(known.suspect, Duration::from_millis(blocked_for as u64));
             }
