Test answers whose lengths contradict each other, and callers that pipeline

The rest of what the review lists for heads that stop: no 2xx with two lengths, a sign, more than 64 bits or a length beside chunks (502 each), and no last chunk or second answer to a caller that pipelines or closes its side. Both tests pass on the code as it is; nothing was mended.

--- a/crates/bergamotpitch-gateway/tests/stopped_answers.rs
+++ b/crates/bergamotpitch-gateway/tests/stopped_answers.rs
@@ -186,3 +186,57 @@
         }
     });
 }
+
+/// Guards against a body that is taken for whole by a length that contradicts another one, or is none.
+#[test]
+fn contradicting_lengths() {
+    run(async {
+        for lengths in [
+            "content-length: 4\r\ncontent-length: 50",
+            "content-length: 50\r\ncontent-length: 4",
+            "content-length: 4, 50",
+            "content-length: +4",
+            "content-length: -4",
+            "content-length: 18446744073709551620",
+            "content-length: 4\r\ntransfer-encoding: chunked",
+        ] {
+            let acts = move |_| {
+                let head = format!("HTTP/1.1 200 OK\r\nx-id: x\r\nx-seal: s\r\n{lengths}\r\n\r\n");
+                vec![Act::Write(head + "half"), Act::Close]
+            };
+            let upstream = FakeUpstream::start(Box::new(acts)).await;
+            let (_, address) = start(&[&upstream]).await;
+            let got = ask(address, request("POST", "/once/", "x")).await.unwrap();
+            assert_eq!(got.status, 502, "{lengths}: {got:?}");
+        }
+    });
+}
+
+/// Guards against a cut stream that looks whole to a caller that sends several requests at once, or that closes its
+/// side after them: no last chunk and no other answer come after it.
+#[test]
+fn pipelining_caller() {
+    run(async {
+        for is_half_closed in [false, true] {
+            let acts = |_| vec![stream_head(), event(1), Act::Reset];
+            let upstream = FakeUpstream::start(Box::new(acts)).await;
+            let (_, address) = start(&[&upstream]).await;
+            let mut stream = TcpStream::connect(address).await.unwrap();
+            let request = "POST /stream/ HTTP/1.1\r\nhost: test.example\r\nx-id: x\r\n\r\n";
+            stream.write_all(request.repeat(2).as_bytes()).await.unwrap();
+            if is_half_closed {
+                stream.shutdown().await.unwrap();
+            }
+            let mut answer = Vec::new();
+            // A reset ends it as well as a close.
+            let _ = stream.read_to_end(&mut answer).await;
+            let answer = String::from_utf8(answer).unwrap();
+            assert_eq!(answer.matches("HTTP/1.1 ").count(), 1, "{answer}");
+            assert!(!answer.ends_with("\r\n0\r\n\r\n"), "{answer}");
+            // Who closes its side has left: nothing is sent on.
+            let is_sent_on = upstream.seen.borrow().len() == 1;
+            assert_eq!(answer.starts_with("HTTP/1.1 200"), is_sent_on, "{answer}");
+            assert_eq!(is_sent_on, !is_half_closed, "{answer}");
+        }
+    });
+}
