Watch an upstream that neither takes connections nor refuses them

Cause: the log of a failed run has event=upstream_probed found=nothing 2 ms after a crash. The look met the port as it was closing: its connection was reset while it was made. That counted as neither alive nor ended, and what had broken off there was dropped, without a second look and without the watch that an open port gets.

An error other than a refusal or a timeout is looked at again after 20 ms, and an upstream of which nothing is known is watched like one that takes connections, with looks at growing intervals, for two seconds.

--- a/crates/bergamotpitch-gateway/src/crash_probes.rs
+++ b/crates/bergamotpitch-gateway/src/crash_probes.rs
@@ -26,8 +26,9 @@
 /// `PROBE_HOLD` is for how long such a connection must stay open.
 const PROBE_HOLD: Duration = Duration::from_millis(20);
 
-/// `WATCH_TIME` is for how long an upstream that still takes connections is watched after an answer of it broke
-/// off, and [`WATCH_INTERVAL`] the time between two looks at the connection to it.
+/// `WATCH_TIME` is for how long an upstream that does not refuse connections is watched after an answer of it broke
+/// off, and [`WATCH_INTERVAL`] the time between two looks at the connection to it; it doubles with each further
+/// connection that is made.
 const WATCH_TIME: Duration = Duration::from_secs(2);
 
 /// `WATCH_INTERVAL` see [`WATCH_TIME`].
@@ -107,8 +108,8 @@
         }
         probe.has_ended.set(Some(has_ended));
         probe.ended.notify_waiters();
-        if let Found::Connection(sender) = found {
-            self.watch(upstream, address, sender).await;
+        if !has_ended {
+            self.watch(upstream, address, found).await;
         }
     }
 
@@ -130,7 +131,9 @@
                 Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
                     return Found::Refusal;
                 }
-                Err(_) => return Found::Nothing,
+                // A link that is cut takes long to tell.
+                Err(error) if error.kind() == ErrorKind::TimedOut => return Found::Nothing,
+                Err(_) => tokio::time::sleep(PROBE_HOLD).await,
                 Ok(sender) => {
                     tokio::time::sleep(PROBE_HOLD).await;
                     if !sender.is_closed() {
@@ -142,20 +145,23 @@
         Found::Nothing
     }
 
-    /// Some processes go on for a while after their answers have broken off, and then end.
-    async fn watch(self: &Rc<Self>, upstream: UpstreamKey, address: SocketAddr, sender: Sender) {
+    /// Some processes go on for a while after their answers have broken off, and then end; others take connections
+    /// meanwhile and close them.
+    async fn watch(self: &Rc<Self>, upstream: UpstreamKey, address: SocketAddr, mut found: Found) {
         if !self.crashes.watched.borrow_mut().insert(upstream) {
-            self.keep_connection(upstream, sender, None);
+            if let Found::Connection(sender) = found {
+                self.keep_connection(upstream, sender, None);
+            }
             return;
         }
         let until = self.now() + WATCH_TIME;
-        let mut found = Found::Connection(sender);
-        while let Found::Connection(sender) = &found
-            && self.now() < until
-        {
-            tokio::time::sleep(WATCH_INTERVAL).await;
-            if sender.is_closed() {
+        let mut pause = WATCH_INTERVAL;
+        while !matches!(found, Found::Refusal) && self.now() < until {
+            tokio::time::sleep(pause).await;
+            let is_open = matches!(&found, Found::Connection(sender) if !sender.is_closed());
+            if !is_open {
                 found = self.look_at(upstream, address).await;
+                pause *= 2;
             }
         }
         self.crashes.watched.borrow_mut().remove(&upstream);
--- a/crates/bergamotpitch-gateway/tests/common/crashes.rs
+++ b/crates/bergamotpitch-gateway/tests/common/crashes.rs
@@ -45,6 +45,8 @@
     LatePort,
     /// Under [`BAD_PART`], with all connections reset and its port closed so long after.
     SlowReset(Duration),
+    /// The same, where each connection is reset that is made meanwhile.
+    ClosingPort(Duration),
     /// Under [`BAD_PART`], with all connections reset, so long after the first of many events.
     AfterEvents(Duration),
     /// Under [`BAD_PART`], with all connections reset, so long after the request came and before any byte.
@@ -123,6 +125,9 @@
     match state.ending {
         Ending::LatePort => tokio::time::sleep(Duration::from_millis(10)).await,
         Ending::SlowReset(delay) => tokio::time::sleep(delay).await,
+        Ending::ClosingPort(delay) => {
+            let _ = tokio::time::timeout(delay, reset_all(&listener)).await;
+        }
         _ => {}
     }
     drop(listener);
@@ -133,6 +138,12 @@
     *state.port.borrow_mut() = Some(socket);
 }
 
+async fn reset_all(listener: &TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+}
+
 async fn work(mut stream: TcpStream, state: Rc<State>) {
     if !matches!(state.ending, Ending::Unframed | Ending::Named(_)) {
         socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
--- a/crates/bergamotpitch-gateway/tests/crashing_parts.rs
+++ b/crates/bergamotpitch-gateway/tests/crashing_parts.rs
@@ -168,6 +168,20 @@
     });
 }
 
+/// Guards against crashes that are not noticed: the process resets each connection that is made on its way to its
+/// end, so that its port neither takes any nor refuses them.
+#[test]
+fn closing_port() {
+    run(async {
+        for delay_ms in [100, 800] {
+            let delay = Duration::from_millis(delay_ms);
+            let pause = delay + Duration::from_millis(400);
+            let crashed = crashed_in_turn(Ending::ClosingPort(delay), pause).await;
+            assert!(crashed <= CRASHES_MAX, "port closed {delay_ms} ms later: {crashed} crashed");
+        }
+    });
+}
+
 /// Guards against a part that counts as sound because an upstream writes events on it for a while before it crashes.
 #[test]
 fn late_crash() {
