Take nothing on that the end of the grace would cut, and answer what is open then

Callers saw: in a planned stop in calm, requests whose head came within 2.4 s of the SIGTERM and whose body came later were passed on whenever it was there, up to 7.3 s after the SIGTERM, and cut without a byte at 7.6 s, also where they may run only once. Whatever was open at the end of the grace got no answer. Cause: whether an instance takes a request on was asked with the head and never again, and the end of the process had no answers. Change: a drain has stages. Whoever reads a body, has a place or is sent again asks whether the answer is expected to end in time, from the route's answers at this instance; what is open when the grace is over is answered with 503 where it has not run and 502 where it may have.

--- a/crates/bergamotpitch-control/src/traffic.rs
+++ b/crates/bergamotpitch-control/src/traffic.rs
@@ -5,6 +5,7 @@
 //! way: [`admissions`] reads the tables, none of which knows another, and [`placement_queues`] asks it.
 
 pub mod admissions;
+pub mod answer_times;
 pub mod catalogs;
 pub mod concurrency_limits;
 pub mod crash_evidence;
--- a/crates/bergamotpitch-gateway/src/arrivals.rs
+++ b/crates/bergamotpitch-gateway/src/arrivals.rs
@@ -74,7 +74,7 @@
 /// memory at present.
 pub async fn read_body(
     headers: &HeaderMap,
-    mut body: Incoming,
+    body: &mut Incoming,
     catalog: &Catalog,
     mut hold: Hold,
     time: Duration,
--- a/crates/bergamotpitch-gateway/src/attempts.rs
+++ b/crates/bergamotpitch-gateway/src/attempts.rs
@@ -18,6 +18,7 @@
 use crate::bodies::{AnswerBody, EventSource, StreamAnswer, is_event_stream, read_whole};
 use crate::calls::{BUSY_RETURN, Call};
 use crate::crashes::{AnswerProgress, BrokenAttempt, GivenAnswer};
+use crate::drains::{Stage, unfinished};
 use crate::exchanges::{self, Answer, Failure, Reuse};
 use crate::gateways::Gateway;
 use crate::headers::remove_hop_headers;
@@ -57,11 +58,18 @@
     gateway: &Rc<Gateway>,
     call: Rc<Call>,
 ) -> Result<Response<AnswerBody>, Refusal> {
-    let result = try_upstreams(gateway, &call).await;
-    if result.is_err() {
-        gateway.wait_until_told(&call).await;
+    let served = async {
+        let result = try_upstreams(gateway, &call).await;
+        if result.is_err() {
+            gateway.wait_until_told(&call).await;
+        }
+        result
+    };
+    tokio::select! {
+        biased;
+        result = served => result,
+        () = gateway.drain.reached(Stage::GraceOver) => Err(unfinished(&call)),
     }
-    result
 }
 
 async fn try_upstreams(
@@ -72,19 +80,20 @@
     let mut doubtful: Vec<UpstreamKey> = Vec::new();
     let mut unreachable = 0;
     let mut withdrawn = 0;
-    let mut may_have_run = false;
     bind_resumption(gateway, call).await?;
     loop {
-        if let Err(refusal) = gateway.check_suspects(call) {
-            return Err(after_attempts(refusal, may_have_run));
+        let checked = gateway.check_drain(&call.route).and_then(|()| gateway.check_suspects(call));
+        if let Err(refusal) = checked {
+            return Err(after_attempts(refusal, call));
         }
+        let may_have_run = call.may_have_run.get();
         if !tried.is_empty() || withdrawn != 0 {
             gateway.bind_retry(call);
         }
         let excluded = [tried.as_slice(), &doubtful].concat();
         let placed = match place(gateway, call, &excluded).await {
             Ok(placed) => placed,
-            Err(refusal) => return Err(after_attempts(refusal, may_have_run)),
+            Err(refusal) => return Err(after_attempts(refusal, call)),
         };
         let run = Run::open(gateway, &placed);
         let placement = placed.placement;
@@ -99,25 +108,27 @@
             Ok(answer) => match pass_on(gateway, call, run, answer).await {
                 Ok(response) => return Ok(response),
                 Err(unusable) => {
-                    may_have_run = true;
                     let is_broken = matches!(unusable, UnusableAnswer::Broken(_));
                     let failure = Failure::Broken { detail: unusable.to_string() };
                     note_failure(call, &placement, gateway, &failure);
                     let broken = broken_at(AnswerProgress::Begun);
                     if is_broken && !gateway.note_broken(call, broken).await {
-                        return Err(final_refusal(gateway, call, true));
+                        return Err(final_refusal(gateway, call));
                     }
                 }
             },
             Err(failure) => {
                 note_failure(call, &placement, gateway, &failure);
+                if !failure.may_have_run() {
+                    call.may_have_run.set(may_have_run);
+                }
                 if failure == Failure::Withdrawn {
                     withdrawn += 1;
                     if withdrawn < WITHDRAWN_LIMIT {
                         continue;
                     }
                     let refusal = Refusal::not_run(RefusalReason::NoUpstream, BUSY_RETURN);
-                    return Err(after_attempts(refusal, may_have_run));
+                    return Err(after_attempts(refusal, call));
                 }
                 if failure == Failure::Unreachable {
                     run.unreachable();
@@ -128,9 +139,8 @@
                         continue;
                     }
                     let refusal = Refusal::not_run(RefusalReason::NoUpstream, BUSY_RETURN);
-                    return Err(after_attempts(refusal, may_have_run));
+                    return Err(after_attempts(refusal, call));
                 }
-                let ran = !matches!(failure, Failure::NotRun { .. });
                 let is_misdirected =
                     failure == Failure::NotRun { status: StatusCode::MISDIRECTED_REQUEST };
                 if is_misdirected && call.facts.has_condition {
@@ -143,17 +153,16 @@
                     // An upstream that turns away what fits by the books is worse than others, too.
                     run.complete(true);
                 }
-                may_have_run |= ran;
                 let is_broken = matches!(failure, Failure::Broken { .. });
                 let broken = broken_at(AnswerProgress::Waiting);
                 if is_broken && !gateway.note_broken(call, broken).await {
-                    return Err(final_refusal(gateway, call, true));
+                    return Err(final_refusal(gateway, call));
                 }
             }
         }
         tried.push(placement.upstream);
-        if !may_go_on(gateway, call, may_have_run).await {
-            return Err(final_refusal(gateway, call, may_have_run));
+        if !may_go_on(gateway, call, call.may_have_run.get()).await {
+            return Err(final_refusal(gateway, call));
         }
         note_retry(call, gateway);
     }
@@ -239,6 +248,7 @@
     let sent = run.sent();
     run.complete(is_failure);
     gateway.note_completed(call);
+    gateway.note_answer_time(call);
     if parts.status.is_success() && is_framed {
         let begun = sent + seen;
         gateway.note_answered(call, GivenAnswer { upstream: key, sent, begun, at: begun });
@@ -278,8 +288,8 @@
     is_reserved
 }
 
-fn final_refusal(gateway: &Gateway, call: &Call, may_have_run: bool) -> Refusal {
-    if !may_have_run {
+fn final_refusal(gateway: &Gateway, call: &Call) -> Refusal {
+    if !call.may_have_run.get() {
         return Refusal::not_run(RefusalReason::Overloaded, BUSY_RETURN);
     }
     if call.deadline <= gateway.now() {
@@ -289,8 +299,8 @@
 }
 
 /// A refusal that would promise "not run" is only true while no attempt may have run.
-fn after_attempts(refusal: Refusal, may_have_run: bool) -> Refusal {
-    if may_have_run {
+fn after_attempts(refusal: Refusal, call: &Call) -> Refusal {
+    if call.may_have_run.get() {
         return Refusal::unknown(StatusCode::BAD_GATEWAY, RefusalReason::UpstreamFailed);
     }
     refusal
--- a/crates/bergamotpitch-gateway/src/bodies.rs
+++ b/crates/bergamotpitch-gateway/src/bodies.rs
@@ -21,6 +21,7 @@
 use crate::calls::Call;
 use crate::connections::Sender;
 use crate::crashes::{ANSWERED_TIME, AnswerProgress, BrokenAttempt, GivenAnswer};
+use crate::drains::Stage;
 use crate::errors::Cut;
 use crate::exchanges::{self, Answer, Failure, Reuse};
 use crate::gateways::{Gateway, InFlight};
@@ -151,6 +152,7 @@
     is_answered: bool,
     longest_pause: Duration,
     deadline: Pin<Box<Sleep>>,
+    grace_over: Pin<Box<dyn Future<Output = ()>>>,
     _in_flight: InFlight,
     in_request: Option<InRequest>,
 }
@@ -182,6 +184,7 @@
             is_answered: false,
             longest_pause: Duration::ZERO,
             deadline: Box::pin(tokio::time::sleep(left)),
+            grace_over: Box::pin(gateway.drain.reached(Stage::GraceOver)),
             _in_flight: gateway.enter(),
             in_request: None,
         }
@@ -197,6 +200,9 @@
         if self.deadline.as_mut().poll(context).is_ready() {
             return Poll::Ready(self.cut(Cut::TimedOut));
         }
+        if self.grace_over.as_mut().poll(context).is_ready() {
+            return Poll::Ready(self.cut(Cut::InstanceEnded));
+        }
         loop {
             match &mut self.source {
                 Source::Reading(source) => match Pin::new(&mut source.body).poll_frame(context) {
@@ -307,6 +313,7 @@
                 self.note_answered(GivenAnswer { upstream: key, sent, begun, at: self.last_event });
             }
             self.gateway.note_completed(&self.call);
+            self.gateway.note_answer_time(&self.call);
             if let Reuse::Idle(idle) = reuse {
                 self.gateway.keep_connection(key, sender, idle);
             }
@@ -467,6 +474,9 @@
     {
         return None;
     }
+    if !gateway.may_end_in_time(&call.route) {
+        return None;
+    }
     if !gateway.bind_broken(call) || !gateway.obtain_repeat(call).await {
         return None;
     }
--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -23,6 +23,7 @@
 use crate::bodies::AnswerBody;
 use crate::callers::CallerConnection;
 use crate::crashes::SoleAttempt;
+use crate::drains::{Stage, draining};
 use crate::gateways::Gateway;
 use crate::logs::decision;
 use crate::refusals::{Inputs, Refusal, response_of_refusal};
@@ -89,6 +90,10 @@
     /// The version at which events of its answer were written, where it is known. Another one may appear while a
     /// place is looked for at which it goes on.
     pub begun_software: Cell<Option<SoftwareId>>,
+    /// When it was sent to an upstream last.
+    pub sent: Cell<Timestamp>,
+    /// Whether an upstream may have run it.
+    pub may_have_run: Cell<bool>,
     /// How many upstreams it was sent to, before the first event of its answer and after it.
     pub attempts: Cell<u32>,
     /// Upstreams that may not have read it: it was given up there before they answered.
@@ -107,8 +112,10 @@
 
 impl Call {
     /// `count_attempt` takes in that it is sent to one more upstream.
-    pub(crate) fn count_attempt(&self) {
+    pub(crate) fn count_attempt(&self, now: Timestamp) {
         self.attempts.set(self.attempts.get() + 1);
+        self.sent.set(now);
+        self.may_have_run.set(true);
     }
 
     /// `discount_attempt` takes in that nothing of it was written there.
@@ -215,7 +222,7 @@
     known: &mut Known,
 ) -> Result<Call, Refusal> {
     let arrived = known.arrived;
-    let (parts, body) = request.into_parts();
+    let (parts, mut body) = request.into_parts();
     let Head { catalog, route, team, host } = read_head(gateway, &parts, known)?;
     known.pool_tokens = facts.pool_tokens();
     if let Some(team) = &team {
@@ -237,7 +244,17 @@
     let deadline = arrived + budget.min(route.timeout);
     let time = deadline.saturating_sub(arrived);
     let hold = gateway.held_bytes.open();
-    let body = read_body(&parts.headers, body, &catalog, hold, time).await?;
+    let body = tokio::select! {
+        biased;
+        read = read_body(&parts.headers, &mut body, &catalog, hold, time) => read?,
+        () = gateway.drain.reached(Stage::RefusesNew) => {
+            discard(body).await;
+            return Err(draining());
+        }
+    };
+    if gateway.refuses_new() {
+        return Err(draining());
+    }
     let hash = u64::from(id_of_name(facts.first_attempt_id()));
     let service = route
         .target_of(hash)
@@ -251,6 +268,8 @@
         served,
         bound_software: Cell::new(None),
         begun_software: Cell::new(None),
+        sent: Cell::new(arrived),
+        may_have_run: Cell::new(false),
         attempts: Cell::new(0),
         unread: RefCell::default(),
         unread_repeats: Cell::new(0),
@@ -287,7 +306,7 @@
 
 fn read_head(gateway: &Gateway, parts: &Parts, known: &mut Known) -> Result<Head, Refusal> {
     if gateway.refuses_new() {
-        return Err(Refusal::not_run(RefusalReason::Draining, BUSY_RETURN));
+        return Err(draining());
     }
     let catalog =
         gateway.catalog().ok_or(Refusal::not_run(RefusalReason::NotReady, NOT_READY_RETURN))?;
@@ -298,6 +317,7 @@
         .cloned()
         .ok_or(Refusal::denied(StatusCode::NOT_FOUND, RefusalReason::ServiceNotAllowed))?;
     known.route = Some(Arc::clone(&route));
+    gateway.check_drain(&route)?;
     let team = team_of(gateway, &catalog, &route, &parts.headers)?;
     known.team.clone_from(&team);
     Ok(Head { catalog, route, team, host })
--- a/crates/bergamotpitch-gateway/src/errors.rs
+++ b/crates/bergamotpitch-gateway/src/errors.rs
@@ -35,4 +35,6 @@
     UpstreamBroke,
     /// the time of the request is over
     TimedOut,
+    /// the instance ends
+    InstanceEnded,
 }
--- a/crates/bergamotpitch-gateway/src/exchanges.rs
+++ b/crates/bergamotpitch-gateway/src/exchanges.rs
@@ -66,6 +66,13 @@
     TimedOut,
 }
 
+impl Failure {
+    /// `may_have_run` tells whether the upstream may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        matches!(self, Self::Broken { .. } | Self::TimedOut)
+    }
+}
+
 /// `LONGEST_IDLE` bounds for how long an upstream may say that it keeps an idle connection.
 const LONGEST_IDLE: Duration = Duration::from_secs(600);
 
@@ -108,11 +115,11 @@
             None => open(gateway, address).await?,
         };
         // Connecting takes a while, in which operators may have changed what is allowed.
-        if !gateway.may_send(call, placement) {
+        if !gateway.may_send(call, placement) || !gateway.may_end_in_time(&call.route) {
             return Err(Failure::Withdrawn);
         }
         let request = request_of_call(gateway, call, placement, resume_after)?;
-        call.count_attempt();
+        call.count_attempt(gateway.now());
         gateway.update_unread(call);
         let unanswered = Unanswered { gateway, call, upstream: gateway.life_of(key) };
         let sent = sender.send(request).await;
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bergamotpitch_control::traffic::admissions::Traffic;
+use bergamotpitch_control::traffic::answer_times::AnswerTimes;
 use bergamotpitch_control::traffic::catalogs::{CallerLimits, Catalog, CatalogVersion, Team};
 use bergamotpitch_control::traffic::concurrency_limits;
 use bergamotpitch_control::traffic::facts::RequestFacts;
@@ -29,6 +30,7 @@
 use crate::current_lists::CurrentList;
 use crate::dialects::Dialect;
 use crate::dispatchers::LocalPlacements;
+use crate::drains::DrainState;
 use crate::errors::{Error, Result};
 use crate::heartbeats::{self, HEARTBEAT_INTERVAL};
 use crate::held_bytes::HeldBytes;
@@ -109,6 +111,10 @@
     pub(crate) block_records: BlockRecords,
     /// What it tells others of its streams, and asks them about theirs.
     pub(crate) origins: Origins,
+    /// How far its end has come.
+    pub(crate) drain: DrainState,
+    /// For how long answers take.
+    pub(crate) answer_times: RefCell<AnswerTimes>,
     /// What is kept beyond this process of services that ran several software versions.
     pub(crate) version_records: VersionRecords,
     /// Where messages of other instances come in and go out.
@@ -121,9 +127,7 @@
     arrivals: Cell<u32>,
     listed: Cell<Option<Timestamp>>,
     was_ready: Cell<bool>,
-    is_draining: Cell<bool>,
     pub(crate) is_start_announced: Cell<bool>,
-    refuses_new: Cell<bool>,
 }
 
 impl std::fmt::Debug for Gateway {
@@ -196,6 +200,8 @@
             block_records: BlockRecords::default(),
             origins: Origins::default(),
             version_records: VersionRecords::default(),
+            drain: DrainState::default(),
+            answer_times: RefCell::default(),
             datagrams,
             catalog: RefCell::default(),
             connections: RefCell::default(),
@@ -205,9 +211,7 @@
             arrivals: Cell::new(0),
             listed: Cell::new(None),
             was_ready: Cell::new(false),
-            is_draining: Cell::new(false),
             is_start_announced: Cell::new(false),
-            refuses_new: Cell::new(false),
         }
     }
 
@@ -407,7 +411,7 @@
     pub fn is_ready(&self) -> bool {
         let policy = &self.options.admission.policy;
         let keeps_up = !policy.lateness_readiness || self.loop_lag.keeps_up();
-        self.knows_all() && keeps_up && !self.is_draining.get()
+        self.knows_all() && keeps_up && !self.is_draining()
     }
 
     fn note_readiness(&self) {
@@ -435,26 +439,6 @@
         self.metrics.note_origins(traffic.origins.count());
         self.metrics.note_fleet(self.fleet_size());
     }
-
-    /// `is_draining` tells whether the process is about to end.
-    pub fn is_draining(&self) -> bool {
-        self.is_draining.get()
-    }
-
-    /// `begin_drain` takes the instance out of rotation.
-    pub fn begin_drain(&self) {
-        self.is_draining.set(true);
-    }
-
-    /// `refuses_new` tells whether requests that come now are refused.
-    pub fn refuses_new(&self) -> bool {
-        self.refuses_new.get()
-    }
-
-    /// `refuse_new` lets requests that come from now on be refused.
-    pub fn refuse_new(&self) {
-        self.refuses_new.set(true);
-    }
 }
 
 fn listen_for_callers(address: &mut SocketAddr) -> Result<TcpListener> {
