Count what unfinished events and unread answers take, and let the largest give way

Callers saw: faulty upstreams that sent events without end in 300 streams at once took 158 MB of an instance that has 110; the platform ends such a process with all that it serves. 4 of 40 sound requests were refused. Cause: each answer was bounded and all of them together were not. An event that has not ended, events that were passed on and that nobody reads, and 64 KB of each whole answer counted for nothing. Change: all of these are held of one budget. What one answer may take shrinks with what is left, so that the largest are given up and small ones still fit; a connection reads 32 KB ahead, not 64. Metrics tell what bodies take.

--- a/crates/bergamotpitch-gateway/src/arrivals.rs
+++ b/crates/bergamotpitch-gateway/src/arrivals.rs
@@ -13,7 +13,7 @@
 
 use crate::gateways::Gateway;
 use crate::headers::remove_hop_headers;
-use crate::held_bytes::Hold;
+use crate::held_bytes::{Hold, capacity_for};
 use crate::refusals::Refusal;
 
 /// `team_of` finds the team whose key a caller shows.
@@ -101,7 +101,7 @@
             if limit_bytes < bytes.len() + data.len() {
                 return Err(too_large);
             }
-            if !hold.reach(bytes.len() + data.len()) {
+            if !hold.reach(capacity_for(&bytes, bytes.len() + data.len())) {
                 return Err(no_memory);
             }
             bytes.extend_from_slice(&data);
--- a/crates/bergamotpitch-gateway/src/bodies.rs
+++ b/crates/bergamotpitch-gateway/src/bodies.rs
@@ -25,7 +25,7 @@
 use crate::errors::Cut;
 use crate::exchanges::{self, Answer, Failure, Reuse};
 use crate::gateways::{Gateway, InFlight};
-use crate::held_bytes::Hold;
+use crate::held_bytes::{Hold, UNCOUNTED_BYTES, capacity_for};
 use crate::logs::{SharedParts, decision};
 use crate::placements::{Run, place};
 use crate::sse::EventCutter;
@@ -33,9 +33,6 @@
 /// `ANSWER_LIMIT_BYTES` bounds an answer that is read in full before it is passed on.
 const ANSWER_LIMIT_BYTES: usize = 8 << 20;
 
-/// `UNCOUNTED_BYTES` is what an answer that is read in full may take whatever others take.
-const UNCOUNTED_BYTES: usize = 64 << 10;
-
 /// `RESUME_LIMIT` bounds how often one stream goes on at another upstream.
 const RESUME_LIMIT: u32 = 2;
 
@@ -88,7 +85,7 @@
         .is_some_and(|value| value.starts_with("text/event-stream"))
 }
 
-/// `read_whole` reads an answer to its end; what it takes beyond [`UNCOUNTED_BYTES`] is held meanwhile.
+/// `read_whole` reads an answer to its end; what it takes is held meanwhile.
 ///
 /// # Errors
 ///
@@ -106,13 +103,19 @@
         if ANSWER_LIMIT_BYTES < length {
             return Err(format!("it is longer than {ANSWER_LIMIT_BYTES} bytes"));
         }
-        if !hold.reach(length.saturating_sub(UNCOUNTED_BYTES)) {
-            return Err(format!("no memory is left for more than {} bytes of it", bytes.len()));
+        if UNCOUNTED_BYTES < length && !hold.reach_fairly(capacity_for(&bytes, length)) {
+            return Err(no_memory_left(bytes.len()));
         }
         bytes.extend_from_slice(&data);
         sender.progress();
     }
-    Ok(bytes.freeze())
+    hold.shrink(0);
+    let length = bytes.len();
+    hold.keep(bytes.freeze()).ok_or_else(|| no_memory_left(length))
+}
+
+fn no_memory_left(held_bytes: usize) -> String {
+    format!("no memory is left for more than {held_bytes} bytes of it")
 }
 
 type Verification = Pin<Box<dyn Future<Output = bool>>>;
@@ -144,6 +147,8 @@
     run: Option<Run>,
     source: Source,
     cutter: EventCutter,
+    /// What an unfinished event takes.
+    hold: Hold,
     resumes: u32,
     first_event: Option<Duration>,
     last_event: Timestamp,
@@ -177,6 +182,7 @@
             run: Some(run),
             source: Source::Reading(source),
             cutter: EventCutter::default(),
+            hold: gateway.answer_bytes.open(),
             resumes: 0,
             first_event: None,
             last_event: Timestamp::ZERO,
@@ -209,7 +215,7 @@
                     Poll::Pending => return Poll::Pending,
                     Poll::Ready(Some(Ok(frame))) => {
                         let Ok(data) = frame.into_data() else { continue };
-                        if let Some(events) = self.take_in(data) {
+                        if let Some(events) = self.cut_events(data) {
                             if let Source::Reading(source) = &self.source {
                                 source.sender.progress();
                             }
@@ -249,6 +255,25 @@
         }
     }
 
+    /// Returns the events that are whole now; the upstream is given up where they take more than there is.
+    fn cut_events(&mut self, data: Bytes) -> Option<Bytes> {
+        let bytes = self.cutter.bytes_with(data.len());
+        if UNCOUNTED_BYTES < bytes && !self.hold.reach_fairly(bytes) {
+            self.broken(&no_memory_left(self.hold.bytes()));
+            return None;
+        }
+        let last = self.cutter.last_id().map(str::to_owned);
+        let events = self.take_in(data);
+        let bytes = self.cutter.bytes_with(0);
+        self.hold.shrink(if UNCOUNTED_BYTES < bytes { bytes } else { 0 });
+        let events = self.gateway.answer_bytes.open().keep(events?);
+        if events.is_none() {
+            self.cutter.go_back(last);
+            self.broken(&no_memory_left(self.hold.bytes()));
+        }
+        events
+    }
+
     fn take_in(&mut self, data: Bytes) -> Option<Bytes> {
         let last = self.cutter.last_id().map(str::to_owned);
         let mut events = self.cutter.push(data);
--- a/crates/bergamotpitch-gateway/src/connections.rs
+++ b/crates/bergamotpitch-gateway/src/connections.rs
@@ -48,7 +48,7 @@
 
 /// `READ_BUFFER_BYTES` bounds what is read of a connection ahead of whoever takes it; the head of an answer is no
 /// longer.
-const READ_BUFFER_BYTES: usize = 64 << 10;
+pub const READ_BUFFER_BYTES: usize = 32 << 10;
 
 /// `FRUITLESS_BYTES_MAX` bounds what an upstream sends without bringing an answer on. One that is faulty may
 /// send for as long as its connection is open, and each of its requests would take memory and processor
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -73,7 +73,7 @@
     pub loop_lag: LoopLag,
     /// Memory that the bodies of requests take.
     pub held_bytes: HeldBytes,
-    /// Memory that answers which are read in full take.
+    /// Memory that answers take which are not passed on yet.
     pub answer_bytes: HeldBytes,
     /// Requests for streams that it has taken on.
     pub streams: ServedStreams,
@@ -438,6 +438,7 @@
         self.metrics.note_upstreams(traffic.cold_count(now), traffic.evacuated_requests(now));
         self.metrics.note_origins(traffic.origins.count());
         self.metrics.note_fleet(self.fleet_size());
+        self.metrics.note_held_bytes(self.held_bytes.used(), self.answer_bytes.used());
     }
 }
 
--- a/crates/bergamotpitch-gateway/src/metrics.rs
+++ b/crates/bergamotpitch-gateway/src/metrics.rs
@@ -53,6 +53,8 @@
     pub callers_turned_away: Count,
     /// Upstreams that ended while they answered requests.
     pub upstream_crashes: Count,
+    request_bytes: Gauge<u64>,
+    answer_bytes: Gauge<u64>,
     fleet_instances: Gauge<u64>,
     sums_age_s: Gauge<f64>,
     cold_upstreams: Gauge<u64>,
@@ -149,6 +151,14 @@
                 .u64_gauge("bergamotpitch_blocked_requests")
                 .with_description("Requests that are refused, as they crash upstreams")
                 .build(),
+            request_bytes: meter
+                .u64_gauge("bergamotpitch_request_bytes")
+                .with_description("Memory that the bodies of requests take, in bytes")
+                .build(),
+            answer_bytes: meter
+                .u64_gauge("bergamotpitch_answer_bytes")
+                .with_description("Memory that answers take which are not passed on yet, in bytes")
+                .build(),
             fleet_instances: meter
                 .u64_gauge("bergamotpitch_fleet_instances")
                 .with_description("Instances that share what is allowed to the whole fleet")
@@ -197,6 +207,12 @@
         self.fleet_instances.record(instances as u64, &[]);
     }
 
+    /// `note_held_bytes` takes in how much memory bodies take.
+    pub fn note_held_bytes(&self, of_requests: usize, of_answers: usize) {
+        self.request_bytes.record(of_requests as u64, &[]);
+        self.answer_bytes.record(of_answers as u64, &[]);
+    }
+
     /// `note_origins` takes in of how many streams the origin is known.
     pub fn note_origins(&self, count: usize) {
         self.stream_origins.record(count as u64, &[]);
--- a/crates/bergamotpitch-gateway/src/sse.rs
+++ b/crates/bergamotpitch-gateway/src/sse.rs
@@ -5,6 +5,8 @@
 
 use bytes::{Bytes, BytesMut};
 
+use crate::held_bytes::capacity_for;
+
 /// `BOUNDARY_BYTES_MAX` is the length of the longest end of an event.
 const BOUNDARY_BYTES_MAX: usize = 4;
 
@@ -52,6 +54,11 @@
         self.last_id.as_deref()
     }
 
+    /// `bytes_with` returns what an unfinished event takes once more bytes of it have come.
+    pub fn bytes_with(&self, more: usize) -> usize {
+        capacity_for(&self.pending, self.pending.len() + more)
+    }
+
     /// `is_at_boundary` tells whether nothing is left of an unfinished event.
     pub fn is_at_boundary(&self) -> bool {
         self.pending.is_empty()
@@ -59,7 +66,13 @@
 
     /// `restart` drops what is left of an unfinished event.
     pub fn restart(&mut self) {
-        self.pending.clear();
+        self.pending = BytesMut::new();
+    }
+
+    /// `go_back` takes in that events after `last` are not passed on.
+    pub fn go_back(&mut self, last: Option<String>) {
+        self.last_id = last;
+        self.restart();
     }
 
     /// `after` drops the events up to and with the id `last`, which were passed on before; an
--- a/crates/bergamotpitch-gateway/tests/endless_bytes.rs
+++ b/crates/bergamotpitch-gateway/tests/endless_bytes.rs
@@ -2,12 +2,15 @@
 
 mod common;
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bergamotpitch_control::traffic::registries::Registration;
 use bergamotpitch_gateway::Gateway;
 use common::{
-    Act, FakeUpstream, ask, event, events_text, request, run, start, start_with_memory, stream_end,
-    stream_head, whole,
+    Act, FakeUpstream, Seen, ask, event, events_text, request, run, start, start_with_memory,
+    stream_end, stream_head, whole,
 };
 
 /// What a gateway may read of one answer: eight megabytes, and what the sockets between them hold.
@@ -129,6 +132,87 @@
     });
 }
 
+/// Guards against memory that many answers take together, each within its own bound: an event that does not end, in a
+/// hundred streams at once, and bodies without end.
+#[test]
+fn many_together() {
+    const MEMORY_BYTES: usize = 1 << 20;
+    run(async {
+        let text = "x".repeat(100 << 10);
+        let unfinished = format!("{:x}\r\n{text}\r\n", text.len());
+        let body = head(&format!("content-length: {}\r\n", 4 << 20));
+        for (path, acts) in [
+            ("/stream/", vec![stream_head(), event(1), Act::Write(unfinished), Act::Hang]),
+            ("/once/", vec![body, Act::Write(text.clone()), Act::Hang]),
+        ] {
+            let sound = [stream_head(), event(1), event(2), stream_end()];
+            let script = move |seen: &Seen| match seen.header("x-id") {
+                Some(id) if id.starts_with("sound") => sound.to_vec(),
+                _ => acts.clone(),
+            };
+            let faulty = FakeUpstream::start_reading(Box::new(script)).await;
+            let (gateway, address) = start_with_memory(&[], MEMORY_BYTES).await;
+            let registration =
+                Registration { slots: 100, ..common::registration("u0", faulty.address) };
+            gateway.upstream_listed(registration);
+            let ended = Rc::new(Cell::new(0));
+            for number in 0..60 {
+                let ended = Rc::clone(&ended);
+                let request = request("POST", path, &format!("n{number}"));
+                tokio::task::spawn_local(async move {
+                    ask(address, request).await;
+                    ended.set(ended.get() + 1);
+                });
+            }
+            let began = Instant::now();
+            while faulty.count() < 60 && began.elapsed() < SOON {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            tokio::time::sleep(SOON / 3).await;
+            let held = faulty.count() - ended.get();
+            let used = gateway.answer_bytes.used();
+            assert!(held * text.len() <= used, "{path}: {held} answers hold more than {used}");
+            assert!(used <= MEMORY_BYTES, "{path}: {used}");
+            for number in 0..10 {
+                let request = request("POST", "/stream/", &format!("sound{number}"));
+                let got = ask(address, request).await;
+                assert_eq!(got.unwrap().body, events_text(1, 2), "{path}");
+            }
+        }
+    });
+}
+
+/// Guards against events that were passed on and that nobody reads, in many streams at once.
+#[test]
+fn unread_events() {
+    const MEMORY_BYTES: usize = 1 << 20;
+    run(async {
+        let text = format!("data: {}\n\n", "x".repeat(200 << 10));
+        let large = format!("{:x}\r\n{text}\r\n", text.len());
+        let upstream = upstream(&[stream_head(), Act::Write(large.repeat(40)), stream_end()]).await;
+        let (gateway, address) = start_with_memory(&[], MEMORY_BYTES).await;
+        let registration =
+            Registration { slots: 100, ..common::registration("u0", upstream.address) };
+        gateway.upstream_listed(registration);
+        let mut unread = Vec::new();
+        for number in 0..30 {
+            let mut sender = common::connect(address).await;
+            let request = request("POST", "/stream/", &format!("n{number}"));
+            let response = sender.send_request(request).await.unwrap();
+            unread.push((sender, response));
+        }
+        tokio::time::sleep(SOON / 3).await;
+        let used = gateway.answer_bytes.used();
+        assert!((1..=MEMORY_BYTES).contains(&used), "{used}");
+        drop(unread);
+        let began = Instant::now();
+        while !is_at_rest(&gateway) {
+            assert!(began.elapsed() < SOON, "{} bytes are still held", gateway.answer_bytes.used());
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    });
+}
+
 fn is_at_rest(gateway: &Gateway) -> bool {
     gateway.answer_bytes.used() == 0
 }
