Send nothing again beside upstreams that a life before may have filled

Callers saw nothing; upstreams that stood still and went on got more repeats than the fleet is allowed, where instances had been killed or stopped meanwhile (the users' words: repeats piled up). The first window is a second longer, for upstreams that go on before they are noticed. An attempt counts as unread from when it is sent until its upstream answers. It costs callers of an instance that starts beside a silent upstream their second attempts, for up to a minute.

--- a/crates/bergamotpitch-control/src/traffic/retry_budgets.rs
+++ b/crates/bergamotpitch-control/src/traffic/retry_budgets.rs
@@ -13,12 +13,16 @@
 //!
 //! The budget is on what arrives. An upstream that stands still reads what it was sent once it goes on, also what
 //! was given up and sent elsewhere, so that a repeat counts until the upstream is known to have read its request.
+//!
+//! What a life of an instance holds for unread ends with it, and what it sent may still arrive. A life that finds an
+//! upstream silent therefore sends nothing again before that upstream answers, and little in the window after it.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use bergamotpitch_core::ids::UpstreamId;
 use bergamotpitch_core::units::Timestamp;
+use bergamotpitch_core::{HashMap, HashSet};
 
 /// `Options` of a budget.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -53,6 +57,10 @@
 /// `UNREAD_TIME` is for how long an upstream that stands still may hold requests.
 const UNREAD_TIME: Duration = Duration::from_secs(60);
 
+/// `SILENT_AFTER` is the time without any answer after which an upstream may be one that stood still when this life
+/// began. It is also by how much the first window is longer, as one that goes on sooner is not noticed.
+pub const SILENT_AFTER: Duration = Duration::from_secs(1);
+
 /// `Usage` is what one service's budget holds at this instance, within its window.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Usage {
@@ -70,6 +78,50 @@
     requests: VecDeque<Timestamp>,
     repeats: VecDeque<Timestamp>,
     unread: Vec<Unread>,
+    silences: Silences,
+}
+
+/// `Silences` are the upstreams that have not answered in this life.
+#[derive(Debug, Default)]
+struct Silences {
+    /// When each of them was sent something first.
+    unheard: HashMap<UpstreamId, Timestamp>,
+    heard: HashSet<UpstreamId>,
+    /// When one answered at last that was silent.
+    broken_at: Option<Timestamp>,
+}
+
+impl Silences {
+    fn note_sent(&mut self, upstream: UpstreamId, now: Timestamp) {
+        if now < UNREAD_TIME && !self.heard.contains(&upstream) {
+            self.unheard.entry(upstream).or_insert(now);
+        }
+    }
+
+    fn note_heard(&mut self, upstream: UpstreamId, now: Timestamp) {
+        let since = self.unheard.remove(&upstream);
+        if since.is_some_and(|since| since + SILENT_AFTER <= now) {
+            self.broken_at = Some(now);
+        }
+        if now < UNREAD_TIME {
+            self.heard.insert(upstream);
+        }
+    }
+
+    fn is_any_silent(&self, now: Timestamp) -> bool {
+        let is_silent = |since: &Timestamp| *since + SILENT_AFTER <= now;
+        now < UNREAD_TIME && self.unheard.values().any(is_silent)
+    }
+
+    fn has_ended_within(&self, window: Duration, now: Timestamp) -> bool {
+        self.broken_at.is_some_and(|broken_at| now < broken_at + window)
+    }
+
+    fn step(&mut self, now: Timestamp) {
+        if UNREAD_TIME <= now {
+            (self.unheard, self.heard) = Default::default();
+        }
+    }
 }
 
 /// `Unread` is a repeat whose request an upstream may not have read.
@@ -133,8 +185,42 @@
         self.unread.push(Unread { upstream, since: now });
     }
 
+    /// `note_answered` takes in that an upstream has read one request that may have arrived later.
+    pub fn note_answered(&mut self, upstream: UpstreamId, now: Timestamp) {
+        let place = self.unread.iter().position(|unread| unread.upstream == upstream);
+        if let Some(place) = place {
+            self.unread.swap_remove(place);
+            self.repeats.push_back(now);
+        }
+    }
+
+    /// `note_sent` takes in that an upstream is sent a request.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bergamotpitch_control::traffic::retry_budgets::{Options, RetryBudget};
+    ///
+    /// let options = Options { ratio: 0.0, fixed: 2.0, ..Options::default() };
+    /// let mut budget = RetryBudget::default();
+    /// budget.note_sent(7, Duration::from_secs(12));
+    /// assert!(budget.is_silent(Duration::from_secs(13)));
+    /// assert!(!budget.take(Duration::from_secs(13), 1, &options));
+    /// budget.note_read(7, Duration::from_secs(14));
+    /// assert!(!budget.is_silent(Duration::from_secs(14)));
+    /// ```
+    pub fn note_sent(&mut self, upstream: UpstreamId, now: Timestamp) {
+        self.silences.note_sent(upstream, now);
+    }
+
+    /// `is_silent` tells whether an upstream may hold requests of a life before, which it will read when it goes on.
+    pub fn is_silent(&self, now: Timestamp) -> bool {
+        self.silences.is_any_silent(now)
+    }
+
     /// `note_read` takes in that an upstream has by now read what it was sent.
     pub fn note_read(&mut self, upstream: UpstreamId, now: Timestamp) {
+        self.silences.note_heard(upstream, now);
         let read = self.unread.extract_if(.., |unread| unread.upstream == upstream);
         self.repeats.extend(read.map(|_| now));
     }
@@ -150,7 +236,14 @@
         drop_before(&mut self.requests, now, options.window);
         drop_before(&mut self.repeats, now, options.window);
         self.unread.retain(|unread| now < unread.since + UNREAD_TIME);
-        let safety = if now < options.window { STARTING_SAFETY } else { SAFETY };
+        self.silences.step(now);
+        if self.is_silent(now) {
+            return false;
+        }
+        let was_silent = self.silences.has_ended_within(options.window, now);
+        let is_starting = was_silent || now < options.window + SILENT_AFTER;
+        let safety = if is_starting { STARTING_SAFETY } else { SAFETY };
+        let fixed = if was_silent { 0.0 } else { fixed };
         let allowed = safety * options.ratio * self.requests.len() as f64 + SAFETY * fixed;
         (self.repeats.len() + self.unread.len()) as f64 + 1.0 <= allowed
     }
--- a/crates/bergamotpitch-control/tests/repeat_budgets.rs
+++ b/crates/bergamotpitch-control/tests/repeat_budgets.rs
@@ -315,3 +315,136 @@
         assert!(20 < counts.repeats.len(), "repeats must be used");
     }
 }
+
+/// A fleet before upstreams of which some stand still and the others fail four of five requests. Whatever an upstream
+/// that stands still was sent arrives when it goes on, also what was given up and what a killed instance had sent.
+struct StandingFleet {
+    lives: Vec<(RetryBudget, Duration)>,
+    standing: std::ops::Range<Duration>,
+    /// Requests that upstreams which stand still will read.
+    held: Vec<usize>,
+    has_arrived: Vec<bool>,
+    /// When requests are given up at an upstream that stands still, and by which instance, as of which life.
+    given_up: std::collections::VecDeque<(Duration, usize, Duration, usize)>,
+    counts: Counts,
+}
+
+impl StandingFleet {
+    const INSTANCES: usize = 7;
+    const UPSTREAMS: usize = 9;
+    const STANDING: usize = 6;
+    const PATIENCE: Duration = Duration::from_millis(800);
+
+    fn new(standing: std::ops::Range<Duration>) -> Self {
+        let mut lives = Vec::new();
+        lives.resize_with(Self::INSTANCES, || (RetryBudget::default(), Duration::ZERO));
+        Self {
+            lives,
+            standing,
+            held: Vec::new(),
+            has_arrived: Vec::new(),
+            given_up: Default::default(),
+            counts: Counts::default(),
+        }
+    }
+
+    fn kill(&mut self, instance: usize, now: Duration) {
+        self.lives[instance] = (RetryBudget::default(), now);
+    }
+
+    fn arrive(&mut self, request: usize, now: Duration) {
+        if std::mem::replace(&mut self.has_arrived[request], true) {
+            self.counts.repeats.push(now);
+        }
+    }
+
+    fn stands(&self, upstream: usize, now: Duration) -> bool {
+        upstream < Self::STANDING && self.standing.contains(&now)
+    }
+
+    fn send(&mut self, instance: usize, request: usize, upstream: usize, now: Duration) {
+        let (budget, started) = &mut self.lives[instance];
+        let own = now - *started;
+        budget.note_sent(upstream as u32, own);
+        if self.stands(upstream, now) {
+            self.held.push(request);
+            let started = self.lives[instance].1;
+            self.given_up.push_back((now + Self::PATIENCE, instance, started, request));
+            return;
+        }
+        self.lives[instance].0.note_read(upstream as u32, own);
+        self.arrive(request, now);
+    }
+
+    fn repeat(&mut self, instance: usize, request: usize, unread: Option<usize>, now: Duration) {
+        let (budget, started) = &mut self.lives[instance];
+        let own = now - *started;
+        let usable = FixedParts::default().usable(1, KNOWN, own, &OPTIONS);
+        let fixed = OPTIONS.fixed * usable / Self::INSTANCES as f64;
+        if !budget.take_within(own, fixed, &OPTIONS) {
+            return;
+        }
+        let upstream = (request * 7 + 5) % Self::UPSTREAMS;
+        if let Some(unread) = unread.or(self.stands(upstream, now).then_some(upstream)) {
+            self.lives[instance].0.note_unread(unread as u32, own);
+        }
+        self.send(instance, request, upstream, now);
+    }
+
+    fn serve(&mut self, now: Duration) {
+        while self.given_up.front().is_some_and(|(due, ..)| *due <= now) {
+            let Some((_, instance, started, request)) = self.given_up.pop_front() else { return };
+            if self.lives[instance].1 == started && self.standing.contains(&now) {
+                self.repeat(instance, request, Some(request % Self::UPSTREAMS), now);
+            }
+        }
+        if self.standing.end <= now {
+            for request in std::mem::take(&mut self.held) {
+                self.arrive(request, now);
+            }
+        }
+        let request = self.has_arrived.len();
+        self.has_arrived.push(false);
+        self.counts.requests.push(now);
+        let instance = request % Self::INSTANCES;
+        let (budget, started) = &mut self.lives[instance];
+        let own = now - *started;
+        budget.note_request(own, &OPTIONS);
+        let upstream = request % Self::UPSTREAMS;
+        self.send(instance, request, upstream, now);
+        if !self.stands(upstream, now) && request % 5 != 0 {
+            self.repeat(instance, request, None, now);
+        }
+        self.counts.check(now);
+    }
+}
+
+/// Guards against repeats that pile up where instances end while upstreams stand still: each life sends again what
+/// it may, and what the lives before have sent again arrives with it.
+#[test]
+fn killed_beside_standing() {
+    let seconds = Duration::from_secs_f64;
+    for (standing_s, killed_s) in [
+        // All at once: half a second before the upstreams go on, in the middle, again and again.
+        (18.0, vec![37.5]),
+        (24.0, vec![31.0]),
+        (38.0, vec![32.0, 44.0, 56.0]),
+        // One after the other.
+        (30.0, (0..20).map(|number| 20.0 + 1.5 * f64::from(number)).collect()),
+    ] {
+        let are_all = killed_s.len() < 10;
+        let mut fleet = StandingFleet::new(seconds(20.0)..seconds(20.0 + standing_s));
+        let mut kills = killed_s.iter().copied().map(seconds).enumerate().peekable();
+        for number in 0..60 * 80 {
+            let now = Duration::from_secs(number) / 60;
+            while let Some((kill, at)) = kills.next_if(|(_, at)| *at <= now) {
+                match are_all {
+                    true => (0..StandingFleet::INSTANCES).for_each(|one| fleet.kill(one, at)),
+                    false => fleet.kill(kill % StandingFleet::INSTANCES, at),
+                }
+            }
+            fleet.serve(now);
+        }
+        assert!(20 < fleet.counts.repeats.len(), "repeats must be used");
+    }
+}
--- a/crates/bergamotpitch-gateway/src/calls.rs
+++ b/crates/bergamotpitch-gateway/src/calls.rs
@@ -96,7 +96,7 @@
     pub may_have_run: Cell<bool>,
     /// How many upstreams it was sent to, before the first event of its answer and after it.
     pub attempts: Cell<u32>,
-    /// Upstreams that may not have read it: it was given up there before they answered.
+    /// Upstreams that may not have read it, and whose attempts do not count as unread in the retry budget.
     pub unread: RefCell<Vec<UpstreamId>>,
     /// How many of its repeats count as unread in the retry budget.
     pub unread_repeats: Cell<u32>,
--- a/crates/bergamotpitch-gateway/src/exchanges.rs
+++ b/crates/bergamotpitch-gateway/src/exchanges.rs
@@ -120,8 +120,7 @@
         }
         let request = request_of_call(gateway, call, placement, resume_after)?;
         call.count_attempt(gateway.now());
-        gateway.update_unread(call);
-        let unanswered = Unanswered { gateway, call, upstream: gateway.life_of(key) };
+        let unanswered = Unanswered::new(gateway, call, key);
         let sent = sender.send(request).await;
         unanswered.close();
         match sent {
@@ -139,25 +138,26 @@
     }
 }
 
-/// `Unanswered` is an attempt that waits for its answer; dropped, it was given up.
+/// `Unanswered` is an attempt that waits for its answer. Its upstream may not have read it before it is closed, also
+/// where it is dropped, as it was given up.
 struct Unanswered<'a> {
     gateway: &'a Gateway,
     call: &'a Call,
     upstream: Option<UpstreamId>,
 }
 
-impl Unanswered<'_> {
-    fn close(mut self) {
-        self.upstream = None;
+impl<'a> Unanswered<'a> {
+    fn new(gateway: &'a Gateway, call: &'a Call, key: UpstreamKey) -> Self {
+        let upstream = gateway.life_of(key);
+        upstream.into_iter().for_each(|upstream| gateway.note_sent(call, upstream));
+        Self { gateway, call, upstream }
     }
-}
 
-impl Drop for Unanswered<'_> {
-    fn drop(&mut self) {
-        if let Some(upstream) = self.upstream.take() {
-            self.call.unread.borrow_mut().push(upstream);
-            self.gateway.update_unread(self.call);
-        }
+    fn close(self) {
+        let answered = self.upstream;
+        answered
+            .into_iter()
+            .for_each(|upstream| self.gateway.note_answered_by(self.call, upstream));
     }
 }
 
--- a/crates/bergamotpitch-gateway/src/retries.rs
+++ b/crates/bergamotpitch-gateway/src/retries.rs
@@ -10,7 +10,7 @@
 use bergamotpitch_control::traffic::retry_budgets::Holder;
 use bergamotpitch_core::HashMap;
 use bergamotpitch_core::events::EventKind;
-use bergamotpitch_core::ids::{InstanceId, id_of_name};
+use bergamotpitch_core::ids::{InstanceId, UpstreamId, id_of_name};
 use tokio::sync::oneshot;
 
 use crate::calls::Call;
@@ -48,13 +48,15 @@
     /// `obtain_repeat` takes one for a call, or lets the dispatcher of the domain allow it.
     pub(crate) async fn obtain_repeat(&self, call: &Call) -> bool {
         let is_own = self.take_repeat(&call.service);
-        let is_allowed = is_own || self.ask_for_repeat(&call.service).await;
+        let now = self.now();
+        let is_silent = self.traffic.borrow_mut().budget(&call.service).is_silent(now);
+        let is_allowed = is_own || (!is_silent && self.ask_for_repeat(&call.service).await);
         let usage = self.traffic.borrow_mut().budget(&call.service).usage();
         decision(
             EventKind::RepeatDecided,
             format_args!(
-                "request={} service={} allowed={is_allowed} own={is_own} repeats={} unread={} \
-                 requests={} fixed={:.1} instances={}",
+                "request={} service={} allowed={is_allowed} own={is_own} silent={is_silent} repeats={} \
+                 unread={} requests={} fixed={:.1} instances={}",
                 call.facts.attempt_id,
                 call.service,
                 usage.repeats,
@@ -70,9 +72,30 @@
         is_allowed
     }
 
-    /// `update_unread` takes in at which upstreams a call was given up that may not have read it. All its attempts
-    /// but one are repeats, whichever arrive first.
-    pub(crate) fn update_unread(&self, call: &Call) {
+    /// `note_sent` takes in that a call is sent to an upstream, which may read it at any time.
+    pub(crate) fn note_sent(&self, call: &Call, upstream: UpstreamId) {
+        let now = self.now();
+        self.traffic.borrow_mut().budget(&call.service).note_sent(upstream, now);
+        call.unread.borrow_mut().push(upstream);
+        self.update_unread(call);
+    }
+
+    /// `note_answered_by` takes in that the upstream to which a call was sent last has read it.
+    pub(crate) fn note_answered_by(&self, call: &Call, upstream: UpstreamId) {
+        let place = call.unread.borrow().iter().rposition(|unread| *unread == upstream);
+        if let Some(place) = place {
+            call.unread.borrow_mut().remove(place);
+            return;
+        }
+        let now = self.now();
+        self.traffic.borrow_mut().budget(&call.service).note_answered(upstream, now);
+        call.unread_repeats.update(|repeats| repeats.saturating_sub(1));
+        self.update_unread(call);
+    }
+
+    /// `update_unread` takes in which upstreams may not have read a call. All its attempts but one are repeats,
+    /// whichever arrive first.
+    fn update_unread(&self, call: &Call) {
         let now = self.now();
         while call.unread_repeats.get() + 1 < call.attempts.get() {
             let Some(upstream) = call.unread.borrow_mut().pop() else { return };
--- a/crates/bergamotpitch-gateway/tests/late_arrivals.rs
+++ b/crates/bergamotpitch-gateway/tests/late_arrivals.rs
@@ -62,6 +62,30 @@
     });
 }
 
+/// Guards against a repeat that leaves the budget's window while it waits, and is read after that.
+#[test]
+fn waiting_repeat() {
+    run(async {
+        let failed = whole("500 Internal Server Error", "failed");
+        let answer = vec![Act::Pause(Duration::from_millis(100)), failed];
+        let failing = FakeUpstream::start(Box::new(move |_| answer.clone())).await;
+        let (gateway, address) = start(&[&failing]).await;
+        let caller = tokio::task::spawn_local(ask(address, request("GET", "/safe/", "first")));
+        while failing.count() == 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let slow = [Act::Pause(Duration::from_millis(300)), whole("200 OK", "done")];
+        let slow = FakeUpstream::start(Box::new(move |_| slow.to_vec())).await;
+        gateway.upstream_listed(common::registration("slow", slow.address));
+        while slow.count() == 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        assert_eq!(repeats(&gateway), (0, 1));
+        assert_eq!(caller.await.unwrap().unwrap().status, 200);
+        assert_eq!(repeats(&gateway), (1, 0));
+    });
+}
+
 /// Guards against a budget that is used up by requests which were given up and not sent again.
 #[test]
 fn without_repeat() {
