Block parts that crash upstreams at irregular times, and up to four seconds late

Callers saw: requests with a part that crashes each upstream which begins to answer it, after 0.5 to 3 s by chance or after 4 s, went on to crash upstream after upstream (23 and 18 crashes in 35 s). Five late crashes blocked a part only if they came after much the same time, and after 3 s an upstream counted as having outlived its answer. Change: eight late crashes block a part whatever those times are, where no upstream has outlived an answer on it since the first, they span 4.5 s, and it was in hand at two thirds of all crashes; an answer is outlived after 6 s.

--- a/crates/bergamotpitch-control/src/traffic/crash_evidence.rs
+++ b/crates/bergamotpitch-control/src/traffic/crash_evidence.rs
@@ -64,6 +64,18 @@
 /// come late.
 const LATE_SPREAD_MS: Moment = 500;
 
+/// `LATE_CRASHES_MAX` is how many late crashes block a part whatever those times are, where no upstream has outlived
+/// an answer on it meanwhile, and it was in hand at [`LATE_PART_OF_CRASHES`] of all crashes.
+const LATE_CRASHES_MAX: usize = 8;
+
+/// `LATE_SPAN_MS` is the least time between the first and the last of them: upstreams need time to outlive an answer
+/// on a sound part.
+const LATE_SPAN_MS: Moment = 4_500;
+
+/// `LATE_PART_OF_CRASHES` is at which part of all crashes such a part was in hand. One that is seldom asked for is in
+/// hand at some crashes by chance, and not answered between them.
+const LATE_PART_OF_CRASHES: f64 = 2.0 / 3.0;
+
 /// `EVIDENCE_MAX` bounds the crashes that are kept of one suspect; the first ones tell nothing more.
 const EVIDENCE_MAX: usize = 16;
 
@@ -123,6 +135,15 @@
     (1..=CRASHES_MAX as Moment).map(crash).collect()
 }
 
+/// `Meanwhile` is what has happened besides since the first crash that counts against a suspect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Meanwhile {
+    /// Requests without it that were answered.
+    pub answers: u64,
+    /// Upstreams that crashed, whatever was in hand there.
+    pub crashes: usize,
+}
+
 /// `CrashRecord` is all that counts against one suspect.
 #[derive(Debug, Clone)]
 pub struct CrashRecord {
@@ -182,13 +203,12 @@
         self.evidence.last().map_or(0, |evidence| evidence.at)
     }
 
-    /// `blocked_until` returns until when the suspect is blocked, where `answers` requests without a part have
-    /// been answered since the first crash; `None` while it is only suspected.
-    pub fn blocked_until(&self, answers: u64) -> Option<Moment> {
+    /// `blocked_until` returns until when the suspect is blocked; `None` while it is only suspected.
+    pub fn blocked_until(&self, meanwhile: Meanwhile) -> Option<Moment> {
         let is_blocked = match self.suspect {
             SuspectId::Request(_) => self.is_certain_of_request(),
-            SuspectId::Part(..) => self.is_certain_of_part(answers),
-            SuspectId::LatePart(..) => self.is_certain_of_late_part(),
+            SuspectId::Part(..) => self.is_certain_of_part(meanwhile.answers),
+            SuspectId::LatePart(..) => self.is_certain_of_late_part(meanwhile.crashes),
         };
         if !is_blocked {
             return None;
@@ -220,9 +240,14 @@
     }
 
     /// Many parts are in hand at an upstream for some seconds before it ends by chance. One that crashes it does so
-    /// after much the same time.
-    fn is_certain_of_late_part(&self) -> bool {
+    /// after much the same time, or each time.
+    fn is_certain_of_late_part(&self, crashes: usize) -> bool {
         let firsts: Vec<&Evidence> = self.clusters().filter_map(<[Evidence]>::first).collect();
+        let is_usual = LATE_PART_OF_CRASHES * crashes as f64 <= self.evidence.len() as f64;
+        let is_long = firsts.first().is_some_and(|first| first.at + LATE_SPAN_MS <= self.last_at());
+        if LATE_CRASHES_MAX <= firsts.len() && is_usual && is_long {
+            return true;
+        }
         let Some(start) = firsts.len().checked_sub(CRASHES_MAX) else { return false };
         let delays = firsts.iter().skip(start).map(|crash| crash.at - crash.sent_at);
         let (least, most) = (delays.clone().min(), delays.max());
--- a/crates/bergamotpitch-control/src/traffic/crash_suspects.rs
+++ b/crates/bergamotpitch-control/src/traffic/crash_suspects.rs
@@ -17,7 +17,7 @@
 use bergamotpitch_core::ids::{ServiceId, UpstreamId};
 use bergamotpitch_core::{HashMap, HashSet};
 
-use crate::traffic::crash_evidence::{CrashRecord, STRONG_WEIGHT, WEAK_WEIGHT};
+use crate::traffic::crash_evidence::{CrashRecord, Meanwhile, STRONG_WEIGHT, WEAK_WEIGHT};
 pub use crate::traffic::crash_evidence::{Evidence, SuspectId};
 use crate::traffic::facts::PartId;
 use crate::traffic::provisional_answers::{Answer, LASTING_MS, OUTLIVED_MS, ProvisionalAnswers};
@@ -111,7 +111,8 @@
     suspects: HashMap<SuspectId, Suspect>,
     /// What counted against parts that were answered since, as long as those answers are provisional.
     set_aside: HashMap<PartKey, Suspect>,
-    crashed: HashSet<UpstreamId>,
+    /// Upstreams that crashed, and when.
+    crashed: HashMap<UpstreamId, Moment>,
     /// When operators let suspects in again or requests were answered, and when upstreams showed that they
     /// live: what others tell of the time before counts no more.
     lifted: HashMap<SuspectId, Moment>,
@@ -144,7 +145,7 @@
             lasting: ProvisionalAnswers::new(LASTING_MS),
             suspects: HashMap::default(),
             set_aside: HashMap::default(),
-            crashed: HashSet::default(),
+            crashed: HashMap::default(),
             lifted: HashMap::default(),
             alive: HashMap::default(),
             answers: HashMap::default(),
@@ -186,7 +187,7 @@
         let known = self.suspects.entry(suspect);
         let known = known.or_insert_with(|| Suspect::new(suspect, was_sound, answers_before));
         known.answers_told = known.answers_told.max(answers);
-        self.crashed.insert(life);
+        self.crashed.entry(life).or_insert(at);
         known.record.add(evidence)
     }
 
@@ -393,7 +394,7 @@
     /// `retract` takes in that bytes come from an upstream at a time; it tells whether it had counted as
     /// crashed before.
     pub fn retract(&mut self, life: UpstreamId, now: Moment) -> bool {
-        if !self.crashed.contains(&life) {
+        if !self.crashed.contains_key(&life) {
             return false;
         }
         let is_refuted =
@@ -435,14 +436,14 @@
         let suspected: Vec<(SuspectId, &Suspect)> =
             held.filter_map(|held| Some((held, self.suspects.get(&held)?))).collect();
         let verdicts = suspected.iter().map(|(id, suspect)| {
-            let answers = self.answers_since(*id, suspect);
-            if suspect.record.blocked_until(answers).is_none() {
-                return verdict_of(&suspect.record, answers, *id, now);
+            let meanwhile = self.meanwhile(*id, suspect);
+            if suspect.record.blocked_until(meanwhile).is_none() {
+                return verdict_of(&suspect.record, meanwhile, *id, now);
             }
             let explained = self.explained_crashes(service, &suspect.record, &suspected);
             let mut unexplained = suspect.record.clone();
             unexplained.retain(|evidence| !explained.contains(&evidence.life));
-            verdict_of(&unexplained, answers, *id, now)
+            verdict_of(&unexplained, meanwhile, *id, now)
         });
         let verdicts: Vec<Verdict> = verdicts.collect();
         let verdict = verdicts.iter().copied().max_by_key(Verdict::severity);
@@ -479,7 +480,7 @@
             if !is_of_service
                 || held.iter().any(|(held, _)| held == id)
                 || other.record.was_sound && !record.was_sound
-                || other.record.blocked_until(self.answers_since(*id, other)).is_none()
+                || other.record.blocked_until(self.meanwhile(*id, other)).is_none()
             {
                 continue;
             }
@@ -493,9 +494,14 @@
         explained
     }
 
-    fn answers_since(&self, id: SuspectId, suspect: &Suspect) -> u64 {
-        let answers = self.answers_of(id);
-        answers.saturating_sub(suspect.answers_before).max(suspect.answers_told)
+    fn meanwhile(&self, id: SuspectId, suspect: &Suspect) -> Meanwhile {
+        let answers = self.answers_of(id).saturating_sub(suspect.answers_before);
+        let first = suspect.record.evidence().first().map_or(Moment::MAX, |crash| crash.at);
+        let crashes = match id {
+            SuspectId::LatePart(..) => self.crashed.values().filter(|at| first <= **at).count(),
+            SuspectId::Part(..) | SuspectId::Request(_) => 0,
+        };
+        Meanwhile { answers: answers.max(suspect.answers_told), crashes }
     }
 
     /// `suspicions` returns what is known against each suspect, in no order.
@@ -509,7 +515,7 @@
     }
 
     fn suspicion(&self, id: SuspectId, suspect: &Suspect) -> Suspicion {
-        let answers = self.answers_since(id, suspect);
+        let meanwhile = self.meanwhile(id, suspect);
         let evidence = suspect.record.evidence();
         Suspicion {
             suspect: id,
@@ -517,8 +523,8 @@
             is_strong: evidence.iter().any(|evidence| evidence.is_strong),
             last_life: evidence.last().map_or(0, |evidence| evidence.life),
             last_at: suspect.record.last_at(),
-            answers,
-            blocked_until: suspect.record.blocked_until(answers),
+            answers: meanwhile.answers,
+            blocked_until: suspect.record.blocked_until(meanwhile),
         }
     }
 
@@ -534,8 +540,9 @@
     pub fn evidence_to_tell(&self, most: usize) -> Vec<(Evidence, u64)> {
         let mut ordered = Vec::new();
         for (id, suspect) in &self.suspects {
-            let answers = self.answers_since(*id, suspect);
-            let is_blocked = suspect.record.blocked_until(answers).is_some();
+            let meanwhile = self.meanwhile(*id, suspect);
+            let answers = meanwhile.answers;
+            let is_blocked = suspect.record.blocked_until(meanwhile).is_some();
             // A part that only waited at one crash is told once; a request may be at the next instance by
             // then.
             let told = suspect.record.evidence().iter();
@@ -571,7 +578,7 @@
 
     fn forgotten_at(&self, id: SuspectId, suspect: &Suspect) -> Moment {
         let record = &suspect.record;
-        match record.blocked_until(self.answers_since(id, suspect)) {
+        match record.blocked_until(self.meanwhile(id, suspect)) {
             Some(until) => until + EVIDENCE_MEMORY_MS,
             None if id.is_request() || record.weight() <= WEAK_WEIGHT => {
                 record.last_at() + WEAK_MEMORY_MS
@@ -594,8 +601,8 @@
     }
 }
 
-fn verdict_of(record: &CrashRecord, answers: u64, id: SuspectId, now: Moment) -> Verdict {
-    let Some(blocked_until) = record.blocked_until(answers) else {
+fn verdict_of(record: &CrashRecord, meanwhile: Meanwhile, id: SuspectId, now: Moment) -> Verdict {
+    let Some(blocked_until) = record.blocked_until(meanwhile) else {
         let is_confined = match id {
             SuspectId::Part(..) => !record.was_sound && STRONG_WEIGHT <= record.weight(),
             SuspectId::LatePart(..) => false,
--- a/crates/bergamotpitch-control/src/traffic/provisional_answers.rs
+++ b/crates/bergamotpitch-control/src/traffic/provisional_answers.rs
@@ -18,7 +18,7 @@
 pub const OUTLIVED_MS: Moment = 700;
 
 /// `LASTING_MS` is the same for parts under which upstreams have ended later than that.
-pub const LASTING_MS: Moment = 3_000;
+pub const LASTING_MS: Moment = 6_000;
 
 /// `ANSWERS_MAX` bounds the answers that are remembered; the oldest ones count as outlived beyond it.
 const ANSWERS_MAX: usize = 4_096;
--- a/crates/bergamotpitch-control/tests/crash_suspects.rs
+++ b/crates/bergamotpitch-control/tests/crash_suspects.rs
@@ -235,14 +235,14 @@
 /// that each has cleared it by then; and against sound parts that are blocked with it.
 #[test]
 fn seconds_later() {
-    for delay in [700, 1_000, 2_800] {
+    for delay in [700, 1_000, 2_800, 4_000, 5_800] {
         let mut suspects = CrashSuspects::default();
         for life in 1..=5 {
-            let at = 3_500 * Moment::from(life);
+            let at = 7_000 * Moment::from(life);
             assert_eq!(verdict(&suspects, BAD, at), Verdict::Admit, "crash {life}");
             answer(&mut suspects, life, &[START, 7, BAD], at);
             answer(&mut suspects, SOUND_LIFE, &[START], at + 50);
-            for step in (0..3_400).step_by(100) {
+            for step in (0..6_900).step_by(100) {
                 if step == delay {
                     let mut evidence = suspects.note_ended(life, at + step);
                     evidence.retain(|crash| !suspects.is_answered_elsewhere(crash));
@@ -256,10 +256,11 @@
                 answer(&mut suspects, SOUND_LIFE, &[START, 7], at + 100);
             }
         }
-        let bad = verdict(&suspects, BAD, 20_900);
+        let now = 41_900;
+        let bad = verdict(&suspects, BAD, now);
         assert!(matches!(bad, Verdict::Block(_)), "{bad:?}, a crash after {delay} ms");
-        assert_eq!(verdict(&suspects, 7, 20_900), Verdict::Admit, "it was answered elsewhere");
-        let after = 20_900 + 30_000;
+        assert_eq!(verdict(&suspects, 7, now), Verdict::Admit, "it was answered elsewhere");
+        let after = now + 30_000;
         assert!(matches!(verdict(&suspects, BAD, after), Verdict::Try(_)));
         answer(&mut suspects, SOUND_LIFE, &[START, BAD], after);
         let cleared = suspects.note_outlived(after + LASTING_MS);
@@ -268,6 +269,33 @@
     }
 }
 
+/// Guards against a part that is never blocked, as its upstreams crash after other times each time; and against sound
+/// parts that are blocked with it.
+#[test]
+fn irregular_crashes() {
+    let mut suspects = CrashSuspects::default();
+    for life in 1..=8 {
+        let at = 7_000 * Moment::from(life);
+        assert_eq!(verdict(&suspects, BAD, at), Verdict::Admit, "crash {life}");
+        answer(&mut suspects, life, &[START, 7, BAD], at);
+        answer(&mut suspects, SOUND_LIFE, &[START], at + 50);
+        if life == 5 {
+            answer(&mut suspects, SOUND_LIFE, &[START, 7], at + 50);
+        }
+        let delay = 700 * Moment::from(life);
+        suspects.note_outlived(at + delay - 100);
+        let mut evidence = suspects.note_ended(life, at + delay);
+        evidence.retain(|crash| !suspects.is_answered_elsewhere(crash));
+        for crash in evidence {
+            note(&mut suspects, crash);
+        }
+        suspects.note_outlived(at + 6_900);
+    }
+    let now = 7_000 * 9;
+    assert!(is_blocked(&suspects, BAD, now));
+    assert_eq!(suspects.verdict(SERVICE, [START, 7].into_iter(), None, now), Verdict::Admit);
+}
+
 /// Guards against an upstream that is taken to have crashed of an answer which it has outlived.
 #[test]
 fn outlived_answer() {
