Try a blocked part only with requests whose other parts are cleared for good

Cause: a trial holds one suspect alone, but a part whose own trial had just been answered no longer counted as one. Its upstream had not outlived that answer yet; the trial of the crashing part went to the same upstream with a request that held both, 5 ms later, and the crash set the answer aside and counted against both. Change: a part that would be blocked again if the upstream of its answer crashed counts as one to be tried.

--- a/crates/bergamotpitch-control/src/traffic/crash_suspects.rs
+++ b/crates/bergamotpitch-control/src/traffic/crash_suspects.rs
@@ -430,9 +430,11 @@
         now: Moment,
     ) -> Verdict {
         let request = digest.map(SuspectId::Request);
-        let parts = parts
-            .flat_map(|part| [SuspectId::Part(service, part), SuspectId::LatePart(service, part)]);
-        let held = request.into_iter().chain(parts);
+        let parts: Vec<PartId> = parts.collect();
+        let of_parts = parts
+            .iter()
+            .flat_map(|part| [SuspectId::Part(service, *part), SuspectId::LatePart(service, *part)]);
+        let held = request.into_iter().chain(of_parts);
         let suspected: Vec<(SuspectId, &Suspect)> =
             held.filter_map(|held| Some((held, self.suspects.get(&held)?))).collect();
         let verdicts = suspected.iter().map(|(id, suspect)| {
@@ -450,7 +452,11 @@
         match verdict {
             Some(Verdict::Try(turn)) if turn.place < LONE_TURNS => {
                 let mut tried = verdicts.iter().filter_map(Verdict::turn);
-                match tried.all(|other| other.suspect.number() == turn.suspect.number()) {
+                let is_other = |part: &&PartId| **part != turn.suspect.number();
+                let mut others = parts.iter().filter(is_other);
+                let is_alone = tried.all(|other| other.suspect.number() == turn.suspect.number())
+                    && !others.any(|part| self.is_block_set_aside((service, *part)));
+                match is_alone {
                     true => Verdict::Try(turn),
                     false => Verdict::Block(Duration::from_millis(TRIAL_WINDOW_MS as u64)),
                 }
@@ -459,6 +465,16 @@
         }
     }
 
+    /// Whether a part was blocked until it was answered a moment ago. It is again, if the upstream of that answer
+    /// crashes.
+    fn is_block_set_aside(&self, part: PartKey) -> bool {
+        let (service, id) = part;
+        self.set_aside.get(&part).is_some_and(|aside| {
+            let meanwhile = self.meanwhile(SuspectId::Part(service, id), aside);
+            aside.record.blocked_until(meanwhile).is_some()
+        })
+    }
+
     /// Crashes of one suspect that are explained by blocked parts which a request does not hold: parts that had
     /// begun to be answered there and at most of its other crashes. As dozens of requests are in hand at an
     /// upstream, some blocked part is found for each crash; one that was answered lately explains none of a part
--- a/crates/bergamotpitch-control/tests/crash_suspects.rs
+++ b/crates/bergamotpitch-control/tests/crash_suspects.rs
@@ -565,5 +565,9 @@
     let second_turn = TRIAL_WINDOW_MS + 500;
     assert!(matches!(both(&suspects, second_turn), Verdict::Try(_)), "nobody asks for one alone");
     answer(&mut suspects, SOUND_LIFE, &[START, 7], 1_000);
-    assert!(matches!(both(&suspects, 1_100), Verdict::Try(turn) if turn.suspect == id(BAD)));
+    let provisional = both(&suspects, 1_100);
+    assert!(matches!(provisional, Verdict::Block(_)), "the crash would count against the start");
+    let outlived = 900 + OUTLIVED_MS;
+    suspects.note_outlived(outlived);
+    assert!(matches!(both(&suspects, outlived), Verdict::Try(turn) if turn.suspect == id(BAD)));
 }
