--- a/crates/bergamotpitch-control/src/traffic/crash_suspects.rs
+++ b/crates/bergamotpitch-control/src/traffic/crash_suspects.rs
@@ -431,9 +431,9 @@
     ) -> Verdict {
         let request = digest.map(SuspectId::Request);
         let parts: Vec<PartId> = parts.collect();
-        let of_parts = parts
-            .iter()
-            .flat_map(|part| [SuspectId::Part(service, *part), SuspectId::LatePart(service, *part)]);
+        let of_parts = parts.iter().flat_map(|part| {
+            [SuspectId::Part(service, *part), SuspectId::LatePart(service, *part)]
+        });
         let held = request.into_iter().chain(of_parts);
         let suspected: Vec<(SuspectId, &Suspect)> =
             held.filter_map(|held| Some((held, self.suspects.get(&held)?))).collect();
--- a/crates/bergamotpitch-gateway/src/store_updates.rs
+++ b/crates/bergamotpitch-gateway/src/store_updates.rs
@@ -58,6 +58,18 @@
 /// `UpdateHandler` hands what a peer sent to whoever understands it.
 pub type UpdateHandler = Box<dyn Fn(RelayUpdate)>;
 
+/// `OwnEntry` is an instance's own entry in the list of instances.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum OwnEntry {
+    /// It keeps none.
+    #[default]
+    NotKept,
+    /// It was not written yet.
+    Missing,
+    /// It was written at a revision of the store.
+    WrittenAt(u64),
+}
+
 /// `StoreUpdates` is what this instance knows of the store, and by whom.
 #[derive(Default)]
 pub struct StoreUpdates {
@@ -76,8 +88,8 @@
     shared_answers: RefCell<SharedAnswers>,
     /// Up to where the changes of each peer, by its address, were taken in.
     cursors: RefCell<HashMap<SocketAddr, Cursor>>,
-    /// Revision of this instance's own entry in the list of instances, once it was written.
-    pub own_entry: Cell<Option<u64>>,
+    /// This instance's own entry in the list of instances.
+    pub own_entry: Cell<OwnEntry>,
     is_relying: Cell<bool>,
     /// Until when peers, by their addresses, are not asked, as they did not hand over what they know.
     distrusted: RefCell<HashMap<SocketAddr, Timestamp>>,
