Ask a dispatcher for no repeats while older ones are unread

Callers saw nothing; where a dispatcher decides for its domain (from five instances on), upstreams that stood still for 38 s and went on got up to 1.6 times the repeats that the fleet is allowed, without any restart. Change: an instance whose unread repeats of earlier windows are more than 0.4 of its even part of the fixed number asks for none.

--- a/crates/bergamotpitch-control/src/traffic/retry_budgets.rs
+++ b/crates/bergamotpitch-control/src/traffic/retry_budgets.rs
@@ -9,7 +9,8 @@
 //! In a fleet of a thousand instances each receives a few requests of a service in a window, and its
 //! part of the budget is less than one repeat. Where an instance decides for its domain, it therefore
 //! counts the requests that it decides on, holds half of the fixed parts of the whole domain, and allows
-//! the repeats of the others.
+//! the repeats of the others. Those hold what no upstream has read: whoever holds more than a part of its own asks for
+//! nothing more.
 //!
 //! The budget is on what arrives. An upstream that stands still reads what it was sent once it goes on, also what
 //! was given up and sent elsewhere, so that a repeat counts until the upstream is known to have read its request.
@@ -225,6 +226,29 @@
         self.repeats.extend(read.map(|_| now));
     }
 
+    /// `holds_outdated` tells whether repeats that no upstream has read, and that whoever allowed them has forgotten,
+    /// leave no room for further ones, of `fixed` that is this instance's even part of the fixed number.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use bergamotpitch_control::traffic::retry_budgets::{Options, RetryBudget};
+    ///
+    /// let options = Options::default();
+    /// let mut budget = RetryBudget::default();
+    /// budget.note_unread(7, Duration::ZERO);
+    /// assert!(!budget.holds_outdated(Duration::from_secs(9), 1.0, &options));
+    /// assert!(budget.holds_outdated(Duration::from_secs(10), 1.0, &options));
+    /// assert!(!budget.holds_outdated(Duration::from_secs(10), 2.5, &options));
+    /// ```
+    pub fn holds_outdated(&self, now: Timestamp, fixed: f64, options: &Options) -> bool {
+        let is_outdated = |unread: &&Unread| {
+            unread.since + options.window <= now && now < unread.since + UNREAD_TIME
+        };
+        let outdated = self.unread.iter().filter(is_outdated).count();
+        (1.0 - SAFETY) * fixed < outdated as f64
+    }
+
     /// `usage` returns what was counted, as of the last call that told the time.
     pub fn usage(&self) -> Usage {
         let [requests, repeats] = [&self.requests, &self.repeats].map(VecDeque::len);
--- a/crates/bergamotpitch-control/tests/repeat_budgets.rs
+++ b/crates/bergamotpitch-control/tests/repeat_budgets.rs
@@ -412,7 +412,7 @@
         budget.note_request(own, &OPTIONS);
         let upstream = request % Self::UPSTREAMS;
         self.send(instance, request, upstream, now);
-        if !self.stands(upstream, now) && request % 5 != 0 {
+        if !self.stands(upstream, now) && !request.is_multiple_of(5) {
             self.repeat(instance, request, None, now);
         }
         self.counts.check(now);
@@ -448,3 +448,45 @@
         assert!(20 < fleet.counts.repeats.len(), "repeats must be used");
     }
 }
+
+/// Guards against repeats that pile up at upstreams which stand still, where a dispatcher allows them: it forgets each
+/// after a window, and those that were allowed them hold them.
+#[test]
+fn pooled_beside_standing() {
+    const INSTANCES: usize = 8;
+    const UPSTREAMS: usize = 9;
+    const STANDING: usize = 6;
+    for (rate, standing_s) in [(60, 38), (100, 50), (6, 50)] {
+        let mut budgets: Vec<_> = (0..INSTANCES).map(|_| RetryBudget::default()).collect();
+        let mut dispatcher = RetryBudget::default();
+        let mut parts = FixedParts::default();
+        parts.update(Holder::This, Duration::ZERO, &OPTIONS);
+        let mut counts = Counts::default();
+        let mut held = 0;
+        for number in 0..rate * 120 {
+            let now = Duration::from_secs(30) + Duration::from_secs(number) / rate as u32;
+            let stands = (50..50 + standing_s).contains(&now.as_secs());
+            let number = number as usize;
+            counts.requests.push(now);
+            dispatcher.note_request(now, &OPTIONS);
+            let usable = parts.usable(INSTANCES, KNOWN, now, &OPTIONS);
+            let pooled = OPTIONS.fixed * usable / INSTANCES as f64;
+            let (instance, upstream) = (number % INSTANCES, number % UPSTREAMS);
+            let even_part = OPTIONS.fixed / INSTANCES as f64;
+            let budget = &mut budgets[instance];
+            if stands
+                && upstream < STANDING
+                && !budget.holds_outdated(now, even_part, &OPTIONS)
+                && dispatcher.take_within(now, pooled, &OPTIONS)
+            {
+                budget.note_unread(upstream as u32, now);
+                held += 1;
+            }
+            if !stands && held != 0 {
+                counts.repeats.extend(std::iter::repeat_n(now, std::mem::take(&mut held)));
+            }
+            counts.check(now);
+        }
+        assert!(20 < counts.repeats.len(), "repeats must be used");
+    }
+}
--- a/crates/bergamotpitch-gateway/src/retries.rs
+++ b/crates/bergamotpitch-gateway/src/retries.rs
@@ -49,8 +49,15 @@
     pub(crate) async fn obtain_repeat(&self, call: &Call) -> bool {
         let is_own = self.take_repeat(&call.service);
         let now = self.now();
-        let is_silent = self.traffic.borrow_mut().budget(&call.service).is_silent(now);
-        let is_allowed = is_own || (!is_silent && self.ask_for_repeat(&call.service).await);
+        let (is_silent, is_full) = {
+            let mut traffic = self.traffic.borrow_mut();
+            let options = traffic.options.retries;
+            let even_part = options.fixed / self.fleet_size() as f64;
+            let budget = traffic.budget(&call.service);
+            (budget.is_silent(now), budget.holds_outdated(now, even_part, &options))
+        };
+        let may_ask = !is_own && !is_silent && !is_full;
+        let is_allowed = is_own || (may_ask && self.ask_for_repeat(&call.service).await);
         let usage = self.traffic.borrow_mut().budget(&call.service).usage();
         decision(
             EventKind::RepeatDecided,
--- a/crates/bergamotpitch-gateway/tests/pooled_repeats.rs
+++ b/crates/bergamotpitch-gateway/tests/pooled_repeats.rs
@@ -87,6 +87,30 @@
     run(async { assert_eq!(ask_beside_dispatcher(false).await, (500, 0)) });
 }
 
+/// Guards against repeats that upstreams which stand still pile up: the dispatcher has forgotten those of the windows
+/// before, and the instance that was allowed them goes on asking.
+#[test]
+fn unread_beside_dispatcher() {
+    run(async {
+        let failing = upstream("500 Internal Server Error").await;
+        let (gateway, address) = start_small(&[&failing]).await;
+        let dispatcher = FakePeer::start(7, &gateway).await;
+        gateway.replace_peers(vec![dispatcher.address("a")]);
+        let window = Duration::from_millis(200);
+        let options = Options { ratio: 0.0, fixed: 1.0, window, ..Options::default() };
+        gateway.traffic.borrow_mut().options.retries = options;
+        gateway.traffic.borrow_mut().budget("all").note_unread(7, gateway.now());
+        tokio::time::sleep(window).await;
+        let caller = tokio::task::spawn_local(ask(address, request("GET", "/safe/a", "a")));
+        let first = dispatcher.next_placement_request().await;
+        dispatcher.reply(first.number, granted(&gateway, "u0")).await;
+        assert_eq!(caller.await.unwrap().unwrap().status, 500);
+        let find = |body| if let Body::RepeatRequest(asked) = body { Some(asked) } else { None };
+        let asked = tokio::time::timeout(window, dispatcher.next(find)).await;
+        assert!(asked.is_err(), "it asks for one more: {asked:?}");
+    });
+}
+
 /// Guards against a dispatcher that allows more than its domain received, or allows what others decide.
 #[test]
 fn counted_at_dispatcher() {
