Take streams that may be resumed until the balancer has noticed a stop

Cause: 'Take nothing on that the end of the grace would cut' refused these as well, though they go on elsewhere. Change: until requests are refused at all, streams that may be resumed are taken whatever they are expected to take.

--- a/crates/bergamotpitch-gateway/src/drains.rs
+++ b/crates/bergamotpitch-gateway/src/drains.rs
@@ -92,6 +92,10 @@
     /// `may_end_in_time` tells whether an answer that begins now is expected to end before the process does.
     pub(crate) fn may_end_in_time(&self, route: &Route) -> bool {
         let Some(end) = self.drain.end.get() else { return true };
+        // A stream that may go on elsewhere loses little, and all instances of a fleet may end in turn.
+        if route.is_resumable && !self.refuses_new() {
+            return true;
+        }
         match self.answer_times.borrow().expected(&route.name) {
             Some(expected) => self.now() + expected <= end,
             None => !self.refuses_new(),
