Let long_answers know the time of a stream that may be resumed

Change: both routes are answered once before the stop. The check is stricter; nothing is left out. Measured: with drains.rs of before it fails (503 where the stream is to be taken), with the present one all four tests of graceful_ends pass.

--- a/crates/bergamotpitch-gateway/tests/graceful_ends.rs
+++ b/crates/bergamotpitch-gateway/tests/graceful_ends.rs
@@ -128,8 +128,10 @@
         };
         let upstream = FakeUpstream::start(Box::new(script)).await;
         let (gateway, address) = start_short(&[&upstream]).await;
-        let first = ask(address, request("POST", "/stream/", "first")).await.unwrap();
-        assert!(first.is_whole);
+        for path in ["/stream/", "/resumed/"] {
+            let known = ask(address, request("POST", path, path)).await.unwrap();
+            assert!(known.is_whole);
+        }
         let drained = begin_drain(&gateway);
         tokio::time::sleep(Duration::from_millis(1_000)).await;
         let refused = ask(address, request("POST", "/stream/", "second")).await.unwrap();
@@ -140,7 +142,7 @@
         let cut = ask(address, resumed).await.unwrap();
         assert_eq!((cut.status, cut.is_whole), (200, false), "it goes on elsewhere");
         drained.await.unwrap();
-        assert_eq!(upstream.count(), 2);
+        assert_eq!(upstream.count(), 3);
     });
 }
 
