Name in refusals what kept a request from the upstreams

What was seen: requests within their team's share were refused as overloaded while the least loaded engine had 0 to 6 of 12 slots taken, and no log told by what the engines were passed over.

Decisions are as before.

--- a/crates/bergamotpitch-control/src/traffic/admissions.rs
+++ b/crates/bergamotpitch-control/src/traffic/admissions.rs
@@ -32,7 +32,7 @@
 use crate::traffic::stream_origins::StreamOrigins;
 use crate::traffic::team_windows::{self, ShareClass, TeamWindows};
 use crate::traffic::upstream_candidates::{
-    Distance, Fit, UpstreamCandidate, UtilizationLimits, millis,
+    Distance, Fit, Limit, UpstreamCandidate, UtilizationLimits, millis,
 };
 use crate::traffic::warm_ups::{self, ArrivalLimiter, Authority, WarmUp};
 
@@ -373,9 +373,6 @@
         confined_to: Option<SuspectId>,
         now: Timestamp,
     ) -> Decision {
-        if candidates.is_empty() {
-            return Decision::NoUpstream(NO_UPSTREAM_RETRY_AFTER);
-        }
         let limits = match share_class {
             // Others of its team have had nothing of what the stream was given before it broke off.
             _ if request.software.is_some() => self.options.within_share,
@@ -387,7 +384,7 @@
         let demand = self.demand(request, candidates, now);
         let default_state = UpstreamState::default();
         let mut best: Option<(f64, Placement)> = None;
-        let mut least_excess = RETRY_AFTER_MAX;
+        let mut least_excess: Option<(Duration, Limit)> = None;
         let mut least_requests = u32::MAX;
         for upstream in candidates {
             let state = self.states.get(&upstream.key).unwrap_or(&default_state);
@@ -396,7 +393,7 @@
             let arrival_wait =
                 self.arrival_wait(upstream, &state.arrivals, limits.arrivals_fraction, now);
             let fit = match (arrival_wait.is_zero(), confined_to) {
-                (false, _) => Fit::Excess(arrival_wait),
+                (false, _) => Fit::Excess(arrival_wait, Limit::Arrivals),
                 // Instances that know different loads must still choose the same upstream.
                 (true, Some(SuspectId::Request(_))) if candidate.has_room(request, &limits) => {
                     Fit::Fits
@@ -416,16 +413,22 @@
                         best = Some((score, placement_at(&candidate, share_class, now)));
                     }
                 }
-                Fit::Excess(excess) => least_excess = least_excess.min(excess),
+                Fit::Excess(excess, limit) => {
+                    if least_excess.is_none_or(|(least, _)| excess < least) {
+                        least_excess = Some((excess, limit));
+                    }
+                }
             }
         }
-        match best {
-            Some((_, placement)) => Decision::Send(placement),
-            None => Decision::Full {
-                retry_after: least_excess.max(RETRY_AFTER_MIN),
+        match (best, least_excess) {
+            (Some((_, placement)), _) => Decision::Send(placement),
+            (None, Some((excess, refused_by))) => Decision::Full {
+                retry_after: excess.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX),
                 share_class,
                 least_requests,
+                refused_by,
             },
+            (None, None) => Decision::NoUpstream(NO_UPSTREAM_RETRY_AFTER),
         }
     }
 
--- a/crates/bergamotpitch-control/src/traffic/placement_requests.rs
+++ b/crates/bergamotpitch-control/src/traffic/placement_requests.rs
@@ -13,6 +13,7 @@
 use crate::traffic::request_digests::RequestDigest;
 use crate::traffic::residencies::AllowedRegions;
 use crate::traffic::team_windows::ShareClass;
+use crate::traffic::upstream_candidates::Limit;
 use crate::traffic::warm_ups;
 
 /// `Scope` tells among which upstreams of its service a request is placed.
@@ -71,6 +72,8 @@
         share_class: ShareClass,
         /// Requests at the upstream that has fewest.
         least_requests: u32,
+        /// What kept it from the upstream that is first worth asking again.
+        refused_by: Limit,
     },
     /// No upstream of the service takes work; it is worth asking again at this time.
     NoUpstream(Duration),
--- a/crates/bergamotpitch-control/src/traffic/upstream_candidates.rs
+++ b/crates/bergamotpitch-control/src/traffic/upstream_candidates.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::traffic::engine_loads::{Figures, Work};
 use crate::traffic::placement_requests::PlacementRequest;
 use crate::traffic::policies::Policy;
@@ -99,8 +101,24 @@
 pub enum Fit {
     /// It fits.
     Fits,
-    /// It is so much too late, or too full for so long.
-    Excess(Duration),
+    /// It is so much too late, or too full for so long, by this limit.
+    Excess(Duration, Limit),
+}
+
+/// `Limit` is what keeps a request from an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, Serialize, Deserialize)]
+#[strum(serialize_all = "snake_case")]
+pub enum Limit {
+    /// Its slots are taken, as far as requests of this share class may take them.
+    Slots,
+    /// Its memory is.
+    Memory,
+    /// Streams that run there would pause for too long.
+    Pauses,
+    /// The first event is predicted too late.
+    Latency,
+    /// This instance may place no more requests there now, as it is cold or may become so.
+    Arrivals,
 }
 
 impl UpstreamCandidate {
@@ -127,14 +145,18 @@
         policy: &Policy,
     ) -> Fit {
         let is_generation = request.facts.is_generation();
-        if !self.has_room(request, limits) {
-            return Fit::Excess(request.target);
+        if !self.has_slot(is_generation, limits) {
+            return Fit::Excess(request.target, Limit::Slots);
+        }
+        if !self.has_memory(request, limits) {
+            return Fit::Excess(request.target, Limit::Memory);
         }
         if is_generation && policy.empty_engines && self.is_nearly_idle() {
             return Fit::Fits;
         }
         if policy.stream_pauses && !limits.may_pause_streams && self.would_pause_streams(request) {
-            return Fit::Excess(Duration::from_secs_f64(self.prefill_run_ms / 1_000.0));
+            let pause = Duration::from_secs_f64(self.prefill_run_ms / 1_000.0);
+            return Fit::Excess(pause, Limit::Pauses);
         }
         let target_ms = millis(request.target);
         let service_ms =
@@ -151,7 +173,7 @@
         if excess_ms <= 0.0 {
             return Fit::Fits;
         }
-        Fit::Excess(Duration::from_secs_f64(excess_ms / 1_000.0))
+        Fit::Excess(Duration::from_secs_f64(excess_ms / 1_000.0), Limit::Latency)
     }
 
     /// `has_room` tells whether it has a slot and memory for the request, however late it would begin.
--- a/crates/bergamotpitch-control/tests/cold_upstreams.rs
+++ b/crates/bergamotpitch-control/tests/cold_upstreams.rs
@@ -13,6 +13,7 @@
 use bergamotpitch_control::traffic::registries::Registration;
 use bergamotpitch_control::traffic::residencies::AllowedRegions;
 use bergamotpitch_control::traffic::team_windows::TeamSums;
+use bergamotpitch_control::traffic::upstream_candidates::Limit;
 use bergamotpitch_control::traffic::warm_ups::{self, Authority, GRANT_VALIDITY, WarmUp};
 
 const WARM_UP: WarmUp = WarmUp { time: Duration::from_secs(3), requests_per_s: 15.0 };
@@ -293,3 +294,17 @@
     }
     assert_eq!(refused, 0);
 }
+
+/// Guards against refusals beside idle engines of which nobody can tell why.
+#[test]
+fn refusal_names_bound() {
+    let mut traffic = traffic(Authority::Shared(78), Policy::default());
+    traffic.listed(registration("a", 1, Some(Duration::ZERO)), Duration::ZERO);
+    assert_eq!(flood(&mut traffic, Duration::ZERO, STEP).len(), 1);
+    let facts = RequestFacts { prompt_tokens: 60, ..RequestFacts::default() };
+    let decision = traffic.choose_upstream(&short_request(&facts), Duration::from_millis(900));
+    let Decision::Full { refused_by, least_requests, .. } = decision else {
+        panic!("{decision:?}");
+    };
+    assert_eq!((refused_by, least_requests), (Limit::Arrivals, 1));
+}
--- a/crates/bergamotpitch-gateway/src/messages.rs
+++ b/crates/bergamotpitch-gateway/src/messages.rs
@@ -18,6 +18,7 @@
 use bergamotpitch_control::traffic::residencies::AllowedRegions;
 use bergamotpitch_control::traffic::stream_origins::AttemptNumber;
 use bergamotpitch_control::traffic::team_windows::{ShareClass, TeamCounts};
+use bergamotpitch_control::traffic::upstream_candidates::Limit;
 use bergamotpitch_core::ids::{
     DomainId, Incarnation, InstanceId, ServiceId, SoftwareId, TeamId, UpstreamId,
 };
@@ -30,7 +31,7 @@
 use crate::options::Options;
 
 /// `FORMAT` begins each message of this release.
-const FORMAT: [u8; 4] = [0xb9, b'p', 0, 9];
+const FORMAT: [u8; 4] = [0xb9, b'p', 0, 10];
 
 /// `MESSAGE_BYTES` bounds a message: one datagram that is not cut on the way.
 pub const MESSAGE_BYTES: usize = 1_400;
@@ -307,6 +308,8 @@
         share_class: ShareClass,
         /// Requests at the upstream that has fewest.
         least_requests: u32,
+        /// What kept it from the upstream that is first worth asking again.
+        refused_by: Limit,
     },
     /// No upstream of the domain takes work.
     NoUpstream {
@@ -627,11 +630,14 @@
             Decision::Send(placement) => {
                 Self::Granted(GrantLine::new(placement, waited, registry)?)
             }
-            Decision::Full { retry_after: after, share_class, least_requests } => Self::Full {
-                after_ms: millis(*after),
-                share_class: *share_class,
-                least_requests: *least_requests,
-            },
+            Decision::Full { retry_after: after, share_class, least_requests, refused_by } => {
+                Self::Full {
+                    after_ms: millis(*after),
+                    share_class: *share_class,
+                    least_requests: *least_requests,
+                    refused_by: *refused_by,
+                }
+            }
             Decision::NoUpstream(after) => Self::NoUpstream { after_ms: millis(*after) },
             Decision::Blocked(after) => Self::Blocked { after_ms: millis(*after) },
         })
--- a/crates/bergamotpitch-gateway/src/placements.rs
+++ b/crates/bergamotpitch-gateway/src/placements.rs
@@ -48,10 +48,11 @@
     let grantor_id = grantor.map(|grantor| grantor.instance);
     let (reason, after, inputs) = match decision {
         Decision::Send(placement) => return Ok(PlacedRequest { number, placement, grantor }),
-        Decision::Full { retry_after: after, share_class, least_requests } => {
+        Decision::Full { retry_after: after, share_class, least_requests, refused_by } => {
             let inputs = Inputs {
                 share_class: Some(share_class),
                 least_requests: Some(least_requests),
+                refused_by: Some(refused_by),
                 grantor: grantor_id,
             };
             (refusal_reason(share_class), after, inputs)
--- a/crates/bergamotpitch-gateway/src/refusals.rs
+++ b/crates/bergamotpitch-gateway/src/refusals.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bergamotpitch_control::traffic::team_windows::ShareClass;
+use bergamotpitch_control::traffic::upstream_candidates::Limit;
 use bergamotpitch_core::ids::InstanceId;
 use bergamotpitch_core::refusals::{Ran, RefusalReason};
 use bytes::Bytes;
@@ -36,6 +37,8 @@
     pub share_class: Option<ShareClass>,
     /// Requests at the upstream that had fewest.
     pub least_requests: Option<u32>,
+    /// What kept it from the upstream that was first worth asking again.
+    pub refused_by: Option<Limit>,
     /// Instance that decided, when it was another one.
     pub grantor: Option<InstanceId>,
 }
@@ -49,6 +52,9 @@
         if let Some(requests) = self.least_requests {
             write!(formatter, " least_requests={requests}")?;
         }
+        if let Some(limit) = self.refused_by {
+            write!(formatter, " refused_by={limit}")?;
+        }
         write!(formatter, " granter={}", self.grantor.unwrap_or_default())
     }
 }
--- a/crates/bergamotpitch-gateway/src/remote_placements.rs
+++ b/crates/bergamotpitch-gateway/src/remote_placements.rs
@@ -219,11 +219,14 @@
                 let placement = line.placement(asked, &self.traffic.borrow().registry)?;
                 Some(Decision::Send(placement))
             }
-            ReplyOutcome::Full { after_ms, share_class, least_requests } => Some(Decision::Full {
-                retry_after: after(*after_ms),
-                share_class: *share_class,
-                least_requests: *least_requests,
-            }),
+            ReplyOutcome::Full { after_ms, share_class, least_requests, refused_by } => {
+                Some(Decision::Full {
+                    retry_after: after(*after_ms),
+                    share_class: *share_class,
+                    least_requests: *least_requests,
+                    refused_by: *refused_by,
+                })
+            }
             ReplyOutcome::NoUpstream { after_ms } => Some(Decision::NoUpstream(after(*after_ms))),
             ReplyOutcome::Blocked { after_ms } => Some(Decision::Blocked(after(*after_ms))),
             ReplyOutcome::Waits | ReplyOutcome::HandedOver { .. } | ReplyOutcome::Declined => None,
--- a/crates/bergamotpitch-gateway/tests/dispatched_requests.rs
+++ b/crates/bergamotpitch-gateway/tests/dispatched_requests.rs
@@ -14,6 +14,7 @@
 use bergamotpitch_control::traffic::request_digests::RequestContent;
 use bergamotpitch_control::traffic::software_versions::software_id;
 use bergamotpitch_control::traffic::team_windows::ShareClass;
+use bergamotpitch_control::traffic::upstream_candidates::Limit;
 use bergamotpitch_control::traffic::warm_ups::GRANT_VALIDITY;
 use bergamotpitch_core::ids::{InstanceId, id_of_name};
 use bergamotpitch_gateway::Gateway;
@@ -57,8 +58,12 @@
     ReplyOutcome::new(&Decision::Send(placement), Duration::ZERO, registry).unwrap()
 }
 
-const FULL: ReplyOutcome =
-    ReplyOutcome::Full { after_ms: 70, share_class: ShareClass::EvenSurplus, least_requests: 9 };
+const FULL: ReplyOutcome = ReplyOutcome::Full {
+    after_ms: 70,
+    share_class: ShareClass::EvenSurplus,
+    least_requests: 9,
+    refused_by: Limit::Slots,
+};
 
 /// Guards against deciders that take a team for one that asks twice as much, as its requests are asked
 /// for again after another domain had less room than it told.
