Divide the bound on cold upstreams among all that may send there

What could be seen: without a dispatcher instances of an upstream's own domain took a part of the domain's size, those of other domains one of the fleet's, each by its own decision. Together the parts were more than the bound: an upstream that becomes cold unannounced gets more than it tolerates (FAILBACK).

Cause: the part at the own domain's upstreams was divided by the instances of the domain also where all instances of the fleet may send there.

Change: it is divided by the domain's instances only while these have a dispatcher, which sends others' requests, and else by the fleet's.

--- a/crates/bergamotpitch-control/src/traffic/warm_ups.rs
+++ b/crates/bergamotpitch-control/src/traffic/warm_ups.rs
@@ -222,6 +222,9 @@
     pub listed: usize,
     /// Those of them that were heard lately, itself among them.
     pub heard: usize,
+    /// Instances that may each place requests at the domain's upstreams while this one does not decide for it,
+    /// itself among them: those of the domain beside its dispatcher, and without one those of the fleet.
+    pub deciders: usize,
 }
 
 /// `CONFIRMATION_TIME` is for how long an instance must have been the only dispatcher that hears most
@@ -249,7 +252,8 @@
     ///     Authorities, Authority, CONFIRMATION_TIME, DomainView,
     /// };
     ///
-    /// let alone = DomainView { is_dispatcher: true, is_contested: false, listed: 5, heard: 3 };
+    /// let alone =
+    ///     DomainView { is_dispatcher: true, is_contested: false, listed: 5, heard: 3, deciders: 5 };
     /// let mut authorities = Authorities::default();
     /// assert_eq!(authorities.update(&alone, Duration::ZERO), Authority::Unconfirmed);
     /// assert_eq!(authorities.update(&alone, CONFIRMATION_TIME), Authority::Sole);
@@ -259,7 +263,7 @@
     pub fn update(&mut self, view: &DomainView, now: Timestamp) -> Authority {
         if !view.is_dispatcher {
             self.undisputed_since = None;
-            return Authority::Shared(view.listed);
+            return Authority::Shared(view.deciders);
         }
         if view.is_contested || 2 * view.heard <= view.listed {
             self.undisputed_since = None;
--- a/crates/bergamotpitch-gateway/src/roles.rs
+++ b/crates/bergamotpitch-gateway/src/roles.rs
@@ -91,14 +91,19 @@
         let heard = of_domain.clone().filter(|peer| peer.is_heard_within(timeout, now));
         let listed = self.domain_size.borrow_mut().largest(now, of_domain.count() + 1);
         let is_known = self.fleet_size.borrow().known_since().is_some();
+        let (listed, fleet_size) = match is_known {
+            true => (listed, self.fleet_size()),
+            false => (UNKNOWN_FLEET_SIZE, UNKNOWN_FLEET_SIZE),
+        };
         let view = DomainView {
             is_dispatcher: dispatcher == Some(self.options.instance),
             is_contested: heard.clone().any(|peer| peer.is_dispatching(now)),
-            listed: if is_known { listed } else { UNKNOWN_FLEET_SIZE },
+            listed,
             heard: heard.count() + 1,
+            deciders: if dispatcher.is_some() { listed } else { fleet_size },
         };
         let mut traffic = self.traffic.borrow_mut();
-        traffic.fleet_size = if is_known { self.fleet_size() } else { UNKNOWN_FLEET_SIZE };
+        traffic.fleet_size = fleet_size;
         let before = traffic.authority;
         let mut authorities = self.local_placements.authorities.get();
         traffic.authority = authorities.update(&view, now);
--- a/crates/bergamotpitch-gateway/tests/common/instances.rs
+++ b/crates/bergamotpitch-gateway/tests/common/instances.rs
@@ -33,23 +33,29 @@
 
     /// `start_in` starts an instance of a failure domain.
     pub fn start_in(domain: &str) -> Self {
-        Self::launch(domain, true)
+        Self::launch(options(domain), true)
+    }
+
+    /// `start_deciding` starts an instance of a failure domain without a dispatcher.
+    pub fn start_deciding(domain: &str) -> Self {
+        let mut options = options(domain);
+        options.admission.policy.dispatchers = false;
+        Self::launch(options, true)
     }
 
     /// `start_unlisted` starts one that has read no list of instances which holds it.
     pub fn start_unlisted() -> Self {
-        Self::launch("a", false)
+        Self::launch(options("a"), false)
     }
 
-    fn launch(domain: &str, is_listed: bool) -> Self {
+    fn launch(options: Options, is_listed: bool) -> Self {
         let (started, starts) = std::sync::mpsc::channel();
         let (tasks, mut queue) = mpsc::unbounded_channel::<Task>();
-        let domain = domain.to_owned();
         let thread = std::thread::spawn(move || {
             let runtime =
                 tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
             tokio::task::LocalSet::new().block_on(&runtime, async {
-                let gateway = Gateway::start(options(&domain), DIALECT).await.unwrap();
+                let gateway = Gateway::start(options, DIALECT).await.unwrap();
                 gateway.put_catalog(catalog(1), "test");
                 if is_listed {
                     gateway.note_fleet_listed();
--- a/crates/bergamotpitch-gateway/tests/divided_bounds.rs
+++ b/crates/bergamotpitch-gateway/tests/divided_bounds.rs
@@ -2,7 +2,9 @@
 
 mod common;
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bergamotpitch_control::traffic::registries::Registration;
@@ -31,6 +33,7 @@
     }
     let started = Instant::now();
     for instance in instances {
+        // Where each decides by itself there is none.
         while dispatcher_of(instance).await.is_none() && started.elapsed() < Duration::from_secs(2)
         {
             tokio::time::sleep(Duration::from_millis(20)).await;
@@ -86,3 +89,32 @@
         assert_eq!(served(instances[0].address, WARM_BOUND - 2).await, WARM_BOUND - 2);
     });
 }
+
+/// Guards against more requests than a cold engine tolerates, from instances of its own and of other failure
+/// domains that decide by themselves.
+#[test]
+fn parts_beyond_bound() {
+    run(async {
+        let arrivals: Rc<RefCell<Vec<Instant>>> = Rc::default();
+        let seen = Rc::clone(&arrivals);
+        let upstream = FakeUpstream::start(Box::new(move |_| {
+            seen.borrow_mut().push(Instant::now());
+            vec![whole("200 OK", "done")]
+        }));
+        let upstream = upstream.await;
+        let instances = ["a", "a", "b"].map(Instance::start_deciding);
+        let all: Vec<&Instance> = instances.iter().collect();
+        introduce(&all).await;
+        bound_arrivals(&all, &[in_domain(&upstream, "a")]).await;
+        let [first, second, third] =
+            instances.each_ref().map(|instance| served(instance.address, WARM_BOUND / 2));
+        let served = tokio::join!(first, second, third);
+        let arrivals = arrivals.borrow();
+        let in_a_second = |from: &Instant| {
+            let after = arrivals.iter().filter(|arrival| from <= *arrival);
+            after.filter(|arrival| arrival.duration_since(*from) < Duration::from_secs(1)).count()
+        };
+        let most = arrivals.iter().map(in_a_second).max().unwrap_or_default();
+        assert!(most <= WARM_BOUND, "{most} in a second, {served:?} served");
+    });
+}
