Bound the connections and heads at the metrics and readiness ports

Cause: these ports were served without a time for a head and without a bound on connections; only the callers' port had both.

Change: a head comes within 10 s and takes 8 KB at most, and a port keeps 64 connections and two for each peer of the domain, which fetch documents at the same moment; beyond that the oldest ends, so that a new probe is answered.

--- a/crates/bergamotpitch-gateway/src/probes.rs
+++ b/crates/bergamotpitch-gateway/src/probes.rs
@@ -1,7 +1,9 @@
 //! Probes: the small ports beside the callers' one: readiness, metrics, and documents for peers.
 
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bergamotpitch_control::traffic::facts::PartId;
 use bergamotpitch_control::traffic::request_digests::RequestDigest;
@@ -11,11 +13,13 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
 use tokio::net::TcpListener;
+use tokio::task::AbortHandle;
 
 use crate::gateways::Gateway;
+use crate::heartbeats::domain_peers;
 
 /// `DOCUMENTS_PATH` is where peers fetch what this instance knows.
 pub const DOCUMENTS_PATH: &str = "/documents";
@@ -35,6 +39,19 @@
 /// `LIFT_REQUEST_PATH` is where operators let one in again, named in the query by `digest`.
 pub const LIFT_REQUEST_PATH: &str = "/requests/lift";
 
+/// `HEAD_TIMEOUT` is the time for a head to come, and for which a connection may ask nothing; metrics are read
+/// each few seconds.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// `HEAD_BYTES_MAX` bounds a head, and what a connection holds unread.
+const HEAD_BYTES_MAX: usize = 8 << 10;
+
+/// `CONNECTIONS_MIN` is how many connections a port has for all but the peers of the own domain.
+const CONNECTIONS_MIN: usize = 64;
+
+/// `CONNECTIONS_PER_PEER` is how many it has besides for each of these, which fetch documents at the same moment.
+const CONNECTIONS_PER_PEER: usize = 2;
+
 /// `Port` tells what a port serves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Port {
@@ -44,8 +61,9 @@
     Inner,
 }
 
-/// `serve` answers on one port until it is dropped.
+/// `serve` answers on one port until it is dropped. When too many connections are open, the oldest is ended.
 pub async fn serve(gateway: Rc<Gateway>, listener: TcpListener, port: Port) {
+    let mut connections: VecDeque<AbortHandle> = VecDeque::new();
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -55,17 +73,29 @@
                 continue;
             }
         };
+        connections.retain(|connection| !connection.is_finished());
+        let connections_max = CONNECTIONS_MIN + CONNECTIONS_PER_PEER * domain_peers(&gateway).len();
+        if connections_max <= connections.len()
+            && let Some(oldest) = connections.pop_front()
+        {
+            oldest.abort();
+        }
         let gateway = Rc::clone(&gateway);
-        tokio::task::spawn_local(async move {
+        let connection = tokio::task::spawn_local(async move {
             let service = service_fn(|request| {
                 let response = respond(&gateway, port, &request);
                 async move { Ok::<_, Infallible>(response) }
             });
-            let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let serving = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_TIMEOUT)
+                .max_buf_size(HEAD_BYTES_MAX)
+                .serve_connection(TokioIo::new(stream), service);
             if let Err(error) = serving.await {
                 log::debug!("event=probe_ended port={port:?} error={error}");
             }
         });
+        connections.push_back(connection.abort_handle());
     }
 }
 
