Tell peers of upstreams that the list has ceased to hold

Cause: some upstreams never say that they leave; their entry vanishes. An instance whose link is full cannot read that: all others dropped the upstream at 29.0 s, this one at 34.0 s, and sent to it at 32.3 s by its own decision. Beats tell of upstreams that leave and not of those that are gone, although they pass.

Change: beats name lives that the list has lately ceased to hold. An instance that has seen fewer changes of the list sends them nothing until it has read it; one that is listed again takes work.

--- a/crates/bergamotpitch-control/src/traffic/registries.rs
+++ b/crates/bergamotpitch-control/src/traffic/registries.rs
@@ -1,8 +1,9 @@
 //! Registries: which upstreams there are, and which of them take new work.
 //!
 //! The registry learns of an upstream from the platform's list, from its own answers and from
-//! peers. The first source that says "leaving" wins; only a new incarnation comes back, and an upstream that
-//! is still listed long after another one answered at its address.
+//! peers. The first source that says "leaving" wins; only a new incarnation comes back, an upstream that
+//! is still listed long after another one answered at its address, and one that a peer's later list lacked and
+//! that is listed again.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -81,6 +82,8 @@
     Answer,
     /// Another instance.
     Peer,
+    /// Another instance, which has seen a later list without it.
+    LaterList,
 }
 
 /// `Change` is what a step made of the table.
@@ -105,7 +108,7 @@
 /// new 2.5 s after they vanished, and others hear of it from those that watch.
 const DOUBT_GRACE: Duration = Duration::from_millis(2_000);
 
-/// `LEAVING_NEWS_TIME` is for how long peers are told that an upstream leaves: some of their heartbeats. With
+/// `LEAVING_NEWS_TIME` is for how long peers are told that an upstream leaves or is gone: some of their heartbeats. With
 /// all that leave in each heartbeat, a release of a service of thousands fills the links and the processor
 /// time of those that stand by.
 const LEAVING_NEWS_TIME: Duration = Duration::from_secs(4);
@@ -125,6 +128,8 @@
     /// Those of which the platform's list has said lately that they leave, with the time from which on that
     /// is known; `None` until the next step.
     leaving_lately: HashMap<UpstreamKey, Option<Timestamp>>,
+    /// Lives that were forgotten within the last seconds, and when that was noticed.
+    gone_lately: HashMap<UpstreamId, Option<Timestamp>>,
     /// Those at whose addresses others answered, with the time from which on that is known; `None` until the
     /// next step.
     misdirected: HashMap<UpstreamKey, Option<Timestamp>>,
@@ -177,6 +182,11 @@
         self.leaving_lately.keys().filter_map(|key| self.upstreams.get(key))
     }
 
+    /// `gone_lately` returns the lives of upstreams that were forgotten within the last seconds, in no order.
+    pub fn gone_lately(&self) -> impl Iterator<Item = UpstreamId> {
+        self.gone_lately.keys().copied()
+    }
+
     /// `staying` returns how many upstreams of a service do not leave, evacuated ones among them.
     pub fn staying(&self, service: &str) -> usize {
         let upstreams = self.of_service(service).iter().filter_map(|key| self.get(*key));
@@ -250,6 +260,10 @@
                 known.domain_number = id_of_name(&registration.domain);
                 known.is_evacuated = self.evacuations.is_evacuated(known.domain_number);
                 known.registration = registration;
+                if known.leaving == Some(LeavingSource::LaterList) {
+                    known.leaving = None;
+                    changes.push(Change::Joined(key));
+                }
                 let stays = matches!(known.leaving, None | Some(LeavingSource::Answer));
                 let has_left = known.registration.is_leaving && stays;
                 if has_left {
@@ -314,6 +328,7 @@
     pub fn step(&mut self, now: Timestamp) -> Vec<Change> {
         let mut changes = self.end_misdirections(now);
         self.leaving_lately.retain(|_, known| now < *known.get_or_insert(now) + LEAVING_NEWS_TIME);
+        self.gone_lately.retain(|_, known| now < *known.get_or_insert(now) + LEAVING_NEWS_TIME);
         let Outage::GraceUntil(end) = self.outage else { return changes };
         if now < end {
             return changes;
@@ -392,6 +407,7 @@
         }
         let life_number = life_number(&registration);
         self.key_of_life.insert(life_number, key);
+        self.gone_lately.remove(&life_number);
         let upstream = Upstream {
             key,
             id_number,
@@ -412,6 +428,7 @@
         self.key_of_id.remove(&upstream.registration.id);
         self.key_of_life.remove(&upstream.life_number);
         self.leaving_lately.remove(&key);
+        self.gone_lately.insert(upstream.life_number, None);
         self.misdirected.remove(&key);
         let service = &upstream.registration.service;
         remove_key(&mut self.of_domain, service, upstream.domain_number, key);
--- a/crates/bergamotpitch-gateway/src/heartbeats.rs
+++ b/crates/bergamotpitch-gateway/src/heartbeats.rs
@@ -229,6 +229,7 @@
         is_leaving: gateway.is_draining(),
         counted_ms: u64::try_from(gateway.now().as_millis()).unwrap_or(u64::MAX),
         leaving: leaving.map(|upstream| upstream.life_number).collect(),
+        gone: traffic.registry.gone_lately().collect(),
         ..Heartbeat::default()
     }
 }
@@ -373,6 +374,7 @@
             teams: take_lines(&mut heartbeat.teams, &mut left),
             remote_teams: take_lines(&mut heartbeat.remote_teams, &mut left),
             leaving: take_lines(&mut heartbeat.leaving, &mut left),
+            gone: take_lines(&mut heartbeat.gone, &mut left),
             headrooms: take_lines(&mut heartbeat.headrooms, &mut left),
             prefixes: take_lines(&mut heartbeat.prefixes, &mut left),
             offers: take_lines(&mut heartbeat.offers, &mut left),
--- a/crates/bergamotpitch-gateway/src/messages.rs
+++ b/crates/bergamotpitch-gateway/src/messages.rs
@@ -115,6 +115,8 @@
     pub remote_teams: Vec<TeamLine>,
     /// Upstreams, by the numbers of their lives, of which it knows that they leave.
     pub leaving: Vec<UpstreamId>,
+    /// Those that its list has lately ceased to hold.
+    pub gone: Vec<UpstreamId>,
     /// Where starts of prompts were sent lately.
     pub prefixes: Vec<PrefixLine>,
     /// Room at the upstreams of a dispatcher.
@@ -134,6 +136,7 @@
         self.teams.extend(part.teams);
         self.remote_teams.extend(part.remote_teams);
         self.leaving.extend(part.leaving);
+        self.gone.extend(part.gone);
         self.prefixes.extend(part.prefixes);
         self.headrooms.extend(part.headrooms);
         self.offers.extend(part.offers);
@@ -147,6 +150,7 @@
             self.teams.len(),
             self.remote_teams.len(),
             self.leaving.len(),
+            self.gone.len(),
             self.prefixes.len(),
             self.headrooms.len(),
             self.offers.len(),
--- a/crates/bergamotpitch-gateway/src/received_messages.rs
+++ b/crates/bergamotpitch-gateway/src/received_messages.rs
@@ -97,6 +97,7 @@
     let figures = heartbeat.loads.iter().map(|line| (line.upstream, line.figures())).collect();
     gateway.update_peer_loads(instance, &figures, now);
     gateway.mark_leaving_upstreams(&heartbeat.leaving);
+    gateway.mark_gone_upstreams(&heartbeat.gone, heartbeat.list_change);
     gateway.update_prefixes(&heartbeat.prefixes, now);
     let counted = Duration::from_millis(heartbeat.counted_ms);
     let mut traffic = gateway.traffic.borrow_mut();
--- a/crates/bergamotpitch-gateway/src/upstreams.rs
+++ b/crates/bergamotpitch-gateway/src/upstreams.rs
@@ -197,6 +197,18 @@
 
     /// `mark_leaving_upstreams` takes in of which upstreams a peer knows that they leave.
     pub fn mark_leaving_upstreams(&self, leaving: &[UpstreamId]) {
+        self.mark_upstreams(leaving, LeavingSource::Peer);
+    }
+
+    /// `mark_gone_upstreams` takes in which upstreams a peer's list, as of a change, has ceased to hold. Where
+    /// the list is out of reach here, they get nothing until it is read.
+    pub fn mark_gone_upstreams(&self, gone: &[UpstreamId], list_change: u64) {
+        if self.list_change() < list_change {
+            self.mark_upstreams(gone, LeavingSource::LaterList);
+        }
+    }
+
+    fn mark_upstreams(&self, leaving: &[UpstreamId], source: LeavingSource) {
         let traffic = self.traffic.borrow();
         let registry = &traffic.registry;
         let known = leaving.iter().filter_map(|life| registry.get(registry.key_of_life(*life)?));
@@ -207,8 +219,7 @@
             return;
         }
         self.change_upstreams(|traffic, _| {
-            let left =
-                keys.iter().filter_map(|key| traffic.registry.left(*key, LeavingSource::Peer));
+            let left = keys.iter().filter_map(|key| traffic.registry.left(*key, source));
             left.collect()
         });
     }
--- a/crates/bergamotpitch-gateway/tests/peer_reports.rs
+++ b/crates/bergamotpitch-gateway/tests/peer_reports.rs
@@ -58,6 +58,40 @@
     });
 }
 
+/// Guards against requests to an upstream that is long gone, at an instance that hears its peers and cannot read
+/// the list.
+#[test]
+fn later_list() {
+    run(async {
+        let upstream = FakeUpstream::start(Box::new(|_| vec![whole("200 OK", "done")])).await;
+        let (gateway, _) = start(&[&upstream]).await;
+        gateway.list_read(7, 7);
+        let life = life_number(&gateway);
+        gateway.mark_gone_upstreams(&[life], 7);
+        assert!(takes_work(&gateway), "the own list is as late");
+        gateway.mark_gone_upstreams(&[life], 8);
+        assert!(!takes_work(&gateway));
+        gateway.upstream_listed(registration("u0", upstream.address));
+        assert!(takes_work(&gateway), "it is listed again");
+    });
+}
+
+/// What an instance's list has ceased to hold is told to the others for some seconds, unless it is back.
+#[test]
+fn gone_is_told() {
+    run(async {
+        let upstream = FakeUpstream::start(Box::new(|_| vec![whole("200 OK", "done")])).await;
+        let (gateway, _) = start(&[&upstream]).await;
+        let life = life_number(&gateway);
+        let told = || gateway.traffic.borrow().registry.gone_lately().collect::<Vec<_>>();
+        assert!(told().is_empty());
+        gateway.traffic.borrow_mut().registry.gone("u0");
+        assert_eq!(told(), [life]);
+        gateway.upstream_listed(registration("u0", upstream.address));
+        assert!(told().is_empty());
+    });
+}
+
 /// A peer that listens at `address`.
 fn peer(instance: u32, address: SocketAddr) -> PeerAddress {
     let domain = "a".to_owned();
