--- a/crates/bergamotpitch-gateway/src/probes.rs
+++ b/crates/bergamotpitch-gateway/src/probes.rs
@@ -1,9 +1,9 @@
 //! Probes: the small ports beside the callers' one: readiness, metrics, and documents for peers.
 
-use std::collections::VecDeque;
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bergamotpitch_control::traffic::facts::PartId;
 use bergamotpitch_control::traffic::request_digests::RequestDigest;
@@ -52,6 +52,32 @@
 /// `CONNECTIONS_PER_PEER` is how many it has besides for each of these, which fetch documents at the same moment.
 const CONNECTIONS_PER_PEER: usize = 2;
 
+/// `ASKING_TIME` is for how long a connection without a request stays open while others wait for its place.
+const ASKING_TIME: Duration = Duration::from_millis(250);
+
+/// `ANSWERING_TIME` is the same since its last request: the time for documents to be fetched.
+const ANSWERING_TIME: Duration = Duration::from_secs(2);
+
+/// `ROOM_PAUSE` is the time between two looks for a place.
+const ROOM_PAUSE: Duration = Duration::from_millis(5);
+
+/// `Connection` is an open connection of a port.
+#[derive(Debug)]
+struct Connection {
+    task: AbortHandle,
+    opened: Instant,
+    asked: Rc<Cell<Option<Instant>>>,
+}
+
+impl Connection {
+    fn may_end(&self) -> bool {
+        match self.asked.get() {
+            Some(asked) => ANSWERING_TIME <= asked.elapsed(),
+            None => ASKING_TIME <= self.opened.elapsed(),
+        }
+    }
+}
+
 /// `Port` tells what a port serves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Port {
@@ -61,9 +87,10 @@
     Inner,
 }
 
-/// `serve` answers on one port until it is dropped. When too many connections are open, the oldest is ended.
+/// `serve` answers on one port until it is dropped. When too many connections are open, others wait until some
+/// end or have asked nothing for too long.
 pub async fn serve(gateway: Rc<Gateway>, listener: TcpListener, port: Port) {
-    let mut connections: VecDeque<AbortHandle> = VecDeque::new();
+    let mut connections: Vec<Connection> = Vec::new();
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -73,16 +100,13 @@
                 continue;
             }
         };
-        connections.retain(|connection| !connection.is_finished());
-        let connections_max = CONNECTIONS_MIN + CONNECTIONS_PER_PEER * domain_peers(&gateway).len();
-        if connections_max <= connections.len()
-            && let Some(oldest) = connections.pop_front()
-        {
-            oldest.abort();
-        }
+        make_room(&gateway, &mut connections).await;
+        let asked: Rc<Cell<Option<Instant>>> = Rc::default();
+        let last_asked = Rc::clone(&asked);
         let gateway = Rc::clone(&gateway);
-        let connection = tokio::task::spawn_local(async move {
+        let task = tokio::task::spawn_local(async move {
             let service = service_fn(|request| {
+                last_asked.set(Some(Instant::now()));
                 let response = respond(&gateway, port, &request);
                 async move { Ok::<_, Infallible>(response) }
             });
@@ -95,7 +119,24 @@
                 log::debug!("event=probe_ended port={port:?} error={error}");
             }
         });
-        connections.push_back(connection.abort_handle());
+        let task = task.abort_handle();
+        connections.push(Connection { task, opened: Instant::now(), asked });
+    }
+}
+
+/// Waits until one more connection may be open; the oldest that may end does.
+async fn make_room(gateway: &Gateway, connections: &mut Vec<Connection>) {
+    loop {
+        connections.retain(|connection| !connection.task.is_finished());
+        let connections_max = CONNECTIONS_MIN + CONNECTIONS_PER_PEER * domain_peers(gateway).len();
+        if connections.len() < connections_max {
+            return;
+        }
+        if let Some(oldest) = connections.iter().position(Connection::may_end) {
+            connections.remove(oldest).task.abort();
+            return;
+        }
+        tokio::time::sleep(ROOM_PAUSE).await;
     }
 }
 
