Tell peers of a few upstreams only that vanished unannounced

Cause: when many engines of a service of thousands crash or leave, each beat named all of them for four seconds, to each peer; those that had announced it were told of as leaving before.

Change: beats name those that had not said that they leave, one part's lines at most. An entry that is listed again as leaving is not taken for joined first.

Result: peer_reports, listed_upstreams and dispatched_requests pass; read off the code, no run of that size.

--- a/crates/bergamotpitch-control/src/traffic/registries.rs
+++ b/crates/bergamotpitch-control/src/traffic/registries.rs
@@ -108,8 +108,8 @@
 /// new 2.5 s after they vanished, and others hear of it from those that watch.
 const DOUBT_GRACE: Duration = Duration::from_millis(2_000);
 
-/// `LEAVING_NEWS_TIME` is for how long peers are told that an upstream leaves or is gone: some of their heartbeats. With
-/// all that leave in each heartbeat, a release of a service of thousands fills the links and the processor
+/// `LEAVING_NEWS_TIME` is for how long peers are told that an upstream leaves or is gone: some of their
+/// heartbeats. With all that leave in each heartbeat, a release of a service of thousands fills the links and the processor
 /// time of those that stand by.
 const LEAVING_NEWS_TIME: Duration = Duration::from_secs(4);
 
@@ -128,7 +128,8 @@
     /// Those of which the platform's list has said lately that they leave, with the time from which on that
     /// is known; `None` until the next step.
     leaving_lately: HashMap<UpstreamKey, Option<Timestamp>>,
-    /// Lives that were forgotten within the last seconds, and when that was noticed.
+    /// Lives that were forgotten within the last seconds without having said that they leave, and when that was
+    /// noticed.
     gone_lately: HashMap<UpstreamId, Option<Timestamp>>,
     /// Those at whose addresses others answered, with the time from which on that is known; `None` until the
     /// next step.
@@ -182,7 +183,8 @@
         self.leaving_lately.keys().filter_map(|key| self.upstreams.get(key))
     }
 
-    /// `gone_lately` returns the lives of upstreams that were forgotten within the last seconds, in no order.
+    /// `gone_lately` returns the lives of upstreams that were forgotten within the last seconds without having
+    /// said that they leave, in no order.
     pub fn gone_lately(&self) -> impl Iterator<Item = UpstreamId> {
         self.gone_lately.keys().copied()
     }
@@ -260,11 +262,13 @@
                 known.domain_number = id_of_name(&registration.domain);
                 known.is_evacuated = self.evacuations.is_evacuated(known.domain_number);
                 known.registration = registration;
-                if known.leaving == Some(LeavingSource::LaterList) {
+                let is_missed = known.leaving == Some(LeavingSource::LaterList);
+                if is_missed && !known.registration.is_leaving {
                     known.leaving = None;
                     changes.push(Change::Joined(key));
                 }
-                let stays = matches!(known.leaving, None | Some(LeavingSource::Answer));
+                let stays =
+                    is_missed || matches!(known.leaving, None | Some(LeavingSource::Answer));
                 let has_left = known.registration.is_leaving && stays;
                 if has_left {
                     known.leaving = Some(LeavingSource::List);
@@ -428,7 +432,9 @@
         self.key_of_id.remove(&upstream.registration.id);
         self.key_of_life.remove(&upstream.life_number);
         self.leaving_lately.remove(&key);
-        self.gone_lately.insert(upstream.life_number, None);
+        if upstream.leaving.is_none() {
+            self.gone_lately.insert(upstream.life_number, None);
+        }
         self.misdirected.remove(&key);
         let service = &upstream.registration.service;
         remove_key(&mut self.of_domain, service, upstream.domain_number, key);
--- a/crates/bergamotpitch-gateway/src/heartbeats.rs
+++ b/crates/bergamotpitch-gateway/src/heartbeats.rs
@@ -215,6 +215,8 @@
     due.map(|(_, address)| address.beat_address).collect()
 }
 
+/// Of upstreams that are gone it tells one part's lines: when many of a service of thousands crash, all of them
+/// would fill the links.
 fn base_heartbeat(gateway: &Gateway) -> Heartbeat {
     let traffic = gateway.traffic.borrow();
     let leaving = traffic.registry.leaving_lately();
@@ -229,7 +231,7 @@
         is_leaving: gateway.is_draining(),
         counted_ms: u64::try_from(gateway.now().as_millis()).unwrap_or(u64::MAX),
         leaving: leaving.map(|upstream| upstream.life_number).collect(),
-        gone: traffic.registry.gone_lately().collect(),
+        gone: traffic.registry.gone_lately().take(LINES_PER_PART).collect(),
         ..Heartbeat::default()
     }
 }
--- a/crates/bergamotpitch-gateway/src/messages.rs
+++ b/crates/bergamotpitch-gateway/src/messages.rs
@@ -115,7 +115,7 @@
     pub remote_teams: Vec<TeamLine>,
     /// Upstreams, by the numbers of their lives, of which it knows that they leave.
     pub leaving: Vec<UpstreamId>,
-    /// Those that its list has lately ceased to hold.
+    /// Some of those that its list has lately ceased to hold and that had not said that they leave.
     pub gone: Vec<UpstreamId>,
     /// Where starts of prompts were sent lately.
     pub prefixes: Vec<PrefixLine>,
