Tell for what kinds of work an instance uses its thread

Instances of an eighth of a core are late for seconds with eight requests in hand, and nothing told what they do. The thread's time is counted by kind of work where it begins and ends; event 702 writes it once a second where it is a quarter of the second or more, and a counter exports it.

--- a/crates/bergamotpitch-core/src/events.rs
+++ b/crates/bergamotpitch-core/src/events.rs
@@ -114,6 +114,8 @@
     TeamTallied = 700,
     /// A team that waits has had less than it asked, by the sums of the whole fleet.
     TeamWaits = 701,
+    /// For what kinds of work the thread was used in the last second.
+    WorkTallied = 702,
 }
 
 impl EventKind {
--- a/crates/bergamotpitch-gateway/src/callers.rs
+++ b/crates/bergamotpitch-gateway/src/callers.rs
@@ -28,6 +28,7 @@
 use crate::connections::tune;
 use crate::gateways::Gateway;
 use crate::watched_streams::WatchedStream;
+use crate::work_times::Work;
 
 /// `LEAST_BUFFER_BYTES` is the smallest buffer that the library takes.
 const LEAST_BUFFER_BYTES: usize = 8 << 10;
@@ -225,7 +226,7 @@
 }
 
 async fn serve_connection(gateway: Rc<Gateway>, connection: Rc<CallerConnection>) {
-    serve_requests(&gateway, &connection).await;
+    gateway.work_times.time(Work::Callers, serve_requests(&gateway, &connection)).await;
     gateway.close_connection(&connection);
 }
 
--- a/crates/bergamotpitch-gateway/src/connections.rs
+++ b/crates/bergamotpitch-gateway/src/connections.rs
@@ -22,6 +22,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::work_times::{Work, WorkTimes};
+
 /// `CONNECT_TIMEOUT` is the time for a connection to be made: a lost opening packet is sent again
 /// only after a second, by which time another upstream has long answered.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -244,7 +246,7 @@
 ///
 /// Fails when the upstream does not take the connection within [`CONNECT_TIMEOUT`]; nothing was
 /// sent then.
-pub async fn connect(address: SocketAddr) -> std::io::Result<Sender> {
+pub async fn connect(address: SocketAddr, work_times: &WorkTimes) -> std::io::Result<Sender> {
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
@@ -256,8 +258,9 @@
         .handshake(TokioIo::new(bounded))
         .await
         .map_err(std::io::Error::other)?;
+    let work_times = work_times.clone();
     tokio::task::spawn_local(async move {
-        if let Err(error) = connection.await {
+        if let Err(error) = work_times.time(Work::Upstreams, connection).await {
             log::debug!("event=connection_ended address={address} error={error}");
         }
     });
--- a/crates/bergamotpitch-gateway/src/crash_messages.rs
+++ b/crates/bergamotpitch-gateway/src/crash_messages.rs
@@ -14,6 +14,7 @@
 use crate::gateways::Gateway;
 use crate::heartbeats::{domain_peers, remote_deciders, standby_peers};
 use crate::messages::{AnsweredLine, Body, CrashLine, MESSAGE_BYTES};
+use crate::work_times::Work;
 
 /// `LINES_MAX` bounds the lines of one message.
 const LINES_MAX: usize = MESSAGE_BYTES / 36;
@@ -164,6 +165,7 @@
         if !sequence.is_multiple_of(TELL_BEATS) || self.traffic.borrow().crash_suspects.is_empty() {
             return;
         }
+        let _scope = self.work_times.enter(Work::Crashes);
         self.tell_crashes(&self.evidence_to_tell(), &self.crash_receivers());
     }
 
--- a/crates/bergamotpitch-gateway/src/crash_probes.rs
+++ b/crates/bergamotpitch-gateway/src/crash_probes.rs
@@ -141,7 +141,7 @@
     async fn connect_to(&self, address: SocketAddr) -> Found {
         for _ in 0..PROBES_MAX {
             self.metrics.connections_opened.inc();
-            match connect(address).await {
+            match connect(address, &self.work_times).await {
                 Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
                     return Found::Refusal;
                 }
--- a/crates/bergamotpitch-gateway/src/crashes.rs
+++ b/crates/bergamotpitch-gateway/src/crashes.rs
@@ -23,6 +23,7 @@
 use crate::gateways::Gateway;
 use crate::peers::ISOLATED_RETURN;
 use crate::refusals::Refusal;
+use crate::work_times::Work;
 
 /// `ANSWERED_TIME` is for how long the events of a stream come until its parts count as answered. An
 /// upstream that a part crashes ends within a tenth of a second of the first one.
@@ -246,8 +247,10 @@
         broken: BrokenAttempt,
     ) -> bool {
         let (gateway, call) = (Rc::clone(self), Rc::clone(call));
-        let noted =
-            tokio::task::spawn_local(async move { gateway.look_for_crash(&call, broken).await });
+        let noted = tokio::task::spawn_local(async move {
+            let look = gateway.look_for_crash(&call, broken);
+            gateway.work_times.time(Work::Crashes, look).await
+        });
         noted.await.unwrap_or(true)
     }
 
--- a/crates/bergamotpitch-gateway/src/dispatchers.rs
+++ b/crates/bergamotpitch-gateway/src/dispatchers.rs
@@ -23,6 +23,7 @@
     Body, GrantConfirmation, PlacementRequestBody, ProgressEvent, ProgressReport, Reply,
     ReplyOutcome,
 };
+use crate::work_times::Work;
 
 /// `PLACEMENT_RETRY_INTERVAL` is the time between two looks at requests that wait for a place: a fiftieth
 /// of the shortest target.
@@ -398,6 +399,7 @@
 async fn retry_waiting_placements(gateway: Rc<Gateway>) {
     while 0 < gateway.waiting_count() {
         tokio::time::sleep(PLACEMENT_RETRY_INTERVAL).await;
+        let _scope = gateway.work_times.enter(Work::Placements);
         gateway.retry_placements();
     }
     gateway.local_placements.is_retrying.set(false);
--- a/crates/bergamotpitch-gateway/src/exchanges.rs
+++ b/crates/bergamotpitch-gateway/src/exchanges.rs
@@ -163,7 +163,7 @@
 
 async fn open(gateway: &Rc<Gateway>, address: SocketAddr) -> Result<Sender, Failure> {
     gateway.metrics.connections_opened.inc();
-    connect(address).await.map_err(|error| {
+    connect(address, &gateway.work_times).await.map_err(|error| {
         log::info!("event=connect_failed upstream={address} error={error}");
         Failure::Unreachable
     })
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -48,6 +48,7 @@
 use crate::store_updates::StoreUpdates;
 use crate::team_counters::TeamCounters;
 use crate::version_records::VersionRecords;
+use crate::work_times::{Work, WorkTimes};
 
 /// `SWEEP_BEATS` is how many beats go by between two sweeps over connections.
 const SWEEP_BEATS: u64 = 4;
@@ -71,6 +72,8 @@
     pub pools: Pools,
     /// Whether this process keeps up.
     pub loop_lag: LoopLag,
+    /// For what kinds of work its thread is used.
+    pub work_times: WorkTimes,
     /// Memory that the bodies of requests take.
     pub held_bytes: HeldBytes,
     /// Memory that answers take which are not passed on yet.
@@ -162,12 +165,16 @@
         let socket = Rc::new(bind_datagrams("beat_address", &mut options.beat_address).await?);
         let datagrams = Rc::clone(&socket);
         let gateway = Rc::new(Self::new(options, dialect, Metrics::register()?, datagrams));
-        tokio::task::spawn_local(callers::serve(Rc::clone(&gateway), callers));
+        let work_times = gateway.work_times.clone();
+        let accepting = callers::serve(Rc::clone(&gateway), callers);
+        tokio::task::spawn_local(async move { work_times.time(Work::Callers, accepting).await });
         tokio::task::spawn_local(probes::serve(Rc::clone(&gateway), ready, Port::Ready));
         for listener in inner {
             tokio::task::spawn_local(probes::serve(Rc::clone(&gateway), listener, Port::Inner));
         }
-        tokio::task::spawn_local(received_messages::receive(Rc::clone(&gateway), socket));
+        let work_times = gateway.work_times.clone();
+        let receiving = received_messages::receive(Rc::clone(&gateway), socket);
+        tokio::task::spawn_local(async move { work_times.time(Work::Messages, receiving).await });
         tokio::task::spawn_local(beat(Rc::clone(&gateway)));
         Ok(gateway)
     }
@@ -183,6 +190,7 @@
             dialect,
             pools: Pools::default(),
             loop_lag: LoopLag::default(),
+            work_times: WorkTimes::default(),
             streams: ServedStreams::new(concurrency_limits::Options::default()),
             team_counters: TeamCounters::default(),
             metrics,
@@ -469,9 +477,11 @@
     loop {
         let due = tokio::time::Instant::now() + HEARTBEAT_INTERVAL;
         tokio::time::sleep_until(due).await;
+        let _scope = gateway.work_times.enter(Work::Upkeep);
         gateway.loop_lag.note(due.elapsed());
         gateway.note_readiness();
         gateway.log_team_counters();
+        gateway.note_work_times();
         sequence += 1;
         gateway.update_role();
         heartbeats::send_heartbeat(&gateway, sequence);
@@ -493,7 +503,9 @@
         gateway.check_list_lag();
         if let Some(peer) = gateway.peer_to_fetch_from() {
             let gateway = Rc::clone(&gateway);
-            tokio::task::spawn_local(async move { gateway.fetch_updates(peer).await });
+            tokio::task::spawn_local(async move {
+                gateway.work_times.time(Work::Documents, gateway.fetch_updates(peer)).await;
+            });
         } else if gateway.follows_watcher() {
             gateway.note_list_current(gateway.now().saturating_sub(ISOLATION_TIME));
         }
--- a/crates/bergamotpitch-gateway/src/heartbeats.rs
+++ b/crates/bergamotpitch-gateway/src/heartbeats.rs
@@ -19,6 +19,7 @@
 use crate::messages::{Body, Heartbeat, LoadLine, Message, PrefixLine, TeamLine, encode, millis};
 use crate::peers::{Peer, PeerAddress};
 use crate::remote_placements::Grantor;
+use crate::work_times::Work;
 
 /// `HEARTBEAT_INTERVAL` is the time between two beats to peers of the own domain. Two instances that decide
 /// by themselves see the same free place at an engine for about as long as this.
@@ -45,6 +46,7 @@
 
 /// `send_heartbeat` sends one beat to the peers that are due.
 pub fn send_heartbeat(gateway: &Gateway, sequence: u64) {
+    let _scope = gateway.work_times.enter(Work::Heartbeats);
     gateway.confirm_grants(gateway.now());
     gateway.drop_lapsed_grants();
     gateway.tell_suspects(sequence);
--- a/crates/bergamotpitch-gateway/src/lib.rs
+++ b/crates/bergamotpitch-gateway/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod upstreams;
 pub mod version_records;
 pub mod watched_streams;
+pub mod work_times;
 
 pub use crate::errors::{Error, Result};
 pub use crate::gateways::Gateway;
--- a/crates/bergamotpitch-gateway/src/metrics.rs
+++ b/crates/bergamotpitch-gateway/src/metrics.rs
@@ -12,6 +12,7 @@
 
 use crate::errors::{Error, Result};
 use crate::refusals::Refusal;
+use crate::work_times::Work;
 
 /// `LATENCY_BOUNDS_S` are the upper bounds of the latency histograms, in seconds; they lie around
 /// the targets that operators set.
@@ -67,6 +68,7 @@
     registry: Registry,
     _provider: SdkMeterProvider,
     refusals: Counter<u64>,
+    work_s: Counter<f64>,
     streams_taken_up: Counter<u64>,
     answer_s: Histogram<f64>,
     wait_s: Histogram<f64>,
@@ -127,6 +129,10 @@
                 .u64_counter("bergamotpitch_refusals")
                 .with_description("Refusals by reason")
                 .build(),
+            work_s: meter
+                .f64_counter("bergamotpitch_work_seconds")
+                .with_description("Time for which the thread worked, by kind of work")
+                .build(),
             streams_taken_up: meter
                 .u64_counter("bergamotpitch_streams_taken_up")
                 .with_description("Streams that callers took up again, by where they may go on")
@@ -202,6 +208,12 @@
         self.streams_taken_up.add(1, &[KeyValue::new("decision", decision)]);
     }
 
+    /// `count_work` counts time for which the thread did a kind of work.
+    pub fn count_work(&self, work: Work, time: Duration) {
+        let work: &'static str = work.into();
+        self.work_s.add(time.as_secs_f64(), &[KeyValue::new("work", work)]);
+    }
+
     /// `note_fleet` takes in how many instances share what is allowed to the whole fleet.
     pub fn note_fleet(&self, instances: usize) {
         self.fleet_instances.record(instances as u64, &[]);
--- a/crates/bergamotpitch-gateway/src/probes.rs
+++ b/crates/bergamotpitch-gateway/src/probes.rs
@@ -20,6 +20,7 @@
 
 use crate::gateways::Gateway;
 use crate::heartbeats::domain_peers;
+use crate::work_times::Work;
 
 /// `DOCUMENTS_PATH` is where peers fetch what this instance knows.
 pub const DOCUMENTS_PATH: &str = "/documents";
@@ -104,6 +105,7 @@
         let asked: Rc<Cell<Option<Instant>>> = Rc::default();
         let last_asked = Rc::clone(&asked);
         let gateway = Rc::clone(&gateway);
+        let work = if port == Port::Ready { Work::Probes } else { Work::Documents };
         let task = tokio::task::spawn_local(async move {
             let service = service_fn(|request| {
                 last_asked.set(Some(Instant::now()));
@@ -115,7 +117,7 @@
                 .header_read_timeout(HEAD_TIMEOUT)
                 .max_buf_size(HEAD_BYTES_MAX)
                 .serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = serving.await {
+            if let Err(error) = gateway.work_times.time(work, serving).await {
                 log::debug!("event=probe_ended port={port:?} error={error}");
             }
         });
--- a/crates/bergamotpitch-gateway/src/received_messages.rs
+++ b/crates/bergamotpitch-gateway/src/received_messages.rs
@@ -12,6 +12,7 @@
 use crate::gateways::Gateway;
 use crate::messages::{Body, Heartbeat, MESSAGE_BYTES, Message, PrefixLine, decode};
 use crate::remote_placements::Grantor;
+use crate::work_times::Work;
 
 /// `receive` takes in messages of other instances until it is dropped.
 pub async fn receive(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
@@ -41,6 +42,7 @@
         gateway.unknown_peers.record(instance);
         return;
     }
+    let _scope = gateway.work_times.enter(work_of(&body));
     match body {
         Body::Heartbeat(heartbeat) => {
             handle_heartbeat_part(gateway, instance, incarnation, heartbeat)
@@ -67,6 +69,19 @@
     }
 }
 
+fn work_of(body: &Body) -> Work {
+    match body {
+        Body::Heartbeat(_) | Body::Presence(_) => Work::Heartbeats,
+        Body::PlacementRequest(_)
+        | Body::Reply(_)
+        | Body::Progress(_)
+        | Body::GrantConfirmation(_) => Work::Placements,
+        Body::Origins(_) | Body::OriginQuery(_) | Body::OriginReply(_) => Work::Origins,
+        Body::Crashes(_) | Body::Answered(_) | Body::LivingUpstreams(_) => Work::Crashes,
+        Body::RepeatRequest(_) | Body::RepeatReply(_) => Work::Repeats,
+    }
+}
+
 /// Takes in one part of a beat; a beat of which a part is lost counts as lost.
 fn handle_heartbeat_part(
     gateway: &Rc<Gateway>,
--- a/crates/bergamotpitch-gateway/src/relays.rs
+++ b/crates/bergamotpitch-gateway/src/relays.rs
@@ -26,6 +26,7 @@
 
 use crate::connections::connect;
 use crate::probes::DOCUMENTS_PATH;
+use crate::work_times::WorkTimes;
 
 /// `FETCH_TIMEOUT` is the time for all documents of a peer to come: a megabyte over a slow link.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -456,15 +457,23 @@
 /// # Errors
 ///
 /// Fails, with a reason for the log, when the peer does not answer in time or not in this form.
-pub async fn fetch(peer: SocketAddr, cursor: Cursor) -> Result<RelayUpdate, FetchError> {
-    match tokio::time::timeout(FETCH_TIMEOUT, fetch_updates(peer, cursor)).await {
+pub async fn fetch(
+    peer: SocketAddr,
+    cursor: Cursor,
+    work_times: &WorkTimes,
+) -> Result<RelayUpdate, FetchError> {
+    match tokio::time::timeout(FETCH_TIMEOUT, fetch_updates(peer, cursor, work_times)).await {
         Ok(result) => result,
         Err(_) => Err(FetchError::Failed("no answer in time".to_owned())),
     }
 }
 
-async fn fetch_updates(peer: SocketAddr, cursor: Cursor) -> Result<RelayUpdate, FetchError> {
-    let mut sender = connect(peer).await.map_err(|error| error.to_string())?;
+async fn fetch_updates(
+    peer: SocketAddr,
+    cursor: Cursor,
+    work_times: &WorkTimes,
+) -> Result<RelayUpdate, FetchError> {
+    let mut sender = connect(peer, work_times).await.map_err(|error| error.to_string())?;
     let request = Request::get(format!("{DOCUMENTS_PATH}?{}", query_of_cursor(cursor)))
         .header(http::header::HOST, peer.to_string())
         .body(Full::new(Bytes::new()))
--- a/crates/bergamotpitch-gateway/src/store_updates.rs
+++ b/crates/bergamotpitch-gateway/src/store_updates.rs
@@ -266,7 +266,7 @@
     /// `fetch_updates` asks another instance for what it knows and this one does not.
     pub async fn fetch_updates(&self, from: SocketAddr) {
         let cursor = self.store_updates.cursors.borrow().get(&from).copied().unwrap_or_default();
-        match relays::fetch(from, cursor).await {
+        match relays::fetch(from, cursor, &self.work_times).await {
             Ok(update) => {
                 log::info!(
                     "event=news_fetched peer={from} whole={} documents={} removals={} known={}",
--- a/crates/bergamotpitch-gateway/tests/shared_updates.rs
+++ b/crates/bergamotpitch-gateway/tests/shared_updates.rs
@@ -7,6 +7,7 @@
 use bergamotpitch_gateway::relays::{
     self, Answer, Cursor, Document, Extent, FetchError, Relay, RelayUpdate, SharedAnswers, fetch,
 };
+use bergamotpitch_gateway::work_times::WorkTimes;
 use bytes::Bytes;
 use common::{run, start};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -113,10 +114,10 @@
         (0..ENTRIES)
             .for_each(|index| gateway.store_updates.relay.borrow_mut().keep(document(index)));
         let address = gateway.options.relay_addresses[0];
-        let fetched = fetch(address, unknown()).await.unwrap();
+        let fetched = fetch(address, unknown(), &WorkTimes::default()).await.unwrap();
         assert!(fetched.is_whole);
         assert_eq!(fetched.documents, everything().documents);
-        let again = fetch(address, fetched.cursor).await.unwrap();
+        let again = fetch(address, fetched.cursor, &WorkTimes::default()).await.unwrap();
         assert_eq!((again.is_whole, again.documents.len()), (false, 0));
         let mut older = TcpStream::connect(address).await.unwrap();
         let request = "GET /documents?after=0,1 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
@@ -127,7 +128,10 @@
         assert!(answer.contains("list/i-00000bb7"), "it is not plain");
         assert!(!answer.contains("content-encoding"));
         let (_closed, nobody) = common::closed_port();
-        assert!(matches!(fetch(nobody, unknown()).await, Err(FetchError::Failed(_))));
+        assert!(matches!(
+            fetch(nobody, unknown(), &WorkTimes::default()).await,
+            Err(FetchError::Failed(_))
+        ));
     });
 }
 
@@ -142,7 +146,7 @@
         let starters = (0..100).map(|_| {
             tokio::task::spawn_local(async move {
                 loop {
-                    match fetch(address, unknown()).await {
+                    match fetch(address, unknown(), &WorkTimes::default()).await {
                         Ok(update) => return update.documents.len(),
                         Err(error) => assert_eq!(error, FetchError::Busy),
                     }
