Let evidence of a crash cost the same whatever else is suspected

What callers saw: while a quarter of all engines crash, instances of an eighth of a core refuse as busy or answer late for seconds; one in each domain hears nobody any more.

Cause: each crash that was news had all suspects weighed and shown again, each line that came was compared with all answers of the last seconds, and each new suspect counted the table. With a thousand suspects from 35 engines that is the square of a thousand.

Change: a suspect is logged by itself when a crash against it is news, and all of them with some beats; answers are found by upstream and by part; the table is searched for the weakest once a beat; a message to many is encoded once.

--- a/crates/bergamotpitch-control/src/traffic/crash_suspects.rs
+++ b/crates/bergamotpitch-control/src/traffic/crash_suspects.rs
@@ -12,6 +12,8 @@
 //! Besides, each engine that runs a certain request crashes, and its caller sends it again, at any instance,
 //! at once and several times. It is found by the upstreams that crashed under its attempts.
 
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
 use std::time::Duration;
 
 use bergamotpitch_core::ids::{ServiceId, UpstreamId};
@@ -109,6 +111,8 @@
     /// Those that they may crash of late.
     lasting: ProvisionalAnswers,
     suspects: HashMap<SuspectId, Suspect>,
+    part_room: Room,
+    request_room: Room,
     /// What counted against parts that were answered since, as long as those answers are provisional.
     set_aside: HashMap<PartKey, Suspect>,
     /// Upstreams that crashed, and when.
@@ -130,10 +134,27 @@
     answers_told: u64,
 }
 
+/// `Room` is the room for suspects of one kind, so that the table is searched once with a step and not with
+/// each crash.
+#[derive(Debug, Default)]
+struct Room {
+    /// How many more there may be.
+    left: usize,
+    /// Those that give way once there is none left, the weakest first. What has changed since is passed over.
+    weakest: Option<BinaryHeap<Reverse<Strength>>>,
+}
+
+/// `Strength` orders suspects by the evidence against them.
+type Strength = (u32, Moment, SuspectId);
+
 impl Suspect {
     fn new(id: SuspectId, was_sound: bool, answers_before: u64) -> Self {
         Self { record: CrashRecord::new(id, was_sound), answers_before, answers_told: 0 }
     }
+
+    fn strength(&self, id: SuspectId) -> Strength {
+        (self.record.weight(), self.record.last_at(), id)
+    }
 }
 
 impl Default for CrashSuspects {
@@ -144,6 +165,8 @@
             provisional: ProvisionalAnswers::new(OUTLIVED_MS),
             lasting: ProvisionalAnswers::new(LASTING_MS),
             suspects: HashMap::default(),
+            part_room: Room::default(),
+            request_room: Room::default(),
             set_aside: HashMap::default(),
             crashed: HashMap::default(),
             lifted: HashMap::default(),
@@ -188,7 +211,12 @@
         let known = known.or_insert_with(|| Suspect::new(suspect, was_sound, answers_before));
         known.answers_told = known.answers_told.max(answers);
         self.crashed.entry(life).or_insert(at);
-        known.record.add(evidence)
+        let is_news = known.record.add(evidence);
+        let strength = known.strength(suspect);
+        if let Some(weakest) = &mut self.room_mut(suspect.is_request()).weakest {
+            weakest.push(Reverse(strength));
+        }
+        is_news
     }
 
     /// `sound_at` returns when a part was last shown to be sound.
@@ -565,7 +593,7 @@
             let is_repeated = id.is_request() || WEAK_WEIGHT < suspect.record.weight();
             let told = told.filter(|evidence| evidence.is_strong || is_repeated);
             ordered.extend(told.map(|evidence| {
-                let order = (!is_blocked, id.is_request(), std::cmp::Reverse(evidence.at), *id);
+                let order = (!is_blocked, id.is_request(), Reverse(evidence.at), *id);
                 (order, (*evidence, answers))
             }));
         }
@@ -575,6 +603,7 @@
 
     /// `step` forgets crashes that are long past.
     pub fn step(&mut self, now: Moment) {
+        (self.part_room, self.request_room) = (Room::default(), Room::default());
         self.sound.step(now);
         self.lastingly_sound.step(now);
         let is_recent = |at: &Moment| now < at + EVIDENCE_MEMORY_MS;
@@ -603,16 +632,42 @@
         }
     }
 
-    /// Drops the suspect of a kind with the least evidence, where there are too many of it.
+    fn room_mut(&mut self, is_request: bool) -> &mut Room {
+        if is_request { &mut self.request_room } else { &mut self.part_room }
+    }
+
+    /// Makes room for one more suspect of a kind; where there are too many of it, the one with the least evidence
+    /// is dropped.
     fn make_room(&mut self, is_request: bool) {
-        let of_kind = self.suspects.iter().filter(|(id, _)| id.is_request() == is_request);
-        if of_kind.clone().count() < SUSPECTS_MAX {
+        let room = self.room_mut(is_request);
+        if let Some(left) = room.left.checked_sub(1) {
+            room.left = left;
             return;
         }
-        let weakest =
-            of_kind.min_by_key(|(id, known)| (known.record.weight(), known.record.last_at(), **id));
-        if let Some(id) = weakest.map(|(id, _)| *id) {
-            self.suspects.remove(&id);
+        let Some(mut weakest) = room.weakest.take().filter(|weakest| !weakest.is_empty()) else {
+            return self.search_room(is_request);
+        };
+        while let Some(Reverse(strength)) = weakest.pop() {
+            let id = strength.2;
+            if self.suspects.get(&id).is_some_and(|known| known.strength(id) == strength) {
+                self.suspects.remove(&id);
+                break;
+            }
+        }
+        self.room_mut(is_request).weakest = Some(weakest);
+    }
+
+    fn search_room(&mut self, is_request: bool) {
+        let of_kind = self.suspects.iter().filter(|(id, _)| id.is_request() == is_request);
+        let strengths: Vec<_> = of_kind.map(|(id, known)| Reverse(known.strength(*id))).collect();
+        match SUSPECTS_MAX.checked_sub(strengths.len() + 1) {
+            Some(left) => *self.room_mut(is_request) = Room { left, weakest: None },
+            None => {
+                let surplus = strengths.len() + 1 - SUSPECTS_MAX;
+                let weakest = Some(BinaryHeap::from(strengths));
+                *self.room_mut(is_request) = Room { left: 0, weakest };
+                (0..surplus).for_each(|_| self.make_room(is_request));
+            }
         }
     }
 }
--- a/crates/bergamotpitch-control/src/traffic/provisional_answers.rs
+++ b/crates/bergamotpitch-control/src/traffic/provisional_answers.rs
@@ -4,10 +4,10 @@
 //! crashes a moment later. Taken at once for proof that the part is sound, each such answer would clear
 //! what the crash before it had shown.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
-use bergamotpitch_core::HashSet;
 use bergamotpitch_core::ids::{ServiceId, UpstreamId};
+use bergamotpitch_core::{HashMap, HashSet};
 
 use crate::traffic::crash_suspects::PartKey;
 use crate::traffic::facts::PartId;
@@ -50,13 +50,23 @@
 pub struct ProvisionalAnswers {
     outlived_after: Moment,
     answers: VecDeque<(UpstreamId, Answer)>,
+    /// How many of them are from each upstream.
+    counts: HashMap<UpstreamId, usize>,
+    /// Until when those on each part had gone on, with how many went on until then.
+    ends: HashMap<PartKey, BTreeMap<Moment, usize>>,
     doubted: HashSet<UpstreamId>,
 }
 
 impl ProvisionalAnswers {
     /// `new` takes the time from the beginning of an answer for which its upstream must live.
     pub fn new(outlived_after: Moment) -> Self {
-        Self { outlived_after, answers: VecDeque::new(), doubted: HashSet::default() }
+        Self {
+            outlived_after,
+            answers: VecDeque::new(),
+            counts: HashMap::default(),
+            ends: HashMap::default(),
+            doubted: HashSet::default(),
+        }
     }
 
     /// `note` takes in an answer of an upstream.
@@ -76,19 +86,21 @@
     /// assert_eq!(answers.answered_at((1, 7)), None);
     /// ```
     pub fn note(&mut self, upstream: UpstreamId, answer: Answer) {
+        *self.counts.entry(upstream).or_default() += 1;
+        for part in answer.keys() {
+            *self.ends.entry(part).or_default().entry(answer.at).or_default() += 1;
+        }
         self.answers.push_back((upstream, answer));
     }
 
     /// `answered_at` returns until when the last answer on a part had gone on.
     pub fn answered_at(&self, part: PartKey) -> Option<Moment> {
-        let on_part =
-            self.answers.iter().filter(|(_, answer)| answer.keys().any(|key| key == part));
-        on_part.map(|(_, answer)| answer.at).max()
+        self.ends.get(&part)?.last_key_value().map(|(at, _)| *at)
     }
 
     /// `holds_any_of` tells whether there are any of an upstream.
     pub fn holds_any_of(&self, upstream: UpstreamId) -> bool {
-        self.answers.iter().any(|(life, _)| *life == upstream)
+        self.counts.contains_key(&upstream)
     }
 
     /// `doubt` takes in that an answer of an upstream broke off, so that it may be about to end.
@@ -104,6 +116,9 @@
     /// `take_ended` takes the answers that an upstream did not outlive, as it ended at a time.
     pub fn take_ended(&mut self, upstream: UpstreamId, at: Moment) -> Vec<Answer> {
         self.doubted.remove(&upstream);
+        if !self.holds_any_of(upstream) {
+            return Vec::new();
+        }
         let outlived_after = self.outlived_after;
         let is_ended =
             |answer: &Answer| answer.begun_at <= at && at < answer.begun_at + outlived_after;
@@ -114,8 +129,11 @@
     pub fn take_outlived(&mut self, now: Moment) -> Vec<Answer> {
         let doubted = std::mem::take(&mut self.doubted);
         let surplus = self.answers.len().saturating_sub(ANSWERS_MAX);
-        let mut outlived: Vec<Answer> =
-            self.answers.drain(..surplus).map(|(_, answer)| answer).collect();
+        let mut outlived = Vec::new();
+        for (upstream, answer) in self.answers.drain(..surplus).collect::<Vec<_>>() {
+            self.discount(upstream, &answer);
+            outlived.push(answer);
+        }
         let outlived_after = self.outlived_after;
         outlived.extend(self.take(|life, answer| {
             answer.begun_at + outlived_after <= now && !doubted.contains(&life)
@@ -131,10 +149,33 @@
             if is_taken {
                 let Answer { service, sent_at, begun_at, at, .. } = *answer;
                 let parts = std::mem::take(&mut answer.parts);
-                taken.push(Answer { service, parts, sent_at, begun_at, at });
+                taken.push((*upstream, Answer { service, parts, sent_at, begun_at, at }));
             }
             !is_taken
         });
-        taken
+        taken.iter().for_each(|(upstream, answer)| self.discount(*upstream, answer));
+        taken.into_iter().map(|(_, answer)| answer).collect()
+    }
+
+    /// Takes an answer that is remembered no more out of the counts.
+    fn discount(&mut self, upstream: UpstreamId, answer: &Answer) {
+        if let Some(count) = self.counts.get_mut(&upstream) {
+            *count -= 1;
+            if *count == 0 {
+                self.counts.remove(&upstream);
+            }
+        }
+        for part in answer.keys() {
+            let Some(ends) = self.ends.get_mut(&part) else { continue };
+            if let Some(count) = ends.get_mut(&answer.at) {
+                *count -= 1;
+                if *count == 0 {
+                    ends.remove(&answer.at);
+                }
+            }
+            if ends.is_empty() {
+                self.ends.remove(&part);
+            }
+        }
     }
 }
--- a/crates/bergamotpitch-gateway/src/crash_messages.rs
+++ b/crates/bergamotpitch-gateway/src/crash_messages.rs
@@ -13,7 +13,8 @@
 
 use crate::gateways::Gateway;
 use crate::heartbeats::{domain_peers, remote_deciders, standby_peers};
-use crate::messages::{AnsweredLine, Body, CrashLine, MESSAGE_BYTES};
+use crate::messages::{AnsweredLine, Body, CrashLine, MESSAGE_BYTES, Message, encode};
+use crate::options::Options;
 use crate::work_times::Work;
 
 /// `LINES_MAX` bounds the lines of one message.
@@ -99,7 +100,6 @@
         for life in lives {
             self.traffic.borrow_mut().crash_suspects.retract(*life, now);
         }
-        self.log_suspicions();
     }
 
     /// `tell_answered` tells that suspects were answered.
@@ -108,19 +108,26 @@
             return;
         }
         let now = self.now();
+        let mut due = Vec::new();
         let mut told = self.crashes.answers_told.borrow_mut();
-        told.retain(|_, at| now < *at + ANSWER_TELL_INTERVAL);
-        let due = suspects.iter().filter(|suspect| told.insert(**suspect, now).is_none());
+        for suspect in suspects {
+            let told_at = told.get(suspect);
+            if told_at.is_none_or(|at| *at + ANSWER_TELL_INTERVAL <= now) {
+                told.insert(*suspect, now);
+                due.push(*suspect);
+            }
+        }
+        drop(told);
         let lines: Vec<AnsweredLine> = due
+            .into_iter()
             .map(|suspect| {
-                let answered_at = self.sound_at(*suspect).unwrap_or(moment_of(now));
+                let answered_at = self.sound_at(suspect).unwrap_or(moment_of(now));
                 let age_ms = age_of(answered_at, moment_of(now));
-                AnsweredLine { suspect: *suspect, age_ms, is_lifted: false }
+                AnsweredLine { suspect, age_ms, is_lifted: false }
             })
             .collect();
-        drop(told);
         for lines in lines.chunks(LINES_MAX) {
-            self.tell(&Body::Answered(lines.to_vec()), &self.crash_receivers());
+            self.tell(Body::Answered(lines.to_vec()), &self.crash_receivers());
         }
     }
 
@@ -132,12 +139,12 @@
     /// `tell_lifted` tells that operators let a suspect in again.
     pub(crate) fn tell_lifted(&self, suspect: SuspectId) {
         let line = AnsweredLine { suspect, age_ms: 0, is_lifted: true };
-        self.tell(&Body::Answered(vec![line]), &self.crash_receivers());
+        self.tell(Body::Answered(vec![line]), &self.crash_receivers());
     }
 
     /// `tell_living` tells that an upstream was taken for crashed and is not.
     pub(crate) fn tell_living(&self, life: UpstreamId) {
-        self.tell(&Body::LivingUpstreams(vec![life]), &self.crash_receivers());
+        self.tell(Body::LivingUpstreams(vec![life]), &self.crash_receivers());
     }
 
     /// `tell_crashes_at_once` tells crashes to the whole domain and to those that decide in others, and a
@@ -162,7 +169,14 @@
 
     /// `tell_suspects` tells the crashes that count against suspects again, with some of the beats.
     pub(crate) fn tell_suspects(&self, sequence: u64) {
-        if !sequence.is_multiple_of(TELL_BEATS) || self.traffic.borrow().crash_suspects.is_empty() {
+        if !sequence.is_multiple_of(TELL_BEATS) {
+            return;
+        }
+        let now = self.now();
+        let mut answers_told = self.crashes.answers_told.borrow_mut();
+        answers_told.retain(|_, at| now < *at + ANSWER_TELL_INTERVAL);
+        drop(answers_told);
+        if self.traffic.borrow().crash_suspects.is_empty() {
             return;
         }
         let _scope = self.work_times.enter(Work::Crashes);
@@ -182,7 +196,7 @@
         let now = moment_of(self.now());
         for evidence in evidence.chunks(LINES_MAX) {
             let lines = evidence.iter().map(|evidence| line_of_evidence(evidence, now)).collect();
-            self.tell(&Body::Crashes(lines), receivers);
+            self.tell(Body::Crashes(lines), receivers);
         }
     }
 
@@ -204,8 +218,10 @@
         receivers
     }
 
-    fn tell(&self, body: &Body, receivers: &[SocketAddr]) {
-        receivers.iter().for_each(|receiver| self.send_message(body.clone(), *receiver));
+    fn tell(&self, body: Body, receivers: &[SocketAddr]) {
+        let Options { instance, incarnation, .. } = self.options;
+        let Some(bytes) = encode(&Message { instance, incarnation, body }) else { return };
+        receivers.iter().for_each(|receiver| self.send_datagram(&bytes, *receiver));
     }
 }
 
--- a/crates/bergamotpitch-gateway/src/crash_reports.rs
+++ b/crates/bergamotpitch-gateway/src/crash_reports.rs
@@ -124,9 +124,9 @@
         is_known
     }
 
-    /// `log_suspicions` logs parts that are suspected or blocked since it did so last, and requests that are
-    /// blocked. A part is blocked by answers to requests without it as well as by a crash.
-    pub(crate) fn log_suspicions(&self) {
+    /// `note_suspicions` does so for all suspects, with some of the beats: a part is blocked by answers to
+    /// requests without it as well as by a crash.
+    pub(crate) fn note_suspicions(&self) {
         let suspicions = self.suspicions();
         // Metrics tell once that there are none any more.
         let was_suspected = self.crashes.is_suspected.replace(!suspicions.is_empty());
@@ -134,21 +134,28 @@
             return;
         }
         self.metrics.note_suspects(&suspicions);
+        suspicions.iter().for_each(|known| self.note_suspicion(known));
+    }
+
+    /// `note_suspicion` logs a part that is suspected or blocked, or a request that is blocked, unless it was
+    /// logged as that, and records a block.
+    pub(crate) fn note_suspicion(&self, known: &Suspicion) {
+        let is_blocked = known.blocked_until.is_some();
         // Parts that only waited at an upstream are no news for operators.
-        let is_news = |known: &&Suspicion| match known.suspect {
+        let is_shown = match known.suspect {
             SuspectId::Part(..) => known.is_strong,
-            SuspectId::LatePart(..) | SuspectId::Request(_) => known.blocked_until.is_some(),
+            SuspectId::LatePart(..) | SuspectId::Request(_) => is_blocked,
         };
-        for known in suspicions.iter().filter(is_news) {
-            let is_blocked = known.blocked_until.is_some();
-            let logged = self.crashes.logged.borrow_mut().insert(known.suspect, is_blocked);
-            if logged != Some(is_blocked) {
-                self.log_suspicion(known);
-            }
-            if is_blocked {
-                let blocked_for = self.state_of(known).blocked_for_ms;
-                self.record_block(known.suspect, Duration::from_millis(blocked_for as u64));
-            }
+        if !is_shown {
+            return;
+        }
+        let logged = self.crashes.logged.borrow_mut().insert(known.suspect, is_blocked);
+        if logged != Some(is_blocked) {
+            self.log_suspicion(known);
+        }
+        if is_blocked {
+            let blocked_for = self.state_of(known).blocked_for_ms;
+            self.record_block(known.suspect, Duration::from_millis(blocked_for as u64));
         }
     }
 
@@ -199,8 +206,5 @@
                 ),
             }
         }
-        if !suspects.is_empty() {
-            self.log_suspicions();
-        }
     }
 }
--- a/crates/bergamotpitch-gateway/src/crashes.rs
+++ b/crates/bergamotpitch-gateway/src/crashes.rs
@@ -326,13 +326,14 @@
     /// `note_crashes` takes in crashes, and how many requests without a part were answered since the first
     /// one at whoever tells of them.
     pub(crate) fn note_crashes(&self, evidence: &[Evidence], answers: u64) {
-        let mut is_news = false;
         for evidence in evidence {
             let mut traffic = self.traffic.borrow_mut();
-            is_news |= traffic.crash_suspects.note_crash(*evidence, answers);
-        }
-        if is_news {
-            self.log_suspicions();
+            let is_news = traffic.crash_suspects.note_crash(*evidence, answers);
+            let known = traffic.crash_suspects.suspicion_of(evidence.suspect);
+            drop(traffic);
+            if let Some(known) = known.filter(|_| is_news) {
+                self.note_suspicion(&known);
+            }
         }
     }
 
@@ -348,7 +349,6 @@
         if traffic.crash_suspects.retract(life, moment_of(now)) {
             drop(traffic);
             self.forget_probe(upstream);
-            self.log_suspicions();
             log::info!("event=crash_retracted upstream={:?}", self.id_of(upstream));
             self.tell_living(life);
         }
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -495,7 +495,7 @@
         gateway.announce_start();
         if sequence.is_multiple_of(SWEEP_BEATS) {
             gateway.measure_upstreams();
-            gateway.log_suspicions();
+            gateway.note_suspicions();
             gateway.pools.sweep(gateway.now());
             callers::drop_slow_heads(&gateway);
         }
