Let only an instance that hears most of its domain contest the role of its dispatcher

What callers saw: requests of a team within its share refused by the bound on arrivals, beside engines that are back, cold and idle.

Cause: an instance that is late, or cut off, takes all others for silent and says that it decides for the domain. The dispatcher that hears it then was no longer sure to be the only one, for 2.5 s from the last claim, and sent nothing to cold engines. Such a claim is harmless: an instance that hears at most half of the domain sends nothing to cold engines either, and is sure of its role no sooner than 2.5 s after it hears most.

Change: beats tell whether their sender hears most of its domain (messages between instances have format 11), and only such a claim counts.

--- a/crates/bergamotpitch-control/src/traffic/warm_ups.rs
+++ b/crates/bergamotpitch-control/src/traffic/warm_ups.rs
@@ -216,7 +216,9 @@
 pub struct DomainView {
     /// Whether it decides for the domain.
     pub is_dispatcher: bool,
-    /// Whether another instance of the domain says that it does.
+    /// Whether another instance of the domain that hears most of it says that it does. One that hears few may
+    /// send nothing to cold upstreams, and becomes sure of its role no sooner than [`CONFIRMATION_TIME`] after
+    /// it hears most.
     pub is_contested: bool,
     /// Listed instances of the domain, itself among them.
     pub listed: usize,
@@ -227,6 +229,13 @@
     pub deciders: usize,
 }
 
+impl DomainView {
+    /// `hears_most` tells whether more than half of the domain was heard lately.
+    pub fn hears_most(&self) -> bool {
+        self.listed < 2 * self.heard
+    }
+}
+
 /// `CONFIRMATION_TIME` is for how long an instance must have been the only dispatcher that hears most
 /// of its domain before it is sure of it: an earlier one that was cut off has noticed by then, after
 /// the heartbeat timeout, and what it placed has arrived.
@@ -265,7 +274,7 @@
             self.undisputed_since = None;
             return Authority::Shared(view.deciders);
         }
-        if view.is_contested || 2 * view.heard <= view.listed {
+        if view.is_contested || !view.hears_most() {
             self.undisputed_since = None;
             return Authority::Unconfirmed;
         }
--- a/crates/bergamotpitch-gateway/src/dispatchers.rs
+++ b/crates/bergamotpitch-gateway/src/dispatchers.rs
@@ -41,6 +41,8 @@
     is_retrying: Cell<bool>,
     pub(crate) role: Cell<Role>,
     pub(crate) authorities: Cell<Authorities>,
+    /// Whether this instance hears most of its domain.
+    pub(crate) hears_most: Cell<bool>,
 }
 
 #[derive(Debug)]
--- a/crates/bergamotpitch-gateway/src/heartbeats.rs
+++ b/crates/bergamotpitch-gateway/src/heartbeats.rs
@@ -230,6 +230,7 @@
         relay_number: gateway.store_updates.relay.borrow().last_number(),
         is_eligible: gateway.is_eligible(),
         is_dispatcher: gateway.is_dispatcher(),
+        hears_most: gateway.local_placements.hears_most.get(),
         is_leaving: gateway.is_draining(),
         counted_ms: u64::try_from(gateway.now().as_millis()).unwrap_or(u64::MAX),
         leaving: leaving.map(|upstream| upstream.life_number).collect(),
--- a/crates/bergamotpitch-gateway/src/messages.rs
+++ b/crates/bergamotpitch-gateway/src/messages.rs
@@ -31,7 +31,7 @@
 use crate::options::Options;
 
 /// `FORMAT` begins each message of this release.
-const FORMAT: [u8; 4] = [0xb9, b'p', 0, 10];
+const FORMAT: [u8; 4] = [0xb9, b'p', 0, 11];
 
 /// `MESSAGE_BYTES` bounds a message: one datagram that is not cut on the way.
 pub const MESSAGE_BYTES: usize = 1_400;
@@ -103,6 +103,8 @@
     pub is_eligible: bool,
     /// Whether it is.
     pub is_dispatcher: bool,
+    /// Whether it hears most of its domain.
+    pub hears_most: bool,
     /// Whether it is about to end.
     pub is_leaving: bool,
     /// For how long it has counted what its teams asked.
--- a/crates/bergamotpitch-gateway/src/peers.rs
+++ b/crates/bergamotpitch-gateway/src/peers.rs
@@ -68,6 +68,7 @@
     pub relay_number: u64,
     is_eligible: bool,
     is_dispatcher: bool,
+    hears_most: bool,
     counted: Duration,
 }
 
@@ -88,6 +89,7 @@
             relay_number: 0,
             is_eligible: true,
             is_dispatcher: false,
+            hears_most: false,
             counted: Duration::ZERO,
         }
     }
@@ -113,6 +115,7 @@
         self.relay_number = heartbeat.relay_number;
         self.is_eligible = heartbeat.is_eligible;
         self.is_dispatcher = heartbeat.is_dispatcher;
+        self.hears_most = heartbeat.hears_most;
         self.counted = Duration::from_millis(heartbeat.counted_ms);
     }
 
@@ -132,6 +135,11 @@
             && self.last_seen.is_some_and(|last_seen| now < last_seen + DISPATCHER_TIMEOUT)
     }
 
+    /// `contests_role` tells whether it decides for its domain and hears most of it.
+    pub(crate) fn contests_role(&self, now: Timestamp) -> bool {
+        self.is_dispatching(now) && self.hears_most
+    }
+
     /// `candidate` returns what counts for its role in its domain.
     pub(crate) fn candidate(&self) -> Candidate {
         Candidate {
--- a/crates/bergamotpitch-gateway/src/roles.rs
+++ b/crates/bergamotpitch-gateway/src/roles.rs
@@ -97,11 +97,12 @@
         };
         let view = DomainView {
             is_dispatcher: dispatcher == Some(self.options.instance),
-            is_contested: heard.clone().any(|peer| peer.is_dispatching(now)),
+            is_contested: heard.clone().any(|peer| peer.contests_role(now)),
             listed,
             heard: heard.count() + 1,
             deciders: if dispatcher.is_some() { listed } else { fleet_size },
         };
+        self.local_placements.hears_most.set(view.hears_most());
         let mut traffic = self.traffic.borrow_mut();
         traffic.fleet_size = fleet_size;
         let before = traffic.authority;
--- a/crates/bergamotpitch-gateway/tests/dispatcher_claims.rs
+++ b/crates/bergamotpitch-gateway/tests/dispatcher_claims.rs
@@ -97,6 +97,23 @@
     });
 }
 
+/// Guards against two instances that both send to cold engines, as each takes itself for the only one that
+/// decides.
+#[test]
+fn rival_claim() {
+    run(async {
+        let upstream = FakeUpstream::start(Box::new(|_| vec![whole("200 OK", "done")])).await;
+        let (gateway, address) = start_small(&[]).await;
+        bound_arrivals(&gateway);
+        list_cold(&gateway, &upstream);
+        let mut domain = Domain::start(&gateway, &[1, 2, 3, 4], 60).await;
+        domain.beat(SURE_TIME, &Heartbeat::default()).await;
+        let claim = Heartbeat { is_dispatcher: true, hears_most: true, ..Heartbeat::default() };
+        domain.beat(Duration::from_millis(300), &claim).await;
+        assert_eq!(served(address, 4).await, 0);
+    });
+}
+
 /// Guards against the same where a dispatcher that was killed is back, and takes its role over from an
 /// instance of the same kind that has decided meanwhile.
 #[test]
