Leave the role of the dispatcher to whoever has it and as much processor time

What callers saw: 5 s after a dispatcher was killed and came back, cold engines of its domain got nothing for 2.5 s, as it took its role over from the instance of the same kind that had replaced it.

Cause: among instances that have run for long the one with the least number comes first, whoever decides; each change of the role leaves nobody sure to be alone for 2.5 s.

Change: an instance that decides comes before others with as much processor time.

--- a/crates/bergamotpitch-control/src/traffic/dispatchers.rs
+++ b/crates/bergamotpitch-control/src/traffic/dispatchers.rs
@@ -11,7 +11,9 @@
 //! dispatcher there, however small it is.
 //!
 //! Nothing is agreed on. Each instance ranks the others by what it heard of them, and two that both
-//! take the role over-commit their upstreams for as long as they differ.
+//! take the role over-commit their upstreams for as long as they differ. Whoever has the role keeps it
+//! beside others with as much processor time: for some seconds after each change nobody may send to
+//! cold upstreams.
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -72,6 +74,8 @@
     pub is_eligible: bool,
     /// Whether it has run for some time; one that has just started knows nothing of its upstreams.
     pub is_warmed_up: bool,
+    /// Whether it says that it is the dispatcher.
+    pub is_dispatching: bool,
 }
 
 impl Candidate {
@@ -81,8 +85,9 @@
         (Reverse(self.processor_millis), self.instance)
     }
 
-    fn preference(&self) -> (bool, bool, (Reverse<u32>, InstanceId)) {
-        (!self.is_eligible, !self.is_warmed_up, self.order())
+    fn preference(&self) -> (bool, bool, Reverse<u32>, bool, InstanceId) {
+        let (processor, instance) = self.order();
+        (!self.is_eligible, !self.is_warmed_up, processor, !self.is_dispatching, instance)
     }
 }
 
@@ -115,6 +120,7 @@
 ///     last_seen: now,
 ///     is_eligible: true,
 ///     is_warmed_up: true,
+///     is_dispatching: false,
 /// };
 /// let others: Vec<_> = (1..=5).map(|instance| candidate(instance, 120)).collect();
 /// let role = role_of(&candidate(9, 500), &others, now, &Options::default());
--- a/crates/bergamotpitch-control/tests/restarted_domains.rs
+++ b/crates/bergamotpitch-control/tests/restarted_domains.rs
@@ -14,6 +14,7 @@
         last_seen: now,
         is_eligible: is_eligible(instance),
         is_warmed_up: false,
+        is_dispatching: false,
     };
     let all: Vec<Candidate> = (1..=count).map(candidate).collect();
     let role = |own: &Candidate| {
--- a/crates/bergamotpitch-gateway/src/peers.rs
+++ b/crates/bergamotpitch-gateway/src/peers.rs
@@ -148,6 +148,7 @@
             last_seen: self.last_seen.unwrap_or(self.listed),
             is_eligible: self.is_eligible,
             is_warmed_up: WARM_UP_TIME <= self.counted,
+            is_dispatching: self.is_dispatcher,
         }
     }
 }
--- a/crates/bergamotpitch-gateway/src/roles.rs
+++ b/crates/bergamotpitch-gateway/src/roles.rs
@@ -48,6 +48,7 @@
             last_seen: now,
             is_eligible: self.is_eligible(),
             is_warmed_up: WARM_UP_TIME <= now,
+            is_dispatching: self.is_dispatcher(),
         };
         let domain = &self.options.admission.domain;
         let peers = self.peers.borrow();
