Forget an instance only by a list that was read after it entered

What callers saw: refusals within a team's share for twenty seconds, in one failure domain.

Cause: an instance that relies on its watchers was told everything by another one that relies on them and knew a part of the list of instances. Entries that were not told and older than the newest one told counted as gone, so that the domain fell into two parts of five and six, each with a dispatcher, and the part without the large instances decided with an eighth of a core.

Change: an update names the revision up to which its sender knows the whole list; only entries up to that may be gone.

--- a/crates/bergamotpitch-gateway/src/relays.rs
+++ b/crates/bergamotpitch-gateway/src/relays.rs
@@ -68,6 +68,8 @@
     pub list_known: u64,
     /// Revision of the latest change of the list that it has seen.
     pub list_change: u64,
+    /// Revision of the store up to which the peer knows the list of instances; 0 while it may know a part.
+    pub members_known: u64,
     /// Documents.
     pub documents: Vec<Document>,
     /// Keys of entries that are gone; none when everything is told.
@@ -256,6 +258,7 @@
             is_whole: false,
             list_known: 0,
             list_change: 0,
+            members_known: 0,
             documents: documents.map(|kept| kept.entry.clone()).collect(),
             removals: removals.map(|kept| kept.entry.clone()).collect(),
         }
@@ -310,6 +313,8 @@
     pub list_known: u64,
     /// Revision of the latest change of the list that was seen.
     pub list_change: u64,
+    /// Revision of the store up to which the list of instances is known.
+    pub members_known: u64,
 }
 
 /// `SharedAnswers` are what peers are sent, made once for all that ask from the same cursor.
--- a/crates/bergamotpitch-gateway/src/store_updates.rs
+++ b/crates/bergamotpitch-gateway/src/store_updates.rs
@@ -98,6 +98,8 @@
     /// Up to where it is known, by the own watch or by peers.
     list_known: Cell<u64>,
     list_change: Cell<u64>,
+    /// Up to where the list of instances is known; 0 while only a part of it may be.
+    members_known: Cell<u64>,
     list_behind_since: Cell<Option<Timestamp>>,
     lagging_since: Cell<Option<Timestamp>>,
     next_fetch: Cell<Timestamp>,
@@ -139,6 +141,17 @@
         self.list_reported(known, change);
     }
 
+    /// `members_known` returns the revision of the store up to which this instance knows the list of instances; 0
+    /// while it may know only a part of it.
+    pub fn members_known(&self) -> u64 {
+        self.store_updates.members_known.get()
+    }
+
+    /// `members_read` notes that the list of instances is known up to a revision of the store.
+    pub fn members_read(&self, known: u64) {
+        self.store_updates.members_known.set(self.members_known().max(known));
+    }
+
     /// `list_reported` notes the same of what a peer has told.
     pub fn list_reported(&self, known: u64, change: u64) {
         self.store_updates.list_known.set(self.store_updates.list_known.get().max(known));
@@ -232,6 +245,7 @@
         RelayUpdate {
             list_known: self.store_updates.list_known.get(),
             list_change: self.store_updates.list_change.get(),
+            members_known: self.members_known(),
             ..self.store_updates.relay.borrow().updates_since(cursor)
         }
     }
@@ -248,12 +262,15 @@
             number: relay.last_number(),
             list_known: self.store_updates.list_known.get(),
             list_change: self.store_updates.list_change.get(),
+            members_known: self.members_known(),
         };
-        let Extent { number, list_known, list_change } = answers.extent(known, self.now());
+        let Extent { number, list_known, list_change, members_known } =
+            answers.extent(known, self.now());
         if !relay.needs_everything(cursor) {
             return answers.changes(cursor.number, || RelayUpdate {
                 list_known,
                 list_change,
+                members_known,
                 ..relay.changes_between(cursor.number, number.max(cursor.number))
             });
         }
--- a/crates/bergamotpitch-gateway/tests/shared_updates.rs
+++ b/crates/bergamotpitch-gateway/tests/shared_updates.rs
@@ -65,7 +65,8 @@
     for step in 0..ENTRIES {
         let now = NOW + Duration::from_millis(step as u64);
         relay.keep(document(step));
-        let known = Extent { number: relay.last_number(), list_known: 9, list_change: 8 };
+        let known =
+            Extent { number: relay.last_number(), list_known: 9, list_change: 8, members_known: 7 };
         let extent = answers.extent(known, now);
         let cursor = &mut cursors[step % 100];
         let answer = answers.changes(*cursor, || {
