Let no team go before others beyond an even part of the last second

What callers saw: for one to three seconds a team gets next to nothing, as another one begins to flood.

Cause: shares are counted over four seconds. A team that begins to flood has had nothing in them, so that all it asks is within its share until it has had four seconds' worth; that fills the engines, and teams that have flooded for some time, and had theirs, wait meanwhile. Then it is the other way round.

Change: whoever had more than an even part of what the engines gave in the last second comes last, whatever it had in the four.

--- a/crates/bergamotpitch-control/src/traffic/team_windows.rs
+++ b/crates/bergamotpitch-control/src/traffic/team_windows.rs
@@ -8,6 +8,10 @@
 //! falls silent is left out after [`Options::peer_timeout`], so that what is left of the fleet
 //! divides the whole pool.
 //!
+//! A team that begins to flood has had nothing in the window before. Given all at once, what it may have
+//! fills the engines for a second, and those that have flooded for some time get nothing meanwhile. Within a
+//! short window nobody goes before others beyond an even part.
+//!
 //! Operators state the rate of the pool. Engines that were lost, are slow or read long prompts give less,
 //! and all that is asked may then lie within the shares. While a team has much less than others, the
 //! shares divide what is begun.
@@ -167,14 +171,15 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, Serialize, Deserialize)]
 #[strum(serialize_all = "snake_case")]
 pub enum ShareClass {
-    /// It is within the share that the stated rate of the pool gives the team.
+    /// It is within the share that the stated rate of the pool gives the team, and within an even part of what the
+    /// engines gave lately.
     WithinShare,
-    /// It is beyond the share, of a team that waits and had much less than others.
+    /// It is beyond the share, of a team that waits and had much less than others, and within that even part.
     #[strum(serialize = "needy")]
     Underserved,
-    /// It is beyond the share, and within an even part of what the engines give besides.
+    /// It is beyond the share, and within that even part.
     EvenSurplus,
-    /// Other teams that wait had less.
+    /// Other teams that wait had less lately.
     BeyondEven,
 }
 
@@ -359,14 +364,16 @@
         let counts = self.fleet_counts(team, now);
         let dispatched = counts.window.dispatched_tokens as f64;
         let recent = counts.recent.dispatched_tokens as f64 + tokens as f64 / 2.0;
-        if dispatched == 0.0 || dispatched + tokens as f64 / 2.0 <= levels.share_tokens {
+        if dispatched == 0.0 {
+            ShareClass::WithinShare
+        } else if levels.surplus_tokens < recent && self.options.policy.even_surplus {
+            ShareClass::BeyondEven
+        } else if dispatched + tokens as f64 / 2.0 <= levels.share_tokens {
             ShareClass::WithinShare
         } else if self.options.policy.needy_teams && self.underserved_teams.contains(&team) {
             ShareClass::Underserved
-        } else if recent <= levels.surplus_tokens || !self.options.policy.even_surplus {
-            ShareClass::EvenSurplus
         } else {
-            ShareClass::BeyondEven
+            ShareClass::EvenSurplus
         }
     }
 
