Let an instance take streams on again as fast as its tasks get their turns

Cause: the limit of streams falls by up to a third in a tenth of a second and rises by a twentieth.

Change: it rises by up to 0.4 of itself, in proportion to how far the wait for a turn is below its target.

--- a/crates/bergamotpitch-control/src/traffic/concurrency_limits.rs
+++ b/crates/bergamotpitch-control/src/traffic/concurrency_limits.rs
@@ -6,7 +6,7 @@
 //! what it can serve: all of its streams are late, those of other teams among them. The number of
 //! streams that it serves at once tells so before lateness does. The limit follows for how long a task
 //! waits for its turn: it falls while that is too long, and rises while it is reached and the wait is
-//! short.
+//! short, the faster the shorter: what made tasks wait may have been other work, and be over.
 
 use std::fmt;
 use std::time::Duration;
@@ -45,8 +45,9 @@
 /// `DECREASE_FACTOR_MIN` is the least part that one fall leaves.
 const DECREASE_FACTOR_MIN: f64 = 0.7;
 
-/// `INCREASE_FACTOR` is the factor by which the limit rises in one change.
-const INCREASE_FACTOR: f64 = 1.05;
+/// `INCREASE_PER_SHORTFALL` is by which part the limit rises while nobody waits, and a part of that while tasks wait
+/// for a part of the target.
+const INCREASE_PER_SHORTFALL: f64 = 0.4;
 
 /// `USED_FRACTION` is the part of the limit that must have been reached for it to rise.
 const USED_FRACTION: f64 = 0.6;
@@ -158,7 +159,7 @@
         let peak_streams = f64::from(self.peak_streams);
         if excess <= 0.0 {
             if USED_FRACTION * self.limit <= peak_streams {
-                self.limit = INCREASE_FACTOR * self.limit + 1.0;
+                self.limit = (1.0 - INCREASE_PER_SHORTFALL * excess) * self.limit + 1.0;
             }
         } else if !is_draining {
             // Streams that were taken on before the last fall would else let it fall again and again.
