--- a/crates/bergamotpitch-control/tests/sudden_floods.rs
+++ b/crates/bergamotpitch-control/tests/sudden_floods.rs
@@ -37,7 +37,12 @@
     for seed in 1..=4 {
         let outcome = replay(&two_floods(seed), Fleet::default(), place_and_send);
         let (standing, sudden) = (started(&outcome, STANDING), started(&outcome, SUDDEN));
-        println!("seed {seed}: {standing} beside {sudden}");
+        println!(
+            "seed {seed}: {standing} beside {sudden}; {} of {} in time, {:.3} of small teams",
+            outcome.all_in_time(),
+            outcome.served,
+            outcome.small_teams_in_time()
+        );
         assert!(sudden <= 2 * standing, "seed {seed}: {standing} beside {sudden}");
     }
 }
