--- a/crates/bergamotpitch-gateway/src/crash_reports.rs
+++ b/crates/bergamotpitch-gateway/src/crash_reports.rs
@@ -124,8 +124,8 @@
         is_known
     }
 
-    /// `note_suspicions` does so for all suspects, with some of the beats: a part is blocked by answers to
-    /// requests without it as well as by a crash.
+    /// `note_suspicions` notes all suspects, with some of the beats: a part is blocked by answers to requests
+    /// without it as well as by a crash.
     pub(crate) fn note_suspicions(&self) {
         let suspicions = self.suspicions();
         // Metrics tell once that there are none any more.
