--- a/crates/bergamotpitch-core/src/events.rs
+++ b/crates/bergamotpitch-core/src/events.rs
@@ -114,7 +114,7 @@
     TeamTallied = 700,
     /// A team that waits has had less than it asked, by the sums of the whole fleet.
     TeamWaits = 701,
-    /// For what kinds of work the thread was used in the last second.
+    /// For what kinds of work the thread was used in the last second, where that was a quarter of it or more.
     WorkTallied = 702,
 }
 
