--- a/crates/bergamotpitch-control/src/traffic.rs
+++ b/crates/bergamotpitch-control/src/traffic.rs
@@ -33,6 +33,7 @@
 pub mod sound_parts;
 pub mod starts;
 pub mod stream_origins;
+mod suspect_tables;
 pub mod team_windows;
 pub mod upstream_candidates;
 pub mod warm_ups;
--- a/crates/bergamotpitch-control/src/traffic/crash_suspects.rs
+++ b/crates/bergamotpitch-control/src/traffic/crash_suspects.rs
@@ -13,7 +13,6 @@
 //! at once and several times. It is found by the upstreams that crashed under its attempts.
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
 use std::time::Duration;
 
 use bergamotpitch_core::ids::{ServiceId, UpstreamId};
@@ -25,6 +24,7 @@
 use crate::traffic::provisional_answers::{Answer, LASTING_MS, OUTLIVED_MS, ProvisionalAnswers};
 use crate::traffic::request_digests::RequestDigest;
 use crate::traffic::sound_parts::{Moment, SoundParts};
+use crate::traffic::suspect_tables::{Suspect, SuspectTable};
 
 /// `PartKey` names a part of the prompts for one service.
 pub type PartKey = (ServiceId, PartId);
@@ -44,9 +44,6 @@
 /// request that is not blocked: its caller waits no longer.
 const WEAK_MEMORY_MS: Moment = 60_000;
 
-/// `SUSPECTS_MAX` bounds the parts, and the requests, in the table; those with the least evidence give way.
-const SUSPECTS_MAX: usize = 1_024;
-
 /// `FRESH_ANSWER_MS` is the time after which a part that was answered counts as answered just now: it is in
 /// use all the time, and the next answer on it tells more than a crash.
 const FRESH_ANSWER_MS: Moment = 1_000;
@@ -110,9 +107,7 @@
     provisional: ProvisionalAnswers,
     /// Those that they may crash of late.
     lasting: ProvisionalAnswers,
-    suspects: HashMap<SuspectId, Suspect>,
-    part_room: Room,
-    request_room: Room,
+    suspects: SuspectTable,
     /// What counted against parts that were answered since, as long as those answers are provisional.
     set_aside: HashMap<PartKey, Suspect>,
     /// Upstreams that crashed, and when.
@@ -125,38 +120,6 @@
     answers: HashMap<ServiceId, u64>,
 }
 
-#[derive(Debug)]
-struct Suspect {
-    record: CrashRecord,
-    /// Requests that had been answered here before the first crash.
-    answers_before: u64,
-    /// Requests that were answered since then at another instance.
-    answers_told: u64,
-}
-
-/// `Room` is the room for suspects of one kind, so that the table is searched once with a step and not with
-/// each crash.
-#[derive(Debug, Default)]
-struct Room {
-    /// How many more there may be.
-    left: usize,
-    /// Those that give way once there is none left, the weakest first. What has changed since is passed over.
-    weakest: Option<BinaryHeap<Reverse<Strength>>>,
-}
-
-/// `Strength` orders suspects by the evidence against them.
-type Strength = (u32, Moment, SuspectId);
-
-impl Suspect {
-    fn new(id: SuspectId, was_sound: bool, answers_before: u64) -> Self {
-        Self { record: CrashRecord::new(id, was_sound), answers_before, answers_told: 0 }
-    }
-
-    fn strength(&self, id: SuspectId) -> Strength {
-        (self.record.weight(), self.record.last_at(), id)
-    }
-}
-
 impl Default for CrashSuspects {
     fn default() -> Self {
         Self {
@@ -164,9 +127,7 @@
             lastingly_sound: SoundParts::default(),
             provisional: ProvisionalAnswers::new(OUTLIVED_MS),
             lasting: ProvisionalAnswers::new(LASTING_MS),
-            suspects: HashMap::default(),
-            part_room: Room::default(),
-            request_room: Room::default(),
+            suspects: SuspectTable::default(),
             set_aside: HashMap::default(),
             crashed: HashMap::default(),
             lifted: HashMap::default(),
@@ -203,20 +164,10 @@
             aside.record.add(evidence);
             return false;
         }
-        if !self.suspects.contains_key(&suspect) {
-            self.make_room(suspect.is_request());
-        }
-        let was_sound = self.answered_at(suspect).is_some();
-        let known = self.suspects.entry(suspect);
-        let known = known.or_insert_with(|| Suspect::new(suspect, was_sound, answers_before));
-        known.answers_told = known.answers_told.max(answers);
         self.crashed.entry(life).or_insert(at);
-        let is_news = known.record.add(evidence);
-        let strength = known.strength(suspect);
-        if let Some(weakest) = &mut self.room_mut(suspect.is_request()).weakest {
-            weakest.push(Reverse(strength));
-        }
-        is_news
+        let was_sound = self.answered_at(suspect).is_some();
+        let new = || Suspect::new(suspect, was_sound, answers_before);
+        self.suspects.add(evidence, answers, new)
     }
 
     /// `sound_at` returns when a part was last shown to be sound.
@@ -287,7 +238,7 @@
     fn put_aside(&mut self, part: PartKey, at: Moment) -> bool {
         let id = SuspectId::Part(part.0, part.1);
         let answers = self.answers_of(id);
-        let Some(known) = self.suspects.get_mut(&id) else { return false };
+        let Some(known) = self.suspects.get_mut(id) else { return false };
         let evidence = known.record.take_until(at);
         if evidence.is_empty() {
             return false;
@@ -302,7 +253,7 @@
         known.record.was_sound = true;
         (known.answers_before, known.answers_told) = (answers, 0);
         if known.record.evidence().is_empty() {
-            self.suspects.remove(&id);
+            self.suspects.remove(id);
         }
         true
     }
@@ -370,10 +321,8 @@
         if evidence.is_empty() {
             return;
         }
-        let known = self
-            .suspects
-            .entry(id)
-            .or_insert_with(|| Suspect::new(id, aside.record.was_sound, aside.answers_before));
+        let new = || Suspect::new(id, aside.record.was_sound, aside.answers_before);
+        let known = self.suspects.get_or_insert_with(id, new);
         known.record.was_sound = aside.record.was_sound;
         known.answers_before = known.answers_before.min(aside.answers_before);
         known.answers_told = known.answers_told.max(aside.answers_told);
@@ -409,12 +358,12 @@
 
     fn clear(&mut self, suspect: SuspectId, at: Moment) -> bool {
         let answers = self.answers_of(suspect);
-        let Some(known) = self.suspects.get_mut(&suspect) else { return false };
+        let Some(known) = self.suspects.get_mut(suspect) else { return false };
         let is_cleared = known.record.retain(|evidence| at < evidence.at);
         known.record.was_sound = true;
         (known.answers_before, known.answers_told) = (answers, 0);
         if known.record.evidence().is_empty() {
-            self.suspects.remove(&suspect);
+            self.suspects.remove(suspect);
         }
         is_cleared
     }
@@ -444,7 +393,7 @@
 
     /// `holds_requests` tells whether any request is suspected, so that others must be compared with it.
     pub fn holds_requests(&self) -> bool {
-        self.suspects.keys().any(|suspect| suspect.is_request())
+        self.suspects.iter().any(|(id, _)| id.is_request())
     }
 
     /// `verdict` tells where a request with these parts may go; `digest` names it, where it is known. Crashes
@@ -464,7 +413,7 @@
         });
         let held = request.into_iter().chain(of_parts);
         let suspected: Vec<(SuspectId, &Suspect)> =
-            held.filter_map(|held| Some((held, self.suspects.get(&held)?))).collect();
+            held.filter_map(|held| Some((held, self.suspects.get(held)?))).collect();
         let verdicts = suspected.iter().map(|(id, suspect)| {
             let meanwhile = self.meanwhile(*id, suspect);
             if suspect.record.blocked_until(meanwhile).is_none() {
@@ -514,17 +463,17 @@
         held: &[(SuspectId, &Suspect)],
     ) -> HashSet<UpstreamId> {
         let mut explained = HashSet::default();
-        for (id, other) in &self.suspects {
+        for (id, other) in self.suspects.iter() {
             let is_of_service = match id {
                 SuspectId::Part(of_service, _) | SuspectId::LatePart(of_service, _) => {
-                    *of_service == service
+                    of_service == service
                 }
                 SuspectId::Request(_) => false,
             };
             if !is_of_service
-                || held.iter().any(|(held, _)| held == id)
+                || held.iter().any(|(held, _)| *held == id)
                 || other.record.was_sound && !record.was_sound
-                || other.record.blocked_until(self.meanwhile(*id, other)).is_none()
+                || other.record.blocked_until(self.meanwhile(id, other)).is_none()
             {
                 continue;
             }
@@ -550,12 +499,12 @@
 
     /// `suspicions` returns what is known against each suspect, in no order.
     pub fn suspicions(&self) -> Vec<Suspicion> {
-        self.suspects.iter().map(|(id, suspect)| self.suspicion(*id, suspect)).collect()
+        self.suspects.iter().map(|(id, suspect)| self.suspicion(id, suspect)).collect()
     }
 
     /// `suspicion_of` returns what is known against one suspect.
     pub fn suspicion_of(&self, id: SuspectId) -> Option<Suspicion> {
-        self.suspects.get(&id).map(|suspect| self.suspicion(id, suspect))
+        self.suspects.get(id).map(|suspect| self.suspicion(id, suspect))
     }
 
     fn suspicion(&self, id: SuspectId, suspect: &Suspect) -> Suspicion {
@@ -574,7 +523,7 @@
 
     /// `evidence_of` returns the crashes that count against one suspect, in order of time.
     pub fn evidence_of(&self, id: SuspectId) -> Vec<Evidence> {
-        let known = self.suspects.get(&id);
+        let known = self.suspects.get(id);
         known.map_or_else(Vec::new, |known| known.record.evidence().to_vec())
     }
 
@@ -583,8 +532,8 @@
     /// first, and of these parts before requests.
     pub fn evidence_to_tell(&self, most: usize) -> Vec<(Evidence, u64)> {
         let mut ordered = Vec::new();
-        for (id, suspect) in &self.suspects {
-            let meanwhile = self.meanwhile(*id, suspect);
+        for (id, suspect) in self.suspects.iter() {
+            let meanwhile = self.meanwhile(id, suspect);
             let answers = meanwhile.answers;
             let is_blocked = suspect.record.blocked_until(meanwhile).is_some();
             // A part that only waited at one crash is told once; a request may be at the next instance by
@@ -593,7 +542,7 @@
             let is_repeated = id.is_request() || WEAK_WEIGHT < suspect.record.weight();
             let told = told.filter(|evidence| evidence.is_strong || is_repeated);
             ordered.extend(told.map(|evidence| {
-                let order = (!is_blocked, id.is_request(), Reverse(evidence.at), *id);
+                let order = (!is_blocked, id.is_request(), Reverse(evidence.at), id);
                 (order, (*evidence, answers))
             }));
         }
@@ -603,7 +552,7 @@
 
     /// `step` forgets crashes that are long past.
     pub fn step(&mut self, now: Moment) {
-        (self.part_room, self.request_room) = (Room::default(), Room::default());
+        self.suspects.step();
         self.sound.step(now);
         self.lastingly_sound.step(now);
         let is_recent = |at: &Moment| now < at + EVIDENCE_MEMORY_MS;
@@ -631,45 +580,6 @@
             None => record.last_at() + EVIDENCE_MEMORY_MS,
         }
     }
-
-    fn room_mut(&mut self, is_request: bool) -> &mut Room {
-        if is_request { &mut self.request_room } else { &mut self.part_room }
-    }
-
-    /// Makes room for one more suspect of a kind; where there are too many of it, the one with the least evidence
-    /// is dropped.
-    fn make_room(&mut self, is_request: bool) {
-        let room = self.room_mut(is_request);
-        if let Some(left) = room.left.checked_sub(1) {
-            room.left = left;
-            return;
-        }
-        let Some(mut weakest) = room.weakest.take().filter(|weakest| !weakest.is_empty()) else {
-            return self.search_room(is_request);
-        };
-        while let Some(Reverse(strength)) = weakest.pop() {
-            let id = strength.2;
-            if self.suspects.get(&id).is_some_and(|known| known.strength(id) == strength) {
-                self.suspects.remove(&id);
-                break;
-            }
-        }
-        self.room_mut(is_request).weakest = Some(weakest);
-    }
-
-    fn search_room(&mut self, is_request: bool) {
-        let of_kind = self.suspects.iter().filter(|(id, _)| id.is_request() == is_request);
-        let strengths: Vec<_> = of_kind.map(|(id, known)| Reverse(known.strength(*id))).collect();
-        match SUSPECTS_MAX.checked_sub(strengths.len() + 1) {
-            Some(left) => *self.room_mut(is_request) = Room { left, weakest: None },
-            None => {
-                let surplus = strengths.len() + 1 - SUSPECTS_MAX;
-                let weakest = Some(BinaryHeap::from(strengths));
-                *self.room_mut(is_request) = Room { left: 0, weakest };
-                (0..surplus).for_each(|_| self.make_room(is_request));
-            }
-        }
-    }
 }
 
 fn verdict_of(record: &CrashRecord, meanwhile: Meanwhile, id: SuspectId, now: Moment) -> Verdict {
