Tell a caller whose body came too late when to come back

What callers saw: 408 with ran=not_run and no Retry-After, which is a promise without its time.

Cause: such a request was denied like one that will not be served however often it comes.

Change: it is refused with the time that other busy answers state.

Test: caller_limits::late_body, no retry-after before, and now.

--- a/crates/bergamotpitch-gateway/src/arrivals.rs
+++ b/crates/bergamotpitch-gateway/src/arrivals.rs
@@ -11,6 +11,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use crate::calls::BUSY_RETURN;
 use crate::gateways::Gateway;
 use crate::headers::remove_hop_headers;
 use crate::held_bytes::{Hold, capacity_for};
@@ -70,8 +71,8 @@
 ///
 /// # Errors
 ///
-/// Denies one that is too large, broken off or too slow, and refuses one for which there is no
-/// memory at present.
+/// Denies one that is too large or broken off, and refuses one that is too slow or for which there is
+/// no memory at present.
 pub async fn read_body(
     headers: &HeaderMap,
     body: &mut Incoming,
@@ -110,7 +111,10 @@
     };
     match tokio::time::timeout(time, read).await {
         Ok(result) => result.map(|bytes| HeldBody { bytes, _hold: hold }),
-        Err(_) => Err(Refusal::denied(StatusCode::REQUEST_TIMEOUT, RefusalReason::DeadlinePassed)),
+        Err(_) => {
+            let status = StatusCode::REQUEST_TIMEOUT;
+            Err(Refusal { status, ..Refusal::not_run(RefusalReason::DeadlinePassed, BUSY_RETURN) })
+        }
     }
 }
 
--- a/crates/bergamotpitch-gateway/tests/caller_limits.rs
+++ b/crates/bergamotpitch-gateway/tests/caller_limits.rs
@@ -92,6 +92,26 @@
     });
 }
 
+/// Guards against a caller that is told that its request did not run, and not when to come back.
+#[test]
+fn late_body() {
+    run(async {
+        let upstream = ok_upstream().await;
+        let (_, address) = start(&[&upstream]).await;
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let head = "POST /once/ HTTP/1.1\r\nhost: test.example\r\nx-id: one\r\nx-budget-ms: 200\r\n\
+                    content-length: 4\r\n\r\nb";
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let mut answer = Vec::new();
+        // The connection may be reset, as the rest of the body is not read.
+        let _ = stream.read_to_end(&mut answer).await;
+        let answer = String::from_utf8(answer).unwrap();
+        assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+        assert!(answer.contains("retry-after: "), "{answer}");
+        assert_eq!(upstream.count(), 0);
+    });
+}
+
 /// Callers send large bodies while requests with large bodies wait for their answers. Held without a
 /// bound, they take all of the memory, and the process ends with every request that it serves.
 #[test]
