--- /dev/null
+++ b/review/lib-2/routers.rs
@@ -0,0 +1,165 @@
+//! Routers: the project's program, as the deploy file starts it, on loopback addresses.
+
+use std::collections::HashSet;
+use std::fs;
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use crate::http::Connection;
+
+/// The command of the deploy file, from the project's root.
+const PROGRAM: &str = "target/release/bergamotpitch-adapter";
+
+static TAKEN: Mutex<Option<HashSet<u16>>> = Mutex::new(None);
+
+/// An address whose port is free for TCP and UDP, and that no other call returns.
+pub fn free_address() -> SocketAddr {
+    loop {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let mut taken = TAKEN.lock().expect("the ports");
+        let is_new = taken.get_or_insert_with(HashSet::new).insert(address.port());
+        if is_new && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+pub struct Settings {
+    pub name: String,
+    pub domain: String,
+    pub store: SocketAddr,
+    pub callers: SocketAddr,
+    ready: SocketAddr,
+    seed: SocketAddr,
+    inner: SocketAddr,
+    metrics: SocketAddr,
+    path: PathBuf,
+    folder: PathBuf,
+}
+
+pub struct Router {
+    pub settings: Settings,
+    pub process: Option<Child>,
+    lives: usize,
+}
+
+impl Router {
+    pub fn new(name: &str, domain: &str, store: SocketAddr, folder: &Path) -> Router {
+        let settings = Settings {
+            name: name.to_owned(),
+            domain: domain.to_owned(),
+            store,
+            callers: free_address(),
+            ready: free_address(),
+            seed: free_address(),
+            inner: free_address(),
+            metrics: free_address(),
+            path: folder.join(format!("{name}.json")),
+            folder: folder.to_owned(),
+        };
+        Router { settings, process: None, lives: 0 }
+    }
+
+    /// Starts the next life. The settings are those of `deploy/settings.template.jsonc`, with the figures
+    /// of a small deployment.
+    pub fn start(&mut self, is_fleet_start: bool) {
+        let Settings { name, domain, store, callers, ready, seed, inner, metrics, path, folder } =
+            &self.settings;
+        let text = format!(
+            "{{\"instance\":\"{name}\",\"domain\":\"{domain}\",\
+             \"regions\":{{\"a\":\"ra\",\"b\":\"rb\",\"c\":\"rc\"}},\
+             \"caller_address\":\"{callers}\",\"ready_address\":\"{ready}\",\
+             \"seed_address\":\"{seed}\",\"beat_address\":\"{inner}\",\"relay_address\":\"{inner}\",\
+             \"metrics_address\":\"{metrics}\",\"seed_addresses\":[],\"store_address\":\"{store}\",\
+             \"descriptors_max\":4100,\"processor_share\":0.25,\"processor_cores\":1,\
+             \"memory_mb\":260,\"is_fleet_start\":{is_fleet_start},\"grace_s\":8,\
+             \"retry_ratio\":0.2,\"retry_fixed\":54,\"retry_window_s\":10,\"team_window_s\":4}}"
+        );
+        fs::write(path, text).expect("the settings are written");
+        self.lives += 1;
+        let log = fs::File::create(folder.join(format!("{name}-{}.log", self.lives)));
+        let process = Command::new(PROGRAM)
+            .env("BERGAMOTPITCH_SETTINGS", path)
+            .stdin(Stdio::null())
+            .stdout(log.expect("a log"))
+            .stderr(Stdio::inherit())
+            .spawn();
+        match process {
+            Ok(process) => {
+                note_process(folder, process.id());
+                self.process = Some(process);
+            }
+            Err(error) => panic!("{PROGRAM}: {error}"),
+        }
+    }
+
+    pub fn pid(&self) -> u32 {
+        self.process.as_ref().map_or(0, Child::id)
+    }
+
+    /// Sends a signal by name to the process.
+    pub fn signal(&self, name: &str) {
+        let pid = self.pid().to_string();
+        let _ = Command::new("kill").args(["-s", name, &pid]).status();
+    }
+
+    pub fn kill(&mut self) {
+        if let Some(mut process) = self.process.take() {
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+    }
+
+    /// Waits until the process has ended by itself; it tells whether it did in time.
+    pub fn has_ended_within(&mut self, time: Duration) -> bool {
+        let until = Instant::now() + time;
+        while let Some(process) = &mut self.process {
+            if matches!(process.try_wait(), Ok(Some(_))) {
+                self.process = None;
+                return true;
+            }
+            if until <= Instant::now() {
+                return false;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        true
+    }
+
+    pub fn is_ready(&self) -> bool {
+        let Ok(mut connection) = Connection::connect(self.settings.ready, Duration::from_secs(1))
+        else {
+            return false;
+        };
+        let _ = connection.stream.set_read_timeout(Some(Duration::from_secs(1)));
+        let request = "GET /api/ready HTTP/1.1\r\nHost: ready\r\n\r\n";
+        connection.write(request.as_bytes()).is_ok()
+            && connection.head().is_ok_and(|head| head.second_word() == "200")
+    }
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Notes a process for the script, which ends all of them whatever happens to this program.
+fn note_process(folder: &Path, pid: u32) {
+    let file = fs::File::options().create(true).append(true).open(folder.join("pids"));
+    let _ = file.and_then(|mut file| writeln!(file, "{pid}"));
+}
+
+/// Waits until all routers are ready; a case that does not get so far cannot run.
+pub fn wait_until_ready(routers: &[Router]) {
+    let until = Instant::now() + Duration::from_secs(15);
+    while !routers.iter().all(Router::is_ready) {
+        assert!(Instant::now() < until, "the routers do not become ready");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
