--- a/review/lib-2/engines.rs
+++ b/review/lib-2/engines.rs
@@ -46,7 +46,8 @@
     connections: Arc<Mutex<Vec<TcpStream>>>,
 }
 
-fn now_ms() -> u128 {
+/// The time of day, as engines state their start.
+pub fn now_ms() -> u128 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis())
 }
 
--- a/review/lib-2/fleets.rs
+++ b/review/lib-2/fleets.rs
@@ -30,7 +30,7 @@
     pub tenants: String,
 }
 
-const DOMAINS: [&str; 3] = ["a", "b", "c"];
+pub const DOMAINS: [&str; 3] = ["a", "b", "c"];
 
 impl Fleet {
     /// Starts a store with a configuration, engines and seven routers, and waits until these are ready.
@@ -51,14 +51,7 @@
             })
             .collect();
         engines.iter().for_each(|engine| engine.start(plan.version));
-        let mut routers: Vec<Router> = (0..7)
-            .map(|number| {
-                let name = format!("front-{number}");
-                Router::new(&name, DOMAINS[number % 3], store.address, folder)
-            })
-            .collect();
-        routers.iter_mut().for_each(|router| router.start(true));
-        wait_until_ready(&routers);
+        let routers = start_routers(&store, folder);
         record.line("the routers are ready");
         Fleet { store, routers, engines, runs }
     }
@@ -68,6 +61,19 @@
     }
 }
 
+/// Starts seven routers in three zones and waits until they are ready.
+pub fn start_routers(store: &Store, folder: &Path) -> Vec<Router> {
+    let mut routers: Vec<Router> = (0..7)
+        .map(|number| {
+            let name = format!("front-{number}");
+            Router::new(&name, DOMAINS[number % 3], store.address, folder)
+        })
+        .collect();
+    routers.iter_mut().for_each(|router| router.start(true));
+    wait_until_ready(&routers);
+    routers
+}
+
 /// A configuration of one service.
 pub fn configuration(version: u64, plan: &Plan) -> String {
     format!(
--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -1,6 +1,7 @@
 //! The scripts of the review: stand-ins on loopback, the project's program as processes, and one case each.
 
 mod callers;
+mod children;
 mod engines;
 mod fleets;
 mod http;
@@ -9,6 +10,7 @@
 mod reborn;
 mod routers;
 mod store;
+mod thaw;
 
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::Path;
@@ -17,6 +19,9 @@
 /// rule was broken, 0 if it held, and 2 if the case could not run.
 fn main() {
     let words: Vec<String> = std::env::args().skip(1).collect();
+    if words.first().is_some_and(|word| word == "engine") {
+        return children::serve(&words[1..]);
+    }
     let [case, record, folder] = words.as_slice() else {
         eprintln!("usage: review-2 CASE RECORD FOLDER");
         std::process::exit(2);
@@ -26,6 +31,7 @@
     let folder = Path::new(folder);
     let run = match case.as_str() {
         "reborn" => reborn::run,
+        "thaw" => thaw::run,
         _ => {
             eprintln!("no case of that name: {case}");
             std::process::exit(2);
--- a/review/lib-2/routers.rs
+++ b/review/lib-2/routers.rs
@@ -150,7 +150,7 @@
 }
 
 /// Notes a process for the script, which ends all of them whatever happens to this program.
-fn note_process(folder: &Path, pid: u32) {
+pub fn note_process(folder: &Path, pid: u32) {
     let file = fs::File::options().create(true).append(true).open(folder.join("pids"));
     let _ = file.and_then(|mut file| writeln!(file, "{pid}"));
 }
--- a/review/lib-2/store.rs
+++ b/review/lib-2/store.rs
@@ -75,6 +75,11 @@
         self.shared.1.notify_all();
     }
 
+    pub fn remove(&self, key: &str) {
+        self.state().put(key, None, 0);
+        self.shared.1.notify_all();
+    }
+
     pub fn is_silent(&self) -> bool {
         self.state().is_silent
     }
