--- a/review/lib-2/callers.rs
+++ b/review/lib-2/callers.rs
@@ -23,6 +23,7 @@
     /// 0 where no answer came.
     pub status: u16,
     pub body: Vec<u8>,
+    pub has_seal: bool,
     /// Events by their ids, with their data.
     pub events: Vec<(u64, String)>,
     pub is_whole: bool,
@@ -70,6 +71,7 @@
     wait(&connection)?;
     let head = connection.head()?;
     seen.status = head.second_word().parse().unwrap_or(0);
+    seen.has_seal = head.text("bergamotpitch-server-seal").is_some();
     if !head.is_chunked() {
         seen.body = connection.exactly(head.length().unwrap_or(0))?;
         seen.is_whole = true;
--- a/review/lib-2/engines.rs
+++ b/review/lib-2/engines.rs
@@ -1,7 +1,7 @@
 //! Engines: servers that register in the store, check for whom a request is, and stream events.
 
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -10,14 +10,10 @@
 use crate::record::Record;
 use crate::store::Store;
 
-/// What an engine saw of a request that it began to work on.
+/// A request that an engine began to work on.
 #[derive(Debug, Clone)]
 pub struct Run {
     pub attempt: String,
-    pub engine: String,
-    pub version: String,
-    pub target: String,
-    pub tenant: Option<Vec<u8>>,
 }
 
 #[derive(Clone)]
@@ -37,6 +33,12 @@
     record: Record,
     runs: Arc<Mutex<Vec<Run>>>,
     life: Arc<Mutex<Option<Life>>>,
+    /// While it is set, the engine runs requests that may not be repeated and then fails nine of twenty.
+    pub is_failing: Arc<AtomicBool>,
+    failing_count: Arc<AtomicU64>,
+    /// While it is set, one answer of fifty has a wrong byte in the name of its seal.
+    pub is_spoiling: Arc<AtomicBool>,
+    spoiled_count: Arc<AtomicU64>,
 }
 
 /// One life of an engine.
@@ -55,7 +57,18 @@
     pub fn new(options: Options, store: &Store, record: &Record, runs: &Arc<Mutex<Vec<Run>>>) -> Engine {
         let address = crate::routers::free_address();
         let (store, record, runs) = (store.clone(), record.clone(), Arc::clone(runs));
-        Engine { options, address, store, record, runs, life: Arc::default() }
+        Engine {
+            options,
+            address,
+            store,
+            record,
+            runs,
+            life: Arc::default(),
+            is_failing: Arc::default(),
+            failing_count: Arc::default(),
+            is_spoiling: Arc::default(),
+            spoiled_count: Arc::default(),
+        }
     }
 
     /// Starts with a version of the software: it listens, and registers as soon as the store takes it.
@@ -141,22 +154,27 @@
             return connection.write_answer("421 Misdirected Request", &headers, b"");
         }
         let target = head.second_word().to_owned();
-        let tenant = head.bytes("bergamotpitch-tenant").map(<[u8]>::to_vec);
         let after = head.text("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0_u64);
         self.record.line(&format!(
-            "engine {id} version={version} runs {attempt} {target} after={after} tenant={:?}",
-            tenant.as_deref().map(String::from_utf8_lossy)
+            "engine {id} version={version} runs {attempt} {target} after={after}"
         ));
-        self.runs.lock().expect("runs").push(Run {
-            attempt: attempt.clone(),
-            engine: id.clone(),
-            version: version.to_owned(),
-            target: target.clone(),
-            tenant,
-        });
-        let sealed = format!("{echo}Bergamotpitch-Server-Seal: {id}.{attempt}\r\n");
+        self.runs.lock().expect("runs").push(Run { attempt: attempt.clone() });
+        let is_spoiled = self.is_spoiling.load(Ordering::Relaxed)
+            && self.spoiled_count.fetch_add(1, Ordering::Relaxed) % 50 == 25;
+        let seal = if is_spoiled { "Bergamotpitch-Server-Sedl" } else { "Bergamotpitch-Server-Seal" };
+        if is_spoiled {
+            self.record.line(&format!("engine {id} spoils the head of its answer to {attempt}"));
+        }
+        let sealed = format!("{echo}{seal}: {id}.{attempt}\r\n");
         if !target.contains("/stream") {
             thread::sleep(Duration::from_millis(30));
+            if self.is_failing.load(Ordering::Relaxed)
+                && self.failing_count.fetch_add(1, Ordering::Relaxed) % 20 < 9
+            {
+                // It has run, and the answer does not state otherwise.
+                self.record.line(&format!("engine {id} fails {attempt} with 503 after its run"));
+                return connection.write_answer("503 Service Unavailable", &sealed, b"failed");
+            }
             return connection.write_answer("200 OK", &sealed, format!("answer to {attempt}").as_bytes());
         }
         let first = format!(
--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -6,9 +6,11 @@
 mod fleets;
 mod http;
 mod json;
+mod promise;
 mod record;
 mod reborn;
 mod routers;
+mod seal;
 mod store;
 mod thaw;
 
@@ -31,6 +33,8 @@
     let folder = Path::new(folder);
     let run = match case.as_str() {
         "reborn" => reborn::run,
+        "promise" => promise::run,
+        "seal" => seal::run,
         "thaw" => thaw::run,
         _ => {
             eprintln!("no case of that name: {case}");
--- a/review/lib-2/routers.rs
+++ b/review/lib-2/routers.rs
@@ -115,22 +115,6 @@
         }
     }
 
-    /// Waits until the process has ended by itself; it tells whether it did in time.
-    pub fn has_ended_within(&mut self, time: Duration) -> bool {
-        let until = Instant::now() + time;
-        while let Some(process) = &mut self.process {
-            if matches!(process.try_wait(), Ok(Some(_))) {
-                self.process = None;
-                return true;
-            }
-            if until <= Instant::now() {
-                return false;
-            }
-            std::thread::sleep(Duration::from_millis(10));
-        }
-        true
-    }
-
     pub fn is_ready(&self) -> bool {
         let Ok(mut connection) = Connection::connect(self.settings.ready, Duration::from_secs(1))
         else {
