--- a/review/lib-2/children.rs
+++ b/review/lib-2/children.rs
@@ -10,6 +10,7 @@
 
 use crate::engines::now_ms;
 use crate::http::Connection;
+use crate::links::Link;
 use crate::record::Record;
 use crate::routers::{free_address, note_process};
 use crate::store::Store;
@@ -59,9 +60,10 @@
     Ok(())
 }
 
-/// An engine through all of its lives at one address.
+/// An engine through all of its lives at one address, behind a link that can be cut.
 pub struct ChildEngine {
-    pub address: SocketAddr,
+    pub link: Link,
+    address: SocketAddr,
     id: String,
     zone: String,
     folder: PathBuf,
@@ -70,8 +72,10 @@
 
 impl ChildEngine {
     pub fn new(zone: &str, folder: &Path) -> ChildEngine {
+        let address = free_address();
         ChildEngine {
-            address: free_address(),
+            link: Link::new(address),
+            address,
             id: String::new(),
             zone: zone.to_owned(),
             folder: folder.to_owned(),
@@ -99,10 +103,11 @@
                 copy.line(&format!("engine {name} {line}"));
             }
         });
+        self.link.open();
         let entry = format!(
             "{{\"service\":\"pool\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
              \"slots\":64,\"state\":\"ready\",\"cold-left-ms\":0,\"seq\":1,\"born\":{}}}",
-            self.address,
+            self.link.address,
             self.zone,
             now_ms()
         );
@@ -111,9 +116,13 @@
         self.process = Some(process);
     }
 
-    /// Ends it with SIGKILL. Its entry is gone after three heartbeats of silence.
-    pub fn kill(&mut self, store: &Store, record: &Record) {
+    /// Ends it with SIGKILL. Nobody notices behind a link that is cut; else its port refuses connections. Its
+    /// entry is gone after three heartbeats of silence.
+    pub fn kill(&mut self, is_link_cut: bool, store: &Store, record: &Record) {
         let Some(mut process) = self.process.take() else { return };
+        if !is_link_cut {
+            self.link.refuse();
+        }
         let _ = process.kill();
         let _ = process.wait();
         record.line(&format!("engine {} was killed", self.id));
--- a/review/lib-2/thaw.rs
+++ b/review/lib-2/cut.rs
@@ -1,5 +1,5 @@
-//! A router stands still for a moment, in which engines end and are back at their addresses. Their streams
-//! have neither a length nor chunks, so that only the router can tell that they have not ended in order.
+//! Two engines are cut off, crash behind the cut and start again. Their streams have neither a length nor
+//! chunks, so that only the router can tell that they have not ended in order.
 
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -16,14 +16,16 @@
 const EVENTS: u64 = 60;
 const PAUSE: Duration = Duration::from_millis(50);
 
-/// For how long the router stands still. The site file has 3.5 s; callers of these routes leave after a gap
-/// of 3.2 s.
-const FREEZE: Duration = Duration::from_millis(2_800);
+/// For how long the engines are cut off; callers of these routes leave after a gap of 3.2 s.
+const CUT: Duration = Duration::from_millis(2_200);
 
-/// For how long the engines are down, 2 of 9 (a share of 0.22; the site file has 2.0 s and 0.25).
-const DOWN: Duration = Duration::from_millis(2_000);
+/// Engines that are cut off, of nine: the site file has a share of 0.17.
 const ENGINES: usize = 9;
-const KILLED: usize = 2;
+const CUT_OFF: usize = 2;
+
+/// When they crash after the beginning of the cut, and for how long they are down.
+const CRASH: Duration = Duration::from_millis(200);
+const DOWN: Duration = Duration::from_millis(1_000);
 
 const CALLERS: usize = 70;
 
@@ -78,20 +80,21 @@
         })
         .collect();
     thread::sleep(Duration::from_secs(6));
+    let cut_off = &mut engines[..CUT_OFF];
     if has_trouble {
-        record.line("front-0 stands still");
-        routers[0].signal("STOP");
+        record.line("two engines are cut off");
+        cut_off.iter().for_each(|engine| engine.link.cut(true));
     }
-    thread::sleep(Duration::from_millis(200));
-    engines[..KILLED].iter_mut().for_each(|engine| engine.kill(&store, record));
+    thread::sleep(CRASH);
+    cut_off.iter_mut().for_each(|engine| engine.kill(has_trouble, &store, record));
     thread::sleep(DOWN);
-    for (number, engine) in engines[..KILLED].iter_mut().enumerate() {
+    for (number, engine) in cut_off.iter_mut().enumerate() {
         engine.start(&id(number, 2), EVENTS, PAUSE, &store, record);
     }
-    thread::sleep(FREEZE - DOWN - Duration::from_millis(200));
+    thread::sleep(CUT - CRASH - DOWN);
     if has_trouble {
-        routers[0].signal("CONT");
-        record.line("front-0 goes on");
+        cut_off.iter().for_each(|engine| engine.link.cut(false));
+        record.line("the cut has healed");
     }
     thread::sleep(Duration::from_secs(5));
     is_over.store(true, Ordering::Relaxed);
--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -2,17 +2,18 @@
 
 mod callers;
 mod children;
+mod cut;
 mod engines;
 mod fleets;
 mod http;
 mod json;
+mod links;
 mod promise;
 mod record;
 mod reborn;
 mod routers;
 mod seal;
 mod store;
-mod thaw;
 
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::Path;
@@ -33,9 +34,9 @@
     let folder = Path::new(folder);
     let run = match case.as_str() {
         "reborn" => reborn::run,
+        "cut" => cut::run,
         "promise" => promise::run,
         "seal" => seal::run,
-        "thaw" => thaw::run,
         _ => {
             eprintln!("no case of that name: {case}");
             std::process::exit(2);
--- a/review/lib-2/routers.rs
+++ b/review/lib-2/routers.rs
@@ -98,16 +98,6 @@
         }
     }
 
-    pub fn pid(&self) -> u32 {
-        self.process.as_ref().map_or(0, Child::id)
-    }
-
-    /// Sends a signal by name to the process.
-    pub fn signal(&self, name: &str) {
-        let pid = self.pid().to_string();
-        let _ = Command::new("kill").args(["-s", name, &pid]).status();
-    }
-
     pub fn kill(&mut self) {
         if let Some(mut process) = self.process.take() {
             let _ = process.kill();
