--- a/review/lib-2/engines.rs
+++ b/review/lib-2/engines.rs
@@ -36,9 +36,6 @@
     /// While it is set, the engine runs requests that may not be repeated and then fails nine of twenty.
     pub is_failing: Arc<AtomicBool>,
     failing_count: Arc<AtomicU64>,
-    /// While it is set, one answer of fifty has a wrong byte in the name of its seal.
-    pub is_spoiling: Arc<AtomicBool>,
-    spoiled_count: Arc<AtomicU64>,
 }
 
 /// One life of an engine.
@@ -66,8 +63,6 @@
             life: Arc::default(),
             is_failing: Arc::default(),
             failing_count: Arc::default(),
-            is_spoiling: Arc::default(),
-            spoiled_count: Arc::default(),
         }
     }
 
@@ -159,13 +154,7 @@
             "engine {id} version={version} runs {attempt} {target} after={after}"
         ));
         self.runs.lock().expect("runs").push(Run { attempt: attempt.clone() });
-        let is_spoiled = self.is_spoiling.load(Ordering::Relaxed)
-            && self.spoiled_count.fetch_add(1, Ordering::Relaxed) % 50 == 25;
-        let seal = if is_spoiled { "Bergamotpitch-Server-Sedl" } else { "Bergamotpitch-Server-Seal" };
-        if is_spoiled {
-            self.record.line(&format!("engine {id} spoils the head of its answer to {attempt}"));
-        }
-        let sealed = format!("{echo}{seal}: {id}.{attempt}\r\n");
+        let sealed = format!("{echo}Bergamotpitch-Server-Seal: {id}.{attempt}\r\n");
         if !target.contains("/stream") {
             thread::sleep(Duration::from_millis(30));
             if self.is_failing.load(Ordering::Relaxed)
--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -6,13 +6,14 @@
 mod engines;
 mod fleets;
 mod http;
+mod forgotten;
 mod json;
 mod links;
+mod odd;
 mod promise;
 mod record;
 mod reborn;
 mod routers;
-mod seal;
 mod store;
 
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -35,8 +36,9 @@
     let run = match case.as_str() {
         "reborn" => reborn::run,
         "cut" => cut::run,
+        "forgotten" => forgotten::run,
+        "odd" => odd::run,
         "promise" => promise::run,
-        "seal" => seal::run,
         _ => {
             eprintln!("no case of that name: {case}");
             std::process::exit(2);
