--- a/review/lib-2/routers.rs
+++ b/review/lib-2/routers.rs
@@ -1,12 +1,11 @@
 //! Routers: the project's program, as the deploy file starts it, on loopback addresses.
 
-use std::collections::HashSet;
 use std::fs;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::Mutex;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::http::Connection;
@@ -14,16 +13,23 @@
 /// The command of the deploy file, from the project's root.
 const PROGRAM: &str = "target/release/bergamotpitch-adapter";
 
-static TAKEN: Mutex<Option<HashSet<u16>>> = Mutex::new(None);
+/// Ports that are tried: the system gives them to no connection that goes out, so that an engine or a router finds
+/// its port free when it starts again.
+const FIRST_PORT: u16 = 20_000;
+const PORTS: u32 = 12_000;
+
+static TRIED: AtomicU32 = AtomicU32::new(0);
 
 /// An address whose port is free for TCP and UDP, and that no other call returns.
 pub fn free_address() -> SocketAddr {
+    // Scripts that run at the same time begin at different ports.
+    let start = std::process::id().wrapping_mul(211);
     loop {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        let mut taken = TAKEN.lock().expect("the ports");
-        let is_new = taken.get_or_insert_with(HashSet::new).insert(address.port());
-        if is_new && UdpSocket::bind(address).is_ok() {
+        let tried = TRIED.fetch_add(1, Ordering::Relaxed);
+        assert!(tried < PORTS, "no port is free");
+        let port = FIRST_PORT + (start.wrapping_add(tried) % PORTS) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
     }
