Let only an upstream's own statement make a refusal "not run"

Cause: pass_on passed any status on that came without the statement, and the dialect took each 421 for one. To a caller 408, 421, 425, 429 and 503 say that it may repeat the request.

Change: outcomes.rs decides in one place what an answer means. One of these statuses without the statement is an own 502 for requests that run at most once, and a failed attempt for others, which go to another upstream first. It carries no seal, as that vouches for the upstream's status too.

--- a/crates/bergamotpitch-gateway/examples/gateway_overhead.rs
+++ b/crates/bergamotpitch-gateway/examples/gateway_overhead.rs
@@ -48,7 +48,7 @@
         headers.remove("x-key");
     },
     write_upstream_headers,
-    answer_facts: |_, headers| AnswerFacts {
+    answer_facts: |headers| AnswerFacts {
         attempt_id: text(headers, "x-id").map(str::to_owned),
         is_not_run: false,
         load: Some(Report { running: 1, ..Report::default() }),
--- a/crates/bergamotpitch-gateway/src/attempts.rs
+++ b/crates/bergamotpitch-gateway/src/attempts.rs
@@ -141,8 +141,7 @@
                     let refusal = Refusal::not_run(RefusalReason::NoUpstream, BUSY_RETURN);
                     return Err(after_attempts(refusal, call));
                 }
-                let is_misdirected =
-                    failure == Failure::NotRun { status: StatusCode::MISDIRECTED_REQUEST };
+                let is_misdirected = failure.status() == Some(StatusCode::MISDIRECTED_REQUEST);
                 if is_misdirected && call.facts.has_condition {
                     // The caller's condition explains it, whatever the upstream is like.
                     drop(run);
--- a/crates/bergamotpitch-gateway/src/dialects.rs
+++ b/crates/bergamotpitch-gateway/src/dialects.rs
@@ -6,7 +6,7 @@
 use bergamotpitch_control::traffic::engine_loads::Report;
 use bergamotpitch_control::traffic::facts::RequestFacts;
 use displaydoc::Display;
-use http::{HeaderMap, StatusCode};
+use http::HeaderMap;
 use thiserror::Error;
 
 /// `Dialect` reads and writes the headers of one deployment.
@@ -21,7 +21,7 @@
     /// Sets what an upstream is told.
     pub write_upstream_headers: fn(&mut HeaderMap, &UpstreamHeaders<'_>),
     /// Reads what an upstream's answer says.
-    pub answer_facts: fn(StatusCode, &HeaderMap) -> AnswerFacts,
+    pub answer_facts: fn(&HeaderMap) -> AnswerFacts,
     /// Sets the request's id on an answer that the gateway makes itself.
     pub write_own_headers: fn(&mut HeaderMap, &str),
 }
@@ -46,7 +46,7 @@
 pub struct AnswerFacts {
     /// The request's id, as the upstream echoes it.
     pub attempt_id: Option<String>,
-    /// Whether the upstream proves that it did not run the request.
+    /// Whether the upstream states that it did not run the request. No status states it by itself.
     pub is_not_run: bool,
     /// Its load.
     pub load: Option<Report>,
--- a/crates/bergamotpitch-gateway/src/exchanges.rs
+++ b/crates/bergamotpitch-gateway/src/exchanges.rs
@@ -16,8 +16,9 @@
 
 use crate::calls::Call;
 use crate::connections::{Sender, connect};
-use crate::dialects::{AnswerFacts, UpstreamHeaders};
+use crate::dialects::UpstreamHeaders;
 use crate::gateways::Gateway;
+use crate::outcomes::{Outcome, outcome_of};
 
 /// `Answer` is the head of an upstream's answer to this very request, and its body to come.
 #[derive(Debug)]
@@ -57,6 +58,12 @@
         /// What it answered.
         status: StatusCode,
     },
+    /// The upstream answered with a status that invites the caller to repeat the request, without a proof that it
+    /// did not run: it may have run.
+    Unproven {
+        /// What it answered.
+        status: StatusCode,
+    },
     /// The connection broke or carried what is no answer to this request: it may have run.
     Broken {
         /// What went wrong.
@@ -67,9 +74,17 @@
 }
 
 impl Failure {
+    /// `status` is what the upstream refused the request with.
+    pub fn status(&self) -> Option<StatusCode> {
+        match self {
+            Self::NotRun { status } | Self::Unproven { status } => Some(*status),
+            Self::Unreachable | Self::Withdrawn | Self::Broken { .. } | Self::TimedOut => None,
+        }
+    }
+
     /// `may_have_run` tells whether the upstream may have run the request.
     pub fn may_have_run(&self) -> bool {
-        matches!(self, Self::Broken { .. } | Self::TimedOut)
+        matches!(self, Self::Unproven { .. } | Self::Broken { .. } | Self::TimedOut)
     }
 }
 
@@ -200,22 +215,21 @@
     response: Response<Incoming>,
     sender: Sender,
 ) -> Result<Answer, Failure> {
-    let facts = (gateway.dialect.answer_facts)(response.status(), response.headers());
+    let facts = (gateway.dialect.answer_facts)(response.headers());
     gateway.note_answer_head(key, &facts);
-    if !is_answer_to(&facts, call, response.status()) {
-        gateway.pools.doubt(key, gateway.now());
-        let echoed = facts.attempt_id.unwrap_or_default();
-        return Err(Failure::Broken { detail: format!("foreign answer for {echoed:?}") });
-    }
-    if response.status().is_informational() {
-        return Err(Failure::Broken {
-            detail: format!("status {} is no answer", response.status()),
-        });
+    let status = response.status();
+    match outcome_of(status, &facts, &call.facts.attempt_id) {
+        Outcome::Answered => {}
+        Outcome::NotRun => return Err(Failure::NotRun { status }),
+        Outcome::Unproven => return Err(Failure::Unproven { status }),
+        Outcome::Foreign => {
+            gateway.pools.doubt(key, gateway.now());
+            let echoed = facts.attempt_id.unwrap_or_default();
+            let detail = format!("foreign answer for {echoed:?} with status {status}");
+            return Err(Failure::Broken { detail });
+        }
     }
     let closes = says_close(response.headers());
-    if facts.is_not_run {
-        return Err(Failure::NotRun { status: response.status() });
-    }
     let reuse = if closes { Reuse::Never } else { Reuse::Idle(stated_idle(response.headers())) };
     let is_framed = is_framed(&call.method, response.status(), response.headers());
     Ok(Answer { response, sender, address, reuse, is_framed })
@@ -238,15 +252,6 @@
     }
 }
 
-/// An answer that echoes another id was meant for an earlier request on this connection. Only the
-/// refusals of an upstream that read no further than the head may come without one.
-fn is_answer_to(facts: &AnswerFacts, call: &Call, status: StatusCode) -> bool {
-    match &facts.attempt_id {
-        Some(echoed) => *echoed == call.facts.attempt_id,
-        None => facts.is_not_run || status.is_client_error(),
-    }
-}
-
 fn says_close(headers: &HeaderMap) -> bool {
     headers
         .get_all(CONNECTION)
--- a/crates/bergamotpitch-gateway/src/lib.rs
+++ b/crates/bergamotpitch-gateway/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod options;
 mod origin_handovers;
 pub mod origins;
+pub mod outcomes;
 pub mod peers;
 pub mod placements;
 pub mod probes;
