Let readings of the store that requests share stand by themselves

Cause: the way in which requests that need the list at this moment share one reading is wanted for records as well. Change: shared_readings.rs holds it, current_lists.rs uses it; no decision changes. Measured: mixed_versions passes as before.

--- a/crates/bergamotpitch-gateway/src/current_lists.rs
+++ b/crates/bergamotpitch-gateway/src/current_lists.rs
@@ -6,32 +6,23 @@
 //! reading.
 
 use std::cell::{Cell, RefCell};
-use std::future::Future;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bergamotpitch_core::units::Timestamp;
-use tokio::sync::watch;
 
 use crate::gateways::Gateway;
+use crate::shared_readings::{Reading, SharedReading};
 
 /// `READ_TIMEOUT` bounds for how long a request waits for the list.
 const READ_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// `READ_INTERVAL` is the least time between the beginnings of two readings; requests that need one meanwhile share
-/// the next.
-const READ_INTERVAL: Duration = Duration::from_millis(200);
-
 /// `GAP_MIN` is the time without the list in which an upstream may have come and gone unseen: it announces that it
 /// leaves for longer than this, or stays listed for as long after its end.
 const GAP_MIN: Duration = Duration::from_secs(2);
 
-/// `ListReading` tells whether what has changed in the list was read and taken in.
-pub type ListReading = Pin<Box<dyn Future<Output = bool>>>;
-
 /// `ReadList` begins a reading of what has changed in the list up to now.
-pub type ReadList = Box<dyn Fn() -> ListReading>;
+pub type ReadList = Box<dyn Fn() -> Reading>;
 
 /// `CurrentList` is up to when the list of upstreams is known.
 #[derive(Default)]
@@ -43,10 +34,7 @@
     unbroken_from: Cell<Option<Timestamp>>,
     /// Whether the store that holds it cannot be reached.
     is_lost: Cell<bool>,
-    last_reading: Cell<Option<Timestamp>>,
-    failed_at: Cell<Option<Timestamp>>,
-    /// Outcome of the reading that begins next.
-    next: RefCell<Option<watch::Receiver<Option<bool>>>>,
+    reading: SharedReading,
 }
 
 impl CurrentList {
@@ -99,44 +87,23 @@
 
     /// `make_list_current` reads what has changed in the list up to now; it tells whether that was possible.
     pub(crate) async fn make_list_current(self: &Rc<Self>) -> bool {
-        let list = &self.current_list;
-        if list.failed_at.get().is_some_and(|failed| self.now() < failed + READ_INTERVAL) {
-            return false;
-        }
-        let running = list.next.borrow().clone();
-        let mut outcome = running.unwrap_or_else(|| self.schedule_reading());
-        let known = outcome.wait_for(Option::is_some).await;
-        known.is_ok_and(|known| *known == Some(true))
+        self.share_reading(|own| &own.current_list.reading, |own| Box::pin(read_list(own))).await
     }
+}
 
-    fn schedule_reading(self: &Rc<Self>) -> watch::Receiver<Option<bool>> {
-        let (sender, outcome) = watch::channel(None);
-        *self.current_list.next.borrow_mut() = Some(outcome.clone());
-        let gateway = Rc::clone(self);
-        tokio::task::spawn_local(async move {
-            let list = &gateway.current_list;
-            let due = list.last_reading.get().map_or(Timestamp::ZERO, |last| last + READ_INTERVAL);
-            tokio::time::sleep(due.saturating_sub(gateway.now())).await;
-            // Requests that come from now on wait for the next one.
-            list.next.borrow_mut().take();
-            let begun = gateway.now();
-            list.last_reading.set(Some(begun));
-            let reading = list.read.borrow().as_ref().map(|read| read());
-            let is_read = match reading {
-                Some(reading) => tokio::time::timeout(READ_TIMEOUT, reading).await == Ok(true),
-                None => false,
-            };
-            log::info!(
-                "event=list_asked read={is_read} took_ms={}",
-                gateway.now().saturating_sub(begun).as_millis()
-            );
-            list.failed_at.set((!is_read).then(|| gateway.now()));
-            if is_read {
-                gateway.note_list_current(begun);
-            }
-            // Whoever waited may have left.
-            let _ = sender.send(Some(is_read));
-        });
-        outcome
+async fn read_list(gateway: Rc<Gateway>) -> bool {
+    let begun = gateway.now();
+    let reading = gateway.current_list.read.borrow().as_ref().map(|read| read());
+    let is_read = match reading {
+        Some(reading) => tokio::time::timeout(READ_TIMEOUT, reading).await == Ok(true),
+        None => false,
+    };
+    log::info!(
+        "event=list_asked read={is_read} took_ms={}",
+        gateway.now().saturating_sub(begun).as_millis()
+    );
+    if is_read {
+        gateway.note_list_current(begun);
     }
+    is_read
 }
--- a/crates/bergamotpitch-gateway/src/lib.rs
+++ b/crates/bergamotpitch-gateway/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod retries;
 pub mod roles;
 pub mod served_streams;
+pub mod shared_readings;
 pub mod sse;
 pub mod store_updates;
 pub mod team_counters;
