Record in the store where streams began while several versions serve

Cause: at which version a stream began stood in the memory of its instance and of three keepers alone, and what nobody knows goes on nowhere while versions are mixed.

Change: one recorder a failure domain writes the origins of the domain's streams, each 0.3 s at most and only while versions are mixed; whoever is asked for a stream that nobody knows reads them. Messages have a format of their own (12), as queries and replies hold more.

--- a/crates/bergamotpitch-control/src/traffic.rs
+++ b/crates/bergamotpitch-control/src/traffic.rs
@@ -19,6 +19,7 @@
 pub mod fleet_members;
 pub mod fleet_sizes;
 pub mod grants;
+pub mod origin_records;
 pub mod placement_queues;
 pub mod placement_requests;
 pub mod policies;
--- a/crates/bergamotpitch-control/src/traffic/fleet_members.rs
+++ b/crates/bergamotpitch-control/src/traffic/fleet_members.rs
@@ -125,7 +125,8 @@
         first_by_weight(attempt, staying, ASKED_PER_DOMAIN).contains(&instance)
     }
 
-    fn is_staying(&self, instance: &InstanceId) -> bool {
+    /// `is_staying` tells whether an instance is not about to end.
+    pub fn is_staying(&self, instance: &InstanceId) -> bool {
         !self.leaving.contains_key(instance)
     }
 }
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -38,6 +38,7 @@
 use crate::loop_lags::LoopLag;
 use crate::metrics::Metrics;
 use crate::options::Options;
+use crate::origin_records::OriginRecords;
 use crate::origins::Origins;
 use crate::peers::{ISOLATION_TIME, Peers, UnknownPeers};
 use crate::probes::{self, Port};
@@ -114,6 +115,8 @@
     pub(crate) block_records: BlockRecords,
     /// What it tells others of its streams, and asks them about theirs.
     pub(crate) origins: Origins,
+    /// What is kept of streams beyond this process.
+    pub(crate) origin_records: OriginRecords,
     /// How far its end has come.
     pub(crate) drain: DrainState,
     /// For how long answers take.
@@ -207,6 +210,7 @@
             crashes: Crashes::default(),
             block_records: BlockRecords::default(),
             origins: Origins::default(),
+            origin_records: OriginRecords::default(),
             version_records: VersionRecords::default(),
             drain: DrainState::default(),
             answer_times: RefCell::default(),
@@ -493,6 +497,7 @@
         gateway.note_outlived();
         gateway.members.borrow_mut().step(gateway.now());
         gateway.announce_start();
+        gateway.check_origin_recorder();
         if sequence.is_multiple_of(SWEEP_BEATS) {
             gateway.measure_upstreams();
             gateway.note_suspicions();
--- a/crates/bergamotpitch-gateway/src/lib.rs
+++ b/crates/bergamotpitch-gateway/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod metrics;
 pub mod options;
 mod origin_handovers;
+pub mod origin_records;
 pub mod origins;
 pub mod outcomes;
 pub mod peers;
--- a/crates/bergamotpitch-gateway/src/messages.rs
+++ b/crates/bergamotpitch-gateway/src/messages.rs
@@ -31,7 +31,7 @@
 use crate::options::Options;
 
 /// `FORMAT` begins each message of this release.
-const FORMAT: [u8; 4] = [0xb9, b'p', 0, 11];
+const FORMAT: [u8; 4] = [0xb9, b'p', 0, 12];
 
 /// `MESSAGE_BYTES` bounds a message: one datagram that is not cut on the way.
 pub const MESSAGE_BYTES: usize = 1_400;
@@ -62,6 +62,8 @@
     GrantConfirmation(GrantConfirmation),
     /// Where streams began.
     Origins(Vec<OriginLine>),
+    /// Where streams began, for the instance that records it.
+    RecordedOrigins(Vec<OriginLine>),
     /// Where did a stream begin?
     OriginQuery(OriginQuery),
     /// What is known of it.
@@ -438,6 +440,8 @@
     pub attempt: AttemptNumber,
     /// Service at which it is taken up.
     pub service: ServiceId,
+    /// Whether the asked instance is to read the records where it does not know.
+    pub reads_records: bool,
 }
 
 /// `OriginReply` tells what an instance knows of it.
@@ -451,8 +455,9 @@
     pub is_mixed: bool,
     /// The version of the service, where the instance knows of no other one.
     pub only_software: Option<SoftwareId>,
-    /// Whether it has just started, and others may not have told it yet what it is to keep.
-    pub has_just_started: bool,
+    /// Whether it may know later: it has just started, and others may not have told it yet what it is to keep, or
+    /// it cannot read the records.
+    pub may_be_told: bool,
 }
 
 /// `Presence` tells an instance's failure domain that it has started, or that it is about to end.
--- a/crates/bergamotpitch-gateway/src/origins.rs
+++ b/crates/bergamotpitch-gateway/src/origins.rs
@@ -6,10 +6,12 @@
 //! goes on nowhere.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bergamotpitch_control::traffic::catalogs::RouteKind;
+use bergamotpitch_control::traffic::origin_records::RecordedOrigin;
 use bergamotpitch_control::traffic::registries::UpstreamKey;
 use bergamotpitch_control::traffic::software_versions::UNSTATED_SOFTWARE;
 use bergamotpitch_control::traffic::stream_origins::{
@@ -26,6 +28,7 @@
 use crate::gateways::Gateway;
 use crate::logs::decision;
 use crate::messages::{Body, MESSAGE_BYTES, OriginLine, OriginQuery, OriginReply, millis};
+use crate::origin_records::Lookup;
 use crate::peers::ISOLATED_RETURN;
 use crate::refusals::Refusal;
 
@@ -44,6 +47,9 @@
 /// and as long again for instances that have little processor time.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// `RECORD_TIMEOUT` is the same where those that are asked read the records.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// `QUERIES_MAX` bounds the streams about which others are asked at the same time. Made-up attempts cost
 /// their instance a few dozen datagrams each; beyond the bound they are answered unasked.
 const QUERIES_MAX: usize = 64;
@@ -76,8 +82,23 @@
     replies: usize,
     /// Whether one of those asked knows several versions of the service, or another one.
     is_mixed: bool,
-    /// Whether one of them has just started and may yet be told where the stream began.
+    /// Whether it may be known later: one of them has just started and may yet be told, or the records cannot be read.
     may_be_told: bool,
+    /// Whether the records told it.
+    is_recorded: bool,
+}
+
+impl Found {
+    /// Adds what the records say of a stream that nobody knew.
+    fn or_recorded(self, recorded: Self) -> Self {
+        let is_unanswered = 0 < recorded.asked && recorded.replies == 0;
+        Self {
+            known: recorded.known,
+            may_be_told: self.may_be_told || recorded.may_be_told || is_unanswered,
+            is_recorded: recorded.known.is_some(),
+            ..self
+        }
+    }
 }
 
 impl Gateway {
@@ -103,10 +124,14 @@
         let origin = Origin { service: id_of_name(&call.service), software: listed.software };
         let known = traffic.origins.sent(attempt, origin, upstream, until);
         drop(traffic);
-        if self.are_versions_mixed(&call.service) || self.is_list_lost() {
+        let is_mixed = self.are_versions_mixed(&call.service);
+        if is_mixed || self.is_list_lost() {
             self.queue_origin(known);
             self.schedule_flush();
         }
+        if is_mixed {
+            self.record_origin(known);
+        }
     }
 
     /// `forget_origin` takes in that the stream of a request ended in order.
@@ -129,6 +154,7 @@
             self.version_records.write(service);
         }
         self.flush_origins();
+        self.record_unfinished();
     }
 
     /// `note_list_lost` takes in that the store cannot be reached, so that nobody may know which versions serve: the
@@ -148,7 +174,8 @@
         self.current_list.set_lost(false);
     }
 
-    fn is_list_lost(&self) -> bool {
+    /// `is_list_lost` tells whether the store cannot be reached.
+    pub(crate) fn is_list_lost(&self) -> bool {
         self.current_list.is_lost()
     }
 
@@ -156,7 +183,10 @@
     pub(crate) fn doubt_origins(&self, upstream: UpstreamKey) {
         let doubted = self.traffic.borrow_mut().origins.doubt(upstream);
         log::info!("event=origins_doubted key={upstream} streams={}", doubted.len());
-        doubted.into_iter().for_each(|known| self.queue_origin(known));
+        for known in doubted {
+            self.queue_origin(known);
+            self.record_origin(known);
+        }
         self.flush_origins();
     }
 
@@ -213,24 +243,37 @@
     }
 
     /// `handle_origin_query` tells another instance what is known of a stream.
-    pub(crate) fn handle_origin_query(&self, peer: InstanceId, query: &OriginQuery) {
-        let now = self.now();
+    pub(crate) fn handle_origin_query(self: &Rc<Self>, peer: InstanceId, query: OriginQuery) {
+        let known = self.traffic.borrow().origins.origin_of(query.attempt, self.now());
+        if known.is_some() || !query.reads_records {
+            return self.reply_to_query(peer, &query, known, false);
+        }
+        let gateway = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let lookup = gateway.look_up_origin(query.attempt).await;
+            let known = gateway.known_of_lookup(lookup);
+            gateway.reply_to_query(peer, &query, known, lookup == Lookup::Unreadable);
+        });
+    }
+
+    fn reply_to_query(
+        &self,
+        peer: InstanceId,
+        query: &OriginQuery,
+        known: Option<KnownOrigin>,
+        is_unreadable: bool,
+    ) {
+        let Some(address) = self.beat_address_of(peer) else { return };
         let traffic = self.traffic.borrow();
-        let known = traffic.origins.origin_of(query.attempt, now);
-        let is_mixed = traffic.software.are_mixed_of(query.service);
-        let only_software = traffic.software.only_version_of(query.service);
+        let reply = OriginReply {
+            number: query.number,
+            line: known.map(|known| line_of_origin(&known, self.now())),
+            is_mixed: traffic.software.are_mixed_of(query.service),
+            only_software: traffic.software.only_version_of(query.service),
+            may_be_told: is_unreadable || self.has_just_started(),
+        };
         drop(traffic);
-        let line = known.map(|known| line_of_origin(&known, now));
-        if let Some(address) = self.beat_address_of(peer) {
-            let reply = OriginReply {
-                number: query.number,
-                line,
-                is_mixed,
-                only_software,
-                has_just_started: self.has_just_started(),
-            };
-            self.send_message(Body::OriginReply(reply), address);
-        }
+        self.send_message(Body::OriginReply(reply), address);
     }
 
     /// `handle_origin_reply` takes in a reply to a query.
@@ -239,7 +282,7 @@
         query.replies.set(query.replies.get() + 1);
         let is_other = reply.only_software.is_some_and(|only| Some(only) != query.only_software);
         query.is_mixed.set(query.is_mixed.get() || reply.is_mixed || is_other);
-        query.may_be_told.set(query.may_be_told.get() || reply.has_just_started);
+        query.may_be_told.set(query.may_be_told.get() || reply.may_be_told);
         if let Some(line) = &reply.line {
             let known = origin_of_line(line, self.now());
             let is_later = |before: KnownOrigin| before.revision <= known.revision;
@@ -254,10 +297,42 @@
         if let Some(known) = self.traffic.borrow().origins.origin_of(attempt, self.now()) {
             return Found { known: Some(known), ..Found::default() };
         }
-        let addresses: Vec<_> = {
+        let addresses = {
             let keepers = self.members.borrow().likely_keepers(attempt);
             keepers.into_iter().filter_map(|keeper| self.beat_address_of(keeper)).collect()
         };
+        self.ask_for_origin(addresses, attempt, service, false).await
+    }
+
+    /// Reads in the records where a stream began, by itself or by those that watch the store for it.
+    async fn find_recorded_origin(
+        self: &Rc<Self>,
+        attempt: AttemptNumber,
+        service: ServiceId,
+    ) -> Found {
+        let readers = self.record_readers();
+        if !readers.is_empty() {
+            return self.ask_for_origin(readers, attempt, service, true).await;
+        }
+        let lookup = self.look_up_origin(attempt).await;
+        let may_be_told = lookup == Lookup::Unreadable;
+        Found { known: self.known_of_lookup(lookup), may_be_told, ..Found::default() }
+    }
+
+    fn known_of_lookup(&self, lookup: Lookup) -> Option<KnownOrigin> {
+        let Lookup::Found(RecordedOrigin { attempt, origin, revision }) = lookup else {
+            return None;
+        };
+        Some(KnownOrigin { attempt, origin, revision, until: self.now() + RETENTION })
+    }
+
+    async fn ask_for_origin(
+        &self,
+        addresses: Vec<SocketAddr>,
+        attempt: AttemptNumber,
+        service: ServiceId,
+        reads_records: bool,
+    ) -> Found {
         if addresses.is_empty() || QUERIES_MAX <= self.origins.queries.borrow().len() {
             return Found::default();
         }
@@ -266,17 +341,18 @@
         let query = Rc::new(Query::new(addresses.len(), only_software));
         self.origins.queries.borrow_mut().insert(number, Rc::clone(&query));
         let _pending = PendingQuery { gateway: self, number };
-        for address in addresses {
-            self.send_message(Body::OriginQuery(OriginQuery { number, attempt, service }), address);
-        }
+        let body = Body::OriginQuery(OriginQuery { number, attempt, service, reads_records });
+        addresses.into_iter().for_each(|address| self.send_message(body.clone(), address));
+        let time = if reads_records { RECORD_TIMEOUT } else { QUERY_TIMEOUT };
         // What has come until then is what is known.
-        let _ = tokio::time::timeout(QUERY_TIMEOUT, query.answered()).await;
+        let _ = tokio::time::timeout(time, query.answered()).await;
         Found {
             known: query.found.get(),
             asked: query.asked,
             replies: query.replies.get(),
             is_mixed: query.is_mixed.get(),
             may_be_told: query.may_be_told.get(),
+            is_recorded: false,
         }
     }
 }
@@ -322,9 +398,10 @@
         return Ok(());
     }
     let resumed = call.facts.resumed_attempt_id.as_deref();
+    let attempt = resumed.map(attempt_number);
     let service = id_of_name(&call.service);
-    let found = match resumed {
-        Some(resumed) => gateway.find_origin(attempt_number(resumed), service).await,
+    let mut found = match attempt {
+        Some(attempt) => gateway.find_origin(attempt, service).await,
         None => Found::default(),
     };
     let is_needed = || {
@@ -332,12 +409,13 @@
         found.known.is_none() && !is_mixed
     };
     let list_age = gateway.list_age();
-    let is_current = is_needed() && gateway.make_list_current().await;
+    let is_list_needed = is_needed();
+    let is_current = is_list_needed && gateway.make_list_current().await;
     let recorded = match is_current && is_needed() && !gateway.bears_witness(&call.service) {
         true => gateway.read_version_record(&call.service).await,
         false => None,
     };
-    let knowledge = Knowledge {
+    let mut knowledge = Knowledge {
         service,
         origin: found.known.map(|known| known.origin),
         is_mixed: found.is_mixed || gateway.are_versions_mixed(&call.service),
@@ -345,6 +423,13 @@
         is_current,
         has_witness: gateway.bears_witness(&call.service),
     };
+    // A store of which the list was not read would not tell the records either.
+    let is_store_away = is_list_needed && !is_current;
+    let is_unknown = knowledge.origin.is_none() && knowledge.resumption() == Resumption::Nowhere;
+    if let Some(attempt) = attempt.filter(|_| is_unknown && !is_store_away) {
+        found = found.or_recorded(gateway.find_recorded_origin(attempt, service).await);
+        knowledge.origin = found.known.map(|known| known.origin);
+    }
     // Others may know more than an instance that nobody answers.
     let is_unanswered = 0 < found.asked && found.replies == 0;
     let may_be_told = knowledge.origin.is_none()
@@ -355,7 +440,7 @@
         EventKind::StreamTakenUp,
         format_args!(
             "request={} resumes={:.64} decision={resumption} origin={:?} asked={} replies={} mixed={} \
-             list_age_ms={} current={} witness={} recorded={recorded:?} waited_ms={}",
+             list_age_ms={} current={} witness={} recorded={recorded:?} in_records={} waited_ms={}",
             call.facts.attempt_id,
             resumed.unwrap_or("-"),
             knowledge.origin,
@@ -365,6 +450,7 @@
             list_age.as_millis(),
             knowledge.is_current,
             knowledge.has_witness,
+            found.is_recorded,
             gateway.now().saturating_sub(call.arrived).as_millis(),
         ),
     );
@@ -392,6 +478,9 @@
         self.traffic.borrow_mut().origins.told(known);
         self.queue_origin(known);
         self.schedule_flush();
+        if self.traffic.borrow().software.are_mixed_of(known.origin.service) {
+            self.record_origin(known);
+        }
     }
 
     /// `bind_retry` lets a request that is sent again go only to the version at which others were told that its
@@ -450,7 +539,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct UnknownVersion;
 
-fn line_of_origin(known: &KnownOrigin, now: Timestamp) -> OriginLine {
+pub(crate) fn line_of_origin(known: &KnownOrigin, now: Timestamp) -> OriginLine {
     OriginLine {
         attempt: known.attempt,
         service: known.origin.service,
@@ -460,7 +549,7 @@
     }
 }
 
-fn origin_of_line(line: &OriginLine, now: Timestamp) -> KnownOrigin {
+pub(crate) fn origin_of_line(line: &OriginLine, now: Timestamp) -> KnownOrigin {
     KnownOrigin {
         attempt: line.attempt,
         origin: Origin { service: line.service, software: line.software },
--- a/crates/bergamotpitch-gateway/src/received_messages.rs
+++ b/crates/bergamotpitch-gateway/src/received_messages.rs
@@ -56,7 +56,8 @@
             gateway.handle_grant_confirmation(instance, &confirmation)
         }
         Body::Origins(lines) => gateway.handle_origins(&lines),
-        Body::OriginQuery(query) => gateway.handle_origin_query(instance, &query),
+        Body::RecordedOrigins(lines) => gateway.handle_recorded_origins(&lines),
+        Body::OriginQuery(query) => gateway.handle_origin_query(instance, query),
         Body::OriginReply(reply) => gateway.handle_origin_reply(&reply),
         Body::Presence(presence) => {
             gateway.note_presence(instance, incarnation, presence.is_leaving)
@@ -76,7 +77,10 @@
         | Body::Reply(_)
         | Body::Progress(_)
         | Body::GrantConfirmation(_) => Work::Placements,
-        Body::Origins(_) | Body::OriginQuery(_) | Body::OriginReply(_) => Work::Origins,
+        Body::Origins(_)
+        | Body::RecordedOrigins(_)
+        | Body::OriginQuery(_)
+        | Body::OriginReply(_) => Work::Origins,
         Body::Crashes(_) | Body::Answered(_) | Body::LivingUpstreams(_) => Work::Crashes,
         Body::RepeatRequest(_) | Body::RepeatReply(_) => Work::Repeats,
     }
--- a/crates/bergamotpitch-gateway/src/roles.rs
+++ b/crates/bergamotpitch-gateway/src/roles.rs
@@ -39,17 +39,23 @@
         if self.traffic.borrow().bounds_arrivals() { options.bounded() } else { options }
     }
 
-    /// Decides anew what this instance does for its domain.
-    pub(crate) fn update_role(&self) {
+    /// `own_candidate` returns what counts for the role of this instance in its domain.
+    pub(crate) fn own_candidate(&self) -> Candidate {
         let now = self.now();
-        let own = Candidate {
+        Candidate {
             instance: self.options.instance,
             processor_millis: self.options.processor_millis,
             last_seen: now,
             is_eligible: self.is_eligible(),
             is_warmed_up: WARM_UP_TIME <= now,
             is_dispatching: self.is_dispatcher(),
-        };
+        }
+    }
+
+    /// Decides anew what this instance does for its domain.
+    pub(crate) fn update_role(&self) {
+        let now = self.now();
+        let own = self.own_candidate();
         let domain = &self.options.admission.domain;
         let peers = self.peers.borrow();
         let of_domain = peers.values().filter(|peer| peer.address.domain == *domain);
--- a/crates/bergamotpitch-gateway/tests/mixed_versions.rs
+++ b/crates/bergamotpitch-gateway/tests/mixed_versions.rs
@@ -90,7 +90,7 @@
         line: None,
         is_mixed: false,
         only_software: Some(software_id(Some(version))),
-        has_just_started: false,
+        may_be_told: false,
     };
     peer.send(Body::OriginReply(reply)).await;
 }
