Believe no end of an answer before the request was written

What callers saw: the part of a body that an upstream sent before it ended its side of the connection during a long upload, as a complete 200.

Cause: an answer without a length was whole if its connection ended in order and its upstream still took connections.

Change: connections remember whether the system took all of the request, of which it holds only 16 kB unsent, and whether a write has met a reset. answer_ends.rs takes an answer without a length for broken where the request was not written. After an answer whose end is known the connection is closed, and the rest of the upload is not sent.

Tests: early_answers. ended_during_upload and whole_before_upload failed before (700 kB, a stream; the whole upload was sent).

--- a/crates/bergamotpitch-gateway/src/attempts.rs
+++ b/crates/bergamotpitch-gateway/src/attempts.rs
@@ -226,10 +226,6 @@
     let seen = run.begun();
     let key = run.key();
     let bytes = match whole {
-        Ok(Ok(_)) if !is_framed && gateway.has_ended(key, address).await => {
-            run.complete(true);
-            return Err(UnusableAnswer::Broken("its upstream ended with it".to_owned()));
-        }
         Ok(Ok(bytes)) => bytes,
         Ok(Err(error)) => {
             run.complete(true);
@@ -240,6 +236,13 @@
             return Err(UnusableAnswer::Late);
         }
     };
+    if !is_framed {
+        let is_written = sender.has_written_request();
+        if let Some(flaw) = gateway.check_end(is_written, key, address).await {
+            run.complete(true);
+            return Err(UnusableAnswer::Broken(flaw.to_string()));
+        }
+    }
     if let Reuse::Idle(idle) = reuse {
         gateway.keep_connection(key, sender, idle);
     }
--- a/crates/bergamotpitch-gateway/src/bodies.rs
+++ b/crates/bergamotpitch-gateway/src/bodies.rs
@@ -16,6 +16,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::Sleep;
 
+use crate::answer_ends::EndFlaw;
 use crate::attempts::note_failure;
 use crate::callers::InRequest;
 use crate::calls::Call;
@@ -118,7 +119,7 @@
     format!("no memory is left for more than {held_bytes} bytes of it")
 }
 
-type Verification = Pin<Box<dyn Future<Output = bool>>>;
+type Verification = Pin<Box<dyn Future<Output = Option<EndFlaw>>>>;
 
 type Breaking = Pin<Box<dyn Future<Output = ()>>>;
 
@@ -164,7 +165,7 @@
 
 enum Source {
     Reading(EventSource),
-    /// The answer ended with its connection; whether its upstream has ended too is looked at.
+    /// The answer ended with its connection; whether it is whole is looked at.
     Verifying(EventSource, Verification),
     Resuming(Resumption),
     /// It broke off for good; the caller learns of it once other instances know of a crash.
@@ -235,8 +236,8 @@
                 },
                 Source::Verifying(_, verification) => match verification.as_mut().poll(context) {
                     Poll::Pending => return Poll::Pending,
-                    Poll::Ready(true) => self.broken("its upstream ended with it"),
-                    Poll::Ready(false) => {
+                    Poll::Ready(Some(flaw)) => self.broken(&flaw.to_string()),
+                    Poll::Ready(None) => {
                         self.end();
                         return Poll::Ready(None);
                     }
@@ -317,12 +318,13 @@
         self.first_event.is_some() || self.call.facts.takes_up_stream()
     }
 
-    /// An answer that ends with its connection is whole unless its upstream ended.
+    /// An answer without a length is whole only where its end is known to be that of the answer.
     fn verify_end(&mut self) {
         let source = std::mem::replace(&mut self.source, Source::Ended);
         let (Source::Reading(source), Some(run)) = (source, &self.run) else { return };
         let (gateway, upstream, address) = (Rc::clone(&self.gateway), run.key(), source.address);
-        let verification = async move { gateway.has_ended(upstream, address).await };
+        let is_written = source.sender.has_written_request();
+        let verification = async move { gateway.check_end(is_written, upstream, address).await };
         self.source = Source::Verifying(source, Box::pin(verification));
     }
 
--- a/crates/bergamotpitch-gateway/src/connections.rs
+++ b/crates/bergamotpitch-gateway/src/connections.rs
@@ -21,6 +21,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
 
 use crate::work_times::{Work, WorkTimes};
 
@@ -36,6 +37,10 @@
 /// retransmissions on a link that loses packets.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// `UNSENT_BYTES` is how much the system takes of what it cannot send yet. A request counts as written that it has
+/// taken, whether or not its upstream has room for it.
+const UNSENT_BYTES: u32 = 16 << 10;
+
 /// `UNSTATED_IDLE` is the time for which an idle connection is used again when the upstream does
 /// not say when it closes it.
 const UNSTATED_IDLE: Duration = Duration::from_secs(4);
@@ -62,6 +67,43 @@
 pub struct Sender {
     requests: SendRequest<Full<Bytes>>,
     fruitless: FruitlessBytes,
+    writes: Writes,
+    connection: AbortHandle,
+}
+
+impl Drop for Sender {
+    /// What is left of a request is not sent to an upstream that has answered it, or that is given up.
+    fn drop(&mut self) {
+        if !self.has_written_request() {
+            self.connection.abort();
+        }
+    }
+}
+
+/// `Writes` is what became of the last write on a connection.
+#[derive(Debug, Clone, Default)]
+struct Writes(Rc<Cell<LastWrite>>);
+
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum LastWrite {
+    /// The system took all that was to be written.
+    #[default]
+    Taken,
+    /// The system has no room for it yet.
+    Waiting,
+    /// The connection broke. A reset that a write meets is not met by the reads after it, which see an end in order.
+    Failed,
+}
+
+impl Writes {
+    fn note<T>(&self, written: &Poll<io::Result<T>>) {
+        self.0.set(match written {
+            _ if self.0.get() == LastWrite::Failed => LastWrite::Failed,
+            Poll::Ready(Ok(_)) => LastWrite::Taken,
+            Poll::Ready(Err(_)) => LastWrite::Failed,
+            Poll::Pending => LastWrite::Waiting,
+        });
+    }
 }
 
 /// `FruitlessBytes` counts what came on a connection since the answer there went on last.
@@ -89,6 +131,11 @@
         self.fruitless.0.set(0);
     }
 
+    /// `has_written_request` tells whether all of the last request was written.
+    pub fn has_written_request(&self) -> bool {
+        self.writes.0.get() == LastWrite::Taken
+    }
+
     /// `is_ready` tells whether the connection can take a request.
     pub fn is_ready(&self) -> bool {
         self.requests.is_ready()
@@ -104,6 +151,7 @@
 struct BoundedStream {
     stream: TcpStream,
     fruitless: FruitlessBytes,
+    writes: Writes,
 }
 
 impl AsyncRead for BoundedStream {
@@ -132,7 +180,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.writes.note(&written);
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -148,7 +198,9 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        self.writes.note(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -251,20 +303,24 @@
         .await
         .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
     tune(&stream)?;
+    if let Err(error) = SockRef::from(&stream).set_tcp_notsent_lowat(UNSENT_BYTES) {
+        log::debug!("event=option_not_set option=tcp_notsent_lowat error={error}");
+    }
     let fruitless = FruitlessBytes::default();
-    let bounded = BoundedStream { stream, fruitless: fruitless.clone() };
+    let writes = Writes::default();
+    let bounded = BoundedStream { stream, fruitless: fruitless.clone(), writes: writes.clone() };
     let (requests, connection) = http1::Builder::new()
         .max_buf_size(READ_BUFFER_BYTES)
         .handshake(TokioIo::new(bounded))
         .await
         .map_err(std::io::Error::other)?;
     let work_times = work_times.clone();
-    tokio::task::spawn_local(async move {
+    let connection = tokio::task::spawn_local(async move {
         if let Err(error) = work_times.time(Work::Upstreams, connection).await {
             log::debug!("event=connection_ended address={address} error={error}");
         }
     });
-    Ok(Sender { requests, fruitless })
+    Ok(Sender { requests, fruitless, writes, connection: connection.abort_handle() })
 }
 
 /// `tune` makes a socket send at once and notice a dead link.
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -350,10 +350,11 @@
     }
 
     /// `keep_connection` keeps a connection to an upstream for further requests, unless the memory
-    /// for connections is spent: idle ones give way to those that carry requests.
+    /// for connections is spent: idle ones give way to those that carry requests. One whose upstream answered before
+    /// it had the whole request is closed: what is written there next would be taken for the rest.
     pub fn keep_connection(&self, key: UpstreamKey, sender: Sender, idle: Option<Duration>) {
         let open = self.connection_count() + self.in_flight() + self.pools.count();
-        if open < self.options.connections_max {
+        if open < self.options.connections_max && sender.has_written_request() {
             self.pools.put(key, sender, idle, self.now());
         }
     }
--- a/crates/bergamotpitch-gateway/src/lib.rs
+++ b/crates/bergamotpitch-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! How requests and answers are spelled is no matter of this crate: a [`Dialect`](dialects::Dialect)
 //! reads and writes headers, and whoever starts the gateway hands it catalogs, upstreams and peers.
 
+mod answer_ends;
 pub mod arrivals;
 pub mod attempts;
 pub mod block_records;
