Take no status for an answer that HTTP does not know

What callers saw: 600 and 999 with an upstream's seal, a 206 that they had not asked for as a success, and a 205 with bytes behind it. 000 and other odd ones gave 502, by the library's check alone.

Cause: the library takes three digits from 100 on for a status.

Change: what is below 200 or above 599, and a 206 to a request without Range, is no answer to the request; a 205 with a body is broken. Callers get 502, or the answer of another upstream.

--- a/crates/bergamotpitch-gateway/src/attempts.rs
+++ b/crates/bergamotpitch-gateway/src/attempts.rs
@@ -214,7 +214,8 @@
     remove_hop_headers(&mut parts.headers);
     // Answers of HTTP/1.0 end with the connection, so that callers would take a cut one for whole.
     parts.version = Version::HTTP_11;
-    if parts.status.is_success() && is_event_stream(&parts.headers) {
+    let may_have_body = parts.status != StatusCode::RESET_CONTENT;
+    if parts.status.is_success() && may_have_body && is_event_stream(&parts.headers) {
         parts.headers.remove(CONTENT_LENGTH);
         let source = EventSource { body, sender, address, reuse, is_framed };
         let stream = StreamAnswer::new(gateway, call, run, source);
@@ -226,6 +227,11 @@
     let seen = run.begun();
     let key = run.key();
     let bytes = match whole {
+        Ok(Ok(bytes)) if !may_have_body && !bytes.is_empty() => {
+            run.complete(true);
+            let detail = format!("{} bytes where none may be", bytes.len());
+            return Err(UnusableAnswer::Broken(detail));
+        }
         Ok(Ok(bytes)) => bytes,
         Ok(Err(error)) => {
             run.complete(true);
--- a/crates/bergamotpitch-gateway/src/exchanges.rs
+++ b/crates/bergamotpitch-gateway/src/exchanges.rs
@@ -9,7 +9,7 @@
 use bergamotpitch_core::ids::UpstreamId;
 use bergamotpitch_core::units::Timestamp;
 use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use http::header::{CONNECTION, CONTENT_LENGTH, HOST, RANGE, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -18,7 +18,7 @@
 use crate::connections::{Sender, connect};
 use crate::dialects::UpstreamHeaders;
 use crate::gateways::Gateway;
-use crate::outcomes::{Outcome, outcome_of};
+use crate::outcomes::{Asked, Outcome, outcome_of};
 
 /// `Answer` is the head of an upstream's answer to this very request, and its body to come.
 #[derive(Debug)]
@@ -218,7 +218,8 @@
     let facts = (gateway.dialect.answer_facts)(response.headers());
     gateway.note_answer_head(key, &facts);
     let status = response.status();
-    match outcome_of(status, &facts, &call.facts.attempt_id) {
+    let has_range = call.headers.contains_key(RANGE);
+    match outcome_of(status, &facts, Asked { attempt_id: &call.facts.attempt_id, has_range }) {
         Outcome::Answered => {}
         Outcome::NotRun => return Err(Failure::NotRun { status }),
         Outcome::Unproven => return Err(Failure::Unproven { status }),
--- a/crates/bergamotpitch-gateway/src/outcomes.rs
+++ b/crates/bergamotpitch-gateway/src/outcomes.rs
@@ -21,22 +21,35 @@
     Foreign,
 }
 
-/// `outcome_of` tells what an answer means for the request of an attempt.
+/// `Asked` is what an answer is held against.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Asked<'a> {
+    /// Id of the attempt.
+    pub attempt_id: &'a str,
+    /// Whether the caller wants a part of the body alone.
+    pub has_range: bool,
+}
+
+/// `outcome_of` tells what an answer means for a request.
 ///
 /// ```
 /// use bergamotpitch_gateway::dialects::AnswerFacts;
-/// use bergamotpitch_gateway::outcomes::{Outcome, outcome_of};
+/// use bergamotpitch_gateway::outcomes::{Asked, Outcome, outcome_of};
 /// use http::StatusCode;
 ///
+/// let asked = Asked { attempt_id: "a1", has_range: false };
 /// let mut facts = AnswerFacts { attempt_id: Some("a1".to_owned()), ..AnswerFacts::default() };
-/// assert_eq!(outcome_of(StatusCode::OK, &facts, "a1"), Outcome::Answered);
-/// assert_eq!(outcome_of(StatusCode::OK, &facts, "a2"), Outcome::Foreign);
-/// assert_eq!(outcome_of(StatusCode::SERVICE_UNAVAILABLE, &facts, "a1"), Outcome::Unproven);
+/// assert_eq!(outcome_of(StatusCode::OK, &facts, asked), Outcome::Answered);
+/// assert_eq!(outcome_of(StatusCode::PARTIAL_CONTENT, &facts, asked), Outcome::Foreign);
+/// assert_eq!(outcome_of(StatusCode::SERVICE_UNAVAILABLE, &facts, asked), Outcome::Unproven);
 /// facts.is_not_run = true;
-/// assert_eq!(outcome_of(StatusCode::SERVICE_UNAVAILABLE, &facts, "a1"), Outcome::NotRun);
+/// assert_eq!(outcome_of(StatusCode::SERVICE_UNAVAILABLE, &facts, asked), Outcome::NotRun);
+/// facts.attempt_id = Some("a2".to_owned());
+/// assert_eq!(outcome_of(StatusCode::OK, &facts, asked), Outcome::Foreign);
 /// ```
-pub fn outcome_of(status: StatusCode, facts: &AnswerFacts, attempt_id: &str) -> Outcome {
-    if status.is_informational() || !is_answer_to(status, facts, attempt_id) {
+pub fn outcome_of(status: StatusCode, facts: &AnswerFacts, asked: Asked<'_>) -> Outcome {
+    let is_unasked_part = status == StatusCode::PARTIAL_CONTENT && !asked.has_range;
+    if !is_final(status) || is_unasked_part || !is_answer_to(status, facts, asked.attempt_id) {
         return Outcome::Foreign;
     }
     if facts.is_not_run {
@@ -45,6 +58,11 @@
     if permits_repeat(status) { Outcome::Unproven } else { Outcome::Answered }
 }
 
+/// Statuses beyond 599 are invalid (RFC 9110, section 15), and those below 200 end no request.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// An answer that echoes another id was meant for an earlier request on this connection. Only the
 /// refusals of an upstream that read no further than the head may come without one.
 fn is_answer_to(status: StatusCode, facts: &AnswerFacts, attempt_id: &str) -> bool {
