Ask an upstream who it is where the end of its answer was held up

Cause: the end of such an answer counted if somebody took a connection at the upstream's address.

Change: connections remember silences, and an instance when it stood still. An end after either, or one of an upstream of which a later life is listed, counts only if the process at the address says that it is the one that was sent the request; without a reply the answer is broken. What was found by a probe that began before an end is not taken for it.

--- a/crates/bergamotpitch-control/src/traffic/catalogs.rs
+++ b/crates/bergamotpitch-control/src/traffic/catalogs.rs
@@ -99,6 +99,8 @@
 pub struct Service {
     /// Its name.
     pub name: String,
+    /// Path at which its upstreams say whether they are healthy; empty when not stated.
+    pub health_path: String,
     /// Connections that one upstream takes from all callers together.
     pub connections_max: u32,
     /// Set for services whose upstreams are slow for a time after their start.
--- a/crates/bergamotpitch-control/tests/cold_upstreams.rs
+++ b/crates/bergamotpitch-control/tests/cold_upstreams.rs
@@ -37,6 +37,7 @@
     let options = Options { domain: "a".to_owned(), policy, warm_ups, ..Options::default() };
     let mut traffic = Traffic::new(options);
     let service = Service {
+        health_path: String::new(),
         name: "engines".to_owned(),
         connections_max: 100,
         warm_up: Some(WARM_UP),
--- a/crates/bergamotpitch-gateway/examples/gateway_overhead.rs
+++ b/crates/bergamotpitch-gateway/examples/gateway_overhead.rs
@@ -55,6 +55,8 @@
         cold_left: None,
     },
     write_own_headers: |_, _| {},
+    identity_request: |_, _| None,
+    stated_identity: |_, _, _| None,
 };
 
 /// `Measured` is one kind of requests, straight and through the gateway.
@@ -205,6 +207,7 @@
         allowed_regions: AllowedRegions::Any,
     };
     let service = Service {
+        health_path: String::new(),
         name: "all".to_owned(),
         warm_up: None,
         connections_max: 1_000,
--- a/crates/bergamotpitch-gateway/src/attempts.rs
+++ b/crates/bergamotpitch-gateway/src/attempts.rs
@@ -15,6 +15,7 @@
 use http::header::CONTENT_LENGTH;
 use http::{Response, StatusCode, Version};
 
+use crate::answer_ends::AnswerEnd;
 use crate::bodies::{AnswerBody, EventSource, StreamAnswer, is_event_stream, read_whole};
 use crate::calls::{BUSY_RETURN, Call};
 use crate::crashes::{AnswerProgress, BrokenAttempt, GivenAnswer};
@@ -209,7 +210,7 @@
     mut run: Run,
     answer: Answer,
 ) -> Result<Response<AnswerBody>, UnusableAnswer> {
-    let Answer { response, sender, address, reuse, is_framed } = answer;
+    let Answer { response, sender, upstream, reuse, is_framed } = answer;
     let (mut parts, body) = response.into_parts();
     remove_hop_headers(&mut parts.headers);
     // Answers of HTTP/1.0 end with the connection, so that callers would take a cut one for whole.
@@ -217,7 +218,7 @@
     let may_have_body = parts.status != StatusCode::RESET_CONTENT;
     if parts.status.is_success() && may_have_body && is_event_stream(&parts.headers) {
         parts.headers.remove(CONTENT_LENGTH);
-        let source = EventSource { body, sender, address, reuse, is_framed };
+        let source = EventSource { body, sender, upstream, reuse, is_framed };
         let stream = StreamAnswer::new(gateway, call, run, source);
         return Ok(Response::from_parts(parts, AnswerBody::Stream(Box::new(stream))));
     }
@@ -243,8 +244,8 @@
         }
     };
     if !is_framed {
-        let is_written = sender.has_written_request();
-        if let Some(flaw) = gateway.check_end(is_written, key, address).await {
+        let end = AnswerEnd::new(gateway, upstream, &sender);
+        if let Some(flaw) = gateway.check_end(end).await {
             run.complete(true);
             return Err(UnusableAnswer::Broken(flaw.to_string()));
         }
--- a/crates/bergamotpitch-gateway/src/bodies.rs
+++ b/crates/bergamotpitch-gateway/src/bodies.rs
@@ -1,7 +1,6 @@
 //! Bodies: answers as they go to the caller, whole or as a stream of events.
 
 use std::future::Future;
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -16,7 +15,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::Sleep;
 
-use crate::answer_ends::EndFlaw;
+use crate::answer_ends::{AnswerEnd, EndFlaw};
 use crate::attempts::note_failure;
 use crate::callers::InRequest;
 use crate::calls::Call;
@@ -27,6 +26,7 @@
 use crate::exchanges::{self, Answer, Failure, Reuse};
 use crate::gateways::{Gateway, InFlight};
 use crate::held_bytes::{Hold, UNCOUNTED_BYTES, capacity_for};
+use crate::identities::ListedUpstream;
 use crate::logs::{SharedParts, decision};
 use crate::placements::{Run, place};
 use crate::sse::EventCutter;
@@ -132,8 +132,8 @@
     pub body: Incoming,
     /// The connection.
     pub sender: Sender,
-    /// Where the upstream listens.
-    pub address: SocketAddr,
+    /// Whom the request was sent to.
+    pub upstream: ListedUpstream,
     /// Whether the connection may carry another request.
     pub reuse: Reuse,
     /// Whether the body's end is known from the body itself.
@@ -321,10 +321,10 @@
     /// An answer without a length is whole only where its end is known to be that of the answer.
     fn verify_end(&mut self) {
         let source = std::mem::replace(&mut self.source, Source::Ended);
-        let (Source::Reading(source), Some(run)) = (source, &self.run) else { return };
-        let (gateway, upstream, address) = (Rc::clone(&self.gateway), run.key(), source.address);
-        let is_written = source.sender.has_written_request();
-        let verification = async move { gateway.check_end(is_written, upstream, address).await };
+        let Source::Reading(source) = source else { return };
+        let gateway = Rc::clone(&self.gateway);
+        let end = AnswerEnd::new(&gateway, source.upstream.clone(), &source.sender);
+        let verification = async move { gateway.check_end(end).await };
         self.source = Source::Verifying(source, Box::pin(verification));
     }
 
@@ -426,9 +426,9 @@
             ),
         );
         (self.run, self.run_begun, self.is_answered) = (Some(run), None, false);
-        let Answer { response, sender, address, reuse, is_framed } = answer;
+        let Answer { response, sender, upstream, reuse, is_framed } = answer;
         let body = response.into_body();
-        self.source = Source::Reading(EventSource { body, sender, address, reuse, is_framed });
+        self.source = Source::Reading(EventSource { body, sender, upstream, reuse, is_framed });
     }
 
     fn cut(&mut self, cut: Cut) -> Option<Result<Frame<Bytes>, Cut>> {
--- a/crates/bergamotpitch-gateway/src/connections.rs
+++ b/crates/bergamotpitch-gateway/src/connections.rs
@@ -6,7 +6,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bergamotpitch_control::traffic::registries::UpstreamKey;
 use bergamotpitch_core::HashMap;
@@ -68,6 +68,7 @@
     requests: SendRequest<Full<Bytes>>,
     fruitless: FruitlessBytes,
     writes: Writes,
+    arrivals: Arrivals,
     connection: AbortHandle,
 }
 
@@ -80,6 +81,41 @@
     }
 }
 
+/// `HOLD_UP_MIN` is the least silence of a connection after which what comes may have been held up on the way: no
+/// process ends and another one listens at its address in less.
+const HOLD_UP_MIN: Duration = Duration::from_millis(250);
+
+/// `HOLD_UP_END` is for how long after such a silence held up bytes may come.
+const HOLD_UP_END: Duration = Duration::from_secs(1);
+
+/// `Arrivals` is when bytes came on a connection.
+#[derive(Debug, Clone)]
+struct Arrivals(Rc<Cell<ArrivalTimes>>);
+
+#[derive(Debug, Clone, Copy)]
+struct ArrivalTimes {
+    last: Instant,
+    /// When the last silence of [`HOLD_UP_MIN`] was over.
+    resumed: Option<Instant>,
+}
+
+impl Arrivals {
+    fn new() -> Self {
+        Self(Rc::new(Cell::new(ArrivalTimes { last: Instant::now(), resumed: None })))
+    }
+
+    fn restart(&self) {
+        self.0.set(ArrivalTimes { last: Instant::now(), resumed: None });
+    }
+
+    fn note(&self) {
+        let ArrivalTimes { last, resumed } = self.0.get();
+        let now = Instant::now();
+        let resumed = if HOLD_UP_MIN <= now - last { Some(now) } else { resumed };
+        self.0.set(ArrivalTimes { last: now, resumed });
+    }
+}
+
 /// `Writes` is what became of the last write on a connection.
 #[derive(Debug, Clone, Default)]
 struct Writes(Rc<Cell<LastWrite>>);
@@ -121,6 +157,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
         self.progress();
+        self.arrivals.restart();
         let response = self.requests.try_send_request(request).await;
         self.progress();
         response
@@ -136,6 +173,11 @@
         self.writes.0.get() == LastWrite::Taken
     }
 
+    /// `may_be_held_up` tells whether what has come last may have been on its way for some time.
+    pub fn may_be_held_up(&self) -> bool {
+        self.arrivals.0.get().resumed.is_some_and(|resumed| resumed.elapsed() < HOLD_UP_END)
+    }
+
     /// `is_ready` tells whether the connection can take a request.
     pub fn is_ready(&self) -> bool {
         self.requests.is_ready()
@@ -152,6 +194,7 @@
     stream: TcpStream,
     fruitless: FruitlessBytes,
     writes: Writes,
+    arrivals: Arrivals,
 }
 
 impl AsyncRead for BoundedStream {
@@ -170,6 +213,9 @@
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
         let count = &self.fruitless.0;
         count.set(count.get() + buffer.filled().len() - before);
+        if read.is_ready() {
+            self.arrivals.note();
+        }
         read
     }
 }
@@ -308,7 +354,13 @@
     }
     let fruitless = FruitlessBytes::default();
     let writes = Writes::default();
-    let bounded = BoundedStream { stream, fruitless: fruitless.clone(), writes: writes.clone() };
+    let arrivals = Arrivals::new();
+    let bounded = BoundedStream {
+        stream,
+        fruitless: fruitless.clone(),
+        writes: writes.clone(),
+        arrivals: arrivals.clone(),
+    };
     let (requests, connection) = http1::Builder::new()
         .max_buf_size(READ_BUFFER_BYTES)
         .handshake(TokioIo::new(bounded))
@@ -320,7 +372,7 @@
             log::debug!("event=connection_ended address={address} error={error}");
         }
     });
-    Ok(Sender { requests, fruitless, writes, connection: connection.abort_handle() })
+    Ok(Sender { requests, fruitless, writes, arrivals, connection: connection.abort_handle() })
 }
 
 /// `tune` makes a socket send at once and notice a dead link.
--- a/crates/bergamotpitch-gateway/src/crash_probes.rs
+++ b/crates/bergamotpitch-gateway/src/crash_probes.rs
@@ -99,6 +99,11 @@
         probe.outcome().await
     }
 
+    /// `is_probed` tells whether a connection to an upstream is being made to find that out.
+    pub(crate) fn is_probed(&self, upstream: UpstreamKey) -> bool {
+        self.crashes.probes.borrow().contains_key(&upstream)
+    }
+
     /// `look_at_closed` looks at upstreams that have answered lately and now closed an idle connection: some crash of
     /// what they have answered in full.
     pub(crate) fn look_at_closed(self: &Rc<Self>) {
--- a/crates/bergamotpitch-gateway/src/dialects.rs
+++ b/crates/bergamotpitch-gateway/src/dialects.rs
@@ -3,10 +3,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bergamotpitch_control::traffic::catalogs::Service;
 use bergamotpitch_control::traffic::engine_loads::Report;
 use bergamotpitch_control::traffic::facts::RequestFacts;
+use bytes::Bytes;
 use displaydoc::Display;
-use http::HeaderMap;
+use http::{HeaderMap, Request, StatusCode};
 use thiserror::Error;
 
 /// `Dialect` reads and writes the headers of one deployment.
@@ -24,6 +26,21 @@
     pub answer_facts: fn(&HeaderMap) -> AnswerFacts,
     /// Sets the request's id on an answer that the gateway makes itself.
     pub write_own_headers: fn(&mut HeaderMap, &str),
+    /// Asks an upstream of a service, meant by its id, who it is; `None` where it cannot be asked.
+    pub identity_request: fn(&Service, &str) -> Option<Request<Bytes>>,
+    /// Reads what it says; `None` when that is no answer to such a request.
+    pub stated_identity: fn(StatusCode, &HeaderMap, &[u8]) -> Option<StatedIdentity>,
+}
+
+/// `StatedIdentity` is what a process says of itself.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct StatedIdentity {
+    /// Whether it is not the upstream that is meant.
+    pub is_other: bool,
+    /// Its id.
+    pub id: Option<String>,
+    /// When it started, as Unix time in milliseconds.
+    pub born_ms: Option<u64>,
 }
 
 /// `UpstreamHeaders` are what an upstream is told besides the caller's own headers.
--- a/crates/bergamotpitch-gateway/src/exchanges.rs
+++ b/crates/bergamotpitch-gateway/src/exchanges.rs
@@ -18,6 +18,7 @@
 use crate::connections::{Sender, connect};
 use crate::dialects::UpstreamHeaders;
 use crate::gateways::Gateway;
+use crate::identities::ListedUpstream;
 use crate::outcomes::{Asked, Outcome, outcome_of};
 
 /// `Answer` is the head of an upstream's answer to this very request, and its body to come.
@@ -27,8 +28,8 @@
     pub response: Response<Incoming>,
     /// The connection, to be kept when the body was read to its end.
     pub sender: Sender,
-    /// Where the upstream listens.
-    pub address: SocketAddr,
+    /// Whom the request was sent to.
+    pub upstream: ListedUpstream,
     /// How long the upstream keeps the connection when idle; `None` when it closes it.
     pub reuse: Reuse,
     /// Whether its body has a length or comes in chunks; else it ends with its connection, and nothing
@@ -116,8 +117,8 @@
     placement: &Placement,
     resume_after: Option<&str>,
 ) -> Result<Answer, Failure> {
-    let key = placement.upstream;
-    let address = gateway.address_of(key).ok_or(Failure::Unreachable)?;
+    let upstream = gateway.listed_upstream(placement.upstream).ok_or(Failure::Unreachable)?;
+    let ListedUpstream { key, address, .. } = upstream;
     // On a kept connection a request may go to an upstream that has ended, and would seem to crash it.
     let mut warm = match gateway.is_suspected(call) {
         true => None,
@@ -139,7 +140,7 @@
         let sent = sender.send(request).await;
         unanswered.close();
         match sent {
-            Ok(response) => return read_head(gateway, call, (key, address), response, sender),
+            Ok(response) => return read_head(gateway, call, upstream, response, sender),
             // The connection closed before anything was written: a fresh one may carry it.
             Err(error) if is_warm && error.message().is_some() => call.discount_attempt(),
             Err(mut error) => {
@@ -211,12 +212,12 @@
 fn read_head(
     gateway: &Rc<Gateway>,
     call: &Call,
-    (key, address): (UpstreamKey, SocketAddr),
+    upstream: ListedUpstream,
     response: Response<Incoming>,
     sender: Sender,
 ) -> Result<Answer, Failure> {
     let facts = (gateway.dialect.answer_facts)(response.headers());
-    gateway.note_answer_head(key, &facts);
+    gateway.note_answer_head(upstream.key, &facts);
     let status = response.status();
     let has_range = call.headers.contains_key(RANGE);
     match outcome_of(status, &facts, Asked { attempt_id: &call.facts.attempt_id, has_range }) {
@@ -224,7 +225,7 @@
         Outcome::NotRun => return Err(Failure::NotRun { status }),
         Outcome::Unproven => return Err(Failure::Unproven { status }),
         Outcome::Foreign => {
-            gateway.pools.doubt(key, gateway.now());
+            gateway.pools.doubt(upstream.key, gateway.now());
             let echoed = facts.attempt_id.unwrap_or_default();
             let detail = format!("foreign answer for {echoed:?} with status {status}");
             return Err(Failure::Broken { detail });
@@ -233,7 +234,7 @@
     let closes = says_close(response.headers());
     let reuse = if closes { Reuse::Never } else { Reuse::Idle(stated_idle(response.headers())) };
     let is_framed = is_framed(&call.method, response.status(), response.headers());
-    Ok(Answer { response, sender, address, reuse, is_framed })
+    Ok(Answer { response, sender, upstream, reuse, is_framed })
 }
 
 /// Whether the end of an answer's body is known from its head or in the body itself. A transfer coding that does
--- a/crates/bergamotpitch-gateway/src/gateways.rs
+++ b/crates/bergamotpitch-gateway/src/gateways.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use bergamotpitch_control::traffic::admissions::Traffic;
 use bergamotpitch_control::traffic::answer_times::AnswerTimes;
@@ -34,6 +34,7 @@
 use crate::errors::{Error, Result};
 use crate::heartbeats::{self, HEARTBEAT_INTERVAL};
 use crate::held_bytes::HeldBytes;
+use crate::identities::Identities;
 use crate::logs::decision;
 use crate::loop_lags::LoopLag;
 use crate::metrics::Metrics;
@@ -46,6 +47,7 @@
 use crate::remote_placements::RemotePlacements;
 use crate::retries::RemoteRepeats;
 use crate::served_streams::ServedStreams;
+use crate::standstills::Standstills;
 use crate::store_updates::StoreUpdates;
 use crate::team_counters::TeamCounters;
 use crate::version_records::VersionRecords;
@@ -73,6 +75,8 @@
     pub pools: Pools,
     /// Whether this process keeps up.
     pub loop_lag: LoopLag,
+    /// When it did not run.
+    pub(crate) standstills: Standstills,
     /// For what kinds of work its thread is used.
     pub work_times: WorkTimes,
     /// Memory that the bodies of requests take.
@@ -111,6 +115,8 @@
     pub(crate) remote_repeats: RemoteRepeats,
     /// What it knows of upstreams that crashed.
     pub(crate) crashes: Crashes,
+    /// Who is asked at upstreams' addresses.
+    pub(crate) identities: Identities,
     /// What is kept beyond this process of parts of prompts that crash upstreams.
     pub(crate) block_records: BlockRecords,
     /// What it tells others of its streams, and asks them about theirs.
@@ -193,6 +199,7 @@
             dialect,
             pools: Pools::default(),
             loop_lag: LoopLag::default(),
+            standstills: Standstills::new(HEARTBEAT_INTERVAL),
             work_times: WorkTimes::default(),
             streams: ServedStreams::new(concurrency_limits::Options::default()),
             team_counters: TeamCounters::default(),
@@ -208,6 +215,7 @@
             local_placements: LocalPlacements::default(),
             remote_placements: RemotePlacements::default(),
             crashes: Crashes::default(),
+            identities: Identities::default(),
             block_records: BlockRecords::default(),
             origins: Origins::default(),
             origin_records: OriginRecords::default(),
@@ -484,6 +492,7 @@
         tokio::time::sleep_until(due).await;
         let _scope = gateway.work_times.enter(Work::Upkeep);
         gateway.loop_lag.note(due.elapsed());
+        gateway.standstills.note_turn(gateway.now(), SystemTime::now());
         gateway.note_readiness();
         gateway.log_team_counters();
         gateway.note_work_times();
--- a/crates/bergamotpitch-gateway/src/metrics.rs
+++ b/crates/bergamotpitch-gateway/src/metrics.rs
@@ -46,6 +46,8 @@
     pub cut_answers: Count,
     /// Connections opened to upstreams.
     pub connections_opened: Count,
+    /// Upstreams that were asked who they are.
+    pub identity_probes: Count,
     /// Asks sent to a dispatcher.
     pub asks: Count,
     /// Asks that no dispatcher decided on.
@@ -125,6 +127,10 @@
                 "bergamotpitch_connections_opened",
                 "Connections opened to upstreams",
             ),
+            identity_probes: count(
+                "bergamotpitch_identity_probes",
+                "Upstreams asked who they are, as an answer may have ended with their process",
+            ),
             refusals: meter
                 .u64_counter("bergamotpitch_refusals")
                 .with_description("Refusals by reason")
--- a/crates/bergamotpitch-gateway/tests/common/mod.rs
+++ b/crates/bergamotpitch-gateway/tests/common/mod.rs
@@ -14,11 +14,13 @@
 use bergamotpitch_control::traffic::facts::{PromptPart, RequestFacts};
 use bergamotpitch_control::traffic::registries::Registration;
 use bergamotpitch_control::traffic::residencies::AllowedRegions;
-use bergamotpitch_gateway::dialects::{AnswerFacts, BadHeader, Dialect, UpstreamHeaders};
+use bergamotpitch_gateway::dialects::{
+    AnswerFacts, BadHeader, Dialect, StatedIdentity, UpstreamHeaders,
+};
 use bergamotpitch_gateway::version_records::RecordStore;
 use bergamotpitch_gateway::{Gateway, Options};
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Request};
+use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -28,6 +30,7 @@
 pub mod crashes;
 pub mod fake_peers;
 pub mod instances;
+pub mod links;
 
 /// `run` runs a test on one thread with local tasks.
 pub fn run(test: impl Future<Output = ()>) {
@@ -55,8 +58,21 @@
     write_own_headers: |headers, id| {
         headers.insert("x-id", HeaderValue::from_str(id).unwrap());
     },
+    identity_request: |_, upstream_id| {
+        let request = Request::get(IDENTITY_PATH).header("x-upstream", upstream_id);
+        request.body(Bytes::new()).ok()
+    },
+    stated_identity: |status, headers, _| {
+        let is_other = status == StatusCode::MISDIRECTED_REQUEST;
+        let id = text(headers, "x-upstream");
+        let born_ms = text(headers, "x-born").and_then(|born| born.parse().ok());
+        (is_other || id.is_some()).then_some(StatedIdentity { is_other, id, born_ms })
+    },
 };
 
+/// `IDENTITY_PATH` is where upstreams say who they are.
+pub const IDENTITY_PATH: &str = "/who";
+
 fn request_facts(headers: &HeaderMap) -> Result<RequestFacts, BadHeader> {
     let number = |name| text(headers, name).and_then(|text| text.parse().ok());
     Ok(RequestFacts {
@@ -226,7 +242,7 @@
     }
 }
 
-async fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<Seen> {
+pub async fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<Seen> {
     let end = loop {
         if let Some(at) = buffer.windows(4).position(|four| four == b"\r\n\r\n") {
             break at + 4;
@@ -317,6 +333,7 @@
 pub fn service(name: &str) -> Service {
     Service {
         name: name.to_owned(),
+        health_path: "/health".to_owned(),
         connections_max: 10,
         warm_up: None,
         engine: Some(EngineService { slots: 4, memory_tokens: 1_000, cache_link: None }),
